Learn how images disturb each other, place and pace by it

Change: recursive least squares per serving image, the load remembered per job; placement keeps apart what cannot live together and gathers serving tasks of one image; pace is lowered only as far as needed; a brake where readings stay over the target. Two cores of a worker are kept free of lasting tasks. The announcement of a stored job was decoded as the wrong type, so every one failed and cost a connection.

Ruled out: tail linear in the share, or in its inverse (less explained).

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -169,19 +169,19 @@
         self.call(addr, HEARTBEAT, heartbeat).await
     }
 
-    /// Tells the leader of a stored job.
+    /// Tells the leader of a stored job; answers whether the host called leads.
     ///
     /// # Errors
     /// As [`Leader::heartbeat`].
-    pub async fn job_stored(&self, addr: &str, job: &Job) -> Result<(), PeerError> {
+    pub async fn job_stored(&self, addr: &str, job: &Job) -> Result<bool, PeerError> {
         self.call(addr, JOB_STORED, job).await
     }
 
-    /// Tells the leader of a stored cancellation.
+    /// Tells the leader of a stored cancellation; answers whether the host called leads.
     ///
     /// # Errors
     /// As [`Leader::heartbeat`].
-    pub async fn cancel_stored(&self, addr: &str, key: JobKey) -> Result<(), PeerError> {
+    pub async fn cancel_stored(&self, addr: &str, key: JobKey) -> Result<bool, PeerError> {
         self.call(addr, CANCEL_STORED, &key).await
     }
 
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -7,11 +7,11 @@
 use gaplock_types::sizes::Resources;
 
 use crate::context::Context;
-use crate::looks::FULL_PACE;
+use crate::lifecycle::Occupant;
 use crate::message::{Run, WorkerIx};
 use crate::placement::{self, Wanted};
 use crate::table::{self, ReadyStep, TaskState};
-use crate::worker::{Phase, Slot};
+use crate::worker::Phase;
 use crate::{lifecycle, orders, trace};
 
 /// A demand for which no worker had room in this pass; a demand at least as large with the same
@@ -60,14 +60,14 @@
         }
         let Some(ix) = choose(cx, &job, &service, task) else {
             trace::step_blocked(ready.job, ready.step, began);
-            if step.most_per_worker.is_none() {
+            if step.most_per_worker.is_none() && !step.fills {
                 let label = step.label.clone();
                 blocked.push(Blocked { service: service.clone(), label, takes });
             }
             return;
         };
         let run = next_run(cx, task);
-        start(cx, ix, &job, task, run);
+        start(cx, ix, task, run);
     }
 }
 
@@ -83,8 +83,9 @@
 
 fn choose(cx: &Context, job: &Job, service: &ids::ServiceId, task: TaskKey) -> Option<WorkerIx> {
     let step = &job.steps[usize::from(task.step)];
-    let avoid = cx.jobs.get(&task.job).and_then(|e| e.task(task)).and_then(|t| t.failed_on);
-    placement::choose(cx, &Wanted { service, step, task, avoid })
+    let found = cx.jobs.get(&task.job).and_then(|e| e.task(task))?;
+    let (avoid, waited) = (found.failed_on, cx.now.since(found.since));
+    placement::choose(cx, &Wanted { service, step, task, avoid, waited })
 }
 
 /// Starts all members of a gang under one run number, or none of them.
@@ -114,7 +115,7 @@
             return;
         };
         set_starts(cx, task, starts);
-        reserve(cx, ix, job, task, run);
+        reserve(cx, ix, task, run);
         placed.push((task, ix));
     }
     for (task, ix) in placed {
@@ -143,30 +144,17 @@
     cx.run_number(starts)
 }
 
-fn start(cx: &mut Context, ix: WorkerIx, job: &Arc<Job>, task: TaskKey, run: Run) {
-    reserve(cx, ix, job, task, run);
+fn start(cx: &mut Context, ix: WorkerIx, task: TaskKey, run: Run) {
+    reserve(cx, ix, task, run);
     orders::send_start(cx, ix, task, run);
 }
 
 /// Takes the room for a run and holds the task to be there from now on.
-fn reserve(cx: &mut Context, ix: WorkerIx, job: &Arc<Job>, task: TaskKey, run: Run) {
+fn reserve(cx: &mut Context, ix: WorkerIx, task: TaskKey, run: Run) {
     let now = cx.now;
-    let step = &job.steps[usize::from(task.step)];
     lifecycle::leave_pending(cx, task);
-    let slot = Slot {
-        run,
-        phase: Phase::Starting,
-        takes: table::takes(step),
-        ordered: now,
-        confirmed: None,
-        tries: 1,
-        pace: FULL_PACE,
-        pacing: false,
-        percent: 0,
-        moved: now,
-        reading: None,
-    };
-    lifecycle::occupy(cx, ix, task, slot);
+    let (phase, percent, reading) = (Phase::Starting, 0, None);
+    lifecycle::occupy(cx, ix, task, Occupant { run, phase, percent, reading });
     let worker = cx.worker(ix).info.id.clone();
     if let Some(t) = cx.jobs.get_mut(&task.job).and_then(|e| e.task_mut(task)) {
         t.state = TaskState::Active { worker: ix, run };
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -174,6 +174,7 @@
     let keys: Vec<JobKey> = cx.jobs.iter().filter(|(_, e)| old(e)).map(|(key, _)| *key).collect();
     for key in keys {
         cx.jobs.remove(&key);
+        cx.pacing.forget(key);
         commits::add(cx, Record::Forget(key));
     }
 }
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -1,15 +1,17 @@
 //! Changes of a task's or a job's state; every other module goes through these functions.
 
+use std::sync::Arc;
+
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, TaskKey};
 use gaplock_types::time::Millis;
 
-use crate::commits;
 use crate::context::Context;
+use crate::looks::FULL_PACE;
 use crate::message::{Action, Run, WorkerIx};
 use crate::table::{self, Entry, ReadyStep, Round, Task, TaskState};
-use crate::trace;
-use crate::worker::{Phase, Slot};
+use crate::worker::{Part, Phase, Renewal, Slot};
+use crate::{commits, pacing, trace};
 
 fn ready_step(entry: &Entry, round: u32, step: u16) -> ReadyStep {
     ReadyStep { priority: entry.priority, due: entry.due, job: entry.job.key, round, step }
@@ -46,28 +48,67 @@
     }
 }
 
+/// What is known of a run when it is put on a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct Occupant {
+    /// The run.
+    pub run: Run,
+    /// How far its order has come.
+    pub phase: Phase,
+    /// How far the run has come in percent.
+    pub percent: u32,
+    /// The worker's last reading.
+    pub reading: Option<u32>,
+}
+
 /// Records that a run is at a worker.
-pub fn occupy(cx: &mut Context, worker: WorkerIx, key: TaskKey, slot: Slot) {
+pub fn occupy(cx: &mut Context, worker: WorkerIx, key: TaskKey, occupant: Occupant) {
+    let now = cx.now;
     let Some(entry) = cx.jobs.get_mut(&key.job) else { return };
-    let filling = entry.step(key).map_or(0, table::filling);
     entry.begun = true;
     if entry.state == JobState::Queued {
         entry.state = JobState::Active;
-        commits::mark(&mut cx.commits, cx.now, key.job);
+        commits::mark(&mut cx.commits, now, key.job);
     }
-    let w = &mut cx.workers[worker.0 as usize];
-    w.occupy(key, slot, filling);
-    if let crate::worker::Renewal::Due(at) = w.renewal {
-        w.renewal = crate::worker::Renewal::Due(at.min(cx.now));
+    let job = Arc::clone(&entry.job);
+    let Some(step) = job.steps.get(usize::from(key.step)) else { return };
+    let part = pacing::part_of(cx, step);
+    let started = occupant.phase == Phase::Starting;
+    let slot = Slot {
+        run: occupant.run,
+        phase: occupant.phase,
+        takes: table::takes(step),
+        part,
+        wants_cpu: table::filling(step),
+        ordered: now,
+        confirmed: (!started).then_some(now),
+        tries: u32::from(started),
+        pace: FULL_PACE,
+        pacing: false,
+        percent: occupant.percent,
+        moved: now,
+        reading: occupant.reading,
+        over_since: None,
+        slowed: None,
+    };
+    let w = cx.worker_mut(worker);
+    w.occupy(key, slot);
+    if let Renewal::Due(at) = w.renewal {
+        w.renewal = Renewal::Due(at.min(now));
     }
+    pacing::refresh(cx, worker);
 }
 
 /// Records that a run is no longer at a worker.
 pub fn vacate(cx: &mut Context, worker: WorkerIx, key: TaskKey, run: Run) -> Option<Slot> {
-    let entry = cx.jobs.get(&key.job);
-    let filling = entry.and_then(|e| e.step(key)).map_or(0, table::filling);
     cx.pass_wanted = true;
-    cx.worker_mut(worker).vacate(key, run, filling)
+    let slot = cx.worker_mut(worker).vacate(key, run)?;
+    if matches!(slot.part, Part::Filling(_)) {
+        let now = cx.now;
+        cx.worker_mut(worker).filling_ended = now;
+    }
+    pacing::refresh(cx, worker);
+    Some(slot)
 }
 
 /// Tells whether a task is held to be at a worker under a run.
--- a/crates/sched/src/looks.rs
+++ b/crates/sched/src/looks.rs
@@ -4,10 +4,11 @@
 use gaplock_types::time::{Instant, Millis};
 
 use crate::context::Context;
+use crate::lifecycle::Occupant;
 use crate::message::{
     Account, Action, Outcome, Record, Refusal, Run, RunningTask, WorkerClock, WorkerIx,
 };
-use crate::table::{self, TaskState};
+use crate::table::TaskState;
 use crate::worker::{Listing, Phase, Renewal, Slot};
 use crate::{commits, ends, lifecycle, pacing, takeover, trace};
 
@@ -174,25 +175,11 @@
 }
 
 fn occupy_found(cx: &mut Context, ix: WorkerIx, row: &RunningTask, phase: Phase) {
-    let now = cx.now;
     if let Some(old) = cx.worker(ix).slots.get(&row.task).map(|slot| slot.run) {
         lifecycle::vacate(cx, ix, row.task, old);
     }
-    let step = cx.jobs.get(&row.task.job).and_then(|e| e.step(row.task));
-    let slot = Slot {
-        run: row.run,
-        phase,
-        takes: step.map(table::takes).unwrap_or_default(),
-        ordered: now,
-        confirmed: Some(now),
-        tries: 0,
-        pace: FULL_PACE,
-        pacing: false,
-        percent: row.percent,
-        moved: now,
-        reading: row.reading,
-    };
-    lifecycle::occupy(cx, ix, row.task, slot);
+    let (run, percent, reading) = (row.run, row.percent, row.reading);
+    lifecycle::occupy(cx, ix, row.task, Occupant { run, phase, percent, reading });
 }
 
 /// The pace at which every run begins, in percent.
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -3,6 +3,7 @@
 use gaplock_jobs::{Step, TaskKey};
 use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
+use gaplock_types::time::Millis;
 
 use crate::context::Context;
 use crate::message::WorkerIx;
@@ -21,6 +22,8 @@
     pub task: TaskKey,
     /// The worker on which the task failed last.
     pub avoid: Option<WorkerIx>,
+    /// How long the task has waited.
+    pub waited: Millis,
 }
 
 /// Worth of running in the rack that holds the data, against one whole worker of free room.
@@ -38,7 +41,7 @@
         if !fits(cx, worker, wanted, &takes) {
             continue;
         }
-        let score = score(cx, ix, worker, wanted);
+        let Some(score) = score(cx, ix, worker, wanted) else { continue };
         if best.is_none_or(|(other, _)| score > other) {
             best = Some((score, ix));
         }
@@ -55,6 +58,10 @@
         return false;
     }
     let step = wanted.step;
+    if step.lasting {
+        let rest = worker.info.capacity.minus(&worker.used.plus(takes));
+        if rest.cpu.0 < 2000 { return false; }
+    }
     if step.label.as_ref().is_some_and(|label| !worker.info.labels.contains(label)) {
         return false;
     }
@@ -70,7 +77,7 @@
     worker.slots.keys().filter(same).count() as u32
 }
 
-fn score(cx: &Context, ix: WorkerIx, worker: &Worker, wanted: &Wanted<'_>) -> f64 {
+fn score(cx: &Context, ix: WorkerIx, worker: &Worker, wanted: &Wanted<'_>) -> Option<f64> {
     let cores = f64::from(worker.info.capacity.cpu.0.max(1));
     let free = cores - f64::from(worker.used.cpu.0) - f64::from(worker.filling);
     let mut score = free / cores;
@@ -81,5 +88,6 @@
     if wanted.avoid == Some(ix) {
         score -= FAILED_HERE_COST;
     }
-    score - pacing::placement_cost(cx, worker, wanted.step)
+    let disturbed = pacing::placement_cost(cx, worker, wanted.step, wanted.waited)?;
+    Some(score - disturbed)
 }
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -9,7 +9,8 @@
 use gaplock_types::time::Millis;
 use tracing::{debug, info, warn};
 
-use crate::message::{End, Outcome, Run, WorkerClock, WorkerInfo};
+use crate::context::Context;
+use crate::message::{End, Outcome, Run, WorkerClock, WorkerInfo, WorkerIx};
 use crate::table::Entry;
 use crate::worker::Listing;
 
@@ -117,3 +118,22 @@
 pub fn commit_failed(jobs: usize, other: usize) {
     warn!(event = "commit_failed", jobs, other);
 }
+
+/// A filling task's pace is changed.
+pub fn pace_ordered(task: TaskKey, run: Run, worker: &ids::WorkerId, from: u32, to: u32) {
+    info!(event = "pace_ordered", %task, run = run.0, %worker, from, to);
+}
+
+/// Writes down what runs on a worker that serves, with its readings and the expected level.
+pub fn readings(cx: &Context, ix: WorkerIx) {
+    let worker = cx.worker(ix);
+    for (task, slot) in &worker.slots {
+        let reading = slot.reading.unwrap_or(0);
+        let image = cx.jobs.get(&task.job).and_then(|e| e.step(*task)?.image.as_deref());
+        debug!(event = "reading", worker = %worker.info.id, %task, image, part = ?slot.part,
+            reading, pace = slot.pace, load = cx.pacing.load(task.job), phase = ?slot.phase,
+            percent = slot.percent, wants = slot.wants_cpu);
+    }
+    debug!(event = "levels", worker = %worker.info.id, levels = ?worker.levels,
+        factors = cx.pacing.describe());
+}
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -6,6 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::message::{EndSeq, Run, WorkerClock, WorkerInfo};
+use crate::pacing::{Column, Row};
 
 /// What the leader believes of a run at a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,6 +30,10 @@
     pub phase: Phase,
     /// What the run takes of the worker's room.
     pub takes: Resources,
+    /// What the run is to the others on the worker.
+    pub part: Part,
+    /// The processor demand of a filling task, in thousandths of a core; nothing for others.
+    pub wants_cpu: u32,
     /// When the order in force was sent.
     pub ordered: Instant,
     /// When the worker confirmed the run; unset before.
@@ -45,6 +50,26 @@
     pub moved: Instant,
     /// The worker's last reading: tail in milliseconds or processor time in use.
     pub reading: Option<u32>,
+    /// Since when a serving task's readings have been over its target.
+    pub over_since: Option<Instant>,
+    /// Since when a filling task has been slowed down a lot.
+    pub slowed: Option<Instant>,
+}
+
+/// What a run is to the others on its worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// It neither serves nor fills.
+    Plain,
+    /// It serves users of its own, whose tail has a target.
+    Serving {
+        /// Its image.
+        row: Row,
+        /// The bound on its tail in milliseconds.
+        target_ms: u32,
+    },
+    /// It uses what the others leave.
+    Filling(Column),
 }
 
 /// How the directory shows a worker.
@@ -107,6 +132,12 @@
     pub used: Resources,
     /// The processor demand of filling tasks here, in thousandths of a core.
     pub filling: u32,
+    /// How near each serving image here is to its target: `ln(tail / target)`, the worst task's.
+    pub levels: Vec<(Row, f64)>,
+    /// Since when everything that fills is halted here for the sake of what serves.
+    pub braked: Option<Instant>,
+    /// When a filling task last ended here.
+    pub filling_ended: Instant,
     /// Failed runs since the last good one.
     pub failures: u32,
     /// How often the worker has been put in quarantine without a good run since.
@@ -135,6 +166,9 @@
             slots: FxHashMap::default(),
             used: Resources::default(),
             filling: 0,
+            levels: Vec::new(),
+            braked: None,
+            filling_ended: Instant(0),
             failures: 0,
             quarantines: 0,
             avoid_until: Instant(0),
@@ -165,20 +199,20 @@
     }
 
     /// Adds a run.
-    pub fn occupy(&mut self, task: TaskKey, slot: Slot, filling: u32) {
+    pub fn occupy(&mut self, task: TaskKey, slot: Slot) {
         self.used = self.used.plus(&slot.takes);
-        self.filling += filling;
+        self.filling += slot.wants_cpu;
         self.slots.insert(task, slot);
     }
 
     /// Removes a run if it is the one meant.
-    pub fn vacate(&mut self, task: TaskKey, run: Run, filling: u32) -> Option<Slot> {
+    pub fn vacate(&mut self, task: TaskKey, run: Run) -> Option<Slot> {
         if self.slots.get(&task).is_none_or(|slot| slot.run != run) {
             return None;
         }
         let slot = self.slots.remove(&task)?;
         self.used = self.used.minus(&slot.takes);
-        self.filling = self.filling.saturating_sub(filling);
+        self.filling = self.filling.saturating_sub(slot.wants_cpu);
         Some(slot)
     }
 
