Brake only fillers that may press, with quicker looks while a tail is over

Change: halt only what the model gives a push of 0.03 or more, after 1.3 s, and look every half second meanwhile.

--- a/crates/sched/src/looks.rs
+++ b/crates/sched/src/looks.rs
@@ -35,10 +35,15 @@
     worker.renewal = Renewal::InFlight;
     let quick = until.is_none() || worker.noted > worker.stored || worker.missed > 0;
     let wait = if quick || worker.slots.is_empty() { Millis(0) } else { wait };
+    let wait = if worker.has_excess() { wait.min(EXCESS_WAIT) } else { wait };
     let stored = worker.stored;
     cx.actions.push(Action::Renew { worker: ix, stored, until, wait });
 }
 
+/// How long a renewal waits while a serving task is over its target; readings are renewed every
+/// half second.
+const EXCESS_WAIT: Millis = Millis(500);
+
 /// Takes in what became of a renewal.
 pub fn renewed(cx: &mut Context, ix: WorkerIx, sent: Instant, outcome: Outcome<Account>) {
     match outcome {
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -38,14 +38,17 @@
 /// time shows what that task did, but no longer the task.
 const SETTLE: Millis = Millis(650);
 
-/// How long readings may be over the target before everything that fills is halted there. The
+/// How long readings may be over the target before what may be the cause is halted there. The
 /// excess may last as long as [`crate::Settings::tail_excess`]; a reading is up to 1.5 s old.
-const BRAKE_AFTER: Millis = Millis(900);
+const BRAKE_AFTER: Millis = Millis(1_300);
 
-/// How long everything that fills is halted at most: a tail that stays over its target so long has
+/// How long that lasts at most: a tail that stays over its target so long has
 /// another cause.
 const BRAKE_MOST: Millis = Millis(2_500);
 
+/// A filling task that raises a level by less than this is not halted by the brake either.
+const BRAKED_PUSH: f64 = 0.03;
+
 /// A filling task that raises no level by more than this is left alone.
 const LEAST_PUSH: f64 = 0.08;
 
@@ -271,15 +274,30 @@
         let Part::Serving { row, .. } = slot.part else { continue };
         relieve(&cx.pacing, row, limit - cx.pacing.load(key.job), &mut filling);
     }
-    let braked = worker.braked.is_some_and(|since| now.since(since) < BRAKE_MOST);
-    for mut task in filling {
-        if braked {
-            task.pace = 0;
-        }
+    let worker = cx.worker(ix);
+    if worker.braked.is_some_and(|since| now.since(since) < BRAKE_MOST) {
+        brake(&cx.pacing, worker, &mut filling);
+    }
+    for task in filling {
         order_pace(cx, ix, &task);
     }
 }
 
+/// Halts what may press on a serving task that stays over its target.
+fn brake(model: &Model, worker: &Worker, filling: &mut [FillingTask]) {
+    for slot in worker.slots.values() {
+        let Part::Serving { row, .. } = slot.part else { continue };
+        if slot.over_since.is_none() {
+            continue;
+        }
+        for task in filling.iter_mut() {
+            if model.factor(row, Some(task.column)) * task.share >= BRAKED_PUSH {
+                task.pace = 0;
+            }
+        }
+    }
+}
+
 /// Lowers paces until the expected level of a serving image is below `limit`, beginning with what
 /// presses most.
 fn relieve(model: &Model, row: Row, limit: f64, filling: &mut [FillingTask]) {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -216,6 +216,11 @@
         Some(slot)
     }
 
+    /// Tells whether a serving task's last reading here was over its target.
+    pub fn has_excess(&self) -> bool {
+        self.slots.values().any(|slot| slot.over_since.is_some())
+    }
+
     /// Tells whether the worker may be given tasks now.
     pub fn takes_tasks(&self, now: Instant) -> bool {
         !self.gone
