--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -5,6 +5,7 @@
 use gaplock_jobs::{Job, TaskKey};
 use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
+use gaplock_types::time::Millis;
 
 use crate::context::Context;
 use crate::lifecycle::Occupant;
@@ -59,7 +60,7 @@
             continue;
         }
         let Some(ix) = choose(cx, &job, &service, task) else {
-            trace::step_blocked(ready.job, ready.step, began);
+            explain(cx, &job, &service, task, began);
             if step.most_per_worker.is_none() && !step.fills {
                 let label = step.label.clone();
                 blocked.push(Blocked { service: service.clone(), label, takes });
@@ -88,6 +89,24 @@
     placement::choose(cx, &Wanted { service, step, task, avoid, waited })
 }
 
+/// How often the log says why a step waits.
+const EXPLAIN_EVERY: Millis = Millis(2_000);
+
+/// Logs why a task finds no worker, once it has waited for a while.
+fn explain(cx: &mut Context, job: &Job, service: &ids::ServiceId, task: TaskKey, pending: usize) {
+    let (now, step) = (cx.now, &job.steps[usize::from(task.step)]);
+    let Some(found) = cx.jobs.get(&task.job).and_then(|e| e.task(task)) else { return };
+    let (avoid, waited) = (found.failed_on, now.since(found.since));
+    let round = cx.jobs.get_mut(&task.job).and_then(|e| e.round_mut(task.round));
+    let Some(state) = round.map(|r| &mut r.steps[usize::from(task.step)]) else { return };
+    if waited < EXPLAIN_EVERY || now.since(state.explained) < EXPLAIN_EVERY {
+        return;
+    }
+    state.explained = now;
+    let counts = placement::explain(cx, &Wanted { service, step, task, avoid, waited });
+    trace::step_waits(task, pending, waited, &step.demand, &counts);
+}
+
 /// Starts all members of a gang under one run number, or none of them.
 fn start_gang(
     cx: &mut Context,
@@ -125,7 +144,7 @@
 
 fn undo_gang(cx: &mut Context, placed: &[(TaskKey, WorkerIx)], run: Run) {
     for &(task, ix) in placed {
-        lifecycle::requeue(cx, ix, task, run, gaplock_types::time::Millis(0));
+        lifecycle::requeue(cx, ix, task, run, Millis(0));
     }
 }
 
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -32,13 +32,76 @@
 /// Cost of the worker on which the task failed last, against one whole worker of free room.
 const FAILED_HERE_COST: f64 = 8.0;
 
+/// Why a worker does not get a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unfit {
+    /// It belongs to another pool, or is gone.
+    OtherPool,
+    /// It is draining, unlisted, silent or avoided.
+    NotTaking,
+    /// It has no room.
+    Full,
+    /// It has room, but that is kept for tasks that end soon.
+    Reserved,
+    /// It lacks the label.
+    Label,
+    /// It runs as many tasks of the step as it may, or another run of this one.
+    Spread,
+    /// The task would disturb what is served there.
+    Disturbs,
+}
+
+/// How many workers do not get a task, by reason; for the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct UnfitCounts {
+    /// Draining, unlisted, silent or avoided workers.
+    pub not_taking: u32,
+    /// Workers without room.
+    pub full: u32,
+    /// Workers whose room is reserved.
+    pub reserved: u32,
+    /// Workers without the label.
+    pub label: u32,
+    /// Workers that run enough of the step.
+    pub spread: u32,
+    /// Workers on which the task would disturb.
+    pub disturbs: u32,
+    /// The most processor room that a worker of the pool has, in thousandths of a core.
+    pub most_free: u32,
+}
+
+/// Counts why no worker gets a task.
+pub fn explain(cx: &Context, wanted: &Wanted<'_>) -> UnfitCounts {
+    let takes = table::takes(wanted.step);
+    let mut counts = UnfitCounts::default();
+    for (at, worker) in cx.workers.iter().enumerate() {
+        let unfit = match fits(cx, worker, wanted, &takes) {
+            Err(unfit) => unfit,
+            Ok(()) if score(cx, WorkerIx(at as u32), worker, wanted).is_none() => Unfit::Disturbs,
+            Ok(()) => continue,
+        };
+        let free = worker.info.capacity.minus(&worker.used).cpu.0;
+        match unfit {
+            Unfit::OtherPool => continue,
+            Unfit::NotTaking => counts.not_taking += 1,
+            Unfit::Full => counts.full += 1,
+            Unfit::Reserved => counts.reserved += 1,
+            Unfit::Label => counts.label += 1,
+            Unfit::Spread => counts.spread += 1,
+            Unfit::Disturbs => counts.disturbs += 1,
+        }
+        counts.most_free = counts.most_free.max(free);
+    }
+    counts
+}
+
 /// Finds the best worker that has room, if any.
 pub fn choose(cx: &Context, wanted: &Wanted<'_>) -> Option<WorkerIx> {
     let takes = table::takes(wanted.step);
     let mut best: Option<(f64, WorkerIx)> = None;
     for (at, worker) in cx.workers.iter().enumerate() {
         let ix = WorkerIx(at as u32);
-        if !fits(cx, worker, wanted, &takes) {
+        if fits(cx, worker, wanted, &takes).is_err() {
             continue;
         }
         let Some(score) = score(cx, ix, worker, wanted) else { continue };
@@ -49,28 +112,49 @@
     best.map(|(_, ix)| ix)
 }
 
-/// Tells whether a worker may and can run the task.
-fn fits(cx: &Context, worker: &Worker, wanted: &Wanted<'_>, takes: &Resources) -> bool {
-    if !worker.takes_tasks(cx.now) || worker.info.service != *wanted.service {
-        return false;
+/// Checks whether a worker may and can run the task.
+fn fits(
+    cx: &Context,
+    worker: &Worker,
+    wanted: &Wanted<'_>,
+    takes: &Resources,
+) -> Result<(), Unfit> {
+    if worker.gone || worker.info.service != *wanted.service {
+        return Err(Unfit::OtherPool);
     }
-    if !worker.info.capacity.holds(&worker.used.plus(takes)) {
-        return false;
+    if !worker.takes_tasks(cx.now) {
+        return Err(Unfit::NotTaking);
     }
-    let step = wanted.step;
-    if step.lasting {
-        let rest = worker.info.capacity.minus(&worker.used.plus(takes));
-        if rest.cpu.0 < 2000 { return false; }
+    let taken = worker.used.plus(takes);
+    if !worker.info.capacity.holds(&taken) {
+        return Err(Unfit::Full);
     }
+    let step = wanted.step;
     if step.label.as_ref().is_some_and(|label| !worker.info.labels.contains(label)) {
-        return false;
+        return Err(Unfit::Label);
     }
     if worker.slots.contains_key(&wanted.task) {
-        return false;
+        return Err(Unfit::Spread);
     }
-    step.most_per_worker.is_none_or(|most| same_step(worker, wanted.task) < most)
+    if step.most_per_worker.is_some_and(|most| same_step(worker, wanted.task) >= most) {
+        return Err(Unfit::Spread);
+    }
+    let left = worker.info.capacity.minus(&taken).cpu.0;
+    if step.lasting && left < RESERVED_CPU && wanted.waited < RESERVED_FOR {
+        return Err(Unfit::Reserved);
+    }
+    Ok(())
 }
 
+/// The processor room, in thousandths of a core, that a lasting task at first leaves on its worker
+/// for tasks that end soon: they are worth several times as much for each core and second. It is
+/// somewhat more than the mean short task of the users' sites asks for.
+const RESERVED_CPU: u32 = 2_000;
+
+/// How long a lasting task leaves that room: it must be at work again within 3 s where there is
+/// room for it.
+const RESERVED_FOR: Millis = Millis(1_800);
+
 /// Counts the tasks of the same step and round at a worker.
 fn same_step(worker: &Worker, task: TaskKey) -> u32 {
     let same = |key: &&TaskKey| (key.job, key.round, key.step) == (task.job, task.round, task.step);
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -75,6 +75,8 @@
     pub left: u32,
     /// The indices of pending tasks.
     pub pending: BTreeSet<u32>,
+    /// When the log last said why its tasks wait.
+    pub explained: Instant,
 }
 
 /// One round of a job; a job that does not repeat has round 0 only.
@@ -93,6 +95,7 @@
             tasks: vec![Task::new(); s.count as usize],
             left: s.count,
             pending: BTreeSet::new(),
+            explained: Instant(0),
         };
         Self { number, steps: job.steps.iter().map(step).collect() }
     }
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -6,11 +6,13 @@
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, TaskKey};
 use gaplock_types::ids;
+use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 use tracing::{debug, info, warn};
 
 use crate::context::Context;
 use crate::message::{End, Outcome, Run, WorkerClock, WorkerInfo, WorkerIx};
+use crate::placement::UnfitCounts;
 use crate::table::Entry;
 use crate::worker::Listing;
 
@@ -43,9 +45,18 @@
     }
 }
 
-/// A step finds no worker with room.
-pub fn step_blocked(job: JobKey, step: u16, pending: usize) {
-    debug!(event = "step_blocked", %job, step, pending);
+/// A step's next task finds no worker.
+pub fn step_waits(
+    task: TaskKey,
+    pending: usize,
+    waited: Millis,
+    demand: &Resources,
+    unfit: &UnfitCounts,
+) {
+    info!(event = "step_waits", %task, pending, waited_ms = waited.0, %demand,
+        not_taking = unfit.not_taking, full = unfit.full, reserved = unfit.reserved,
+        label = unfit.label, spread = unfit.spread, disturbs = unfit.disturbs,
+        most_free = unfit.most_free);
 }
 
 /// A run was ordered to stop.
