--- /dev/null
+++ b/crates/sched/tests/promises.rs
@@ -0,0 +1,166 @@
+//! What must hold whatever goes wrong, on virtual time.
+
+mod world;
+
+use gaplock_jobs::progress::JobState;
+use world::{job, step, Faults, World};
+
+fn assert_kept(world: &World) {
+    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+}
+
+#[test]
+fn a_job_of_two_steps_completes() {
+    let mut world = World::open(1, 3);
+    world.submit(job(1, vec![step(6, &[]), step(4, &[0])]));
+    world.run(3_000);
+    assert!(world.is_completed(1));
+    assert_eq!(world.starts, 10);
+    assert_kept(&world);
+}
+
+#[test]
+fn a_successor_keeps_what_runs() {
+    let mut world = World::open(2, 3);
+    world.work_ms = 4_000;
+    world.submit(job(1, vec![step(6, &[]), step(4, &[0])]));
+    world.run(1_000);
+    world.lose_leader();
+    world.run(2_500);
+    world.take_over();
+    world.run(9_000);
+    assert!(world.is_completed(1));
+    assert_eq!(world.starts, 10, "the successor started something again");
+    assert_kept(&world);
+}
+
+#[test]
+fn a_successor_waits_for_the_leases_of_a_silent_worker() {
+    let mut world = World::open(3, 3);
+    world.work_ms = 30_000;
+    world.submit(job(1, vec![step(9, &[])]));
+    world.run(1_000);
+    let at_risk = world.running_at(0);
+    assert!(at_risk > 0);
+    world.workers[0].cut = true;
+    world.take_over();
+    world.run(5_500);
+    assert_eq!(world.starts, 9, "a task was started while its lease could be running");
+    world.run(4_000);
+    assert_eq!(world.starts, 9 + at_risk as u64, "the tasks of a lost worker were not started");
+    assert_kept(&world);
+}
+
+#[test]
+fn a_worker_that_answers_again_after_its_leases_does_not_double_its_tasks() {
+    let mut world = World::open(4, 3);
+    world.work_ms = 9_000;
+    world.submit(job(1, vec![step(9, &[])]));
+    world.run(500);
+    world.workers[1].cut = true;
+    world.run(8_000);
+    world.workers[1].cut = false;
+    world.run(20_000);
+    assert!(world.is_completed(1));
+    assert_kept(&world);
+}
+
+#[test]
+fn a_draining_worker_is_emptied_and_gets_nothing() {
+    let mut world = World::open(5, 3);
+    world.work_ms = 60_000;
+    let mut lasting = step(6, &[]);
+    lasting.lasting = true;
+    world.submit(job(1, vec![lasting]));
+    world.run(2_000);
+    world.drain(0, 6_000);
+    world.run(3_000);
+    assert_eq!(world.running_at(0), 0);
+    assert_eq!(world.running_of(1), 6);
+    assert_kept(&world);
+}
+
+#[test]
+fn a_cancelled_job_stops_and_never_starts_again() {
+    let mut world = World::open(6, 2);
+    world.work_ms = 60_000;
+    world.submit(job(1, vec![step(20, &[])]));
+    world.run(1_000);
+    world.cancel(1);
+    world.run(2_000);
+    assert_eq!(world.running_of(1), 0);
+    assert_eq!(world.state(1), Some(JobState::Cancelled));
+    world.take_over();
+    world.run(3_000);
+    assert_eq!(world.running_of(1), 0);
+    assert_kept(&world);
+}
+
+#[test]
+fn a_task_that_always_fails_fails_its_job() {
+    let mut world = World::open(7, 3);
+    world.faults.failing_per_mille = 1_000;
+    world.submit(job(1, vec![step(1, &[])]));
+    world.run(4_000);
+    assert_eq!(world.state(1), Some(JobState::Failed));
+    assert_eq!(world.starts, u64::from(world::MAX_ATTEMPTS));
+}
+
+#[test]
+fn a_worker_that_fails_everything_is_avoided() {
+    let mut world = World::open(8, 4);
+    world.workers[0].failing = true;
+    for key in 0..10 {
+        world.submit(job(key, vec![step(4, &[])]));
+        world.run(300);
+    }
+    world.run(3_000);
+    let completed = (0..10).filter(|&key| world.is_completed(key)).count();
+    assert_eq!(completed, 10, "jobs failed because of one worker");
+    assert_kept(&world);
+}
+
+#[test]
+fn a_final_state_is_stored_before_an_end_is_acknowledged() {
+    let mut world = World::open(9, 2);
+    world.submit(job(1, vec![step(4, &[])]));
+    world.run(300);
+    world.store_down = true;
+    world.run(2_000);
+    assert!(!world.is_completed(1));
+    world.take_over();
+    world.run(1_000);
+    assert_eq!(world.starts, 4, "an end that was not stored was lost");
+    world.store_down = false;
+    world.run(1_000);
+    assert!(world.is_completed(1));
+    assert_kept(&world);
+}
+
+#[test]
+fn calls_that_get_lost_or_come_late_double_nothing() {
+    for seed in 0..30 {
+        let mut world = World::open(seed, 6);
+        world.faults = Faults {
+            lost_per_mille: 20,
+            unanswered_per_mille: 50,
+            late_per_mille: 50,
+            failing_per_mille: 20,
+        };
+        for key in 0..20 {
+            world.submit(job(key, vec![step(5, &[]), step(3, &[0])]));
+            world.run(200);
+            if world.draw(10) == 0 {
+                let gap = world.draw(3_000);
+                world.lose_leader();
+                world.run(gap);
+                world.take_over();
+            }
+        }
+        world.faults = Faults::default();
+        world.run(40_000);
+        assert!(world.violations.is_empty(), "seed {seed}: {:#?}", world.violations);
+        let left = (0..20).filter(|&key| world.state(key).is_none_or(|s| !s.is_final())).count();
+        assert_eq!(left, 0, "seed {seed}: jobs never ended");
+    }
+}
