--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -8,6 +8,7 @@
 use gaplock_platform::configuration;
 use gaplock_platform::store::{Revision, StoreError};
 use gaplock_remote::clock;
+use gaplock_types::time::{Instant, Millis};
 
 use crate::leadership::{self, LeaderRecord, Standing};
 use crate::leading;
@@ -22,7 +23,11 @@
 const ASK_AGAIN: Duration = Duration::from_millis(150);
 
 /// How often a follower makes sure that the store answers it; the leader needs to know.
-const STORE_CHECK_MS: u64 = 1_000;
+const STORE_CHECK_EVERY: Millis = Millis(1_000);
+
+/// How old the leader's last reading of the configuration may be before a follower reads it from
+/// the store itself; a change must be in force within 2 s.
+const CONFIG_MAX_AGE: Millis = Millis(900);
 
 /// The longest random pause before a claim, so that hosts do not all claim at once.
 const CLAIM_SPREAD_MS: u64 = 60;
@@ -51,6 +56,7 @@
                 task::sleep(ASK_AGAIN).await;
             }
         }
+        check_store(&node).await;
     }
 }
 
@@ -93,6 +99,7 @@
 
 /// Sends a heartbeat; tells whether the host called still leads.
 async fn heartbeat(node: &Node, addr: &str) -> Result<bool, PeerError> {
+    let sent = clock::now();
     let beat = Heartbeat {
         host: node.installation.host.clone(),
         store_age: node.store_age(),
@@ -100,10 +107,11 @@
     };
     match node.leader.heartbeat(addr, &beat).await? {
         HeartbeatAnswer::NotLeader => Ok(false),
-        HeartbeatAnswer::Leader { config, waiting } => {
+        HeartbeatAnswer::Leader { config_age, config, waiting } => {
             if let Some(config) = config {
                 node.set_config(config);
             }
+            node.config_was_newest(Instant(sent.0.saturating_sub(config_age.0)));
             node.leader_answered(waiting);
             Ok(true)
         }
@@ -118,18 +126,22 @@
 
 /// Makes sure now and then that the store answers this host, and reads the configuration with it.
 async fn check_store(node: &Node) {
-    if node.store_age().0 >= STORE_CHECK_MS {
+    if node.store_age() >= STORE_CHECK_EVERY || node.config_age() >= CONFIG_MAX_AGE {
         read_config(node).await;
     }
 }
 
 /// Reads the configuration from the store.
 pub async fn read_config(node: &Node) {
+    let sent = clock::now();
     match node.store.get(configuration::KEY).await {
         Ok(Some(item)) => {
             node.store_answered();
             match configuration::decode(&item.value) {
-                Ok(config) => node.set_config(config),
+                Ok(config) => {
+                    node.set_config(config);
+                    node.config_was_newest(sent);
+                }
                 Err(e) => tracing::warn!(event = "config_malformed", error = %e),
             }
         }
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -27,6 +27,10 @@
 /// How long the word of another host about the store counts.
 const PEER_WORD_AGE: Millis = Millis(2_000);
 
+/// How much later than to us the store must have answered another host before that host's word
+/// ends our leadership: more than the time between two of our own confirmations.
+const CONFIRMED_LATER: Millis = Millis(700);
+
 /// The stored claim.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct LeaderRecord {
@@ -152,11 +156,10 @@
         }
         let heard = Instant(self.peers_heard.load(Ordering::SeqCst));
         let peers_store = Instant(self.peers_store.load(Ordering::SeqCst));
-        if peers_store > confirmed + PEER_WORD_AGE {
+        if peers_store > confirmed + CONFIRMED_LATER {
             return Right::Lost;
         }
-        let fresh = now.since(heard) < PEER_WORD_AGE;
-        if fresh && peers_store <= confirmed + LEASE_MARGIN {
+        if now.since(heard) < PEER_WORD_AGE {
             return Right::Act;
         }
         Right::Wait
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,6 +14,7 @@
 use gaplock_types::time::{Instant, Millis};
 
 use crate::engine::Engine;
+use crate::leadership::Right;
 use crate::metrics::Metrics;
 use crate::peers::{self, Heartbeat, HeartbeatAnswer, QueueCount, StatusAnswer};
 
@@ -47,6 +48,7 @@
     stopping: AtomicBool,
     store_answered: AtomicU64,
     leader_answered: AtomicU64,
+    config_read: AtomicU64,
     waiting: Mutex<BTreeMap<String, u32>>,
 }
 
@@ -78,6 +80,7 @@
         stopping: AtomicBool::new(false),
         store_answered: AtomicU64::new(0),
         leader_answered: AtomicU64::new(0),
+        config_read: AtomicU64::new(0),
         waiting: Mutex::default(),
     })
 }
@@ -110,6 +113,16 @@
         }
     }
 
+    /// Takes in that the configuration in force was the newest one at `at`.
+    pub fn config_was_newest(&self, at: Instant) {
+        self.config_read.fetch_max(at.0, Ordering::Relaxed);
+    }
+
+    /// Returns how long ago the configuration in force was known to be the newest.
+    pub fn config_age(&self) -> Millis {
+        clock::now().since(Instant(self.config_read.load(Ordering::Relaxed)))
+    }
+
     /// Returns what this host does now.
     pub fn role(&self) -> Role {
         self.role.read().expect(LOCK).clone()
@@ -181,9 +194,14 @@
     /// Answers a follower's heartbeat.
     pub async fn heartbeat_here(&self, beat: Heartbeat) -> HeartbeatAnswer {
         let Role::Leader(engine) = self.role() else { return HeartbeatAnswer::NotLeader };
-        engine.standing.heard(clock::now(), beat.store_age);
+        let now = clock::now();
+        engine.standing.heard(now, beat.store_age);
+        if engine.standing.right(now) != Right::Act {
+            return HeartbeatAnswer::NotLeader;
+        }
         let newer = self.config().filter(|c| c.version > beat.config_version);
         HeartbeatAnswer::Leader {
+            config_age: self.config_age(),
             config: newer.map(|c| Config::clone(&c)),
             waiting: engine.waiting(),
         }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -70,6 +70,8 @@
     NotLeader,
     /// This host leads.
     Leader {
+        /// How long ago the leader last read the configuration from the store.
+        config_age: Millis,
         /// The configuration in force, where the follower's is older.
         config: Option<Config>,
         /// Queues with jobs that have not begun.
