A silent worker is asked, not granted more lease

Test: tasks_of_a_worker_lost_for_good_start_elsewhere_after_its_leases (failed first: 6 of 9 running).

--- a/crates/sched/src/looks.rs
+++ b/crates/sched/src/looks.rs
@@ -28,7 +28,9 @@
     let (now, lease) = (cx.now, cx.settings.lease_max);
     let wait = cx.settings.renew_wait;
     let worker = cx.worker_mut(ix);
-    let until = worker.lease_end(now, lease);
+    // A worker that does not answer is only asked: a grant that may have arrived would put off the
+    // time from which its tasks are certainly over.
+    let until = worker.lease_end(now, lease).filter(|_| worker.missed == 0);
     if let Some(until) = until {
         worker.granted(until);
     }
--- a/crates/sched/tests/promises.rs
+++ b/crates/sched/tests/promises.rs
@@ -164,3 +164,21 @@
         assert_eq!(left, 0, "seed {seed}: jobs never ended");
     }
 }
+
+/// `scale-2 --seed 34871394740` of Klang Valley: renewals that nobody answered pushed the end of
+/// the lease ahead for ever.
+#[test]
+fn tasks_of_a_worker_lost_for_good_start_elsewhere_after_its_leases() {
+    let mut world = World::open(10, 3);
+    world.work_ms = 60_000;
+    world.submit(job(1, vec![step(9, &[])]));
+    world.run(1_000);
+    let lost = world.running_at(0);
+    assert!(lost > 0);
+    world.crash(0);
+    world.run(3_300);
+    world.unlist(0);
+    world.run(4_000);
+    assert_eq!(world.running_of(1), 9, "tasks of a lost worker were not started again");
+    assert_kept(&world);
+}
