What was learnt outlives its leader; writes are not tried while the store is away

Change: the leader stores factors every 4 s, a successor starts from them. A host whose store calls have failed for 600 ms refuses at once with 503 and when to come back; unclear writes are tried for 350 ms. Ruled out: 503 for a write whose fate is unclear (it would not be true). Test: what_was_learnt_outlives_its_leader.

--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -20,7 +20,7 @@
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(400);
 
 /// The pause before the store is asked again who leads.
-const ASK_AGAIN: Duration = Duration::from_millis(150);
+const ASK_AGAIN: Duration = Duration::from_millis(200);
 
 /// How often a follower makes sure that the store answers it; the leader needs to know.
 const STORE_CHECK_EVERY: Millis = Millis(1_000);
@@ -53,6 +53,7 @@
             }
             Err(e) => {
                 tracing::debug!(event = "store_silent", error = %e);
+                node.store_failed();
                 task::sleep(ASK_AGAIN).await;
             }
         }
@@ -126,7 +127,10 @@
 
 /// Makes sure now and then that the store answers this host, and reads the configuration with it.
 async fn check_store(node: &Node) {
-    if node.store_age() >= STORE_CHECK_EVERY || node.config_age() >= CONFIG_MAX_AGE {
+    if node.is_store_away()
+        || node.store_age() >= STORE_CHECK_EVERY
+        || node.config_age() >= CONFIG_MAX_AGE
+    {
         read_config(node).await;
     }
 }
@@ -146,7 +150,10 @@
             }
         }
         Ok(None) => node.store_answered(),
-        Err(e) => tracing::debug!(event = "store_silent", error = %e),
+        Err(e) => {
+            tracing::debug!(event = "store_silent", error = %e);
+            node.store_failed();
+        }
     }
 }
 
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -15,9 +15,10 @@
 /// The pause before a write whose fate is unknown is made again.
 const UNCLEAR_PAUSE: Duration = Duration::from_millis(50);
 
-/// How long a write whose fate is unknown is made again and again. It can be done only once, since
-/// each try expects the key not to be there.
-const UNCLEAR_LIMIT: Duration = Duration::from_millis(1_800);
+/// How long a write whose fate is unknown is made again and again, about a quarter of a short job's
+/// objective; the caller may then send it again. It can be done only once, since each try expects
+/// the key not to be there.
+const UNCLEAR_LIMIT: Duration = Duration::from_millis(350);
 
 /// Stores a job, by this host's own connection to the store or else through the leader.
 pub async fn store_job(node: &Arc<Node>, job: Arc<Job>) -> Handed {
@@ -50,6 +51,9 @@
 
 /// Makes a write that expects its key not to be there; finding the key there counts as stored.
 async fn write_once(node: &Node, txn: &Txn) -> Handed {
+    if node.is_store_away() {
+        return Handed::NotStored;
+    }
     let began = Instant::now();
     let mut unclear = false;
     loop {
@@ -58,8 +62,14 @@
                 node.store_answered();
                 return Handed::Stored;
             }
-            Err(StoreError::Away | StoreError::Gone) if !unclear => return Handed::NotStored,
-            Err(_) => unclear = true,
+            Err(StoreError::Away | StoreError::Gone) if !unclear => {
+                node.store_failed();
+                return Handed::NotStored;
+            }
+            Err(_) => {
+                node.store_failed();
+                unclear = true;
+            }
         }
         if began.elapsed() > UNCLEAR_LIMIT {
             return Handed::Unclear;
@@ -94,6 +104,9 @@
 
 /// Stores a cancellation by this host's own connection to the store.
 pub async fn store_cancel_here(node: &Arc<Node>, key: JobKey) -> Handed {
+    if node.is_store_away() {
+        return Handed::NotStored;
+    }
     let job = match node.store.get(&keys::job(key)).await {
         Ok(Some(item)) => item,
         Ok(None) => return Handed::NoSuchJob,
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -27,6 +27,9 @@
 /// Workers that may run something; written by the leader only.
 pub const ROSTER: &str = "gaplock/roster/";
 
+/// What was learnt of how images disturb each other; written by the leader only.
+pub const LEARNT: &str = "gaplock/learnt";
+
 /// Returns the key of an accepted job.
 pub fn job(key: JobKey) -> String {
     format!("{JOBS}{key}")
--- a/crates/node/src/leading.rs
+++ b/crates/node/src/leading.rs
@@ -73,6 +73,7 @@
     let progress = node.store.list(keys::PROGRESS).await?;
     let roster = node.store.list(keys::ROSTER).await?;
     let directory = node.store.list(directory::PREFIX).await?;
+    let learnt = node.store.get(keys::LEARNT).await?;
     node.store_answered();
     let mut stored = Stored::default();
     for item in &inbox.items {
@@ -87,6 +88,8 @@
     let entries = roster.items.iter();
     let entries = entries.filter_map(|i| serde_json::from_slice::<RosterEntry>(&i.value).ok());
     stored.roster = entries.map(RosterEntry::info).collect();
+    let learnt = learnt.and_then(|item| serde_json::from_slice(&item.value).ok());
+    stored.learnt = learnt.unwrap_or_default();
     Ok(Read { stored, inbox: inbox.revision, directory })
 }
 
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -169,6 +169,9 @@
                     txn.set.push((keys::roster(&info.id), encode(&RosterEntry::of(info)), None));
                 }
                 Record::ForgetWorker(id) => txn.remove.push(keys::roster(id)),
+                Record::Learnt(learnt) => {
+                    txn.set.push((keys::LEARNT.to_string(), encode(learnt), None));
+                }
             }
         }
         txn
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -47,6 +47,7 @@
     role: RwLock<Role>,
     stopping: AtomicBool,
     store_answered: AtomicU64,
+    store_failed: AtomicU64,
     leader_answered: AtomicU64,
     config_read: AtomicU64,
     waiting: Mutex<BTreeMap<String, u32>>,
@@ -58,6 +59,9 @@
 /// How long a host without an answer of the leader or the store still takes connections.
 const SERVES_WITHOUT_CONTACT: Millis = Millis(2_500);
 
+/// How long the store must have failed this host's calls before writes are not tried any more.
+const STORE_AWAY_AFTER: Millis = Millis(600);
+
 const LOCK: &str = "no holder of the lock panics";
 
 /// Builds the shared part of a process.
@@ -79,6 +83,7 @@
         role: RwLock::new(Role::Follower(None)),
         stopping: AtomicBool::new(false),
         store_answered: AtomicU64::new(0),
+        store_failed: AtomicU64::new(0),
         leader_answered: AtomicU64::new(0),
         config_read: AtomicU64::new(0),
         waiting: Mutex::default(),
@@ -146,6 +151,19 @@
         self.store_answered.fetch_max(clock::now().0, Ordering::Relaxed);
     }
 
+    /// Takes in that a call to the store failed.
+    pub fn store_failed(&self) {
+        self.store_failed.fetch_max(clock::now().0, Ordering::Relaxed);
+    }
+
+    /// Tells whether the store has failed this host's last calls for a while; writes are then not
+    /// even tried, so that a refusal is certainly true.
+    pub fn is_store_away(&self) -> bool {
+        let answered = self.store_answered.load(Ordering::Relaxed);
+        let failed = self.store_failed.load(Ordering::Relaxed);
+        failed > answered && self.store_age() >= STORE_AWAY_AFTER
+    }
+
     /// Returns how long ago the store last answered.
     pub fn store_age(&self) -> Millis {
         clock::now().since(Instant(self.store_answered.load(Ordering::Relaxed)))
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -67,6 +67,8 @@
     pub actions: Vec<Action>,
     /// Set when a dispatch pass could find something to start.
     pub pass_wanted: bool,
+    /// When what was learnt was last stored.
+    pub learnt_kept: Instant,
     last_pass: Instant,
     last_housekeeping: Instant,
 }
@@ -89,6 +91,7 @@
             pacing: Pacing::default(),
             actions: Vec::new(),
             pass_wanted: false,
+            learnt_kept: now,
             last_pass: Instant(0),
             last_housekeeping: Instant(0),
         }
@@ -131,6 +134,7 @@
             orders::check(self);
             drain::check(self);
             pacing::check(self);
+            pacing::keep_learnt(self);
             intake::forget_finished(self);
             self.pass_wanted |= !self.ready.is_empty();
         }
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -6,6 +6,8 @@
 use gaplock_types::time::{Instant, Millis};
 use gaplock_types::{ids, sizes};
 
+use crate::pacing::Learnt;
+
 /// A run of a task: rises with every start, over all leaders.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 pub struct Run(pub u64);
@@ -216,6 +218,8 @@
     Worker(WorkerInfo),
     /// A worker that certainly runs nothing any more.
     ForgetWorker(ids::WorkerId),
+    /// What is known of how images disturb each other.
+    Learnt(Learnt),
 }
 
 /// What is to be done.
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -9,12 +9,11 @@
 use gaplock_types::time::{Instant, Millis};
 
 use crate::context::Context;
-use crate::lifecycle;
-use crate::message::{Action, Run, WorkerIx};
-use crate::trace;
+use crate::message::{Action, Record, Run, WorkerIx};
 use crate::worker::{Part, Phase, Slot, Worker};
+use crate::{commits, lifecycle, trace};
 
-pub use model::{Column, Model, Row, Served};
+pub use model::{Column, Learnt, Model, Row, Served};
 
 /// What is known of how tasks disturb each other.
 pub type Pacing = Model;
@@ -396,6 +395,21 @@
     cx.actions.push(Action::Pace { worker: ix, task, run, percent });
 }
 
+/// How often what was learnt is stored for a successor.
+const KEEP_LEARNT_EVERY: Millis = Millis(4_000);
+
+/// Stores what was learnt now and then.
+pub fn keep_learnt(cx: &mut Context) {
+    if cx.now.since(cx.learnt_kept) < KEEP_LEARNT_EVERY {
+        return;
+    }
+    cx.learnt_kept = cx.now;
+    let learnt = cx.pacing.learnt();
+    if !learnt.images.is_empty() {
+        commits::add(cx, Record::Learnt(learnt));
+    }
+}
+
 /// Moves filling tasks that have been slowed down for long to a worker where they disturb nobody.
 pub fn check(cx: &mut Context) {
     let now = cx.now;
--- a/crates/sched/src/pacing/model.rs
+++ b/crates/sched/src/pacing/model.rs
@@ -158,6 +158,38 @@
     pub target_ms: f64,
 }
 
+/// What was learnt of one serving image, in the form in which it outlives a leader.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct LearntImage {
+    /// The serving image.
+    pub image: String,
+    /// Its lowest tail in milliseconds.
+    pub lowest_ms: f64,
+    /// The pressure that filling images put on it.
+    pub factors: Vec<LearntFactor>,
+}
+
+/// What was learnt of one pair of images.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct LearntFactor {
+    /// The filling image.
+    pub image: String,
+    /// Its factor.
+    pub factor: f64,
+    /// How uncertain the factor is, as a variance.
+    pub variance: f64,
+}
+
+/// What was learnt of all images.
+#[derive(Debug, Clone, PartialEq, Default, serde::Serialize, serde::Deserialize)]
+pub struct Learnt {
+    /// The serving images.
+    pub images: Vec<LearntImage>,
+}
+
+/// The least variance that a factor keeps over a change of leader: it may have shifted meanwhile.
+const CARRIED_VARIANCE: f64 = 0.1;
+
 /// What is known of how images disturb each other.
 #[derive(Debug, Default)]
 pub struct Model {
@@ -200,6 +232,54 @@
         self.columns.get(image).copied()
     }
 
+    /// Returns what has been learnt, rounded, for a successor.
+    pub fn learnt(&self) -> Learnt {
+        let round = |x: f64| (x * 100.0).round() / 100.0;
+        let mut images: Vec<LearntImage> = Vec::new();
+        for (name, row) in &self.rows {
+            let image = &self.images[usize::from(row.0)];
+            if !image.lowest_ms.is_finite() {
+                continue;
+            }
+            let known = self.columns.iter().filter(|(_, c)| usize::from(c.0) < image.factors.len());
+            let mut factors: Vec<LearntFactor> = known
+                .map(|(name, column)| LearntFactor {
+                    image: name.clone(),
+                    factor: round(image.factor(*column)),
+                    variance: round(image.covariance[usize::from(column.0)][usize::from(column.0)]),
+                })
+                .collect();
+            factors.sort_by(|a, b| a.image.cmp(&b.image));
+            let lowest_ms = round(image.lowest_ms);
+            images.push(LearntImage { image: name.clone(), lowest_ms, factors });
+        }
+        images.sort_by(|a, b| a.image.cmp(&b.image));
+        Learnt { images }
+    }
+
+    /// Takes over what a former leader has learnt.
+    pub fn restore(&mut self, learnt: &Learnt) {
+        for known in &learnt.images {
+            let row = self.row(&known.image);
+            for factor in &known.factors {
+                self.column(&factor.image);
+            }
+            let columns = self.columns.len().min(MOST_COLUMNS);
+            let placed: Vec<(usize, &LearntFactor)> = known
+                .factors
+                .iter()
+                .filter_map(|f| Some((usize::from(self.known_column(&f.image)?.0), f)))
+                .collect();
+            let image = &mut self.images[usize::from(row.0)];
+            image.lowest_ms = known.lowest_ms;
+            image.grow(columns);
+            for (at, factor) in placed {
+                image.factors[at] = factor.factor;
+                image.covariance[at][at] = factor.variance.clamp(CARRIED_VARIANCE, FACTOR_VARIANCE);
+            }
+        }
+    }
+
     /// Returns the pressure that a filling image puts on a serving one, for each whole share of
     /// the worker's processors that it uses.
     pub fn factor(&self, row: Row, column: Option<Column>) -> f64 {
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -13,6 +13,7 @@
 
 use crate::context::Context;
 use crate::message::{WorkerInfo, WorkerIx};
+use crate::pacing::Learnt;
 use crate::table::{self, Entry, Round, StepState, TaskState};
 use crate::worker::Listing;
 use crate::{intake, lifecycle, trace};
@@ -39,11 +40,14 @@
     pub cancelled: Vec<JobKey>,
     /// Workers that may run something.
     pub roster: Vec<WorkerInfo>,
+    /// What was learnt of how images disturb each other.
+    pub learnt: Learnt,
 }
 
 /// Fills a new leader's state from the store and begins the survey.
 pub fn restore(cx: &mut Context, stored: Stored) {
-    let Stored { jobs, mut progress, cancelled, roster } = stored;
+    let Stored { jobs, mut progress, cancelled, roster, learnt } = stored;
+    cx.pacing.restore(&learnt);
     for info in &roster {
         let ix = intake::known_or_new(cx, info, Listing::Absent);
         cx.worker_mut(ix).in_roster = true;
--- a/crates/sched/tests/pacing.rs
+++ b/crates/sched/tests/pacing.rs
@@ -109,3 +109,20 @@
     truth.day(10);
     assert!(truth.model.factor(truth.row, None) > 0.0);
 }
+
+#[test]
+fn what_was_learnt_outlives_its_leader() {
+    let mut truth = truth();
+    truth.day(400);
+    let heavy = truth.model.factor(truth.row, Some(truth.heavy));
+    let stored = truth.model.learnt();
+    let mut successor = Model::default();
+    // A successor may meet the images in another order.
+    successor.column("another");
+    successor.column("light");
+    successor.restore(&stored);
+    let row = successor.known_row("serving").expect("the image is known");
+    let kept = successor.factor(row, successor.known_column("heavy"));
+    assert!((kept - heavy).abs() < 0.01, "{kept} instead of {heavy}");
+    assert_eq!(successor.learnt().images[0].lowest_ms, stored.images[0].lowest_ms);
+}
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -239,6 +239,7 @@
             progress: self.progress.clone(),
             cancelled: self.cancelled.iter().copied().collect(),
             roster: self.roster.values().cloned().collect(),
+            learnt: Default::default(),
         };
         takeover::restore(&mut cx, stored);
         for worker in self.workers.iter().filter(|w| w.up) {
@@ -696,6 +697,7 @@
                 Record::ForgetWorker(id) => {
                     self.roster.remove(&id);
                 }
+                Record::Learnt(_) => {}
             }
         }
     }
