--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -11,7 +11,7 @@
 use crate::context::Context;
 use crate::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
 use crate::worker::{Phase, Renewal};
-use crate::{lifecycle, looks, trace};
+use crate::{lifecycle, looks, pacing, trace};
 
 /// Takes in what became of a start.
 pub fn started(
@@ -33,6 +33,7 @@
             slot.confirmed = Some(now);
             slot.moved = now;
             cx.worker_mut(ix).read_clock(now, clock);
+            pacing::set_paces(cx, ix);
         }
         Outcome::Refused(refusal) => refused(cx, ix, key, run, refusal),
         Outcome::NotSent if slot.phase == Phase::Starting => {
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -254,6 +254,7 @@
 pub fn observe(cx: &mut Context, ix: WorkerIx) {
     learn(cx, ix);
     refresh(cx, ix);
+    watch_targets(cx, ix);
     set_paces(cx, ix);
     if tracing::enabled!(tracing::Level::DEBUG) {
         trace::readings(cx, ix);
@@ -313,9 +314,8 @@
 }
 
 /// Lowers the pace of what disturbs a serving task too much, and raises it again.
-fn set_paces(cx: &mut Context, ix: WorkerIx) {
+pub fn set_paces(cx: &mut Context, ix: WorkerIx) {
     let now = cx.now;
-    watch_targets(cx, ix);
     let worker = cx.worker(ix);
     let mut filling = filling_shares(worker, now);
     if filling.is_empty() {
