--- /dev/null
+++ b/crates/explain/tests/events.rs
@@ -0,0 +1,47 @@
+//! Every event that the scheduler and the daemon log is listed in `docs/OPERATIONS.md`.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn sources(dir: &Path, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(dir).expect("the folder is there") {
+        let path = entry.expect("the entry can be read").path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|e| e == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+fn events_in_sources() -> BTreeSet<String> {
+    let mut files = Vec::new();
+    sources(&root().join("crates/sched/src"), &mut files);
+    sources(&root().join("crates/node/src"), &mut files);
+    let mut events = BTreeSet::new();
+    for file in files {
+        let text = fs::read_to_string(&file).expect("a source can be read");
+        for part in text.split("event = \"").skip(1) {
+            events.insert(part.split('"').next().unwrap_or_default().to_string());
+        }
+    }
+    events
+}
+
+fn events_in_page() -> BTreeSet<String> {
+    let page = fs::read_to_string(root().join("docs/OPERATIONS.md")).expect("the page is there");
+    let section = page.split("## Events").nth(1).expect("the page has a section on events");
+    let section = section.split("\n## ").next().unwrap_or_default();
+    let names = section.lines().filter_map(|l| l.strip_prefix("| `")?.split('`').next());
+    names.map(str::to_string).collect()
+}
+
+#[test]
+fn every_event_is_listed_and_every_listed_event_exists() {
+    assert_eq!(events_in_sources(), events_in_page());
+}
--- /dev/null
+++ b/crates/explain/tests/stories.rs
@@ -0,0 +1,30 @@
+//! Stories put together from lines of several hosts.
+
+use expect_test::expect;
+
+const LOG: &str = r#"
+   0.2 edge-2 {"timestamp":"T03","level":"INFO","event":"run_ended","task":"00000000000000aa.0.0.0","run":4097,"how":"Done"}
+   0.1 edge-1 {"timestamp":"T01","level":"INFO","event":"job_handed_in","job":"00000000000000aa","outcome":"Stored"}
+not a line of ours
+   0.1 edge-2 {"timestamp":"T00","level":"INFO","event":"leadership_claimed","term":1}
+   0.1 edge-2 {"timestamp":"T02","level":"INFO","event":"start_ordered","task":"00000000000000aa.0.0.0","run":4097,"waited_ms":3}
+   0.1 edge-2 {"timestamp":"T02","level":"INFO","event":"start_ordered","task":"00000000000000ab.0.0.0","run":4097}
+   0.1 edge-2 {"timestamp":"T025","level":"INFO","event":"takeover_began","term":2}
+"#;
+
+#[test]
+fn a_story_is_in_order_and_names_changes_of_leader() {
+    let story = gaplock_explain::story(LOG, "00000000000000aa");
+    expect![[r#"
+        T01 job_handed_in - job=00000000000000aa outcome=Stored
+        T02 start_ordered 00000000000000aa.0.0.0 run=4097 waited_ms=3
+        T025 takeover_began - term=2
+        T03 run_ended 00000000000000aa.0.0.0 how=Done run=4097
+    "#]]
+    .assert_eq(&gaplock_explain::render(&story));
+}
+
+#[test]
+fn a_job_that_no_line_names_has_no_story() {
+    assert!(gaplock_explain::story(LOG, "00000000000000ff").is_empty());
+}
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -26,9 +26,14 @@
 pub async fn handle(node: Arc<Node>, whole: Whole) -> Response {
     let method = whole.req.method();
     let path = whole.req.url().path().to_string();
-    let Some(config) = node.config() else { return refuse(&node, Code::NotReady) };
+    let Some(config) = node.config() else {
+        tracing::info!(event = "request_refused", path, why = "no configuration yet");
+        return refuse(&node, Code::NotReady);
+    };
     let host = host_of(&whole);
     let Some(queue) = config.route(&host, &path) else {
+        let version = config.version;
+        tracing::info!(event = "request_refused", path, version, why = "no such queue");
         return answer(&node, Code::NotFound, StatusCode::NotFound.into(), Vec::new());
     };
     let rest = path.strip_prefix(&queue.prefix).unwrap_or_default();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -50,6 +50,7 @@
     stopping: AtomicBool,
     store_answered: AtomicU64,
     store_failed: AtomicU64,
+    store_lost: AtomicBool,
     leader_answered: AtomicU64,
     config_read: AtomicU64,
     waiting: Mutex<BTreeMap<String, u32>>,
@@ -88,6 +89,7 @@
         stopping: AtomicBool::new(false),
         store_answered: AtomicU64::new(0),
         store_failed: AtomicU64::new(0),
+        store_lost: AtomicBool::new(false),
         leader_answered: AtomicU64::new(0),
         config_read: AtomicU64::new(0),
         waiting: Mutex::default(),
@@ -162,11 +164,17 @@
 
     /// Takes in that the store has answered.
     pub fn store_answered(&self) {
+        if self.store_lost.swap(false, Ordering::Relaxed) {
+            tracing::info!(event = "store_back", silent_ms = self.store_age().0);
+        }
         self.store_answered.fetch_max(clock::now().0, Ordering::Relaxed);
     }
 
     /// Takes in that a call to the store failed.
     pub fn store_failed(&self) {
+        if !self.store_lost.swap(true, Ordering::Relaxed) {
+            tracing::warn!(event = "store_lost", silent_ms = self.store_age().0);
+        }
         self.store_failed.fetch_max(clock::now().0, Ordering::Relaxed);
     }
 
