--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -72,8 +72,8 @@
 
 /// Follows one leader for as long as it answers.
 async fn follow(node: &Arc<Node>, leader: &LeaderRecord, revision: Revision) {
-    if leader.host == node.installation.host && leader.incarnation != node.incarnation {
-        // The claim is of a former process of this host.
+    if leader.host == node.installation.host {
+        // The claim is of a former process of this host, or of a leadership that it gave up.
         return claim(node, revision).await;
     }
     node.set_role(Role::Follower(Some(leader.addr.clone())));
