--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod check;
 pub mod clients;
 pub mod faults;
+pub mod processes;
 pub mod run;
 pub mod world;
