Split the simulated world of the scheduler's tests by job

Cause: one file of 779 lines held the workers, the calls between them and the leader, the store, the checks and the views, under a blanket allowance of dead code. Each has a file of its own now; what travels with a call (worker, term, whether its answer arrives) is one value instead of four arguments, and both allowances are gone. Draws, delays, checks and tests are the same as before; formatting, clippy and the tests of sched, jobs, platform and explain pass.

--- /dev/null
+++ b/crates/sched/tests/world/builders.rs
@@ -0,0 +1,53 @@
+//! The configuration and the jobs that tests hand to a world.
+
+use std::sync::Arc;
+
+use gaplock_jobs::config::{Advice, CallerLimits, Config, Pool, Queue};
+use gaplock_jobs::{Job, JobKey, Step};
+use gaplock_types::sizes::Resources;
+use gaplock_types::time::Millis;
+
+use super::{MAX_ATTEMPTS, QUEUE, SERVICE, UNIX_BASE};
+
+/// Builds a configuration with one queue.
+pub fn config(advice: Option<Advice>) -> Arc<Config> {
+    Arc::new(Config {
+        version: 1,
+        queues: vec![Queue {
+            name: QUEUE.into(),
+            host: "h".into(),
+            prefix: "/q/".into(),
+            service: SERVICE.into(),
+            priority: 0,
+            max_attempts: MAX_ATTEMPTS,
+            stretch: 1.5,
+            slack: Millis(250),
+            advice,
+        }],
+        pools: vec![Pool { service: SERVICE.into(), guards_capacity: true, headroom: false }],
+        limits: CallerLimits { body_bytes: 1 << 18, header: Millis(3_000), idle: Millis(15_000) },
+    })
+}
+
+/// Builds a step of `count` tasks of one core each.
+pub fn step(count: u32, after: &[u16]) -> Step {
+    Step {
+        count,
+        demand: Resources::new(1_000, 512, 0),
+        estimate: Millis(500),
+        after: after.to_vec(),
+        ..Step::default()
+    }
+}
+
+/// Builds a job.
+pub fn job(key: u64, steps: Vec<Step>) -> Job {
+    Job {
+        key: JobKey(key),
+        queue: QUEUE.into(),
+        spec: "spec".into(),
+        steps,
+        repeat: None,
+        accepted_unix_ms: UNIX_BASE,
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/world/calls.rs
@@ -0,0 +1,213 @@
+//! Calls between the leader and its workers, and what may go wrong with each of them.
+
+use gaplock_jobs::TaskKey;
+use gaplock_sched::message::{EndSeq, Outcome, Permit, Record, Run, WorkerClock, WorkerIx};
+use gaplock_sched::permits::StepKey;
+use gaplock_sched::{Action, Event};
+use gaplock_types::sizes::Resources;
+use gaplock_types::time::{Instant, Millis};
+use rand::Rng;
+
+use super::World;
+
+/// What a leader asks of a worker.
+#[derive(Debug, Clone)]
+pub enum Call {
+    Renew(Renewal),
+    Start { task: TaskKey, run: Run, until: WorkerClock, work: Work },
+    Stop { task: TaskKey, run: Run },
+    Pace { task: TaskKey, run: Run, percent: u32 },
+}
+
+/// A renewal on its way to a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct Renewal {
+    pub stored: EndSeq,
+    pub until: Option<WorkerClock>,
+    /// How long the worker may wait for an end, in milliseconds.
+    pub wait: u64,
+    pub sent: Instant,
+}
+
+/// What a started task does.
+#[derive(Debug, Clone, Copy)]
+pub struct Work {
+    pub takes: Resources,
+    pub lasting: bool,
+    /// How long the task runs unless it lasts, in milliseconds.
+    pub ms: u64,
+}
+
+/// Whose call it is, where it goes, and whether its answer arrives.
+#[derive(Debug, Clone, Copy)]
+pub struct Trip {
+    pub worker: usize,
+    /// The number of the term in which the call was sent; a later leader gets no answer to it.
+    pub leader: u64,
+    /// Unset where the leader has been told already that no answer comes.
+    pub answered: bool,
+}
+
+/// What happens at a later time.
+#[derive(Debug, Clone)]
+pub enum Delivery {
+    /// A call arrives.
+    ToWorker { trip: Trip, call: Call, token: u64 },
+    /// An answer arrives.
+    ToLeader { event: Event, leader: u64 },
+    /// A worker has waited long enough with its answer to a renewal.
+    Held { trip: Trip, sent: Instant },
+    /// A commit is stored.
+    Stored { records: Vec<Record>, leader: u64 },
+}
+
+/// How long a leader waits for an answer, in milliseconds: as long as the product waits for the
+/// answer to an order.
+const CALL_LIMIT_MS: u64 = 400;
+
+/// How long the service that says where steps may run takes, in milliseconds.
+const ADVICE_MS: u64 = 40;
+
+/// How long an answer of that service holds.
+const ADVICE_VALID: Millis = Millis(3_000);
+
+/// How late a call without an answer may arrive, in milliseconds: some after every lease is over.
+const LATE_MS: std::ops::Range<u64> = 2_000..12_000;
+
+impl World {
+    /// Lets something happen after so many milliseconds.
+    pub(super) fn send(&mut self, after: u64, delivery: Delivery) {
+        self.next_delivery += 1;
+        self.deliveries.insert((self.now + after, self.next_delivery), delivery);
+    }
+
+    /// Carries out what the leader asks for.
+    pub(super) fn act(&mut self) {
+        let Some(cx) = &mut self.cx else { return };
+        let actions = cx.take_actions();
+        let now = Instant(self.now);
+        for action in actions {
+            let (worker, call) = match action {
+                Action::Renew { worker, stored, until, wait } => {
+                    let renewal = Renewal { stored, until, wait: wait.0, sent: now };
+                    (worker, Call::Renew(renewal))
+                }
+                Action::Start { worker, task, run, job, until, .. } => {
+                    let step = &job.steps[usize::from(task.step)];
+                    let work = Work { takes: step.demand, lasting: step.lasting, ms: self.work_ms };
+                    (worker, Call::Start { task, run, until, work })
+                }
+                Action::Stop { worker, task, run } => (worker, Call::Stop { task, run }),
+                Action::Pace { worker, task, run, percent } => {
+                    (worker, Call::Pace { task, run, percent })
+                }
+                Action::Advise { step, workers } => {
+                    self.advise(step, workers);
+                    continue;
+                }
+                Action::ConfirmLeadership => continue,
+            };
+            self.call(worker, call);
+        }
+    }
+
+    /// Answers which workers may run a step: those with an even position.
+    fn advise(&mut self, step: StepKey, asked: Vec<WorkerIx>) {
+        let even = asked.iter().filter(|ix| ix.0 % 2 == 0);
+        let permits = even.map(|&worker| Permit { worker, ticket: "t".into() }).collect();
+        let (sent, leader) = (self.instant(), self.term);
+        let answer = Some((permits, ADVICE_VALID));
+        let event = Event::Advised { step, asked, sent, answer };
+        self.send(ADVICE_MS, Delivery::ToLeader { event, leader });
+    }
+
+    fn call(&mut self, ix: WorkerIx, call: Call) {
+        let worker = self.worker_of(ix);
+        let (token, leader) = (self.token, self.term);
+        let roll = self.rng.random_range(0..1_000);
+        let f = self.faults;
+        let reached = self.workers[worker].up && !self.workers[worker].cut;
+        let lost = roll < f.lost_per_mille || !reached;
+        let late = roll >= f.lost_per_mille && roll < f.lost_per_mille + f.late_per_mille;
+        let unanswered = lost || late || self.rng.random_range(0..1_000) < f.unanswered_per_mille;
+        if unanswered {
+            let event = no_answer(ix, &call);
+            self.send(CALL_LIMIT_MS, Delivery::ToLeader { event, leader });
+        }
+        if lost {
+            return;
+        }
+        let after = if late { self.rng.random_range(LATE_MS) } else { 1 };
+        let trip = Trip { worker, leader, answered: !unanswered };
+        self.send(after, Delivery::ToWorker { trip, call, token });
+    }
+
+    /// Lets what is due happen.
+    pub(super) fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::ToLeader { event, leader } if leader == self.term => self.event(event),
+            Delivery::Stored { records, leader } if leader == self.term => {
+                self.store(records);
+                self.event(Event::Committed);
+            }
+            Delivery::ToLeader { .. } | Delivery::Stored { .. } => {}
+            Delivery::ToWorker { trip, call, token } => self.at_worker(trip, call, token),
+            Delivery::Held { trip, sent } => self.answer_renewal(trip, sent),
+        }
+    }
+
+    /// Lets a call end without an answer that lost its worker on the way.
+    pub(super) fn time_out(&mut self, trip: Trip, call: &Call) {
+        if let Some(ix) = self.awaited_by(trip) {
+            let event = no_answer(ix, call);
+            self.send(CALL_LIMIT_MS, Delivery::ToLeader { event, leader: trip.leader });
+        }
+    }
+
+    /// Sends an answer, which arrives in the next millisecond.
+    pub(super) fn reply(&mut self, trip: Trip, event: Event) {
+        self.send(1, Delivery::ToLeader { event, leader: trip.leader });
+    }
+
+    /// Returns the leader's position for the worker of a call whose answer arrives.
+    pub(super) fn awaited_by(&self, trip: Trip) -> Option<WorkerIx> {
+        self.ix_of(trip.worker).filter(|_| trip.answered)
+    }
+
+    /// Finds the simulated worker behind a position in the leader's table.
+    fn worker_of(&self, ix: WorkerIx) -> usize {
+        let id = &self.cx.as_ref().expect("only a leader calls").worker(ix).info.id;
+        self.workers.iter().position(|w| w.info.id == *id).expect("workers are never removed")
+    }
+
+    fn ix_of(&self, worker: usize) -> Option<WorkerIx> {
+        let id = &self.workers[worker].info.id;
+        self.cx.as_ref().and_then(|cx| cx.by_id.get(id).copied())
+    }
+}
+
+/// Builds what the leader is told of a call that got no answer.
+fn no_answer(worker: WorkerIx, call: &Call) -> Event {
+    match call {
+        Call::Renew(renewal) => {
+            Event::Renewed { worker, sent: renewal.sent, outcome: Outcome::Unclear }
+        }
+        other => answer(worker, other, Outcome::Unclear),
+    }
+}
+
+/// Builds the answer to an order.
+pub fn answer(worker: WorkerIx, call: &Call, outcome: Outcome<WorkerClock>) -> Event {
+    match call {
+        Call::Start { task, run, .. } => Event::Started { worker, task: *task, run: *run, outcome },
+        Call::Stop { task, run } => Event::Stopped { worker, task: *task, run: *run, outcome },
+        Call::Pace { task, run, percent } => Event::Paced {
+            worker,
+            task: *task,
+            run: *run,
+            percent: *percent,
+            applied: matches!(outcome, Outcome::Done(_)),
+        },
+        Call::Renew(_) => unreachable!("a renewal is answered with an account"),
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/world/checks.rs
@@ -0,0 +1,44 @@
+//! The promises that are checked while a world runs; a broken one is kept in words.
+
+use gaplock_jobs::progress::{JobState, Progress};
+use gaplock_jobs::TaskKey;
+
+use super::{World, MAX_ATTEMPTS};
+
+impl World {
+    /// Checks what must hold when a worker carries a start out.
+    pub(super) fn check_start(&mut self, at: usize, task: TaskKey) {
+        let now = self.now;
+        for (other, worker) in self.workers.iter().enumerate() {
+            if other != at && worker.up && worker.running.contains_key(&task) {
+                self.violations.push(format!("{now}: {task} twice, at {other} and {at}"));
+            }
+        }
+        if self.noted_done.contains(&task) {
+            self.violations.push(format!("{now}: {task} starts after its end was noted"));
+        }
+        if self.noted_failed.get(&task).copied().unwrap_or(0) >= MAX_ATTEMPTS
+            && !self.jobs[&task.job].steps[usize::from(task.step)].lasting
+        {
+            self.violations.push(format!("{now}: {task} starts after all its attempts"));
+        }
+        let job = &self.jobs[&task.job];
+        for &before in &job.steps[usize::from(task.step)].after {
+            let count = job.steps[usize::from(before)].count;
+            let done = |index| self.done.contains(&TaskKey { step: before, index, ..task });
+            if !(0..count).all(done) {
+                self.violations.push(format!("{now}: {task} starts before step {before} is done"));
+            }
+        }
+    }
+
+    /// Checks that a job which is shown as failed has a task that failed often enough.
+    pub(super) fn check_failed(&mut self, progress: &Progress) {
+        let worn =
+            |(task, &failed): (&TaskKey, &u32)| task.job == progress.key && failed >= MAX_ATTEMPTS;
+        if progress.state == JobState::Failed && !self.failed.iter().any(worn) {
+            let violation = format!("{}: {} failed without cause", self.now, progress.key);
+            self.violations.push(violation);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/world/store.rs
@@ -0,0 +1,71 @@
+//! The store: it takes commits in, and a successor begins with what it holds.
+
+use gaplock_sched::context::Term;
+use gaplock_sched::message::{FencingToken, Record};
+use gaplock_sched::takeover::{self, Stored};
+use gaplock_sched::{commits, Context, Event};
+use gaplock_types::time::Instant;
+
+use super::builders::config;
+use super::calls::Delivery;
+use super::World;
+
+impl World {
+    /// Replaces the leader by a new one that knows only the store.
+    pub fn take_over(&mut self) {
+        self.term += 1;
+        self.token += 10;
+        let term = Term { number: self.term, token: FencingToken(self.token) };
+        let mut cx = Context::open(self.settings.clone(), term, self.instant(), self.unix());
+        cx.handle(self.instant(), self.unix(), Event::Config(config(self.advice)));
+        let stored = Stored {
+            jobs: self.jobs.values().cloned().collect(),
+            progress: self.progress.clone(),
+            cancelled: self.cancelled.iter().copied().collect(),
+            roster: self.roster.values().cloned().collect(),
+            learnt: Default::default(),
+        };
+        takeover::restore(&mut cx, stored);
+        for worker in self.workers.iter().filter(|w| w.up) {
+            cx.handle(self.instant(), self.unix(), Event::Listed(worker.info.clone()));
+        }
+        self.cx = Some(cx);
+        self.act();
+    }
+
+    /// Begins the next commit, if one is due.
+    pub(super) fn commit(&mut self) {
+        let now = Instant(self.now);
+        let Some(cx) = &mut self.cx else { return };
+        let Some(records) = commits::take(cx, now) else { return };
+        let leader = self.term;
+        if self.store_down {
+            let event = Event::CommitFailed;
+            return self.send(200, Delivery::ToLeader { event, leader });
+        }
+        self.send(4, Delivery::Stored { records, leader });
+    }
+
+    /// Keeps what a commit holds.
+    pub(super) fn store(&mut self, records: Vec<Record>) {
+        for record in records {
+            match record {
+                Record::Progress(progress) => {
+                    self.check_failed(&progress);
+                    self.progress.insert(progress.key, progress);
+                }
+                Record::Forget(key) => {
+                    self.progress.remove(&key);
+                    self.jobs.remove(&key);
+                }
+                Record::Worker(info) => {
+                    self.roster.insert(info.id.clone(), info);
+                }
+                Record::ForgetWorker(id) => {
+                    self.roster.remove(&id);
+                }
+                Record::Learnt(_) => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/world/views.rs
@@ -0,0 +1,44 @@
+//! What a test asks of a world: the stored states and what runs where.
+
+use gaplock_jobs::progress::JobState;
+use gaplock_jobs::JobKey;
+
+use super::worker::SimWorker;
+use super::World;
+
+impl World {
+    /// Tells whether a job is stored as completed.
+    pub fn is_completed(&self, key: u64) -> bool {
+        let state = self.progress.get(&JobKey(key)).map(|p| p.state);
+        state == Some(JobState::Completed)
+    }
+
+    /// Returns a job's stored state.
+    pub fn state(&self, key: u64) -> Option<JobState> {
+        self.progress.get(&JobKey(key)).map(|p| p.state)
+    }
+
+    /// Returns how many failures of a job's tasks are stored.
+    pub fn stored_failures(&self, key: u64) -> u32 {
+        let rounds = self.progress.get(&JobKey(key)).into_iter().flat_map(|p| &p.rounds);
+        let notes = rounds.flat_map(|r| &r.steps).flat_map(|s| &s.notes);
+        notes.map(|n| n.failed).sum()
+    }
+
+    /// Returns how many runs of a task's job are at a worker.
+    pub fn running_at(&self, worker: usize) -> usize {
+        self.workers[worker].running.len()
+    }
+
+    /// Returns on how many workers that are up a job's tasks run.
+    pub fn running_of(&self, key: u64) -> usize {
+        let of = |w: &SimWorker| w.running.keys().filter(|t| t.job == JobKey(key)).count();
+        self.workers.iter().map(of).sum()
+    }
+
+    /// Returns the paces of a job's running tasks.
+    pub fn paces_of(&self, key: u64) -> Vec<u32> {
+        let all = self.workers.iter().flat_map(|w| w.running.iter());
+        all.filter(|(t, _)| t.job == JobKey(key)).map(|(_, r)| r.pace).collect()
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/world/worker.rs
@@ -0,0 +1,279 @@
+//! What a worker does: it carries orders out under leases and a fencing token, lists its ends until
+//! they are acknowledged, and ends what its lease no longer covers.
+
+use std::collections::BTreeMap;
+
+use gaplock_jobs::TaskKey;
+use gaplock_sched::message::{
+    Account, End, EndSeq, How, Outcome, Refusal, Run, RunningTask, WorkerClock, WorkerInfo,
+};
+use gaplock_sched::Event;
+use gaplock_types::sizes::Resources;
+use gaplock_types::time::Instant;
+use rand::Rng;
+
+use super::calls::{self, Call, Delivery, Renewal, Trip, Work};
+use super::{World, SERVICE};
+
+#[derive(Debug, Clone)]
+pub(super) struct SimRun {
+    run: Run,
+    /// When its work is over, by the virtual clock; unset for a lasting task.
+    ends_at: Option<u64>,
+    fails: bool,
+    pub(super) pace: u32,
+}
+
+/// One worker's incarnation.
+#[derive(Debug)]
+pub struct SimWorker {
+    pub info: WorkerInfo,
+    pub up: bool,
+    /// No call gets through, in either direction.
+    pub cut: bool,
+    /// Every run fails.
+    pub failing: bool,
+    pub(super) running: BTreeMap<TaskKey, SimRun>,
+    ends: Vec<End>,
+    next_seq: u64,
+    token: u64,
+    lease_until: u64,
+    last_ended: BTreeMap<TaskKey, Run>,
+    /// How far its clock is ahead of the virtual one, in milliseconds.
+    clock_offset: u64,
+}
+
+impl SimWorker {
+    /// Builds the worker at position `at`, which shares a rack with three others and whose clock
+    /// differs from all other clocks.
+    pub fn new(id: &str, at: usize) -> Self {
+        let info = WorkerInfo {
+            id: id.into(),
+            addr: format!("{id}:1"),
+            service: SERVICE.into(),
+            domain: "hall".into(),
+            labels: vec![format!("r{}", at / 4)],
+            capacity: Resources::new(8_000, 16_000, 0),
+            draining: false,
+            remaining: None,
+        };
+        Self {
+            info,
+            up: true,
+            cut: false,
+            failing: false,
+            running: BTreeMap::new(),
+            ends: Vec::new(),
+            next_seq: 1,
+            token: 0,
+            lease_until: 0,
+            last_ended: BTreeMap::new(),
+            clock_offset: 5_000 * at as u64,
+        }
+    }
+}
+
+impl World {
+    /// Ends the runs whose work or lease is over.
+    pub(super) fn step_workers(&mut self) {
+        for at in 0..self.workers.len() {
+            let worker = &self.workers[at];
+            if !worker.up {
+                continue;
+            }
+            let lapsed = self.now + worker.clock_offset >= worker.lease_until;
+            let over = worker
+                .running
+                .iter()
+                .filter(|(_, r)| lapsed || r.ends_at.is_some_and(|end| end <= self.now));
+            let over: Vec<(TaskKey, bool)> = over.map(|(t, r)| (*t, r.fails)).collect();
+            let waited = !over.is_empty();
+            for (task, fails) in over {
+                let how = match (lapsed, fails) {
+                    (true, _) => How::Lapsed,
+                    (false, true) => How::Failed,
+                    (false, false) => How::Done,
+                };
+                self.end(at, task, how);
+            }
+            if waited {
+                self.wake_renewal(at);
+            }
+        }
+    }
+
+    /// Lets a waiting renewal answer now.
+    fn wake_renewal(&mut self, at: usize) {
+        let waiting = self
+            .deliveries
+            .iter()
+            .find(|(_, d)| matches!(d, Delivery::Held { trip, .. } if trip.worker == at));
+        let Some(key) = waiting.map(|(key, _)| *key) else { return };
+        if let Some(delivery) = self.deliveries.remove(&key) {
+            self.send(0, delivery);
+        }
+    }
+
+    /// Takes in a call that has arrived.
+    pub(super) fn at_worker(&mut self, trip: Trip, call: Call, token: u64) {
+        let at = trip.worker;
+        if !self.workers[at].up || self.workers[at].cut {
+            return self.time_out(trip, &call);
+        }
+        let clock = self.now + self.workers[at].clock_offset;
+        let fenced = token < self.workers[at].token;
+        self.workers[at].token = self.workers[at].token.max(token);
+        if let Call::Renew(renewal) = call {
+            return self.renew(trip, renewal, fenced);
+        }
+        let outcome = if fenced { Err(Refusal::Fenced) } else { self.order(at, &call, clock) };
+        let Some(ix) = self.awaited_by(trip) else { return };
+        let outcome = match outcome {
+            Ok(()) => Outcome::Done(WorkerClock(clock)),
+            Err(refusal) => Outcome::Refused(refusal),
+        };
+        self.reply(trip, calls::answer(ix, &call, outcome));
+    }
+
+    fn renew(&mut self, trip: Trip, renewal: Renewal, fenced: bool) {
+        let Renewal { stored, until, wait, sent } = renewal;
+        let at = trip.worker;
+        if fenced {
+            if let Some(worker) = self.awaited_by(trip) {
+                let outcome = Outcome::Refused(Refusal::Fenced);
+                self.reply(trip, Event::Renewed { worker, sent, outcome });
+            }
+            return;
+        }
+        self.acknowledge(at, stored);
+        if let Some(until) = until {
+            self.grant(at, until);
+        }
+        let wait = if self.workers[at].ends.is_empty() { wait } else { 0 };
+        self.send(wait, Delivery::Held { trip, sent });
+    }
+
+    fn acknowledge(&mut self, at: usize, stored: EndSeq) {
+        let ends = std::mem::take(&mut self.workers[at].ends);
+        let (noted, left): (Vec<End>, Vec<End>) = ends.into_iter().partition(|e| e.seq <= stored);
+        self.workers[at].ends = left;
+        for end in noted {
+            match end.how {
+                How::Done => {
+                    self.noted_done.insert(end.task);
+                }
+                How::Failed => *self.noted_failed.entry(end.task).or_default() += 1,
+                _ => {}
+            }
+        }
+    }
+
+    fn grant(&mut self, at: usize, until: WorkerClock) {
+        let worker = &mut self.workers[at];
+        let clock = self.now + worker.clock_offset;
+        let most = clock + self.settings.lease_max.0;
+        worker.lease_until = worker.lease_until.max(until.0.min(most));
+    }
+
+    /// Answers a renewal with the worker's account of itself.
+    pub(super) fn answer_renewal(&mut self, trip: Trip, sent: Instant) {
+        let worker = &self.workers[trip.worker];
+        if !worker.up || worker.cut {
+            let renewal = Renewal { stored: EndSeq(0), until: None, wait: 0, sent };
+            return self.time_out(trip, &Call::Renew(renewal));
+        }
+        let Some(ix) = self.awaited_by(trip) else { return };
+        let running = worker.running.iter().map(|(task, r)| RunningTask {
+            task: *task,
+            run: r.run,
+            checkpoint: None,
+            percent: if r.ends_at.is_none() { 100 } else { 50 },
+            reading: self.readings.get(&task.job).copied(),
+        });
+        let account = Account {
+            clock: WorkerClock(self.now + worker.clock_offset),
+            running: running.collect(),
+            ends: worker.ends.clone(),
+        };
+        let outcome = Outcome::Done(account);
+        self.reply(trip, Event::Renewed { worker: ix, sent, outcome });
+    }
+
+    fn order(&mut self, at: usize, call: &Call, clock: u64) -> Result<(), Refusal> {
+        match call {
+            Call::Start { task, run, until, work } => {
+                self.grant(at, *until);
+                self.start(at, *task, *run, *until, *work, clock)
+            }
+            Call::Stop { task, run } => {
+                let worker = &mut self.workers[at];
+                let last = worker.last_ended.entry(*task).or_default();
+                *last = (*last).max(*run);
+                if worker.running.get(task).is_some_and(|r| r.run == *run) {
+                    self.end(at, *task, How::Stopped);
+                }
+                Ok(())
+            }
+            Call::Pace { task, run, percent } => {
+                let running = self.workers[at].running.get_mut(task);
+                if let Some(r) = running.filter(|r| r.run == *run) {
+                    r.pace = *percent;
+                }
+                Ok(())
+            }
+            Call::Renew(_) => Ok(()),
+        }
+    }
+
+    fn start(
+        &mut self,
+        at: usize,
+        task: TaskKey,
+        run: Run,
+        until: WorkerClock,
+        work: Work,
+        clock: u64,
+    ) -> Result<(), Refusal> {
+        let worker = &self.workers[at];
+        if worker.running.get(&task).is_some_and(|r| r.run == run) {
+            return Ok(());
+        }
+        if until.0 <= clock {
+            return Err(Refusal::Late);
+        }
+        let old = worker.last_ended.get(&task).is_some_and(|last| run <= *last);
+        if old || worker.running.contains_key(&task) {
+            return Err(Refusal::OldRun);
+        }
+        let cores = worker.running.len() as u32 * work.takes.cpu.0 + work.takes.cpu.0;
+        if cores > worker.info.capacity.cpu.0 {
+            return Err(Refusal::Room);
+        }
+        self.check_start(at, task);
+        self.starts += 1;
+        let fails = self.workers[at].failing
+            || self.rng.random_range(0..1_000) < self.faults.failing_per_mille;
+        let ends_at = if work.lasting { None } else { Some(self.now + work.ms) };
+        let ends_at = if fails { Some(self.now + 50) } else { ends_at };
+        let sim = SimRun { run, ends_at, fails, pace: 100 };
+        self.workers[at].running.insert(task, sim);
+        Ok(())
+    }
+
+    fn end(&mut self, at: usize, task: TaskKey, how: How) {
+        let worker = &mut self.workers[at];
+        let Some(sim) = worker.running.remove(&task) else { return };
+        let last = worker.last_ended.entry(task).or_default();
+        *last = (*last).max(sim.run);
+        let seq = EndSeq(worker.next_seq);
+        worker.next_seq += 1;
+        worker.ends.push(End { seq, task, run: sim.run, how, checkpoint: None });
+        match how {
+            How::Done => {
+                self.done.insert(task);
+            }
+            How::Failed => *self.failed.entry(task).or_default() += 1,
+            _ => {}
+        }
+    }
+}
