Split pacing by what it does

Cause: one file of 465 lines answered who disturbs whom, what a placement would disturb, what readings teach, which pace is ordered and what moves, with all constants at its head. Each answer has a module beside the model, with the constants beside their use; the full pace moves there from the renewals.

--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -7,11 +7,11 @@
 use gaplock_types::time::Millis;
 
 use crate::context::Context;
-use crate::looks::FULL_PACE;
 use crate::message::{Action, Run, WorkerIx};
+use crate::pacing::{self, FULL_PACE};
 use crate::table::{self, Entry, ReadyStep, Round, Task, TaskState};
 use crate::worker::{Part, Phase, Renewal, Slot};
-use crate::{commits, pacing, trace};
+use crate::{commits, trace};
 
 fn ready_step(entry: &Entry, round: u32, step: u16) -> ReadyStep {
     ReadyStep { priority: entry.priority, due: entry.due, job: entry.job.key, round, step }
--- a/crates/sched/src/looks.rs
+++ b/crates/sched/src/looks.rs
@@ -189,9 +189,6 @@
     lifecycle::occupy(cx, ix, row.task, Occupant { run, phase, percent, reading });
 }
 
-/// The pace at which every run begins, in percent.
-pub const FULL_PACE: u32 = 100;
-
 fn stop_stray(cx: &mut Context, ix: WorkerIx, row: &RunningTask, why: &'static str) {
     let known = cx.worker(ix).slots.get(&row.task).is_some_and(|s| s.run == row.run);
     if known {
--- /dev/null
+++ b/crates/sched/src/pacing/filling.rs
@@ -0,0 +1,78 @@
+//! The tasks that disturb each other on a worker: those that serve, and those that fill.
+
+use gaplock_jobs::{Step, TaskKey};
+use gaplock_types::time::Instant;
+
+use super::model::{Column, Served};
+use super::{FULL_PACE, SETTLE};
+use crate::context::Context;
+use crate::message::Run;
+use crate::worker::{Part, Phase, Slot, Worker};
+
+/// Returns what a step's tasks are to each other on a worker.
+pub fn part_of(cx: &mut Context, step: &Step) -> Part {
+    let image = step.image.as_deref().unwrap_or_default();
+    if step.fills {
+        return Part::Filling(cx.pacing.column(image));
+    }
+    match step.tail_target {
+        Some(target) => Part::Serving { row: cx.pacing.row(image), target_ms: target.0 as u32 },
+        None => Part::Plain,
+    }
+}
+
+/// Returns what the model needs of a serving task, and nothing for any other.
+pub(super) fn served(key: TaskKey, slot: &Slot) -> Option<Served> {
+    match slot.part {
+        Part::Serving { row, target_ms } => {
+            Some(Served { job: key.job, row, target_ms: f64::from(target_ms.max(1)) })
+        }
+        _ => None,
+    }
+}
+
+/// A filling task at a worker.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FillingTask {
+    pub key: TaskKey,
+    pub run: Run,
+    pub column: Column,
+    /// Share of the worker's processors at full pace.
+    pub share: f64,
+    /// The pace that is in force or wanted, in percent of full speed.
+    pub pace: u32,
+}
+
+impl FillingTask {
+    /// Returns its image and the share of the worker's processors that it uses at its pace.
+    pub fn paced(&self) -> (Column, f64) {
+        (self.column, self.share * f64::from(self.pace) / 100.0)
+    }
+}
+
+/// Lists the filling tasks on a worker that are not being stopped.
+pub(super) fn filling_tasks(worker: &Worker, now: Instant) -> Vec<FillingTask> {
+    let running = worker.slots.iter().filter(|(_, slot)| slot.phase != Phase::Stopping);
+    let filling = running.filter_map(|(key, slot)| match slot.part {
+        Part::Filling(column) => Some(FillingTask {
+            key: *key,
+            run: slot.run,
+            column,
+            share: full_share(slot, worker, now),
+            pace: slot.pace,
+        }),
+        _ => None,
+    });
+    filling.collect()
+}
+
+/// Returns the share of the worker's processors that a filling task uses at full pace.
+fn full_share(slot: &Slot, worker: &Worker, now: Instant) -> f64 {
+    let cores = f64::from(worker.info.capacity.cpu.0.max(1));
+    let wanted = f64::from(slot.wants_cpu) / cores;
+    let settled = slot.confirmed.is_some_and(|at| now.since(at) >= SETTLE);
+    match slot.reading {
+        Some(used) if settled && slot.pace == FULL_PACE && used > 0 => f64::from(used) / cores,
+        _ => wanted,
+    }
+}
--- /dev/null
+++ b/crates/sched/src/pacing/paces.rs
@@ -0,0 +1,158 @@
+//! The pace of filling tasks: lowered as far as the serving tasks beside them need, and raised again.
+
+use gaplock_jobs::TaskKey;
+use gaplock_types::time::{Instant, Millis};
+
+use super::filling::{self, FillingTask};
+use super::model::{Model, Row};
+use super::placing;
+use super::{FULL_PACE, LEAST_PUSH, MOVE_BELOW};
+use crate::context::Context;
+use crate::message::{Action, Run, WorkerIx};
+use crate::trace;
+use crate::worker::{Part, Phase, Worker};
+
+/// Part of its target that a serving task's expected tail may reach beside what already runs:
+/// readings are rough and up to a second old.
+const GUARDED_SHARE: f64 = 1.0;
+
+/// How far ahead the load is looked at for what already runs, in seconds: until the next reading
+/// and the next change of pace.
+const GUARDED_AHEAD_S: f64 = 0.5;
+
+/// Lowers the pace of what disturbs a serving task too much, and raises it again.
+pub fn set_paces(cx: &mut Context, ix: WorkerIx) {
+    let now = cx.now;
+    let worker = cx.worker(ix);
+    let mut tasks = filling::filling_tasks(worker, now);
+    if tasks.is_empty() {
+        return;
+    }
+    for task in &mut tasks {
+        task.pace = FULL_PACE;
+    }
+    for (key, slot) in &worker.slots {
+        let Some(served) = filling::served(*key, slot) else { continue };
+        let bearable = cx.pacing.bearable(&served, GUARDED_SHARE, now, GUARDED_AHEAD_S);
+        relieve(&cx.pacing, served.row, bearable, &mut tasks);
+    }
+    halt(&cx.pacing, cx.worker(ix), now, &mut tasks);
+    for task in tasks {
+        order_pace(cx, ix, &task);
+    }
+}
+
+/// Lowers paces until the pressure on a serving image is bearable, beginning with what presses
+/// most.
+fn relieve(model: &Model, row: Row, bearable: f64, filling: &mut [FillingTask]) {
+    let push = |f: &FillingTask| model.factor(row, Some(f.column)) * f.share;
+    filling.sort_by(|a, b| push(b).total_cmp(&push(a)));
+    let mut excess = model.pressure(row, filling.iter().map(FillingTask::paced)) - bearable;
+    for task in filling {
+        let full = push(task);
+        if excess <= 0.0 || full < LEAST_PUSH {
+            return;
+        }
+        let pressing = full * f64::from(task.pace) / 100.0;
+        let left = (pressing - excess).max(0.0);
+        excess -= pressing - left;
+        task.pace = (left / full * 100.0) as u32;
+    }
+}
+
+/// How long readings may be over the target before what the model suspects is halted. The excess
+/// may last 4 s on the users' sites; a reading is up to 1.5 s old.
+const HALT_SUSPECTED_AFTER: Millis = Millis(1_200);
+
+/// How long readings may be over the target before everything that fills is halted.
+const HALT_ALL_AFTER: Millis = Millis(1_900);
+
+/// A filling task that presses less than this is not suspected.
+const SUSPECTED_PUSH: f64 = 0.01;
+
+/// Halts fillers beside a serving task that stays over its target: first what may press on it by
+/// the model, then, whatever the model says, everything.
+fn halt(model: &Model, worker: &Worker, now: Instant, filling: &mut [FillingTask]) {
+    for slot in worker.slots.values() {
+        let (Part::Serving { row, .. }, Some(since)) = (slot.part, slot.over_since) else {
+            continue;
+        };
+        let lasted = now.since(since);
+        for task in filling.iter_mut() {
+            let push = model.factor(row, Some(task.column)) * task.share;
+            let suspected = lasted >= HALT_SUSPECTED_AFTER && push >= SUSPECTED_PUSH;
+            if suspected || lasted >= HALT_ALL_AFTER {
+                task.pace = 0;
+            }
+        }
+    }
+}
+
+/// The share of its target from which a reading counts as over it; readings are rough.
+const OVER_SHARE: f64 = 0.97;
+
+/// The share of its target below which a reading ends an excess.
+const BACK_SHARE: f64 = 0.9;
+
+/// When halting everything has not helped, measured from the beginning of the excess.
+const HALT_OVER: Millis = Millis(4_200);
+
+/// Notes since when each serving task's readings have been over its target. Where the excess has
+/// outlasted both halts, its cause lies elsewhere and the time begins anew.
+pub(super) fn watch_targets(cx: &mut Context, ix: WorkerIx) {
+    let now = cx.now;
+    for slot in cx.worker_mut(ix).slots.values_mut() {
+        let Part::Serving { target_ms, .. } = slot.part else { continue };
+        let Some(share) = slot.reading.map(|tail| f64::from(tail) / f64::from(target_ms.max(1)))
+        else {
+            continue;
+        };
+        if share >= OVER_SHARE {
+            slot.over_since.get_or_insert(now);
+        } else if share < BACK_SHARE {
+            slot.over_since = None;
+        }
+        if slot.over_since.is_some_and(|since| now.since(since) >= HALT_OVER) {
+            slot.over_since = Some(now);
+        }
+    }
+}
+
+/// The least change of pace, in percent, that is worth a call.
+const PACE_STEP: u32 = 15;
+
+fn order_pace(cx: &mut Context, ix: WorkerIx, wanted: &FillingTask) {
+    let now = cx.now;
+    let worker = cx.worker_mut(ix);
+    let Some(slot) = worker.slots.get_mut(&wanted.key) else { return };
+    let edge = wanted.pace == 0 || wanted.pace == FULL_PACE;
+    let change = wanted.pace.abs_diff(slot.pace);
+    if slot.phase != Phase::Running || slot.pacing || change == 0 {
+        return;
+    }
+    if change < PACE_STEP && !edge {
+        return;
+    }
+    if wanted.pace >= MOVE_BELOW {
+        slot.slowed = None;
+    } else {
+        slot.slowed.get_or_insert(now);
+    }
+    slot.pacing = true;
+    let (from, id) = (slot.pace, worker.info.id.clone());
+    trace::pace_ordered(wanted.key, wanted.run, &id, from, wanted.pace);
+    let (task, run, percent) = (wanted.key, wanted.run, wanted.pace);
+    cx.actions.push(Action::Pace { worker: ix, task, run, percent });
+}
+
+/// Takes in what became of a change of pace.
+pub fn paced(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, percent: u32, applied: bool) {
+    let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key).filter(|s| s.run == run) else {
+        return;
+    };
+    slot.pacing = false;
+    if applied {
+        slot.pace = percent;
+    }
+    placing::refresh(cx, ix);
+}
--- /dev/null
+++ b/crates/sched/src/pacing/placing.rs
@@ -0,0 +1,141 @@
+//! What a placement would disturb: the room that serving tasks leave for filling ones, and the cost
+//! that the choice of a worker counts.
+
+use gaplock_jobs::Step;
+use gaplock_types::time::Millis;
+
+use super::filling::{self, FillingTask};
+use super::model::Row;
+use super::{CROWDED_SHARE, LEAST_PUSH};
+use crate::context::Context;
+use crate::message::WorkerIx;
+use crate::worker::{Part, Worker};
+
+/// Part of its target that a serving task's expected tail may reach when a task is placed beside
+/// it: lower than for what already runs, so that what was just placed is not slowed down at once.
+const PLACED_SHARE: f64 = 0.95;
+
+/// How far ahead the load is looked at when a task is placed, in seconds: most of a filling task's
+/// time on the users' sites.
+const PLACED_AHEAD_S: f64 = 1.0;
+
+/// Recomputes how much more pressure the serving tasks on a worker bear, by their image.
+pub fn refresh(cx: &mut Context, ix: WorkerIx) {
+    let now = cx.now;
+    let worker = cx.worker(ix);
+    let tasks = filling::filling_tasks(worker, now);
+    let mut spare: Vec<(Row, f64)> = Vec::new();
+    for (key, slot) in &worker.slots {
+        let Some(served) = filling::served(*key, slot) else { continue };
+        let pressure = cx.pacing.pressure(served.row, tasks.iter().map(FillingTask::paced));
+        let bearable = cx.pacing.bearable(&served, PLACED_SHARE, now, PLACED_AHEAD_S);
+        let left = bearable - pressure;
+        match spare.iter_mut().find(|(row, _)| *row == served.row) {
+            Some((_, known)) => *known = known.min(left),
+            None => spare.push((served.row, left)),
+        }
+    }
+    let left = spare_filling(cx, worker);
+    let worker = cx.worker_mut(ix);
+    worker.spare_pressure = spare;
+    worker.spare_filling = left;
+}
+
+/// The part of the processors that serving and short tasks leave which filling tasks may take.
+const FILLED_PART: f64 = 1.0;
+
+/// Returns the share of a worker's processors that more filling tasks may use: what serving tasks
+/// at their expected load, short tasks and filling tasks leave.
+fn spare_filling(cx: &Context, worker: &Worker) -> f64 {
+    let cores = f64::from(worker.info.capacity.cpu.0.max(1));
+    let mut busy = 0.0;
+    for (key, slot) in &worker.slots {
+        let takes = f64::from(slot.takes.cpu.0);
+        busy += match slot.part {
+            Part::Serving { .. } => takes * cx.pacing.load(key.job, cx.now, PLACED_AHEAD_S),
+            Part::Plain => takes,
+            Part::Filling(_) => 0.0,
+        };
+    }
+    let tasks = filling::filling_tasks(worker, cx.now);
+    let used: f64 = tasks.iter().map(|f| f.paced().1).sum();
+    let left = (1.0 - busy / cores) * FILLED_PART;
+    left.min(CROWDED_SHARE) - used
+}
+
+/// Returns how much placing a step's task on a worker would disturb, against one worker of free
+/// room, or nothing where it must not be placed there yet.
+pub fn placement_cost(cx: &Context, worker: &Worker, step: &Step, waited: Millis) -> Option<f64> {
+    if step.fills {
+        return filling_cost(cx, worker, step, waited);
+    }
+    if step.tail_target.is_some() {
+        return Some(serving_cost(cx, worker, step));
+    }
+    Some(0.0)
+}
+
+/// How long a filling task waits for a worker where it disturbs nobody before it is placed where
+/// it disturbs least, slowed down as far as needed.
+const PATIENCE: Millis = Millis(3_000);
+
+/// Cost of a unit of pressure beyond what is bearable, against one worker of free room.
+const EXCESS_COST: f64 = 20.0;
+
+/// Cost of a unit of bearable pressure, against one worker of free room.
+const PRESSURE_COST: f64 = 6.0;
+
+/// Returns what placing a filling task costs by its push on what serves there.
+fn filling_cost(cx: &Context, worker: &Worker, step: &Step, waited: Millis) -> Option<f64> {
+    let image = step.image.as_deref().unwrap_or_default();
+    let column = cx.pacing.known_column(image);
+    let share = f64::from(step.demand.cpu.0) / f64::from(worker.info.capacity.cpu.0.max(1));
+    if !worker.spare_pressure.is_empty() && share > worker.spare_filling {
+        return None;
+    }
+    let mut cost = 0.0;
+    for &(row, spare) in &worker.spare_pressure {
+        let push = cx.pacing.factor(row, column) * share;
+        if push < LEAST_PUSH {
+            continue;
+        }
+        let excess = push - spare;
+        if excess > 0.0 {
+            if waited < PATIENCE {
+                return None;
+            }
+            cost += excess * EXCESS_COST;
+        }
+        cost += push * PRESSURE_COST;
+    }
+    Some(cost)
+}
+
+/// Worth of serving tasks of one image sharing a worker: fewer workers are then closed to the
+/// filling tasks that disturb the image. Against one worker of free room.
+const SAME_IMAGE_WORTH: f64 = 3.0;
+
+/// Returns what placing a serving task costs by the push of what fills there; negative beside
+/// tasks of its own image.
+fn serving_cost(cx: &Context, worker: &Worker, step: &Step) -> f64 {
+    let image = step.image.as_deref().unwrap_or_default();
+    let row = cx.pacing.known_row(image);
+    let cores = f64::from(worker.info.capacity.cpu.0.max(1));
+    let (mut all, mut same_image) = (0.0, 0.0);
+    let mut pressed = 0.0;
+    for slot in worker.slots.values() {
+        match slot.part {
+            Part::Serving { row: there, .. } => {
+                all += 1.0;
+                same_image += f64::from(u8::from(Some(there) == row));
+            }
+            Part::Filling(column) => {
+                let share = f64::from(slot.wants_cpu) / cores;
+                pressed += row.map_or(0.0, |r| cx.pacing.factor(r, Some(column))) * share;
+            }
+            Part::Plain => {}
+        }
+    }
+    let alike = if all == 0.0 { 0.0 } else { (2.0 * same_image / all - 1.0) * SAME_IMAGE_WORTH };
+    pressed * PRESSURE_COST - alike
+}
