Renewals, accounts and leases in modules of those names

Cause: `looks` held the renewal calls, the comparison of a worker's account with what the leader believes, and what follows when leases are over. They are `renewals`, `account` and `leases` now. What nothing read is gone: the list of tasks in doubt, the times of a worker's last answer and of a run's last progress, whether a job has begun, and a factor of one.

--- /dev/null
+++ b/crates/sched/src/account.rs
@@ -0,0 +1,135 @@
+//! A worker's account of itself, held against what the leader believes to run there.
+
+use gaplock_jobs::TaskKey;
+use gaplock_types::time::{Instant, Millis};
+
+use crate::context::Context;
+use crate::lifecycle::Occupant;
+use crate::message::{Account, Action, Run, RunningTask, WorkerIx};
+use crate::table::TaskState;
+use crate::worker::{Phase, Slot};
+use crate::{ends, lifecycle, trace};
+
+/// Takes in the account that answers a renewal which was sent at `sent`.
+pub fn take_in(cx: &mut Context, ix: WorkerIx, sent: Instant, account: &Account) {
+    ends::take_in(cx, ix, &account.ends);
+    for row in &account.running {
+        take_in_running(cx, ix, row);
+    }
+    forget_missing(cx, ix, sent, account);
+}
+
+/// Takes in one line of a worker's list of running tasks.
+fn take_in_running(cx: &mut Context, ix: WorkerIx, row: &RunningTask) {
+    let now = cx.now;
+    let known = cx.worker(ix).slots.get(&row.task).map(|slot| slot.run);
+    if known != Some(row.run) {
+        return take_in_unknown(cx, ix, row);
+    }
+    let worker = cx.worker_mut(ix);
+    let Some(slot) = worker.slots.get_mut(&row.task) else { return };
+    if matches!(slot.phase, Phase::Starting | Phase::Uncertain) {
+        slot.phase = Phase::Running;
+        slot.confirmed = Some(now);
+    }
+    slot.percent = row.percent;
+    slot.reading = row.reading;
+    let Some(task) = cx.jobs.get_mut(&row.task.job).and_then(|e| e.task_mut(row.task)) else {
+        return;
+    };
+    if row.checkpoint.is_some() {
+        task.checkpoint.clone_from(&row.checkpoint);
+    }
+    if row.percent >= AT_WORK_PERCENT {
+        task.failed_in_row = 0;
+    }
+}
+
+/// The percentage at which a lasting task is at work.
+const AT_WORK_PERCENT: u32 = 100;
+
+/// Decides about a run that this leader did not start, or has given up: kept if the task is free,
+/// stopped otherwise.
+fn take_in_unknown(cx: &mut Context, ix: WorkerIx, row: &RunningTask) {
+    let key = row.task;
+    let Some(entry) = cx.jobs.get(&key.job) else {
+        return stop_stray(cx, ix, row, "its job is not known");
+    };
+    let live = !entry.state.is_final();
+    let state = entry.task(key).map(|t| t.state);
+    match state {
+        Some(TaskState::Unknown | TaskState::Pending | TaskState::Waiting) if live => {
+            lifecycle::leave_pending(cx, key);
+            adopt(cx, ix, row);
+        }
+        Some(TaskState::Active { run, .. }) if run == row.run => {}
+        _ => stop_stray(cx, ix, row, "the task is done, ended or elsewhere"),
+    }
+}
+
+/// Keeps a run that a former leader started.
+fn adopt(cx: &mut Context, ix: WorkerIx, row: &RunningTask) {
+    let key = row.task;
+    occupy_found(cx, ix, row);
+    let Some(task) = cx.jobs.get_mut(&key.job).and_then(|e| e.task_mut(key)) else { return };
+    task.state = TaskState::Active { worker: ix, run: row.run };
+    if row.checkpoint.is_some() {
+        task.checkpoint.clone_from(&row.checkpoint);
+    }
+    trace::run_adopted(key, row.run, &cx.worker(ix).info.id);
+}
+
+/// Puts a listed run on its worker in place of whatever run of the task was held to be there.
+fn occupy_found(cx: &mut Context, ix: WorkerIx, row: &RunningTask) {
+    if let Some(old) = cx.worker(ix).slots.get(&row.task).map(|slot| slot.run) {
+        lifecycle::vacate(cx, ix, row.task, old);
+    }
+    let (run, phase) = (row.run, Phase::Running);
+    let (percent, reading) = (row.percent, row.reading);
+    lifecycle::occupy(cx, ix, row.task, Occupant { run, phase, percent, reading });
+}
+
+/// Stops a run that must not go on; its room stays taken as long as its job is known.
+fn stop_stray(cx: &mut Context, ix: WorkerIx, row: &RunningTask, why: &'static str) {
+    let known = cx.worker(ix).slots.get(&row.task).is_some_and(|s| s.run == row.run);
+    if known {
+        return;
+    }
+    if !cx.jobs.contains_key(&row.task.job) {
+        trace::stop_ordered(row.task, row.run, &cx.worker(ix).info.id, why);
+        cx.actions.push(Action::Stop { worker: ix, task: row.task, run: row.run });
+        return;
+    }
+    occupy_found(cx, ix, row);
+    lifecycle::order_stop(cx, ix, row.task, row.run, why);
+}
+
+/// Gives up runs that the worker had confirmed before this renewal was sent, but neither lists as
+/// running nor as ended.
+fn forget_missing(cx: &mut Context, ix: WorkerIx, sent: Instant, account: &Account) {
+    if account.ends.len() >= MOST_ENDS_LISTED {
+        return;
+    }
+    let listed = |key: &TaskKey, run: Run| {
+        account.running.iter().any(|row| row.task == *key && row.run == run)
+    };
+    let worker = cx.worker(ix);
+    let settled = |slot: &Slot| match slot.phase {
+        Phase::Running => slot.confirmed.is_some_and(|at| at < sent),
+        Phase::Stopping => slot.confirmed.is_some_and(|at| at < sent) && slot.ordered < sent,
+        Phase::Starting | Phase::Uncertain => false,
+    };
+    let missing: Vec<(TaskKey, Run)> = worker
+        .slots
+        .iter()
+        .filter(|(key, slot)| settled(slot) && !listed(key, slot.run))
+        .map(|(key, slot)| (*key, slot.run))
+        .collect();
+    for (key, run) in missing {
+        trace::run_lost(key, run, &cx.worker(ix).info.id, "not in the worker's account");
+        lifecycle::requeue(cx, ix, key, run, Millis(0));
+    }
+}
+
+/// A worker lists this many ends at once at most; more may follow.
+const MOST_ENDS_LISTED: usize = 500;
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -16,7 +16,7 @@
 use crate::table::{Entry, ReadyStep};
 use crate::takeover::{self, Survey};
 use crate::worker::Worker;
-use crate::{dispatch, drain, intake, looks, orders};
+use crate::{dispatch, drain, intake, leases, orders, renewals};
 
 /// A leadership: its rising number and the token that fences every earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -113,7 +113,9 @@
             Event::Cancel(key) => intake::cancel(self, key),
             Event::Listed(info) => intake::listed(self, info),
             Event::Unlisted(id) => intake::unlisted(self, &id),
-            Event::Renewed { worker, sent, outcome } => looks::renewed(self, worker, sent, outcome),
+            Event::Renewed { worker, sent, outcome } => {
+                renewals::renewed(self, worker, sent, outcome);
+            }
             Event::Started { worker, task, run, outcome } => {
                 orders::started(self, worker, task, run, outcome);
             }
@@ -138,7 +140,7 @@
             self.last_housekeeping = self.now;
             takeover::check_survey(self);
             intake::begin_due_rounds(self);
-            looks::check_leases(self);
+            leases::check(self);
             orders::check(self);
             drain::check(self);
             pacing::check(self);
@@ -146,7 +148,7 @@
             intake::forget_finished(self);
             self.pass_wanted |= !self.ready.is_empty();
         }
-        looks::send_due(self);
+        renewals::send_due(self);
         if self.pass_wanted && self.now.since(self.last_pass) >= PASS_EVERY {
             self.last_pass = self.now;
             self.pass_wanted = false;
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -49,7 +49,6 @@
         due: Instant((cx.now.0 + allowed).saturating_sub(age.0)),
         priority: queue.map_or(0, |q| q.priority),
         max_attempts: queue.map_or(FALLBACK_ATTEMPTS, |q| q.max_attempts),
-        begun: false,
         job,
     }
 }
@@ -157,7 +156,7 @@
 }
 
 /// Takes in that the directory no longer lists a worker. It may live on, so nothing of it is
-/// given up here; see [`crate::looks::check_leases`].
+/// given up here; see [`crate::leases::check`].
 pub fn unlisted(cx: &mut Context, id: &ids::WorkerId) {
     let Some(&ix) = cx.by_id.get(id) else { return };
     let worker = cx.worker_mut(ix);
--- /dev/null
+++ b/crates/sched/src/leases.rs
@@ -0,0 +1,73 @@
+//! Leases at workers: granted with every start and renewal, and what follows when they are over.
+//!
+//! A task that may run at a silent worker goes elsewhere only once its lease is certainly over
+//! there, even by a clock that is slower than ours.
+
+use gaplock_jobs::TaskKey;
+use gaplock_types::time::Millis;
+
+use crate::context::Context;
+use crate::message::{Record, Run, WorkerClock, WorkerIx};
+use crate::worker::Listing;
+use crate::{commits, lifecycle, takeover, trace};
+
+/// Gives up the runs of silent workers whose leases are certainly over, and workers that are
+/// neither listed nor answering.
+pub fn check(cx: &mut Context) {
+    let now = cx.now;
+    let drift = cx.settings.drift_per_mille;
+    for ix in cx.worker_ixs() {
+        let worker = cx.worker(ix);
+        if worker.missed == 0 || worker.lapsed_by(drift).is_some_and(|at| at > now) {
+            continue;
+        }
+        let unsurveyed = cx.survey.is_some() && worker.answered.is_none();
+        if unsurveyed {
+            continue;
+        }
+        let absent = worker.listing == Listing::Absent;
+        free_all(cx, ix, "its lease is over");
+        if absent {
+            trace::worker_gone(&cx.worker(ix).info.id, "silent, unlisted and its leases over");
+            give_up(cx, ix);
+        }
+    }
+}
+
+/// Gives up every run at a worker.
+fn free_all(cx: &mut Context, ix: WorkerIx, why: &'static str) {
+    let slots: Vec<(TaskKey, Run)> =
+        cx.worker(ix).slots.iter().map(|(key, slot)| (*key, slot.run)).collect();
+    for (key, run) in slots {
+        trace::run_lost(key, run, &cx.worker(ix).info.id, why);
+        lifecycle::requeue(cx, ix, key, run, Millis(0));
+    }
+}
+
+/// Forgets a worker whose incarnation certainly runs nothing any more.
+pub fn give_up(cx: &mut Context, ix: WorkerIx) {
+    free_all(cx, ix, "its worker is gone");
+    let worker = cx.worker_mut(ix);
+    if worker.gone {
+        return;
+    }
+    worker.gone = true;
+    worker.clock = None;
+    worker.lease_until = None;
+    let id = worker.info.id.clone();
+    if worker.in_roster || worker.roster_pending {
+        worker.in_roster = false;
+        worker.roster_pending = false;
+        commits::add(cx, Record::ForgetWorker(id));
+    }
+    takeover::answered(cx, ix);
+}
+
+/// Returns the end of a lease at a worker that begins now, and remembers it as granted.
+pub fn grant(cx: &mut Context, ix: WorkerIx) -> Option<WorkerClock> {
+    let (now, lease) = (cx.now, cx.settings.lease_max);
+    let worker = cx.worker_mut(ix);
+    let until = worker.lease_end(now, lease)?;
+    worker.granted(until);
+    Some(until)
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -5,19 +5,21 @@
 //! reports what became of them. `docs/PLATFORM.md` explains the design, above all why a successor
 //! learns what runs from the workers themselves.
 
+pub mod account;
 pub mod commits;
 pub mod context;
 pub mod dispatch;
 pub mod drain;
 pub mod ends;
 pub mod intake;
+pub mod leases;
 pub mod lifecycle;
-pub mod looks;
 pub mod message;
 pub mod orders;
 pub mod pacing;
 pub mod permits;
 pub mod placement;
+pub mod renewals;
 pub mod settings;
 pub mod table;
 pub mod takeover;
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -65,7 +65,6 @@
 pub fn occupy(cx: &mut Context, worker: WorkerIx, key: TaskKey, occupant: Occupant) {
     let now = cx.now;
     let Some(entry) = cx.jobs.get_mut(&key.job) else { return };
-    entry.begun = true;
     if entry.state == JobState::Queued {
         entry.state = JobState::Active;
         commits::mark(&mut cx.commits, now, key.job);
@@ -86,7 +85,6 @@
         pace: FULL_PACE,
         pacing: false,
         percent: occupant.percent,
-        moved: now,
         reading: occupant.reading,
         over_since: None,
         slowed: None,
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -12,7 +12,7 @@
 use crate::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
 use crate::permits::StepKey;
 use crate::worker::{Phase, Renewal};
-use crate::{lifecycle, looks, pacing, permits, trace};
+use crate::{leases, lifecycle, pacing, permits, trace};
 
 /// Takes in what became of a start.
 pub fn started(
@@ -32,7 +32,6 @@
         Outcome::Done(clock) => {
             slot.phase = Phase::Running;
             slot.confirmed = Some(now);
-            slot.moved = now;
             cx.worker_mut(ix).read_clock(now, clock);
             pacing::set_paces(cx, ix);
         }
@@ -53,7 +52,7 @@
     match refusal {
         Refusal::OtherIncarnation => {
             trace::worker_gone(&cx.worker(ix).info.id, "another incarnation answers");
-            return looks::give_up(cx, ix);
+            return leases::give_up(cx, ix);
         }
         Refusal::Fenced => {
             cx.actions.push(Action::ConfirmLeadership);
@@ -105,7 +104,7 @@
     let Some(entry) = cx.jobs.get(&key.job) else { return };
     let job = entry.job.clone();
     let checkpoint = entry.task(key).and_then(|t| t.checkpoint.clone());
-    let Some(until) = looks::grant(cx, ix) else { return };
+    let Some(until) = leases::grant(cx, ix) else { return };
     let ticket = permits::ticket(cx, StepKey::of(key), ix);
     let start = Action::Start { worker: ix, task: key, run, job, until, checkpoint, ticket };
     cx.actions.push(start);
@@ -130,7 +129,7 @@
             slot.confirmed.get_or_insert(now);
             slot.ordered = now;
         }
-        Outcome::Refused(Refusal::OtherIncarnation) => looks::give_up(cx, ix),
+        Outcome::Refused(Refusal::OtherIncarnation) => leases::give_up(cx, ix),
         Outcome::Refused(Refusal::Fenced) => cx.actions.push(Action::ConfirmLeadership),
         Outcome::Refused(Refusal::OldRun) => {
             slot.confirmed.get_or_insert(now);
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -41,9 +41,6 @@
 /// A filling task whose push on a serving image is less than this is left alone.
 const LEAST_PUSH: f64 = 0.02;
 
-/// Below this pace a filling task is better off elsewhere.
-const MOVE_BELOW: u32 = 35;
-
 /// Takes in a worker's fresh readings: learns from them, then sets the paces that they ask for.
 pub fn observe(cx: &mut Context, ix: WorkerIx) {
     readings::learn(cx, ix);
--- a/crates/sched/src/pacing/paces.rs
+++ b/crates/sched/src/pacing/paces.rs
@@ -6,7 +6,7 @@
 use super::filling::{self, FillingTask};
 use super::model::{Model, Row};
 use super::placing;
-use super::{FULL_PACE, LEAST_PUSH, MOVE_BELOW};
+use super::{FULL_PACE, LEAST_PUSH};
 use crate::context::Context;
 use crate::message::{Action, Run, WorkerIx};
 use crate::trace;
@@ -67,7 +67,7 @@
 /// How long readings may be over the target before everything that fills is halted.
 const HALT_ALL_AFTER: Millis = Millis(1_900);
 
-/// A filling task that presses less than this is not suspected.
+/// A filling task whose push on a serving image is less than this is not suspected.
 const SUSPECTED_PUSH: f64 = 0.01;
 
 /// Halts fillers beside a serving task that stays over its target: first what may press on it by
@@ -94,11 +94,12 @@
 /// The share of its target below which a reading ends an excess.
 const BACK_SHARE: f64 = 0.9;
 
-/// When halting everything has not helped, measured from the beginning of the excess.
+/// How long readings may be over the target before halting everything is held not to have helped:
+/// somewhat more than the 4 s that an excess may last on the users' sites.
 const HALT_OVER: Millis = Millis(4_200);
 
 /// Notes since when each serving task's readings have been over its target. Where the excess has
-/// outlasted both halts, its cause lies elsewhere and the time begins anew.
+/// outlasted both stages of halting, its cause lies elsewhere and the time begins anew.
 pub(super) fn watch_targets(cx: &mut Context, ix: WorkerIx) {
     let now = cx.now;
     for slot in cx.worker_mut(ix).slots.values_mut() {
@@ -121,6 +122,10 @@
 /// The least change of pace, in percent, that is worth a call.
 const PACE_STEP: u32 = 15;
 
+/// Below this pace, in percent of full speed, a filling task is better off elsewhere.
+const MOVE_BELOW: u32 = 35;
+
+/// Orders a task's pace, unless the change is not worth a call or an order is on its way.
 fn order_pace(cx: &mut Context, ix: WorkerIx, wanted: &FillingTask) {
     let now = cx.now;
     let worker = cx.worker_mut(ix);
--- a/crates/sched/src/pacing/placing.rs
+++ b/crates/sched/src/pacing/placing.rs
@@ -41,9 +41,6 @@
     worker.spare_filling = left;
 }
 
-/// The part of the processors that serving and short tasks leave which filling tasks may take.
-const FILLED_PART: f64 = 1.0;
-
 /// Returns the share of a worker's processors that more filling tasks may use: what serving tasks
 /// at their expected load, short tasks and filling tasks leave.
 fn spare_filling(cx: &Context, worker: &Worker) -> f64 {
@@ -59,7 +56,7 @@
     }
     let tasks = filling::filling_tasks(worker, cx.now);
     let used: f64 = tasks.iter().map(|f| f.paced().1).sum();
-    let left = (1.0 - busy / cores) * FILLED_PART;
+    let left = 1.0 - busy / cores;
     left.min(CROWDED_SHARE) - used
 }
 
--- /dev/null
+++ b/crates/sched/src/renewals.rs
@@ -0,0 +1,113 @@
+//! Renewals: one call that asks a worker for its account, acknowledges stored ends and extends the
+//! leases of all that runs there.
+
+use gaplock_types::time::{Instant, Millis};
+
+use crate::context::Context;
+use crate::message::{Account, Action, Outcome, Refusal, WorkerIx};
+use crate::worker::Renewal;
+use crate::{account, commits, leases, pacing, takeover, trace};
+
+/// Sends every renewal that is due.
+pub fn send_due(cx: &mut Context) {
+    let now = cx.now;
+    for ix in 0..cx.workers.len() {
+        let worker = &cx.workers[ix];
+        if worker.gone || !matches!(worker.renewal, Renewal::Due(at) if at <= now) {
+            continue;
+        }
+        send(cx, WorkerIx(ix as u32));
+    }
+}
+
+fn send(cx: &mut Context, ix: WorkerIx) {
+    let (now, lease) = (cx.now, cx.settings.lease_max);
+    let wait = cx.settings.renew_wait;
+    let worker = cx.worker_mut(ix);
+    // A worker that does not answer is only asked: a grant that may have arrived would put off the
+    // time from which its tasks are certainly over.
+    let until = worker.lease_end(now, lease).filter(|_| worker.missed == 0);
+    if let Some(until) = until {
+        worker.granted(until);
+    }
+    worker.renewal = Renewal::InFlight;
+    let quick = until.is_none() || worker.noted > worker.stored || worker.missed > 0;
+    let wait = if quick || worker.slots.is_empty() { Millis(0) } else { wait };
+    let wait = if worker.has_excess() { wait.min(EXCESS_WAIT) } else { wait };
+    let stored = worker.stored;
+    cx.actions.push(Action::Renew { worker: ix, stored, until, wait });
+}
+
+/// How long a renewal waits while a serving task is over its target; readings are renewed every
+/// half second.
+const EXCESS_WAIT: Millis = Millis(500);
+
+/// Takes in what became of a renewal.
+pub fn renewed(cx: &mut Context, ix: WorkerIx, sent: Instant, outcome: Outcome<Account>) {
+    match outcome {
+        Outcome::Done(account) => answered(cx, ix, sent, account),
+        Outcome::Refused(Refusal::OtherIncarnation) => {
+            trace::worker_gone(&cx.worker(ix).info.id, "another incarnation answers");
+            leases::give_up(cx, ix);
+        }
+        Outcome::Refused(refusal) => {
+            if refusal == Refusal::Fenced {
+                cx.actions.push(Action::ConfirmLeadership);
+            }
+            missed(cx, ix);
+        }
+        Outcome::NotSent | Outcome::Unclear => missed(cx, ix),
+    }
+}
+
+/// The longest pause between renewals of a worker that does not answer, as a multiple of the
+/// first one.
+const MISSED_PAUSES: u64 = 4;
+
+/// Takes in that a renewal got no account, and puts off the next one.
+fn missed(cx: &mut Context, ix: WorkerIx) {
+    let (now, retry) = (cx.now, cx.settings.renew_retry);
+    let worker = cx.worker_mut(ix);
+    worker.missed += 1;
+    if worker.missed == 1 {
+        trace::worker_silent(&worker.info.id);
+    }
+    let pause = Millis(retry.0 * u64::from(worker.missed).min(MISSED_PAUSES));
+    worker.renewal = Renewal::Due(now + pause);
+}
+
+/// Takes in a worker's account.
+fn answered(cx: &mut Context, ix: WorkerIx, sent: Instant, account: Account) {
+    let now = cx.now;
+    if cx.worker(ix).missed > 0 {
+        trace::worker_back(&cx.worker(ix).info.id, cx.worker(ix).missed);
+        cx.pass_wanted = true;
+    }
+    let worker = cx.worker_mut(ix);
+    worker.missed = 0;
+    worker.answered.get_or_insert(now);
+    worker.read_clock(now, account.clock);
+    account::take_in(cx, ix, sent, &account);
+    pacing::observe(cx, ix);
+    takeover::answered(cx, ix);
+    schedule_next(cx, ix);
+}
+
+/// Sets when the next renewal is due: at once where something runs, since it waits at the worker.
+fn schedule_next(cx: &mut Context, ix: WorkerIx) {
+    let now = cx.now;
+    let (poll, idle) = (cx.settings.poll_every, cx.settings.idle_renew_every);
+    let worker = cx.worker_mut(ix);
+    let unstored = worker.noted > worker.stored;
+    let next = if unstored {
+        now + poll
+    } else if worker.slots.is_empty() {
+        now + idle
+    } else {
+        now
+    };
+    worker.renewal = Renewal::Due(next);
+    if unstored {
+        commits::note_ends(cx);
+    }
+}
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -137,8 +137,6 @@
     pub priority: u32,
     /// How many failed runs a task may have.
     pub max_attempts: u32,
-    /// Set once any task has been started or found running.
-    pub begun: bool,
 }
 
 impl Entry {
@@ -187,7 +185,7 @@
 }
 
 /// Calls `f` for every task of the rounds under way.
-pub fn for_each_task(entry: &Entry, mut f: impl FnMut(TaskKey, &Task)) {
+fn for_each_task(entry: &Entry, mut f: impl FnMut(TaskKey, &Task)) {
     for round in &entry.rounds {
         for (step, state) in round.steps.iter().enumerate() {
             for (index, task) in state.tasks.iter().enumerate() {
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -7,16 +7,16 @@
 use std::sync::Arc;
 
 use gaplock_jobs::progress::{self, JobState, Progress, StepProgress};
-use gaplock_jobs::{Job, JobKey, TaskKey};
+use gaplock_jobs::{Job, JobKey};
 use gaplock_types::time::Instant;
 use rustc_hash::FxHashSet;
 
 use crate::context::Context;
 use crate::message::{Run, WorkerInfo, WorkerIx};
 use crate::pacing::Learnt;
-use crate::table::{self, Entry, Round, StepState, TaskState};
+use crate::table::{Entry, Round, StepState, TaskState};
 use crate::worker::Listing;
-use crate::{intake, lifecycle, trace};
+use crate::{intake, leases, lifecycle, trace};
 
 /// The search for runs of former leaders.
 #[derive(Debug)]
@@ -76,7 +76,6 @@
     };
     entry.state = progress.state;
     entry.shown = progress.state;
-    entry.begun = progress.state != JobState::Queued;
     entry.ended_unix_ms = progress.ended_unix_ms;
     if entry.state.is_final() {
         return entry;
@@ -154,7 +153,7 @@
     cx.survey = None;
     for ix in silent {
         if cx.worker(ix).listing == Listing::Absent {
-            crate::looks::give_up(cx, ix);
+            leases::give_up(cx, ix);
         }
     }
     settle_all(cx);
@@ -192,14 +191,3 @@
         lifecycle::end_job(cx, key, JobState::Completed);
     }
 }
-
-/// Lists tasks that are still in doubt; for tests and reports.
-pub fn in_doubt(entry: &Entry) -> Vec<TaskKey> {
-    let mut found = Vec::new();
-    table::for_each_task(entry, |key, task| {
-        if task.state == TaskState::Unknown {
-            found.push(key);
-        }
-    });
-    found
-}
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -46,8 +46,6 @@
     pub pacing: bool,
     /// How far the run has come in percent.
     pub percent: u32,
-    /// When the percentage last rose.
-    pub moved: Instant,
     /// The worker's last reading: tail in milliseconds or processor time in use.
     pub reading: Option<u32>,
     /// Since when a serving task's readings have been over its target.
@@ -116,8 +114,6 @@
     pub lease_until: Option<WorkerClock>,
     /// When it first answered under this leader; unset before.
     pub answered: Option<Instant>,
-    /// When it last answered.
-    pub last_answer: Option<Instant>,
     /// Renewals without an answer since the last answer.
     pub missed: u32,
     /// The renewal call.
@@ -158,7 +154,6 @@
             clock: None,
             lease_until: None,
             answered: None,
-            last_answer: None,
             missed: 0,
             renewal: Renewal::Due(now),
             noted: EndSeq(0),
--- a/crates/sched/tests/world/store.rs
+++ b/crates/sched/tests/world/store.rs
@@ -10,6 +10,12 @@
 use super::calls::Delivery;
 use super::World;
 
+/// How long a commit takes, in milliseconds: as measured on the users' store when it is well.
+const COMMIT_MS: u64 = 4;
+
+/// How long it takes until the leader hears that a commit was refused, in milliseconds.
+const REFUSED_MS: u64 = 200;
+
 impl World {
     /// Replaces the leader by a new one that knows only the store.
     pub fn take_over(&mut self) {
@@ -41,9 +47,9 @@
         let leader = self.term;
         if self.store_down {
             let event = Event::CommitFailed;
-            return self.send(200, Delivery::ToLeader { event, leader });
+            return self.send(REFUSED_MS, Delivery::ToLeader { event, leader });
         }
-        self.send(4, Delivery::Stored { records, leader });
+        self.send(COMMIT_MS, Delivery::Stored { records, leader });
     }
 
     /// Keeps what a commit holds.
