One place for what the scheduler's modules said twice

Cause: the look-up of a task, when a round is due, what a task asks of a worker and the hastening of a renewal were each written out in several modules, and dispatch of a step, occupying a slot and blaming a worker did several jobs. Each has one function now; bare numbers of doublings and of workers asked about are constants.

--- a/crates/sched/src/account.rs
+++ b/crates/sched/src/account.rs
@@ -34,7 +34,7 @@
     }
     slot.percent = row.percent;
     slot.reading = row.reading;
-    let Some(task) = cx.jobs.get_mut(&row.task.job).and_then(|e| e.task_mut(row.task)) else {
+    let Some(task) = cx.task_mut(row.task) else {
         return;
     };
     if row.checkpoint.is_some() {
@@ -71,7 +71,7 @@
 fn adopt(cx: &mut Context, ix: WorkerIx, row: &RunningTask) {
     let key = row.task;
     occupy_found(cx, ix, row);
-    let Some(task) = cx.jobs.get_mut(&key.job).and_then(|e| e.task_mut(key)) else { return };
+    let Some(task) = cx.task_mut(key) else { return };
     task.state = TaskState::Active { worker: ix, run: row.run };
     if row.checkpoint.is_some() {
         task.checkpoint.clone_from(&row.checkpoint);
--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -14,7 +14,6 @@
 use crate::message::{EndSeq, Record, WorkerIx};
 use crate::table::{Entry, StepState, Task, TaskState};
 use crate::trace;
-use crate::worker::Renewal;
 
 /// What waits to be stored, and what is being stored.
 #[derive(Debug, Default)]
@@ -115,9 +114,7 @@
     for (ix, seq) in covered.ends {
         let worker = cx.worker_mut(ix);
         worker.stored = worker.stored.max(seq);
-        if let Renewal::Due(at) = worker.renewal {
-            worker.renewal = Renewal::Due(at.min(now));
-        }
+        worker.hasten_renewal(now);
     }
     for ix in covered.roster {
         let worker = cx.worker_mut(ix);
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use gaplock_jobs::{config, JobKey};
+use gaplock_jobs::{config, JobKey, Step, TaskKey};
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
@@ -13,7 +13,7 @@
 use crate::pacing::{self, Pacing};
 use crate::permits::{self, Permits};
 use crate::settings::Settings;
-use crate::table::{Entry, ReadyStep};
+use crate::table::{Entry, ReadyStep, Task};
 use crate::takeover::{self, Survey};
 use crate::worker::Worker;
 use crate::{dispatch, drain, intake, leases, orders, renewals};
@@ -171,6 +171,21 @@
         &self.workers[ix.0 as usize]
     }
 
+    /// Finds a task of a job that is known.
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        self.jobs.get(&key.job)?.task(key)
+    }
+
+    /// Finds a task of a job that is known.
+    pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        self.jobs.get_mut(&key.job)?.task_mut(key)
+    }
+
+    /// Finds the description of a task's step.
+    pub fn step(&self, key: TaskKey) -> Option<&Step> {
+        self.jobs.get(&key.job)?.step(key)
+    }
+
     /// Returns a worker.
     pub fn worker_mut(&mut self, ix: WorkerIx) -> &mut Worker {
         &mut self.workers[ix.0 as usize]
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -37,6 +37,7 @@
     }
 }
 
+/// Starts what it can of one step, unless a demand like it found no room in this pass.
 fn start_step(cx: &mut Context, ready: ReadyStep, blocked: &mut Vec<Blocked>) {
     let Some(entry) = cx.jobs.get(&ready.job) else { return };
     let job = entry.job.clone();
@@ -50,31 +51,38 @@
     }
     let Some(round) = entry.round(ready.round) else { return };
     let pending: Vec<u32> = round.steps[usize::from(ready.step)].pending.iter().copied().collect();
-    let began = pending.len();
     if step.gang {
         start_gang(cx, &job, &service, ready, &pending);
         return;
     }
-    for index in pending {
+    let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending) else { return };
+    explain(cx, &job, &service, unplaced, pending.len());
+    if advice_of(cx, &job).is_some() {
+        permits::ask(cx, ready, pending.len());
+    } else if step.most_per_worker.is_none() && !step.fills {
+        blocked.push(Blocked { service, label: step.label.clone(), takes });
+    }
+}
+
+/// Starts pending tasks of a step one by one; returns the first that finds no worker.
+fn start_tasks(
+    cx: &mut Context,
+    job: &Job,
+    service: &ids::ServiceId,
+    ready: ReadyStep,
+    pending: &[u32],
+) -> Option<TaskKey> {
+    for &index in pending {
         let task = TaskKey { job: ready.job, round: ready.round, step: ready.step, index };
         if !may_start(cx, task) {
             continue;
         }
-        let Some(ix) = choose(cx, &job, &service, task) else {
-            explain(cx, &job, &service, task, began);
-            if advice_of(cx, &job).is_some() {
-                permits::ask(cx, ready, began);
-                return;
-            }
-            if step.most_per_worker.is_none() && !step.fills {
-                let label = step.label.clone();
-                blocked.push(Blocked { service: service.clone(), label, takes });
-            }
-            return;
-        };
+        let Some(ix) = choose(cx, job, service, task) else { return Some(task) };
         let run = next_run(cx, task);
-        start(cx, ix, task, run);
+        reserve(cx, ix, task, run);
+        orders::send_start(cx, ix, task, run);
     }
+    None
 }
 
 fn service_of(cx: &Context, job: &Job) -> Option<ids::ServiceId> {
@@ -86,17 +94,27 @@
     cx.config.as_ref()?.queue(&job.queue)?.advice.as_ref()
 }
 
+/// Tells whether a task is pending and its pause over.
 fn may_start(cx: &Context, task: TaskKey) -> bool {
-    let state = cx.jobs.get(&task.job).and_then(|e| e.task(task));
+    let state = cx.task(task);
     state.is_some_and(|t| t.state == TaskState::Pending && t.not_before <= cx.now)
 }
 
-fn choose(cx: &Context, job: &Job, service: &ids::ServiceId, task: TaskKey) -> Option<WorkerIx> {
+/// Says what a task asks of a worker.
+fn wanted<'a>(
+    cx: &'a Context,
+    job: &'a Job,
+    service: &'a ids::ServiceId,
+    task: TaskKey,
+) -> Option<Wanted<'a>> {
     let step = &job.steps[usize::from(task.step)];
-    let found = cx.jobs.get(&task.job).and_then(|e| e.task(task))?;
+    let found = cx.task(task)?;
     let (avoid, waited) = (found.failed_on, cx.now.since(found.since));
-    let advice = advice_of(cx, job);
-    placement::choose(cx, &Wanted { service, step, task, avoid, waited, advice })
+    Some(Wanted { service, step, task, avoid, waited, advice: advice_of(cx, job) })
+}
+
+fn choose(cx: &Context, job: &Job, service: &ids::ServiceId, task: TaskKey) -> Option<WorkerIx> {
+    placement::choose(cx, &wanted(cx, job, service, task)?)
 }
 
 /// How often the log says why a step waits.
@@ -104,18 +122,17 @@
 
 /// Logs why a task finds no worker, once it has waited for a while.
 fn explain(cx: &mut Context, job: &Job, service: &ids::ServiceId, task: TaskKey, pending: usize) {
-    let (now, step) = (cx.now, &job.steps[usize::from(task.step)]);
-    let Some(found) = cx.jobs.get(&task.job).and_then(|e| e.task(task)) else { return };
-    let (avoid, waited) = (found.failed_on, now.since(found.since));
+    let now = cx.now;
+    let Some(waited) = cx.task(task).map(|t| now.since(t.since)) else { return };
     let round = cx.jobs.get_mut(&task.job).and_then(|e| e.round_mut(task.round));
     let Some(state) = round.map(|r| &mut r.steps[usize::from(task.step)]) else { return };
     if waited < EXPLAIN_EVERY || now.since(state.explained) < EXPLAIN_EVERY {
         return;
     }
     state.explained = now;
-    let advice = advice_of(cx, job);
-    let counts = placement::explain(cx, &Wanted { service, step, task, avoid, waited, advice });
-    trace::step_waits(task, pending, waited, &step.demand, &counts);
+    let Some(wanted) = wanted(cx, job, service, task) else { return };
+    let counts = placement::explain(cx, &wanted);
+    trace::step_waits(task, pending, waited, &wanted.step.demand, &counts);
 }
 
 /// Starts all members of a gang under one run number, or none of them.
@@ -134,7 +151,7 @@
     if pending.iter().any(|&index| !may_start(cx, key(index))) {
         return;
     }
-    let starts = pending.iter().filter_map(|&i| cx.jobs.get(&ready.job)?.task(key(i)));
+    let starts = pending.iter().filter_map(|&i| cx.task(key(i)));
     let starts = starts.map(|t| t.starts).max().unwrap_or(0) + 1;
     let run = cx.run_number(starts);
     let mut placed: Vec<(TaskKey, WorkerIx)> = Vec::new();
@@ -163,13 +180,14 @@
 }
 
 fn set_starts(cx: &mut Context, task: TaskKey, starts: u32) {
-    if let Some(t) = cx.jobs.get_mut(&task.job).and_then(|e| e.task_mut(task)) {
+    if let Some(t) = cx.task_mut(task) {
         t.starts = starts;
     }
 }
 
+/// Counts another start of a task and returns its run.
 fn next_run(cx: &mut Context, task: TaskKey) -> Run {
-    let found = cx.jobs.get_mut(&task.job).and_then(|e| e.task_mut(task));
+    let found = cx.task_mut(task);
     let starts = found.map_or(1, |t| {
         t.starts += 1;
         t.starts
@@ -177,11 +195,6 @@
     cx.run_number(starts)
 }
 
-fn start(cx: &mut Context, ix: WorkerIx, task: TaskKey, run: Run) {
-    reserve(cx, ix, task, run);
-    orders::send_start(cx, ix, task, run);
-}
-
 /// Takes the room for a run and holds the task to be there from now on.
 fn reserve(cx: &mut Context, ix: WorkerIx, task: TaskKey, run: Run) {
     let now = cx.now;
@@ -189,7 +202,7 @@
     let (phase, percent, reading) = (Phase::Starting, 0, None);
     lifecycle::occupy(cx, ix, task, Occupant { run, phase, percent, reading });
     let worker = cx.worker(ix).info.id.clone();
-    if let Some(t) = cx.jobs.get_mut(&task.job).and_then(|e| e.task_mut(task)) {
+    if let Some(t) = cx.task_mut(task) {
         t.state = TaskState::Active { worker: ix, run };
         trace::start_ordered(task, run, &worker, now.since(t.since));
     }
--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/drain.rs
@@ -33,7 +33,7 @@
     let worker = cx.worker(ix);
     let running = worker.slots.iter().filter(|(_, slot)| slot.phase == Phase::Running);
     let leaves = |key: &TaskKey| {
-        let step = cx.jobs.get(&key.job).and_then(|e| e.step(*key));
+        let step = cx.step(*key);
         now >= last_call || step.is_some_and(|s| s.lasting)
     };
     running.filter(|(key, _)| leaves(key)).map(|(key, slot)| (*key, slot.run)).collect()
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -16,11 +16,12 @@
             continue;
         }
         cx.worker_mut(ix).noted = end.seq;
-        one(cx, ix, end);
+        take_in_end(cx, ix, end);
     }
 }
 
-fn one(cx: &mut Context, ix: WorkerIx, end: &End) {
+/// Frees the room of a run that ended, and decides what becomes of its task.
+fn take_in_end(cx: &mut Context, ix: WorkerIx, end: &End) {
     let was_active = lifecycle::is_active(cx, end.task, ix, end.run);
     lifecycle::vacate(cx, ix, end.task, end.run);
     trace::run_ended(end, &cx.worker(ix).info.id, was_active);
@@ -45,11 +46,12 @@
     }
 }
 
+/// Marks a task done, its whole gang with it, and stops another run of it.
 fn done(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
     let worker = cx.worker_mut(ix);
     worker.failures = 0;
     worker.quarantines = 0;
-    let Some(step) = cx.jobs.get(&key.job).and_then(|e| e.step(key)) else { return };
+    let Some(step) = cx.step(key) else { return };
     if step.lasting {
         // A lasting task is started again however it ends.
         if lifecycle::is_active(cx, key, ix, run) {
@@ -69,7 +71,7 @@
 
 /// Stops a run of the task that goes on elsewhere.
 fn stop_other_run(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
-    let state = cx.jobs.get(&key.job).and_then(|e| e.task(key)).map(|t| t.state);
+    let state = cx.task(key).map(|t| t.state);
     if let Some(TaskState::Active { worker, run: other }) = state {
         if (worker, other) != (ix, run) {
             lifecycle::order_stop(cx, worker, key, other, "done elsewhere");
@@ -77,6 +79,7 @@
     }
 }
 
+/// Counts a failure once, over all leaders, and ends the job or starts the task again.
 fn failed(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, was_active: bool) {
     let Some(entry) = cx.jobs.get_mut(&key.job) else { return };
     let (lasting, most) = (entry.step(key).is_some_and(|s| s.lasting), entry.max_attempts);
@@ -91,7 +94,11 @@
     task.failed_on = Some(ix);
     let (failed, in_row) = (task.failed, task.failed_in_row);
     commits::mark(&mut cx.commits, cx.now, key.job);
-    blame_worker(cx, ix, first);
+    // A task that can never be done fails everywhere, so only its first failure speaks against the
+    // worker.
+    if first {
+        blame_worker(cx, ix);
+    }
     if !lasting && failed >= most {
         trace::attempts_used_up(key, failed, most);
         lifecycle::end_job(cx, key.job, JobState::Failed);
@@ -101,12 +108,11 @@
     }
 }
 
-/// Counts a failure against the worker; only a task's first one, since a task that can never be
-/// done fails everywhere.
-fn blame_worker(cx: &mut Context, ix: WorkerIx, first: bool) {
-    if !first {
-        return;
-    }
+/// How often the time without new tasks doubles at most.
+const MOST_DOUBLINGS: u32 = 3;
+
+/// Counts a failure against the worker, which gets no new tasks for a while after several.
+fn blame_worker(cx: &mut Context, ix: WorkerIx) {
     let (now, limit, quarantine) = (cx.now, cx.settings.worker_failures, cx.settings.quarantine);
     let worker = cx.worker_mut(ix);
     worker.failures += 1;
@@ -114,7 +120,7 @@
         return;
     }
     worker.failures = 0;
-    let span = Millis(quarantine.0 << worker.quarantines.min(3));
+    let span = Millis(quarantine.0 << worker.quarantines.min(MOST_DOUBLINGS));
     worker.quarantines += 1;
     worker.avoid_until = now + span;
     trace::worker_quarantined(&worker.info.id, span);
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -84,8 +84,7 @@
         if entry.state.is_final() || next >= entry.rounds_in_all() {
             return;
         }
-        let due = entry.job.repeat.map_or(0, |r| r.first_unix_ms + u64::from(next) * r.every.0);
-        if due > unix_ms {
+        if entry.due_unix_ms(next) > unix_ms {
             return;
         }
         entry.next_round += 1;
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -3,16 +3,17 @@
 use std::sync::Arc;
 
 use gaplock_jobs::progress::JobState;
-use gaplock_jobs::{JobKey, TaskKey};
-use gaplock_types::time::Millis;
+use gaplock_jobs::{JobKey, Step, TaskKey};
+use gaplock_types::time::{Instant, Millis};
 
 use crate::context::Context;
 use crate::message::{Action, Run, WorkerIx};
 use crate::pacing::{self, FULL_PACE};
 use crate::table::{self, Entry, ReadyStep, Round, Task, TaskState};
-use crate::worker::{Part, Phase, Renewal, Slot};
+use crate::worker::{Part, Phase, Slot};
 use crate::{commits, trace};
 
+/// Builds the place of a step among those with pending tasks.
 fn ready_step(entry: &Entry, round: u32, step: u16) -> ReadyStep {
     ReadyStep { priority: entry.priority, due: entry.due, job: entry.job.key, round, step }
 }
@@ -72,8 +73,15 @@
     let job = Arc::clone(&entry.job);
     let Some(step) = job.steps.get(usize::from(key.step)) else { return };
     let part = pacing::part_of(cx, step);
+    let w = cx.worker_mut(worker);
+    w.occupy(key, slot_of(step, part, occupant, now));
+    w.hasten_renewal(now);
+    pacing::refresh(cx, worker);
+}
+
+fn slot_of(step: &Step, part: Part, occupant: Occupant, now: Instant) -> Slot {
     let started = occupant.phase == Phase::Starting;
-    let slot = Slot {
+    Slot {
         run: occupant.run,
         phase: occupant.phase,
         takes: table::takes(step),
@@ -88,13 +96,7 @@
         reading: occupant.reading,
         over_since: None,
         slowed: None,
-    };
-    let w = cx.worker_mut(worker);
-    w.occupy(key, slot);
-    if let Renewal::Due(at) = w.renewal {
-        w.renewal = Renewal::Due(at.min(now));
     }
-    pacing::refresh(cx, worker);
 }
 
 /// Records that a run is no longer at a worker.
@@ -111,7 +113,7 @@
 
 /// Tells whether a task is held to be at a worker under a run.
 pub fn is_active(cx: &Context, key: TaskKey, worker: WorkerIx, run: Run) -> bool {
-    let state = cx.jobs.get(&key.job).and_then(|e| e.task(key)).map(|t| t.state);
+    let state = cx.task(key).map(|t| t.state);
     state == Some(TaskState::Active { worker, run })
 }
 
@@ -124,9 +126,12 @@
     }
 }
 
+/// How often the pause after a failure doubles at most; settings bound it long before.
+const MOST_DOUBLINGS: u32 = 8;
+
 /// Returns the pause before the next start of a task that failed `in_row` times in a row.
 pub fn pause_after(cx: &Context, in_row: u32) -> Millis {
-    let doubled = cx.settings.retry_pause.0 << in_row.saturating_sub(1).min(8);
+    let doubled = cx.settings.retry_pause.0 << in_row.saturating_sub(1).min(MOST_DOUBLINGS);
     Millis(doubled.min(cx.settings.retry_pause_max.0))
 }
 
@@ -172,6 +177,7 @@
     }
 }
 
+/// Lists the waiting tasks of steps whose earlier steps are done.
 fn waiting_tasks(entry: &Entry, round: &Round) -> Vec<TaskKey> {
     let mut found = Vec::new();
     for (at, (step, state)) in entry.job.steps.iter().zip(&round.steps).enumerate() {
@@ -206,6 +212,7 @@
     commits::mark_urgent(&mut cx.commits, cx.now, job);
 }
 
+/// Lists every step of the rounds under way.
 fn ready_steps(entry: &Entry) -> Vec<ReadyStep> {
     let steps = entry
         .rounds
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -11,7 +11,7 @@
 use crate::context::Context;
 use crate::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
 use crate::permits::StepKey;
-use crate::worker::{Phase, Renewal};
+use crate::worker::Phase;
 use crate::{leases, lifecycle, pacing, permits, trace};
 
 /// Takes in what became of a start.
@@ -81,9 +81,7 @@
         slot.phase = Phase::Running;
         slot.confirmed = Some(now);
     }
-    if let Renewal::Due(at) = worker.renewal {
-        worker.renewal = Renewal::Due(at.min(now));
-    }
+    worker.hasten_renewal(now);
 }
 
 fn unclear(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
--- a/crates/sched/src/permits.rs
+++ b/crates/sched/src/permits.rs
@@ -54,6 +54,12 @@
 /// The most workers in one call; the objective of a step counts one call on 30 workers.
 const MOST_WORKERS: usize = 30;
 
+/// How many workers are asked about for each pending task, since some are denied or fill up.
+const WORKERS_PER_TASK: usize = 3;
+
+/// How many workers are asked about beyond that.
+const SPARE_WORKERS: usize = 3;
+
 /// How much earlier than it ends a ticket is held to be over: a start takes time to arrive.
 const TICKET_MARGIN: Millis = Millis(150);
 
@@ -103,7 +109,7 @@
         worker.info.capacity.minus(&worker.used).cpu
     };
     found.sort_by_key(|ix| std::cmp::Reverse(free(ix)));
-    found.truncate(MOST_WORKERS.min(pending * 3 + 3));
+    found.truncate(MOST_WORKERS.min(pending * WORKERS_PER_TASK + SPARE_WORKERS));
     found
 }
 
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -145,6 +145,16 @@
         self.job.repeat.map_or(1, |r| r.times)
     }
 
+    /// Returns when a round is due, in milliseconds since 1970; 0 for a job that does not repeat.
+    pub fn due_unix_ms(&self, round: u32) -> u64 {
+        self.job.repeat.map_or(0, |r| r.first_unix_ms + u64::from(round) * r.every.0)
+    }
+
+    /// Goes over all tasks of the rounds under way.
+    pub fn tasks_mut(&mut self) -> impl Iterator<Item = &mut Task> {
+        self.rounds.iter_mut().flat_map(|r| &mut r.steps).flat_map(|s| &mut s.tasks)
+    }
+
     /// Finds a round that is under way.
     pub fn round(&self, number: u32) -> Option<&Round> {
         self.rounds.iter().find(|r| r.number == number)
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -69,6 +69,7 @@
     check_survey(cx);
 }
 
+/// Builds the entry of a job from its stored progress, if any was stored.
 fn restored(cx: &Context, job: Arc<Job>, progress: Option<Progress>) -> Entry {
     let mut entry = intake::entry(cx, job);
     let Some(progress) = progress else {
@@ -99,9 +100,7 @@
 fn with_unknown_first_rounds(mut entry: Entry, unix_ms: u64) -> Entry {
     while entry.next_round < entry.rounds_in_all() {
         let number = entry.next_round;
-        let repeat = entry.job.repeat;
-        let due = repeat.map_or(0, |r| r.first_unix_ms + u64::from(number) * r.every.0);
-        if due > unix_ms {
+        if entry.due_unix_ms(number) > unix_ms {
             break;
         }
         entry.next_round += 1;
@@ -110,7 +109,7 @@
             entry.rounds.push(round);
         }
     }
-    for task in entry.rounds.iter_mut().flat_map(|r| &mut r.steps).flat_map(|s| &mut s.tasks) {
+    for task in entry.tasks_mut() {
         if task.state != TaskState::Done {
             task.state = TaskState::Unknown;
         }
@@ -118,6 +117,7 @@
     entry
 }
 
+/// Puts stored ends, failures and checkpoints into an untouched step.
 fn apply(state: &mut StepState, stored: &StepProgress) {
     for index in progress::unpack(&stored.done) {
         if let Some(task) = state.tasks.get_mut(index as usize) {
@@ -167,7 +167,7 @@
         if entry.state.is_final() {
             continue;
         }
-        for task in entry.rounds.iter_mut().flat_map(|r| &mut r.steps).flat_map(|s| &mut s.tasks) {
+        for task in entry.tasks_mut() {
             if task.state == TaskState::Unknown {
                 task.state = TaskState::Waiting;
             }
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -151,7 +151,7 @@
     let worker = cx.worker(ix);
     for (task, slot) in &worker.slots {
         let reading = slot.reading.unwrap_or(0);
-        let image = cx.jobs.get(&task.job).and_then(|e| e.step(*task)?.image.as_deref());
+        let image = cx.step(*task).and_then(|s| s.image.as_deref());
         debug!(event = "reading", worker = %worker.info.id, %task, image, part = ?slot.part,
             reading, pace = slot.pace, load = cx.pacing.load(task.job, cx.now, 0.0), phase = ?slot.phase,
             percent = slot.percent, wants = slot.wants_cpu);
--- a/crates/sched/tests/world/store.rs
+++ b/crates/sched/tests/world/store.rs
@@ -10,7 +10,7 @@
 use super::calls::Delivery;
 use super::World;
 
-/// How long a commit takes, in milliseconds: as measured on the users' store when it is well.
+/// How long a commit takes, in milliseconds; the users' store answers in some 4 ms.
 const COMMIT_MS: u64 = 4;
 
 /// How long it takes until the leader hears that a commit was refused, in milliseconds.
