Say why the translating functions exist, and drop what nothing calls

Cause: small functions of the platform's translation and of the scheduler had no word on what their answer means; a renewal granted its lease beside the function that grants leases; `gaplock-explain` parsed, read and printed in one function; nothing asked a pool whether it guards its capacity.

--- a/crates/explain/src/main.rs
+++ b/crates/explain/src/main.rs
@@ -6,7 +6,11 @@
 
 const USAGE: &str =
     "gaplock-explain JOB [FILE...] - prints one job's story from logs or standard input";
+
+/// The exit code for wrong options and files that cannot be read.
 const WRONG_USE: u8 = 2;
+
+/// The exit code where no line names the job.
 const NOT_FOUND: u8 = 3;
 
 fn main() -> ExitCode {
@@ -15,29 +19,31 @@
     options.optflag("", "json", "print JSON");
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
-        Err(e) => {
-            eprintln!("error: {e}");
-            return ExitCode::from(WRONG_USE);
-        }
+        Err(e) => return fail(&e),
     };
-    let Some((job, files)) = matches.free.split_first().filter(|_| !matches.opt_present("help"))
-    else {
+    let help = matches.opt_present("help");
+    let Some((job, files)) = matches.free.split_first().filter(|_| !help) else {
         println!("{}", options.usage(USAGE));
-        return ExitCode::from(if matches.opt_present("help") { 0 } else { WRONG_USE });
+        return ExitCode::from(if help { 0 } else { WRONG_USE });
     };
-    let log = match read(files) {
-        Ok(log) => log,
-        Err(e) => {
-            eprintln!("error: {e}");
-            return ExitCode::from(WRONG_USE);
-        }
-    };
-    let story = gaplock_explain::story(&log, job);
+    match read(files) {
+        Ok(log) => print_story(&log, job, matches.opt_present("json")),
+        Err(e) => fail(&e),
+    }
+}
+
+fn fail(e: &dyn std::error::Error) -> ExitCode {
+    eprintln!("error: {e}");
+    ExitCode::from(WRONG_USE)
+}
+
+fn print_story(log: &str, job: &str, json: bool) -> ExitCode {
+    let story = gaplock_explain::story(log, job);
     if story.is_empty() {
         eprintln!("no line names job {job}");
         return ExitCode::from(NOT_FOUND);
     }
-    if matches.opt_present("json") {
+    if json {
         println!("{}", gaplock_explain::to_json(&story));
     } else {
         print!("{}", gaplock_explain::render(&story));
@@ -45,6 +51,7 @@
     ExitCode::SUCCESS
 }
 
+/// Reads all files one after the other, or standard input where none is named.
 fn read(files: &[String]) -> std::io::Result<String> {
     let mut log = String::new();
     if files.is_empty() {
--- a/crates/jobs/src/config.rs
+++ b/crates/jobs/src/config.rs
@@ -84,9 +84,4 @@
             .filter(|q| q.host.eq_ignore_ascii_case(host) && path.starts_with(&q.prefix))
             .max_by_key(|q| q.prefix.len())
     }
-
-    /// Tells whether the workers of a pool refuse what does not fit.
-    pub fn guards_capacity(&self, service: &ids::ServiceId) -> bool {
-        self.pools.iter().any(|p| p.service == *service && p.guards_capacity)
-    }
 }
--- a/crates/sched/src/account.rs
+++ b/crates/sched/src/account.rs
@@ -34,9 +34,7 @@
     }
     slot.percent = row.percent;
     slot.reading = row.reading;
-    let Some(task) = cx.task_mut(row.task) else {
-        return;
-    };
+    let Some(task) = cx.task_mut(row.task) else { return };
     if row.checkpoint.is_some() {
         task.checkpoint.clone_from(&row.checkpoint);
     }
--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -5,6 +5,7 @@
 //! needs no record of its own, because a successor learns from the workers what runs.
 
 use std::collections::BTreeSet;
+use std::mem;
 
 use gaplock_jobs::progress::{JobState, Progress, RoundProgress, StepProgress, TaskNote};
 use gaplock_jobs::{progress, JobKey};
@@ -74,8 +75,8 @@
     if cx.commits.in_flight.is_some() || !due {
         return None;
     }
-    let jobs = std::mem::take(&mut cx.commits.dirty);
-    let other = std::mem::take(&mut cx.commits.other);
+    let jobs = mem::take(&mut cx.commits.dirty);
+    let other = mem::take(&mut cx.commits.other);
     cx.commits.since = None;
     cx.commits.urgent = false;
     let ends = uncommitted_ends(cx);
@@ -88,12 +89,14 @@
     Some(records)
 }
 
+/// Lists the last end of each worker whose ends are not all stored.
 fn uncommitted_ends(cx: &Context) -> Vec<(WorkerIx, EndSeq)> {
     let workers = cx.workers.iter().enumerate();
     let unstored = workers.filter(|(_, w)| w.noted > w.stored);
     unstored.map(|(at, w)| (WorkerIx(at as u32), w.noted)).collect()
 }
 
+/// Finds the workers that these records add to the stored roster.
 fn roster_of(cx: &Context, records: &[Record]) -> Vec<WorkerIx> {
     let ids = records.iter().filter_map(|r| match r {
         Record::Worker(info) => Some(&info.id),
--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/drain.rs
@@ -29,6 +29,7 @@
     }
 }
 
+/// Lists the runs that must leave a draining worker now.
 fn to_stop(cx: &Context, ix: WorkerIx, now: Instant, last_call: Instant) -> Vec<(TaskKey, Run)> {
     let worker = cx.worker(ix);
     let running = worker.slots.iter().filter(|(_, slot)| slot.phase == Phase::Running);
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -29,7 +29,7 @@
     cx.pass_wanted = true;
 }
 
-/// Used for a job whose queue the configuration no longer names.
+/// How many failed runs a task may have whose queue the configuration no longer names.
 const FALLBACK_ATTEMPTS: u32 = 2;
 
 /// Builds the entry of a job that nothing is known to have happened to.
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -268,7 +268,7 @@
         task: TaskKey,
         /// The run.
         run: Run,
-        /// The job's text.
+        /// The job, whose text its worker gets.
         job: Arc<Job>,
         /// The end of the lease by the worker's clock.
         until: WorkerClock,
--- a/crates/sched/src/permits.rs
+++ b/crates/sched/src/permits.rs
@@ -4,6 +4,8 @@
 //! workers as its tasks may need and no more, and few calls are under way at once. What it permits
 //! for a step does not change, but a ticket holds for a while only.
 
+use std::cmp::Reverse;
+
 use gaplock_jobs::config::Advice;
 use gaplock_jobs::{JobKey, TaskKey};
 use gaplock_types::time::{Instant, Millis};
@@ -30,6 +32,11 @@
     pub fn of(task: TaskKey) -> Self {
         Self { job: task.job, round: task.round, step: task.step }
     }
+
+    /// Returns the step that has pending tasks.
+    fn of_ready(ready: ReadyStep) -> Self {
+        Self { job: ready.job, round: ready.round, step: ready.step }
+    }
 }
 
 /// What is known of one step's permissions.
@@ -63,7 +70,7 @@
 /// How much earlier than it ends a ticket is held to be over: a start takes time to arrive.
 const TICKET_MARGIN: Millis = Millis(150);
 
-/// The pause after a call that failed.
+/// The pause after a call that failed, so that a service in trouble is not asked at every pass.
 const FAILED_PAUSE: Millis = Millis(200);
 
 /// Tells whether a step may run on a worker now; always, where its queue asks nobody.
@@ -79,7 +86,7 @@
 
 /// Asks for workers on which a step may run, unless an answer is awaited already.
 pub fn ask(cx: &mut Context, ready: ReadyStep, pending: usize) {
-    let step = StepKey { job: ready.job, round: ready.round, step: ready.step };
+    let step = StepKey::of_ready(ready);
     let now = cx.now;
     let known = cx.permits.steps.entry(step).or_default();
     if known.asking || known.not_before > now || cx.permits.under_way >= MOST_CALLS {
@@ -108,7 +115,7 @@
         let worker = cx.worker(*ix);
         worker.info.capacity.minus(&worker.used).cpu
     };
-    found.sort_by_key(|ix| std::cmp::Reverse(free(ix)));
+    found.sort_by_key(|ix| Reverse(free(ix)));
     found.truncate(MOST_WORKERS.min(pending * WORKERS_PER_TASK + SPARE_WORKERS));
     found
 }
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -135,8 +135,7 @@
         return Err(Unfit::Full);
     }
     let step = wanted.step;
-    let advice = wanted.advice;
-    if !permits::allows(cx, advice, StepKey::of(wanted.task), ix) {
+    if !permits::allows(cx, wanted.advice, StepKey::of(wanted.task), ix) {
         return Err(Unfit::NotPermitted);
     }
     if step.label.as_ref().is_some_and(|label| !worker.info.labels.contains(label)) {
@@ -170,6 +169,8 @@
     worker.slots.keys().filter(same).count() as u32
 }
 
+/// Returns how good a place a worker is for the task, in whole workers of free room, or nothing
+/// where the task would disturb too much yet.
 fn score(cx: &Context, ix: WorkerIx, worker: &Worker, wanted: &Wanted<'_>) -> Option<f64> {
     let cores = f64::from(worker.info.capacity.cpu.0.max(1));
     let free = cores - f64::from(worker.used.cpu.0) - f64::from(worker.filling);
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -20,16 +20,13 @@
     }
 }
 
+/// Sends one renewal; it waits at the worker for an end where nothing is more pressing.
 fn send(cx: &mut Context, ix: WorkerIx) {
-    let (now, lease) = (cx.now, cx.settings.lease_max);
-    let wait = cx.settings.renew_wait;
-    let worker = cx.worker_mut(ix);
     // A worker that does not answer is only asked: a grant that may have arrived would put off the
     // time from which its tasks are certainly over.
-    let until = worker.lease_end(now, lease).filter(|_| worker.missed == 0);
-    if let Some(until) = until {
-        worker.granted(until);
-    }
+    let until = if cx.worker(ix).missed == 0 { leases::grant(cx, ix) } else { None };
+    let wait = cx.settings.renew_wait;
+    let worker = cx.worker_mut(ix);
     worker.renewal = Renewal::InFlight;
     let quick = until.is_none() || worker.noted > worker.stored || worker.missed > 0;
     let wait = if quick || worker.slots.is_empty() { Millis(0) } else { wait };
