Words for gang starts and refused orders, and no links to private modules

Cause: `cargo doc` warned of links from pacing's public page to private modules, and four functions of dispatch and orders had no word on why they exist. Only comments change; behaviour is unchanged. Formatting, clippy and the tests of sched, jobs, platform and explain pass, and `cargo doc` of sched is silent.

--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -173,12 +173,14 @@
     }
 }
 
+/// Frees the room of the members placed so far; nothing of them was sent.
 fn undo_gang(cx: &mut Context, placed: &[(TaskKey, WorkerIx)], run: Run) {
     for &(task, ix) in placed {
         lifecycle::requeue(cx, ix, task, run, Millis(0));
     }
 }
 
+/// Sets how often a task was started; all members of a gang count alike.
 fn set_starts(cx: &mut Context, task: TaskKey, starts: u32) {
     if let Some(t) = cx.task_mut(task) {
         t.starts = starts;
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -45,6 +45,7 @@
     }
 }
 
+/// Takes a run off a worker that refused it, and spares the worker for a while where that helps.
 fn refused(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, refusal: Refusal) {
     let now = cx.now;
     let retry = cx.settings.renew_retry;
@@ -84,6 +85,7 @@
     worker.hasten_renewal(now);
 }
 
+/// Sends a start without an answer again, or a stop once it was tried often enough.
 fn unclear(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
     let now = cx.now;
     let most = cx.settings.start_tries;
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -1,8 +1,8 @@
 //! How filling tasks disturb serving ones on the same worker, and what is done about it.
 //!
-//! [`model`] says what pairs of images do to each other. Placement keeps apart what cannot live
-//! together ([`placing`]), the pace of what presses is lowered only as far as the serving tasks
-//! need ([`paces`]), and what stays slow for long is moved ([`moving`]).
+//! `model` says what pairs of images do to each other. Placement keeps apart what cannot live
+//! together (`placing`), the pace of what presses is lowered only as far as the serving tasks
+//! need (`paces`), and what stays slow for long is moved (`moving`).
 
 mod filling;
 mod model;
