--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -5,6 +5,7 @@
 //! needs no record of its own, because a successor learns from the workers what runs.
 
 use std::collections::BTreeSet;
+use std::mem;
 
 use gaplock_jobs::progress::{JobState, Progress, RoundProgress, StepProgress, TaskNote};
 use gaplock_jobs::{progress, JobKey};
@@ -14,7 +15,6 @@
 use crate::message::{EndSeq, Record, WorkerIx};
 use crate::table::{Entry, StepState, Task, TaskState};
 use crate::trace;
-use crate::worker::Renewal;
 
 /// What waits to be stored, and what is being stored.
 #[derive(Debug, Default)]
@@ -75,8 +75,8 @@
     if cx.commits.in_flight.is_some() || !due {
         return None;
     }
-    let jobs = std::mem::take(&mut cx.commits.dirty);
-    let other = std::mem::take(&mut cx.commits.other);
+    let jobs = mem::take(&mut cx.commits.dirty);
+    let other = mem::take(&mut cx.commits.other);
     cx.commits.since = None;
     cx.commits.urgent = false;
     let ends = uncommitted_ends(cx);
@@ -89,12 +89,14 @@
     Some(records)
 }
 
+/// Lists the last end of each worker whose ends are not all stored.
 fn uncommitted_ends(cx: &Context) -> Vec<(WorkerIx, EndSeq)> {
     let workers = cx.workers.iter().enumerate();
     let unstored = workers.filter(|(_, w)| w.noted > w.stored);
     unstored.map(|(at, w)| (WorkerIx(at as u32), w.noted)).collect()
 }
 
+/// Finds the workers that these records add to the stored roster.
 fn roster_of(cx: &Context, records: &[Record]) -> Vec<WorkerIx> {
     let ids = records.iter().filter_map(|r| match r {
         Record::Worker(info) => Some(&info.id),
@@ -115,9 +117,7 @@
     for (ix, seq) in covered.ends {
         let worker = cx.worker_mut(ix);
         worker.stored = worker.stored.max(seq);
-        if let Renewal::Due(at) = worker.renewal {
-            worker.renewal = Renewal::Due(at.min(now));
-        }
+        worker.hasten_renewal(now);
     }
     for ix in covered.roster {
         let worker = cx.worker_mut(ix);
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use gaplock_jobs::{config, JobKey};
+use gaplock_jobs::{config, JobKey, Step, TaskKey};
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
@@ -13,10 +13,10 @@
 use crate::pacing::{self, Pacing};
 use crate::permits::{self, Permits};
 use crate::settings::Settings;
-use crate::table::{Entry, ReadyStep};
+use crate::table::{Entry, ReadyStep, Task};
 use crate::takeover::{self, Survey};
 use crate::worker::Worker;
-use crate::{dispatch, drain, intake, looks, orders};
+use crate::{dispatch, drain, intake, leases, orders, renewals};
 
 /// A leadership: its rising number and the token that fences every earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -113,7 +113,9 @@
             Event::Cancel(key) => intake::cancel(self, key),
             Event::Listed(info) => intake::listed(self, info),
             Event::Unlisted(id) => intake::unlisted(self, &id),
-            Event::Renewed { worker, sent, outcome } => looks::renewed(self, worker, sent, outcome),
+            Event::Renewed { worker, sent, outcome } => {
+                renewals::renewed(self, worker, sent, outcome);
+            }
             Event::Started { worker, task, run, outcome } => {
                 orders::started(self, worker, task, run, outcome);
             }
@@ -138,7 +140,7 @@
             self.last_housekeeping = self.now;
             takeover::check_survey(self);
             intake::begin_due_rounds(self);
-            looks::check_leases(self);
+            leases::check(self);
             orders::check(self);
             drain::check(self);
             pacing::check(self);
@@ -146,7 +148,7 @@
             intake::forget_finished(self);
             self.pass_wanted |= !self.ready.is_empty();
         }
-        looks::send_due(self);
+        renewals::send_due(self);
         if self.pass_wanted && self.now.since(self.last_pass) >= PASS_EVERY {
             self.last_pass = self.now;
             self.pass_wanted = false;
@@ -169,6 +171,21 @@
         &self.workers[ix.0 as usize]
     }
 
+    /// Finds a task of a job that is known.
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        self.jobs.get(&key.job)?.task(key)
+    }
+
+    /// Finds a task of a job that is known.
+    pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        self.jobs.get_mut(&key.job)?.task_mut(key)
+    }
+
+    /// Finds the description of a task's step.
+    pub fn step(&self, key: TaskKey) -> Option<&Step> {
+        self.jobs.get(&key.job)?.step(key)
+    }
+
     /// Returns a worker.
     pub fn worker_mut(&mut self, ix: WorkerIx) -> &mut Worker {
         &mut self.workers[ix.0 as usize]
--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/drain.rs
@@ -29,11 +29,12 @@
     }
 }
 
+/// Lists the runs that must leave a draining worker now.
 fn to_stop(cx: &Context, ix: WorkerIx, now: Instant, last_call: Instant) -> Vec<(TaskKey, Run)> {
     let worker = cx.worker(ix);
     let running = worker.slots.iter().filter(|(_, slot)| slot.phase == Phase::Running);
     let leaves = |key: &TaskKey| {
-        let step = cx.jobs.get(&key.job).and_then(|e| e.step(*key));
+        let step = cx.step(*key);
         now >= last_call || step.is_some_and(|s| s.lasting)
     };
     running.filter(|(key, _)| leaves(key)).map(|(key, slot)| (*key, slot.run)).collect()
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -29,7 +29,7 @@
     cx.pass_wanted = true;
 }
 
-/// Used for a job whose queue the configuration no longer names.
+/// How many failed runs a task may have whose queue the configuration no longer names.
 const FALLBACK_ATTEMPTS: u32 = 2;
 
 /// Builds the entry of a job that nothing is known to have happened to.
@@ -49,7 +49,6 @@
         due: Instant((cx.now.0 + allowed).saturating_sub(age.0)),
         priority: queue.map_or(0, |q| q.priority),
         max_attempts: queue.map_or(FALLBACK_ATTEMPTS, |q| q.max_attempts),
-        begun: false,
         job,
     }
 }
@@ -85,8 +84,7 @@
         if entry.state.is_final() || next >= entry.rounds_in_all() {
             return;
         }
-        let due = entry.job.repeat.map_or(0, |r| r.first_unix_ms + u64::from(next) * r.every.0);
-        if due > unix_ms {
+        if entry.due_unix_ms(next) > unix_ms {
             return;
         }
         entry.next_round += 1;
@@ -157,7 +155,7 @@
 }
 
 /// Takes in that the directory no longer lists a worker. It may live on, so nothing of it is
-/// given up here; see [`crate::looks::check_leases`].
+/// given up here; see [`crate::leases::check`].
 pub fn unlisted(cx: &mut Context, id: &ids::WorkerId) {
     let Some(&ix) = cx.by_id.get(id) else { return };
     let worker = cx.worker_mut(ix);
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -137,8 +137,6 @@
     pub priority: u32,
     /// How many failed runs a task may have.
     pub max_attempts: u32,
-    /// Set once any task has been started or found running.
-    pub begun: bool,
 }
 
 impl Entry {
@@ -147,6 +145,16 @@
         self.job.repeat.map_or(1, |r| r.times)
     }
 
+    /// Returns when a round is due, in milliseconds since 1970; 0 for a job that does not repeat.
+    pub fn due_unix_ms(&self, round: u32) -> u64 {
+        self.job.repeat.map_or(0, |r| r.first_unix_ms + u64::from(round) * r.every.0)
+    }
+
+    /// Goes over all tasks of the rounds under way.
+    pub fn tasks_mut(&mut self) -> impl Iterator<Item = &mut Task> {
+        self.rounds.iter_mut().flat_map(|r| &mut r.steps).flat_map(|s| &mut s.tasks)
+    }
+
     /// Finds a round that is under way.
     pub fn round(&self, number: u32) -> Option<&Round> {
         self.rounds.iter().find(|r| r.number == number)
@@ -187,7 +195,7 @@
 }
 
 /// Calls `f` for every task of the rounds under way.
-pub fn for_each_task(entry: &Entry, mut f: impl FnMut(TaskKey, &Task)) {
+fn for_each_task(entry: &Entry, mut f: impl FnMut(TaskKey, &Task)) {
     for round in &entry.rounds {
         for (step, state) in round.steps.iter().enumerate() {
             for (index, task) in state.tasks.iter().enumerate() {
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -7,16 +7,16 @@
 use std::sync::Arc;
 
 use gaplock_jobs::progress::{self, JobState, Progress, StepProgress};
-use gaplock_jobs::{Job, JobKey, TaskKey};
+use gaplock_jobs::{Job, JobKey};
 use gaplock_types::time::Instant;
 use rustc_hash::FxHashSet;
 
 use crate::context::Context;
 use crate::message::{Run, WorkerInfo, WorkerIx};
 use crate::pacing::Learnt;
-use crate::table::{self, Entry, Round, StepState, TaskState};
+use crate::table::{Entry, Round, StepState, TaskState};
 use crate::worker::Listing;
-use crate::{intake, lifecycle, trace};
+use crate::{intake, leases, lifecycle, trace};
 
 /// The search for runs of former leaders.
 #[derive(Debug)]
@@ -69,6 +69,7 @@
     check_survey(cx);
 }
 
+/// Builds the entry of a job from its stored progress, if any was stored.
 fn restored(cx: &Context, job: Arc<Job>, progress: Option<Progress>) -> Entry {
     let mut entry = intake::entry(cx, job);
     let Some(progress) = progress else {
@@ -76,7 +77,6 @@
     };
     entry.state = progress.state;
     entry.shown = progress.state;
-    entry.begun = progress.state != JobState::Queued;
     entry.ended_unix_ms = progress.ended_unix_ms;
     if entry.state.is_final() {
         return entry;
@@ -100,9 +100,7 @@
 fn with_unknown_first_rounds(mut entry: Entry, unix_ms: u64) -> Entry {
     while entry.next_round < entry.rounds_in_all() {
         let number = entry.next_round;
-        let repeat = entry.job.repeat;
-        let due = repeat.map_or(0, |r| r.first_unix_ms + u64::from(number) * r.every.0);
-        if due > unix_ms {
+        if entry.due_unix_ms(number) > unix_ms {
             break;
         }
         entry.next_round += 1;
@@ -111,7 +109,7 @@
             entry.rounds.push(round);
         }
     }
-    for task in entry.rounds.iter_mut().flat_map(|r| &mut r.steps).flat_map(|s| &mut s.tasks) {
+    for task in entry.tasks_mut() {
         if task.state != TaskState::Done {
             task.state = TaskState::Unknown;
         }
@@ -119,6 +117,7 @@
     entry
 }
 
+/// Puts stored ends, failures and checkpoints into an untouched step.
 fn apply(state: &mut StepState, stored: &StepProgress) {
     for index in progress::unpack(&stored.done) {
         if let Some(task) = state.tasks.get_mut(index as usize) {
@@ -154,7 +153,7 @@
     cx.survey = None;
     for ix in silent {
         if cx.worker(ix).listing == Listing::Absent {
-            crate::looks::give_up(cx, ix);
+            leases::give_up(cx, ix);
         }
     }
     settle_all(cx);
@@ -168,7 +167,7 @@
         if entry.state.is_final() {
             continue;
         }
-        for task in entry.rounds.iter_mut().flat_map(|r| &mut r.steps).flat_map(|s| &mut s.tasks) {
+        for task in entry.tasks_mut() {
             if task.state == TaskState::Unknown {
                 task.state = TaskState::Waiting;
             }
@@ -192,14 +191,3 @@
         lifecycle::end_job(cx, key, JobState::Completed);
     }
 }
-
-/// Lists tasks that are still in doubt; for tests and reports.
-pub fn in_doubt(entry: &Entry) -> Vec<TaskKey> {
-    let mut found = Vec::new();
-    table::for_each_task(entry, |key, task| {
-        if task.state == TaskState::Unknown {
-            found.push(key);
-        }
-    });
-    found
-}
