Halt by the installation's bound; bound the tasks of one job

The halts are parts of the bound (4 s gives 1.2 and 1.9 s as before); a job has at most 20,000 tasks.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -174,6 +174,9 @@
     /// A step waits for itself or for a later one.
     #[display("a step may only follow earlier steps")]
     Order,
+    /// There are more tasks than one job may have.
+    #[display("a job may have at most {MOST_TASKS} tasks")]
+    TooManyTasks,
     /// The spec is too long.
     #[display("the spec is longer than {SPEC_MAX_BYTES} bytes")]
     LongSpec,
@@ -182,6 +185,10 @@
 /// The longest spec in bytes, from the callers' interface.
 pub const SPEC_MAX_BYTES: usize = 4_000;
 
+/// The most tasks that the steps of one job may have together; the users' widest jobs have some
+/// hundred. It bounds what one request makes the leader keep.
+pub const MOST_TASKS: u64 = 20_000;
+
 /// Checks what a scheduler relies on.
 ///
 /// # Errors
@@ -190,6 +197,10 @@
     if job.spec.len() > SPEC_MAX_BYTES {
         return Err(JobFault::LongSpec);
     }
+    let tasks: u64 = job.steps.iter().map(|step| u64::from(step.count)).sum();
+    if tasks > MOST_TASKS {
+        return Err(JobFault::TooManyTasks);
+    }
     if job.steps.is_empty() {
         return Err(JobFault::NoStep);
     }
--- a/crates/sched/src/pacing/paces.rs
+++ b/crates/sched/src/pacing/paces.rs
@@ -1,7 +1,7 @@
 //! The pace of filling tasks: lowered as far as the serving tasks beside them need, and raised again.
 
 use gaplock_jobs::TaskKey;
-use gaplock_types::time::{Instant, Millis};
+use gaplock_types::time::Millis;
 
 use super::filling::{self, FillingTask};
 use super::model::{Model, Row};
@@ -36,7 +36,7 @@
         let bearable = cx.pacing.bearable(&served, GUARDED_SHARE, now, GUARDED_AHEAD_S);
         relieve(&cx.pacing, served.row, bearable, &mut tasks);
     }
-    halt(&cx.pacing, cx.worker(ix), now, &mut tasks);
+    halt(cx, cx.worker(ix), &mut tasks);
     for task in tasks {
         order_pace(cx, ix, &task);
     }
@@ -60,48 +60,55 @@
     }
 }
 
-/// How long readings may be over the target before what the model suspects is halted. The excess
-/// may last 4 s on the users' sites; a reading is up to 1.5 s old.
-const HALT_SUSPECTED_AFTER: Millis = Millis(1_200);
+/// The part of the allowed excess after which what the model suspects is halted. A reading is up to
+/// 1.5 s old, and the users' sites allow 4 s.
+const HALT_SUSPECTED_AFTER: f64 = 0.3;
 
-/// How long readings may be over the target before everything that fills is halted.
-const HALT_ALL_AFTER: Millis = Millis(1_900);
+/// The part of the allowed excess after which everything that fills is halted.
+const HALT_ALL_AFTER: f64 = 0.475;
 
 /// A filling task whose push on a serving image is less than this is not suspected.
 const SUSPECTED_PUSH: f64 = 0.01;
 
 /// Halts fillers beside a serving task that stays over its target: first what may press on it by
 /// the model, then, whatever the model says, everything.
-fn halt(model: &Model, worker: &Worker, now: Instant, filling: &mut [FillingTask]) {
+fn halt(cx: &Context, worker: &Worker, filling: &mut [FillingTask]) {
+    let suspected_after = part_of(cx.settings.tail_excess, HALT_SUSPECTED_AFTER);
+    let all_after = part_of(cx.settings.tail_excess, HALT_ALL_AFTER);
     for slot in worker.slots.values() {
         let (Part::Serving { row, .. }, Some(since)) = (slot.part, slot.over_since) else {
             continue;
         };
-        let lasted = now.since(since);
+        let lasted = cx.now.since(since);
         for task in filling.iter_mut() {
-            let push = model.factor(row, Some(task.column)) * task.share;
-            let suspected = lasted >= HALT_SUSPECTED_AFTER && push >= SUSPECTED_PUSH;
-            if suspected || lasted >= HALT_ALL_AFTER {
+            let push = cx.pacing.factor(row, Some(task.column)) * task.share;
+            let suspected = lasted >= suspected_after && push >= SUSPECTED_PUSH;
+            if suspected || lasted >= all_after {
                 task.pace = 0;
             }
         }
     }
 }
 
+/// Returns a part of a span of time.
+fn part_of(span: Millis, part: f64) -> Millis {
+    Millis((span.0 as f64 * part) as u64)
+}
+
 /// The share of its target from which a reading counts as over it; readings are rough.
 const OVER_SHARE: f64 = 0.97;
 
 /// The share of its target below which a reading ends an excess.
 const BACK_SHARE: f64 = 0.9;
 
-/// How long readings may be over the target before halting everything is held not to have helped:
-/// somewhat more than the 4 s that an excess may last on the users' sites.
-const HALT_OVER: Millis = Millis(4_200);
+/// The part of the allowed excess after which halting everything is held not to have helped.
+const HALT_OVER: f64 = 1.05;
 
 /// Notes since when each serving task's readings have been over its target. Where the excess has
 /// outlasted both stages of halting, its cause lies elsewhere and the time begins anew.
 pub(super) fn watch_targets(cx: &mut Context, ix: WorkerIx) {
     let now = cx.now;
+    let halt_over = part_of(cx.settings.tail_excess, HALT_OVER);
     for slot in cx.worker_mut(ix).slots.values_mut() {
         let Part::Serving { target_ms, .. } = slot.part else { continue };
         let Some(share) = slot.reading.map(|tail| f64::from(tail) / f64::from(target_ms.max(1)))
@@ -113,7 +120,7 @@
         } else if share < BACK_SHARE {
             slot.over_since = None;
         }
-        if slot.over_since.is_some_and(|since| now.since(since) >= HALT_OVER) {
+        if slot.over_since.is_some_and(|since| now.since(since) >= halt_over) {
             slot.over_since = Some(now);
         }
     }
