--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -59,7 +59,8 @@
 }
 
 async fn submit(node: &Arc<Node>, key: JobKey, queue: &str, whole: Whole) -> Response {
-    let Ok(body) = whole.body else {
+    let most = node.config().map_or(0, |config| config.limits.body_bytes);
+    let Some(body) = whole.body.ok().filter(|body| body.len() <= most) else {
         return answer(node, Code::TooLarge, StatusCode::PayloadTooLarge.into(), Vec::new());
     };
     let decoded = callers::decode_job(key, queue, clock::unix_ms(), &body);
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -46,6 +46,9 @@
 /// of leader, and their own work twice over.
 const SETTLE_LIMIT: Duration = Duration::from_secs(25);
 
+/// How long a process that was told to stop may take, by the sites' settings.
+const STOP_LIMIT: Duration = Duration::from_millis(3_500);
+
 /// How long the hosts may take to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(10);
 
@@ -149,7 +152,12 @@
     for host in &mut site.hosts {
         host.store_link.set(Mode::Pass);
         host.signal(Signal::CONT);
-        host.restart()?;
+    }
+    // The platform starts again what has ended, also a process that is still stopping now.
+    let began = Instant::now();
+    while began.elapsed() < STOP_LIMIT {
+        site.hosts.iter_mut().try_for_each(site::Host::restart)?;
+        thread::sleep(POLL);
     }
     Ok(faults)
 }
@@ -187,13 +195,14 @@
 fn check(site: &Site, jobs: &[(JobKey, Told)], report: &mut Report) {
     let told = |key: JobKey, what: Told| jobs.contains(&(key, what));
     let keys: Vec<JobKey> = jobs.iter().map(|(key, _)| *key).collect();
+    let until = Instant::now() + SETTLE_LIMIT;
     for &key in &keys {
         report.checks += 1;
         if told(key, Told::Refused) && site.has_started(key) {
             report.violations.push(format!("{key} was refused and ran"));
         }
         if told(key, Told::Accepted) {
-            check_ended(site, key, told(key, Told::Cancelled), report);
+            check_ended(site, key, until, report);
         }
     }
     report.checks += 1;
@@ -203,9 +212,10 @@
 }
 
 /// Checks that an accepted job comes to an end that its caller is shown.
-fn check_ended(site: &Site, key: JobKey, cancelled: bool, report: &mut Report) {
+fn check_ended(site: &Site, key: JobKey, until: Instant, report: &mut Report) {
     let mut last = None;
-    let ended = wait(SETTLE_LIMIT, || {
+    let left = until.saturating_duration_since(Instant::now()).max(POLL * 2);
+    let ended = wait(left, || {
         last = site.hosts.iter().find_map(|h| h.state(key));
         let word = last.as_ref().map(|(_, word)| word.as_str());
         word == Some("completed") || word == Some("canceled")
@@ -213,7 +223,5 @@
     let word = last.map(|(status, word)| format!("{status} {word}")).unwrap_or_default();
     if !ended {
         report.violations.push(format!("{key} was accepted and is shown as `{word}`"));
-    } else if cancelled && word.ends_with("active") {
-        report.violations.push(format!("{key} was cancelled and is shown as `{word}`"));
     }
 }
