--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -67,25 +67,8 @@
     }
 }
 
-macro_rules! serde_by_text {
-    ($name:ident) => {
-        impl serde::Serialize for $name {
-            fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
-                s.collect_str(self)
-            }
-        }
-
-        impl<'de> serde::Deserialize<'de> for $name {
-            fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
-                let text = <std::borrow::Cow<'de, str>>::deserialize(d)?;
-                text.parse().map_err(serde::de::Error::custom)
-            }
-        }
-    };
-}
-
-serde_by_text!(JobKey);
-serde_by_text!(TaskKey);
+gaplock_types::serde_by_text!(JobKey);
+gaplock_types::serde_by_text!(TaskKey);
 
 /// What all tasks of a step have in common.
 #[derive(Debug, Clone, PartialEq, Default, serde::Serialize, serde::Deserialize)]
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -222,6 +222,7 @@
 }
 
 /// Serialises an identifier by its text, so that it can be a key of a JSON object.
+#[macro_export]
 macro_rules! serde_by_text {
     ($name:ident) => {
         impl serde::Serialize for $name {
