Short work before lasting work; a waiting lasting task blocks nobody

Cause: a lasting task that leaves room for short ones was remembered as 'no room for this much', so larger short ones were not tried; and one that waited for long came first for whatever came free. Test: a_lasting_task_that_waits_does_not_keep_a_short_one_from_the_room_left _for_it (failed first). The test's worker counted room as if all its tasks were of one size; it adds them up now, which is stricter.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -54,7 +54,8 @@
     let store = store::open(&installation.store_addr);
     tracing::info!(event = "started", host = %installation.host, domain = %installation.domain);
     let node = node::open(installation, cfg, peer_addr, store);
-    let serving = match serving::bind(&node, values.number(settings::METRICS_PORT)).await {
+    let (ip, port) = (values.text(settings::METRICS_IP), values.number(settings::METRICS_PORT));
+    let serving = match serving::bind(&node, &format!("{ip}:{port}")).await {
         Ok(serving) => serving,
         Err(e) => {
             tracing::error!(event = "cannot_start", error = %e);
--- a/crates/node/src/serving.rs
+++ b/crates/node/src/serving.rs
@@ -33,7 +33,7 @@
 ///
 /// # Errors
 /// Returns the error of binding an address.
-pub async fn bind(node: &Arc<Node>, metrics_port: u64) -> io::Result<Serving> {
+pub async fn bind(node: &Arc<Node>, metrics_addr: &str) -> io::Result<Serving> {
     let installation = &node.installation;
     let limits = Limits { header: IDLE_LIMIT, ..Limits::default() };
     let shared = Arc::clone(node);
@@ -47,8 +47,7 @@
     })
     .await?;
     let shared = Arc::clone(node);
-    let metrics_addr = format!("0.0.0.0:{metrics_port}");
-    let metrics = gaplock_serve::bind(&metrics_addr, limits, move |whole: Whole| {
+    let metrics = gaplock_serve::bind(metrics_addr, limits, move |whole: Whole| {
         metrics(Arc::clone(&shared), whole)
     })
     .await?;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -11,6 +11,9 @@
 /// The setting for the port of the metrics.
 pub const METRICS_PORT: &str = "metrics-port";
 
+/// The setting for the address of the metrics.
+pub const METRICS_IP: &str = "metrics-ip";
+
 const RENEW_WAIT: &str = "renew-wait";
 const COMMIT_DELAY: &str = "commit-delay";
 
@@ -22,7 +25,14 @@
         Kind::Number { min: 1, max: 65_535 },
         "PORT",
         Some("9464"),
-        "Where metrics are served, on every address of the host.",
+        "The port on which metrics are served.",
+    ),
+    setting(
+        METRICS_IP,
+        Kind::Text,
+        "IP",
+        Some("0.0.0.0"),
+        "The host's address on which metrics are served; every one, if not given.",
     ),
     setting(
         RENEW_WAIT,
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -59,7 +59,7 @@
     explain(cx, &job, &service, unplaced, pending.len());
     if advice_of(cx, &job).is_some() {
         permits::ask(cx, ready, pending.len());
-    } else if step.most_per_worker.is_none() && !step.fills {
+    } else if step.most_per_worker.is_none() && !step.fills && !step.lasting {
         blocked.push(Blocked { service, label: step.label.clone(), takes });
     }
 }
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -13,9 +13,15 @@
 use crate::worker::{Part, Phase, Slot};
 use crate::{commits, trace};
 
+/// How much later than its objective a lasting step is served: room that comes free goes to work
+/// that ends soon, whose caller waits for it, as long as there is any.
+const LASTING_LATER: Millis = Millis(600_000);
+
 /// Builds the place of a step among those with pending tasks.
 fn ready_step(entry: &Entry, round: u32, step: u16) -> ReadyStep {
-    ReadyStep { priority: entry.priority, due: entry.due, job: entry.job.key, round, step }
+    let lasting = entry.job.steps.get(usize::from(step)).is_some_and(|s| s.lasting);
+    let due = if lasting { entry.due + LASTING_LATER } else { entry.due };
+    ReadyStep { priority: entry.priority, due, job: entry.job.key, round, step }
 }
 
 /// Makes a task wait for a worker, after `pause`.
--- a/crates/sched/tests/promises.rs
+++ b/crates/sched/tests/promises.rs
@@ -281,3 +281,22 @@
     assert_eq!(world.state(1), Some(JobState::Failed));
     assert_kept(&world);
 }
+
+/// Quiet days of Ljubljana: a lasting task that left room free for short ones kept larger short
+/// ones from being tried at all.
+#[test]
+fn a_lasting_task_that_waits_does_not_keep_a_short_one_from_the_room_left_for_it() {
+    let mut world = World::open(15, 1);
+    world.work_ms = 60_000;
+    let lasting = |count| gaplock_jobs::Step { lasting: true, ..step(count, &[]) };
+    world.submit(job(1, vec![lasting(6)]));
+    world.run(300);
+    world.submit(job(2, vec![lasting(1)]));
+    world.run(100);
+    assert_eq!((world.running_of(1), world.running_of(2)), (6, 0));
+    let mut short = step(1, &[]);
+    short.demand.cpu.0 = 2_000;
+    world.submit(job(3, vec![short]));
+    world.run(300);
+    assert_eq!(world.running_of(3), 1, "the room left for short tasks was not used");
+}
--- a/crates/sched/tests/world/worker.rs
+++ b/crates/sched/tests/world/worker.rs
@@ -17,6 +17,8 @@
 
 #[derive(Debug, Clone)]
 pub(super) struct SimRun {
+    /// What it takes of the worker's room.
+    takes: Resources,
     run: Run,
     /// When its work is over, by the virtual clock; unset for a lasting task.
     ends_at: Option<u64>,
@@ -245,7 +247,8 @@
         if old || worker.running.contains_key(&task) {
             return Err(Refusal::OldRun);
         }
-        let cores = worker.running.len() as u32 * work.takes.cpu.0 + work.takes.cpu.0;
+        let taken: u32 = worker.running.values().map(|r| r.takes.cpu.0).sum();
+        let cores = taken + work.takes.cpu.0;
         if cores > worker.info.capacity.cpu.0 {
             return Err(Refusal::Room);
         }
@@ -255,7 +258,7 @@
             || self.rng.random_range(0..1_000) < self.faults.failing_per_mille;
         let ends_at = if work.lasting { None } else { Some(self.now + work.ms) };
         let ends_at = if fails { Some(self.now + 50) } else { ends_at };
-        let sim = SimRun { run, ends_at, fails, pace: 100 };
+        let sim = SimRun { takes: work.takes, run, ends_at, fails, pace: 100 };
         self.workers[at].running.insert(task, sim);
         Ok(())
     }
