A leader that stops hands over to the strongest follower

Before that, each planned stop left 0.4 to 0.6 s without a leader: the process noticed the stop late, removed its claim, and followers found out at their next heartbeat.

Change: hosts tell their strength (processor share and link) and age with each heartbeat; a leader that stops invites the best follower, which replaces the claim at once; the leader names that host in its answers, and it claims first if the leader is lost; a leader makes way for a much stronger host; followers notice the loss of the connection at once. The choice is crates/policy/succession. Test: a_leader_that_stops_hands_over_to_a_follower failed before (the claim was removed).

--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -1,18 +1,21 @@
 //! Follows the leader, and claims the leadership where there is none.
 
 use std::io::ErrorKind;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::{future, net, task};
+use futures::future::{select, Either};
 use gaplock_platform::configuration;
 use gaplock_platform::store::{Revision, StoreError};
+use gaplock_policy::succession;
 use gaplock_remote::clock;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::leadership::{self, LeaderRecord, Standing};
+use crate::leadership::{self, Claim, LeaderRecord, Standing};
 use crate::leading;
-use crate::node::{Node, Role};
+use crate::node::{Invited, Node, Role};
 use crate::peers::{Heartbeat, HeartbeatAnswer, PeerError};
 
 /// How often a follower sends a heartbeat. It also carries news of the configuration, which must
@@ -32,9 +35,15 @@
 /// The longest random pause before a claim, so that hosts do not all claim at once.
 const CLAIM_SPREAD_MS: u64 = 60;
 
-/// How much longer a host with a tenth of a core waits before it claims, so that stronger hosts
-/// come first.
-const WEAK_HOST_PAUSE_MS: f64 = 20.0;
+/// How long the other hosts leave the claim to the one that the leader named: the time of two
+/// attempts, each two calls to the store of 4 ms and a wait for a turn on a weak host.
+const NAMED_FIRST: Millis = Millis(60);
+
+/// How often an invited host tries to claim; a last commit of the former leader may come between.
+const INVITED_TRIES: u32 = 4;
+
+/// The pause between these tries, a little more than a commit takes.
+const INVITED_PAUSE: Duration = Duration::from_millis(15);
 
 /// How long a connection attempt that tells whether the leader's process lives may take.
 const PROBE_LIMIT: Duration = Duration::from_millis(200);
@@ -80,7 +89,11 @@
     tracing::info!(event = "following", leader = %leader.host, term = leader.term);
     loop {
         match heartbeat(node, &leader.addr).await {
-            Ok(true) => task::sleep(HEARTBEAT_EVERY).await,
+            Ok(true) => {
+                if let Some(invited) = wait(node).await {
+                    return claim_invited(node, invited).await;
+                }
+            }
             Ok(false) => break,
             Err(e) => {
                 tracing::info!(event = "leader_silent", leader = %leader.host, error = %e);
@@ -98,6 +111,41 @@
     task::sleep(ASK_AGAIN).await;
 }
 
+/// Waits until the next heartbeat is due or the connection to the leader is lost; returns an
+/// invitation to lead if one came.
+async fn wait(node: &Node) -> Option<Invited> {
+    let invited = node.invitations.1.recv();
+    let lost = node.leader.lost();
+    let (invited, lost) = (pin!(invited), pin!(lost));
+    match future::timeout(HEARTBEAT_EVERY, select(invited, lost)).await {
+        Ok(Either::Left((Ok(invited), _))) => Some(invited),
+        _ => None,
+    }
+}
+
+/// Claims the leadership that its holder gives up, and answers the holder.
+async fn claim_invited(node: &Arc<Node>, invited: Invited) {
+    let seen = Revision(invited.invitation.claim);
+    let sent = clock::now();
+    for _ in 0..INVITED_TRIES {
+        match leadership::claim(&node.store, &my_record(node), seen).await {
+            Ok(claim) => {
+                answer(&invited, true);
+                return lead(node, claim, sent).await;
+            }
+            Err(e) => tracing::info!(event = "claim_failed", error = %e),
+        }
+        task::sleep(INVITED_PAUSE).await;
+    }
+    answer(&invited, false);
+}
+
+fn answer(invited: &Invited, leads: bool) {
+    if invited.answer.try_send(leads).is_err() {
+        tracing::debug!(event = "invitation_not_wanted");
+    }
+}
+
 /// Sends a heartbeat; tells whether the host called still leads.
 async fn heartbeat(node: &Node, addr: &str) -> Result<bool, PeerError> {
     let sent = clock::now();
@@ -105,10 +153,14 @@
         host: node.installation.host.clone(),
         store_age: node.store_age(),
         config_version: node.config_version(),
+        addr: node.peer_addr.clone(),
+        strength: node.strength,
+        running_for: node.running_for(),
     };
     match node.leader.heartbeat(addr, &beat).await? {
         HeartbeatAnswer::NotLeader => Ok(false),
-        HeartbeatAnswer::Leader { config_age, config, waiting } => {
+        HeartbeatAnswer::Leader { config_age, config, waiting, successor } => {
+            node.set_named(successor.as_ref() == Some(&node.installation.host));
             if let Some(config) = config {
                 node.set_config(config);
             }
@@ -158,24 +210,17 @@
 }
 
 async fn claim(node: &Arc<Node>, seen: Revision) {
-    let weak = WEAK_HOST_PAUSE_MS / node.installation.cpu_share.max(0.05) - WEAK_HOST_PAUSE_MS;
-    let pause = rand::random_range(0..CLAIM_SPREAD_MS) + weak.max(0.0) as u64;
-    task::sleep(Duration::from_millis(pause)).await;
+    if !node.is_named() {
+        let spread = rand::random_range(0..CLAIM_SPREAD_MS);
+        let pause = NAMED_FIRST.0 + succession::claim_pause(node.strength).0 + spread;
+        task::sleep(Duration::from_millis(pause)).await;
+    }
     if node.is_stopping() {
         return;
     }
     let sent = clock::now();
     match leadership::claim(&node.store, &my_record(node), seen).await {
-        Ok(claim) => {
-            tracing::info!(
-                event = "leadership_claimed",
-                term = claim.term,
-                token = claim.revision.0
-            );
-            leading::lead(node, claim, sent).await;
-            node.set_role(Role::Follower(None));
-            tracing::info!(event = "leadership_over", term = claim.term);
-        }
+        Ok(claim) => lead(node, claim, sent).await,
         Err(StoreError::Conflict) => tracing::debug!(event = "claim_too_late"),
         Err(e) => {
             tracing::info!(event = "claim_failed", error = %e);
@@ -184,6 +229,20 @@
     }
 }
 
+/// Leads under a fresh claim until that is over.
+async fn lead(node: &Arc<Node>, claim: Claim, sent: Instant) {
+    tracing::info!(
+        event = "leadership_claimed",
+        term = claim.term,
+        token = claim.revision.0,
+        strength = node.strength.0
+    );
+    node.set_named(false);
+    leading::lead(node, claim, sent).await;
+    node.set_role(Role::Follower(None));
+    tracing::info!(event = "leadership_over", term = claim.term);
+}
+
 /// Asks the store whether the claim at `revision` still stands.
 pub async fn confirm(node: &Node, standing: &Standing, revision: Revision) {
     let sent = clock::now();
--- a/crates/node/src/leading.rs
+++ b/crates/node/src/leading.rs
@@ -8,16 +8,18 @@
 use gaplock_jobs::{Job, JobKey};
 use gaplock_platform::directory;
 use gaplock_platform::store::{Change, Item, Listed, Revision, StoreError, Txn};
+use gaplock_policy::succession;
 use gaplock_remote::clock;
 use gaplock_sched::takeover::{self, Stored};
 use gaplock_sched::{Context, Event};
 use gaplock_types::ids;
-use gaplock_types::time::Instant;
+use gaplock_types::time::{Instant, Millis};
 
 use crate::engine::{self, Engine};
 use crate::leadership::{self, Claim, Right, Standing};
 use crate::ledger::{self, RosterEntry};
 use crate::node::{Node, Role};
+use crate::peers::Invitation;
 use crate::{following, keys};
 
 /// How long a watch waits for a change.
@@ -43,13 +45,32 @@
 /// Leads until the leadership is over.
 pub async fn lead(node: &Arc<Node>, claim: Claim, sent: Instant) {
     let standing = Standing::open(sent);
-    let keeper = task::spawn(keep(Arc::clone(node), Arc::clone(&standing), claim));
+    node.forget_followers();
+    let keeper = task::spawn(keep(Arc::clone(node), Arc::clone(&standing), claim, sent));
     let read = read_all(node, &standing).await;
     if let Some(read) = read {
         node.metrics.terms.inc();
         run(node, claim, &standing, read).await;
     }
     keeper.cancel().await;
+    hand_over(node, claim).await;
+}
+
+/// How many followers are invited at most before the claim is simply given back.
+const MOST_INVITED: usize = 3;
+
+/// Lets the best follower claim the leadership at once, or else gives the claim back.
+async fn hand_over(node: &Arc<Node>, claim: Claim) {
+    node.set_role(Role::Follower(None));
+    for candidate in node.successors().iter().take(MOST_INVITED) {
+        let invitation = Invitation { claim: claim.revision.0 };
+        let answered = node.leader.invite(&candidate.addr, invitation).await;
+        tracing::info!(event = "successor_invited", host = %candidate.host, term = claim.term,
+            leads = answered.as_ref().is_ok_and(|leads| *leads));
+        if answered == Ok(true) {
+            return;
+        }
+    }
     resign(node, claim).await;
 }
 
@@ -132,9 +153,9 @@
 }
 
 /// Renews the lease and makes sure of the claim, and reads the configuration along with it.
-async fn keep(node: Arc<Node>, standing: Arc<Standing>, claim: Claim) {
+async fn keep(node: Arc<Node>, standing: Arc<Standing>, claim: Claim, sent: Instant) {
     loop {
-        if node.is_stopping() {
+        if node.is_stopping() || makes_way(&node, sent) {
             standing.lose();
             return;
         }
@@ -153,6 +174,22 @@
     }
 }
 
+/// How long a process leads at least before it makes way, so that hosts do not take turns.
+const LEADS_AT_LEAST: Millis = Millis(3_000);
+
+/// Tells whether a much stronger host should lead instead of this one.
+fn makes_way(node: &Node, since: Instant) -> bool {
+    let successors = node.successors();
+    let best = successors.first();
+    let way = clock::now().since(since) >= LEADS_AT_LEAST
+        && succession::should_make_way(node.strength, best);
+    if let Some(best) = best.filter(|_| way) {
+        tracing::info!(event = "makes_way", host = %best.host, strength = best.strength.0,
+            own = node.strength.0);
+    }
+    way
+}
+
 /// Gives the claim back, so that another host need not wait for the lease's end.
 async fn resign(node: &Node, claim: Claim) {
     let txn = Txn {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -11,6 +11,7 @@
 use gaplock_jobs::config::Config;
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey};
+use gaplock_policy::succession;
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
 use jsonrpsee::core::client::ClientT;
@@ -52,6 +53,19 @@
     pub store_age: Millis,
     /// The version of the configuration that it has; 0 for none.
     pub config_version: u64,
+    /// Where it answers other hosts.
+    pub addr: String,
+    /// What it has for leading.
+    pub strength: succession::Strength,
+    /// How long its process has run.
+    pub running_for: Millis,
+}
+
+/// A leader's word to a follower that it may claim the leadership at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Invitation {
+    /// The store's revision of the claim that is to be replaced.
+    pub claim: u64,
 }
 
 /// How many jobs of a queue have not begun.
@@ -76,6 +90,8 @@
         config: Option<Config>,
         /// Queues with jobs that have not begun.
         waiting: Vec<QueueCount>,
+        /// The host that claims first if the leader is lost.
+        successor: Option<ids::EntryId>,
     },
 }
 
@@ -107,6 +123,7 @@
 const STORE_JOB: &str = "store_job";
 const STORE_CANCEL: &str = "store_cancel";
 const STATUS: &str = "status";
+const INVITE: &str = "invite";
 
 /// The connection to the leader, opened on first use and again after a fault.
 #[derive(Default)]
@@ -203,6 +220,26 @@
         self.call(addr, STORE_CANCEL, &key).await
     }
 
+    /// Invites a follower to claim the leadership; answers whether it holds it now.
+    ///
+    /// # Errors
+    /// As [`Leader::heartbeat`].
+    pub async fn invite(&self, addr: &str, invitation: Invitation) -> Result<bool, PeerError> {
+        self.call(addr, INVITE, &invitation).await
+    }
+
+    /// Waits until the open connection is lost; for ever, if there is none.
+    pub async fn lost(&self) {
+        let known = self.client.lock().expect("no holder of the lock panics").clone();
+        match known {
+            Some((addr, client)) => {
+                let why = client.on_disconnect().await;
+                tracing::debug!(event = "connection_lost", addr, error = %why);
+            }
+            None => future::pending::<()>().await,
+        }
+    }
+
     /// Asks for a job's state.
     ///
     /// # Errors
@@ -254,6 +291,11 @@
         crate::inbox::store_cancel_here(&node, key).await
     });
     add(module, STATUS, |node, key: JobKey| async move { node.status_here(key).await });
+    add(
+        module,
+        INVITE,
+        |node, invitation: Invitation| async move { node.invited(invitation).await },
+    );
 }
 
 fn add<Q, A, H, F>(module: &mut Module, name: &'static str, handler: H)
--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -5,6 +5,7 @@
 
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::site::{self, call, two_steps, Plan, Site, PREFIX};
+use rustix::process::Signal;
 
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
@@ -70,6 +71,21 @@
     assert!(site.twice().is_empty());
 }
 
+#[test]
+fn a_leader_that_stops_hands_over_to_a_follower() {
+    let mut site = open_site(3, 4, Duration::from_millis(300));
+    let first = site.leader().expect("there is a leader");
+    // A follower is known to the leader from its first heartbeat on.
+    std::thread::sleep(Duration::from_millis(1_000));
+    site.hosts[first].signal(Signal::TERM);
+    wait_for("another leader", || site.leader().is_some_and(|leader| leader != first));
+    assert_eq!(site.claims_lost(), 0, "nobody led for a while");
+    let other = (first + 1) % 3;
+    assert_eq!(submit(&site, other, 1), Some(200));
+    wait_for("completion", || shows(&site, other, 1, "completed"));
+    assert!(site.twice().is_empty());
+}
+
 #[test]
 fn a_job_is_refused_at_once_while_the_store_is_away() {
     let site = open_site(2, 2, Duration::from_millis(300));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod placement;
 pub mod retry;
 pub mod route;
+pub mod succession;
 pub mod tail;
--- /dev/null
+++ b/crates/policy/src/succession.rs
@@ -0,0 +1,88 @@
+//! Which host leads next, and when a leader makes way for a stronger one.
+//!
+//! The hosts of one installation may differ by four times in processor time and twenty in link. A
+//! weak leader is slow to read the store and misses its renewals, so the strongest goes first. Among
+//! equals the process that started last does: a rolling restart reaches each host once, so that one
+//! is the least likely to be stopped next. `docs/PLATFORM.md` tells how the choice is carried out.
+
+use std::cmp::Reverse;
+
+use gaplock_types::ids;
+use gaplock_types::time::{Instant, Millis};
+
+/// How much of what leading takes a host has, in parts per thousand; more than enough counts as
+/// enough.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+pub struct Strength(pub u16);
+
+/// The strength of a host that has all that leading takes.
+pub const ENOUGH: Strength = Strength(1_000);
+
+/// The processor share that is enough: twice the most that a leader used at 600 starts a second
+/// (`docs/CAPACITY.md`), since starts come in bursts.
+const ENOUGH_CPU: f64 = 0.5;
+
+/// The link that is enough, in Mbit/s: some 2 MB of jobs and progress are read within 0.2 s at a
+/// change of leader.
+const ENOUGH_LINK_MBPS: f64 = 100.0;
+
+/// Works out a host's strength from its share of a core and its link.
+pub fn strength(cpu_share: f64, link_mbps: f64) -> Strength {
+    let least = (cpu_share / ENOUGH_CPU).min(link_mbps / ENOUGH_LINK_MBPS);
+    Strength((least.clamp(0.0, 1.0) * f64::from(ENOUGH.0)) as u16)
+}
+
+/// A follower, as the leader knows it from its last heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The host.
+    pub host: ids::EntryId,
+    /// Where it answers other hosts.
+    pub addr: String,
+    /// What it has for leading.
+    pub strength: Strength,
+    /// How long its process had run by then.
+    pub running_for: Millis,
+    /// How long ago the store had answered it by then.
+    pub store_age: Millis,
+    /// When the heartbeat came.
+    pub heard: Instant,
+}
+
+/// How old a heartbeat may be; followers send one every 0.4 s.
+const HEARD_WITHIN: Millis = Millis(1_300);
+
+/// How long ago the store may have answered a candidate; followers ask it every second.
+const STORE_WITHIN: Millis = Millis(1_500);
+
+/// Orders the followers that could lead now, the best one first.
+pub fn order<'a>(
+    candidates: impl Iterator<Item = &'a Candidate>,
+    now: Instant,
+) -> Vec<&'a Candidate> {
+    let able = |c: &&Candidate| now.since(c.heard) <= HEARD_WITHIN && c.store_age <= STORE_WITHIN;
+    let mut found: Vec<&Candidate> = candidates.filter(able).collect();
+    found.sort_by_key(|c| (Reverse(c.strength), c.running_for, c.host.clone()));
+    found
+}
+
+/// How much stronger another host must be before a leader makes way for it: a change of leader
+/// stops new starts for some 0.2 s.
+const MUCH_STRONGER: u16 = 300;
+
+/// Tells whether a leader should hand over to its best follower.
+pub fn should_make_way(own: Strength, best: Option<&Candidate>) -> bool {
+    best.is_some_and(|c| c.strength.0 >= own.0 + MUCH_STRONGER)
+}
+
+/// The pause of the weakest host before it claims where nobody leads: longer than a strong host
+/// needs for its claim, which is two calls to the store.
+const WEAKEST_PAUSE: Millis = Millis(250);
+
+/// The pause before a host claims where nobody was named to lead next.
+pub fn claim_pause(own: Strength) -> Millis {
+    let missing = u64::from(ENOUGH.0.saturating_sub(own.0));
+    Millis(WEAKEST_PAUSE.0 * missing / u64::from(ENOUGH.0))
+}
--- /dev/null
+++ b/crates/policy/tests/succession.rs
@@ -0,0 +1,65 @@
+//! Which host leads next.
+
+use gaplock_policy::succession::{self, Candidate, Strength};
+use gaplock_types::ids;
+use gaplock_types::time::{Instant, Millis};
+
+const NOW: Instant = Instant(100_000);
+
+fn candidate(host: &str, strength: u16, running_for: u64) -> Candidate {
+    Candidate {
+        host: ids::EntryId(host.to_string()),
+        addr: format!("{host}:1"),
+        strength: Strength(strength),
+        running_for: Millis(running_for),
+        store_age: Millis(100),
+        heard: Instant(NOW.0 - 100),
+    }
+}
+
+fn names(candidates: &[Candidate]) -> Vec<String> {
+    let order = succession::order(candidates.iter(), NOW);
+    order.iter().map(|c| c.host.to_string()).collect()
+}
+
+#[test]
+fn the_weaker_of_processor_and_link_decides() {
+    assert_eq!(succession::strength(0.5, 200.0), succession::ENOUGH);
+    assert_eq!(succession::strength(0.25, 1_000.0), Strength(500));
+    assert_eq!(succession::strength(0.5, 10.0), Strength(100));
+    assert!(succession::strength(0.12, 10.0) < succession::strength(0.12, 200.0));
+}
+
+#[test]
+fn the_strongest_leads_next_and_among_equals_the_latest_started() {
+    let all = [
+        candidate("weak-and-new", 100, 1_000),
+        candidate("old", 1_000, 60_000),
+        candidate("restarted", 1_000, 5_000),
+    ];
+    assert_eq!(names(&all), ["restarted", "old", "weak-and-new"]);
+}
+
+#[test]
+fn a_silent_host_and_one_without_the_store_cannot_lead() {
+    let mut silent = candidate("silent", 1_000, 1_000);
+    silent.heard = Instant(NOW.0 - 3_000);
+    let mut cut = candidate("cut", 1_000, 1_000);
+    cut.store_age = Millis(5_000);
+    assert_eq!(names(&[silent, cut, candidate("able", 100, 1_000)]), ["able"]);
+}
+
+#[test]
+fn a_leader_makes_way_only_for_a_much_stronger_host() {
+    let strong = candidate("strong", 1_000, 1_000);
+    let way = |own| succession::should_make_way(Strength(own), Some(&strong));
+    assert!(way(100));
+    assert!(!way(900));
+    assert!(!succession::should_make_way(Strength(100), None));
+}
+
+#[test]
+fn the_weaker_a_host_the_later_it_claims() {
+    assert_eq!(succession::claim_pause(succession::ENOUGH), Millis(0));
+    assert!(succession::claim_pause(Strength(100)) > succession::claim_pause(Strength(500)));
+}
