--- a/crates/node/src/leading.rs
+++ b/crates/node/src/leading.rs
@@ -246,10 +246,12 @@
     mut known: BTreeSet<ids::WorkerId>,
 ) {
     let mut from = from;
+    let mut away = false;
     loop {
         match node.store.watch(directory::PREFIX, from, WATCH_WAIT).await {
             Ok(watched) => {
                 node.store_answered();
+                back(&engine, &mut away);
                 from = watched.revision;
                 for change in &watched.changes {
                     if let Some(event) = directory_event(change, &mut known) {
@@ -260,21 +262,34 @@
             }
             Err(StoreError::Gone) => match node.store.list(directory::PREFIX).await {
                 Ok(listed) => {
+                    back(&engine, &mut away);
                     from = listed.revision;
                     directory_events(&listed.items, &mut known)
                         .into_iter()
                         .for_each(|event| engine.send(event));
                 }
-                Err(_) => task::sleep(STORE_PAUSE).await,
+                Err(e) => {
+                    tracing::debug!(event = "store_silent", error = %e);
+                    away = true;
+                    task::sleep(STORE_PAUSE).await;
+                }
             },
             Err(e) => {
                 tracing::debug!(event = "watch_cut", error = %e);
+                away = true;
                 task::sleep(STORE_PAUSE).await;
             }
         }
     }
 }
 
+/// Tells the engine, once, that the directory can be read again.
+fn back(engine: &Engine, away: &mut bool) {
+    if std::mem::take(away) {
+        engine.send(Event::DirectoryBack);
+    }
+}
+
 fn directory_event(change: &Change, known: &mut BTreeSet<ids::WorkerId>) -> Option<Event> {
     match change {
         Change::Removed(key) => {
--- a/crates/sched/src/account.rs
+++ b/crates/sched/src/account.rs
@@ -44,7 +44,7 @@
 }
 
 /// The percentage at which a lasting task is at work.
-const AT_WORK_PERCENT: u32 = 100;
+pub const AT_WORK_PERCENT: u32 = 100;
 
 /// Decides about a run that this leader did not start, or has given up: kept if the task is free,
 /// stopped otherwise.
--- /dev/null
+++ b/crates/sched/src/availability.rs
@@ -0,0 +1,27 @@
+//! How many tasks of a lasting step may be away at one time through our own orders.
+
+use gaplock_jobs::TaskKey;
+
+use crate::account::AT_WORK_PERCENT;
+use crate::context::Context;
+use crate::table::{Task, TaskState};
+use crate::worker::Phase;
+
+/// Tells whether a task may be stopped without more of its step being away than its caller allows.
+/// A step that names no bound sets none.
+pub fn may_take(cx: &Context, key: TaskKey) -> bool {
+    let Some(most) = cx.step(key).and_then(|step| step.may_miss) else { return true };
+    let Some(round) = cx.jobs.get(&key.job).and_then(|e| e.round(key.round)) else { return true };
+    let Some(step) = round.steps.get(usize::from(key.step)) else { return true };
+    let others = step.tasks.iter().enumerate().filter(|(index, _)| *index as u32 != key.index);
+    let away = others
+        .filter(|(index, task)| !is_at_work(cx, TaskKey { index: *index as u32, ..key }, task));
+    (away.count() as u32) < most
+}
+
+/// Tells whether a task is known to be at work.
+fn is_at_work(cx: &Context, key: TaskKey, task: &Task) -> bool {
+    let TaskState::Active { worker, run } = task.state else { return false };
+    let slot = cx.worker(worker).slots.get(&key).filter(|slot| slot.run == run);
+    slot.is_some_and(|s| s.phase == Phase::Running && s.percent >= AT_WORK_PERCENT)
+}
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -70,6 +70,8 @@
     pub actions: Vec<Action>,
     /// Set when a dispatch pass could find something to start.
     pub pass_wanted: bool,
+    /// When the directory could be read again after the last outage, or was first read.
+    pub directory_back: Instant,
     /// When what was learnt was last stored.
     pub learnt_kept: Instant,
     last_pass: Instant,
@@ -95,6 +97,7 @@
             permits: Permits::default(),
             actions: Vec::new(),
             pass_wanted: false,
+            directory_back: now,
             learnt_kept: now,
             last_pass: Instant(0),
             last_housekeeping: Instant(0),
@@ -113,6 +116,7 @@
             Event::Cancel(key) => intake::cancel(self, key),
             Event::Listed(info) => intake::listed(self, info),
             Event::Unlisted(id) => intake::unlisted(self, &id),
+            Event::DirectoryBack => self.directory_back = now,
             Event::Renewed { worker, sent, outcome } => {
                 renewals::renewed(self, worker, sent, outcome);
             }
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -158,8 +158,12 @@
 /// given up here; see [`crate::leases::check`].
 pub fn unlisted(cx: &mut Context, id: &ids::WorkerId) {
     let Some(&ix) = cx.by_id.get(id) else { return };
+    let since = cx.now;
     let worker = cx.worker_mut(ix);
-    worker.listing = Listing::Absent;
+    if worker.is_absent() {
+        return;
+    }
+    worker.listing = Listing::Absent { since };
     trace::worker_listed(&worker.info, worker.listing);
 }
 
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -8,7 +8,6 @@
 
 use crate::context::Context;
 use crate::message::{Record, Run, WorkerClock, WorkerIx};
-use crate::worker::Listing;
 use crate::{commits, lifecycle, takeover, trace};
 
 /// Gives up the runs of silent workers whose leases are certainly over, and workers that are
@@ -25,7 +24,7 @@
         if unsurveyed {
             continue;
         }
-        let absent = worker.listing == Listing::Absent;
+        let absent = worker.is_absent();
         free_all(cx, ix, "its lease is over");
         if absent {
             trace::worker_gone(&cx.worker(ix).info.id, "silent, unlisted and its leases over");
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -6,6 +6,7 @@
 //! learns what runs from the workers themselves.
 
 pub mod account;
+pub mod availability;
 pub mod commits;
 pub mod context;
 pub mod dispatch;
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -170,6 +170,8 @@
     Listed(WorkerInfo),
     /// The directory no longer lists a worker.
     Unlisted(ids::WorkerId),
+    /// The directory can be read again after it could not be; entries may have lapsed meanwhile.
+    DirectoryBack,
     /// A renewal was answered or not.
     Renewed {
         /// The worker.
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -49,7 +49,7 @@
     let Stored { jobs, mut progress, cancelled, roster, learnt } = stored;
     cx.pacing.restore(&learnt);
     for info in &roster {
-        let ix = intake::known_or_new(cx, info, Listing::Absent);
+        let ix = intake::known_or_new(cx, info, Listing::Absent { since: cx.now });
         cx.worker_mut(ix).in_roster = true;
     }
     let waiting: FxHashSet<WorkerIx> = cx.worker_ixs().into_iter().collect();
@@ -152,7 +152,7 @@
     let silent: Vec<WorkerIx> = survey.waiting.iter().copied().collect();
     cx.survey = None;
     for ix in silent {
-        if cx.worker(ix).listing == Listing::Absent {
+        if cx.worker(ix).is_absent() {
             leases::give_up(cx, ix);
         }
     }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -82,8 +82,12 @@
         /// How long it stays at least.
         remaining: Millis,
     },
-    /// It is not listed.
-    Absent,
+    /// It is not listed since this time. It may be about to end without having said so, may have
+    /// lost its way to the directory, or may be dead.
+    Absent {
+        /// When the leader first saw it missing.
+        since: Instant,
+    },
 }
 
 /// The state of the renewal call to a worker.
@@ -218,6 +222,11 @@
         Some(slot)
     }
 
+    /// Tells whether the directory does not list the worker.
+    pub fn is_absent(&self) -> bool {
+        matches!(self.listing, Listing::Absent { .. })
+    }
+
     /// Tells whether a serving task's last reading here was over its target.
     pub fn has_excess(&self) -> bool {
         self.slots.values().any(|slot| slot.over_since.is_some())
--- a/crates/sched/tests/world/mod.rs
+++ b/crates/sched/tests/world/mod.rs
@@ -167,6 +167,17 @@
         self.event(Event::Unlisted(id));
     }
 
+    /// Lists a worker again as it was.
+    pub fn list_again(&mut self, worker: usize) {
+        let info = self.workers[worker].info.clone();
+        self.event(Event::Listed(info));
+    }
+
+    /// Says that the directory can be read again after an outage.
+    pub fn directory_back(&mut self) {
+        self.event(Event::DirectoryBack);
+    }
+
     /// Lists a worker as draining.
     pub fn drain(&mut self, worker: usize, remaining: u64) {
         let info = &mut self.workers[worker].info;
