Slow workers are avoided and their tasks started again elsewhere

Ruled out: callers' estimates as the yardstick (off by up to 90 %); processor use (a slow worker uses as much).

Change: speed.rs keeps rates by step and a relative speed by worker; placement leaves slow workers out for the first second of a wait; stragglers.rs stops tasks that would be done sooner elsewhere, or starts a copy where the step allows copies. Nothing is learnt of disturbance on a slow worker, where tails are long whatever fills.

Tests: fleet/slow_workers.rs, four; three fail with the check taken out. The virtual-time tests are one program now (tests/fleet).

--- a/crates/sched/src/account.rs
+++ b/crates/sched/src/account.rs
@@ -8,7 +8,7 @@
 use crate::message::{Account, Action, Run, RunningTask, WorkerIx};
 use crate::table::TaskState;
 use crate::worker::{Phase, Slot};
-use crate::{ends, lifecycle, trace};
+use crate::{ends, lifecycle, speed, trace};
 
 /// Takes in the account that answers a renewal which was sent at `sent`.
 pub fn take_in(cx: &mut Context, ix: WorkerIx, sent: Instant, account: &Account) {
@@ -34,6 +34,7 @@
     }
     slot.percent = row.percent;
     slot.reading = row.reading;
+    speed::observe(cx, ix, row.task);
     let Some(task) = cx.task_mut(row.task) else { return };
     if row.checkpoint.is_some() {
         task.checkpoint.clone_from(&row.checkpoint);
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -13,10 +13,10 @@
 use crate::pacing::{self, Pacing};
 use crate::permits::{self, Permits};
 use crate::settings::Settings;
-use crate::table::{Entry, ReadyStep, Task};
+use crate::table::{Entry, ReadyStep, StepState, Task};
 use crate::takeover::{self, Survey};
 use crate::worker::Worker;
-use crate::{dispatch, drain, intake, leases, orders, renewals};
+use crate::{dispatch, drain, intake, leases, orders, renewals, stragglers};
 
 /// A leadership: its rising number and the token that fences every earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -148,6 +148,7 @@
             orders::check(self);
             drain::check(self);
             pacing::check(self);
+            stragglers::check(self);
             pacing::keep_learnt(self);
             intake::forget_finished(self);
             self.pass_wanted |= !self.ready.is_empty();
@@ -190,6 +191,18 @@
         self.jobs.get(&key.job)?.step(key)
     }
 
+    /// Finds the state of a task's step.
+    pub fn step_state(&self, key: TaskKey) -> Option<&StepState> {
+        let round = self.jobs.get(&key.job)?.round(key.round)?;
+        round.steps.get(usize::from(key.step))
+    }
+
+    /// Finds the state of a task's step.
+    pub fn step_state_mut(&mut self, key: TaskKey) -> Option<&mut StepState> {
+        let round = self.jobs.get_mut(&key.job)?.round_mut(key.round)?;
+        round.steps.get_mut(usize::from(key.step))
+    }
+
     /// Returns a worker.
     pub fn worker_mut(&mut self, ix: WorkerIx) -> &mut Worker {
         &mut self.workers[ix.0 as usize]
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -7,7 +7,7 @@
 use crate::context::Context;
 use crate::message::{End, How, Run, WorkerIx};
 use crate::table::TaskState;
-use crate::{commits, lifecycle, trace};
+use crate::{commits, lifecycle, speed, trace};
 
 /// Takes in the ends of a worker that are new.
 pub fn take_in(cx: &mut Context, ix: WorkerIx, ends: &[End]) {
@@ -23,7 +23,10 @@
 /// Frees the room of a run that ended, and decides what becomes of its task.
 fn take_in_end(cx: &mut Context, ix: WorkerIx, end: &End) {
     let was_active = lifecycle::is_active(cx, end.task, ix, end.run);
-    lifecycle::vacate(cx, ix, end.task, end.run);
+    let slot = lifecycle::vacate(cx, ix, end.task, end.run);
+    if let Some(slot) = slot.filter(|_| end.how == How::Done) {
+        speed::observe_end(cx, ix, end.task, &slot);
+    }
     trace::run_ended(end, &cx.worker(ix).info.id, was_active);
     let Some(entry) = cx.jobs.get_mut(&end.task.job) else { return };
     let live = !entry.state.is_final();
@@ -61,7 +64,7 @@
     }
     let gang = step.gang;
     let members = if gang { step.count } else { 0 };
-    stop_other_run(cx, ix, key, run);
+    stop_other_runs(cx, ix, key, run);
     lifecycle::finish_task(cx, key);
     // A gang's members end together, and one such end counts for all of them.
     for index in 0..members {
@@ -69,10 +72,14 @@
     }
 }
 
-/// Stops a run of the task that goes on elsewhere.
-fn stop_other_run(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
-    let state = cx.task(key).map(|t| t.state);
-    if let Some(TaskState::Active { worker, run: other }) = state {
+/// Stops other runs of the task that go on elsewhere.
+fn stop_other_runs(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
+    let Some(task) = cx.task(key) else { return };
+    let active = match task.state {
+        TaskState::Active { worker, run } => Some((worker, run)),
+        _ => None,
+    };
+    for (worker, other) in [active, task.slow_run].into_iter().flatten() {
         if (worker, other) != (ix, run) {
             lifecycle::order_stop(cx, worker, key, other, "done elsewhere");
         }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -22,6 +22,8 @@
 pub mod placement;
 pub mod renewals;
 pub mod settings;
+pub mod speed;
+pub mod stragglers;
 pub mod table;
 pub mod takeover;
 pub mod trace;
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -100,6 +100,7 @@
         pacing: false,
         percent: occupant.percent,
         reading: occupant.reading,
+        mark: None,
         over_since: None,
         slowed: None,
     }
@@ -109,6 +110,9 @@
 pub fn vacate(cx: &mut Context, worker: WorkerIx, key: TaskKey, run: Run) -> Option<Slot> {
     cx.pass_wanted = true;
     let slot = cx.worker_mut(worker).vacate(key, run)?;
+    if let Some(task) = cx.task_mut(key).filter(|t| t.slow_run == Some((worker, run))) {
+        task.slow_run = None;
+    }
     if matches!(slot.part, Part::Filling(_)) {
         let now = cx.now;
         cx.worker_mut(worker).filling_ended = now;
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -11,6 +11,7 @@
 use crate::context::Context;
 use crate::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
 use crate::permits::StepKey;
+use crate::speed::Mark;
 use crate::worker::Phase;
 use crate::{leases, lifecycle, pacing, permits, trace};
 
@@ -24,6 +25,7 @@
 ) {
     let now = cx.now;
     trace::start_answered(key, run, &cx.worker(ix).info.id, &outcome);
+    let resumes = cx.task(key).is_some_and(|t| t.checkpoint.is_some());
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
     if slot.run != run || !matches!(slot.phase, Phase::Starting | Phase::Uncertain) {
         return;
@@ -32,6 +34,9 @@
         Outcome::Done(clock) => {
             slot.phase = Phase::Running;
             slot.confirmed = Some(now);
+            if !resumes {
+                slot.mark = Some(Mark { at: now, percent: 0 });
+            }
             cx.worker_mut(ix).read_clock(now, clock);
             pacing::set_paces(cx, ix);
         }
--- a/crates/sched/src/pacing/moving.rs
+++ b/crates/sched/src/pacing/moving.rs
@@ -34,17 +34,8 @@
     }
 }
 
-/// Tells whether a task that can resume elsewhere would find a worker at once that is not this one.
+/// Tells whether a task that can resume elsewhere would find another worker at once.
 fn has_better_place(cx: &Context, here: WorkerIx, key: TaskKey) -> bool {
-    let Some(entry) = cx.jobs.get(&key.job) else { return false };
-    let Some(step) = entry.step(key) else { return false };
-    if step.gang || !step.checkpoints {
-        return false;
-    }
-    let queue = cx.config.as_ref().and_then(|c| c.queue(&entry.job.queue));
-    let Some(service) = queue.map(|q| &q.service) else { return false };
-    let advice = queue.and_then(|q| q.advice.as_ref());
-    let (avoid, waited) = (Some(here), Millis(0));
-    let wanted = placement::Wanted { service, step, task: key, avoid, waited, advice };
-    placement::choose(cx, &wanted).is_some_and(|ix| ix != here)
+    let can_resume = cx.step(key).is_some_and(|step| !step.gang && step.checkpoints);
+    can_resume && placement::elsewhere(cx, here, key).is_some()
 }
--- a/crates/sched/src/pacing/paces.rs
+++ b/crates/sched/src/pacing/paces.rs
@@ -165,6 +165,7 @@
     slot.pacing = false;
     if applied {
         slot.pace = percent;
+        slot.mark = None;
     }
     placing::refresh(cx, ix);
 }
--- a/crates/sched/src/pacing/readings.rs
+++ b/crates/sched/src/pacing/readings.rs
@@ -11,11 +11,12 @@
 use crate::worker::Part;
 
 /// Takes in readings. All tasks of a lasting job carry the same load, which swings within seconds,
-/// so how far readings lie above the model is remembered by job and not by task.
+/// so how far readings lie above the model is remembered by job and not by task. On a slow worker
+/// tails are long whatever fills beside them, so nothing is learnt there.
 pub(super) fn learn(cx: &mut Context, ix: WorkerIx) {
     let now = cx.now;
     let worker = cx.worker(ix);
-    if now.since(worker.filling_ended) < SETTLE {
+    if now.since(worker.filling_ended) < SETTLE || worker.speed.is_slow(now) {
         return;
     }
     let cores = f64::from(worker.info.capacity.cpu.0.max(1));
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -45,6 +45,8 @@
     NotTaking,
     /// It has no room.
     Full,
+    /// Its tasks come along much slower than elsewhere.
+    Slow,
     /// It has room, but that is kept for tasks that end soon.
     Reserved,
     /// It lacks the label.
@@ -64,6 +66,8 @@
     pub not_taking: u32,
     /// Workers without room.
     pub full: u32,
+    /// Slow workers.
+    pub slow: u32,
     /// Workers whose room is reserved.
     pub reserved: u32,
     /// Workers without the label.
@@ -93,6 +97,7 @@
             Unfit::OtherPool => continue,
             Unfit::NotTaking => counts.not_taking += 1,
             Unfit::Full => counts.full += 1,
+            Unfit::Slow => counts.slow += 1,
             Unfit::Reserved => counts.reserved += 1,
             Unfit::Label => counts.label += 1,
             Unfit::Spread => counts.spread += 1,
@@ -121,6 +126,16 @@
     best.map(|(_, ix)| ix)
 }
 
+/// Finds a worker that is not `here` on which a task that runs there could start at once.
+pub fn elsewhere(cx: &Context, here: WorkerIx, key: TaskKey) -> Option<WorkerIx> {
+    let entry = cx.jobs.get(&key.job)?;
+    let step = entry.step(key)?;
+    let queue = cx.config.as_ref()?.queue(&entry.job.queue)?;
+    let (service, advice) = (&queue.service, queue.advice.as_ref());
+    let (avoid, waited) = (Some(here), Millis(0));
+    choose(cx, &Wanted { service, step, task: key, avoid, waited, advice }).filter(|ix| *ix != here)
+}
+
 /// Checks whether a worker may and can run the task.
 fn fits(cx: &Context, ix: WorkerIx, wanted: &Wanted<'_>, takes: &Resources) -> Result<(), Unfit> {
     let worker = cx.worker(ix);
@@ -135,6 +150,9 @@
         return Err(Unfit::Full);
     }
     let step = wanted.step;
+    if !step.lasting && wanted.waited < SLOW_AVOIDED_FOR && worker.speed.is_slow(cx.now) {
+        return Err(Unfit::Slow);
+    }
     if !permits::allows(cx, wanted.advice, StepKey::of(wanted.task), ix) {
         return Err(Unfit::NotPermitted);
     }
@@ -154,6 +172,12 @@
     Ok(())
 }
 
+/// How long a task waits for a worker that is not slow: about what a short task loses on a slow one.
+const SLOW_AVOIDED_FOR: Millis = Millis(1_000);
+
+/// Cost of a slow worker, against one whole worker of free room.
+const SLOW_COST: f64 = 6.0;
+
 /// The processor room, in thousandths of a core, that a lasting task at first leaves on its worker
 /// for tasks that end soon: they are worth several times as much for each core and second. It is
 /// somewhat more than the mean short task of the users' sites asks for.
@@ -182,6 +206,9 @@
     if wanted.avoid == Some(ix) {
         score -= FAILED_HERE_COST;
     }
+    if worker.speed.is_slow(cx.now) {
+        score -= SLOW_COST;
+    }
     let disturbed = pacing::placement_cost(cx, worker, wanted.step, wanted.waited)?;
     Some(score - disturbed)
 }
--- /dev/null
+++ b/crates/sched/src/speed.rs
@@ -0,0 +1,191 @@
+//! How fast workers are, judged by their tasks' progress against other tasks of the same step.
+//!
+//! Tasks of one step take about the same time, and callers' estimates are too rough to tell a slow
+//! worker from a long task. So each run's progress a second is held against the median of its
+//! step; a worker whose runs fall far behind is slow for a while, whatever its health says.
+
+use gaplock_jobs::TaskKey;
+use gaplock_types::time::{Instant, Millis};
+
+use crate::context::Context;
+use crate::message::WorkerIx;
+use crate::pacing::FULL_PACE;
+use crate::worker::{Part, Phase, Slot};
+
+/// A run's progress at one time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Mark {
+    /// When it was read.
+    pub at: Instant,
+    /// The progress in percent.
+    pub percent: u32,
+}
+
+/// How many tasks' rates are kept of a step; more would not move the median by much.
+const RATES_KEPT: usize = 15;
+
+/// From how many tasks on the median says something: with fewer, one slow worker decides it.
+const RATES_LEAST: usize = 4;
+
+/// The latest rates of some tasks of a step, in percent a second at full pace.
+#[derive(Debug, Clone, Default)]
+pub struct StepRates {
+    latest: Vec<(u32, f64)>,
+    next: usize,
+}
+
+impl StepRates {
+    /// Takes in a task's rate.
+    pub fn note(&mut self, index: u32, rate: f64) {
+        if let Some((_, known)) = self.latest.iter_mut().find(|(of, _)| *of == index) {
+            *known = rate;
+        } else if self.latest.len() < RATES_KEPT {
+            self.latest.push((index, rate));
+        } else {
+            self.latest[self.next] = (index, rate);
+            self.next = (self.next + 1) % RATES_KEPT;
+        }
+    }
+
+    /// Returns the median rate, once enough tasks are known.
+    pub fn typical(&self) -> Option<f64> {
+        if self.latest.len() < RATES_LEAST {
+            return None;
+        }
+        let mut rates: Vec<f64> = self.latest.iter().map(|(_, rate)| *rate).collect();
+        let middle = rates.len() / 2;
+        let (_, median, _) = rates.select_nth_unstable_by(middle, f64::total_cmp);
+        Some(*median).filter(|rate| *rate > 0.0)
+    }
+}
+
+/// How fast a worker is against others.
+#[derive(Debug, Clone, Copy)]
+pub struct Speed {
+    relative: f64,
+    at: Instant,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self { relative: 1.0, at: Instant(0) }
+    }
+}
+
+/// How much of one reading enters a worker's speed: two slow runs in a row show a slow worker.
+const SPEED_GAIN: f64 = 0.5;
+
+/// The relative speed below which a worker is slow. On the users' sites healthy runs lie between
+/// 0.6 and 1.5 of their step's median, those on slow workers between 0.1 and 0.3.
+const SLOW_BELOW: f64 = 0.55;
+
+/// How long a worker's speed is believed without a new reading.
+const BELIEVED_FOR: Millis = Millis(3_000);
+
+impl Speed {
+    /// Takes in how fast a run on the worker was against its step.
+    pub fn note(&mut self, now: Instant, relative: f64) {
+        let known = self.relative(now);
+        self.relative = known + SPEED_GAIN * (relative.min(1.0) - known);
+        self.at = now;
+    }
+
+    /// Returns the worker's speed; 1 where nothing is known.
+    pub fn relative(&self, now: Instant) -> f64 {
+        if now.since(self.at) > BELIEVED_FOR {
+            return 1.0;
+        }
+        self.relative
+    }
+
+    /// Tells whether the worker is much slower than others.
+    pub fn is_slow(&self, now: Instant) -> bool {
+        self.relative(now) < SLOW_BELOW
+    }
+}
+
+/// The shortest time over which a rate is read.
+const READ_OVER: Millis = Millis(300);
+
+/// The least progress over which a rate is read, in percent, since progress comes in whole percent;
+/// or the time in which a run of its step would usually make it.
+const READ_PERCENT: u32 = 8;
+
+/// The pace below which a filling task's progress says nothing of its worker, in percent.
+const READ_PACE_LEAST: u32 = 50;
+
+/// The share of its processor demand that a filling task must get for its progress to say
+/// something of its worker.
+const READ_USE_LEAST: f64 = 0.8;
+
+/// Takes in a run's progress from its worker's account.
+pub fn observe(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+    let now = cx.now;
+    let typical = cx.step_state(key).and_then(|step| step.rates.typical());
+    let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
+    let Some(rate) = read_rate(slot, now, typical) else { return };
+    note(cx, ix, key, rate, typical);
+}
+
+/// Takes in that a run has done its work.
+pub fn observe_end(cx: &mut Context, ix: WorkerIx, key: TaskKey, slot: &Slot) {
+    let Some(mark) = slot.mark else { return };
+    let span = cx.now.since(mark.at);
+    let left = WHOLE_PERCENT.saturating_sub(mark.percent);
+    if span < READ_OVER || left < READ_PERCENT || !tells_of_worker(slot) {
+        return;
+    }
+    let typical = cx.step_state(key).and_then(|step| step.rates.typical());
+    note(cx, ix, key, rate(slot, left, span), typical);
+}
+
+/// Keeps a run's rate for its step, and holds its worker against the other tasks' rates.
+fn note(cx: &mut Context, ix: WorkerIx, key: TaskKey, rate: f64, typical: Option<f64>) {
+    let now = cx.now;
+    if let Some(step) = cx.step_state_mut(key) {
+        step.rates.note(key.index, rate);
+    }
+    if let Some(typical) = typical {
+        cx.worker_mut(ix).speed.note(now, rate / typical);
+    }
+}
+
+/// The progress of a run that has done its work, in percent.
+const WHOLE_PERCENT: u32 = 100;
+
+/// Returns the rate at full pace, in percent a second, of a run that gained this much.
+fn rate(slot: &Slot, gained: u32, span: Millis) -> f64 {
+    let pace = f64::from(slot.pace) / f64::from(FULL_PACE);
+    f64::from(gained) * 1_000.0 / span.0 as f64 / pace
+}
+
+/// Reads a run's rate since its last mark, and sets the next mark.
+fn read_rate(slot: &mut Slot, now: Instant, typical: Option<f64>) -> Option<f64> {
+    if slot.phase != Phase::Running || matches!(slot.part, Part::Serving { .. }) {
+        return None;
+    }
+    let next = Mark { at: now, percent: slot.percent };
+    let Some(mark) = slot.mark else {
+        slot.mark = Some(next);
+        return None;
+    };
+    let span = now.since(mark.at);
+    let gained = slot.percent.saturating_sub(mark.percent);
+    let expected = typical.map_or(0.0, |rate| rate * span.0 as f64 / 1_000.0);
+    let enough = gained >= READ_PERCENT || expected >= f64::from(READ_PERCENT);
+    if span < READ_OVER || !enough {
+        return None;
+    }
+    slot.mark = Some(next);
+    tells_of_worker(slot).then(|| rate(slot, gained, span))
+}
+
+/// Tells whether nothing but its worker can hold a run up.
+fn tells_of_worker(slot: &Slot) -> bool {
+    if slot.wants_cpu == 0 {
+        return true;
+    }
+    let wanted = f64::from(slot.wants_cpu) * f64::from(slot.pace) / f64::from(FULL_PACE);
+    let used = f64::from(slot.reading.unwrap_or(0));
+    slot.pace >= READ_PACE_LEAST && !slot.pacing && used >= wanted * READ_USE_LEAST
+}
--- /dev/null
+++ b/crates/sched/src/stragglers.rs
@@ -0,0 +1,79 @@
+//! Tasks on slow workers: started again elsewhere where they would be done sooner there.
+//!
+//! Where the step allows copies, the slow run goes on and whichever ends first counts. Elsewhere it
+//! is stopped first, since two runs of one task must never overlap.
+
+use gaplock_jobs::{Step, TaskKey};
+use gaplock_types::time::Millis;
+
+use crate::context::Context;
+use crate::message::{Run, WorkerIx};
+use crate::table::TaskState;
+use crate::worker::{Part, Phase, Slot};
+use crate::{lifecycle, placement, trace};
+
+/// What a copy costs in time besides its work: the order and the wait for its end to be seen.
+const COPY_TAKES: Millis = Millis(100);
+
+/// What a restart costs in time besides its work and the stop: orders, and loading a checkpoint.
+const RESTART_TAKES: Millis = Millis(400);
+
+/// How much sooner a task must be done elsewhere, as a factor on the time that it takes there:
+/// readings are rough, and what was done here is thrown away.
+const WORTH_IT: f64 = 1.3;
+
+/// Starts tasks again elsewhere that would take much longer on their slow worker.
+pub fn check(cx: &mut Context) {
+    for ix in cx.worker_ixs() {
+        let worker = cx.worker(ix);
+        if worker.missed > 0 || !worker.speed.is_slow(cx.now) {
+            continue;
+        }
+        let slow = worker.slots.iter().filter(|(key, slot)| is_straggler(cx, ix, **key, slot));
+        let slow: Vec<(TaskKey, Run)> = slow.map(|(key, slot)| (*key, slot.run)).collect();
+        for (key, run) in slow {
+            if placement::elsewhere(cx, ix, key).is_some() {
+                start_again(cx, ix, key, run);
+            }
+        }
+    }
+}
+
+/// Tells whether a run would be done sooner elsewhere, its stop included.
+fn is_straggler(cx: &Context, ix: WorkerIx, key: TaskKey, slot: &Slot) -> bool {
+    let runs = slot.phase == Phase::Running && !matches!(slot.part, Part::Serving { .. });
+    if !runs || !lifecycle::is_active(cx, key, ix, slot.run) {
+        return false;
+    }
+    let Some(step) = cx.step(key) else { return false };
+    let typical = cx.step_state(key).and_then(|state| state.rates.typical());
+    let Some(typical) = typical.filter(|_| !step.gang && !step.lasting) else { return false };
+    let left = |percent: u32, rate: f64| f64::from(100_u32.saturating_sub(percent)) / rate;
+    let here = left(slot.percent, typical * cx.worker(ix).speed.relative(cx.now).max(SLOWEST));
+    let kept = if step.checkpoints { slot.percent } else { 0 };
+    let there = left(kept, typical) + overhead(cx, step).0 as f64 / 1_000.0;
+    here > there * WORTH_IT
+}
+
+/// The lowest relative speed that is reckoned with.
+const SLOWEST: f64 = 0.02;
+
+fn overhead(cx: &Context, step: &Step) -> Millis {
+    if step.duplicates {
+        return COPY_TAKES;
+    }
+    Millis(cx.settings.stop_limit.0 + RESTART_TAKES.0)
+}
+
+/// Starts a task again: beside its slow run where copies are allowed, after its stop elsewhere.
+fn start_again(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
+    let copies = cx.step(key).is_some_and(|step| step.duplicates);
+    if !copies {
+        return lifecycle::order_stop(cx, ix, key, run, "its worker is slow");
+    }
+    let Some(task) = cx.task_mut(key).filter(|t| t.slow_run.is_none()) else { return };
+    task.slow_run = Some((ix, run));
+    task.state = TaskState::Waiting;
+    trace::copy_wanted(key, run, &cx.worker(ix).info.id);
+    lifecycle::make_pending(cx, key, Millis(0));
+}
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -9,6 +9,7 @@
 use gaplock_types::time::Instant;
 
 use crate::message::{Run, WorkerIx};
+use crate::speed::StepRates;
 
 /// Where a task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,6 +52,8 @@
     pub failed_on: Option<WorkerIx>,
     /// When the task became pending, for the log.
     pub since: Instant,
+    /// A run on a slow worker that goes on while a copy is started elsewhere.
+    pub slow_run: Option<(WorkerIx, Run)>,
 }
 
 impl Task {
@@ -65,6 +68,7 @@
             checkpoint: None,
             failed_on: None,
             since: Instant(0),
+            slow_run: None,
         }
     }
 }
@@ -80,6 +84,8 @@
     pub pending: BTreeSet<u32>,
     /// When the log last said why its tasks wait.
     pub explained: Instant,
+    /// How fast its tasks come along.
+    pub rates: StepRates,
 }
 
 /// One round of a job; a job that does not repeat has round 0 only.
@@ -99,6 +105,7 @@
             left: s.count,
             pending: BTreeSet::new(),
             explained: Instant(0),
+            rates: StepRates::default(),
         };
         Self { number, steps: job.steps.iter().map(step).collect() }
     }
@@ -189,6 +196,7 @@
             if let TaskState::Active { worker, run } = task.state {
                 found.push((key, worker, run));
             }
+            found.extend(task.slow_run.map(|(worker, run)| (key, worker, run)));
         });
         found
     }
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -55,7 +55,7 @@
 ) {
     info!(event = "step_waits", %task, pending, waited_ms = waited.0, %demand,
         not_taking = unfit.not_taking, full = unfit.full, reserved = unfit.reserved,
-        label = unfit.label, spread = unfit.spread, disturbs = unfit.disturbs,
+        slow = unfit.slow, label = unfit.label, spread = unfit.spread, disturbs = unfit.disturbs,
         not_permitted = unfit.not_permitted,
         most_free = unfit.most_free);
 }
@@ -65,6 +65,11 @@
     info!(event = "stop_ordered", %task, run = run.0, %worker, why);
 }
 
+/// A copy of a task is wanted, because its worker is slow.
+pub fn copy_wanted(task: TaskKey, run: Run, worker: &ids::WorkerId) {
+    info!(event = "copy_wanted", %task, run = run.0, %worker);
+}
+
 /// A worker listed an end.
 pub fn run_ended(end: &End, worker: &ids::WorkerId, expected: bool) {
     info!(event = "run_ended", task = %end.task, run = end.run.0, %worker, how = ?end.how,
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -7,6 +7,7 @@
 
 use crate::message::{EndSeq, Run, WorkerClock, WorkerInfo};
 use crate::pacing::{Column, Row};
+use crate::speed::{Mark, Speed};
 
 /// What the leader believes of a run at a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -48,6 +49,8 @@
     pub percent: u32,
     /// The worker's last reading: tail in milliseconds or processor time in use.
     pub reading: Option<u32>,
+    /// The progress from which the run's rate is read next.
+    pub mark: Option<Mark>,
     /// Since when a serving task's readings have been over its target.
     pub over_since: Option<Instant>,
     /// Since when a filling task has been slowed down a lot.
@@ -138,6 +141,8 @@
     pub spare_filling: f64,
     /// When a filling task last ended here.
     pub filling_ended: Instant,
+    /// How fast it is against others.
+    pub speed: Speed,
     /// Failed runs since the last good one.
     pub failures: u32,
     /// How often the worker has been put in quarantine without a good run since.
@@ -168,6 +173,7 @@
             spare_pressure: Vec::new(),
             spare_filling: 1.0,
             filling_ended: Instant(0),
+            speed: Speed::default(),
             failures: 0,
             quarantines: 0,
             avoid_until: Instant(0),
--- /dev/null
+++ b/crates/sched/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! The scheduler on virtual time, with a fleet that goes wrong in all the ways that workers do.
+
+mod promises;
+mod slow_workers;
+mod world;
--- a/crates/sched/tests/promises.rs
+++ b/crates/sched/tests/fleet/promises.rs
@@ -1,12 +1,10 @@
 //! What must hold whatever goes wrong, on virtual time.
 
-mod world;
-
+use crate::world::{self, job, step, Faults, World};
 use gaplock_jobs::config::Advice;
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey};
 use gaplock_types::time::Millis;
-use world::{job, step, Faults, World};
 
 fn assert_kept(world: &World) {
     assert!(world.violations.is_empty(), "{:#?}", world.violations);
--- /dev/null
+++ b/crates/sched/tests/fleet/slow_workers.rs
@@ -0,0 +1,67 @@
+//! Workers that turn slow, on virtual time.
+
+use crate::world::{job, step, World};
+use gaplock_jobs::Step;
+
+/// How many times as long work takes on a slow worker, as in the users' troubles.
+const SLOWNESS: u64 = 8;
+
+/// Builds a world whose first worker is slow, with work of a second.
+fn world_with_slow_worker(seed: u64) -> World {
+    let mut world = World::open(seed, 4);
+    world.work_ms = 1_000;
+    world.workers[0].slowness = SLOWNESS;
+    world
+}
+
+fn wide_step() -> Step {
+    step(24, &[])
+}
+
+#[test]
+fn tasks_on_a_slow_worker_are_started_again_elsewhere() {
+    let mut world = world_with_slow_worker(31);
+    world.submit(job(1, vec![wide_step()]));
+    world.run(4_500);
+    assert!(world.is_completed(1), "slow tasks were waited for");
+    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+}
+
+#[test]
+fn a_step_that_allows_copies_keeps_the_slow_run_until_the_copy_is_done() {
+    let mut world = world_with_slow_worker(32);
+    let copies = Step { duplicates: true, ..wide_step() };
+    world.submit(job(1, vec![copies]));
+    world.run(3_500);
+    assert!(world.is_completed(1), "slow tasks were waited for");
+    world.run(1_500);
+    assert_eq!(world.running_of(1), 0, "a slow run goes on beside its finished copy");
+    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+}
+
+#[test]
+fn a_slow_worker_gets_no_tasks_while_others_have_room() {
+    let mut world = world_with_slow_worker(33);
+    world.submit(job(1, vec![wide_step()]));
+    world.run(3_000);
+    let before = world.runs_given_to(0);
+    world.submit(job(2, vec![step(8, &[])]));
+    world.run(200);
+    assert_eq!(world.runs_given_to(0), before);
+}
+
+#[test]
+fn a_worker_that_is_fast_again_gets_tasks_again() {
+    let mut world = world_with_slow_worker(34);
+    world.submit(job(1, vec![wide_step()]));
+    world.run(3_000);
+    world.workers[0].slowness = 1;
+    world.run(4_000);
+    let before = world.runs_given_to(0);
+    world.submit(job(2, vec![wide_step()]));
+    world.run(200);
+    assert!(world.runs_given_to(0) > before);
+    world.run(3_000);
+    assert!(world.is_completed(2));
+    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+}
--- a/crates/sched/tests/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -36,6 +36,13 @@
         notes.map(|n| n.failed).sum()
     }
 
+    /// Returns how many runs, ended or not, a worker was ever given.
+    pub fn runs_given_to(&self, worker: usize) -> usize {
+        let worker = &self.workers[worker];
+        let running = worker.running.keys().filter(|task| !worker.last_ended.contains_key(task));
+        worker.last_ended.len() + running.count()
+    }
+
     /// Returns how many runs of a task's job are at a worker.
     pub fn running_at(&self, worker: usize) -> usize {
         self.workers[worker].running.len()
