Slow workers are told by tails too, and serving tasks leave them

Cause: a worker that only serves has no runs whose progress tells that it is slow; its tails were taken for disturbance, carried its jobs' loads away, and its tasks stayed over their target.

Change: where nothing fills beside it, a serving task whose utilisation lies 0.5 above its job's load shows a slow worker; a serving task that is over its target on a slow worker for 0.8 s moves, as far as its step may miss tasks and another worker has room.

Test: a_serving_task_leaves_a_slow_worker.

--- a/crates/sched/src/pacing/model.rs
+++ b/crates/sched/src/pacing/model.rs
@@ -310,7 +310,7 @@
     }
 
     /// Returns the utilisation that a tail tells of.
-    fn utilisation(&self, served: &Served, tail_ms: f64) -> f64 {
+    pub fn utilisation(&self, served: &Served, tail_ms: f64) -> f64 {
         let most = served.target_ms * UNLOADED_SHARE_MOST;
         let unloaded = self.images[usize::from(served.row.0)].unloaded_ms().min(most);
         (1.0 - unloaded / tail_ms.max(1.0)).max(0.0)
--- a/crates/sched/src/pacing/readings.rs
+++ b/crates/sched/src/pacing/readings.rs
@@ -3,7 +3,7 @@
 use gaplock_types::time::Millis;
 
 use super::filling;
-use super::model::Column;
+use super::model::{Column, Served};
 use super::{CROWDED_SHARE, SETTLE};
 use crate::commits;
 use crate::context::Context;
@@ -16,7 +16,7 @@
 pub(super) fn learn(cx: &mut Context, ix: WorkerIx) {
     let now = cx.now;
     let worker = cx.worker(ix);
-    if now.since(worker.filling_ended) < SETTLE || worker.speed.is_slow(now) {
+    if now.since(worker.filling_ended) < SETTLE {
         return;
     }
     let cores = f64::from(worker.info.capacity.cpu.0.max(1));
@@ -31,8 +31,11 @@
             tails.push((served, reading));
         }
     }
+    if used.is_empty() {
+        judge_speed(cx, ix, &tails);
+    }
     let crowded: f64 = used.iter().map(|(_, share)| share).sum();
-    if crowded > CROWDED_SHARE {
+    if crowded > CROWDED_SHARE || cx.worker(ix).speed.is_slow(now) {
         return;
     }
     for (served, tail_ms) in tails {
@@ -40,6 +43,25 @@
     }
 }
 
+/// How much more utilisation than its job's load a serving task shows on a slow worker, where
+/// nothing fills beside it.
+const SLOW_SURPRISE: f64 = 0.5;
+
+/// The relative speed that such a task tells of: about that of the slow workers that were seen.
+const SLOW_SPEED: f64 = 0.15;
+
+/// Takes in what serving tasks that nothing fills beside tell of their worker: the tasks of one
+/// job carry one load, so one with a much longer tail is on a slow worker.
+fn judge_speed(cx: &mut Context, ix: WorkerIx, tails: &[(Served, f64)]) {
+    let now = cx.now;
+    for (served, tail_ms) in tails {
+        let load = cx.pacing.load(served.job, now, 0.0);
+        let surprise = cx.pacing.utilisation(served, *tail_ms) - load;
+        let relative = if surprise > SLOW_SURPRISE { SLOW_SPEED } else { 1.0 };
+        cx.worker_mut(ix).speed.note(now, relative);
+    }
+}
+
 /// How often what was learnt is stored for a successor.
 const KEEP_LEARNT_EVERY: Millis = Millis(4_000);
 
--- a/crates/sched/src/stragglers.rs
+++ b/crates/sched/src/stragglers.rs
@@ -1,4 +1,5 @@
-//! Tasks on slow workers: started again elsewhere where they would be done sooner there.
+//! Tasks on slow workers: started again elsewhere where they would be done sooner there, or would
+//! keep their tail's target.
 //!
 //! Where the step allows copies, the slow run goes on and whichever ends first counts. Elsewhere it
 //! is stopped first, since two runs of one task must never overlap.
@@ -10,7 +11,7 @@
 use crate::message::{Run, WorkerIx};
 use crate::table::TaskState;
 use crate::worker::{Part, Phase, Slot};
-use crate::{lifecycle, placement, trace};
+use crate::{availability, lifecycle, placement, trace};
 
 /// What a copy costs in time besides its work: the order and the wait for its end to be seen.
 const COPY_TAKES: Millis = Millis(100);
@@ -39,12 +40,26 @@
     }
 }
 
-/// Tells whether a run would be done sooner elsewhere, its stop included.
+/// How long a serving task on a slow worker stays over its target before it moves: as long as its
+/// way to another worker takes.
+const OVER_BEFORE_MOVE: Millis = Millis(800);
+
+/// Tells whether a run is better off elsewhere.
 fn is_straggler(cx: &Context, ix: WorkerIx, key: TaskKey, slot: &Slot) -> bool {
-    let runs = slot.phase == Phase::Running && !matches!(slot.part, Part::Serving { .. });
-    if !runs || !lifecycle::is_active(cx, key, ix, slot.run) {
+    if slot.phase != Phase::Running || !lifecycle::is_active(cx, key, ix, slot.run) {
         return false;
     }
+    match slot.part {
+        Part::Serving { .. } => {
+            let over = slot.over_since.is_some_and(|at| cx.now.since(at) >= OVER_BEFORE_MOVE);
+            over && availability::may_take(cx, key)
+        }
+        Part::Plain | Part::Filling(_) => is_late(cx, ix, key, slot),
+    }
+}
+
+/// Tells whether a run would be done sooner elsewhere, its stop included.
+fn is_late(cx: &Context, ix: WorkerIx, key: TaskKey, slot: &Slot) -> bool {
     let Some(step) = cx.step(key) else { return false };
     let typical = cx.step_state(key).and_then(|state| state.rates.typical());
     let Some(typical) = typical.filter(|_| !step.gang && !step.lasting) else { return false };
--- a/crates/sched/tests/fleet/slow_workers.rs
+++ b/crates/sched/tests/fleet/slow_workers.rs
@@ -1,7 +1,8 @@
 //! Workers that turn slow, on virtual time.
 
 use crate::world::{job, step, World};
-use gaplock_jobs::Step;
+use gaplock_jobs::{JobKey, Step};
+use gaplock_types::time::Millis;
 
 /// How many times as long work takes on a slow worker, as in the users' troubles.
 const SLOWNESS: u64 = 8;
@@ -65,3 +66,18 @@
     assert!(world.is_completed(2));
     assert!(world.violations.is_empty(), "{:#?}", world.violations);
 }
+
+#[test]
+fn a_serving_task_leaves_a_slow_worker() {
+    let mut world = World::open(35, 4);
+    let serving = Step { lasting: true, tail_target: Some(Millis(50)), ..step(8, &[]) };
+    world.readings.insert(JobKey(1), 15);
+    world.submit(job(1, vec![serving]));
+    world.run(4_000);
+    assert!(world.running_at(0) > 0);
+    world.workers[0].slowness = SLOWNESS;
+    world.run(5_000);
+    assert_eq!(world.running_at(0), 0, "tasks stay over their target on a slow worker");
+    assert_eq!(world.running_of(1), 8);
+    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+}
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -204,7 +204,7 @@
             run: r.run,
             checkpoint: None,
             percent: r.percent(self.now),
-            reading: self.readings.get(&task.job).copied(),
+            reading: self.readings.get(&task.job).map(|tail| tail * worker.slowness as u32),
         });
         let account = Account {
             clock: WorkerClock(self.now + worker.clock_offset),
