Waves of upkeep

Ruled out: one order a host as soon as the wave is known (what runs there dies, and lasting tasks would be missed beyond their bound); keeping what has begun in memory only (a successor would report a wave too early or never).

Change: upkeep.rs empties as many hosts at once as the wave allows, those with fewest tasks first, orders each down once nothing lasting runs there, waits up to 2.5 s for short tasks unless time is short, stores what has begun together with the state told to the operators, and lists the hosts twice a second while a wave is under way. platform/ translates waves, hosts and the order; the store is watched for waves only where the settings name duties, so that sites without pay nothing.

Tests: four on virtual time (once each and never too many at once, lasting tasks as far as they may be missed, short tasks end first, a successor goes on), one with real processes and a stand-in of the service over a change of leader, two of decoding.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -12,7 +12,7 @@
 use gaplock_platform::worker::{self, Start, Worker};
 use gaplock_remote::clock;
 use gaplock_sched::context::Term;
-use gaplock_sched::message::{FencingToken, Outcome, Permit, Record, WorkerIx};
+use gaplock_sched::message::{FencingToken, Outcome, Permit, Record, UpkeepAnswer, WorkerIx};
 use gaplock_sched::permits::StepKey;
 use gaplock_sched::{commits, Action, Context, Event};
 use gaplock_types::ids;
@@ -210,6 +210,16 @@
                 });
             }
             Action::Advise { step, workers } => self.advise(calls, step, workers),
+            Action::ListHosts => self.list_hosts(calls),
+            Action::Upkeep { wave, host } => {
+                task::spawn(async move {
+                    let answer = match &calls.node.hosts {
+                        Some(hosts) => hosts.upkeep(token, wave, &host).await,
+                        None => UpkeepAnswer::Busy,
+                    };
+                    calls.engine.send(Event::Upkeep { wave, host, answer });
+                });
+            }
             Action::ConfirmLeadership => {
                 let (node, standing) = (calls.node, Arc::clone(&calls.engine.standing));
                 let revision = gaplock_platform::store::Revision(token.0);
@@ -234,6 +244,17 @@
         });
     }
 
+    fn list_hosts(&self, calls: Calls) {
+        let sent = self.cx.now;
+        task::spawn(async move {
+            let hosts = match &calls.node.hosts {
+                Some(hosts) => hosts.list().await,
+                None => None,
+            };
+            calls.engine.send(Event::Hosts { sent, hosts });
+        });
+    }
+
     /// Reports an action as not sent, because the leadership is in doubt.
     fn leave_out(&mut self, action: Action) {
         match action {
@@ -257,6 +278,14 @@
                 let (sent, answer) = (self.cx.now, None);
                 self.engine.send(Event::Advised { step, asked: workers, sent, answer });
             }
+            Action::ListHosts => {
+                let (sent, hosts) = (self.cx.now, None);
+                self.engine.send(Event::Hosts { sent, hosts });
+            }
+            Action::Upkeep { wave, host } => {
+                let answer = UpkeepAnswer::Busy;
+                self.engine.send(Event::Upkeep { wave, host, answer });
+            }
             Action::ConfirmLeadership => {}
         }
     }
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -3,6 +3,7 @@
 //! `docs/PLATFORM.md` has the table of what is stored before what.
 
 use gaplock_jobs::JobKey;
+use gaplock_sched::message::WaveNumber;
 use gaplock_types::ids;
 
 /// Who leads; lives under the leader's lease.
@@ -30,6 +31,14 @@
 /// What was learnt of how images disturb each other; written by the leader only.
 pub const LEARNT: &str = "gaplock/learnt";
 
+/// How far waves of upkeep have come; written by the leader only.
+pub const WAVES: &str = "gaplock/wave/";
+
+/// Returns the key of a wave's progress.
+pub fn wave(number: WaveNumber) -> String {
+    format!("{WAVES}{}", number.0)
+}
+
 /// Returns the key of an accepted job.
 pub fn job(key: JobKey) -> String {
     format!("{JOBS}{key}")
--- a/crates/node/src/leading.rs
+++ b/crates/node/src/leading.rs
@@ -8,6 +8,7 @@
 use gaplock_jobs::{Job, JobKey};
 use gaplock_platform::directory;
 use gaplock_platform::store::{Change, Item, Listed, Revision, StoreError, Txn};
+use gaplock_platform::waves;
 use gaplock_policy::succession;
 use gaplock_remote::clock;
 use gaplock_sched::takeover::{self, Stored};
@@ -95,6 +96,10 @@
     let roster = node.store.list(keys::ROSTER).await?;
     let directory = node.store.list(directory::PREFIX).await?;
     let learnt = node.store.get(keys::LEARNT).await?;
+    let waves = match node.installation.has_duties {
+        true => node.store.list(keys::WAVES).await?.items,
+        false => Vec::new(),
+    };
     node.store_answered();
     let mut stored = Stored::default();
     for item in &inbox.items {
@@ -111,6 +116,7 @@
     stored.roster = entries.map(RosterEntry::info).collect();
     let learnt = learnt.and_then(|item| serde_json::from_slice(&item.value).ok());
     stored.learnt = learnt.unwrap_or_default();
+    stored.waves = waves.iter().filter_map(|i| serde_json::from_slice(&i.value).ok()).collect();
     Ok(Read { stored, inbox: inbox.revision, directory })
 }
 
@@ -142,10 +148,18 @@
     let driver = engine::open(node, cx, Arc::clone(standing), ledger);
     let engine = driver.engine();
     node.set_role(Role::Leader(Arc::clone(&engine)));
-    let feeds: [JoinHandle<()>; 2] = [
+    let mut feeds: Vec<JoinHandle<()>> = vec![
         task::spawn(feed_inbox(Arc::clone(node), Arc::clone(&engine), read.inbox)),
-        task::spawn(feed_directory(Arc::clone(node), engine, read.directory.revision, known)),
+        task::spawn(feed_directory(
+            Arc::clone(node),
+            Arc::clone(&engine),
+            read.directory.revision,
+            known,
+        )),
     ];
+    if node.installation.has_duties {
+        feeds.push(task::spawn(feed_waves(Arc::clone(node), engine)));
+    }
     driver.run().await;
     for feed in feeds {
         feed.cancel().await;
@@ -324,3 +338,50 @@
     events.extend(gone.map(|id| Event::Unlisted(id.clone())));
     events
 }
+
+/// Tells the engine of waves of upkeep: those that are there, then each that is asked for.
+async fn feed_waves(node: Arc<Node>, engine: Arc<Engine>) {
+    let mut from = None;
+    loop {
+        let Some(after) = from else {
+            from = list_waves(&node, &engine).await;
+            continue;
+        };
+        match node.store.watch(waves::PREFIX, after, WATCH_WAIT).await {
+            Ok(watched) => {
+                from = Some(watched.revision);
+                for change in &watched.changes {
+                    if let Change::Set(item) = change {
+                        tell_wave(&engine, item);
+                    }
+                }
+            }
+            Err(StoreError::Gone) => from = None,
+            Err(e) => {
+                tracing::debug!(event = "watch_cut", error = %e);
+                task::sleep(STORE_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn list_waves(node: &Node, engine: &Engine) -> Option<Revision> {
+    match node.store.list(waves::PREFIX).await {
+        Ok(listed) => {
+            listed.items.iter().for_each(|item| tell_wave(engine, item));
+            Some(listed.revision)
+        }
+        Err(e) => {
+            tracing::debug!(event = "store_silent", error = %e);
+            task::sleep(STORE_PAUSE).await;
+            None
+        }
+    }
+}
+
+fn tell_wave(engine: &Engine, item: &Item) {
+    match waves::decode(&item.value) {
+        Ok(wave) => engine.send(Event::Wave(wave)),
+        Err(e) => tracing::warn!(event = "wave_malformed", key = item.key, error = %e),
+    }
+}
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -5,6 +5,7 @@
 use async_std::task;
 use gaplock_jobs::progress::Progress;
 use gaplock_platform::store::{self, Revision, Store, StoreError, Txn};
+use gaplock_platform::waves;
 use gaplock_sched::message::{Record, WorkerInfo};
 use gaplock_types::time::Millis;
 use gaplock_types::{ids, sizes};
@@ -169,6 +170,11 @@
                     txn.set.push((keys::roster(&info.id), encode(&RosterEntry::of(info)), None));
                 }
                 Record::ForgetWorker(id) => txn.remove.push(keys::roster(id)),
+                Record::Wave(progress) => {
+                    let status = waves::encode_status(progress.completed);
+                    txn.set.push((keys::wave(progress.number), encode(progress), None));
+                    txn.set.push((waves::status_key(progress.number), status, None));
+                }
                 Record::Learnt(learnt) => {
                     txn.set.push((keys::LEARNT.to_string(), encode(learnt), None));
                 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -8,6 +8,7 @@
 use gaplock_jobs::config::Config;
 use gaplock_jobs::{Job, JobKey};
 use gaplock_platform::advice::{self, Advisor};
+use gaplock_platform::hosts::{self, Hosts};
 use gaplock_platform::installation::Installation;
 use gaplock_platform::store::Store;
 use gaplock_policy::succession::{self, Candidate, Strength};
@@ -42,6 +43,8 @@
     pub store: Arc<Store>,
     /// The service that says where steps may run, if the installation has one.
     pub advisor: Option<Advisor>,
+    /// The service that knows the workers' hosts, if the installation has one.
+    pub hosts: Option<Hosts>,
     /// The connection to the leader.
     pub leader: peers::Leader,
     /// Counters.
@@ -94,6 +97,9 @@
     store: Store,
 ) -> Arc<Node> {
     let advisor = installation.advice_addr.as_deref().map(advice::open);
+    let holder = &installation.host;
+    let hosts = installation.hosts_addr.as_deref();
+    let hosts = hosts.map(|addr| hosts::open(addr, holder.clone()));
     let strength = succession::strength(installation.cpu_share, installation.link_mbps);
     Arc::new(Node {
         strength,
@@ -102,6 +108,7 @@
         named: AtomicBool::new(false),
         invitations: async_channel::bounded(1),
         advisor,
+        hosts,
         installation,
         settings: RwLock::new(settings),
         incarnation: ids::Incarnation(rand::random()),
--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -4,8 +4,10 @@
 use std::time::{Duration, Instant};
 
 use gaplock_jobs::JobKey;
+use gaplock_platform_standin::cloud;
 use gaplock_platform_standin::site::{self, call, two_steps, Plan, Site, PREFIX};
 use rustix::process::Signal;
+use serde_json::json;
 
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
@@ -86,6 +88,21 @@
     assert!(site.twice().is_empty());
 }
 
+#[test]
+fn a_wave_of_upkeep_is_carried_out_and_reported_over_a_change_of_leader() {
+    let mut site = open_site(3, 4, Duration::from_millis(300));
+    let first = site.leader().expect("there is a leader");
+    let hosts: Vec<String> = (0..4).map(cloud::host_name).collect();
+    let wave = json!({"Wave": 1, "Machines": hosts, "DurationS": 30, "Maximum": 1});
+    site.store.put("op/wave/1", &wave);
+    let state = |site: &Site| site.store.get("status/wave/1").map(|s| s["State"].clone());
+    wait_for("the first upkeep", || site.cloud.upkeeps() > 0);
+    assert_eq!(state(&site), Some(json!("active")));
+    site.hosts[first].kill().expect("it runs");
+    wait_for("the end of the wave", || state(&site) == Some(json!("completed")));
+    assert_eq!((site.cloud.upkeeps(), site.cloud.most_away()), (4, 1));
+}
+
 #[test]
 fn a_job_is_refused_at_once_while_the_store_is_away() {
     let site = open_site(2, 2, Duration::from_millis(300));
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -15,6 +15,7 @@
 use crate::settings::Settings;
 use crate::table::{Entry, ReadyStep, StepState, Task};
 use crate::takeover::{self, Survey};
+use crate::upkeep::{self, Upkeep};
 use crate::worker::Worker;
 use crate::{dispatch, drain, intake, leases, orders, renewals, stragglers};
 
@@ -66,6 +67,8 @@
     pub pacing: Pacing,
     /// Where steps may run whose queue asks another service.
     pub permits: Permits,
+    /// Waves of upkeep.
+    pub upkeep: Upkeep,
     /// What is to be done.
     pub actions: Vec<Action>,
     /// Set when a dispatch pass could find something to start.
@@ -95,6 +98,7 @@
             commits: Commits::default(),
             pacing: Pacing::default(),
             permits: Permits::default(),
+            upkeep: Upkeep::default(),
             actions: Vec::new(),
             pass_wanted: false,
             directory_back: now,
@@ -132,6 +136,11 @@
             Event::Advised { step, asked, sent, answer } => {
                 permits::advised(self, step, &asked, sent, answer);
             }
+            Event::Wave(request) => upkeep::asked(self, request),
+            Event::Hosts { sent, hosts } => upkeep::listed(self, sent, hosts),
+            Event::Upkeep { wave, host, answer } => {
+                upkeep::answered(self, wave, &host, answer);
+            }
             Event::Committed => commits::committed(self),
             Event::CommitFailed => commits::failed(self),
         }
@@ -146,6 +155,7 @@
             intake::begin_due_rounds(self);
             leases::check(self);
             orders::check(self);
+            upkeep::check(self);
             drain::check(self);
             pacing::check(self);
             stragglers::check(self);
--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/drain.rs
@@ -50,7 +50,10 @@
     let before = cx.settings.stop_limit.0 + LAST_STOPS_MARGIN.0;
     let last_call = |from: Instant, stays: Millis| from + Millis(stays.0.saturating_sub(before));
     match worker.listing {
-        Listing::Ready => None,
+        Listing::Ready => {
+            let leaving = Departure { last_call: cx.now, announced: false };
+            worker.emptying.then_some(leaving)
+        }
         Listing::Draining { since, remaining } => {
             Some(Departure { last_call: last_call(since, remaining), announced: true })
         }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod table;
 pub mod takeover;
 pub mod trace;
+pub mod upkeep;
 pub mod worker;
 
 pub use context::Context;
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -1,5 +1,6 @@
 //! What the scheduler is told and what it asks for.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use gaplock_jobs::{config, progress, Job, JobKey, TaskKey};
@@ -140,6 +141,81 @@
     pub ticket: String,
 }
 
+/// Whether a host is there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HostState {
+    /// It runs a worker.
+    Up,
+    /// It is moving, in upkeep or down.
+    Away,
+}
+
+/// A host, as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostInfo {
+    /// The host; it keeps its name over all its workers.
+    pub id: ids::HostId,
+    /// Whether it is there.
+    pub state: HostState,
+    /// The incarnation of its worker, while it has one.
+    pub worker: Option<ids::WorkerId>,
+}
+
+/// The number of a wave of upkeep.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
+#[serde(transparent)]
+pub struct WaveNumber(pub u64);
+
+/// A wave of upkeep, as the operators ask for it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WaveRequest {
+    /// Its number.
+    pub number: WaveNumber,
+    /// The hosts that must go down once.
+    pub hosts: Vec<ids::HostId>,
+    /// How long the whole wave may take.
+    pub within: Millis,
+    /// How many of the hosts may be down at once.
+    pub at_once: u32,
+}
+
+/// How far a wave has come, in the form in which it is stored.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct WaveProgress {
+    /// The wave.
+    pub number: WaveNumber,
+    /// When it was first heard of, in milliseconds since 1970.
+    pub began_unix_ms: u64,
+    /// The hosts whose upkeep has begun.
+    pub begun: BTreeSet<ids::HostId>,
+    /// Whether the upkeep of every host that stays has begun.
+    pub completed: bool,
+}
+
+impl WaveProgress {
+    /// Builds the progress of a wave that was just heard of.
+    pub fn new(number: WaveNumber, began_unix_ms: u64) -> Self {
+        Self { number, began_unix_ms, begun: BTreeSet::new(), completed: false }
+    }
+}
+
+/// What became of an order that a host goes down for its upkeep.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpkeepAnswer {
+    /// Its upkeep has begun, now or earlier.
+    Begun,
+    /// It is not up, or is leaving; nothing was done.
+    Busy,
+    /// It is not of this wave; nothing was done.
+    NotOfWave,
+    /// A later leader has given orders for it; nothing was done.
+    Fenced,
+    /// No answer came; it may have been done.
+    Unclear,
+}
+
 /// What became of a call to a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Outcome<T> {
@@ -227,6 +303,24 @@
         /// Whether it is known to be in force.
         applied: bool,
     },
+    /// The operators ask for a wave of upkeep.
+    Wave(WaveRequest),
+    /// The hosts were listed or not.
+    Hosts {
+        /// When the list was asked for.
+        sent: Instant,
+        /// All hosts, if an answer came.
+        hosts: Option<Vec<HostInfo>>,
+    },
+    /// An order that a host goes down was answered or not.
+    Upkeep {
+        /// The wave.
+        wave: WaveNumber,
+        /// The host.
+        host: ids::HostId,
+        /// What came of it.
+        answer: UpkeepAnswer,
+    },
     /// The commit in flight is stored.
     Committed,
     /// The commit in flight is certainly not stored and must be made again.
@@ -246,6 +340,8 @@
     ForgetWorker(ids::WorkerId),
     /// What is known of how images disturb each other.
     Learnt(Learnt),
+    /// How far a wave of upkeep has come.
+    Wave(WaveProgress),
 }
 
 /// What is to be done.
@@ -306,6 +402,15 @@
         /// The share of full speed in percent.
         percent: u32,
     },
+    /// List all hosts.
+    ListHosts,
+    /// Order a host down for its upkeep.
+    Upkeep {
+        /// The wave.
+        wave: WaveNumber,
+        /// The host.
+        host: ids::HostId,
+    },
     /// A worker knows of a later leader: make sure that we still are the leader.
     ConfirmLeadership,
 }
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -12,11 +12,11 @@
 use rustc_hash::FxHashSet;
 
 use crate::context::Context;
-use crate::message::{Run, WorkerInfo, WorkerIx};
+use crate::message::{Run, WaveProgress, WorkerInfo, WorkerIx};
 use crate::pacing::Learnt;
 use crate::table::{Entry, Round, StepState, TaskState};
 use crate::worker::Listing;
-use crate::{intake, leases, lifecycle, trace};
+use crate::{intake, leases, lifecycle, trace, upkeep};
 
 /// The search for runs of former leaders.
 #[derive(Debug)]
@@ -42,12 +42,15 @@
     pub roster: Vec<WorkerInfo>,
     /// What was learnt of how images disturb each other.
     pub learnt: Learnt,
+    /// How far waves of upkeep have come.
+    pub waves: Vec<WaveProgress>,
 }
 
 /// Fills a new leader's state from the store and begins the survey.
 pub fn restore(cx: &mut Context, stored: Stored) {
-    let Stored { jobs, mut progress, cancelled, roster, learnt } = stored;
+    let Stored { jobs, mut progress, cancelled, roster, learnt, waves } = stored;
     cx.pacing.restore(&learnt);
+    upkeep::restore(cx, waves);
     for info in &roster {
         let ix = intake::known_or_new(cx, info, Listing::Absent { since: cx.now });
         cx.worker_mut(ix).in_roster = true;
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -11,7 +11,9 @@
 use tracing::{debug, info, warn};
 
 use crate::context::Context;
-use crate::message::{End, Outcome, Run, WorkerClock, WorkerInfo, WorkerIx};
+use crate::message::{
+    End, Outcome, Run, UpkeepAnswer, WaveNumber, WaveRequest, WorkerClock, WorkerInfo, WorkerIx,
+};
 use crate::placement::UnfitCounts;
 use crate::table::Entry;
 use crate::worker::Listing;
@@ -146,6 +148,33 @@
     warn!(event = "advice_missing", %job, step, asked);
 }
 
+/// The operators ask for a wave of upkeep.
+pub fn wave_known(wave: &WaveRequest, begun: usize) {
+    info!(
+        event = "wave_known",
+        wave = wave.number.0,
+        hosts = wave.hosts.len(),
+        begun,
+        within_ms = wave.within.0,
+        at_once = wave.at_once
+    );
+}
+
+/// A host is empty enough to go down.
+pub fn upkeep_ordered(wave: WaveNumber, host: &ids::HostId) {
+    info!(event = "upkeep_ordered", wave = wave.0, %host);
+}
+
+/// The platform has answered such an order, or not.
+pub fn upkeep_answered(wave: WaveNumber, host: &ids::HostId, answer: UpkeepAnswer) {
+    info!(event = "upkeep_answered", wave = wave.0, %host, ?answer);
+}
+
+/// The upkeep of every host of a wave has begun.
+pub fn wave_completed(wave: WaveNumber, begun: usize) {
+    info!(event = "wave_completed", wave = wave.0, begun);
+}
+
 /// A filling task's pace is changed.
 pub fn pace_ordered(task: TaskKey, run: Run, worker: &ids::WorkerId, from: u32, to: u32) {
     info!(event = "pace_ordered", %task, run = run.0, %worker, from, to);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -111,6 +111,8 @@
     pub listing: Listing,
     /// Set once it is proven that this incarnation runs nothing and never will.
     pub gone: bool,
+    /// Set while it is emptied because its host is to go down for upkeep.
+    pub emptying: bool,
     /// Whether the roster in the store names it; without that it gets no task.
     pub in_roster: bool,
     /// Whether its roster record is in the commit in flight.
@@ -158,6 +160,7 @@
             info,
             listing,
             gone: false,
+            emptying: false,
             in_roster: false,
             roster_pending: false,
             clock: None,
@@ -241,6 +244,7 @@
     /// Tells whether the worker may be given tasks now.
     pub fn takes_tasks(&self, now: Instant) -> bool {
         !self.gone
+            && !self.emptying
             && self.in_roster
             && self.listing == Listing::Ready
             && self.missed == 0
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -2,4 +2,5 @@
 
 mod promises;
 mod slow_workers;
+mod waves;
 mod world;
--- /dev/null
+++ b/crates/sched/tests/fleet/waves.rs
@@ -0,0 +1,69 @@
+//! Waves of upkeep, on virtual time.
+
+use gaplock_jobs::Step;
+
+use crate::world::{job, step, World};
+
+fn assert_kept(world: &World) {
+    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+}
+
+#[test]
+fn every_host_of_a_wave_goes_down_once_and_never_too_many_at_once() {
+    let mut world = World::open(41, 6);
+    world.ask_wave(1, 4, 20_000, 2);
+    world.run(20_000);
+    assert!(world.is_wave_completed(1));
+    assert_eq!(world.hosts.upkeeps.len(), 4);
+    assert_eq!(world.hosts.most_down, 2);
+    assert_kept(&world);
+}
+
+#[test]
+fn lasting_tasks_leave_a_host_before_it_goes_down_as_far_as_they_may_be_missed() {
+    let mut world = World::open(42, 4);
+    world.work_ms = 60_000;
+    let lasting = Step { lasting: true, may_miss: Some(1), ..step(9, &[]) };
+    world.submit(job(1, vec![lasting]));
+    world.run(4_000);
+    world.ask_wave(1, 4, 60_000, 1);
+    let mut least = 9;
+    for _ in 0..4_000 {
+        world.run(10);
+        least = least.min(world.running_of(1));
+    }
+    assert!(world.is_wave_completed(1));
+    assert_eq!(least, 8, "more tasks were away at one time than may be missed");
+    assert_kept(&world);
+}
+
+#[test]
+fn short_tasks_end_before_their_host_goes_down() {
+    let mut world = World::open(43, 3);
+    world.work_ms = 1_500;
+    world.submit(job(1, vec![step(20, &[])]));
+    world.run(200);
+    world.ask_wave(1, 1, 60_000, 1);
+    world.run(10_000);
+    assert!(world.is_completed(1));
+    assert_eq!(world.starts, 20, "a task was started again");
+    assert!(world.is_wave_completed(1));
+    assert_kept(&world);
+}
+
+#[test]
+fn a_successor_goes_on_with_a_wave_and_repeats_nothing() {
+    let mut world = World::open(44, 6);
+    world.ask_wave(1, 6, 40_000, 1);
+    world.run(4_000);
+    let before = world.hosts.upkeeps.len();
+    assert!((1..6).contains(&before), "{before} hosts have gone down");
+    world.lose_leader();
+    world.run(1_000);
+    world.take_over();
+    world.run(30_000);
+    assert!(world.is_wave_completed(1));
+    assert_eq!(world.hosts.upkeeps.len(), 6);
+    assert_eq!(world.hosts.most_down, 1);
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/world/calls.rs
+++ b/crates/sched/tests/fleet/world/calls.rs
@@ -105,6 +105,14 @@
                     self.advise(step, workers);
                     continue;
                 }
+                Action::ListHosts => {
+                    self.list_hosts();
+                    continue;
+                }
+                Action::Upkeep { wave, host } => {
+                    self.take_down(wave, host);
+                    continue;
+                }
                 Action::ConfirmLeadership => continue,
             };
             self.call(worker, call);
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -3,11 +3,12 @@
 //!
 //! This file holds the world's state, what a test does to it, and the passing of time. [`calls`]
 //! carries what the leader sends, [`worker`] carries it out, [`store`] keeps what a successor
-//! learns, [`checks`] looks for broken promises, and [`views`] tells a test what came of it all.
+//! learns, [`hosts`] lie beneath the workers, [`checks`] looks for broken promises, and [`views`] tells a test what came of it all.
 
 mod builders;
 mod calls;
 mod checks;
+mod hosts;
 mod store;
 mod views;
 mod worker;
@@ -18,7 +19,7 @@
 use gaplock_jobs::config::Advice;
 use gaplock_jobs::progress::Progress;
 use gaplock_jobs::{Job, JobKey, TaskKey};
-use gaplock_sched::message::WorkerInfo;
+use gaplock_sched::message::{WaveNumber, WaveProgress, WorkerInfo};
 use gaplock_sched::{Context, Event, Settings};
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
@@ -27,6 +28,7 @@
 
 pub use builders::{job, step};
 use calls::Delivery;
+use hosts::Hosts;
 use worker::SimWorker;
 
 /// The pool that every worker belongs to.
@@ -77,6 +79,8 @@
     pub advice: Option<Advice>,
     /// What workers read of each job's tasks.
     pub readings: BTreeMap<JobKey, u32>,
+    /// What lies beneath the workers.
+    pub hosts: Hosts,
     rng: ChaCha8Rng,
     term: u64,
     token: u64,
@@ -86,6 +90,7 @@
     cancelled: BTreeSet<JobKey>,
     progress: BTreeMap<JobKey, Progress>,
     roster: BTreeMap<ids::WorkerId, WorkerInfo>,
+    wave_progress: BTreeMap<WaveNumber, WaveProgress>,
     noted_done: BTreeSet<TaskKey>,
     done: BTreeSet<TaskKey>,
     noted_failed: BTreeMap<TaskKey, u32>,
@@ -107,6 +112,8 @@
             work_ms: 500,
             advice: None,
             readings: BTreeMap::new(),
+            hosts: Hosts::default(),
+            wave_progress: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             term: 0,
             token: 0,
@@ -133,6 +140,7 @@
         let worker = SimWorker::new(id, self.workers.len());
         let info = worker.info.clone();
         self.workers.push(worker);
+        self.add_host(self.workers.len() - 1);
         self.event(Event::Listed(info));
         self.workers.len() - 1
     }
@@ -198,6 +206,7 @@
         while self.now < until {
             self.now += 1;
             self.step_workers();
+            self.step_hosts();
             while let Some(entry) = self.deliveries.first_entry() {
                 if entry.key().0 > self.now {
                     break;
--- a/crates/sched/tests/fleet/world/store.rs
+++ b/crates/sched/tests/fleet/world/store.rs
@@ -30,12 +30,16 @@
             cancelled: self.cancelled.iter().copied().collect(),
             roster: self.roster.values().cloned().collect(),
             learnt: Default::default(),
+            waves: self.wave_progress.values().cloned().collect(),
         };
         takeover::restore(&mut cx, stored);
         for worker in self.workers.iter().filter(|w| w.up) {
             cx.handle(self.instant(), self.unix(), Event::Listed(worker.info.clone()));
         }
         self.cx = Some(cx);
+        for wave in self.waves() {
+            self.event(Event::Wave(wave));
+        }
         self.act();
     }
 
@@ -71,6 +75,9 @@
                     self.roster.remove(&id);
                 }
                 Record::Learnt(_) => {}
+                Record::Wave(progress) => {
+                    self.wave_progress.insert(progress.number, progress);
+                }
             }
         }
     }
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -2,7 +2,7 @@
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, TaskKey};
-use gaplock_sched::message::Run;
+use gaplock_sched::message::{Run, WaveNumber};
 
 use super::worker::SimWorker;
 use super::World;
@@ -14,6 +14,11 @@
         state == Some(JobState::Completed)
     }
 
+    /// Tells whether a wave is stored as completed.
+    pub fn is_wave_completed(&self, number: u64) -> bool {
+        self.wave_progress.get(&WaveNumber(number)).is_some_and(|w| w.completed)
+    }
+
     /// Returns a job's stored state.
     pub fn state(&self, key: u64) -> Option<JobState> {
         self.progress.get(&JobKey(key)).map(|p| p.state)
--- a/crates/types/src/ids.rs
+++ b/crates/types/src/ids.rs
@@ -77,6 +77,9 @@
 name_id!(
     /// A worker, by the name in the platform's host list.
     WorkerId, "worker name");
+name_id!(
+    /// A host that workers come and go on, by the platform's name for it.
+    HostId, "host name");
 name_id!(
     /// A failure domain, such as `vrhnika-hall`.
     DomainId, "failure domain name");
