The soak harms workers too: crashes, and links that are delayed, reset, silenced or cut one way

Cause: the soak of processes harmed hosts and the store only; leases, runs without an answer and workers that come back as others were exercised on virtual time alone.

A quarter of the soak's faults strike workers.

Found on the way: a_job_is_refused_at_once_while_the_store_is_away failed once of five runs ('waited too long for what was accepted to run on'). Read in its logs: the store went down 5 ms after the leader's claim, before the leader had stored its workers, and a worker that is not stored gets no task. Hosts are ready before one leads, and claims come some 100 ms later since a host that nobody named pauses. The test now waits until the workers are stored, which it took for given; what it asks of the daemon is unchanged.

--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -106,6 +106,8 @@
 #[test]
 fn a_job_is_refused_at_once_while_the_store_is_away() {
     let site = open_site(2, 2, Duration::from_millis(300));
+    // Hosts are ready before one of them leads; workers that no leader has stored get nothing.
+    wait_for("the workers to be known", || site.knows_workers());
     assert_eq!(submit(&site, 0, 1), Some(200));
     site.store.set_down(true);
     let began = Instant::now();
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -1,7 +1,7 @@
 //! A randomised soak of the real daemon in processes of its own.
 //!
-//! Faults come from outside: signals, links to the store that are delayed, reset, silenced or cut
-//! one way, and a store that refuses. They come in series and overlap. What callers and workers see
+//! Faults come from outside: signals, links to the store and to workers that are delayed, reset,
+//! silenced or cut one way, workers that crash, and a store that refuses. They come in series and overlap. What callers and workers see
 //! is checked against the promises of the users' pages: nothing runs twice at one time, what was
 //! refused never runs, and what was accepted comes to an end and is shown.
 
@@ -149,6 +149,9 @@
     }
     let mut site = site.lock().expect(LOCK);
     site.store.set_down(false);
+    for worker in 0..site.fleet.len() {
+        site.fleet.set_link(worker, Mode::Pass);
+    }
     for host in &mut site.hosts {
         host.store_link.set(Mode::Pass);
         host.signal(Signal::CONT);
@@ -166,6 +169,10 @@
     let leader = site.leader();
     let any = rng.random_range(0..site.hosts.len());
     let at = leader.filter(|_| rng.random_range(0..2) == 0).unwrap_or(any);
+    if rng.random_range(0..4) == 0 {
+        worker_fault(site, rng);
+        return Ok(());
+    }
     match rng.random_range(0..10) {
         0 | 1 => site.hosts[at].kill()?,
         2 => site.hosts[at].signal(Signal::STOP),
@@ -185,6 +192,19 @@
     Ok(())
 }
 
+/// Crashes a worker, or harms the way to it; about half of the ways are whole at any time.
+fn worker_fault(site: &Site, rng: &mut ChaCha8Rng) {
+    let at = rng.random_range(0..site.fleet.len());
+    match rng.random_range(0..9) {
+        0 => site.fleet.crash(at),
+        1 => site.fleet.set_link(at, Mode::Silent),
+        2 => site.fleet.set_link(at, Mode::Reset),
+        3 => site.fleet.set_link(at, Mode::OneWay),
+        4 => site.fleet.set_link(at, Mode::Delay),
+        _ => site.fleet.set_link(at, Mode::Pass),
+    }
+}
+
 fn mend(site: &mut Site, rng: &mut ChaCha8Rng) -> io::Result<()> {
     let at = rng.random_range(0..site.hosts.len());
     site.hosts[at].store_link.set(Mode::Pass);
