Gangs that several racks slow down start in one where it has room

Ruled out: a penalty for a second rack in the choice of a worker, since members are chosen one after the other and the first one may lie in a rack without room for all.

Change: the four racks with most free processors are tried one after the other, then all workers; the room of members that were placed is given back each time.

Tests: a_gang_that_several_racks_slow_down_runs_in_one fails without it, and a_gang_that_fits_into_no_rack_runs_in_several.

--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -1,5 +1,7 @@
 //! Starts what can start: steps in the order of priority and objective, tasks on the best worker.
 
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use gaplock_jobs::config::Advice;
@@ -110,7 +112,8 @@
     let step = &job.steps[usize::from(task.step)];
     let found = cx.task(task)?;
     let (avoid, waited) = (found.failed_on, cx.now.since(found.since));
-    Some(Wanted { service, step, task, avoid, waited, advice: advice_of(cx, job) })
+    let (advice, only_rack) = (advice_of(cx, job), None);
+    Some(Wanted { service, step, task, avoid, waited, only_rack, advice })
 }
 
 fn choose(cx: &Context, job: &Job, service: &ids::ServiceId, task: TaskKey) -> Option<WorkerIx> {
@@ -153,24 +156,62 @@
     }
     let starts = pending.iter().filter_map(|&i| cx.task(key(i)));
     let starts = starts.map(|t| t.starts).max().unwrap_or(0) + 1;
+    let run = cx.run_number(starts);
+    let members: Vec<TaskKey> = pending.iter().map(|&index| key(index)).collect();
+    let racks = if step.same_rack { racks_by_room(cx, service) } else { Vec::new() };
+    let in_rack =
+        racks.iter().find_map(|r| place_gang(cx, job, service, &members, starts, Some(r)));
+    let placed = in_rack.or_else(|| place_gang(cx, job, service, &members, starts, None));
+    let Some(placed) = placed else {
+        if advice_of(cx, job).is_some() {
+            permits::ask(cx, ready, pending.len());
+        }
+        return;
+    };
+    for (task, ix) in placed {
+        orders::send_start(cx, ix, task, run);
+    }
+}
+
+/// How many racks are tried for a gang that is slowed down by several; those with most room first.
+const RACKS_TRIED: usize = 4;
+
+/// Lists the racks of a pool with most free processors.
+fn racks_by_room(cx: &Context, service: &ids::ServiceId) -> Vec<String> {
+    let mut racks: BTreeMap<&str, u64> = BTreeMap::new();
+    let pool = cx.workers.iter().filter(|w| w.info.service == *service && w.takes_tasks(cx.now));
+    for worker in pool {
+        let Some(rack) = worker.info.rack() else { continue };
+        let free = worker.info.capacity.minus(&worker.used).cpu.0;
+        *racks.entry(rack).or_default() += u64::from(free);
+    }
+    let mut racks: Vec<(&str, u64)> = racks.into_iter().collect();
+    racks.sort_by_key(|(_, free)| Reverse(*free));
+    racks.into_iter().take(RACKS_TRIED).map(|(rack, _)| rack.to_string()).collect()
+}
+
+/// Takes the room for all members of a gang, in one rack where that is asked for, or for none.
+fn place_gang(
+    cx: &mut Context,
+    job: &Job,
+    service: &ids::ServiceId,
+    members: &[TaskKey],
+    starts: u32,
+    rack: Option<&String>,
+) -> Option<Vec<(TaskKey, WorkerIx)>> {
     let run = cx.run_number(starts);
     let mut placed: Vec<(TaskKey, WorkerIx)> = Vec::new();
-    for &index in pending {
-        let task = key(index);
-        let Some(ix) = choose(cx, job, service, task) else {
+    for &task in members {
+        let wanted = wanted(cx, job, service, task).map(|w| Wanted { only_rack: rack, ..w });
+        let Some(ix) = wanted.and_then(|w| placement::choose(cx, &w)) else {
             undo_gang(cx, &placed, run);
-            if advice_of(cx, job).is_some() {
-                permits::ask(cx, ready, pending.len());
-            }
-            return;
+            return None;
         };
         set_starts(cx, task, starts);
         reserve(cx, ix, task, run);
         placed.push((task, ix));
     }
-    for (task, ix) in placed {
-        orders::send_start(cx, ix, task, run);
-    }
+    Some(placed)
 }
 
 /// Frees the room of the members placed so far; nothing of them was sent.
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -52,6 +52,13 @@
     pub remaining: Option<Millis>,
 }
 
+impl WorkerInfo {
+    /// Returns the worker's rack: the last of its labels, after its kind.
+    pub fn rack(&self) -> Option<&str> {
+        self.labels.last().map(String::as_str)
+    }
+}
+
 /// How a run ended, by the worker's word.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum How {
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -26,6 +26,8 @@
     pub avoid: Option<WorkerIx>,
     /// How long the task has waited.
     pub waited: Millis,
+    /// Set where only workers of one rack will do.
+    pub only_rack: Option<&'a String>,
     /// Set where another service says which workers may run the step.
     pub advice: Option<&'a Advice>,
 }
@@ -132,8 +134,9 @@
     let step = entry.step(key)?;
     let queue = cx.config.as_ref()?.queue(&entry.job.queue)?;
     let (service, advice) = (&queue.service, queue.advice.as_ref());
-    let (avoid, waited) = (Some(here), Millis(0));
-    choose(cx, &Wanted { service, step, task: key, avoid, waited, advice }).filter(|ix| *ix != here)
+    let (avoid, waited, only_rack) = (Some(here), Millis(0), None);
+    choose(cx, &Wanted { service, step, task: key, avoid, waited, only_rack, advice })
+        .filter(|ix| *ix != here)
 }
 
 /// Checks whether a worker may and can run the task.
@@ -156,6 +159,10 @@
     if !permits::allows(cx, wanted.advice, StepKey::of(wanted.task), ix) {
         return Err(Unfit::NotPermitted);
     }
+    let rack = wanted.only_rack.map(String::as_str);
+    if rack.is_some() && rack != worker.info.rack() {
+        return Err(Unfit::Label);
+    }
     if step.label.as_ref().is_some_and(|label| !worker.info.labels.contains(label)) {
         return Err(Unfit::Label);
     }
--- a/crates/sched/tests/fleet/promises.rs
+++ b/crates/sched/tests/fleet/promises.rs
@@ -3,7 +3,7 @@
 use crate::world::{self, job, step, Faults, World};
 use gaplock_jobs::config::Advice;
 use gaplock_jobs::progress::JobState;
-use gaplock_jobs::{Job, JobKey};
+use gaplock_jobs::{Job, JobKey, Step};
 use gaplock_types::time::Millis;
 
 fn assert_kept(world: &World) {
@@ -370,3 +370,31 @@
     world.run(300);
     assert_eq!(world.running_of(3), 1, "the room left for short tasks was not used");
 }
+
+#[test]
+fn a_gang_that_several_racks_slow_down_runs_in_one() {
+    // Four workers of eight cores share a rack.
+    let mut world = World::open(51, 12);
+    world.work_ms = 3_000;
+    world.submit(job(1, vec![step(30, &[])]));
+    world.run(300);
+    let gang = Step { gang: true, same_rack: true, ..step(10, &[]) };
+    world.submit(job(2, vec![gang]));
+    world.run(300);
+    let racks = world.racks_of(2);
+    assert_eq!(racks.len(), 1, "{racks:?}");
+    assert_eq!(world.running_of(2), 10);
+    assert_kept(&world);
+}
+
+#[test]
+fn a_gang_that_fits_into_no_rack_runs_in_several() {
+    let mut world = World::open(52, 12);
+    world.work_ms = 3_000;
+    let gang = Step { gang: true, same_rack: true, ..step(40, &[]) };
+    world.submit(job(1, vec![gang]));
+    world.run(300);
+    assert_eq!(world.running_of(1), 40);
+    assert!(world.racks_of(1).len() > 1);
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -1,5 +1,7 @@
 //! What a test asks of a world: the stored states and what runs where.
 
+use std::collections::BTreeSet;
+
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, TaskKey};
 use gaplock_sched::message::{Run, WaveNumber};
@@ -59,6 +61,13 @@
         self.workers.iter().map(of).sum()
     }
 
+    /// Returns the racks in which a job's tasks run.
+    pub fn racks_of(&self, key: u64) -> BTreeSet<String> {
+        let runs = |w: &&SimWorker| w.running.keys().any(|t| t.job == JobKey(key));
+        let racks = self.workers.iter().filter(runs).filter_map(|w| w.info.rack());
+        racks.map(str::to_string).collect()
+    }
+
     /// Returns the paces of a job's running tasks.
     pub fn paces_of(&self, key: u64) -> Vec<u32> {
         let all = self.workers.iter().flat_map(|w| w.running.iter());
