A test with a standard output that nobody reads, and a count of dropped log lines

Cause: the issue on logs asks that a reader which stops reading must not stop the scheduler, and that dropped lines are counted; neither was shown.

Figures: 60 jobs of ten tasks complete with both hosts' output blocked; the count is above 0.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -17,10 +17,13 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
 
 use async_std::task;
 use futures::StreamExt;
 use gaplock_platform::{installation, store};
+use gaplock_settings::logs::{ErrorCounter, Logs};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 const PROGRAM: &str = "gaplock-node";
@@ -35,12 +38,12 @@
             return ExitCode::from(2);
         }
     };
-    let code = task::block_on(run(&values));
+    let code = task::block_on(run(&values, &logs));
     drop(logs);
     code
 }
 
-async fn run(values: &gaplock_settings::Values) -> ExitCode {
+async fn run(values: &gaplock_settings::Values, logs: &Logs) -> ExitCode {
     let path = std::env::var(installation::PATH_VARIABLE).unwrap_or_default();
     let installation = match installation::open(&PathBuf::from(&path)) {
         Ok(installation) => installation,
@@ -64,6 +67,7 @@
     };
     let following = task::spawn(following::run(node.clone()));
     task::spawn(reloading::run(node.clone(), PathBuf::from(path)));
+    task::spawn(count_dropped_lines(node.clone(), logs.dropped()));
     if let Err(e) = wait_for_stop().await {
         tracing::error!(event = "no_signals", error = %e);
         return ExitCode::FAILURE;
@@ -76,6 +80,17 @@
     ExitCode::SUCCESS
 }
 
+/// How often the count of dropped log lines is renewed.
+const COUNT_DROPPED_EVERY: Duration = Duration::from_secs(1);
+
+/// Keeps the count of dropped log lines for the metrics.
+async fn count_dropped_lines(node: Arc<node::Node>, dropped: ErrorCounter) {
+    loop {
+        task::sleep(COUNT_DROPPED_EVERY).await;
+        node.metrics.log_lines_dropped.set(dropped.dropped_lines() as i64);
+    }
+}
+
 /// Waits for a signal to stop. A signal to reload needs no act of its own: the settings file is
 /// read every second.
 async fn wait_for_stop() -> std::io::Result<()> {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -30,6 +30,8 @@
     pub terms: Counter,
     /// The version of the configuration in force.
     pub config_version: Gauge,
+    /// Log lines that were dropped because standard output was not read in time.
+    pub log_lines_dropped: Gauge,
 }
 
 /// Builds the counters.
@@ -47,7 +49,19 @@
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let config_version = Gauge::default();
     registry.register("config_version", "Configuration in force", config_version.clone());
-    Metrics { registry, answers, orders, commits, commit_time, terms, config_version }
+    let log_lines_dropped = Gauge::default();
+    let what = "Log lines dropped because standard output was not read in time";
+    registry.register("log_lines_dropped", what, log_lines_dropped.clone());
+    Metrics {
+        registry,
+        answers,
+        orders,
+        commits,
+        commit_time,
+        terms,
+        config_version,
+        log_lines_dropped,
+    }
 }
 
 impl Metrics {
--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -5,16 +5,21 @@
 
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::cloud;
-use gaplock_platform_standin::site::{self, call, two_steps, Plan, Site, PREFIX};
+use gaplock_platform_standin::site::{self, call, two_steps, Output, Plan, Site, PREFIX};
 use rustix::process::Signal;
 use serde_json::json;
 
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
 fn open_site(hosts: usize, workers: usize, work: Duration) -> Site {
+    open_site_with(hosts, workers, work, Output::File)
+}
+
+fn open_site_with(hosts: usize, workers: usize, work: Duration, output: Output) -> Site {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node"));
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let site = site::open(&Plan { program, dir, hosts, workers, work }).expect("the site starts");
+    let site =
+        site::open(&Plan { program, dir, hosts, workers, work, output }).expect("the site starts");
     for host in &site.hosts {
         wait_for("readiness", || host.is_ready());
     }
@@ -133,3 +138,23 @@
     wait_for("the state", || shows(&site, 0, 1, "canceled"));
     assert_eq!(site.fleet.starts(), 6);
 }
+
+/// Each job logs some 40 lines at its leader; a pipe that nobody reads holds 64 KiB.
+#[test]
+fn a_standard_output_that_nobody_reads_stops_nothing() {
+    let site = open_site_with(2, 4, Duration::from_millis(50), Output::BlockedPipe);
+    wait_for("the workers to be known", || site.knows_workers());
+    for key in 1..=60 {
+        assert_eq!(submit(&site, key as usize % 2, key), Some(200));
+    }
+    for key in 1..=60 {
+        wait_for("completion", || shows(&site, 0, key, "completed"));
+    }
+    assert_eq!(site.fleet.starts(), 600);
+    let mut next = 60;
+    wait_for("dropped lines to be counted", || {
+        next += 1;
+        submit(&site, 0, next);
+        site.hosts.iter().any(|h| h.metric("gaplock_log_lines_dropped") > Some(0))
+    });
+}
--- a/crates/settings/src/logs.rs
+++ b/crates/settings/src/logs.rs
@@ -1,5 +1,6 @@
 //! Starts structured logs: JSON lines on standard error.
 
+pub use tracing_appender::non_blocking::ErrorCounter;
 use tracing_subscriber::EnvFilter;
 
 /// Starts logging at `level`, such as `info` or `gaplock_entry=debug,info`.
@@ -20,6 +21,14 @@
 /// Keeps the writer of bounded logs running; dropping it writes what is still queued.
 pub struct Logs {
     _writer: tracing_appender::non_blocking::WorkerGuard,
+    dropped: ErrorCounter,
+}
+
+impl Logs {
+    /// Returns the counter of lines that were dropped because nobody read the output in time.
+    pub fn dropped(&self) -> ErrorCounter {
+        self.dropped.clone()
+    }
 }
 
 /// Lines that may wait to be written; further ones are dropped rather than waited for.
@@ -35,6 +44,7 @@
         .lossy(true)
         .buffered_lines_limit(QUEUED_LINES)
         .finish(std::io::stdout());
+    let dropped = writer.error_counter();
     tracing_subscriber::fmt()
         .json()
         .flatten_event(true)
@@ -43,5 +53,5 @@
         .with_writer(writer)
         .try_init()
         .map_err(|e| e.to_string())?;
-    Ok(Logs { _writer: guard })
+    Ok(Logs { _writer: guard, dropped })
 }
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -12,7 +12,7 @@
 
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::relay::Mode;
-use gaplock_platform_standin::site::{self, two_steps, Plan, Site};
+use gaplock_platform_standin::site::{self, two_steps, Output, Plan, Site};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
@@ -70,6 +70,7 @@
         hosts: rng.random_range(2..6),
         workers: rng.random_range(2..9),
         work: Duration::from_millis(rng.random_range(100..1_500)),
+        output: Output::default(),
     };
     let mut report = Report { seed, ..Report::default() };
     let site = Mutex::new(site::open(&plan)?);
