Workers count as slow below 0.4 of the usual rate

Slow workers that were seen lie between 0.1 and 0.3.

Conclusion: 0.4, since 0.3 would miss the fastest of the slow ones.

--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/speed.rs
@@ -76,8 +76,9 @@
 const SPEED_GAIN: f64 = 0.5;
 
 /// The relative speed below which a worker is slow. On the users' sites healthy runs lie between
-/// 0.6 and 1.5 of their step's median, those on slow workers between 0.1 and 0.3.
-const SLOW_BELOW: f64 = 0.55;
+/// 0.6 and 1.5 of their step's median, those on slow workers between 0.1 and 0.3; where tasks of one step
+/// differ by a third, long ones come down to a half.
+const SLOW_BELOW: f64 = 0.4;
 
 /// How long a worker's speed is believed without a new reading.
 const BELIEVED_FOR: Millis = Millis(3_000);
