Gangs have a module of their own

Cause: dispatch.rs held two jobs, tasks one by one and gangs that start whole. Ruled out: a change of order; members, racks and run numbers are chosen as before. Result: gangs.rs; starting a gang is split into its members' count, its place and its orders. The tests of gaplock-sched and gaplock-explain pass.

--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -1,9 +1,5 @@
 //! Starts what can start: steps in the order of priority and objective, tasks on the best worker.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
-use std::sync::Arc;
-
 use gaplock_jobs::config::Advice;
 use gaplock_jobs::{Job, TaskKey};
 use gaplock_types::ids;
@@ -16,7 +12,7 @@
 use crate::placement::{self, Wanted};
 use crate::table::{self, ReadyStep, TaskState};
 use crate::worker::Phase;
-use crate::{lifecycle, orders, permits, trace};
+use crate::{gangs, lifecycle, orders, permits, trace};
 
 /// A demand for which no worker had room in this pass; a demand at least as large with the same
 /// restrictions need not be tried.
@@ -54,7 +50,7 @@
     let Some(round) = entry.round(ready.round) else { return };
     let pending: Vec<u32> = round.steps[usize::from(ready.step)].pending.iter().copied().collect();
     if step.gang {
-        start_gang(cx, &job, &service, ready, &pending);
+        gangs::start(cx, &job, &service, ready, &pending);
         return;
     }
     let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending) else { return };
@@ -87,23 +83,25 @@
     None
 }
 
+/// Returns the pool of workers that runs a job.
 fn service_of(cx: &Context, job: &Job) -> Option<ids::ServiceId> {
     let config = cx.config.as_ref()?;
     config.queue(&job.queue).map(|q| q.service.clone())
 }
 
-fn advice_of<'a>(cx: &'a Context, job: &Job) -> Option<&'a Advice> {
+/// Returns what the job's queue says of asking another service where steps may run.
+pub fn advice_of<'a>(cx: &'a Context, job: &Job) -> Option<&'a Advice> {
     cx.config.as_ref()?.queue(&job.queue)?.advice.as_ref()
 }
 
 /// Tells whether a task is pending and its pause over.
-fn may_start(cx: &Context, task: TaskKey) -> bool {
+pub fn may_start(cx: &Context, task: TaskKey) -> bool {
     let state = cx.task(task);
     state.is_some_and(|t| t.state == TaskState::Pending && t.not_before <= cx.now)
 }
 
 /// Says what a task asks of a worker.
-fn wanted<'a>(
+pub fn wanted<'a>(
     cx: &'a Context,
     job: &'a Job,
     service: &'a ids::ServiceId,
@@ -116,6 +114,7 @@
     Some(Wanted { service, step, task, avoid, waited, only_rack, advice })
 }
 
+/// Finds the best worker for a task.
 fn choose(cx: &Context, job: &Job, service: &ids::ServiceId, task: TaskKey) -> Option<WorkerIx> {
     placement::choose(cx, &wanted(cx, job, service, task)?)
 }
@@ -138,96 +137,6 @@
     trace::step_waits(task, pending, waited, &wanted.step.demand, &counts);
 }
 
-/// Starts all members of a gang under one run number, or none of them.
-fn start_gang(
-    cx: &mut Context,
-    job: &Arc<Job>,
-    service: &ids::ServiceId,
-    ready: ReadyStep,
-    pending: &[u32],
-) {
-    let step = &job.steps[usize::from(ready.step)];
-    if pending.len() < step.count as usize {
-        return;
-    }
-    let key = |index| TaskKey { job: ready.job, round: ready.round, step: ready.step, index };
-    if pending.iter().any(|&index| !may_start(cx, key(index))) {
-        return;
-    }
-    let starts = pending.iter().filter_map(|&i| cx.task(key(i)));
-    let starts = starts.map(|t| t.starts).max().unwrap_or(0) + 1;
-    let run = cx.run_number(starts);
-    let members: Vec<TaskKey> = pending.iter().map(|&index| key(index)).collect();
-    let racks = if step.same_rack { racks_by_room(cx, service) } else { Vec::new() };
-    let in_rack =
-        racks.iter().find_map(|r| place_gang(cx, job, service, &members, starts, Some(r)));
-    let placed = in_rack.or_else(|| place_gang(cx, job, service, &members, starts, None));
-    let Some(placed) = placed else {
-        if advice_of(cx, job).is_some() {
-            permits::ask(cx, ready, pending.len());
-        }
-        return;
-    };
-    for (task, ix) in placed {
-        orders::send_start(cx, ix, task, run);
-    }
-}
-
-/// How many racks are tried for a gang that is slowed down by several; those with most room first.
-const RACKS_TRIED: usize = 4;
-
-/// Lists the racks of a pool with most free processors.
-fn racks_by_room(cx: &Context, service: &ids::ServiceId) -> Vec<String> {
-    let mut racks: BTreeMap<&str, u64> = BTreeMap::new();
-    let pool = cx.workers.iter().filter(|w| w.info.service == *service && w.takes_tasks(cx.now));
-    for worker in pool {
-        let Some(rack) = worker.info.rack() else { continue };
-        let free = worker.info.capacity.minus(&worker.used).cpu.0;
-        *racks.entry(rack).or_default() += u64::from(free);
-    }
-    let mut racks: Vec<(&str, u64)> = racks.into_iter().collect();
-    racks.sort_by_key(|(_, free)| Reverse(*free));
-    racks.into_iter().take(RACKS_TRIED).map(|(rack, _)| rack.to_string()).collect()
-}
-
-/// Takes the room for all members of a gang, in one rack where that is asked for, or for none.
-fn place_gang(
-    cx: &mut Context,
-    job: &Job,
-    service: &ids::ServiceId,
-    members: &[TaskKey],
-    starts: u32,
-    rack: Option<&String>,
-) -> Option<Vec<(TaskKey, WorkerIx)>> {
-    let run = cx.run_number(starts);
-    let mut placed: Vec<(TaskKey, WorkerIx)> = Vec::new();
-    for &task in members {
-        let wanted = wanted(cx, job, service, task).map(|w| Wanted { only_rack: rack, ..w });
-        let Some(ix) = wanted.and_then(|w| placement::choose(cx, &w)) else {
-            undo_gang(cx, &placed, run);
-            return None;
-        };
-        set_starts(cx, task, starts);
-        reserve(cx, ix, task, run);
-        placed.push((task, ix));
-    }
-    Some(placed)
-}
-
-/// Frees the room of the members placed so far; nothing of them was sent.
-fn undo_gang(cx: &mut Context, placed: &[(TaskKey, WorkerIx)], run: Run) {
-    for &(task, ix) in placed {
-        lifecycle::requeue(cx, ix, task, run, Millis(0));
-    }
-}
-
-/// Sets how often a task was started; all members of a gang count alike.
-fn set_starts(cx: &mut Context, task: TaskKey, starts: u32) {
-    if let Some(t) = cx.task_mut(task) {
-        t.starts = starts;
-    }
-}
-
 /// Counts another start of a task and returns its run.
 fn next_run(cx: &mut Context, task: TaskKey) -> Run {
     let found = cx.task_mut(task);
@@ -239,7 +148,7 @@
 }
 
 /// Takes the room for a run and holds the task to be there from now on.
-fn reserve(cx: &mut Context, ix: WorkerIx, task: TaskKey, run: Run) {
+pub fn reserve(cx: &mut Context, ix: WorkerIx, task: TaskKey, run: Run) {
     let now = cx.now;
     lifecycle::leave_pending(cx, task);
     let (phase, percent, reading) = (Phase::Starting, 0, None);
--- /dev/null
+++ b/crates/sched/src/gangs.rs
@@ -0,0 +1,123 @@
+//! Gangs: all members of a step start together, or none of them.
+//!
+//! A gang that several racks slow down is tried in one rack after the other, those with most room
+//! first, before its members are spread.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+use gaplock_jobs::{Job, TaskKey};
+use gaplock_types::ids;
+use gaplock_types::time::Millis;
+
+use crate::context::Context;
+use crate::message::{Run, WorkerIx};
+use crate::placement::{self, Wanted};
+use crate::table::ReadyStep;
+use crate::{dispatch, lifecycle, orders, permits};
+
+/// Starts all members of a gang under one run number, or none of them.
+pub fn start(
+    cx: &mut Context,
+    job: &Job,
+    service: &ids::ServiceId,
+    ready: ReadyStep,
+    pending: &[u32],
+) {
+    let step = &job.steps[usize::from(ready.step)];
+    if pending.len() < step.count as usize {
+        return;
+    }
+    let key = |&index| TaskKey { job: ready.job, round: ready.round, step: ready.step, index };
+    let members: Vec<TaskKey> = pending.iter().map(key).collect();
+    if members.iter().any(|&task| !dispatch::may_start(cx, task)) {
+        return;
+    }
+    let starts = next_starts(cx, &members);
+    let Some(placed) = place_together(cx, job, service, &members, starts, step.same_rack) else {
+        if dispatch::advice_of(cx, job).is_some() {
+            permits::ask(cx, ready, pending.len());
+        }
+        return;
+    };
+    let run = cx.run_number(starts);
+    for (task, ix) in placed {
+        orders::send_start(cx, ix, task, run);
+    }
+}
+
+/// Returns how often the gang will have been started, counted by the member started most often.
+fn next_starts(cx: &Context, members: &[TaskKey]) -> u32 {
+    let starts = members.iter().filter_map(|&task| cx.task(task)).map(|t| t.starts);
+    starts.max().unwrap_or(0) + 1
+}
+
+/// Takes the room for all members, in one rack if that is wanted and any has room, or for none.
+fn place_together(
+    cx: &mut Context,
+    job: &Job,
+    service: &ids::ServiceId,
+    members: &[TaskKey],
+    starts: u32,
+    same_rack: bool,
+) -> Option<Vec<(TaskKey, WorkerIx)>> {
+    let racks = if same_rack { racks_by_room(cx, service) } else { Vec::new() };
+    let in_rack = racks.iter().find_map(|r| place(cx, job, service, members, starts, Some(r)));
+    in_rack.or_else(|| place(cx, job, service, members, starts, None))
+}
+
+/// How many racks are tried for a gang that is slowed down by several; those with most room first.
+const RACKS_TRIED: usize = 4;
+
+/// Lists the racks of a pool with most free processors.
+fn racks_by_room(cx: &Context, service: &ids::ServiceId) -> Vec<String> {
+    let mut racks: BTreeMap<&str, u64> = BTreeMap::new();
+    let pool = cx.workers.iter().filter(|w| w.info.service == *service && w.takes_tasks(cx.now));
+    for worker in pool {
+        let Some(rack) = worker.info.rack() else { continue };
+        let free = worker.info.capacity.minus(&worker.used).cpu.0;
+        *racks.entry(rack).or_default() += u64::from(free);
+    }
+    let mut racks: Vec<(&str, u64)> = racks.into_iter().collect();
+    racks.sort_by_key(|(_, free)| Reverse(*free));
+    racks.into_iter().take(RACKS_TRIED).map(|(rack, _)| rack.to_string()).collect()
+}
+
+/// Takes the room for all members of a gang, in one rack where that is asked for, or for none.
+fn place(
+    cx: &mut Context,
+    job: &Job,
+    service: &ids::ServiceId,
+    members: &[TaskKey],
+    starts: u32,
+    rack: Option<&String>,
+) -> Option<Vec<(TaskKey, WorkerIx)>> {
+    let run = cx.run_number(starts);
+    let mut placed: Vec<(TaskKey, WorkerIx)> = Vec::new();
+    for &task in members {
+        let wanted =
+            dispatch::wanted(cx, job, service, task).map(|w| Wanted { only_rack: rack, ..w });
+        let Some(ix) = wanted.and_then(|w| placement::choose(cx, &w)) else {
+            undo(cx, &placed, run);
+            return None;
+        };
+        set_starts(cx, task, starts);
+        dispatch::reserve(cx, ix, task, run);
+        placed.push((task, ix));
+    }
+    Some(placed)
+}
+
+/// Frees the room of the members placed so far; nothing of them was sent.
+fn undo(cx: &mut Context, placed: &[(TaskKey, WorkerIx)], run: Run) {
+    for &(task, ix) in placed {
+        lifecycle::requeue(cx, ix, task, run, Millis(0));
+    }
+}
+
+/// Sets how often a task was started; all members of a gang count alike.
+fn set_starts(cx: &mut Context, task: TaskKey, starts: u32) {
+    if let Some(t) = cx.task_mut(task) {
+        t.starts = starts;
+    }
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dispatch;
 pub mod drain;
 pub mod ends;
+pub mod gangs;
 pub mod intake;
 pub mod leases;
 pub mod lifecycle;
