Truer words in speed, stragglers, upkeep and drain

Cause: the whole of a task's work stood twice as a bare 100, limits stood between functions, a closure said the opposite of its name, some functions and a long header line read badly. Ruled out: any other figure or order; the later of two times is now taken with max. Result: one constant, limits first, whole-sentence comments; the tests of gaplock-sched pass.

--- a/crates/sched/src/availability.rs
+++ b/crates/sched/src/availability.rs
@@ -1,4 +1,4 @@
-//! How many tasks of a lasting step may be away at one time through our own orders.
+//! How many tasks of a lasting step may be away at one time through the scheduler's own orders.
 
 use gaplock_jobs::TaskKey;
 
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -207,7 +207,7 @@
         round.steps.get(usize::from(key.step))
     }
 
-    /// Finds the state of a task's step.
+    /// Finds the state of a task's step, for a change.
     pub fn step_state_mut(&mut self, key: TaskKey) -> Option<&mut StepState> {
         let round = self.jobs.get_mut(&key.job)?.round_mut(key.round)?;
         round.steps.get_mut(usize::from(key.step))
--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/drain.rs
@@ -59,7 +59,7 @@
         }
         Listing::Absent { since } => {
             let back_until = cx.directory_back + BACK_WITHIN;
-            let from = if since < back_until { back_until } else { since };
+            let from = since.max(back_until);
             let last_call = last_call(from, cx.settings.drain);
             (cx.now >= from).then_some(Departure { last_call, announced: false })
         }
--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/speed.rs
@@ -76,8 +76,8 @@
 const SPEED_GAIN: f64 = 0.5;
 
 /// The relative speed below which a worker is slow. On the users' sites healthy runs lie between
-/// 0.6 and 1.5 of their step's median, those on slow workers between 0.1 and 0.3; where tasks of one step
-/// differ by a third, long ones come down to a half.
+/// 0.6 and 1.5 of their step's median, those on slow workers between 0.1 and 0.3; where tasks of
+/// one step differ by a third, long ones come down to a half.
 const SLOW_BELOW: f64 = 0.4;
 
 /// How long a worker's speed is believed without a new reading.
@@ -105,11 +105,14 @@
     }
 }
 
+/// The progress of a run that has done its work, in percent.
+pub const WHOLE_PERCENT: u32 = 100;
+
 /// The shortest time over which a rate is read.
 const READ_OVER: Millis = Millis(300);
 
-/// The least progress over which a rate is read, in percent, since progress comes in whole percent;
-/// or the time in which a run of its step would usually make it.
+/// The least progress over which a rate is read, in percent, since progress comes in whole percent.
+/// The time in which a run of its step would usually make that much is enough too.
 const READ_PERCENT: u32 = 8;
 
 /// The pace below which a filling task's progress says nothing of its worker, in percent.
@@ -151,9 +154,6 @@
     }
 }
 
-/// The progress of a run that has done its work, in percent.
-const WHOLE_PERCENT: u32 = 100;
-
 /// Returns the rate at full pace, in percent a second, of a run that gained this much.
 fn rate(slot: &Slot, gained: u32, span: Millis) -> f64 {
     let pace = f64::from(slot.pace) / f64::from(FULL_PACE);
--- a/crates/sched/src/stragglers.rs
+++ b/crates/sched/src/stragglers.rs
@@ -11,7 +11,7 @@
 use crate::message::{Run, WorkerIx};
 use crate::table::TaskState;
 use crate::worker::{Part, Phase, Slot};
-use crate::{availability, lifecycle, placement, trace};
+use crate::{availability, lifecycle, placement, speed, trace};
 
 /// What a copy costs in time besides its work: the order and the wait for its end to be seen.
 const COPY_TAKES: Millis = Millis(100);
@@ -23,6 +23,13 @@
 /// readings are rough, and what was done here is thrown away.
 const WORTH_IT: f64 = 1.3;
 
+/// The lowest relative speed that is reckoned with: a standstill counts as very slow, not as endless.
+const SLOWEST: f64 = 0.02;
+
+/// How long a serving task on a slow worker stays over its target before it moves: as long as its
+/// way to another worker takes.
+const OVER_BEFORE_MOVE: Millis = Millis(800);
+
 /// Starts tasks again elsewhere that would take much longer on their slow worker.
 pub fn check(cx: &mut Context) {
     for ix in cx.worker_ixs() {
@@ -40,10 +47,6 @@
     }
 }
 
-/// How long a serving task on a slow worker stays over its target before it moves: as long as its
-/// way to another worker takes.
-const OVER_BEFORE_MOVE: Millis = Millis(800);
-
 /// Tells whether a run is better off elsewhere.
 fn is_straggler(cx: &Context, ix: WorkerIx, key: TaskKey, slot: &Slot) -> bool {
     if slot.phase != Phase::Running || !lifecycle::is_active(cx, key, ix, slot.run) {
@@ -58,21 +61,20 @@
     }
 }
 
-/// Tells whether a run would be done sooner elsewhere, its stop included.
+/// Tells whether a run would be done much sooner elsewhere, its stop included.
 fn is_late(cx: &Context, ix: WorkerIx, key: TaskKey, slot: &Slot) -> bool {
     let Some(step) = cx.step(key) else { return false };
     let typical = cx.step_state(key).and_then(|state| state.rates.typical());
     let Some(typical) = typical.filter(|_| !step.gang && !step.lasting) else { return false };
-    let left = |percent: u32, rate: f64| f64::from(100_u32.saturating_sub(percent)) / rate;
+    let left =
+        |percent: u32, rate: f64| f64::from(speed::WHOLE_PERCENT.saturating_sub(percent)) / rate;
     let here = left(slot.percent, typical * cx.worker(ix).speed.relative(cx.now).max(SLOWEST));
     let kept = if step.checkpoints { slot.percent } else { 0 };
     let there = left(kept, typical) + overhead(cx, step).0 as f64 / 1_000.0;
     here > there * WORTH_IT
 }
 
-/// The lowest relative speed that is reckoned with.
-const SLOWEST: f64 = 0.02;
-
+/// Returns what a second start costs in time besides the task's work.
 fn overhead(cx: &Context, step: &Step) -> Millis {
     if step.duplicates {
         return COPY_TAKES;
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -7,6 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use gaplock_jobs::TaskKey;
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
@@ -67,7 +68,7 @@
     cx.upkeep.stored = waves.into_iter().map(|w| (w.number, w)).collect();
 }
 
-/// Takes in a wave that the operators ask for; one that is known changes nothing.
+/// Takes in a wave that the operators ask for; one that is known already changes nothing.
 pub fn asked(cx: &mut Context, request: WaveRequest) {
     let number = request.number;
     if cx.upkeep.waves.contains_key(&number) {
@@ -204,7 +205,7 @@
 /// that has been waited for long enough.
 fn is_empty_enough(cx: &Context, ix: WorkerIx, waited: bool) -> bool {
     let mut running = cx.worker(ix).slots.keys();
-    let lasting = |key: &gaplock_jobs::TaskKey| cx.step(*key).is_some_and(|s| s.lasting);
+    let lasting = |key: &TaskKey| cx.step(*key).is_some_and(|s| s.lasting);
     running.all(|key| waited && !lasting(key))
 }
 
@@ -217,8 +218,8 @@
 
 /// Lists the hosts whose upkeep has not begun.
 fn left(wave: &Wave) -> impl Iterator<Item = &ids::HostId> {
-    let over = |h: &&ids::HostId| !wave.progress.begun.contains(*h) && !wave.left_out.contains(*h);
-    wave.request.hosts.iter().filter(over)
+    let over = |h: &ids::HostId| wave.progress.begun.contains(h) || wave.left_out.contains(h);
+    wave.request.hosts.iter().filter(move |h| !over(h))
 }
 
 /// Begins to empty as many hosts as may go down next, those with fewest tasks first.
@@ -261,6 +262,7 @@
     cx.by_id.get(id).copied().filter(|ix| !cx.worker(*ix).gone)
 }
 
+/// Begins or ends the emptying of the worker on a host, if there is one.
 fn set_emptying(cx: &mut Context, host: &ids::HostId, emptying: bool) {
     if let Some(ix) = worker_on(cx, host) {
         cx.worker_mut(ix).emptying = emptying;
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -1,9 +1,10 @@
 //! A randomised soak of the real daemon in processes of its own.
 //!
 //! Faults come from outside: signals, links to the store and to workers that are delayed, reset,
-//! silenced or cut one way, workers that crash, and a store that refuses. They come in series and overlap. What callers and workers see
-//! is checked against the promises of the users' pages: nothing runs twice at one time, what was
-//! refused never runs, and what was accepted comes to an end and is shown.
+//! silenced or cut one way, workers that crash, and a store that refuses. They come in series and
+//! overlap. What callers and workers see is checked against the promises of the users' pages:
+//! nothing runs twice at one time, what was refused never runs, and what was accepted comes to an
+//! end and is shown.
 
 use std::path::PathBuf;
 use std::sync::Mutex;
