The feeds of a leadership have a module of their own

Ruled out: a change of pauses or order; a list of the inbox that fails is now logged like the others (store_silent, debug), it was swallowed before. Result: feeds.rs; leading.rs restores, runs and hands over. Tests of gaplock-node and gaplock-explain pass.

--- /dev/null
+++ b/crates/node/src/feeds.rs
@@ -0,0 +1,252 @@
+//! Feeds the engine with what changes in the store while this host leads: the inbox, the directory
+//! of workers, and the operators' waves of upkeep.
+//!
+//! Each feed is a task that watches a prefix; where a watch starts too late to be complete, the
+//! prefix is listed anew. Feeds live for one leadership and are ended by `leading`.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task::{self, JoinHandle};
+use gaplock_jobs::{Job, JobKey};
+use gaplock_platform::directory;
+use gaplock_platform::store::{Change, Item, Revision, StoreError};
+use gaplock_platform::waves;
+use gaplock_sched::Event;
+use gaplock_types::ids;
+
+use crate::engine::Engine;
+use crate::keys;
+use crate::node::Node;
+
+/// How long a watch waits for a change.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+
+/// The pause after a watch of the inbox has answered: followers announce what they store, so the
+/// watch only has to find what was not announced.
+const INBOX_PAUSE: Duration = Duration::from_millis(250);
+
+/// The pause after a watch of the directory has answered, so that one call brings many changes.
+const DIRECTORY_PAUSE: Duration = Duration::from_millis(100);
+
+/// The pause before a failed call to the store is made again.
+pub const STORE_PAUSE: Duration = Duration::from_millis(150);
+
+/// What the restored state holds already: the feeds go on from there.
+pub struct Seen {
+    /// The revision at which the inbox was read.
+    pub inbox: Revision,
+    /// The revision at which the directory was read.
+    pub directory: Revision,
+    /// The workers that the directory listed.
+    pub known: BTreeSet<ids::WorkerId>,
+}
+
+/// Starts the feeds of a leadership. Waves are read only where the installation has duties.
+pub fn open(node: &Arc<Node>, engine: &Arc<Engine>, seen: Seen) -> Vec<JoinHandle<()>> {
+    let (inbox, directory) = (Arc::clone(node), Arc::clone(node));
+    let mut feeds = vec![
+        task::spawn(feed_inbox(inbox, Arc::clone(engine), seen.inbox)),
+        task::spawn(feed_directory(directory, Arc::clone(engine), seen.directory, seen.known)),
+    ];
+    if node.installation.has_duties {
+        feeds.push(task::spawn(feed_waves(Arc::clone(node), Arc::clone(engine))));
+    }
+    feeds
+}
+
+/// What callers' hosts store for the leader.
+pub enum Handed {
+    /// A job.
+    Job(Arc<Job>),
+    /// The cancellation of one.
+    Cancel(JobKey),
+}
+
+/// Decodes an item of the inbox.
+pub fn read_inbox(item: &Item) -> Option<Handed> {
+    if let Some(key) = item.key.strip_prefix(keys::CANCELS) {
+        return key.parse().ok().map(Handed::Cancel);
+    }
+    serde_json::from_slice(&item.value).ok().map(|job| Handed::Job(Arc::new(job)))
+}
+
+/// Hands in the jobs and cancellations that callers' hosts have stored.
+async fn feed_inbox(node: Arc<Node>, engine: Arc<Engine>, from: Revision) {
+    let mut from = from;
+    loop {
+        match node.store.watch(keys::INBOX, from, WATCH_WAIT).await {
+            Ok(watched) => {
+                node.store_answered();
+                from = watched.revision;
+                for change in &watched.changes {
+                    if let Change::Set(item) = change {
+                        hand_in(&engine, item);
+                    }
+                }
+                task::sleep(INBOX_PAUSE).await;
+            }
+            Err(StoreError::Gone) => match node.store.list(keys::INBOX).await {
+                Ok(listed) => {
+                    from = listed.revision;
+                    listed.items.iter().for_each(|item| hand_in(&engine, item));
+                }
+                Err(e) => {
+                    tracing::debug!(event = "store_silent", error = %e);
+                    task::sleep(STORE_PAUSE).await;
+                }
+            },
+            Err(e) => {
+                tracing::debug!(event = "watch_cut", error = %e);
+                task::sleep(STORE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Hands a stored job or cancellation to the engine.
+fn hand_in(engine: &Engine, item: &Item) {
+    match read_inbox(item) {
+        Some(Handed::Job(job)) => engine.send(Event::Job(job)),
+        Some(Handed::Cancel(key)) => engine.send(Event::Cancel(key)),
+        None => tracing::warn!(event = "inbox_malformed", key = item.key),
+    }
+}
+
+/// Tells the engine which workers come, change and go.
+async fn feed_directory(
+    node: Arc<Node>,
+    engine: Arc<Engine>,
+    from: Revision,
+    mut known: BTreeSet<ids::WorkerId>,
+) {
+    let mut from = from;
+    let mut away = false;
+    loop {
+        match node.store.watch(directory::PREFIX, from, WATCH_WAIT).await {
+            Ok(watched) => {
+                node.store_answered();
+                back(&engine, &mut away);
+                from = watched.revision;
+                for change in &watched.changes {
+                    if let Some(event) = directory_event(change, &mut known) {
+                        engine.send(event);
+                    }
+                }
+                task::sleep(DIRECTORY_PAUSE).await;
+            }
+            Err(StoreError::Gone) => match node.store.list(directory::PREFIX).await {
+                Ok(listed) => {
+                    back(&engine, &mut away);
+                    from = listed.revision;
+                    directory_events(&listed.items, &mut known)
+                        .into_iter()
+                        .for_each(|event| engine.send(event));
+                }
+                Err(e) => {
+                    tracing::debug!(event = "store_silent", error = %e);
+                    away = true;
+                    task::sleep(STORE_PAUSE).await;
+                }
+            },
+            Err(e) => {
+                tracing::debug!(event = "watch_cut", error = %e);
+                away = true;
+                task::sleep(STORE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Tells the engine, once, that the directory can be read again.
+fn back(engine: &Engine, away: &mut bool) {
+    if std::mem::take(away) {
+        engine.send(Event::DirectoryBack);
+    }
+}
+
+/// Turns one change of the directory into an event; a malformed entry changes nothing.
+fn directory_event(change: &Change, known: &mut BTreeSet<ids::WorkerId>) -> Option<Event> {
+    match change {
+        Change::Removed(key) => {
+            let id = directory::worker_of(key)?;
+            known.remove(&id);
+            Some(Event::Unlisted(id))
+        }
+        Change::Set(item) => {
+            let id = directory::worker_of(&item.key)?;
+            match directory::decode(id.clone(), &item.value) {
+                Ok(info) => {
+                    known.insert(id);
+                    Some(Event::Listed(info))
+                }
+                Err(e) => {
+                    tracing::warn!(event = "directory_malformed", worker = %id, error = %e);
+                    None
+                }
+            }
+        }
+    }
+}
+
+/// Turns a whole listing into events: what is listed, and what no longer is.
+pub fn directory_events(items: &[Item], known: &mut BTreeSet<ids::WorkerId>) -> Vec<Event> {
+    let before = std::mem::take(known);
+    let mut events: Vec<Event> = Vec::new();
+    for item in items {
+        events.extend(directory_event(&Change::Set(item.clone()), known));
+    }
+    let gone = before.difference(known);
+    events.extend(gone.map(|id| Event::Unlisted(id.clone())));
+    events
+}
+
+/// Tells the engine of waves of upkeep: those that are there, then each that is asked for.
+async fn feed_waves(node: Arc<Node>, engine: Arc<Engine>) {
+    let mut from = None;
+    loop {
+        let Some(after) = from else {
+            from = list_waves(&node, &engine).await;
+            continue;
+        };
+        match node.store.watch(waves::PREFIX, after, WATCH_WAIT).await {
+            Ok(watched) => {
+                from = Some(watched.revision);
+                for change in &watched.changes {
+                    if let Change::Set(item) = change {
+                        tell_wave(&engine, item);
+                    }
+                }
+            }
+            Err(StoreError::Gone) => from = None,
+            Err(e) => {
+                tracing::debug!(event = "watch_cut", error = %e);
+                task::sleep(STORE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Tells the engine of all waves that are there; returns where the watch goes on from.
+async fn list_waves(node: &Node, engine: &Engine) -> Option<Revision> {
+    match node.store.list(waves::PREFIX).await {
+        Ok(listed) => {
+            listed.items.iter().for_each(|item| tell_wave(engine, item));
+            Some(listed.revision)
+        }
+        Err(e) => {
+            tracing::debug!(event = "store_silent", error = %e);
+            task::sleep(STORE_PAUSE).await;
+            None
+        }
+    }
+}
+
+/// Tells the engine of one wave.
+fn tell_wave(engine: &Engine, item: &Item) {
+    match waves::decode(&item.value) {
+        Ok(wave) => engine.send(Event::Wave(wave)),
+        Err(e) => tracing::warn!(event = "wave_malformed", key = item.key, error = %e),
+    }
+}
--- a/crates/node/src/leading.rs
+++ b/crates/node/src/leading.rs
@@ -1,40 +1,24 @@
-//! One leadership from its claim to its end: restores the state, then feeds the engine.
+//! One leadership from its claim to its end: restores the state, runs the engine, then hands over.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::time::Duration;
 
-use async_std::task::{self, JoinHandle};
-use gaplock_jobs::{Job, JobKey};
+use async_std::task;
 use gaplock_platform::directory;
-use gaplock_platform::store::{Change, Item, Listed, Revision, StoreError, Txn};
-use gaplock_platform::waves;
+use gaplock_platform::store::{Item, Listed, Revision, StoreError, Txn};
 use gaplock_policy::succession;
 use gaplock_remote::clock;
 use gaplock_sched::takeover::{self, Stored};
 use gaplock_sched::{Context, Event};
-use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::engine::{self, Engine};
+use crate::engine;
+use crate::feeds::Handed;
 use crate::leadership::{self, Claim, Right, Standing};
 use crate::ledger::{self, RosterEntry};
 use crate::node::{Node, Role};
 use crate::peers::Invitation;
-use crate::{following, keys};
-
-/// How long a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
-
-/// The pause after a watch of the inbox has answered: followers announce what they store, so the
-/// watch only has to find what was not announced.
-const INBOX_PAUSE: Duration = Duration::from_millis(250);
-
-/// The pause after a watch of the directory has answered, so that one call brings many changes.
-const DIRECTORY_PAUSE: Duration = Duration::from_millis(100);
-
-/// The pause before a failed call to the store is made again.
-const STORE_PAUSE: Duration = Duration::from_millis(150);
+use crate::{feeds, following, keys};
 
 /// What was read at the beginning of a leadership.
 struct Read {
@@ -82,13 +66,14 @@
             Ok(read) => return Some(read),
             Err(e) => {
                 tracing::info!(event = "restore_delayed", error = %e);
-                task::sleep(STORE_PAUSE).await;
+                task::sleep(feeds::STORE_PAUSE).await;
             }
         }
     }
     None
 }
 
+/// Reads everything once.
 async fn read_once(node: &Arc<Node>) -> Result<Read, StoreError> {
     following::read_config(node).await;
     let inbox = node.store.list(keys::INBOX).await?;
@@ -102,13 +87,7 @@
     };
     node.store_answered();
     let mut stored = Stored::default();
-    for item in &inbox.items {
-        match read_inbox(item) {
-            Some(Handed::Job(job)) => stored.jobs.push(job),
-            Some(Handed::Cancel(key)) => stored.cancelled.push(key),
-            None => tracing::warn!(event = "inbox_malformed", key = item.key),
-        }
-    }
+    sort_inbox(&inbox.items, &mut stored);
     let read = progress.items.iter().filter_map(|item| ledger::decode_progress(&item.value));
     stored.progress = read.map(|p| (p.key, p)).collect();
     let entries = roster.items.iter();
@@ -120,18 +99,18 @@
     Ok(Read { stored, inbox: inbox.revision, directory })
 }
 
-enum Handed {
-    Job(Arc<Job>),
-    Cancel(JobKey),
-}
-
-fn read_inbox(item: &Item) -> Option<Handed> {
-    if let Some(key) = item.key.strip_prefix(keys::CANCELS) {
-        return key.parse().ok().map(Handed::Cancel);
+/// Sorts what callers' hosts have stored into jobs and cancellations.
+fn sort_inbox(items: &[Item], stored: &mut Stored) {
+    for item in items {
+        match feeds::read_inbox(item) {
+            Some(Handed::Job(job)) => stored.jobs.push(job),
+            Some(Handed::Cancel(key)) => stored.cancelled.push(key),
+            None => tracing::warn!(event = "inbox_malformed", key = item.key),
+        }
     }
-    serde_json::from_slice(&item.value).ok().map(|job| Handed::Job(Arc::new(job)))
 }
 
+/// Builds the engine from what was read, and feeds it until the leadership is over.
 async fn run(node: &Arc<Node>, claim: Claim, standing: &Arc<Standing>, read: Read) {
     let ledger = ledger::open(Arc::clone(&node.store), claim.revision, claim.mark);
     let term = engine::term(claim.term, claim.revision);
@@ -142,24 +121,14 @@
     }
     takeover::restore(&mut cx, read.stored);
     let mut known = BTreeSet::new();
-    for event in directory_events(&read.directory.items, &mut known) {
+    for event in feeds::directory_events(&read.directory.items, &mut known) {
         cx.handle(now, unix_ms, event);
     }
     let driver = engine::open(node, cx, Arc::clone(standing), ledger);
     let engine = driver.engine();
     node.set_role(Role::Leader(Arc::clone(&engine)));
-    let mut feeds: Vec<JoinHandle<()>> = vec![
-        task::spawn(feed_inbox(Arc::clone(node), Arc::clone(&engine), read.inbox)),
-        task::spawn(feed_directory(
-            Arc::clone(node),
-            Arc::clone(&engine),
-            read.directory.revision,
-            known,
-        )),
-    ];
-    if node.installation.has_duties {
-        feeds.push(task::spawn(feed_waves(Arc::clone(node), engine)));
-    }
+    let seen = feeds::Seen { inbox: read.inbox, directory: read.directory.revision, known };
+    let feeds = feeds::open(node, &engine, seen);
     driver.run().await;
     for feed in feeds {
         feed.cancel().await;
@@ -215,173 +184,3 @@
         tracing::info!(event = "resignation_failed", term = claim.term, error = %e);
     }
 }
-
-async fn feed_inbox(node: Arc<Node>, engine: Arc<Engine>, from: Revision) {
-    let mut from = from;
-    loop {
-        match node.store.watch(keys::INBOX, from, WATCH_WAIT).await {
-            Ok(watched) => {
-                node.store_answered();
-                from = watched.revision;
-                for change in &watched.changes {
-                    if let Change::Set(item) = change {
-                        hand_in(&engine, item);
-                    }
-                }
-                task::sleep(INBOX_PAUSE).await;
-            }
-            Err(StoreError::Gone) => match node.store.list(keys::INBOX).await {
-                Ok(listed) => {
-                    from = listed.revision;
-                    listed.items.iter().for_each(|item| hand_in(&engine, item));
-                }
-                Err(_) => task::sleep(STORE_PAUSE).await,
-            },
-            Err(e) => {
-                tracing::debug!(event = "watch_cut", error = %e);
-                task::sleep(STORE_PAUSE).await;
-            }
-        }
-    }
-}
-
-fn hand_in(engine: &Engine, item: &Item) {
-    match read_inbox(item) {
-        Some(Handed::Job(job)) => engine.send(Event::Job(job)),
-        Some(Handed::Cancel(key)) => engine.send(Event::Cancel(key)),
-        None => tracing::warn!(event = "inbox_malformed", key = item.key),
-    }
-}
-
-async fn feed_directory(
-    node: Arc<Node>,
-    engine: Arc<Engine>,
-    from: Revision,
-    mut known: BTreeSet<ids::WorkerId>,
-) {
-    let mut from = from;
-    let mut away = false;
-    loop {
-        match node.store.watch(directory::PREFIX, from, WATCH_WAIT).await {
-            Ok(watched) => {
-                node.store_answered();
-                back(&engine, &mut away);
-                from = watched.revision;
-                for change in &watched.changes {
-                    if let Some(event) = directory_event(change, &mut known) {
-                        engine.send(event);
-                    }
-                }
-                task::sleep(DIRECTORY_PAUSE).await;
-            }
-            Err(StoreError::Gone) => match node.store.list(directory::PREFIX).await {
-                Ok(listed) => {
-                    back(&engine, &mut away);
-                    from = listed.revision;
-                    directory_events(&listed.items, &mut known)
-                        .into_iter()
-                        .for_each(|event| engine.send(event));
-                }
-                Err(e) => {
-                    tracing::debug!(event = "store_silent", error = %e);
-                    away = true;
-                    task::sleep(STORE_PAUSE).await;
-                }
-            },
-            Err(e) => {
-                tracing::debug!(event = "watch_cut", error = %e);
-                away = true;
-                task::sleep(STORE_PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Tells the engine, once, that the directory can be read again.
-fn back(engine: &Engine, away: &mut bool) {
-    if std::mem::take(away) {
-        engine.send(Event::DirectoryBack);
-    }
-}
-
-fn directory_event(change: &Change, known: &mut BTreeSet<ids::WorkerId>) -> Option<Event> {
-    match change {
-        Change::Removed(key) => {
-            let id = directory::worker_of(key)?;
-            known.remove(&id);
-            Some(Event::Unlisted(id))
-        }
-        Change::Set(item) => {
-            let id = directory::worker_of(&item.key)?;
-            match directory::decode(id.clone(), &item.value) {
-                Ok(info) => {
-                    known.insert(id);
-                    Some(Event::Listed(info))
-                }
-                Err(e) => {
-                    tracing::warn!(event = "directory_malformed", worker = %id, error = %e);
-                    None
-                }
-            }
-        }
-    }
-}
-
-/// Turns a whole listing into events: what is listed, and what no longer is.
-fn directory_events(items: &[Item], known: &mut BTreeSet<ids::WorkerId>) -> Vec<Event> {
-    let before = std::mem::take(known);
-    let mut events: Vec<Event> = Vec::new();
-    for item in items {
-        events.extend(directory_event(&Change::Set(item.clone()), known));
-    }
-    let gone = before.difference(known);
-    events.extend(gone.map(|id| Event::Unlisted(id.clone())));
-    events
-}
-
-/// Tells the engine of waves of upkeep: those that are there, then each that is asked for.
-async fn feed_waves(node: Arc<Node>, engine: Arc<Engine>) {
-    let mut from = None;
-    loop {
-        let Some(after) = from else {
-            from = list_waves(&node, &engine).await;
-            continue;
-        };
-        match node.store.watch(waves::PREFIX, after, WATCH_WAIT).await {
-            Ok(watched) => {
-                from = Some(watched.revision);
-                for change in &watched.changes {
-                    if let Change::Set(item) = change {
-                        tell_wave(&engine, item);
-                    }
-                }
-            }
-            Err(StoreError::Gone) => from = None,
-            Err(e) => {
-                tracing::debug!(event = "watch_cut", error = %e);
-                task::sleep(STORE_PAUSE).await;
-            }
-        }
-    }
-}
-
-async fn list_waves(node: &Node, engine: &Engine) -> Option<Revision> {
-    match node.store.list(waves::PREFIX).await {
-        Ok(listed) => {
-            listed.items.iter().for_each(|item| tell_wave(engine, item));
-            Some(listed.revision)
-        }
-        Err(e) => {
-            tracing::debug!(event = "store_silent", error = %e);
-            task::sleep(STORE_PAUSE).await;
-            None
-        }
-    }
-}
-
-fn tell_wave(engine: &Engine, item: &Item) {
-    match waves::decode(&item.value) {
-        Ok(wave) => engine.send(Event::Wave(wave)),
-        Err(e) => tracing::warn!(event = "wave_malformed", key = item.key, error = %e),
-    }
-}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod engine;
+mod feeds;
 mod following;
 mod inbox;
 mod keys;
