Who leads next has a struct and module of its own in the daemon

Cause: node.rs held the followers, the naming and the invitations among everything else. Ruled out: moving the strength, which is fixed for the process; a change of what is answered. Result: handover.rs; node.rs is some 55 lines shorter. Tests of gaplock-node pass.

--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -13,9 +13,10 @@
 use gaplock_remote::clock;
 use gaplock_types::time::{Instant, Millis};
 
+use crate::handover::Invited;
 use crate::leadership::{self, Claim, LeaderRecord, Standing};
 use crate::leading;
-use crate::node::{Invited, Node, Role};
+use crate::node::{Node, Role};
 use crate::peers::{Heartbeat, HeartbeatAnswer, PeerError};
 
 /// How often a follower sends a heartbeat. It also carries news of the configuration, which must
@@ -70,6 +71,7 @@
     }
 }
 
+/// Builds the record with which this host claims the leadership.
 fn my_record(node: &Node) -> LeaderRecord {
     LeaderRecord {
         host: node.installation.host.clone(),
@@ -114,11 +116,11 @@
 /// Waits until the next heartbeat is due or the connection to the leader is lost; returns an
 /// invitation to lead if one came.
 async fn wait(node: &Node) -> Option<Invited> {
-    let invited = node.invitations.1.recv();
+    let invited = node.handover.next_invitation();
     let lost = node.leader.lost();
     let (invited, lost) = (pin!(invited), pin!(lost));
     match future::timeout(HEARTBEAT_EVERY, select(invited, lost)).await {
-        Ok(Either::Left((Ok(invited), _))) => Some(invited),
+        Ok(Either::Left((invited, _))) => invited,
         _ => None,
     }
 }
@@ -140,6 +142,7 @@
     answer(&invited, false);
 }
 
+/// Tells the host that invited this one whether this one leads now.
 fn answer(invited: &Invited, leads: bool) {
     if invited.answer.try_send(leads).is_err() {
         tracing::debug!(event = "invitation_not_wanted");
@@ -160,7 +163,7 @@
     match node.leader.heartbeat(addr, &beat).await? {
         HeartbeatAnswer::NotLeader => Ok(false),
         HeartbeatAnswer::Leader { config_age, config, waiting, successor } => {
-            node.set_named(successor.as_ref() == Some(&node.installation.host));
+            node.handover.set_named(successor.as_ref() == Some(&node.installation.host));
             if let Some(config) = config {
                 node.set_config(config);
             }
@@ -209,8 +212,9 @@
     }
 }
 
+/// Claims the leadership in place of the claim at `seen`, after a pause unless this host was named.
 async fn claim(node: &Arc<Node>, seen: Revision) {
-    if !node.is_named() {
+    if !node.handover.is_named() {
         let spread = rand::random_range(0..CLAIM_SPREAD_MS);
         let pause = NAMED_FIRST.0 + succession::claim_pause(node.strength).0 + spread;
         task::sleep(Duration::from_millis(pause)).await;
@@ -237,7 +241,7 @@
         token = claim.revision.0,
         strength = node.strength.0
     );
-    node.set_named(false);
+    node.handover.set_named(false);
     leading::lead(node, claim, sent).await;
     node.set_role(Role::Follower(None));
     tracing::info!(event = "leadership_over", term = claim.term);
--- a/crates/node/src/leading.rs
+++ b/crates/node/src/leading.rs
@@ -30,7 +30,7 @@
 /// Leads until the leadership is over.
 pub async fn lead(node: &Arc<Node>, claim: Claim, sent: Instant) {
     let standing = Standing::open(sent);
-    node.forget_followers();
+    node.handover.forget_followers();
     let keeper = task::spawn(keep(Arc::clone(node), Arc::clone(&standing), claim, sent));
     let read = read_all(node, &standing).await;
     if let Some(read) = read {
@@ -47,7 +47,7 @@
 /// Lets the best follower claim the leadership at once, or else gives the claim back.
 async fn hand_over(node: &Arc<Node>, claim: Claim) {
     node.set_role(Role::Follower(None));
-    for candidate in node.successors().iter().take(MOST_INVITED) {
+    for candidate in node.handover.successors(clock::now()).iter().take(MOST_INVITED) {
         let invitation = Invitation { claim: claim.revision.0 };
         let answered = node.leader.invite(&candidate.addr, invitation).await;
         tracing::info!(event = "successor_invited", host = %candidate.host, term = claim.term,
@@ -162,7 +162,7 @@
 
 /// Tells whether a much stronger host should lead instead of this one.
 fn makes_way(node: &Node, since: Instant) -> bool {
-    let successors = node.successors();
+    let successors = node.handover.successors(clock::now());
     let best = successors.first();
     let way = clock::now().since(since) >= LEADS_AT_LEAST
         && succession::should_make_way(node.strength, best);
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,6 +4,7 @@
 mod engine;
 mod feeds;
 mod following;
+mod handover;
 mod inbox;
 mod keys;
 mod leadership;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -4,20 +4,20 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 
-use async_channel::{Receiver, Sender};
 use gaplock_jobs::config::Config;
 use gaplock_jobs::{Job, JobKey};
 use gaplock_platform::advice::{self, Advisor};
 use gaplock_platform::hosts::{self, Hosts};
 use gaplock_platform::installation::Installation;
 use gaplock_platform::store::Store;
-use gaplock_policy::succession::{self, Candidate, Strength};
+use gaplock_policy::succession::{self, Strength};
 use gaplock_remote::clock;
 use gaplock_sched::{Event, Settings};
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
 use crate::engine::Engine;
+use crate::handover::Handover;
 use crate::leadership::Right;
 use crate::metrics::Metrics;
 use crate::peers::{self, Heartbeat, HeartbeatAnswer, Invitation, QueueCount, StatusAnswer};
@@ -62,20 +62,8 @@
     began: Instant,
     /// What this host has for leading.
     pub strength: Strength,
-    /// While this host leads: the others, by their last heartbeats.
-    followers: Mutex<BTreeMap<ids::EntryId, Candidate>>,
-    /// Whether the leader named this host to claim first if the leader is lost.
-    named: AtomicBool,
-    /// Invitations to claim the leadership, each with the way to answer it.
-    pub invitations: (Sender<Invited>, Receiver<Invited>),
-}
-
-/// An invitation that waits for its answer: whether this host leads now.
-pub struct Invited {
-    /// What the leader said.
-    pub invitation: Invitation,
-    /// Takes the answer.
-    pub answer: Sender<bool>,
+    /// Who leads next.
+    pub handover: Handover,
 }
 
 /// How old the leader's counts of queues may be when they are shown; callers expect 2 s at most.
@@ -104,9 +92,7 @@
     Arc::new(Node {
         strength,
         began: clock::now(),
-        followers: Mutex::default(),
-        named: AtomicBool::new(false),
-        invitations: async_channel::bounded(1),
+        handover: Handover::default(),
         advisor,
         hosts,
         installation,
@@ -271,38 +257,9 @@
         clock::now().since(self.began)
     }
 
-    /// Remembers whether the leader named this host to claim first.
-    pub fn set_named(&self, named: bool) {
-        self.named.store(named, Ordering::Relaxed);
-    }
-
-    /// Tells whether the last leader named this host to claim first.
-    pub fn is_named(&self) -> bool {
-        self.named.load(Ordering::Relaxed)
-    }
-
-    /// Returns the followers that could lead now, the best one first.
-    pub fn successors(&self) -> Vec<Candidate> {
-        let followers = self.followers.lock().expect(LOCK);
-        let order = succession::order(followers.values(), clock::now());
-        order.into_iter().cloned().collect()
-    }
-
-    /// Forgets the followers of an earlier leadership.
-    pub fn forget_followers(&self) {
-        self.followers.lock().expect(LOCK).clear();
-    }
-
     /// Answers an invitation to lead, once the claim was made or not.
     pub async fn invited(&self, invitation: Invitation) -> bool {
-        if self.is_stopping() {
-            return false;
-        }
-        let (answer, rx) = async_channel::bounded(1);
-        if self.invitations.0.try_send(Invited { invitation, answer }).is_err() {
-            return false;
-        }
-        rx.recv().await.unwrap_or(false)
+        !self.is_stopping() && self.handover.invited(invitation).await
     }
 
     /// Answers a follower's heartbeat.
@@ -310,7 +267,7 @@
         let Role::Leader(engine) = self.role() else { return HeartbeatAnswer::NotLeader };
         let now = clock::now();
         engine.standing.heard(now, beat.store_age);
-        self.note_follower(now, &beat);
+        self.handover.note_follower(now, &beat);
         if engine.standing.right(now) != Right::Act {
             return HeartbeatAnswer::NotLeader;
         }
@@ -319,22 +276,10 @@
             config_age: self.config_age(),
             config: newer.map(|c| Config::clone(&c)),
             waiting: engine.waiting(),
-            successor: self.successors().into_iter().next().map(|c| c.host),
+            successor: self.handover.successors(now).into_iter().next().map(|c| c.host),
         }
     }
 
-    fn note_follower(&self, now: Instant, beat: &Heartbeat) {
-        let candidate = Candidate {
-            host: beat.host.clone(),
-            addr: beat.addr.clone(),
-            strength: beat.strength,
-            running_for: beat.running_for,
-            store_age: beat.store_age,
-            heard: now,
-        };
-        self.followers.lock().expect(LOCK).insert(beat.host.clone(), candidate);
-    }
-
     /// Takes in a stored job if this host leads; tells whether it does.
     pub async fn job_here(&self, job: Arc<Job>) -> bool {
         let Role::Leader(engine) = self.role() else { return false };
