Carrying actions out has a module of its own

Cause: engine.rs held the loop and every call in 391 lines, carry_out alone over 60, and a field was kept alive only by a line that threw it away. Ruled out: a change of what is sent, counted or answered while the leadership is in doubt. Result: actions.rs; engine.rs keeps the loop, the counts and the commits. Tests of gaplock-node and gaplock-explain pass.

--- /dev/null
+++ b/crates/node/src/actions.rs
@@ -0,0 +1,218 @@
+//! Carries the scheduler's actions out, each in a task of its own that tells the engine what became
+//! of it.
+//!
+//! While the leadership is in doubt nothing is sent; each action is then answered as not sent.
+
+use std::sync::Arc;
+
+use async_std::task;
+use gaplock_jobs::TaskKey;
+use gaplock_platform::advice::Answer;
+use gaplock_platform::store::Revision;
+use gaplock_platform::worker::{self, Start, Worker};
+use gaplock_sched::message::{
+    Account, EndSeq, FencingToken, Outcome, Permit, Run, UpkeepAnswer, WaveNumber, WorkerClock,
+    WorkerIx,
+};
+use gaplock_sched::permits::StepKey;
+use gaplock_sched::{Action, Context, Event};
+use gaplock_types::ids;
+use gaplock_types::time::{Instant, Millis};
+
+use crate::engine::Engine;
+use crate::following;
+use crate::node::Node;
+
+/// The clients of all workers, by their positions.
+#[derive(Default)]
+pub struct Clients {
+    opened: Vec<Arc<Worker>>,
+}
+
+impl Clients {
+    /// Returns a worker's client.
+    fn of(&mut self, cx: &Context, ix: WorkerIx) -> Arc<Worker> {
+        while self.opened.len() <= ix.0 as usize {
+            let info = &cx.workers[self.opened.len()].info;
+            self.opened.push(Arc::new(worker::open(&info.addr, info.id.clone())));
+        }
+        Arc::clone(&self.opened[ix.0 as usize])
+    }
+}
+
+/// What a call needs besides its arguments.
+pub struct Calls {
+    /// What the process shares.
+    pub node: Arc<Node>,
+    /// The engine that is told what became of the call.
+    pub engine: Arc<Engine>,
+    /// The leadership's token.
+    pub token: FencingToken,
+}
+
+/// Begins to carry an action out.
+pub fn carry_out(calls: Calls, clients: &mut Clients, cx: &Context, action: Action) {
+    let sent = cx.now;
+    match action {
+        Action::Renew { worker, stored, until, wait } => {
+            let client = clients.of(cx, worker);
+            task::spawn(async move {
+                let outcome = calls.renew(&client, stored, until, wait).await;
+                calls.engine.send(Event::Renewed { worker, sent, outcome });
+            });
+        }
+        Action::Start { worker, task: key, run, job, until, checkpoint, ticket } => {
+            let client = clients.of(cx, worker);
+            task::spawn(async move {
+                let (checkpoint, ticket) = (checkpoint.as_deref(), ticket.as_deref());
+                let spec = job.spec.as_str();
+                let start = Start { task: key, run, spec, until, checkpoint, ticket };
+                let outcome = calls.start(&client, &start).await;
+                calls.engine.send(Event::Started { worker, task: key, run, outcome });
+            });
+        }
+        Action::Stop { worker, task: key, run } => {
+            let client = clients.of(cx, worker);
+            task::spawn(async move {
+                let outcome = calls.stop(&client, key, run).await;
+                calls.engine.send(Event::Stopped { worker, task: key, run, outcome });
+            });
+        }
+        Action::Pace { worker, task: key, run, percent } => {
+            let client = clients.of(cx, worker);
+            task::spawn(async move {
+                let applied = calls.pace(&client, key, run, percent).await;
+                calls.engine.send(Event::Paced { worker, task: key, run, percent, applied });
+            });
+        }
+        Action::Advise { step, workers } => {
+            let ids = workers.iter().map(|&ix| cx.worker(ix).info.id.clone()).collect();
+            task::spawn(advise(calls, sent, step, workers, ids));
+        }
+        Action::ListHosts => {
+            task::spawn(list_hosts(calls, sent));
+        }
+        Action::Upkeep { wave, host } => {
+            task::spawn(upkeep(calls, wave, host));
+        }
+        Action::ConfirmLeadership => {
+            task::spawn(confirm(calls));
+        }
+    }
+}
+
+impl Calls {
+    async fn renew(
+        &self,
+        client: &Worker,
+        stored: EndSeq,
+        until: Option<WorkerClock>,
+        wait: Millis,
+    ) -> Outcome<Account> {
+        let outcome = client.renew(self.token, stored, until, wait.as_duration()).await;
+        self.count("renew", &outcome);
+        outcome
+    }
+
+    async fn start(&self, client: &Worker, start: &Start<'_>) -> Outcome<WorkerClock> {
+        let outcome = client.start(self.token, start).await;
+        self.count("start", &outcome);
+        outcome
+    }
+
+    async fn stop(&self, client: &Worker, key: TaskKey, run: Run) -> Outcome<WorkerClock> {
+        let outcome = client.stop(self.token, key, run).await;
+        self.count("stop", &outcome);
+        outcome
+    }
+
+    /// Sets a pace; tells whether it is known to be in force.
+    async fn pace(&self, client: &Worker, key: TaskKey, run: Run, percent: u32) -> bool {
+        let outcome = client.pace(self.token, key, run, percent).await;
+        self.count("pace", &outcome);
+        matches!(outcome, Outcome::Done(_))
+    }
+
+    /// Counts a call to a worker for the metrics.
+    fn count<T>(&self, kind: &'static str, outcome: &Outcome<T>) {
+        let word = match outcome {
+            Outcome::Done(_) => "done",
+            Outcome::Refused(_) => "refused",
+            Outcome::NotSent => "not_sent",
+            Outcome::Unclear => "unclear",
+        };
+        self.node.metrics.called(kind, word);
+    }
+}
+
+/// Asks where a step may run.
+async fn advise(
+    calls: Calls,
+    sent: Instant,
+    step: StepKey,
+    asked: Vec<WorkerIx>,
+    ids: Vec<ids::WorkerId>,
+) {
+    let answer = match &calls.node.advisor {
+        Some(advisor) => advisor.ask(step, &ids).await,
+        None => None,
+    };
+    let answer = answer.map(|a| (permits_of(&asked, &ids, &a), a.valid));
+    calls.engine.send(Event::Advised { step, asked, sent, answer });
+}
+
+/// Turns the permitted workers' names back into positions.
+fn permits_of(asked: &[WorkerIx], ids: &[ids::WorkerId], answer: &Answer) -> Vec<Permit> {
+    let position = |id: &ids::WorkerId| ids.iter().position(|known| known == id);
+    let permitted = answer.permitted.iter();
+    let permits = permitted.filter_map(|p| {
+        Some(Permit { worker: asked[position(&p.worker)?], ticket: p.ticket.clone() })
+    });
+    permits.collect()
+}
+
+/// Lists all hosts.
+async fn list_hosts(calls: Calls, sent: Instant) {
+    let hosts = match &calls.node.hosts {
+        Some(hosts) => hosts.list().await,
+        None => None,
+    };
+    calls.engine.send(Event::Hosts { sent, hosts });
+}
+
+/// Orders a host down for its upkeep.
+async fn upkeep(calls: Calls, wave: WaveNumber, host: ids::HostId) {
+    let answer = match &calls.node.hosts {
+        Some(hosts) => hosts.upkeep(calls.token, wave, &host).await,
+        None => UpkeepAnswer::Busy,
+    };
+    calls.engine.send(Event::Upkeep { wave, host, answer });
+}
+
+/// Makes sure that this host still leads.
+async fn confirm(calls: Calls) {
+    following::confirm(&calls.node, &calls.engine.standing, Revision(calls.token.0)).await;
+}
+
+/// Returns the event of an action that is not sent, because the leadership is in doubt.
+pub fn left_out(sent: Instant, action: Action) -> Option<Event> {
+    let event = match action {
+        Action::Renew { worker, .. } => Event::Renewed { worker, sent, outcome: Outcome::NotSent },
+        Action::Start { worker, task, run, .. } => {
+            Event::Started { worker, task, run, outcome: Outcome::NotSent }
+        }
+        Action::Stop { worker, task, run } => {
+            Event::Stopped { worker, task, run, outcome: Outcome::NotSent }
+        }
+        Action::Pace { worker, task, run, percent } => {
+            Event::Paced { worker, task, run, percent, applied: false }
+        }
+        Action::Advise { step, workers } => {
+            Event::Advised { step, asked: workers, sent, answer: None }
+        }
+        Action::ListHosts => Event::Hosts { sent, hosts: None },
+        Action::Upkeep { wave, host } => Event::Upkeep { wave, host, answer: UpkeepAnswer::Busy },
+        Action::ConfirmLeadership => return None,
+    };
+    Some(event)
+}
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -8,16 +8,14 @@
 use async_std::{future, task};
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::JobKey;
-use gaplock_platform::advice::Answer;
-use gaplock_platform::worker::{self, Start, Worker};
+use gaplock_platform::store::Revision;
 use gaplock_remote::clock;
 use gaplock_sched::context::Term;
-use gaplock_sched::message::{FencingToken, Outcome, Permit, Record, UpkeepAnswer, WorkerIx};
-use gaplock_sched::permits::StepKey;
-use gaplock_sched::{commits, Action, Context, Event};
-use gaplock_types::ids;
+use gaplock_sched::message::{FencingToken, Record};
+use gaplock_sched::{commits, Context, Event};
 use gaplock_types::time::Instant;
 
+use crate::actions::{self, Calls, Clients};
 use crate::leadership::{Right, Standing};
 use crate::ledger::{CommitError, Ledger};
 use crate::node::Node;
@@ -74,7 +72,7 @@
     rx: Receiver<Message>,
     engine: Arc<Engine>,
     node: Arc<Node>,
-    workers: Vec<Arc<Worker>>,
+    clients: Clients,
     to_ledger: Sender<Vec<Record>>,
     counted: Instant,
 }
@@ -96,7 +94,7 @@
         rx,
         engine,
         node: Arc::clone(node),
-        workers: Vec::new(),
+        clients: Clients::default(),
         to_ledger,
         counted: Instant(0),
     }
@@ -128,6 +126,7 @@
         }
     }
 
+    /// Takes in a message and those that wait behind it, up to a batch.
     fn take_in(&mut self, first: Message) {
         self.one(first);
         for _ in 1..BATCH {
@@ -136,6 +135,7 @@
         }
     }
 
+    /// Takes in one message.
     fn one(&mut self, message: Message) {
         match message {
             Message::Event(event) => self.cx.handle(clock::now(), clock::unix_ms(), event),
@@ -150,146 +150,20 @@
         }
     }
 
+    /// Carries out what the scheduler asks for, or answers it as not sent.
     fn act(&mut self, may: bool) {
         for action in self.cx.take_actions() {
             if may {
-                self.carry_out(action);
-            } else {
-                self.leave_out(action);
+                let (node, engine) = (Arc::clone(&self.node), self.engine());
+                let calls = Calls { node, engine, token: self.cx.term.token };
+                actions::carry_out(calls, &mut self.clients, &self.cx, action);
+            } else if let Some(event) = actions::left_out(self.cx.now, action) {
+                self.engine.send(event);
             }
         }
     }
 
-    fn client(&mut self, ix: WorkerIx) -> Arc<Worker> {
-        while self.workers.len() <= ix.0 as usize {
-            let info = &self.cx.workers[self.workers.len()].info;
-            self.workers.push(Arc::new(worker::open(&info.addr, info.id.clone())));
-        }
-        Arc::clone(&self.workers[ix.0 as usize])
-    }
-
-    fn carry_out(&mut self, action: Action) {
-        let token = self.cx.term.token;
-        let calls = Calls { node: Arc::clone(&self.node), engine: self.engine(), token };
-        match action {
-            Action::Renew { worker, stored, until, wait } => {
-                let client = self.client(worker);
-                let sent = self.cx.now;
-                task::spawn(async move {
-                    let outcome = client.renew(token, stored, until, wait.as_duration()).await;
-                    calls.report("renew", &outcome);
-                    calls.engine.send(Event::Renewed { worker, sent, outcome });
-                });
-            }
-            Action::Start { worker, task: key, run, job, until, checkpoint, ticket } => {
-                let client = self.client(worker);
-                task::spawn(async move {
-                    let (checkpoint, ticket) = (checkpoint.as_deref(), ticket.as_deref());
-                    let spec = job.spec.as_str();
-                    let start = Start { task: key, run, spec, until, checkpoint, ticket };
-                    let outcome = client.start(token, &start).await;
-                    calls.report("start", &outcome);
-                    calls.engine.send(Event::Started { worker, task: key, run, outcome });
-                });
-            }
-            Action::Stop { worker, task: key, run } => {
-                let client = self.client(worker);
-                task::spawn(async move {
-                    let outcome = client.stop(token, key, run).await;
-                    calls.report("stop", &outcome);
-                    calls.engine.send(Event::Stopped { worker, task: key, run, outcome });
-                });
-            }
-            Action::Pace { worker, task: key, run, percent } => {
-                let client = self.client(worker);
-                task::spawn(async move {
-                    let outcome = client.pace(token, key, run, percent).await;
-                    calls.report("pace", &outcome);
-                    let applied = matches!(outcome, Outcome::Done(_));
-                    calls.engine.send(Event::Paced { worker, task: key, run, percent, applied });
-                });
-            }
-            Action::Advise { step, workers } => self.advise(calls, step, workers),
-            Action::ListHosts => self.list_hosts(calls),
-            Action::Upkeep { wave, host } => {
-                task::spawn(async move {
-                    let answer = match &calls.node.hosts {
-                        Some(hosts) => hosts.upkeep(token, wave, &host).await,
-                        None => UpkeepAnswer::Busy,
-                    };
-                    calls.engine.send(Event::Upkeep { wave, host, answer });
-                });
-            }
-            Action::ConfirmLeadership => {
-                let (node, standing) = (calls.node, Arc::clone(&calls.engine.standing));
-                let revision = gaplock_platform::store::Revision(token.0);
-                task::spawn(async move {
-                    crate::following::confirm(&node, &standing, revision).await;
-                });
-            }
-        }
-    }
-
-    fn advise(&self, calls: Calls, step: StepKey, asked: Vec<WorkerIx>) {
-        let ids: Vec<ids::WorkerId> =
-            asked.iter().map(|&ix| self.cx.worker(ix).info.id.clone()).collect();
-        let sent = self.cx.now;
-        task::spawn(async move {
-            let answer = match &calls.node.advisor {
-                Some(advisor) => advisor.ask(step, &ids).await,
-                None => None,
-            };
-            let answer = answer.map(|a| (permits_of(&asked, &ids, &a), a.valid));
-            calls.engine.send(Event::Advised { step, asked, sent, answer });
-        });
-    }
-
-    fn list_hosts(&self, calls: Calls) {
-        let sent = self.cx.now;
-        task::spawn(async move {
-            let hosts = match &calls.node.hosts {
-                Some(hosts) => hosts.list().await,
-                None => None,
-            };
-            calls.engine.send(Event::Hosts { sent, hosts });
-        });
-    }
-
-    /// Reports an action as not sent, because the leadership is in doubt.
-    fn leave_out(&mut self, action: Action) {
-        match action {
-            Action::Renew { worker, .. } => {
-                let sent = self.cx.now;
-                let outcome = Outcome::NotSent;
-                self.engine.send(Event::Renewed { worker, sent, outcome });
-            }
-            Action::Start { worker, task, run, .. } => {
-                let outcome = Outcome::NotSent;
-                self.engine.send(Event::Started { worker, task, run, outcome });
-            }
-            Action::Stop { worker, task, run } => {
-                let outcome = Outcome::NotSent;
-                self.engine.send(Event::Stopped { worker, task, run, outcome });
-            }
-            Action::Pace { worker, task, run, percent } => {
-                self.engine.send(Event::Paced { worker, task, run, percent, applied: false });
-            }
-            Action::Advise { step, workers } => {
-                let (sent, answer) = (self.cx.now, None);
-                self.engine.send(Event::Advised { step, asked: workers, sent, answer });
-            }
-            Action::ListHosts => {
-                let (sent, hosts) = (self.cx.now, None);
-                self.engine.send(Event::Hosts { sent, hosts });
-            }
-            Action::Upkeep { wave, host } => {
-                let answer = UpkeepAnswer::Busy;
-                self.engine.send(Event::Upkeep { wave, host, answer });
-            }
-            Action::ConfirmLeadership => {}
-        }
-    }
-
+    /// Hands what is to be stored to the ledger, unless a commit is in flight.
     fn commit(&mut self, now: Instant) {
         if let Some(records) = commits::take(&mut self.cx, now) {
             if self.to_ledger.try_send(records).is_err() {
@@ -298,6 +172,7 @@
         }
     }
 
+    /// Counts now and then how many jobs of each queue have not begun.
     fn count(&mut self, now: Instant) {
         if now.since(self.counted).0 < COUNT_EVERY_MS {
             return;
@@ -313,16 +188,6 @@
     }
 }
 
-/// Turns the permitted workers' names back into positions.
-fn permits_of(asked: &[WorkerIx], ids: &[ids::WorkerId], answer: &Answer) -> Vec<Permit> {
-    let position = |id: &ids::WorkerId| ids.iter().position(|known| known == id);
-    let permitted = answer.permitted.iter();
-    let permits = permitted.filter_map(|p| {
-        Some(Permit { worker: asked[position(&p.worker)?], ticket: p.ticket.clone() })
-    });
-    permits.collect()
-}
-
 /// Returns what a caller may be shown: a final state only once it is stored.
 fn presentable(state: JobState, shown: JobState) -> JobState {
     match (state.is_final(), shown.is_final()) {
@@ -332,29 +197,10 @@
     }
 }
 
-/// What a call to a worker needs besides its arguments.
-struct Calls {
-    node: Arc<Node>,
-    engine: Arc<Engine>,
-    token: FencingToken,
-}
-
-impl Calls {
-    fn report<T>(&self, kind: &'static str, outcome: &Outcome<T>) {
-        let _: FencingToken = self.token;
-        let word = match outcome {
-            Outcome::Done(_) => "done",
-            Outcome::Refused(_) => "refused",
-            Outcome::NotSent => "not_sent",
-            Outcome::Unclear => "unclear",
-        };
-        self.node.metrics.called(kind, word);
-    }
-}
-
 /// The pause before a commit is made again while the store is away.
 const AWAY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Writes commits one by one, and tells the engine what became of each.
 async fn write_commits(
     node: Arc<Node>,
     mut ledger: Ledger,
@@ -386,6 +232,6 @@
 }
 
 /// Builds the term of a claim.
-pub fn term(number: u64, revision: gaplock_platform::store::Revision) -> Term {
+pub fn term(number: u64, revision: Revision) -> Term {
     Term { number, token: FencingToken(revision.0) }
 }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,5 +1,6 @@
 //! The daemon that runs on every host of an installation; see `docs/PLATFORM.md`.
 
+mod actions;
 mod callers;
 mod engine;
 mod feeds;
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -418,6 +418,6 @@
         /// The host.
         host: ids::HostId,
     },
-    /// A worker knows of a later leader: make sure that we still are the leader.
+    /// A worker or the hosts' service knows of a later leader: make sure that this host still leads.
     ConfirmLeadership,
 }
