--- /dev/null
+++ b/crates/sched/tests/fleet/gangs.rs
@@ -0,0 +1,33 @@
+//! Gangs and the racks that they run in, on virtual time.
+
+use gaplock_jobs::Step;
+
+use crate::world::{assert_kept, job, step, World};
+
+#[test]
+fn a_gang_that_several_racks_slow_down_runs_in_one() {
+    // Four workers of eight cores share a rack.
+    let mut world = World::open(51, 12);
+    world.work_ms = 3_000;
+    world.submit(job(1, vec![step(30, &[])]));
+    world.run(300);
+    let gang = Step { gang: true, same_rack: true, ..step(10, &[]) };
+    world.submit(job(2, vec![gang]));
+    world.run(300);
+    let racks = world.racks_of(2);
+    assert_eq!(racks.len(), 1, "{racks:?}");
+    assert_eq!(world.running_of(2), 10);
+    assert_kept(&world);
+}
+
+#[test]
+fn a_gang_that_fits_into_no_rack_runs_in_several() {
+    let mut world = World::open(52, 12);
+    world.work_ms = 3_000;
+    let gang = Step { gang: true, same_rack: true, ..step(40, &[]) };
+    world.submit(job(1, vec![gang]));
+    world.run(300);
+    assert_eq!(world.running_of(1), 40);
+    assert!(world.racks_of(1).len() > 1);
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/slow_workers.rs
+++ b/crates/sched/tests/fleet/slow_workers.rs
@@ -1,6 +1,6 @@
 //! Workers that turn slow, on virtual time.
 
-use crate::world::{job, step, World};
+use crate::world::{assert_kept, job, step, World};
 use gaplock_jobs::{JobKey, Step};
 use gaplock_types::time::Millis;
 
@@ -25,7 +25,7 @@
     world.submit(job(1, vec![wide_step()]));
     world.run(4_500);
     assert!(world.is_completed(1), "slow tasks were waited for");
-    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+    assert_kept(&world);
 }
 
 #[test]
@@ -37,7 +37,7 @@
     assert!(world.is_completed(1), "slow tasks were waited for");
     world.run(1_500);
     assert_eq!(world.running_of(1), 0, "a slow run goes on beside its finished copy");
-    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+    assert_kept(&world);
 }
 
 #[test]
@@ -64,7 +64,7 @@
     assert!(world.runs_given_to(0) > before);
     world.run(3_000);
     assert!(world.is_completed(2));
-    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+    assert_kept(&world);
 }
 
 #[test]
@@ -79,5 +79,5 @@
     world.run(5_000);
     assert_eq!(world.running_at(0), 0, "tasks stay over their target on a slow worker");
     assert_eq!(world.running_of(1), 8);
-    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+    assert_kept(&world);
 }
--- a/crates/sched/tests/fleet/waves.rs
+++ b/crates/sched/tests/fleet/waves.rs
@@ -2,11 +2,7 @@
 
 use gaplock_jobs::Step;
 
-use crate::world::{job, step, World};
-
-fn assert_kept(world: &World) {
-    assert!(world.violations.is_empty(), "{:#?}", world.violations);
-}
+use crate::world::{assert_kept, job, step, World};
 
 #[test]
 fn every_host_of_a_wave_goes_down_once_and_never_too_many_at_once() {
--- a/crates/sched/tests/fleet/world/checks.rs
+++ b/crates/sched/tests/fleet/world/checks.rs
@@ -5,6 +5,11 @@
 
 use super::{World, MAX_ATTEMPTS};
 
+/// Fails the test if a promise was broken while the world ran.
+pub fn assert_kept(world: &World) {
+    assert!(world.violations.is_empty(), "{:#?}", world.violations);
+}
+
 impl World {
     /// Checks what must hold when a worker carries a start out.
     pub(super) fn check_start(&mut self, at: usize, task: TaskKey) {
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! This file holds the world's state, what a test does to it, and the passing of time. [`calls`]
 //! carries what the leader sends, [`worker`] carries it out, [`store`] keeps what a successor
-//! learns, [`hosts`] lie beneath the workers, [`checks`] looks for broken promises, and [`views`] tells a test what came of it all.
+//! learns, [`hosts`] lie beneath the workers, [`checks`] looks for broken promises, and [`views`]
+//! tells a test what came of it all.
 
 mod builders;
 mod calls;
@@ -28,6 +29,7 @@
 
 pub use builders::{job, step};
 use calls::Delivery;
+pub use checks::assert_kept;
 use hosts::Hosts;
 use worker::SimWorker;
 
