--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,8 +1,11 @@
 //! The daemon that runs on every host of an installation; see `docs/PLATFORM.md`.
 
+mod actions;
 mod callers;
 mod engine;
+mod feeds;
 mod following;
+mod handover;
 mod inbox;
 mod keys;
 mod leadership;
