A leader takes the connections of hundreds of hosts

On a site of our own of that size 1,000 heartbeats a second failed with 'the host cannot be reached': the server of jsonrpsee takes 100 connections unless told otherwise, so two thirds of the hosts never followed anybody, and what they were handed was not announced.

Ruled out: descriptors (6,083 connections on a host of 8,192) and processor time (26 % of a core).

Change: 2,000 connections. Test: a_host_takes_the_connections_of_hundreds_of_others had 100 of 300 before.

--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -31,6 +31,10 @@
 /// The largest message; a job is bounded by the callers' limits, far below this.
 const MESSAGE_MOST_BYTES: u32 = 4 << 20;
 
+/// How many other hosts may be connected: some times the hundreds that the users' sites grow to, and
+/// half of the descriptors of their smallest host. The library's own bound is 100.
+const MOST_CONNECTIONS: u32 = 2_000;
+
 /// Why a call has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
 pub enum PeerError {
@@ -260,6 +264,7 @@
 /// Returns the error of binding the address.
 pub async fn bind(addr: &str, node: Arc<crate::node::Node>) -> io::Result<Server> {
     let config = server::ServerConfig::builder()
+        .max_connections(MOST_CONNECTIONS)
         .max_request_body_size(MESSAGE_MOST_BYTES)
         .max_response_body_size(MESSAGE_MOST_BYTES)
         .build();
--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -5,7 +5,9 @@
 
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::cloud;
-use gaplock_platform_standin::site::{self, call, two_steps, Output, Plan, Site, PREFIX};
+use gaplock_platform_standin::site::{
+    self, call, connect_as_peer, two_steps, Output, Plan, Site, PREFIX,
+};
 use rustix::process::Signal;
 use serde_json::json;
 
@@ -158,3 +160,11 @@
         site.hosts.iter().any(|h| h.metric("gaplock_log_lines_dropped") > Some(0))
     });
 }
+
+/// The sweep over 300 hosts: a leader took 100 connections of other hosts and turned the rest away.
+#[test]
+fn a_host_takes_the_connections_of_hundreds_of_others() {
+    let site = open_site(1, 1, Duration::from_millis(100));
+    let open: Vec<_> = (0..300).map_while(|_| connect_as_peer(&site.hosts[0].peers)).collect();
+    assert_eq!(open.len(), 300, "a host was turned away");
+}
