An outage of the store that only other calls notice counts for the directory too

Cause: the watch of the directory waits for up to 5 s, so a short outage in which nothing was answered passed it by; entries that lapsed in it would have counted as departures at once.

Ruled out: a shorter watch, which costs a call each time.

Change: when the store answers a leader again after any failed call, the directory counts as back from then on. Result: the process tests pass; the grace time itself is tested on virtual time.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -184,6 +184,10 @@
     pub fn store_answered(&self) {
         if self.store_lost.swap(false, Ordering::Relaxed) {
             tracing::info!(event = "store_back", silent_ms = self.store_age().0);
+            // Entries of workers that lapsed meanwhile need time to come back.
+            if let Role::Leader(engine) = self.role() {
+                engine.send(Event::DirectoryBack);
+            }
         }
         self.store_answered.fetch_max(clock::now().0, Ordering::Relaxed);
     }
