A stored record that cannot be read is logged

Cause: at a change of leader, progress, roster entries, waves and what was learnt were passed over without a word if malformed; the house's rule is no error without a log line. Ruled out: a change of what is done with such a record; it is passed over as before.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use gaplock_jobs::job;
-use gaplock_jobs::progress::JobState;
+use gaplock_jobs::progress::{JobState, Progress};
 use gaplock_jobs::JobKey;
 use gaplock_platform::callers;
 use gaplock_platform::store::StoreError;
@@ -120,7 +120,7 @@
 
 async fn stored_state(node: &Node, key: JobKey) -> Result<Option<JobState>, StoreError> {
     if let Some(item) = node.store.get(&keys::progress(key)).await? {
-        let progress = ledger::decode_progress(&item.value).ok_or(StoreError::Unclear)?;
+        let progress: Progress = ledger::decode(&item).ok_or(StoreError::Unclear)?;
         return Ok(Some(progress.state));
     }
     let job = node.store.get(&keys::job(key)).await?;
--- a/crates/node/src/leading.rs
+++ b/crates/node/src/leading.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use async_std::task;
+use gaplock_jobs::progress::Progress;
 use gaplock_platform::directory;
 use gaplock_platform::store::{Item, Listed, Revision, StoreError, Txn};
 use gaplock_policy::succession;
@@ -88,14 +89,12 @@
     node.store_answered();
     let mut stored = Stored::default();
     sort_inbox(&inbox.items, &mut stored);
-    let read = progress.items.iter().filter_map(|item| ledger::decode_progress(&item.value));
+    let read = progress.items.iter().filter_map(ledger::decode::<Progress>);
     stored.progress = read.map(|p| (p.key, p)).collect();
-    let entries = roster.items.iter();
-    let entries = entries.filter_map(|i| serde_json::from_slice::<RosterEntry>(&i.value).ok());
+    let entries = roster.items.iter().filter_map(ledger::decode::<RosterEntry>);
     stored.roster = entries.map(RosterEntry::info).collect();
-    let learnt = learnt.and_then(|item| serde_json::from_slice(&item.value).ok());
-    stored.learnt = learnt.unwrap_or_default();
-    stored.waves = waves.iter().filter_map(|i| serde_json::from_slice(&i.value).ok()).collect();
+    stored.learnt = learnt.as_ref().and_then(ledger::decode).unwrap_or_default();
+    stored.waves = waves.iter().filter_map(ledger::decode).collect();
     Ok(Read { stored, inbox: inbox.revision, directory })
 }
 
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -1,15 +1,14 @@
 //! The leader's writes: each holds only while the leadership and the last commit are as expected.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::task;
-use gaplock_jobs::progress::Progress;
-use gaplock_platform::store::{self, Revision, Store, StoreError, Txn};
+use gaplock_platform::store::{self, Item, Revision, Store, StoreError, Txn};
 use gaplock_platform::waves;
 use gaplock_sched::message::{Record, WorkerInfo};
 use gaplock_types::time::Millis;
 use gaplock_types::{ids, sizes};
-use std::sync::Arc;
 
 use crate::keys;
 
@@ -194,7 +193,13 @@
     serde_json::from_slice(value).ok()
 }
 
-/// Decodes a job's stored progress.
-pub fn decode_progress(value: &[u8]) -> Option<Progress> {
-    serde_json::from_slice(value).ok()
+/// Decodes a stored record; a malformed one is logged and passed over.
+pub fn decode<T: serde::de::DeserializeOwned>(item: &Item) -> Option<T> {
+    match serde_json::from_slice(&item.value) {
+        Ok(record) => Some(record),
+        Err(e) => {
+            tracing::warn!(event = "record_malformed", key = item.key, error = %e);
+            None
+        }
+    }
 }
