An invitation reaches a follower between heartbeats; a wave is told before a host goes down

The first, from reading: a follower whose heartbeat arrives just after the leader has given up is told so, leaves the only place where it takes invitations, and asks the store and the same host again and again; the invitation waits until the leader's call ends, for every candidate alike. The second: the order that a host goes down did not wait for the commit that tells the operators of the wave.

Ruled out: longer limits in the tests.

Change: a follower that left its leader waits for an invitation before it asks the store who leads; it tries eight times instead of four, since a last commit may come between; a wave acts once its record is stored. Test: no_host_goes_down_before_the_wave_is_stored fails without the second.

--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -41,7 +41,7 @@
 const NAMED_FIRST: Millis = Millis(60);
 
 /// How often an invited host tries to claim; a last commit of the former leader may come between.
-const INVITED_TRIES: u32 = 4;
+const INVITED_TRIES: u32 = 8;
 
 /// The pause between these tries, a little more than a commit takes.
 const INVITED_PAUSE: Duration = Duration::from_millis(15);
@@ -110,7 +110,11 @@
             return;
         }
     }
-    task::sleep(ASK_AGAIN).await;
+    // A leader that has just stopped answers that it leads no longer, and may be about to invite.
+    let invited = future::timeout(ASK_AGAIN, node.handover.next_invitation()).await;
+    if let Ok(Some(invited)) = invited {
+        claim_invited(node, invited).await;
+    }
 }
 
 /// Waits until the next heartbeat is due or the connection to the leader is lost; returns an
--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -14,7 +14,7 @@
 use crate::context::Context;
 use crate::message::{EndSeq, Record, WorkerIx};
 use crate::table::{Entry, StepState, Task, TaskState};
-use crate::trace;
+use crate::{trace, upkeep};
 
 /// What waits to be stored, and what is being stored.
 #[derive(Debug, Default)]
@@ -124,6 +124,11 @@
         worker.in_roster = worker.roster_pending;
         worker.roster_pending = false;
     }
+    for record in covered.other {
+        if let Record::Wave(progress) = record {
+            upkeep::stored(cx, progress.number);
+        }
+    }
     cx.pass_wanted = true;
 }
 
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -39,6 +39,8 @@
     /// When it must be over.
     until: Instant,
     progress: WaveProgress,
+    /// Whether the operators have been told of the wave; nothing goes down before.
+    told: bool,
     /// Hosts that are not of the wave after all.
     left_out: BTreeSet<ids::HostId>,
     /// Hosts that are being emptied, and since when.
@@ -89,6 +91,7 @@
         request,
         until,
         progress,
+        told: !is_new,
         left_out: BTreeSet::new(),
         emptying: BTreeMap::new(),
         down: BTreeMap::new(),
@@ -98,6 +101,13 @@
     cx.upkeep.list_due = Some(now);
 }
 
+/// Takes in that a wave's progress is stored.
+pub fn stored(cx: &mut Context, number: WaveNumber) {
+    if let Some(wave) = cx.upkeep.waves.get_mut(&number) {
+        wave.told = true;
+    }
+}
+
 /// Takes in a list of all hosts that was asked for at `sent`, or that none came.
 pub fn listed(cx: &mut Context, sent: Instant, hosts: Option<Vec<HostInfo>>) {
     cx.upkeep.list_due = Some(cx.now + LIST_EVERY);
@@ -147,7 +157,7 @@
 
 /// Brings every wave on.
 pub fn check(cx: &mut Context) {
-    let active = |w: &&Wave| !w.progress.completed;
+    let active = |w: &&Wave| w.told && !w.progress.completed;
     let numbers: Vec<WaveNumber> =
         cx.upkeep.waves.values().filter(active).map(|w| w.request.number).collect();
     if numbers.is_empty() {
--- a/crates/sched/tests/fleet/waves.rs
+++ b/crates/sched/tests/fleet/waves.rs
@@ -63,3 +63,16 @@
     assert_eq!(world.hosts.most_down, 1);
     assert_kept(&world);
 }
+
+#[test]
+fn no_host_goes_down_before_the_wave_is_stored() {
+    let mut world = World::open(45, 3);
+    world.run(500);
+    world.store_down = true;
+    world.ask_wave(1, 3, 20_000, 1);
+    world.run(3_000);
+    assert!(world.hosts.upkeeps.is_empty(), "a host went down that nobody was told of");
+    world.store_down = false;
+    world.run(15_000);
+    assert!(world.is_wave_completed(1));
+}
