Leases of 6 s at most, whatever workers would grant

Its logs: a successor claimed at 30.77 s after an outage of the store and could not reach five workers that had left meanwhile; workers there grant 10 s, so its survey took 10.7 s and nothing started.

Change: the lease that is asked for is 6 s where workers grant more; Ljubljana's workers grant 6 s, so nothing changes there.

--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -64,7 +64,7 @@
 
 /// Returns the end of a lease at a worker that begins now, and remembers it as granted.
 pub fn grant(cx: &mut Context, ix: WorkerIx) -> Option<WorkerClock> {
-    let (now, lease) = (cx.now, cx.settings.lease_max);
+    let (now, lease) = (cx.now, cx.settings.lease());
     let worker = cx.worker_mut(ix);
     let until = worker.lease_end(now, lease)?;
     worker.granted(until);
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -49,6 +49,19 @@
     pub keep_finished: Millis,
 }
 
+/// The longest lease that is asked for, whatever workers would grant. A task at a worker that is lost
+/// starts elsewhere only once its lease is over, and a successor that cannot reach a worker starts
+/// nothing for as long; the users expect lasting tasks at work again some 7 s after trouble has ended.
+/// A change of leader takes up to 3 s.
+const LEASE_WANTED: Millis = Millis(6_000);
+
+impl Settings {
+    /// Returns the length of the leases that are asked for.
+    pub fn lease(&self) -> Millis {
+        self.lease_max.min(LEASE_WANTED)
+    }
+}
+
 impl Default for Settings {
     fn default() -> Self {
         Self {
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -56,7 +56,7 @@
         cx.worker_mut(ix).in_roster = true;
     }
     let waiting: FxHashSet<WorkerIx> = cx.worker_ixs().into_iter().collect();
-    let lease = cx.settings.lease_max.with_drift(cx.settings.drift_per_mille);
+    let lease = cx.settings.lease().with_drift(cx.settings.drift_per_mille);
     let until = cx.now + lease + cx.settings.takeover_margin;
     trace::takeover_began(cx.term.number, jobs.len(), waiting.len());
     let survey = Survey { waiting, until, began: cx.now };
--- a/crates/sched/tests/fleet/promises.rs
+++ b/crates/sched/tests/fleet/promises.rs
@@ -279,3 +279,22 @@
     world.run(300);
     assert_eq!(world.running_of(3), 1, "the room left for short tasks was not used");
 }
+
+/// `mix --seed 901004260944` of Klang Valley: workers there grant 10 s, and a successor that could
+/// not reach five workers started nothing for 10.7 s.
+#[test]
+fn a_successor_waits_no_longer_for_silent_workers_where_they_grant_long_leases() {
+    let mut world = World::open(61, 3);
+    world.settings.lease_max = Millis(10_000);
+    world.work_ms = 30_000;
+    world.take_over();
+    world.submit(job(1, vec![step(9, &[])]));
+    world.run(1_000);
+    let at_risk = world.running_at(0);
+    assert!(at_risk > 0);
+    world.workers[0].cut = true;
+    world.take_over();
+    world.run(7_000);
+    assert_eq!(world.starts, 9 + at_risk as u64, "the tasks of a lost worker were not started");
+    assert_kept(&world);
+}
