A leadership is kept on a thread of its own; renewals are spread, and wait longer on large fleets

Traced before: with processor time charged no leader lasted 3 s, because the renewal of its own lease waited behind some 3,000 renewals of workers a second on the one thread of all tasks.

Ruled out: a longer lease of the leader, which makes every unplanned change of leader longer.

Change: keeping.rs renews the leader's lease on its own thread; a renewal's wait grows with the fleet from 1,000 workers on, up to the 2 s that workers hold one; the first waits after a takeover differ from worker to worker; due renewals are looked for at most every 2 ms, since a look goes over all workers.

Tests: fleet/renewals.rs; without the spread 60 of 60 workers are asked within 50 ms.

--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -14,7 +14,7 @@
 use gaplock_types::time::{Instant, Millis};
 
 use crate::handover::Invited;
-use crate::leadership::{self, Claim, LeaderRecord, Standing};
+use crate::leadership::{self, Claim, LeaderRecord, Right, Standing};
 use crate::leading;
 use crate::node::{Node, Role};
 use crate::peers::{Heartbeat, HeartbeatAnswer, PeerError};
@@ -259,6 +259,8 @@
             node.store_answered();
             standing.confirm(sent);
         }
+        // A leadership that was handed over meanwhile is not lost once more.
+        Ok(_) if standing.right(sent) == Right::Lost => {}
         Ok(_) => {
             tracing::warn!(event = "leadership_lost", why = "the claim is gone");
             standing.lose();
--- /dev/null
+++ b/crates/node/src/keeping.rs
@@ -0,0 +1,71 @@
+//! Keeps a leadership: renews its lease in the store and makes sure of the claim.
+//!
+//! This runs on a thread of its own. A leader of thousands of workers has thousands of calls under way
+//! on the one thread that carries all other tasks, and a renewal that waited its turn there would
+//! come after the lease's end (`docs/CAPACITY.md`).
+
+use std::sync::Arc;
+use std::thread;
+
+use async_std::task;
+use gaplock_platform::store::StoreError;
+use gaplock_policy::succession;
+use gaplock_remote::clock;
+use gaplock_types::time::{Instant, Millis};
+
+use crate::following;
+use crate::leadership::{self, Claim, Right, Standing};
+use crate::node::Node;
+
+/// The thread's name.
+const THREAD: &str = "leadership";
+
+/// Begins to keep a claim that was sent at `sent`; ends by itself once the standing is lost.
+pub fn spawn(node: &Arc<Node>, standing: &Arc<Standing>, claim: Claim, sent: Instant) {
+    let (node, kept) = (Arc::clone(node), Arc::clone(standing));
+    let begun = thread::Builder::new()
+        .name(THREAD.to_string())
+        .spawn(move || task::block_on(keep(node, kept, claim, sent)));
+    if let Err(e) = begun {
+        tracing::warn!(event = "leadership_lost", why = "no thread to keep it", error = %e);
+        standing.lose();
+    }
+}
+
+/// Renews the lease and makes sure of the claim, and reads the configuration along with it.
+async fn keep(node: Arc<Node>, standing: Arc<Standing>, claim: Claim, sent: Instant) {
+    while standing.right(clock::now()) != Right::Lost {
+        if node.is_stopping() || makes_way(&node, sent) {
+            standing.lose();
+            return;
+        }
+        following::confirm(&node, &standing, claim.revision).await;
+        match node.store.keep(claim.lease).await {
+            Ok(()) => node.store_answered(),
+            Err(StoreError::Gone) => {
+                tracing::warn!(event = "leadership_lost", why = "the lease is over");
+                standing.lose();
+                return;
+            }
+            Err(e) => tracing::debug!(event = "store_silent", error = %e),
+        }
+        following::read_config(&node).await;
+        task::sleep(leadership::RENEW_EVERY).await;
+    }
+}
+
+/// How long a process leads at least before it makes way, so that hosts do not take turns.
+const LEADS_AT_LEAST: Millis = Millis(3_000);
+
+/// Tells whether a much stronger host should lead instead of this one.
+fn makes_way(node: &Node, since: Instant) -> bool {
+    let successors = node.handover.successors(clock::now());
+    let best = successors.first();
+    let way = clock::now().since(since) >= LEADS_AT_LEAST
+        && succession::should_make_way(node.strength, best);
+    if let Some(best) = best.filter(|_| way) {
+        tracing::info!(event = "makes_way", host = %best.host, strength = best.strength.0,
+            own = node.strength.0);
+    }
+    way
+}
--- a/crates/node/src/leading.rs
+++ b/crates/node/src/leading.rs
@@ -7,19 +7,18 @@
 use gaplock_jobs::progress::Progress;
 use gaplock_platform::directory;
 use gaplock_platform::store::{Item, Listed, Revision, StoreError, Txn};
-use gaplock_policy::succession;
 use gaplock_remote::clock;
 use gaplock_sched::takeover::{self, Stored};
 use gaplock_sched::{Context, Event};
-use gaplock_types::time::{Instant, Millis};
+use gaplock_types::time::Instant;
 
 use crate::engine;
 use crate::feeds::Handed;
-use crate::leadership::{self, Claim, Right, Standing};
+use crate::leadership::{Claim, Right, Standing};
 use crate::ledger::{self, RosterEntry};
 use crate::node::{Node, Role};
 use crate::peers::Invitation;
-use crate::{feeds, following, keys};
+use crate::{feeds, following, keeping, keys};
 
 /// What was read at the beginning of a leadership.
 struct Read {
@@ -32,13 +31,13 @@
 pub async fn lead(node: &Arc<Node>, claim: Claim, sent: Instant) {
     let standing = Standing::open(sent);
     node.handover.forget_followers();
-    let keeper = task::spawn(keep(Arc::clone(node), Arc::clone(&standing), claim, sent));
+    keeping::spawn(node, &standing, claim, sent);
     let read = read_all(node, &standing).await;
     if let Some(read) = read {
         node.metrics.terms.inc();
         run(node, claim, &standing, read).await;
     }
-    keeper.cancel().await;
+    standing.lose();
     hand_over(node, claim).await;
 }
 
@@ -134,44 +133,6 @@
     }
 }
 
-/// Renews the lease and makes sure of the claim, and reads the configuration along with it.
-async fn keep(node: Arc<Node>, standing: Arc<Standing>, claim: Claim, sent: Instant) {
-    loop {
-        if node.is_stopping() || makes_way(&node, sent) {
-            standing.lose();
-            return;
-        }
-        following::confirm(&node, &standing, claim.revision).await;
-        match node.store.keep(claim.lease).await {
-            Ok(()) => node.store_answered(),
-            Err(StoreError::Gone) => {
-                tracing::warn!(event = "leadership_lost", why = "the lease is over");
-                standing.lose();
-                return;
-            }
-            Err(e) => tracing::debug!(event = "store_silent", error = %e),
-        }
-        following::read_config(&node).await;
-        task::sleep(leadership::RENEW_EVERY).await;
-    }
-}
-
-/// How long a process leads at least before it makes way, so that hosts do not take turns.
-const LEADS_AT_LEAST: Millis = Millis(3_000);
-
-/// Tells whether a much stronger host should lead instead of this one.
-fn makes_way(node: &Node, since: Instant) -> bool {
-    let successors = node.handover.successors(clock::now());
-    let best = successors.first();
-    let way = clock::now().since(since) >= LEADS_AT_LEAST
-        && succession::should_make_way(node.strength, best);
-    if let Some(best) = best.filter(|_| way) {
-        tracing::info!(event = "makes_way", host = %best.host, strength = best.strength.0,
-            own = node.strength.0);
-    }
-    way
-}
-
 /// Gives the claim back, so that another host need not wait for the lease's end.
 async fn resign(node: &Node, claim: Claim) {
     let txn = Txn {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,6 +7,7 @@
 mod following;
 mod handover;
 mod inbox;
+mod keeping;
 mod keys;
 mod leadership;
 mod leading;
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -35,6 +35,9 @@
 /// How often a dispatch pass may run while events pour in; a pass looks at every ready step.
 const PASS_EVERY: Millis = Millis(4);
 
+/// How often due renewals are looked for while events pour in; a look goes over all workers.
+const RENEWALS_EVERY: Millis = Millis(2);
+
 /// How often bounds of time are checked.
 const HOUSEKEEPING_EVERY: Millis = Millis(50);
 
@@ -78,6 +81,9 @@
     /// When what was learnt was last stored.
     pub learnt_kept: Instant,
     last_pass: Instant,
+    last_renewals: Instant,
+    /// Set when renewals may be due that were not looked for.
+    renewals_left: bool,
     last_housekeeping: Instant,
 }
 
@@ -104,6 +110,8 @@
             directory_back: now,
             learnt_kept: now,
             last_pass: Instant(0),
+            last_renewals: Instant(0),
+            renewals_left: false,
             last_housekeeping: Instant(0),
         }
     }
@@ -163,7 +171,11 @@
             intake::forget_finished(self);
             self.pass_wanted |= !self.ready.is_empty();
         }
-        renewals::send_due(self);
+        self.renewals_left = self.now.since(self.last_renewals) < RENEWALS_EVERY;
+        if !self.renewals_left {
+            self.last_renewals = self.now;
+            renewals::send_due(self);
+        }
         if self.pass_wanted && self.now.since(self.last_pass) >= PASS_EVERY {
             self.last_pass = self.now;
             self.pass_wanted = false;
@@ -174,11 +186,14 @@
     /// Returns when [`Event::Tick`] is wanted next.
     pub fn next_wake(&self) -> Instant {
         let pass = self.last_pass + PASS_EVERY;
-        let housekeeping = self.last_housekeeping + HOUSEKEEPING_EVERY;
+        let mut wake = self.last_housekeeping + HOUSEKEEPING_EVERY;
         if self.pass_wanted {
-            return pass.min(housekeeping);
+            wake = wake.min(pass);
+        }
+        if self.renewals_left {
+            wake = wake.min(self.last_renewals + RENEWALS_EVERY);
         }
-        housekeeping
+        wake
     }
 
     /// Returns a worker.
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -25,7 +25,7 @@
     // A worker that does not answer is only asked: a grant that may have arrived would put off the
     // time from which its tasks are certainly over.
     let until = if cx.worker(ix).missed == 0 { leases::grant(cx, ix) } else { None };
-    let wait = cx.settings.renew_wait;
+    let wait = spread(cx, ix, wait_for(cx.settings.renew_wait, cx.workers.len()));
     let worker = cx.worker_mut(ix);
     worker.renewal = Renewal::InFlight;
     let quick = until.is_none() || worker.noted > worker.stored || worker.missed > 0;
@@ -35,6 +35,34 @@
     cx.actions.push(Action::Renew { worker: ix, stored, until, wait });
 }
 
+/// How many renewals a second one leader carries: half a core, of which each takes some 0.15 ms, with
+/// more than half to spare (`docs/CAPACITY.md`).
+const RENEWALS_PER_SECOND: u64 = 1_000;
+
+/// The longest that a worker holds a renewal back, by the workers' interface.
+const WAIT_MOST: Millis = Millis(2_000);
+
+/// Returns how long a renewal waits for an end, on a fleet of so many workers.
+pub fn wait_for(usual: Millis, workers: usize) -> Millis {
+    let needed = workers as u64 * 1_000 / RENEWALS_PER_SECOND;
+    usual.max(Millis(needed)).min(WAIT_MOST)
+}
+
+/// The prime by which workers' positions are spread over a wait.
+const SPREAD_BY: u64 = 7_919;
+
+/// Returns the wait of a worker's renewal. The first ones after a takeover differ from worker to
+/// worker, from a quarter of the wait on, since all workers were asked at one time and would answer
+/// at one time ever after.
+fn spread(cx: &Context, ix: WorkerIx, wait: Millis) -> Millis {
+    let recent = cx.worker(ix).answered.is_some_and(|at| cx.now.since(at) < wait);
+    if !recent {
+        return wait;
+    }
+    let part = u64::from(ix.0) * SPREAD_BY % 1_000;
+    Millis(wait.0 / 4 + wait.0 * 3 / 4 * part / 1_000)
+}
+
 /// How long a renewal waits while a serving task is over its target; readings are renewed every
 /// half second.
 const EXCESS_WAIT: Millis = Millis(500);
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod gangs;
 mod leaving;
 mod promises;
+mod renewals;
 mod slow_workers;
 mod waves;
 mod world;
--- a/crates/sched/tests/fleet/world/calls.rs
+++ b/crates/sched/tests/fleet/world/calls.rs
@@ -89,6 +89,7 @@
         for action in actions {
             let (worker, call) = match action {
                 Action::Renew { worker, stored, until, wait } => {
+                    self.renewals.push(self.now);
                     let renewal = Renewal { stored, until, wait: wait.0, sent: now };
                     (worker, Call::Renew(renewal))
                 }
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -71,6 +71,8 @@
     pub settings: Settings,
     /// Broken promises, in words.
     pub violations: Vec<String>,
+    /// When each renewal was sent.
+    pub renewals: Vec<u64>,
     /// Starts that workers carried out.
     pub starts: u64,
     /// Whether commits are refused.
@@ -109,6 +111,7 @@
             faults: Faults::default(),
             settings: Settings::default(),
             violations: Vec::new(),
+            renewals: Vec::new(),
             starts: 0,
             store_down: false,
             work_ms: 500,
