--- a/crates/coord/src/state/mod.rs
+++ b/crates/coord/src/state/mod.rs
@@ -182,22 +182,12 @@
             Record::TaskAdd { number } => self.add_task(home, *number),
             Record::Assign { run, worker, boot, reserve } => {
                 let (worker, boot, reserve) = (worker.clone(), *boot, *reserve);
-                let place = Place { worker, boot, reserve, lent: None };
-                self.step(run.task, task::On::Assign, record, |t| {
-                    t.attempt = run.attempt;
-                    t.place = Some(place);
-                    t.why.clear();
-                })?;
+                self.assign(run, Place { worker, boot, reserve, lent: None }, record)?;
             }
             Record::Lend { run, to, reserve } => {
                 let worker = ids::WorkerId(to.to_string());
                 let (boot, reserve) = (wire::Boot(0), *reserve);
-                let place = Place { worker, boot, reserve, lent: Some(*to) };
-                self.step(run.task, task::On::Assign, record, |t| {
-                    t.attempt = run.attempt;
-                    t.place = Some(place);
-                    t.why.clear();
-                })?;
+                self.assign(run, Place { worker, boot, reserve, lent: Some(*to) }, record)?;
             }
             Record::ResumeFrom { task, checkpoint_ms } => {
                 self.change(*task, |t| t.checkpoint_ms = *checkpoint_ms);
@@ -227,11 +217,7 @@
                     t.why = "cancelled".to_string();
                 })?;
             }
-            Record::JobForget { number } => {
-                if let Some(job) = self.jobs.remove(number) {
-                    self.index.keys.remove(&(job.partner, job.key));
-                }
-            }
+            Record::JobForget { number } => self.forget_job(*number),
             Record::OnceClaim { id, digest, claimer, at_unix_ms } => {
                 let (digest, claimer) = (digest.clone(), claimer.clone());
                 let at_unix_ms = *at_unix_ms;
@@ -249,6 +235,22 @@
         Ok(())
     }
 
+    /// Puts a run at its place.
+    fn assign(&mut self, run: &wire::Run, place: Place, record: &Record) -> Result<()> {
+        self.step(run.task, task::On::Assign, record, |t| {
+            t.attempt = run.attempt;
+            t.place = Some(place);
+            t.why.clear();
+        })
+    }
+
+    /// Forgets a job with its caller's key.
+    fn forget_job(&mut self, number: u64) {
+        if let Some(job) = self.jobs.remove(&number) {
+            self.index.keys.remove(&(job.partner, job.key));
+        }
+    }
+
     fn add_job(&mut self, home: ids::PartitionId, record: &Record) {
         let Record::JobAdd {
             number,
--- a/crates/measure/src/fairness.rs
+++ b/crates/measure/src/fairness.rs
@@ -75,6 +75,26 @@
     }
 }
 
+/// Lets a partner's tasks of one step of time arrive.
+fn arrive(
+    rng: &mut ChaCha8Rng,
+    now: u64,
+    partner: usize,
+    rate: f64,
+    queue: &mut VecDeque<Waiting>,
+    urgent: &mut VecDeque<Waiting>,
+) {
+    let count = rate as u64 + u64::from(rng.random_bool(rate.fract()));
+    for _ in 0..count {
+        let cores = rng.random_range(500..1_500);
+        let demand = sizes::Resources::new(cores, 2_048, 0);
+        // One task in twenty of an ordinary partner is urgent.
+        let is_urgent = partner > 0 && rng.random_ratio(1, 20);
+        let queue = if is_urgent { &mut *urgent } else { &mut *queue };
+        queue.push_back(Waiting { demand, since: now });
+    }
+}
+
 fn run(seed: u64, ours: bool, flood: bool) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut queues: Vec<VecDeque<Waiting>> = vec![VecDeque::new(); PARTNERS];
@@ -92,19 +112,8 @@
             r.ends > now
         });
         for partner in 0..PARTNERS {
-            let factor = if flood && partner == 0 { FLOOD } else { 1.0 };
-            let whole = (RATE * factor) as u64;
-            let count = whole + u64::from(rng.random_bool((RATE * factor).fract()));
-            for _ in 0..count {
-                let cores = rng.random_range(500..1_500);
-                let demand = sizes::Resources::new(cores, 2_048, 0);
-                // One task in twenty of an ordinary partner is urgent.
-                let queue = match partner > 0 && rng.random_ratio(1, 20) {
-                    true => &mut urgent[partner],
-                    false => &mut queues[partner],
-                };
-                queue.push_back(Waiting { demand, since: now });
-            }
+            let rate = if flood && partner == 0 { RATE * FLOOD } else { RATE };
+            arrive(&mut rng, now, partner, rate, &mut queues[partner], &mut urgent[partner]);
         }
         let mut skip = [false; PARTNERS];
         let mut urgent_waits = false;
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -107,6 +107,32 @@
     found
 }
 
+/// Says what is wrong with a stored task that should have ended.
+fn unfinished_task(
+    task: ids::TaskId,
+    state: &str,
+    cancelled: bool,
+    findings: &Findings,
+) -> Option<String> {
+    let runs = findings.by_task.get(&task);
+    let done = runs.map_or(0, |s| s.iter().filter(|s| s.done).count());
+    let unsure = runs.is_some_and(|s| s.iter().any(|s| s.unsure));
+    let fine = match state {
+        "done" => done == 1 || (done == 0 && unsure),
+        "cancelled" => cancelled,
+        _ => false,
+    };
+    if fine {
+        return None;
+    }
+    let each = runs.into_iter().flatten().map(|s| {
+        let (from, to, resume) = (s.from_ms, s.to_ms, s.resume_ms);
+        format!("{} {from}..{to:?} from {resume} done={}", s.run.attempt, s.done)
+    });
+    let each: Vec<String> = each.collect();
+    Some(format!("finished {done} times: {}", each.join("; ")))
+}
+
 /// Every stored job has ended: each task done once, unless the job was cancelled.
 fn unfinished(w: &World, clients: &Clients, findings: &Findings) -> Vec<String> {
     let mut found = Vec::new();
@@ -144,27 +170,10 @@
         };
         for (i, t) in job.tasks.iter().enumerate() {
             let task = ids::TaskId { job: id, index: i as u32 };
-            let runs = findings.by_task.get(&task);
-            let done = runs.map_or(0, |s| s.iter().filter(|s| s.done).count());
-            let unsure = runs.is_some_and(|s| s.iter().any(|s| s.unsure));
-            let fine = match t.is.name() {
-                "done" => done == 1 || (done == 0 && unsure),
-                "cancelled" => wish.cancelled,
-                _ => false,
-            };
-            if !fine {
-                let name = t.is.name();
-                let why = &whys[&task];
-                let each = runs.into_iter().flatten().map(|s| {
-                    let (from, to, resume) = (s.from_ms, s.to_ms, s.resume_ms);
-                    format!("{} {from}..{to:?} from {resume} done={}", s.run.attempt, s.done)
-                });
-                let each: Vec<String> = each.collect();
-                found.push(format!(
-                    "{task} is {name} ({why}), finished {done} times: {}",
-                    each.join("; ")
-                ));
-            }
+            let fault = unfinished_task(task, t.is.name(), wish.cancelled, findings);
+            found.extend(
+                fault.map(|what| format!("{task} is {} ({}), {what}", t.is.name(), whys[&task])),
+            );
         }
     }
     if !found.is_empty() {
