--- a/crates/soak/src/bin/processes.rs
+++ b/crates/soak/src/bin/processes.rs
@@ -2,11 +2,10 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 
 use gaplock_settings::{setting, Kind, Setting};
 use gaplock_soak::processes::{run, Report};
+use gaplock_soak::seeds::{self, Seeds};
 
 const ANY: Kind = Kind::Number { min: 0, max: u64::MAX };
 const TABLE: &[Setting] = &[
@@ -19,28 +18,19 @@
 fn main() -> ExitCode {
     let about = "a randomised soak of the daemon in processes of its own";
     let values = gaplock_settings::read_or_exit("gaplock-soak-processes", about, TABLE);
-    let (from, seeds) = (values.number("from"), values.number("seeds"));
     let program = PathBuf::from(values.text("program"));
-    let next = AtomicU64::new(from);
-    let reports: Mutex<Vec<Report>> = Mutex::default();
-    std::thread::scope(|scope| {
-        for _ in 0..values.number("threads") {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= from + seeds {
-                    return;
-                }
-                let report = run(program.clone(), seed).unwrap_or_else(|e| Report {
-                    seed,
-                    violations: vec![format!("the seed could not be run: {e}")],
-                    ..Report::default()
-                });
-                reports.lock().expect("no holder of the lock panics").push(report);
-            });
-        }
+    let seeds = Seeds {
+        from: values.number("from"),
+        count: values.number("seeds"),
+        threads: values.number("threads"),
+    };
+    let reports = seeds::run_each(seeds, |seed| {
+        run(program.clone(), seed).unwrap_or_else(|e| Report {
+            seed,
+            violations: vec![format!("the seed could not be run: {e}")],
+            ..Report::default()
+        })
     });
-    let mut reports = reports.into_inner().expect("no holder of the lock panics");
-    reports.sort_by_key(|r| r.seed);
     summarise(&reports)
 }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod faults;
 pub mod processes;
 pub mod run;
+pub mod seeds;
 pub mod world;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,12 +1,11 @@
 //! `gaplock-soak`: runs many seeds and prints one line, or the first failing seed with its trace.
 
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 
 use gaplock_settings::{setting, Kind, Setting};
 use gaplock_soak::faults::Enabled;
 use gaplock_soak::run::{narrow, run, Report};
+use gaplock_soak::seeds::{self, Seeds};
 
 const ANY: Kind = Kind::Number { min: 0, max: u64::MAX };
 const TABLE: &[Setting] = &[
@@ -25,23 +24,12 @@
 fn main() -> ExitCode {
     let about = "long randomised runs of the coordination parts";
     let values = gaplock_settings::read_or_exit("gaplock-soak", about, TABLE);
-    let (from, seeds) = (values.number("from"), values.number("seeds"));
-    let next = AtomicU64::new(from);
-    let reports: Mutex<Vec<Report>> = Mutex::default();
-    std::thread::scope(|scope| {
-        for _ in 0..values.number("threads") {
-            scope.spawn(|| loop {
-                let seed = next.fetch_add(1, Ordering::Relaxed);
-                if seed >= from + seeds {
-                    return;
-                }
-                let report = run(seed, Enabled::all());
-                reports.lock().expect("no holder of the lock panics").push(report);
-            });
-        }
-    });
-    let mut reports = reports.into_inner().expect("no holder of the lock panics");
-    reports.sort_by_key(|r| r.seed);
+    let seeds = Seeds {
+        from: values.number("from"),
+        count: values.number("seeds"),
+        threads: values.number("threads"),
+    };
+    let reports = seeds::run_each(seeds, |seed| run(seed, Enabled::all()));
     if values.switch("trace") {
         for report in &reports {
             print_trace(report);
