A connection that falls silent costs one time limit, not one for each that is kept

A client kept up to four unused ones and found each of them silent in turn: to the store 4 x 0.9 s, longer than the lease of 2 s. Change: a call without an answer in time closes the client's unused connections. Ruled out: keep-alive probes of the system, since their time limits are no shorter than the calls'. Test: one_silent_connection_costs_one_time_limit_however_many_are_kept, failed first (the second call took another silent connection).

--- a/crates/remote/src/http.rs
+++ b/crates/remote/src/http.rs
@@ -129,15 +129,21 @@
     ///
     /// # Errors
     /// [`HttpError::NotSent`] where nothing left this process; [`HttpError::Unclear`] where the
-    /// other side may have acted. The connection is dropped in both cases.
+    /// other side may have acted. The connection is dropped in both cases, and with it every unused
+    /// one where no answer came in time: a single silence must not cost a time limit for each
+    /// connection that is kept.
     pub async fn call(&self, call: Call<'_>) -> Result<Answer> {
         let began = time::Instant::now();
         let stream = self.connect(call.limit).await?;
         let req = self.build(&call)?;
         let left = call.limit.saturating_sub(began.elapsed());
         let exchange = exchange(stream.clone(), req);
-        let (answer, reusable) =
-            future::timeout(left, exchange).await.map_err(|_| HttpError::Unclear)??;
+        let Ok(exchanged) = future::timeout(left, exchange).await else {
+            // Where one connection has fallen silent without a reset, the others may have too.
+            self.close_idle();
+            return Err(HttpError::Unclear);
+        };
+        let (answer, reusable) = exchanged?;
         if reusable {
             let mut idle = self.idle.lock().expect("no holder of the lock panics");
             if idle.len() < self.most_idle {
--- a/crates/remote/tests/whole.rs
+++ b/crates/remote/tests/whole.rs
@@ -92,3 +92,40 @@
         assert_eq!(connections.load(Ordering::SeqCst), 2);
     });
 }
+
+/// Serves connections that answer once and then say nothing more, as if each had been cut without a
+/// reset; the connections after the first `silent` ones go on answering.
+async fn server_of_silent_connections(silent: usize) -> String {
+    let listener = net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    task::spawn(async move {
+        let mut incoming = listener.incoming().enumerate();
+        while let Some((at, Ok(mut stream))) = incoming.next().await {
+            task::spawn(async move {
+                let mut buf = [0_u8; 4_096];
+                let mut answers = if at < silent { 1 } else { usize::MAX };
+                while stream.read(&mut buf).await.unwrap_or(0) > 0 {
+                    if answers > 0 && stream.write_all(FULL.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    answers = answers.saturating_sub(1);
+                }
+            });
+        }
+    });
+    addr
+}
+
+#[test]
+fn one_silent_connection_costs_one_time_limit_however_many_are_kept() {
+    task::block_on(async {
+        let addr = server_of_silent_connections(4).await;
+        let client = Client::open(addr, 4);
+        let together = (0..4).map(|_| client.call(call(2_000)));
+        let answered = futures::future::join_all(together).await;
+        assert!(answered.iter().all(|a| a.is_ok()), "{answered:?}");
+        let first = client.call(call(100)).await;
+        assert_eq!(first.map(|a| a.status), Err(HttpError::Unclear));
+        assert!(client.call(call(2_000)).await.is_ok(), "another silent connection was used");
+    });
+}
