A takeover ends on any host, and neither drowns the leader nor waits for workers that left

(3) Invited hosts were given 0.7 s for a claim of three calls that took 0.35 s each, so several claimed at once; a host of a tenth of the strength was invited because the others' last answer of the store was old. (4) The lease was kept by three calls in turn, too long where the store is slow. (5) A successor started nothing for 6.6 s because of 22 workers that had left. Three calls beside each other overflowed the stack of their thread without optimisation; all process tests found it, the futures are boxed.

--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -40,6 +40,10 @@
 /// attempts, each two calls to the store of 4 ms and a wait for a turn on a weak host.
 const NAMED_FIRST: Millis = Millis(60);
 
+/// How much later than others a host claims that could not read the state in time: longer than the
+/// weakest host waits.
+const STANDS_BACK_PAUSE: Duration = Duration::from_millis(2_500);
+
 /// How often an invited host tries to claim; a last commit of the former leader may come between.
 const INVITED_TRIES: u32 = 8;
 
@@ -88,7 +92,9 @@
         return claim(node, revision).await;
     }
     node.set_role(Role::Follower(Some(leader.addr.clone())));
-    tracing::info!(event = "following", leader = %leader.host, term = leader.term);
+    if node.handover.follows_anew(leader.term) {
+        tracing::info!(event = "following", leader = %leader.host, term = leader.term);
+    }
     loop {
         match heartbeat(node, &leader.addr).await {
             Ok(true) => {
@@ -131,7 +137,7 @@
 
 /// Claims the leadership that its holder gives up, and answers the holder.
 async fn claim_invited(node: &Arc<Node>, invited: Invited) {
-    let seen = Revision(invited.invitation.claim);
+    let mut seen = Revision(invited.invitation.claim);
     let sent = clock::now();
     for _ in 0..INVITED_TRIES {
         match leadership::claim(&node.store, &my_record(node), seen).await {
@@ -141,6 +147,13 @@
             }
             Err(e) => tracing::info!(event = "claim_failed", error = %e),
         }
+        // The former claim may be gone by now, with its lease or because it was given back.
+        match leadership::current(&node.store).await {
+            Ok(None) => seen = Revision(0),
+            Ok(Some((_, revision))) if revision == seen => {}
+            Ok(Some(_)) => break,
+            Err(e) => tracing::debug!(event = "store_silent", error = %e),
+        }
         task::sleep(INVITED_PAUSE).await;
     }
     answer(&invited, false);
@@ -166,7 +179,8 @@
     };
     match node.leader.heartbeat(addr, &beat).await? {
         HeartbeatAnswer::NotLeader => Ok(false),
-        HeartbeatAnswer::Leader { config_age, config, waiting, successor } => {
+        HeartbeatAnswer::Leader { config_age, config, waiting, successor, strongest } => {
+            node.handover.set_strongest(strongest);
             node.handover.set_named(successor.as_ref() == Some(&node.installation.host));
             if let Some(config) = config {
                 node.set_config(config);
@@ -218,9 +232,12 @@
 
 /// Claims the leadership in place of the claim at `seen`, after a pause unless this host was named.
 async fn claim(node: &Arc<Node>, seen: Revision) {
-    if !node.handover.is_named() {
+    if node.handover.stands_back(clock::now()) {
+        task::sleep(STANDS_BACK_PAUSE).await;
+    } else if !node.handover.is_named() {
         let spread = rand::random_range(0..CLAIM_SPREAD_MS);
-        let pause = NAMED_FIRST.0 + succession::claim_pause(node.strength).0 + spread;
+        let weaker = succession::claim_pause(node.strength, node.handover.strongest());
+        let pause = NAMED_FIRST.0 + weaker.0 + spread;
         task::sleep(Duration::from_millis(pause)).await;
     }
     if node.is_stopping() {
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -5,11 +5,11 @@
 //! `gaplock_policy::succession` makes the choice.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::Mutex;
 
 use async_channel::{Receiver, Sender};
-use gaplock_policy::succession::{self, Candidate};
+use gaplock_policy::succession::{self, Candidate, Strength};
 use gaplock_types::ids;
 use gaplock_types::time::Instant;
 
@@ -21,6 +21,12 @@
     followers: Mutex<BTreeMap<ids::EntryId, Candidate>>,
     /// Whether the leader named this host to claim first if the leader is lost.
     named: AtomicBool,
+    /// The strength of the strongest host that this one has heard of; 0 for none.
+    strongest: AtomicU16,
+    /// The number of the leadership that this host followed last.
+    followed: AtomicU64,
+    /// Until when this host leaves claims to others, in milliseconds of its clock.
+    stands_back: AtomicU64,
     /// Invitations to claim the leadership, each with the way to answer it.
     invitations: (Sender<Invited>, Receiver<Invited>),
 }
@@ -44,6 +50,9 @@
         Self {
             followers: Mutex::default(),
             named: AtomicBool::new(false),
+            strongest: AtomicU16::new(0),
+            followed: AtomicU64::new(0),
+            stands_back: AtomicU64::new(0),
             invitations: async_channel::bounded(MOST_WAITING),
         }
     }
@@ -60,6 +69,32 @@
         self.named.load(Ordering::Relaxed)
     }
 
+    /// Remembers the strength of the strongest host that the leader knows.
+    pub fn set_strongest(&self, strongest: Strength) {
+        self.strongest.store(strongest.0, Ordering::Relaxed);
+    }
+
+    /// Returns the strength of the strongest host that this one has heard of.
+    pub fn strongest(&self) -> Option<Strength> {
+        let strongest = self.strongest.load(Ordering::Relaxed);
+        (strongest > 0).then_some(Strength(strongest))
+    }
+
+    /// Takes in which leadership is followed; tells whether it is another one than before.
+    pub fn follows_anew(&self, term: u64) -> bool {
+        self.followed.swap(term, Ordering::Relaxed) != term
+    }
+
+    /// Leaves claims to other hosts until then.
+    pub fn stand_back(&self, until: Instant) {
+        self.stands_back.store(until.0, Ordering::Relaxed);
+    }
+
+    /// Tells whether this host leaves claims to others.
+    pub fn stands_back(&self, now: Instant) -> bool {
+        now.0 < self.stands_back.load(Ordering::Relaxed)
+    }
+
     /// Returns the followers that could lead now, the best one first.
     pub fn successors(&self, now: Instant) -> Vec<Candidate> {
         let followers = self.followers.lock().expect(LOCK);
--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -20,11 +20,16 @@
 /// The thread's name.
 const THREAD: &str = "leadership";
 
+/// The thread's stack: twice the usual one, since this thread's executor also takes on other tasks, whose
+/// states are large without optimisation. Only what is used is paid for.
+const STACK_BYTES: usize = 4 << 20;
+
 /// Begins to keep a claim that was sent at `sent`; ends by itself once the standing is lost.
 pub fn spawn(node: &Arc<Node>, standing: &Arc<Standing>, claim: Claim, sent: Instant) {
     let (node, kept) = (Arc::clone(node), Arc::clone(standing));
     let begun = thread::Builder::new()
         .name(THREAD.to_string())
+        .stack_size(STACK_BYTES)
         .spawn(move || task::block_on(keep(node, kept, claim, sent)));
     if let Err(e) = begun {
         tracing::warn!(event = "leadership_lost", why = "no thread to keep it", error = %e);
@@ -32,15 +37,20 @@
     }
 }
 
-/// Renews the lease and makes sure of the claim, and reads the configuration along with it.
+/// Renews the lease and makes sure of the claim, and reads the configuration along with it. All three
+/// are asked at one time: one after the other they take longer than the lease where the store is slow.
 async fn keep(node: Arc<Node>, standing: Arc<Standing>, claim: Claim, sent: Instant) {
     while standing.right(clock::now()) != Right::Lost {
         if node.is_stopping() || makes_way(&node, sent) {
             standing.lose();
             return;
         }
-        following::confirm(&node, &standing, claim.revision).await;
-        match node.store.keep(claim.lease).await {
+        // Boxed: the states of three calls beside each other are too large for the thread's stack.
+        let confirmed = Box::pin(following::confirm(&node, &standing, claim.revision));
+        let kept = Box::pin(node.store.keep(claim.lease));
+        let read = Box::pin(following::read_config(&node));
+        let (_, kept, _) = futures::join!(confirmed, kept, read);
+        match kept {
             Ok(()) => node.store_answered(),
             Err(StoreError::Gone) => {
                 tracing::warn!(event = "leadership_lost", why = "the lease is over");
@@ -49,7 +59,6 @@
             }
             Err(e) => tracing::debug!(event = "store_silent", error = %e),
         }
-        following::read_config(&node).await;
         task::sleep(leadership::RENEW_EVERY).await;
     }
 }
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use async_std::task;
+use gaplock_jobs::TaskKey;
 use gaplock_platform::store::{self, Item, Revision, Store, StoreError, Txn};
 use gaplock_platform::waves;
-use gaplock_sched::message::{Record, WorkerInfo};
+use gaplock_sched::message::{Record, RosterEntry, WorkerInfo};
 use gaplock_types::time::Millis;
 use gaplock_types::{ids, sizes};
 
@@ -14,19 +15,23 @@
 
 /// The stored form of a worker in the roster.
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
-pub struct RosterEntry {
+pub struct RosterRecord {
     id: ids::WorkerId,
     addr: String,
     service: ids::ServiceId,
     domain: ids::DomainId,
     labels: Vec<String>,
     capacity: sizes::Resources,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    holds: Option<Vec<TaskKey>>,
 }
 
-impl RosterEntry {
+impl RosterRecord {
     /// Builds the stored form.
-    pub fn of(info: &WorkerInfo) -> Self {
+    pub fn of(entry: &RosterEntry) -> Self {
+        let info = &entry.info;
         Self {
+            holds: entry.holds.clone(),
             id: info.id.clone(),
             addr: info.addr.clone(),
             service: info.service.clone(),
@@ -36,9 +41,9 @@
         }
     }
 
-    /// Returns the worker's description.
-    pub fn info(self) -> WorkerInfo {
-        WorkerInfo {
+    /// Returns what the roster says of the worker.
+    pub fn entry(self) -> RosterEntry {
+        let info = WorkerInfo {
             id: self.id,
             addr: self.addr,
             service: self.service,
@@ -47,7 +52,8 @@
             capacity: self.capacity,
             draining: false,
             remaining: None::<Millis>,
-        }
+        };
+        RosterEntry { info, holds: self.holds }
     }
 }
 
@@ -165,8 +171,9 @@
                 Record::Forget(key) => {
                     txn.remove.extend([keys::job(*key), keys::cancel(*key), keys::progress(*key)])
                 }
-                Record::Worker(info) => {
-                    txn.set.push((keys::roster(&info.id), encode(&RosterEntry::of(info)), None));
+                Record::Worker(entry) => {
+                    let stored = encode(&RosterRecord::of(entry));
+                    txn.set.push((keys::roster(&entry.info.id), stored, None));
                 }
                 Record::ForgetWorker(id) => txn.remove.push(keys::roster(id)),
                 Record::Wave(progress) => {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -58,7 +58,7 @@
     };
     let cfg = settings::scheduler(values, &installation);
     let peer_addr = format!("{}:{}", installation.ip, installation.peer_ports.0);
-    let store = store::open(&installation.store_addr);
+    let store = store::open(&installation.store_addr, installation.link_mbps);
     tracing::info!(event = "started", host = %installation.host, domain = %installation.domain);
     let node = node::open(installation, cfg, peer_addr, store);
     let (ip, port) = (values.text(settings::METRICS_IP), values.number(settings::METRICS_PORT));
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -268,19 +268,23 @@
 
     /// Answers a follower's heartbeat.
     pub async fn heartbeat_here(&self, beat: Heartbeat) -> HeartbeatAnswer {
-        let Role::Leader(engine) = self.role() else { return HeartbeatAnswer::NotLeader };
         let now = clock::now();
-        engine.standing.heard(now, beat.store_age);
+        // Noted before this host leads, too: a claim that is still reading the state makes way.
         self.handover.note_follower(now, &beat);
+        let Role::Leader(engine) = self.role() else { return HeartbeatAnswer::NotLeader };
+        engine.standing.heard(now, beat.store_age);
         if engine.standing.right(now) != Right::Act {
             return HeartbeatAnswer::NotLeader;
         }
         let newer = self.config().filter(|c| c.version > beat.config_version);
+        let best = self.handover.successors(now).into_iter().next();
+        let strongest = best.as_ref().map_or(self.strength, |c| c.strength.max(self.strength));
         HeartbeatAnswer::Leader {
             config_age: self.config_age(),
             config: newer.map(|c| Config::clone(&c)),
             waiting: engine.waiting(),
-            successor: self.handover.successors(now).into_iter().next().map(|c| c.host),
+            successor: best.map(|c| c.host),
+            strongest,
         }
     }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -25,6 +25,10 @@
 /// How long a call to the leader may take; a healthy one takes a millisecond or two.
 const CALL_LIMIT: Duration = Duration::from_millis(700);
 
+/// How long an invitation may go unanswered: a claim is three calls to the store, each of which takes
+/// up to 0.4 s where it is slow.
+const INVITE_LIMIT: Duration = Duration::from_millis(2_000);
+
 /// How long a connection may take to open.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
@@ -96,6 +100,8 @@
         waiting: Vec<QueueCount>,
         /// The host that claims first if the leader is lost.
         successor: Option<ids::EntryId>,
+        /// The strength of the strongest host that the leader knows, itself included.
+        strongest: succession::Strength,
     },
 }
 
@@ -145,7 +151,7 @@
         }
         let building = WsClientBuilder::default()
             .connection_timeout(CONNECT_LIMIT)
-            .request_timeout(CALL_LIMIT)
+            .request_timeout(INVITE_LIMIT)
             .max_request_size(MESSAGE_MOST_BYTES)
             .max_response_size(MESSAGE_MOST_BYTES)
             .build(format!("ws://{addr}"));
@@ -164,11 +170,21 @@
         addr: &str,
         method: &str,
         body: &impl Serialize,
+    ) -> Result<T, PeerError> {
+        self.call_within(addr, method, body, CALL_LIMIT).await
+    }
+
+    async fn call_within<T: DeserializeOwned>(
+        &self,
+        addr: &str,
+        method: &str,
+        body: &impl Serialize,
+        limit: Duration,
     ) -> Result<T, PeerError> {
         let client = self.client(addr).await?;
         let mut params = ArrayParams::new();
         params.insert(body).map_err(|_| PeerError::NotSent)?;
-        let answer = future::timeout(CALL_LIMIT, client.request(method, params)).await;
+        let answer = future::timeout(limit, client.request(method, params)).await;
         if let Ok(Ok(answer)) = answer {
             return Ok(answer);
         }
@@ -229,7 +245,7 @@
     /// # Errors
     /// As [`Leader::heartbeat`].
     pub async fn invite(&self, addr: &str, invitation: Invitation) -> Result<bool, PeerError> {
-        self.call(addr, INVITE, &invitation).await
+        self.call_within(addr, INVITE, &invitation, INVITE_LIMIT).await
     }
 
     /// Waits until the open connection is lost; for ever, if there is none.
--- a/crates/policy/src/succession.rs
+++ b/crates/policy/src/succession.rs
@@ -57,13 +57,18 @@
 /// How long ago the store may have answered a candidate; followers ask it every second.
 const STORE_WITHIN: Millis = Millis(1_500);
 
-/// Orders the followers that could lead now, the best one first.
+/// Orders the followers that could lead now, the best one first. One that is much weaker than a living
+/// follower whose last answer of the store is too old is left out: it would need longer to take over
+/// than the other one needs to reach the store again, and can still claim later than that one.
 pub fn order<'a>(
     candidates: impl Iterator<Item = &'a Candidate>,
     now: Instant,
 ) -> Vec<&'a Candidate> {
-    let able = |c: &&Candidate| now.since(c.heard) <= HEARD_WITHIN && c.store_age <= STORE_WITHIN;
-    let mut found: Vec<&Candidate> = candidates.filter(able).collect();
+    let heard = |c: &&Candidate| now.since(c.heard) <= HEARD_WITHIN;
+    let (mut found, without): (Vec<&Candidate>, Vec<&Candidate>) =
+        candidates.filter(heard).partition(|c| c.store_age <= STORE_WITHIN);
+    let strongest = without.iter().map(|c| c.strength.0).max().unwrap_or(0);
+    found.retain(|c| c.strength.0 + MUCH_STRONGER > strongest);
     found.sort_by_key(|c| (Reverse(c.strength), c.running_for, c.host.clone()));
     found
 }
@@ -77,12 +82,14 @@
     best.is_some_and(|c| c.strength.0 >= own.0 + MUCH_STRONGER)
 }
 
-/// The pause of the weakest host before it claims where nobody leads: longer than a strong host
-/// needs for its claim, which is two calls to the store.
-const WEAKEST_PAUSE: Millis = Millis(250);
+/// The pause before a claim of a host that is weaker by a whole [`ENOUGH`] than the strongest one:
+/// longer than the strongest needs for its claim, which is three calls, while the store answers sixty
+/// times slower than its usual 4 ms.
+const WEAKEST_PAUSE: Millis = Millis(1_000);
 
-/// The pause before a host claims where nobody was named to lead next.
-pub fn claim_pause(own: Strength) -> Millis {
-    let missing = u64::from(ENOUGH.0.saturating_sub(own.0));
+/// The pause before a host claims where nobody was named to lead next, by how much it is weaker than
+/// the strongest host that it has heard of. Among equals there is none.
+pub fn claim_pause(own: Strength, strongest: Option<Strength>) -> Millis {
+    let missing = u64::from(strongest.unwrap_or(ENOUGH).0.saturating_sub(own.0));
     Millis(WEAKEST_PAUSE.0 * missing / u64::from(ENOUGH.0))
 }
--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -8,11 +8,12 @@
 use std::mem;
 
 use gaplock_jobs::progress::{JobState, Progress, RoundProgress, StepProgress, TaskNote};
-use gaplock_jobs::{progress, JobKey};
+use gaplock_jobs::{progress, JobKey, TaskKey};
+use gaplock_types::ids;
 use gaplock_types::time::Instant;
 
 use crate::context::Context;
-use crate::message::{EndSeq, Record, WorkerIx};
+use crate::message::{EndSeq, Record, RosterEntry, WorkerIx};
 use crate::table::{Entry, StepState, Task, TaskState};
 use crate::{trace, upkeep};
 
@@ -47,21 +48,57 @@
     commits.urgent = true;
 }
 
-/// Adds a record that is not a job's progress.
+/// Adds a record that is not a job's progress. It takes the place of an earlier one on the same worker,
+/// since one commit must not write a key twice.
 pub fn add(cx: &mut Context, record: Record) {
-    cx.commits.other.push(record);
+    push(&mut cx.commits.other, record);
     cx.commits.since.get_or_insert(cx.now);
 }
 
+fn push(records: &mut Vec<Record>, record: Record) {
+    if let Some(worker) = worker_of(&record) {
+        records.retain(|r| worker_of(r) != Some(worker));
+    }
+    records.push(record);
+}
+
+/// Returns the worker whose place in the roster a record changes.
+fn worker_of(record: &Record) -> Option<&ids::WorkerId> {
+    match record {
+        Record::Worker(entry) => Some(&entry.info.id),
+        Record::ForgetWorker(id) => Some(id),
+        _ => None,
+    }
+}
+
 /// Adds a worker to the stored roster; it gets tasks once that is stored.
 pub fn add_worker(cx: &mut Context, ix: WorkerIx) {
     let worker = cx.worker_mut(ix);
     worker.roster_pending = true;
-    let record = Record::Worker(worker.info.clone());
-    add(cx, record);
+    worker.closed = false;
+    worker.forgotten = false;
+    let entry = RosterEntry { info: worker.info.clone(), holds: None };
+    add(cx, Record::Worker(entry));
     cx.commits.urgent = true;
 }
 
+/// Gives a worker no tasks from now on and stores what may still run there, or takes it off the roster
+/// where that is nothing: a successor then need not wait for it.
+pub fn close_worker(cx: &mut Context, ix: WorkerIx) {
+    let worker = cx.worker_mut(ix);
+    worker.in_roster = false;
+    worker.roster_pending = false;
+    worker.closed = true;
+    let info = worker.info.clone();
+    let holds: Vec<TaskKey> = worker.slots.keys().copied().collect();
+    worker.forgotten = holds.is_empty();
+    let record = match holds.is_empty() {
+        true => Record::ForgetWorker(info.id),
+        false => Record::Worker(RosterEntry { info, holds: Some(holds) }),
+    };
+    add(cx, record);
+}
+
 /// Makes sure that ends which changed no job's progress are acknowledged too.
 pub fn note_ends(cx: &mut Context) {
     cx.commits.since.get_or_insert(cx.now);
@@ -99,7 +136,7 @@
 /// Finds the workers that these records add to the stored roster.
 fn roster_of(cx: &Context, records: &[Record]) -> Vec<WorkerIx> {
     let ids = records.iter().filter_map(|r| match r {
-        Record::Worker(info) => Some(&info.id),
+        Record::Worker(entry) if entry.holds.is_none() => Some(&entry.info.id),
         _ => None,
     });
     ids.filter_map(|id| cx.by_id.get(id).copied()).collect()
@@ -140,9 +177,10 @@
     for (key, _) in covered.jobs {
         mark(&mut cx.commits, now, key);
     }
-    let mut other = covered.other;
-    other.append(&mut cx.commits.other);
-    cx.commits.other = other;
+    let newer = mem::replace(&mut cx.commits.other, covered.other);
+    for record in newer {
+        push(&mut cx.commits.other, record);
+    }
     cx.commits.since.get_or_insert(now);
 }
 
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -17,7 +17,7 @@
 use crate::takeover::{self, Survey};
 use crate::upkeep::{self, Upkeep};
 use crate::worker::Worker;
-use crate::{dispatch, drain, intake, leases, orders, renewals, stragglers};
+use crate::{dispatch, drain, intake, leases, orders, renewals, roster, stragglers};
 
 /// A leadership: its rising number and the token that fences every earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -78,6 +78,8 @@
     pub upkeep: Upkeep,
     /// What is to be done.
     pub actions: Vec<Action>,
+    /// How many starts have been sent whose answer, or the lack of one, is not known yet.
+    pub starts_under_way: usize,
     /// Set when a dispatch pass could find something to start.
     pub pass_wanted: bool,
     /// When the directory could be read again after the last outage, or was first read.
@@ -110,6 +112,7 @@
             permits: Permits::default(),
             upkeep: Upkeep::default(),
             actions: Vec::new(),
+            starts_under_way: 0,
             pass_wanted: false,
             directory_back: now,
             learnt_kept: now,
@@ -137,6 +140,7 @@
                 renewals::renewed(self, worker, sent, outcome);
             }
             Event::Started { worker, task, run, outcome } => {
+                self.start_answered();
                 orders::started(self, worker, task, run, outcome);
             }
             Event::Stopped { worker, task, run, outcome } => {
@@ -166,6 +170,7 @@
             takeover::check_survey(self);
             intake::begin_due_rounds(self);
             leases::check(self);
+            roster::check(self);
             orders::check(self);
             upkeep::check(self);
             drain::check(self);
@@ -187,6 +192,17 @@
         }
     }
 
+    /// Takes in that one start fewer is under way; steps may have waited for that.
+    fn start_answered(&mut self) {
+        self.pass_wanted |= self.has_most_starts() && !self.ready.is_empty();
+        self.starts_under_way = self.starts_under_way.saturating_sub(1);
+    }
+
+    /// Tells whether as many starts are under way as may be.
+    pub fn has_most_starts(&self) -> bool {
+        self.starts_under_way >= self.settings.starts_under_way_most
+    }
+
     /// Returns the least time between two passes.
     fn pass_every(&self) -> Millis {
         PASS_EVERY.max(Millis(self.workers.len() as u64 / WORKERS_PER_MS))
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -40,6 +40,9 @@
     let ready: Vec<ReadyStep> = cx.ready.iter().copied().collect();
     let mut pass = Pass { blocked: Vec::new(), most_free: most_free(cx) };
     for step in ready {
+        if cx.has_most_starts() {
+            return;
+        }
         start_step(cx, step, &mut pass);
     }
 }
@@ -106,6 +109,9 @@
     pacing::part_of(cx, &job.steps[usize::from(ready.step)]);
     let mut choices = Choices::default();
     for &index in pending {
+        if cx.has_most_starts() {
+            return None;
+        }
         let task = TaskKey { job: ready.job, round: ready.round, step: ready.step, index };
         if !may_start(cx, task) {
             continue;
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -12,7 +12,7 @@
 use crate::message::{Record, WorkerInfo, WorkerIx};
 use crate::table::{Entry, Round};
 use crate::worker::{Listing, Worker};
-use crate::{commits, lifecycle, permits, trace};
+use crate::{commits, lifecycle, permits, roster, takeover, trace};
 
 /// Takes a version of the configuration into force; an older one is ignored.
 pub fn config(cx: &mut Context, config: Arc<config::Config>) {
@@ -99,7 +99,7 @@
 
 /// Begins every round that has fallen due.
 pub fn begin_due_rounds(cx: &mut Context) {
-    if cx.survey.is_some() {
+    if takeover::is_all_in_doubt(cx) {
         return;
     }
     let repeating = |e: &Entry| e.next_round < e.rounds_in_all() && !e.state.is_final();
@@ -136,9 +136,7 @@
     if was != listing {
         trace::worker_listed(&worker.info, worker.listing);
     }
-    if !worker.in_roster && !worker.roster_pending {
-        commits::add_worker(cx, ix);
-    }
+    roster::open(cx, ix);
     cx.pass_wanted = true;
 }
 
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -26,6 +26,9 @@
         }
         let absent = worker.is_absent();
         free_all(cx, ix, "its lease is over");
+        if cx.worker(ix).closed && !cx.worker(ix).forgotten {
+            commits::close_worker(cx, ix);
+        }
         if absent {
             trace::worker_gone(&cx.worker(ix).info.id, "silent, unlisted and its leases over");
             give_up(cx, ix);
@@ -54,9 +57,10 @@
     worker.clock = None;
     worker.lease_until = None;
     let id = worker.info.id.clone();
-    if worker.in_roster || worker.roster_pending {
-        worker.in_roster = false;
-        worker.roster_pending = false;
+    worker.in_roster = false;
+    worker.roster_pending = false;
+    if !worker.forgotten {
+        worker.forgotten = true;
         commits::add(cx, Record::ForgetWorker(id));
     }
     takeover::answered(cx, ix);
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod permits;
 pub mod placement;
 pub mod renewals;
+pub mod roster;
 pub mod settings;
 pub mod speed;
 pub mod stragglers;
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -62,6 +62,15 @@
     }
 }
 
+/// What the store says of a worker, for a successor that gets no answer from it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RosterEntry {
+    /// The worker.
+    pub info: WorkerInfo,
+    /// While the worker gets no tasks: all that may still run there. Unset while any task may.
+    pub holds: Option<Vec<TaskKey>>,
+}
+
 /// How a run ended, by the worker's word.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum How {
@@ -269,8 +278,8 @@
     Progress(progress::Progress),
     /// A finished job whose state need not be kept any longer.
     Forget(JobKey),
-    /// A worker that may from now on be given tasks.
-    Worker(WorkerInfo),
+    /// What may run on a worker from now on.
+    Worker(RosterEntry),
     /// A worker that certainly runs nothing any more.
     ForgetWorker(ids::WorkerId),
     /// What is known of how images disturb each other.
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -96,14 +96,26 @@
     let most = cx.settings.start_tries;
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
     slot.phase = Phase::Uncertain;
-    if slot.tries >= most {
+    let tries = slot.tries;
+    suspect(cx, ix);
+    if tries >= most {
         return lifecycle::order_stop(cx, ix, key, run, "start not answered");
     }
-    slot.tries += 1;
-    slot.ordered = now;
+    if let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) {
+        slot.tries += 1;
+        slot.ordered = now;
+    }
     send_start(cx, ix, key, run);
 }
 
+/// Spares a worker for a while that left a start unanswered, so that one silent worker does not take
+/// up the starts that may be under way.
+fn suspect(cx: &mut Context, ix: WorkerIx) {
+    let (now, pause) = (cx.now, cx.settings.renew_retry);
+    let worker = cx.worker_mut(ix);
+    worker.avoid_until = worker.avoid_until.max(now + pause);
+}
+
 /// Sends the start of a run that has its slot.
 pub fn send_start(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
     let Some(entry) = cx.jobs.get(&key.job) else { return };
@@ -112,6 +124,7 @@
     let Some(until) = leases::grant(cx, ix) else { return };
     let ticket = permits::ticket(cx, StepKey::of(key), ix);
     let start = Action::Start { worker: ix, task: key, run, job, until, checkpoint, ticket };
+    cx.starts_under_way += 1;
     cx.actions.push(start);
 }
 
--- a/crates/sched/src/settings.rs
+++ b/crates/sched/src/settings.rs
@@ -26,6 +26,9 @@
     pub idle_renew_every: Millis,
     /// How many times a start without an answer is sent again before it is stopped instead.
     pub start_tries: u32,
+    /// How many starts may be under way at one time; set from the host's share of a processor. More
+    /// at once than a host can send and hear of delays the renewals behind them.
+    pub starts_under_way_most: usize,
     /// How long an ordered stop may go unanswered or unlisted before it is sent again.
     pub stop_retry: Millis,
     /// How long ends are gathered into one commit.
@@ -74,6 +77,7 @@
             renew_retry: Millis(200),
             idle_renew_every: Millis(4_000),
             start_tries: 3,
+            starts_under_way_most: 256,
             stop_retry: Millis(400),
             commit_delay: Millis(60),
             retry_pause: Millis(100),
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -162,6 +162,19 @@
         self.rounds.iter_mut().flat_map(|r| &mut r.steps).flat_map(|s| &mut s.tasks)
     }
 
+    /// Goes over all tasks of the rounds under way, with their keys.
+    pub fn keyed_tasks_mut(&mut self) -> impl Iterator<Item = (TaskKey, &mut Task)> {
+        let job = self.job.key;
+        self.rounds.iter_mut().flat_map(move |round| {
+            let number = round.number;
+            let steps = round.steps.iter_mut().enumerate();
+            steps.flat_map(move |(step, state)| {
+                let tasks = state.tasks.iter_mut().enumerate();
+                tasks.map(move |(index, task)| (key_of(job, number, step, index), task))
+            })
+        })
+    }
+
     /// Finds a round that is under way.
     pub fn round(&self, number: u32) -> Option<&Round> {
         self.rounds.iter().find(|r| r.number == number)
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -7,12 +7,12 @@
 use std::sync::Arc;
 
 use gaplock_jobs::progress::{self, JobState, Progress, StepProgress};
-use gaplock_jobs::{Job, JobKey};
+use gaplock_jobs::{Job, JobKey, TaskKey};
 use gaplock_types::time::Instant;
-use rustc_hash::FxHashSet;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::context::Context;
-use crate::message::{Run, WaveProgress, WorkerInfo, WorkerIx};
+use crate::message::{RosterEntry, Run, WaveProgress, WorkerIx};
 use crate::pacing::Learnt;
 use crate::table::{Entry, Round, StepState, TaskState};
 use crate::worker::Listing;
@@ -21,8 +21,12 @@
 /// The search for runs of former leaders.
 #[derive(Debug)]
 pub struct Survey {
-    /// Workers that have not answered.
+    /// Workers that may run anything and have not answered.
     pub waiting: FxHashSet<WorkerIx>,
+    /// Workers that have not answered and may run just these tasks.
+    pub closed: FxHashMap<WorkerIx, Vec<TaskKey>>,
+    /// Set once the open workers are through.
+    pub settled: bool,
     /// When their leases are certainly over.
     pub until: Instant,
     /// When the search began.
@@ -39,7 +43,7 @@
     /// Jobs that were cancelled.
     pub cancelled: Vec<JobKey>,
     /// Workers that may run something.
-    pub roster: Vec<WorkerInfo>,
+    pub roster: Vec<RosterEntry>,
     /// What was learnt of how images disturb each other.
     pub learnt: Learnt,
     /// How far waves of upkeep have come.
@@ -51,15 +55,25 @@
     let Stored { jobs, mut progress, cancelled, roster, learnt, waves } = stored;
     cx.pacing.restore(&learnt);
     upkeep::restore(cx, waves);
-    for info in &roster {
-        let ix = intake::known_or_new(cx, info, Listing::Absent { since: cx.now });
-        cx.worker_mut(ix).in_roster = true;
+    let (mut waiting, mut closed) = (FxHashSet::default(), FxHashMap::default());
+    for entry in roster {
+        let ix = intake::known_or_new(cx, &entry.info, Listing::Absent { since: cx.now });
+        let worker = cx.worker_mut(ix);
+        worker.in_roster = entry.holds.is_none();
+        worker.closed = entry.holds.is_some();
+        match entry.holds {
+            None => {
+                waiting.insert(ix);
+            }
+            Some(holds) => {
+                closed.insert(ix, holds);
+            }
+        }
     }
-    let waiting: FxHashSet<WorkerIx> = cx.worker_ixs().into_iter().collect();
     let lease = cx.settings.lease().with_drift(cx.settings.drift_per_mille);
     let until = cx.now + lease + cx.settings.takeover_margin;
-    trace::takeover_began(cx.term.number, jobs.len(), waiting.len());
-    let survey = Survey { waiting, until, began: cx.now };
+    trace::takeover_began(cx.term.number, jobs.len(), waiting.len(), closed.len());
+    let survey = Survey { waiting, closed, settled: false, until, began: cx.now };
     cx.survey = Some(survey);
     for job in jobs {
         let key = job.key;
@@ -141,20 +155,40 @@
 pub fn answered(cx: &mut Context, ix: WorkerIx) {
     let Some(survey) = &mut cx.survey else { return };
     survey.waiting.remove(&ix);
+    let held = survey.closed.remove(&ix);
+    if held.is_some() && survey.waiting.is_empty() {
+        settle_all(cx);
+    }
     check_survey(cx);
 }
 
-/// Ends the survey once every worker has answered or its leases are over.
+/// Tells whether any restored task may still run anywhere, so that nothing is known of it.
+pub fn is_all_in_doubt(cx: &Context) -> bool {
+    cx.survey.as_ref().is_some_and(|survey| !survey.waiting.is_empty())
+}
+
+/// Settles what is no longer in doubt, and ends the survey once every worker has answered or its leases
+/// are over.
 pub fn check_survey(cx: &mut Context) {
     let Some(survey) = &cx.survey else { return };
     let late = cx.now >= survey.until;
     if !survey.waiting.is_empty() && !late {
         return;
     }
-    trace::survey_ended(cx.now.since(survey.began), survey.waiting.len());
-    let silent: Vec<WorkerIx> = survey.waiting.iter().copied().collect();
-    cx.survey = None;
-    for ix in silent {
+    let (took, silent) = (cx.now.since(survey.began), survey.waiting.len());
+    if survey.closed.is_empty() || late {
+        end_survey(cx);
+        trace::survey_ended(took, silent);
+    } else if !survey.settled {
+        trace::survey_narrowed(took, survey.closed.len());
+        settle_all(cx);
+    }
+}
+
+/// Ends the survey: nothing is in doubt any more.
+fn end_survey(cx: &mut Context) {
+    let Some(survey) = cx.survey.take() else { return };
+    for ix in survey.waiting.into_iter().chain(survey.closed.into_keys()) {
         if cx.worker(ix).is_absent() {
             leases::give_up(cx, ix);
         }
@@ -162,17 +196,19 @@
     settle_all(cx);
 }
 
-/// Decides about every task that was in doubt: none of them runs anywhere.
+/// Decides about every task that was in doubt, but for those that a closed worker may hold which has
+/// not answered: none of the others runs anywhere.
 fn settle_all(cx: &mut Context) {
+    let held = held(cx);
     let keys: Vec<JobKey> = cx.jobs.keys().copied().collect();
     for key in keys {
         let Some(entry) = cx.jobs.get_mut(&key) else { continue };
         if entry.state.is_final() {
             continue;
         }
-        for task in entry.tasks_mut() {
-            if task.state == TaskState::Unknown {
-                task.state = TaskState::Waiting;
+        for (task, state) in entry.keyed_tasks_mut() {
+            if state.state == TaskState::Unknown && !held.contains(&task) {
+                state.state = TaskState::Waiting;
             }
         }
         let rounds: Vec<u32> = entry.rounds.iter().map(|r| r.number).collect();
@@ -183,6 +219,13 @@
     }
 }
 
+/// Notes that the open workers are through, and returns the tasks that closed workers may hold.
+fn held(cx: &mut Context) -> FxHashSet<TaskKey> {
+    let Some(survey) = &mut cx.survey else { return FxHashSet::default() };
+    survey.settled = true;
+    survey.closed.values().flatten().copied().collect()
+}
+
 /// Ends a job all of whose tasks turned out to be done, which [`lifecycle::finish_task`] does not
 /// see where the last end was stored without the job's.
 fn finish_if_done(cx: &mut Context, key: JobKey) {
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -124,11 +124,16 @@
 }
 
 /// A new leader has read the store.
-pub fn takeover_began(term: u64, jobs: usize, workers: usize) {
-    info!(event = "takeover_began", term, jobs, workers);
+pub fn takeover_began(term: u64, jobs: usize, workers: usize, closed: usize) {
+    info!(event = "takeover_began", term, jobs, workers, closed);
 }
 
-/// A new leader knows what runs.
+/// Only the tasks that silent, closed workers may hold are in doubt from now on.
+pub fn survey_narrowed(took: Millis, closed: usize) {
+    info!(event = "survey_narrowed", took_ms = took.0, closed);
+}
+
+/// The search for former runs is over.
 pub fn survey_ended(took: Millis, silent: usize) {
     info!(event = "survey_ended", took_ms = took.0, silent);
 }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -117,6 +117,10 @@
     pub in_roster: bool,
     /// Whether its roster record is in the commit in flight.
     pub roster_pending: bool,
+    /// Set once the roster was told all that may run here, because the worker gets no tasks.
+    pub closed: bool,
+    /// Set while the roster does not name the worker, because it runs nothing and gets nothing.
+    pub forgotten: bool,
     /// Its clock when it last answered, with our time of the answer.
     pub clock: Option<(Instant, WorkerClock)>,
     /// The latest end of leases that it was ever asked to grant.
@@ -163,6 +167,8 @@
             emptying: false,
             in_roster: false,
             roster_pending: false,
+            closed: false,
+            forgotten: false,
             clock: None,
             lease_until: None,
             answered: None,
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -1,9 +1,11 @@
 //! The scheduler on virtual time, with a fleet that goes wrong in all the ways that workers do.
 
+mod bursts;
 mod gangs;
 mod leaving;
 mod promises;
 mod renewals;
 mod slow_workers;
+mod takeovers;
 mod waves;
 mod world;
--- /dev/null
+++ b/crates/sched/tests/fleet/takeovers.rs
@@ -0,0 +1,50 @@
+//! What a successor waits for, on virtual time.
+
+use crate::world::{assert_kept, job, step, World};
+
+/// Longer than it takes to notice that a worker is silent, and shorter than its lease.
+const NOTICED_MS: u64 = 3_000;
+
+#[test]
+fn a_successor_waits_only_for_what_a_silent_worker_may_hold() {
+    let mut world = World::open(81, 3);
+    world.work_ms = 60_000;
+    world.submit(job(1, vec![step(12, &[])]));
+    world.run(1_000);
+    world.crash(0);
+    world.run(NOTICED_MS);
+    let held = world.running_of(1);
+    assert!(held < 12, "nothing ran at the lost worker");
+    // What waits for room when the leader is lost was at no worker.
+    world.work_ms = 1_000;
+    world.submit(job(2, vec![step(16, &[])]));
+    world.run(100);
+    let before = world.starts;
+    world.take_over();
+    world.run(1_500);
+    assert!(world.starts > before, "the successor started nothing");
+    assert_eq!(world.running_of(1), held, "a task started that a silent worker may hold");
+    world.work_ms = 60_000;
+    world.run(8_000);
+    assert_eq!(world.running_of(1), 12);
+    assert_kept(&world);
+}
+
+#[test]
+fn a_successor_does_not_wait_for_a_worker_that_left_empty() {
+    let mut world = World::open(82, 3);
+    world.work_ms = 60_000;
+    world.submit(job(1, vec![step(6, &[])]));
+    world.run(1_000);
+    world.drain(0, 4_000);
+    world.run(4_500);
+    assert_eq!(world.running_at(0), 0);
+    world.unlist(0);
+    world.crash(0);
+    world.run(300);
+    world.take_over();
+    world.submit(job(2, vec![step(2, &[])]));
+    world.run(200);
+    assert!(!world.in_survey(), "the successor waits for a worker that ran nothing");
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -5,6 +5,7 @@
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, TaskKey};
 use gaplock_sched::message::{Run, WaveNumber};
+use gaplock_sched::worker::{Phase, Worker};
 
 use super::worker::SimWorker;
 use super::World;
@@ -26,6 +27,17 @@
         self.progress.get(&JobKey(key)).map(|p| p.state)
     }
 
+    /// Returns how many starts wait for their answer.
+    pub fn starts_under_way(&self) -> usize {
+        let starting = |w: &Worker| w.slots.values().filter(|s| s.phase == Phase::Starting).count();
+        self.cx.as_ref().map_or(0, |cx| cx.workers.iter().map(starting).sum())
+    }
+
+    /// Tells whether the leader still searches for runs of its predecessors.
+    pub fn in_survey(&self) -> bool {
+        self.cx.as_ref().is_some_and(|cx| cx.survey.is_some())
+    }
+
     /// Returns the worker at which the n-th run of a job's only task ended.
     pub fn worker_of_run(&self, key: u64, n: usize) -> usize {
         let task = TaskKey { job: JobKey(key), round: 0, step: 0, index: 0 };
