What fills is placed by its full pace, waits for a place that it does not disturb, and is read more often

A halted task used nothing, so placement saw room and put further ones beside it, up to 25 on one worker; after 3 s of waiting a task was placed wherever it disturbed least, only to be halted; and readings that set paces were up to 1.5 s old. Tests: sharing (both failed first with the change taken out).

--- a/crates/sched/src/pacing/filling.rs
+++ b/crates/sched/src/pacing/filling.rs
@@ -44,6 +44,11 @@
 }
 
 impl FillingTask {
+    /// Returns its image and the share of the worker's processors that it uses at full pace.
+    pub fn unpaced(&self) -> (Column, f64) {
+        (self.column, self.share)
+    }
+
     /// Returns its image and the share of the worker's processors that it uses at its pace.
     pub fn paced(&self) -> (Column, f64) {
         (self.column, self.share * f64::from(self.pace) / 100.0)
--- a/crates/sched/src/pacing/placing.rs
+++ b/crates/sched/src/pacing/placing.rs
@@ -19,7 +19,8 @@
 /// time on the users' sites.
 const PLACED_AHEAD_S: f64 = 1.0;
 
-/// Recomputes how much more pressure the serving tasks on a worker bear, by their image.
+/// Recomputes how much more pressure the serving tasks on a worker bear, by their image. What is slowed
+/// down counts with its full pace, to which it is to come back before others join it.
 pub fn refresh(cx: &mut Context, ix: WorkerIx) {
     let now = cx.now;
     let worker = cx.worker(ix);
@@ -27,7 +28,7 @@
     let mut spare: Vec<(Row, f64)> = Vec::new();
     for (key, slot) in &worker.slots {
         let Some(served) = filling::served(*key, slot) else { continue };
-        let pressure = cx.pacing.pressure(served.row, tasks.iter().map(FillingTask::paced));
+        let pressure = cx.pacing.pressure(served.row, tasks.iter().map(FillingTask::unpaced));
         let bearable = cx.pacing.bearable(&served, PLACED_SHARE, now, PLACED_AHEAD_S);
         let left = bearable - pressure;
         match spare.iter_mut().find(|(row, _)| *row == served.row) {
@@ -55,7 +56,7 @@
         };
     }
     let tasks = filling::filling_tasks(worker, cx.now);
-    let used: f64 = tasks.iter().map(|f| f.paced().1).sum();
+    let used: f64 = tasks.iter().map(|f| f.share).sum();
     let left = 1.0 - busy / cores;
     left.min(CROWDED_SHARE) - used
 }
@@ -73,8 +74,9 @@
 }
 
 /// How long a filling task waits for a worker where it disturbs nobody before it is placed where
-/// it disturbs least, slowed down as far as needed.
-const PATIENCE: Millis = Millis(3_000);
+/// it disturbs least, slowed down as far as needed. One that is placed only to be halted takes the room
+/// of others (`docs/DECISIONS.md`).
+const PATIENCE: Millis = Millis(8_000);
 
 /// Cost of a unit of pressure beyond what is bearable, against one worker of free room.
 const EXCESS_COST: f64 = 20.0;
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -30,7 +30,7 @@
     worker.renewal = Renewal::InFlight;
     let quick = until.is_none() || worker.noted > worker.stored || worker.missed > 0;
     let wait = if quick || worker.slots.is_empty() { Millis(0) } else { wait };
-    let wait = if worker.has_excess() { wait.min(EXCESS_WAIT) } else { wait };
+    let wait = if worker.is_shared() { wait.min(SHARED_WAIT) } else { wait };
     let stored = worker.stored;
     cx.actions.push(Action::Renew { worker: ix, stored, until, wait });
 }
@@ -63,9 +63,10 @@
     Millis(wait.0 / 4 + wait.0 * 3 / 4 * part / 1_000)
 }
 
-/// How long a renewal waits while a serving task is over its target; readings are renewed every
-/// half second.
-const EXCESS_WAIT: Millis = Millis(500);
+/// How long a renewal waits where tasks fill beside tasks that serve: readings are renewed every half
+/// second, and one that is a second old lets a task disturb or stand still for as long
+/// (`docs/DECISIONS.md`).
+const SHARED_WAIT: Millis = Millis(350);
 
 /// Takes in what became of a renewal.
 pub fn renewed(cx: &mut Context, ix: WorkerIx, sent: Instant, outcome: Outcome<Account>) {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -242,9 +242,10 @@
         matches!(self.listing, Listing::Absent { .. })
     }
 
-    /// Tells whether a serving task's last reading here was over its target.
-    pub fn has_excess(&self) -> bool {
-        self.slots.values().any(|slot| slot.over_since.is_some())
+    /// Tells whether tasks fill beside tasks that serve.
+    pub fn is_shared(&self) -> bool {
+        let is = |part: fn(&Part) -> bool| self.slots.values().any(|slot| part(&slot.part));
+        is(|p| matches!(p, Part::Serving { .. })) && is(|p| matches!(p, Part::Filling(_)))
     }
 
     /// Tells whether the worker may be given tasks now.
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod promises;
 mod renewals;
+mod sharing;
 mod slow_workers;
 mod takeovers;
 mod waves;
--- /dev/null
+++ b/crates/sched/tests/fleet/sharing.rs
@@ -0,0 +1,56 @@
+//! Tasks that fill beside tasks that serve, on virtual time.
+
+use gaplock_jobs::{Job, JobKey, Step};
+use gaplock_types::time::Millis;
+
+use crate::world::{assert_kept, job, step, World};
+
+/// The bound on the tail of what serves, in milliseconds.
+const TARGET_MS: u64 = 50;
+
+/// A job of one task that serves until it is cancelled.
+fn serving_job(key: u64) -> Job {
+    let tail_target = Some(Millis(TARGET_MS));
+    let image = Some("serving".to_string());
+    job(key, vec![Step { lasting: true, tail_target, image, ..step(1, &[]) }])
+}
+
+/// A job of `count` tasks that use what the others leave.
+fn filling_job(key: u64, count: u32) -> Job {
+    let image = Some("filling".to_string());
+    job(key, vec![Step { fills: true, image, ..step(count, &[]) }])
+}
+
+#[test]
+fn tasks_that_are_slowed_down_make_no_room_for_more() {
+    let mut world = World::open(101, 1);
+    world.work_ms = 60_000;
+    world.submit(serving_job(1));
+    world.run(500);
+    world.submit(filling_job(2, 4));
+    world.run(500);
+    assert_eq!(world.running_of(2), 4);
+    // Its tail stays over the target, so what fills beside it is halted.
+    world.readings.insert(JobKey(1), 4 * TARGET_MS as u32);
+    world.run(3_000);
+    world.submit(filling_job(3, 4));
+    world.run(10_000);
+    assert_eq!(world.running_of(3), 0, "halted tasks were joined by others");
+    assert_kept(&world);
+}
+
+#[test]
+fn a_shared_worker_is_asked_several_times_a_second() {
+    let mut world = World::open(102, 1);
+    world.work_ms = 60_000;
+    world.submit(serving_job(1));
+    world.readings.insert(JobKey(1), 10);
+    world.run(2_000);
+    let alone = world.renewals_within(3_000);
+    world.submit(filling_job(2, 2));
+    world.run(2_000);
+    let shared = world.renewals_within(3_000);
+    assert!(alone <= 4, "{alone} renewals in 3 s where nothing is shared");
+    assert!(shared >= 8, "{shared} renewals in 3 s where readings must be fresh");
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -27,6 +27,13 @@
         self.progress.get(&JobKey(key)).map(|p| p.state)
     }
 
+    /// Lets `ms` milliseconds pass and returns how many renewals were sent meanwhile.
+    pub fn renewals_within(&mut self, ms: u64) -> usize {
+        let before = self.renewals.len();
+        self.run(ms);
+        self.renewals.len() - before
+    }
+
     /// Returns how many starts wait for their answer.
     pub fn starts_under_way(&self) -> usize {
         let starting = |w: &Worker| w.slots.values().filter(|s| s.phase == Phase::Starting).count();
