A backlog no longer uses up the leader's processor: cheaper passes, fuller commits, fewer searches

Change: filling and lasting steps that find no worker speak for all like them in that pass; a pass with many looks is followed by a longer pause; transactions are filled by their entries (29, not 10 records), checkpoints of runs that a worker holds are not stored; polls of workers with unstored ends follow the fleet's size; better places are looked for every 0.2 s, once for each image, one move to a worker. Slow commits and closed workers are logged. Tests: backlogs (both failed first: 3,580 and 4,000 looks in one pass, 40 at most now).

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -200,6 +200,9 @@
 /// The pause before a commit is made again while the store is away.
 const AWAY_PAUSE: Duration = Duration::from_millis(200);
 
+/// From how long on a commit is logged as slow: ends wait for it before they are acknowledged.
+const SLOW_COMMIT: Duration = Duration::from_millis(500);
+
 /// Writes commits one by one, and tells the engine what became of each.
 async fn write_commits(
     node: Arc<Node>,
@@ -211,6 +214,13 @@
         let began = StdInstant::now();
         let written = ledger.write(&records).await;
         let took = began.elapsed();
+        if took >= SLOW_COMMIT {
+            tracing::warn!(
+                event = "commit_slow",
+                took_ms = took.as_millis() as u64,
+                records = records.len()
+            );
+        }
         match written {
             Ok(()) => {
                 node.metrics.committed("stored", took);
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -84,11 +84,9 @@
     mark: CommitMark,
 }
 
-/// Entries of a transaction that are left for records: one goes to the commit's mark.
-const RECORD_ENTRIES: usize = store::TXN_MOST_ENTRIES - 2;
-
-/// The most store entries that one record needs.
-const ENTRIES_PER_RECORD: usize = 3;
+/// Entries of a transaction that are left for records: two go to its conditions and one to the commit's
+/// mark.
+const RECORD_ENTRIES: usize = store::TXN_MOST_ENTRIES - 3;
 
 /// The pause before a commit whose fate is unknown is looked at again.
 const UNCLEAR_PAUSE: Duration = Duration::from_millis(100);
@@ -108,8 +106,11 @@
         if records.is_empty() {
             return Ok(());
         }
-        for part in records.chunks(RECORD_ENTRIES / ENTRIES_PER_RECORD) {
+        let mut left = records;
+        while !left.is_empty() {
+            let (part, rest) = left.split_at(fitting(left));
             self.write_part(part).await?;
+            left = rest;
         }
         Ok(())
     }
@@ -190,6 +191,25 @@
     }
 }
 
+/// Returns how many of the first records fit into one transaction.
+fn fitting(records: &[Record]) -> usize {
+    let mut entries = 0;
+    let fits = |record: &&Record| {
+        entries += entries_of(record);
+        entries <= RECORD_ENTRIES
+    };
+    records.iter().take_while(fits).count()
+}
+
+/// Returns how many entries of a transaction a record needs.
+fn entries_of(record: &Record) -> usize {
+    match record {
+        Record::Progress(_) | Record::Worker(_) | Record::ForgetWorker(_) | Record::Learnt(_) => 1,
+        Record::Wave(_) => 2,
+        Record::Forget(_) => 3,
+    }
+}
+
 /// Encodes a stored value; our own types always can be.
 pub fn encode(value: &impl serde::Serialize) -> Vec<u8> {
     serde_json::to_vec(value).expect("stored types have no keys that JSON cannot hold")
--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -92,6 +92,7 @@
     let info = worker.info.clone();
     let holds: Vec<TaskKey> = worker.slots.keys().copied().collect();
     worker.forgotten = holds.is_empty();
+    trace::worker_closed(&info.id, holds.len());
     let record = match holds.is_empty() {
         true => Record::ForgetWorker(info.id),
         false => Record::Worker(RosterEntry { info, holds: Some(holds) }),
@@ -207,7 +208,9 @@
 fn step_progress(step: &StepState) -> StepProgress {
     let tasks = step.tasks.iter().enumerate().map(|(index, task)| (index as u32, task));
     let done = tasks.clone().filter(|(_, t)| t.state == TaskState::Done).map(|(index, _)| index);
-    let noted = |t: &Task| t.state != TaskState::Done && (t.failed > 0 || t.checkpoint.is_some());
+    // While a run is at a worker, the worker keeps its checkpoint.
+    let kept = |t: &Task| t.checkpoint.is_some() && !matches!(t.state, TaskState::Active { .. });
+    let noted = |t: &Task| t.state != TaskState::Done && (t.failed > 0 || kept(t));
     let notes = tasks.filter(|(_, t)| noted(t)).map(|(index, t)| TaskNote {
         index,
         failed: t.failed,
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -39,12 +39,21 @@
 /// many of them. At 3,000 workers a pass takes some 0.1 ms (`scripts/measure leader`).
 const WORKERS_PER_MS: u64 = 150;
 
+/// A pass that held many waiting steps against many workers is followed by a longer pause: one millisecond
+/// for so many looks at a worker, each of which takes some 0.05 us. Without that the passes of a full
+/// installation leave no processor time for its renewals (`docs/DECISIONS.md`).
+const LOOKS_PER_MS: u64 = 2_000;
+
 /// How often due renewals are looked for while events pour in; a look goes over all workers.
 const RENEWALS_EVERY: Millis = Millis(2);
 
 /// How often bounds of time are checked.
 const HOUSEKEEPING_EVERY: Millis = Millis(50);
 
+/// How often better places are looked for: each look goes over all workers for every image that is stuck,
+/// and moves one task to a worker.
+const REARRANGE_EVERY: Millis = Millis(200);
+
 /// Everything that a leader knows.
 #[derive(Debug)]
 pub struct Context {
@@ -82,6 +91,8 @@
     pub starts_under_way: usize,
     /// Set when a dispatch pass could find something to start.
     pub pass_wanted: bool,
+    /// How many looks at a worker the last dispatch pass took.
+    pub pass_looks: usize,
     /// When the directory could be read again after the last outage, or was first read.
     pub directory_back: Instant,
     /// When what was learnt was last stored.
@@ -91,6 +102,7 @@
     /// Set when renewals may be due that were not looked for.
     renewals_left: bool,
     last_housekeeping: Instant,
+    last_rearranged: Instant,
 }
 
 impl Context {
@@ -114,12 +126,14 @@
             actions: Vec::new(),
             starts_under_way: 0,
             pass_wanted: false,
+            pass_looks: 0,
             directory_back: now,
             learnt_kept: now,
             last_pass: Instant(0),
             last_renewals: Instant(0),
             renewals_left: false,
             last_housekeeping: Instant(0),
+            last_rearranged: Instant(0),
         }
     }
 
@@ -174,8 +188,7 @@
             orders::check(self);
             upkeep::check(self);
             drain::check(self);
-            pacing::check(self);
-            stragglers::check(self);
+            self.rearrange();
             pacing::keep_learnt(self);
             intake::forget_finished(self);
             self.pass_wanted |= !self.ready.is_empty();
@@ -203,9 +216,21 @@
         self.starts_under_way >= self.settings.starts_under_way_most
     }
 
+    /// Looks now and then for better places for what runs.
+    fn rearrange(&mut self) {
+        if self.now.since(self.last_rearranged) < REARRANGE_EVERY {
+            return;
+        }
+        self.last_rearranged = self.now;
+        pacing::check(self);
+        stragglers::check(self);
+    }
+
     /// Returns the least time between two passes.
     fn pass_every(&self) -> Millis {
-        PASS_EVERY.max(Millis(self.workers.len() as u64 / WORKERS_PER_MS))
+        let by_fleet = Millis(self.workers.len() as u64 / WORKERS_PER_MS);
+        let by_looks = Millis(self.pass_looks as u64 / LOOKS_PER_MS);
+        PASS_EVERY.max(by_fleet).max(by_looks)
     }
 
     /// Returns when [`Event::Tick`] is wanted next.
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -1,7 +1,9 @@
 //! Starts what can start: steps in the order of priority and objective, tasks on the best worker.
 
+use std::collections::BTreeSet;
+
 use gaplock_jobs::config::Advice;
-use gaplock_jobs::{Job, TaskKey};
+use gaplock_jobs::{Job, Step, TaskKey};
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 use gaplock_types::{ids, sizes};
@@ -22,6 +24,55 @@
     service: ids::ServiceId,
     label: Option<String>,
     takes: Resources,
+    /// For a filling task: how far it may disturb others.
+    filling: Option<BlockedFilling>,
+    /// For a lasting task: whether it has waited so long that it may take what is kept for short ones.
+    lasting: Option<bool>,
+}
+
+/// What decides, besides its room, whether a filling task finds a worker.
+#[derive(Debug)]
+struct BlockedFilling {
+    image: Option<String>,
+    demand: sizes::MilliCores,
+    /// Set once it has waited long enough to be placed wherever it disturbs least.
+    impatient: bool,
+}
+
+impl Blocked {
+    /// Builds what is known once a task of a step has found no worker.
+    fn of(service: ids::ServiceId, step: &Step, waited: Millis) -> Self {
+        let filling = step.fills.then(|| BlockedFilling {
+            image: step.image.clone(),
+            demand: step.demand.cpu,
+            impatient: pacing::is_impatient(waited),
+        });
+        let lasting = step.lasting.then(|| placement::may_take_all(waited));
+        Self { service, label: step.label.clone(), takes: table::takes(step), filling, lasting }
+    }
+
+    /// Tells whether a task that is asked for now finds no worker either.
+    fn covers(&self, wanted: &Self) -> bool {
+        let alike = self.service == wanted.service && self.label == wanted.label;
+        let lasts = self.lasting.is_some() == wanted.lasting.is_some();
+        alike
+            && lasts
+            && self.lasting >= wanted.lasting
+            && wanted.takes.holds(&self.takes)
+            && self.disturbs_less_than(wanted)
+    }
+
+    fn disturbs_less_than(&self, wanted: &Self) -> bool {
+        match (&self.filling, &wanted.filling) {
+            (None, None) => true,
+            (Some(known), Some(wanted)) => {
+                known.image == wanted.image
+                    && known.demand <= wanted.demand
+                    && known.impatient >= wanted.impatient
+            }
+            _ => false,
+        }
+    }
 }
 
 /// What one pass knows, so that it need not go over all workers for each step.
@@ -30,6 +81,8 @@
     blocked: Vec<Blocked>,
     /// The most free processors of any worker when the pass began; it only gets less.
     most_free: sizes::MilliCores,
+    /// How many steps were held against all workers.
+    searches: usize,
 }
 
 /// Goes once over all ready steps.
@@ -38,13 +91,14 @@
         return;
     }
     let ready: Vec<ReadyStep> = cx.ready.iter().copied().collect();
-    let mut pass = Pass { blocked: Vec::new(), most_free: most_free(cx) };
+    let mut pass = Pass { blocked: Vec::new(), most_free: most_free(cx), searches: 0 };
     for step in ready {
         if cx.has_most_starts() {
-            return;
+            break;
         }
         start_step(cx, step, &mut pass);
     }
+    cx.pass_looks = pass.searches * cx.workers.len();
 }
 
 /// Returns the most free processors of any worker that takes tasks.
@@ -59,30 +113,40 @@
     let job = entry.job.clone();
     let Some(service) = service_of(cx, &job) else { return };
     let step = &job.steps[usize::from(ready.step)];
-    let takes = table::takes(step);
-    let known =
-        |b: &Blocked| b.service == service && b.label == step.label && takes.holds(&b.takes);
-    if pass.blocked.iter().any(known) {
+    let Some(round) = entry.round(ready.round) else { return };
+    let pending = &round.steps[usize::from(ready.step)].pending;
+    let Some(waited) = longest_wait(cx, ready, pending) else { return };
+    let wanted = Blocked::of(service.clone(), step, waited);
+    if pass.blocked.iter().any(|b| b.covers(&wanted)) {
         return;
     }
-    let Some(round) = entry.round(ready.round) else { return };
-    let pending: Vec<u32> = round.steps[usize::from(ready.step)].pending.iter().copied().collect();
-    if takes.cpu > pass.most_free && advice_of(cx, &job).is_none() {
+    let pending: Vec<u32> = pending.iter().copied().collect();
+    if wanted.takes.cpu > pass.most_free && advice_of(cx, &job).is_none() {
         return explain_first(cx, &job, &service, ready, &pending);
     }
     if step.gang {
         gangs::start(cx, &job, &service, ready, &pending);
         return;
     }
+    pass.searches += 1;
     let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending) else { return };
     explain(cx, &job, &service, unplaced, pending.len());
     if advice_of(cx, &job).is_some() {
         permits::ask(cx, ready, pending.len());
-    } else if step.most_per_worker.is_none() && !step.fills && !step.lasting {
-        pass.blocked.push(Blocked { service, label: step.label.clone(), takes });
+    } else if step.most_per_worker.is_none() {
+        let waited = cx.task(unplaced).map_or(Millis(0), |t| cx.now.since(t.since));
+        pass.blocked.push(Blocked::of(service, step, waited));
     }
 }
 
+/// Returns how long the first task of a step that may start has waited, if there is one. Tasks of one
+/// step begin to wait together, but for those that start again.
+fn longest_wait(cx: &Context, ready: ReadyStep, pending: &BTreeSet<u32>) -> Option<Millis> {
+    let key = |&index| TaskKey { job: ready.job, round: ready.round, step: ready.step, index };
+    let mut tasks = pending.iter().map(key).filter(|&task| may_start(cx, task));
+    tasks.next().and_then(|task| cx.task(task)).map(|t| cx.now.since(t.since))
+}
+
 /// Logs why the first task of a step that may start finds no worker.
 fn explain_first(
     cx: &mut Context,
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -21,7 +21,7 @@
 pub use model::{Column, Learnt, Model, Row, Served};
 pub use moving::check;
 pub use paces::{paced, set_paces};
-pub use placing::{placement_cost, refresh};
+pub use placing::{is_impatient, placement_cost, refresh};
 pub use readings::keep_learnt;
 
 /// What is known of how tasks disturb each other.
--- a/crates/sched/src/pacing/moving.rs
+++ b/crates/sched/src/pacing/moving.rs
@@ -2,40 +2,72 @@
 
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::Millis;
+use rustc_hash::FxHashSet;
 
+use super::model::Column;
 use crate::context::Context;
 use crate::message::{Run, WorkerIx};
-use crate::worker::{Phase, Slot};
+use crate::worker::{Part, Phase, Slot};
 use crate::{lifecycle, placement};
 
 /// How long a filling task is slowed down before it is moved.
 const MOVE_AFTER: Millis = Millis(1_200);
 
+/// What one check knows, so that it need not go over all workers for each task that is stuck.
+#[derive(Debug, Default)]
+struct Search {
+    /// Workers to which a task moves already: each takes one at a time.
+    taken: FxHashSet<WorkerIx>,
+    /// Images and processor demands for which no worker was found; larger ones find none either.
+    without: Vec<(Column, u32)>,
+}
+
 /// Moves filling tasks that have been slowed down for long to a worker where they disturb nobody.
 pub fn check(cx: &mut Context) {
-    let now = cx.now;
+    let mut search = Search::default();
     for ix in cx.worker_ixs() {
-        let worker = cx.worker(ix);
-        let slow = |slot: &Slot| {
-            slot.phase == Phase::Running
-                && slot.slowed.is_some_and(|since| now.since(since) >= MOVE_AFTER)
-        };
-        let stuck: Vec<(TaskKey, Run)> = worker
-            .slots
-            .iter()
-            .filter(|(_, slot)| slow(slot))
-            .map(|(key, slot)| (*key, slot.run))
-            .collect();
-        for (key, run) in stuck {
-            if has_better_place(cx, ix, key) {
+        for (key, run, column, demand) in stuck(cx, ix) {
+            if search.finds_better_place(cx, ix, key, (column, demand)) {
                 lifecycle::order_stop(cx, ix, key, run, "it disturbs what is served here");
             }
         }
     }
 }
 
-/// Tells whether a task that can resume elsewhere would find another worker at once.
-fn has_better_place(cx: &Context, here: WorkerIx, key: TaskKey) -> bool {
-    let can_resume = cx.step(key).is_some_and(|step| !step.gang && step.checkpoints);
-    can_resume && placement::elsewhere(cx, here, key).is_some()
+/// Lists the filling tasks at a worker that have been slowed down for long, with what they press with.
+fn stuck(cx: &Context, ix: WorkerIx) -> Vec<(TaskKey, Run, Column, u32)> {
+    let now = cx.now;
+    let slow = |slot: &Slot| {
+        slot.phase == Phase::Running
+            && slot.slowed.is_some_and(|since| now.since(since) >= MOVE_AFTER)
+    };
+    let slots = cx.worker(ix).slots.iter().filter(|(_, slot)| slow(slot));
+    let filling = slots.filter_map(|(key, slot)| match slot.part {
+        Part::Filling(column) => Some((*key, slot.run, column, slot.wants_cpu)),
+        _ => None,
+    });
+    filling.collect()
+}
+
+impl Search {
+    /// Tells whether a task that can resume elsewhere would find another worker at once.
+    fn finds_better_place(
+        &mut self,
+        cx: &Context,
+        here: WorkerIx,
+        key: TaskKey,
+        pressing: (Column, u32),
+    ) -> bool {
+        let can_resume = cx.step(key).is_some_and(|step| !step.gang && step.checkpoints);
+        let larger =
+            |&(column, demand): &(Column, u32)| column == pressing.0 && demand <= pressing.1;
+        if !can_resume || self.without.iter().any(larger) {
+            return false;
+        }
+        let Some(place) = placement::elsewhere(cx, here, key) else {
+            self.without.push(pressing);
+            return false;
+        };
+        self.taken.insert(place)
+    }
 }
--- a/crates/sched/src/pacing/placing.rs
+++ b/crates/sched/src/pacing/placing.rs
@@ -78,6 +78,11 @@
 /// of others (`docs/DECISIONS.md`).
 const PATIENCE: Millis = Millis(8_000);
 
+/// Tells whether a filling task has waited so long that it may disturb.
+pub fn is_impatient(waited: Millis) -> bool {
+    waited >= PATIENCE
+}
+
 /// Cost of a unit of pressure beyond what is bearable, against one worker of free room.
 const EXCESS_COST: f64 = 20.0;
 
@@ -100,7 +105,7 @@
         }
         let excess = push - spare;
         if excess > 0.0 {
-            if waited < PATIENCE {
+            if !is_impatient(waited) {
                 return None;
             }
             cost += excess * EXCESS_COST;
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -173,7 +173,7 @@
         return Err(Unfit::Spread);
     }
     let left = worker.info.capacity.minus(&taken).cpu.0;
-    if step.lasting && left < RESERVED_CPU && wanted.waited < RESERVED_FOR {
+    if step.lasting && left < RESERVED_CPU && !may_take_all(wanted.waited) {
         return Err(Unfit::Reserved);
     }
     Ok(())
@@ -194,6 +194,11 @@
 /// room for it.
 const RESERVED_FOR: Millis = Millis(1_800);
 
+/// Tells whether a lasting task has waited so long that it may take the room kept for others.
+pub fn may_take_all(waited: Millis) -> bool {
+    waited >= RESERVED_FOR
+}
+
 /// Counts the tasks of the same step and round at a worker.
 fn same_step(worker: &Worker, task: TaskKey) -> u32 {
     let same = |key: &&TaskKey| (key.job, key.round, key.step) == (task.job, task.round, task.step);
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -123,7 +123,8 @@
 /// Sets when the next renewal is due: at once where something runs, since it waits at the worker.
 fn schedule_next(cx: &mut Context, ix: WorkerIx) {
     let now = cx.now;
-    let (poll, idle) = (cx.settings.poll_every, cx.settings.idle_renew_every);
+    let poll = wait_for(cx.settings.poll_every, cx.workers.len());
+    let idle = cx.settings.idle_renew_every;
     let worker = cx.worker_mut(ix);
     let unstored = worker.noted > worker.stored;
     let next = if unstored {
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -148,6 +148,11 @@
     info!(event = "advised", %job, step, asked, permitted);
 }
 
+/// A worker gets no tasks until it is stored as open again.
+pub fn worker_closed(worker: &ids::WorkerId, holds: usize) {
+    info!(event = "worker_closed", %worker, holds);
+}
+
 /// The service that decides where a step may run has not answered.
 pub fn advice_missing(job: JobKey, step: u16, asked: usize) {
     warn!(event = "advice_missing", %job, step, asked);
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! The scheduler on virtual time, with a fleet that goes wrong in all the ways that workers do.
 
+mod backlogs;
 mod bursts;
 mod gangs;
 mod leaving;
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -34,6 +34,11 @@
         self.renewals.len() - before
     }
 
+    /// Returns how many looks at a worker the last dispatch pass took.
+    pub fn looks(&self) -> usize {
+        self.cx.as_ref().map_or(0, |cx| cx.pass_looks)
+    }
+
     /// Returns how many starts wait for their answer.
     pub fn starts_under_way(&self) -> usize {
         let starting = |w: &Worker| w.slots.values().filter(|s| s.phase == Phase::Starting).count();
