The stand-in's relay lets open connections fall silent for good; the soak and a process test use it

Change: silence_open on the ways to the store and to workers, a kind of fault in the soak of processes (which changes what its seeds draw), and a process test: the leader stays, and a job handed in afterwards completes. Ruled out: nothing.

--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -168,3 +168,22 @@
     let open: Vec<_> = (0..300).map_while(|_| connect_as_peer(&site.hosts[0].peers)).collect();
     assert_eq!(open.len(), 300, "a host was turned away");
 }
+
+#[test]
+fn connections_that_fall_silent_without_a_reset_neither_end_a_leadership_nor_stop_work() {
+    let site = open_site(2, 2, Duration::from_millis(100));
+    wait_for("the workers to be known", || site.knows_workers());
+    let first = site.leader().expect("there is a leader");
+    for key in 1..=4 {
+        assert_eq!(submit(&site, key as usize % 2, key), Some(200));
+    }
+    wait_for("completion", || (1..=4).all(|key| shows(&site, first, key, "completed")));
+    site.hosts.iter().for_each(|host| host.store_link.silence_open());
+    (0..site.fleet.len()).for_each(|worker| site.fleet.silence_open(worker));
+    // Longer than the leader's lease in the store.
+    std::thread::sleep(Duration::from_secs(4));
+    assert_eq!(site.leader(), Some(first), "the leader lost its leadership");
+    assert_eq!(submit(&site, 0, 5), Some(200));
+    wait_for("completion", || shows(&site, first, 5, "completed"));
+    assert!(site.twice().is_empty());
+}
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -175,7 +175,7 @@
         worker_fault(site, rng);
         return Ok(());
     }
-    match rng.random_range(0..10) {
+    match rng.random_range(0..11) {
         0 | 1 => site.hosts[at].kill()?,
         2 => site.hosts[at].signal(Signal::STOP),
         3 => site.hosts[at].signal(Signal::TERM),
@@ -184,6 +184,7 @@
         6 => site.hosts[at].store_link.set(Mode::OneWay),
         7 => site.hosts[at].store_link.set(Mode::Delay),
         8 => site.store.set_down(rng.random_range(0..2) == 0),
+        9 => site.hosts[at].store_link.silence_open(),
         _ => return mend(site, rng),
     }
     // Half of the time something else is mended meanwhile, so that faults overlap but do not pile
@@ -197,12 +198,13 @@
 /// Crashes a worker, or harms the way to it; about half of the ways are whole at any time.
 fn worker_fault(site: &Site, rng: &mut ChaCha8Rng) {
     let at = rng.random_range(0..site.fleet.len());
-    match rng.random_range(0..9) {
+    match rng.random_range(0..10) {
         0 => site.fleet.crash(at),
         1 => site.fleet.set_link(at, Mode::Silent),
         2 => site.fleet.set_link(at, Mode::Reset),
         3 => site.fleet.set_link(at, Mode::OneWay),
         4 => site.fleet.set_link(at, Mode::Delay),
+        5 => site.fleet.silence_open(at),
         _ => site.fleet.set_link(at, Mode::Pass),
     }
 }
