--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -8,7 +8,7 @@
 use std::mem;
 
 use gaplock_jobs::progress::{JobState, Progress, RoundProgress, StepProgress, TaskNote};
-use gaplock_jobs::{progress, JobKey, TaskKey};
+use gaplock_jobs::{progress, JobKey};
 use gaplock_types::ids;
 use gaplock_types::time::Instant;
 
@@ -82,24 +82,6 @@
     cx.commits.urgent = true;
 }
 
-/// Gives a worker no tasks from now on and stores what may still run there, or takes it off the roster
-/// where that is nothing: a successor then need not wait for it.
-pub fn close_worker(cx: &mut Context, ix: WorkerIx) {
-    let worker = cx.worker_mut(ix);
-    worker.in_roster = false;
-    worker.roster_pending = false;
-    worker.closed = true;
-    let info = worker.info.clone();
-    let holds: Vec<TaskKey> = worker.slots.keys().copied().collect();
-    worker.forgotten = holds.is_empty();
-    trace::worker_closed(&info.id, holds.len());
-    let record = match holds.is_empty() {
-        true => Record::ForgetWorker(info.id),
-        false => Record::Worker(RosterEntry { info, holds: Some(holds) }),
-    };
-    add(cx, record);
-}
-
 /// Makes sure that ends which changed no job's progress are acknowledged too.
 pub fn note_ends(cx: &mut Context) {
     cx.commits.since.get_or_insert(cx.now);
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -8,7 +8,7 @@
 
 use crate::context::Context;
 use crate::message::{Record, Run, WorkerClock, WorkerIx};
-use crate::{commits, lifecycle, takeover, trace};
+use crate::{commits, lifecycle, roster, takeover, trace};
 
 /// Gives up the runs of silent workers whose leases are certainly over, and workers that are
 /// neither listed nor answering.
@@ -26,9 +26,7 @@
         }
         let absent = worker.is_absent();
         free_all(cx, ix, "its lease is over");
-        if cx.worker(ix).closed && !cx.worker(ix).forgotten {
-            commits::close_worker(cx, ix);
-        }
+        roster::lapsed(cx, ix);
         if absent {
             trace::worker_gone(&cx.worker(ix).info.id, "silent, unlisted and its leases over");
             give_up(cx, ix);
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -5,10 +5,12 @@
 //! when the leader closed it. A closed worker gets no tasks until it is stored as open again
 //! (`docs/PLATFORM.md`).
 
-use crate::commits;
+use gaplock_jobs::TaskKey;
+
 use crate::context::Context;
-use crate::message::WorkerIx;
+use crate::message::{Record, RosterEntry, WorkerIx};
 use crate::worker::{Listing, Worker};
+use crate::{commits, trace};
 
 /// After how many renewals without an answer a worker is closed: a single answer is lost now and then,
 /// and each change is a write.
@@ -18,7 +20,7 @@
 pub fn check(cx: &mut Context) {
     for ix in cx.worker_ixs() {
         if should_close(cx.worker(ix)) {
-            commits::close_worker(cx, ix);
+            close(cx, ix);
         }
     }
 }
@@ -33,6 +35,31 @@
     silent || leaving
 }
 
+/// Gives a worker no tasks from now on and stores what may still run there, or takes it off the roster
+/// where that is nothing: a successor then need not wait for it.
+fn close(cx: &mut Context, ix: WorkerIx) {
+    let worker = cx.worker_mut(ix);
+    worker.in_roster = false;
+    worker.roster_pending = false;
+    worker.closed = true;
+    let info = worker.info.clone();
+    let holds: Vec<TaskKey> = worker.slots.keys().copied().collect();
+    worker.forgotten = holds.is_empty();
+    trace::worker_closed(&info.id, holds.len());
+    let record = match holds.is_empty() {
+        true => Record::ForgetWorker(info.id),
+        false => Record::Worker(RosterEntry { info, holds: Some(holds) }),
+    };
+    commits::add(cx, record);
+}
+
+/// Takes a closed worker off the roster once the leases of all that it may have run are over.
+pub fn lapsed(cx: &mut Context, ix: WorkerIx) {
+    if cx.worker(ix).closed && !cx.worker(ix).forgotten {
+        close(cx, ix);
+    }
+}
+
 /// Opens a worker that may be given tasks, unless it is open.
 pub fn open(cx: &mut Context, ix: WorkerIx) {
     let worker = cx.worker(ix);
