Sight: which try an answer speaks of, by which proof a task goes elsewhere, which commit is stored

Cause: logs could not tell the hypotheses apart. Change: gaplock_policy::tries counts tries and those without an answer; start_not_done, run_released (in place of run_lost) and commit_unclear, commit_refused, commit_found carry it. A run is taken off a worker by a named proof only. No logic changes.

--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -7,6 +7,7 @@
 use gaplock_jobs::TaskKey;
 use gaplock_platform::store::{self, Item, Revision, Store, StoreError, Txn};
 use gaplock_platform::waves;
+use gaplock_policy::tries::Tries;
 use gaplock_sched::message::{Record, RosterEntry, WorkerInfo};
 use gaplock_types::time::Millis;
 use gaplock_types::{ids, sizes};
@@ -118,17 +119,27 @@
     async fn write_part(&mut self, records: &[Record]) -> Result<(), CommitError> {
         let next = CommitMark { term: self.mark.term, number: self.mark.number + 1 };
         let txn = self.transaction(records, next);
+        let mut tries = Tries::default();
         loop {
+            tries.send();
             match self.store.commit(&txn).await {
                 Ok(revision) => return self.advance(next, revision),
-                Err(StoreError::Away) => return Err(CommitError::Away),
-                Err(StoreError::Conflict | StoreError::Gone | StoreError::Unclear) => {}
+                Err(StoreError::Away) => {
+                    log_try("commit_refused", next, tries, records.len());
+                    return Err(CommitError::Away);
+                }
+                Err(StoreError::Unclear) => {
+                    tries.leave_open();
+                    log_try("commit_unclear", next, tries, records.len());
+                }
+                Err(StoreError::Conflict | StoreError::Gone) => {}
             }
             match self.store.get(keys::COMMITS).await {
                 Ok(Some(item)) if item.revision == self.commits => {
                     self.check_leader().await?;
                 }
                 Ok(Some(item)) if decode_mark(&item.value) == Some(next) => {
+                    log_try("commit_found", next, tries, records.len());
                     return self.advance(next, item.revision);
                 }
                 Ok(_) => return Err(CommitError::Deposed),
@@ -191,6 +202,12 @@
     }
 }
 
+/// Logs what became of a try of a commit, unless it was simply stored.
+fn log_try(event: &'static str, mark: CommitMark, tries: Tries, records: usize) {
+    let CommitMark { term, number } = mark;
+    tracing::info!(event, term, number, attempt = tries.sent(), open = tries.open(), records);
+}
+
 /// Returns how many of the first records fit into one transaction.
 fn fitting(records: &[Record]) -> usize {
     let mut entries = 0;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod route;
 pub mod succession;
 pub mod tail;
+pub mod tries;
--- a/crates/sched/src/account.rs
+++ b/crates/sched/src/account.rs
@@ -1,11 +1,12 @@
 //! A worker's account of itself, held against what the leader believes to run there.
 
 use gaplock_jobs::TaskKey;
-use gaplock_types::time::{Instant, Millis};
+use gaplock_types::time::Instant;
 
 use crate::context::Context;
 use crate::lifecycle::Occupant;
 use crate::message::{Account, Action, Run, RunningTask, WorkerIx};
+use crate::proof::Proof;
 use crate::table::TaskState;
 use crate::worker::{Phase, Slot};
 use crate::{ends, lifecycle, speed, trace};
@@ -125,8 +126,7 @@
         .map(|(key, slot)| (*key, slot.run))
         .collect();
     for (key, run) in missing {
-        trace::run_lost(key, run, &cx.worker(ix).info.id, "not in the worker's account");
-        lifecycle::requeue(cx, ix, key, run, Millis(0));
+        lifecycle::requeue(cx, ix, key, run, Proof::NotListed);
     }
 }
 
--- a/crates/sched/src/gangs.rs
+++ b/crates/sched/src/gangs.rs
@@ -8,11 +8,11 @@
 
 use gaplock_jobs::{Job, TaskKey};
 use gaplock_types::ids;
-use gaplock_types::time::Millis;
 
 use crate::context::Context;
 use crate::message::{Run, WorkerIx};
 use crate::placement::{self, Wanted};
+use crate::proof::Proof;
 use crate::table::ReadyStep;
 use crate::{dispatch, lifecycle, orders, permits};
 
@@ -111,7 +111,7 @@
 /// Frees the room of the members placed so far; nothing of them was sent.
 fn undo(cx: &mut Context, placed: &[(TaskKey, WorkerIx)], run: Run) {
     for &(task, ix) in placed {
-        lifecycle::requeue(cx, ix, task, run, Millis(0));
+        lifecycle::requeue(cx, ix, task, run, Proof::NeverSent);
     }
 }
 
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -4,10 +4,10 @@
 //! there, even by a clock that is slower than ours.
 
 use gaplock_jobs::TaskKey;
-use gaplock_types::time::Millis;
 
 use crate::context::Context;
 use crate::message::{Record, Run, WorkerClock, WorkerIx};
+use crate::proof::Proof;
 use crate::{commits, lifecycle, roster, takeover, trace};
 
 /// Gives up the runs of silent workers whose leases are certainly over, and workers that are
@@ -25,7 +25,7 @@
             continue;
         }
         let absent = worker.is_absent();
-        free_all(cx, ix, "its lease is over");
+        free_all(cx, ix, Proof::LeaseOver);
         roster::lapsed(cx, ix);
         if absent {
             trace::worker_gone(&cx.worker(ix).info.id, "silent, unlisted and its leases over");
@@ -35,18 +35,17 @@
 }
 
 /// Gives up every run at a worker.
-fn free_all(cx: &mut Context, ix: WorkerIx, why: &'static str) {
+fn free_all(cx: &mut Context, ix: WorkerIx, proof: Proof) {
     let slots: Vec<(TaskKey, Run)> =
         cx.worker(ix).slots.iter().map(|(key, slot)| (*key, slot.run)).collect();
     for (key, run) in slots {
-        trace::run_lost(key, run, &cx.worker(ix).info.id, why);
-        lifecycle::requeue(cx, ix, key, run, Millis(0));
+        lifecycle::requeue(cx, ix, key, run, proof);
     }
 }
 
 /// Forgets a worker whose incarnation certainly runs nothing any more.
 pub fn give_up(cx: &mut Context, ix: WorkerIx) {
-    free_all(cx, ix, "its worker is gone");
+    free_all(cx, ix, Proof::WorkerGone);
     let worker = cx.worker_mut(ix);
     if worker.gone {
         return;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod pacing;
 pub mod permits;
 pub mod placement;
+pub mod proof;
 pub mod renewals;
 pub mod roster;
 pub mod settings;
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -4,11 +4,13 @@
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, Step, TaskKey};
+use gaplock_policy::tries::Tries;
 use gaplock_types::time::{Instant, Millis};
 
 use crate::context::Context;
 use crate::message::{Action, Run, WorkerIx};
 use crate::pacing::{self, FULL_PACE};
+use crate::proof::Proof;
 use crate::table::{self, Entry, ReadyStep, Round, Task, TaskState};
 use crate::worker::{Part, Phase, Slot};
 use crate::{commits, trace};
@@ -95,7 +97,7 @@
         wants_cpu: table::filling(step),
         ordered: now,
         confirmed: (!started).then_some(now),
-        tries: u32::from(started),
+        tries: Tries::default(),
         pace: FULL_PACE,
         pacing: false,
         percent: occupant.percent,
@@ -127,12 +129,14 @@
     state == Some(TaskState::Active { worker, run })
 }
 
-/// Takes a run off a worker and, if the task was held to be there, makes it pending again.
-pub fn requeue(cx: &mut Context, worker: WorkerIx, key: TaskKey, run: Run, pause: Millis) {
+/// Takes a run off a worker by a proof that it is not there, and makes its task pending again if that
+/// was held to be there.
+pub fn requeue(cx: &mut Context, worker: WorkerIx, key: TaskKey, run: Run, proof: Proof) {
     let was_active = is_active(cx, key, worker, run);
-    vacate(cx, worker, key, run);
+    let slot = vacate(cx, worker, key, run);
+    trace::run_released(key, run, &cx.worker(worker).info.id, proof, slot.as_ref());
     if was_active {
-        make_pending(cx, key, pause);
+        make_pending(cx, key, Millis(0));
     }
 }
 
@@ -241,7 +245,6 @@
     }
     slot.phase = Phase::Stopping;
     slot.ordered = now;
-    slot.tries = 1;
     trace::stop_ordered(key, run, &w.info.id, why);
     cx.actions.push(Action::Stop { worker, task: key, run });
 }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -11,6 +11,7 @@
 use crate::context::Context;
 use crate::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
 use crate::permits::StepKey;
+use crate::proof::Proof;
 use crate::speed::Mark;
 use crate::worker::Phase;
 use crate::{leases, lifecycle, pacing, permits, trace};
@@ -24,7 +25,7 @@
     outcome: Outcome<WorkerClock>,
 ) {
     let now = cx.now;
-    trace::start_answered(key, run, &cx.worker(ix).info.id, &outcome);
+    trace_answer(cx, ix, key, run, &outcome);
     let resumes = cx.task(key).is_some_and(|t| t.checkpoint.is_some());
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
     if slot.run != run || !matches!(slot.phase, Phase::Starting | Phase::Uncertain) {
@@ -44,17 +45,30 @@
         Outcome::NotSent if slot.phase == Phase::Starting => {
             let retry = cx.settings.renew_retry;
             cx.worker_mut(ix).avoid_until = now + retry;
-            lifecycle::requeue(cx, ix, key, run, Millis(0));
+            lifecycle::requeue(cx, ix, key, run, Proof::NeverSent);
         }
         Outcome::NotSent | Outcome::Unclear => unclear(cx, ix, key, run),
     }
 }
 
+/// Logs a start that was not simply carried out, with the try that the answer belongs to.
+fn trace_answer(
+    cx: &Context,
+    ix: WorkerIx,
+    key: TaskKey,
+    run: Run,
+    outcome: &Outcome<WorkerClock>,
+) {
+    let worker = cx.worker(ix);
+    let tries = worker.slots.get(&key).filter(|s| s.run == run).map(|s| s.tries);
+    trace::start_answered(key, run, &worker.info.id, tries.unwrap_or_default(), outcome);
+}
+
 /// Takes a run off a worker that refused it, and spares the worker for a while where that helps.
 fn refused(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, refusal: Refusal) {
     let now = cx.now;
     let retry = cx.settings.renew_retry;
-    let repeated = cx.worker(ix).slots.get(&key).is_some_and(|s| s.tries > 1);
+    let repeated = cx.worker(ix).slots.get(&key).is_some_and(|s| s.tries.sent() > 1);
     match refusal {
         Refusal::OtherIncarnation => {
             trace::worker_gone(&cx.worker(ix).info.id, "another incarnation answers");
@@ -76,7 +90,7 @@
         Refusal::Permit => permits::refused(cx, StepKey::of(key), ix),
         Refusal::OldRun => {}
     }
-    lifecycle::requeue(cx, ix, key, run, Millis(0));
+    lifecycle::requeue(cx, ix, key, run, Proof::Refused);
 }
 
 /// Leaves the decision to the next account that is asked for from now on.
@@ -96,13 +110,13 @@
     let most = cx.settings.start_tries;
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
     slot.phase = Phase::Uncertain;
-    let tries = slot.tries;
+    slot.tries.leave_open();
+    let tries = slot.tries.sent();
     suspect(cx, ix);
     if tries >= most {
         return lifecycle::order_stop(cx, ix, key, run, "start not answered");
     }
     if let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) {
-        slot.tries += 1;
         slot.ordered = now;
     }
     send_start(cx, ix, key, run);
@@ -123,6 +137,9 @@
     let checkpoint = entry.task(key).and_then(|t| t.checkpoint.clone());
     let Some(until) = leases::grant(cx, ix) else { return };
     let ticket = permits::ticket(cx, StepKey::of(key), ix);
+    if let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) {
+        slot.tries.send();
+    }
     let start = Action::Start { worker: ix, task: key, run, job, until, checkpoint, ticket };
     cx.starts_under_way += 1;
     cx.actions.push(start);
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -5,6 +5,7 @@
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, TaskKey};
+use gaplock_policy::tries::Tries;
 use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
@@ -15,8 +16,9 @@
     End, Outcome, Run, UpkeepAnswer, WaveNumber, WaveRequest, WorkerClock, WorkerInfo, WorkerIx,
 };
 use crate::placement::UnfitCounts;
+use crate::proof::Proof;
 use crate::table::Entry;
-use crate::worker::Listing;
+use crate::worker::{Listing, Slot};
 
 /// The leader has heard of a job.
 pub fn job_known(entry: &Entry) {
@@ -35,15 +37,17 @@
     info!(event = "start_ordered", %task, run = run.0, %worker, waited_ms = waited.0);
 }
 
-/// A start was not simply carried out.
+/// A start was not simply carried out: which try that speaks of, and how many earlier ones are open.
 pub fn start_answered(
     task: TaskKey,
     run: Run,
     worker: &ids::WorkerId,
+    tries: Tries,
     outcome: &Outcome<WorkerClock>,
 ) {
     if !matches!(outcome, Outcome::Done(_)) {
-        info!(event = "start_not_done", %task, run = run.0, %worker, ?outcome);
+        info!(event = "start_not_done", %task, run = run.0, %worker, attempt = tries.sent(),
+            open = tries.open(), ?outcome);
     }
 }
 
@@ -78,9 +82,18 @@
         seq = end.seq.0, expected);
 }
 
-/// A run is given up because it is certainly over.
-pub fn run_lost(task: TaskKey, run: Run, worker: &ids::WorkerId, why: &'static str) {
-    info!(event = "run_lost", %task, run = run.0, %worker, why);
+/// A run is taken off its worker without a listed end, so that its task may go elsewhere: by which proof,
+/// and what is known of the tries of its start.
+pub fn run_released(
+    task: TaskKey,
+    run: Run,
+    worker: &ids::WorkerId,
+    proof: Proof,
+    slot: Option<&Slot>,
+) {
+    let tries = slot.map(|s| s.tries).unwrap_or_default();
+    info!(event = "run_released", %task, run = run.0, %worker, ?proof, phase = ?slot.map(|s| s.phase),
+        tries = tries.sent(), open = tries.open());
 }
 
 /// A run of a former leader was found and kept.
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -1,6 +1,7 @@
 //! What the leader knows of one worker: its clock, its leases, and what it runs.
 
 use gaplock_jobs::TaskKey;
+use gaplock_policy::tries::Tries;
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
@@ -39,8 +40,8 @@
     pub ordered: Instant,
     /// When the worker confirmed the run; unset before.
     pub confirmed: Option<Instant>,
-    /// How often the order in force has been sent.
-    pub tries: u32,
+    /// The tries of its start.
+    pub tries: Tries,
     /// The share of full speed in percent that was last put in force.
     pub pace: u32,
     /// Whether an order for another pace is on its way.
