--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -125,12 +125,12 @@
             match self.store.commit(&txn).await {
                 Ok(revision) => return self.advance(next, revision),
                 Err(StoreError::Away) => {
-                    log_try("commit_refused", next, tries, records.len());
+                    log_refused(next, tries, records.len());
                     return Err(CommitError::Away);
                 }
                 Err(StoreError::Unclear) => {
                     tries.leave_open();
-                    log_try("commit_unclear", next, tries, records.len());
+                    log_unclear(next, tries, records.len());
                 }
                 Err(StoreError::Conflict | StoreError::Gone) => {}
             }
@@ -139,7 +139,7 @@
                     self.check_leader().await?;
                 }
                 Ok(Some(item)) if decode_mark(&item.value) == Some(next) => {
-                    log_try("commit_found", next, tries, records.len());
+                    log_found(next, tries, records.len());
                     return self.advance(next, item.revision);
                 }
                 Ok(_) => return Err(CommitError::Deposed),
@@ -202,10 +202,25 @@
     }
 }
 
-/// Logs what became of a try of a commit, unless it was simply stored.
-fn log_try(event: &'static str, mark: CommitMark, tries: Tries, records: usize) {
+/// Logs that the last try of a commit was refused.
+fn log_refused(mark: CommitMark, tries: Tries, records: usize) {
     let CommitMark { term, number } = mark;
-    tracing::info!(event, term, number, attempt = tries.sent(), open = tries.open(), records);
+    let (attempt, open) = (tries.sent(), tries.open());
+    tracing::info!(event = "commit_refused", term, number, attempt, open, records);
+}
+
+/// Logs that the last try of a commit got no answer.
+fn log_unclear(mark: CommitMark, tries: Tries, records: usize) {
+    let CommitMark { term, number } = mark;
+    let (attempt, open) = (tries.sent(), tries.open());
+    tracing::info!(event = "commit_unclear", term, number, attempt, open, records);
+}
+
+/// Logs that a commit without an answer is stored, by the mark in the store.
+fn log_found(mark: CommitMark, tries: Tries, records: usize) {
+    let CommitMark { term, number } = mark;
+    let (attempt, open) = (tries.sent(), tries.open());
+    tracing::info!(event = "commit_found", term, number, attempt, open, records);
 }
 
 /// Returns how many of the first records fit into one transaction.
--- a/crates/sched/tests/fleet/promises.rs
+++ b/crates/sched/tests/fleet/promises.rs
@@ -128,6 +128,7 @@
             unanswered_per_mille: 50,
             late_per_mille: 50,
             failing_per_mille: 20,
+            unwell_per_mille: 0,
         };
         for key in 0..20 {
             world.submit(job(key, vec![step(5, &[]), step(3, &[0])]));
--- a/crates/sched/tests/fleet/world/calls.rs
+++ b/crates/sched/tests/fleet/world/calls.rs
@@ -138,6 +138,11 @@
         let reached = self.workers[worker].up && !self.workers[worker].cut;
         let lost = roll < f.lost_per_mille || !reached;
         let late = roll >= f.lost_per_mille && roll < f.lost_per_mille + f.late_per_mille;
+        let delay = match call {
+            Call::Start { .. } => self.workers[worker].delays_start.take(),
+            _ => None,
+        };
+        let late = late || delay.is_some();
         let unanswered = lost || late || self.rng.random_range(0..1_000) < f.unanswered_per_mille;
         if unanswered {
             let event = no_answer(ix, &call);
@@ -146,7 +151,11 @@
         if lost {
             return;
         }
-        let after = if late { self.rng.random_range(LATE_MS) } else { 1 };
+        let after = match delay {
+            Some(ms) => ms,
+            None if late => self.rng.random_range(LATE_MS),
+            None => 1,
+        };
         let trip = Trip { worker, leader, answered: !unanswered };
         self.send(after, Delivery::ToWorker { trip, call, token });
     }
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -60,6 +60,8 @@
     pub late_per_mille: u32,
     /// Runs that fail.
     pub failing_per_mille: u32,
+    /// Calls that a worker refuses because it is unwell.
+    pub unwell_per_mille: u32,
 }
 
 /// The whole world.
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -46,6 +46,12 @@
     pub cut: bool,
     /// Every run fails.
     pub failing: bool,
+    /// Every order is refused, and nothing is done.
+    pub unwell: bool,
+    /// A start is too late by the worker's own leases, not by the end of the lease that it carries.
+    pub late_by_own_lease: bool,
+    /// The next start gets no answer and arrives after so many milliseconds.
+    pub delays_start: Option<u64>,
     /// How many times as long as elsewhere work takes.
     pub slowness: u64,
     pub(super) running: BTreeMap<TaskKey, SimRun>,
@@ -77,6 +83,9 @@
             up: true,
             cut: false,
             failing: false,
+            unwell: false,
+            late_by_own_lease: false,
+            delays_start: None,
             slowness: 1,
             running: BTreeMap::new(),
             ends: Vec::new(),
@@ -136,6 +145,9 @@
         if !self.workers[at].up || self.workers[at].cut {
             return self.time_out(trip, &call);
         }
+        if trip.answered && self.refuses(at) {
+            return self.refuse(trip, &call);
+        }
         let clock = self.now + self.workers[at].clock_offset;
         let fenced = token < self.workers[at].token;
         self.workers[at].token = self.workers[at].token.max(token);
@@ -151,6 +163,26 @@
         self.reply(trip, calls::answer(ix, &call, outcome));
     }
 
+    /// Tells whether an unwell worker refuses the call in hand. What is carried out late was taken in
+    /// before.
+    fn refuses(&mut self, at: usize) -> bool {
+        let per_mille = self.faults.unwell_per_mille;
+        self.workers[at].unwell || per_mille > 0 && self.rng.random_range(0..1_000) < per_mille
+    }
+
+    /// Answers that nothing was done.
+    fn refuse(&mut self, trip: Trip, call: &Call) {
+        let Some(worker) = self.awaited_by(trip) else { return };
+        let event = match call {
+            Call::Renew(renewal) => {
+                let outcome = Outcome::Refused(Refusal::Unwell);
+                Event::Renewed { worker, sent: renewal.sent, outcome }
+            }
+            order => calls::answer(worker, order, Outcome::Refused(Refusal::Unwell)),
+        };
+        self.reply(trip, event);
+    }
+
     fn renew(&mut self, trip: Trip, renewal: Renewal, fenced: bool) {
         let Renewal { stored, until, wait, sent } = renewal;
         let at = trip.worker;
@@ -254,7 +286,8 @@
         if worker.running.get(&task).is_some_and(|r| r.run == run) {
             return Ok(());
         }
-        if until.0 <= clock {
+        let ends = if worker.late_by_own_lease { worker.lease_until } else { until.0 };
+        if ends <= clock {
             return Err(Refusal::Late);
         }
         let old = worker.last_ended.get(&task).is_some_and(|last| run <= *last);
