What the answers to a repeated call prove, in one place

Change: Tries::settle says what became of a call after all its tries; a refusal counts only where no try is open. Ruled out: nothing.

--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -7,7 +7,7 @@
 use gaplock_jobs::TaskKey;
 use gaplock_platform::store::{self, Item, Revision, Store, StoreError, Txn};
 use gaplock_platform::waves;
-use gaplock_policy::tries::Tries;
+use gaplock_policy::tries::{Fate, Tries};
 use gaplock_sched::message::{Record, RosterEntry, WorkerInfo};
 use gaplock_types::time::Millis;
 use gaplock_types::{ids, sizes};
@@ -129,7 +129,7 @@
                     return Err(CommitError::Away);
                 }
                 Err(StoreError::Unclear) => {
-                    tries.leave_open();
+                    tries.settle(Fate::Unknown);
                     log_unclear(next, tries, records.len());
                 }
                 Err(StoreError::Conflict | StoreError::Gone) => {}
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -6,6 +6,7 @@
 //! when the leases are over.
 
 use gaplock_jobs::TaskKey;
+use gaplock_policy::tries::Fate;
 use gaplock_types::time::Millis;
 
 use crate::context::Context;
@@ -110,7 +111,7 @@
     let most = cx.settings.start_tries;
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
     slot.phase = Phase::Uncertain;
-    slot.tries.leave_open();
+    slot.tries.settle(Fate::Unknown);
     let tries = slot.tries.sent();
     suspect(cx, ix);
     if tries >= most {
