A start with an open try is withdrawn, not given up; a worker that comes back first refuses what may still begin

Cause: the refusal of a repeated start was taken for the fate of the first try, which is carried out seconds later, when the task has ended elsewhere. And a run given up by the end of its worker's leases was held to be void for good, which holds only where the worker goes by the end of the lease that the start carries. Change: Tries::settle decides; with an open try the run is stopped, which bars it for ever, and its task goes elsewhere once an account taken after that does not list it. Runs that were never confirmed and are given up with their worker's leases are kept as doubts: the worker gets no lease and no task before it refuses them. Ruled out: a special case for one refusal (any of them may answer a repeat). Commits are not mended yet.

--- /dev/null
+++ b/crates/sched/src/doubts.rs
@@ -0,0 +1,74 @@
+//! Starts that may outlive the leases at their worker.
+//!
+//! A run is given up once all leases at its silent worker are over. A try of its start that is still under
+//! way is void by then where the worker goes by the end of the lease that the start carries. Where it goes by
+//! its own leases, it may carry the start out under one that it gets later. So a worker that comes back gets
+//! leases and tasks only after it has been told, by stops, to refuse all such runs for ever. A later
+//! leader's token bars them without that.
+
+use gaplock_jobs::TaskKey;
+use gaplock_types::time::Instant;
+
+use crate::context::Context;
+use crate::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
+use crate::trace;
+use crate::worker::{Slot, Worker};
+
+/// A run that was given up and may still begin.
+#[derive(Debug, Clone, Copy)]
+pub struct Doubt {
+    /// The run.
+    pub run: Run,
+    /// When its stop was last sent; unset before.
+    asked: Option<Instant>,
+}
+
+/// Keeps a run in doubt that is being given up, unless its worker has confirmed the run or its stop: what has
+/// begun there never begins again.
+pub fn keep(worker: &mut Worker, key: TaskKey, slot: &Slot) {
+    if slot.confirmed.is_none() && slot.tries.sent() > 0 {
+        worker.doubts.insert(key, Doubt { run: slot.run, asked: None });
+    }
+}
+
+/// Sends the stops that are due to a worker that answers.
+pub fn settle(cx: &mut Context, ix: WorkerIx) {
+    let (now, retry) = (cx.now, cx.settings.stop_retry);
+    let worker = cx.worker_mut(ix);
+    if worker.missed > 0 {
+        return;
+    }
+    let mut due = Vec::new();
+    for (key, doubt) in &mut worker.doubts {
+        if doubt.asked.is_some_and(|at| now.since(at) < retry) {
+            continue;
+        }
+        doubt.asked = Some(now);
+        due.push((*key, doubt.run));
+    }
+    for (task, run) in due {
+        trace::stop_ordered(task, run, &cx.worker(ix).info.id, "its start may outlive its lease");
+        cx.actions.push(Action::Stop { worker: ix, task, run });
+    }
+}
+
+/// Takes in what became of a stop, which may be one for a run in doubt.
+pub fn stopped(
+    cx: &mut Context,
+    ix: WorkerIx,
+    key: TaskKey,
+    run: Run,
+    outcome: &Outcome<WorkerClock>,
+) {
+    let now = cx.now;
+    let barred = matches!(outcome, Outcome::Done(_) | Outcome::Refused(Refusal::OldRun));
+    let worker = cx.worker_mut(ix);
+    if !barred || worker.doubts.get(&key).is_none_or(|doubt| doubt.run != run) {
+        return;
+    }
+    worker.doubts.remove(&key);
+    if worker.doubts.is_empty() {
+        worker.hasten_renewal(now);
+        cx.pass_wanted = true;
+    }
+}
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -8,7 +8,8 @@
 use crate::context::Context;
 use crate::message::{Record, Run, WorkerClock, WorkerIx};
 use crate::proof::Proof;
-use crate::{commits, lifecycle, roster, takeover, trace};
+use crate::worker::Slot;
+use crate::{commits, doubts, lifecycle, roster, takeover, trace};
 
 /// Gives up the runs of silent workers whose leases are certainly over, and workers that are
 /// neither listed nor answering.
@@ -25,6 +26,7 @@
             continue;
         }
         let absent = worker.is_absent();
+        keep_doubts(cx, ix);
         free_all(cx, ix, Proof::LeaseOver);
         roster::lapsed(cx, ix);
         if absent {
@@ -34,6 +36,15 @@
     }
 }
 
+/// Remembers the runs at a worker that may still begin there once it gets leases again.
+fn keep_doubts(cx: &mut Context, ix: WorkerIx) {
+    let worker = cx.worker_mut(ix);
+    let slots: Vec<(TaskKey, Slot)> = worker.slots.iter().map(|(k, s)| (*k, s.clone())).collect();
+    for (key, slot) in &slots {
+        doubts::keep(worker, *key, slot);
+    }
+}
+
 /// Gives up every run at a worker.
 fn free_all(cx: &mut Context, ix: WorkerIx, proof: Proof) {
     let slots: Vec<(TaskKey, Run)> =
@@ -63,10 +74,14 @@
     takeover::answered(cx, ix);
 }
 
-/// Returns the end of a lease at a worker that begins now, and remembers it as granted.
+/// Returns the end of a lease at a worker that begins now, and remembers it as granted; none while a run
+/// that was given up could begin under it.
 pub fn grant(cx: &mut Context, ix: WorkerIx) -> Option<WorkerClock> {
     let (now, lease) = (cx.now, cx.settings.lease());
     let worker = cx.worker_mut(ix);
+    if !worker.doubts.is_empty() {
+        return None;
+    }
     let until = worker.lease_end(now, lease)?;
     worker.granted(until);
     Some(until)
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod commits;
 pub mod context;
 pub mod dispatch;
+pub mod doubts;
 pub mod drain;
 pub mod ends;
 pub mod gangs;
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -1,9 +1,9 @@
 //! Answers to starts and stops, and orders that got none.
 //!
-//! A start without an answer may be carried out seconds later. It is sent again under the same run
-//! number, which a worker carries out only once; if that stays unanswered too, a stop for that run
-//! is sent, after which the worker refuses the run for ever. The task goes elsewhere only then, or
-//! when the leases are over.
+//! A start without an answer may be carried out seconds later, also after the refusal of its repeat. It is
+//! sent again under the same run number, which a worker carries out only once. Its task goes elsewhere once
+//! every try was refused. Where a try is open, the start is withdrawn: a stop makes the worker refuse the run
+//! for ever, and the next account tells whether it is there (`docs/PLATFORM.md`, section Repeated calls).
 
 use gaplock_jobs::TaskKey;
 use gaplock_policy::tries::Fate;
@@ -15,9 +15,9 @@
 use crate::proof::Proof;
 use crate::speed::Mark;
 use crate::worker::Phase;
-use crate::{leases, lifecycle, pacing, permits, trace};
+use crate::{doubts, leases, lifecycle, pacing, permits, trace};
 
-/// Takes in what became of a start.
+/// Takes in what became of the last try of a start.
 pub fn started(
     cx: &mut Context,
     ix: WorkerIx,
@@ -25,30 +25,39 @@
     run: Run,
     outcome: Outcome<WorkerClock>,
 ) {
-    let now = cx.now;
     trace_answer(cx, ix, key, run, &outcome);
-    let resumes = cx.task(key).is_some_and(|t| t.checkpoint.is_some());
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
-    if slot.run != run || !matches!(slot.phase, Phase::Starting | Phase::Uncertain) {
+    if slot.run != run {
+        return;
+    }
+    let fate = slot.tries.settle(fate_of(&outcome));
+    if !matches!(slot.phase, Phase::Starting | Phase::Uncertain) {
         return;
     }
     match outcome {
-        Outcome::Done(clock) => {
-            slot.phase = Phase::Running;
-            slot.confirmed = Some(now);
-            if !resumes {
-                slot.mark = Some(Mark { at: now, percent: 0 });
-            }
-            cx.worker_mut(ix).read_clock(now, clock);
-            pacing::set_paces(cx, ix);
+        Outcome::Done(clock) => confirmed(cx, ix, key, clock),
+        Outcome::Refused(Refusal::OtherIncarnation) => {
+            trace::worker_gone(&cx.worker(ix).info.id, "another incarnation answers");
+            leases::give_up(cx, ix);
         }
-        Outcome::Refused(refusal) => refused(cx, ix, key, run, refusal),
-        Outcome::NotSent if slot.phase == Phase::Starting => {
-            let retry = cx.settings.renew_retry;
-            cx.worker_mut(ix).avoid_until = now + retry;
-            lifecycle::requeue(cx, ix, key, run, Proof::NeverSent);
+        Outcome::Refused(refusal) => {
+            spare_after(cx, ix, key, refusal);
+            not_done(cx, ix, key, run, fate, Proof::Refused);
         }
-        Outcome::NotSent | Outcome::Unclear => unclear(cx, ix, key, run),
+        Outcome::NotSent => {
+            spare(cx, ix, cx.settings.renew_retry);
+            not_done(cx, ix, key, run, fate, Proof::NeverSent);
+        }
+        Outcome::Unclear => unclear(cx, ix, key, run),
+    }
+}
+
+/// Says what one try of an order came to.
+fn fate_of(outcome: &Outcome<WorkerClock>) -> Fate {
+    match outcome {
+        Outcome::Done(_) => Fate::Done,
+        Outcome::Refused(_) | Outcome::NotSent => Fate::NotDone,
+        Outcome::Unclear => Fate::Unknown,
     }
 }
 
@@ -65,61 +74,64 @@
     trace::start_answered(key, run, &worker.info.id, tries.unwrap_or_default(), outcome);
 }
 
-/// Takes a run off a worker that refused it, and spares the worker for a while where that helps.
-fn refused(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, refusal: Refusal) {
+/// Takes in that a run is at its worker.
+fn confirmed(cx: &mut Context, ix: WorkerIx, key: TaskKey, clock: WorkerClock) {
     let now = cx.now;
-    let retry = cx.settings.renew_retry;
-    let repeated = cx.worker(ix).slots.get(&key).is_some_and(|s| s.tries.sent() > 1);
-    match refusal {
-        Refusal::OtherIncarnation => {
-            trace::worker_gone(&cx.worker(ix).info.id, "another incarnation answers");
-            return leases::give_up(cx, ix);
+    let resumes = cx.task(key).is_some_and(|t| t.checkpoint.is_some());
+    let worker = cx.worker_mut(ix);
+    worker.read_clock(now, clock);
+    let Some(slot) = worker.slots.get_mut(&key) else { return };
+    slot.phase = Phase::Running;
+    slot.confirmed = Some(now);
+    if !resumes {
+        slot.mark = Some(Mark { at: now, percent: 0 });
+    }
+    pacing::set_paces(cx, ix);
+}
+
+/// Frees a task whose start was certainly not carried out, or withdraws the start while a try of it is
+/// open: that one may be carried out when the task has long ended elsewhere.
+fn not_done(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, fate: Fate, proof: Proof) {
+    match fate {
+        Fate::NotDone => lifecycle::requeue(cx, ix, key, run, proof),
+        Fate::Done | Fate::Unknown => {
+            lifecycle::order_stop(cx, ix, key, run, "an earlier try of its start is open");
         }
+    }
+}
+
+/// Spares a worker that refused a start, where and for as long as that helps.
+fn spare_after(cx: &mut Context, ix: WorkerIx, key: TaskKey, refusal: Refusal) {
+    let (retry, full) = (cx.settings.renew_retry, cx.settings.full_pause);
+    match refusal {
         Refusal::Fenced => {
             cx.actions.push(Action::ConfirmLeadership);
-            cx.worker_mut(ix).avoid_until = now + retry;
-        }
-        // The first try may have been carried out and have ended: the next account tells.
-        Refusal::OldRun if repeated => return await_account(cx, ix, key),
-        Refusal::Room => {
-            let pause = cx.settings.full_pause;
-            cx.worker_mut(ix).avoid_until = now + pause;
-        }
-        Refusal::Late | Refusal::Unwell | Refusal::Invalid => {
-            cx.worker_mut(ix).avoid_until = now + retry;
+            spare(cx, ix, retry);
         }
+        Refusal::Room => spare(cx, ix, full),
+        Refusal::Late | Refusal::Unwell | Refusal::Invalid => spare(cx, ix, retry),
         Refusal::Permit => permits::refused(cx, StepKey::of(key), ix),
-        Refusal::OldRun => {}
+        Refusal::OldRun | Refusal::OtherIncarnation => {}
     }
-    lifecycle::requeue(cx, ix, key, run, Proof::Refused);
 }
 
-/// Leaves the decision to the next account that is asked for from now on.
-fn await_account(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+/// Gives a worker no tasks for a while.
+fn spare(cx: &mut Context, ix: WorkerIx, pause: Millis) {
     let now = cx.now;
-    let worker = cx.worker_mut(ix);
-    if let Some(slot) = worker.slots.get_mut(&key) {
-        slot.phase = Phase::Running;
-        slot.confirmed = Some(now);
-    }
-    worker.hasten_renewal(now);
+    cx.worker_mut(ix).avoid_until = now + pause;
 }
 
-/// Sends a start without an answer again, or a stop once it was tried often enough.
+/// Sends a start without an answer again, or withdraws it once it was tried often enough.
 fn unclear(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
     let now = cx.now;
     let most = cx.settings.start_tries;
+    suspect(cx, ix);
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
     slot.phase = Phase::Uncertain;
-    slot.tries.settle(Fate::Unknown);
-    let tries = slot.tries.sent();
-    suspect(cx, ix);
-    if tries >= most {
+    if slot.tries.sent() >= most {
         return lifecycle::order_stop(cx, ix, key, run, "start not answered");
     }
-    if let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) {
-        slot.ordered = now;
-    }
+    slot.ordered = now;
     send_start(cx, ix, key, run);
 }
 
@@ -155,6 +167,7 @@
     outcome: Outcome<WorkerClock>,
 ) {
     let now = cx.now;
+    doubts::stopped(cx, ix, key, run, &outcome);
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
     if slot.run != run || slot.phase != Phase::Stopping {
         return;
@@ -180,6 +193,7 @@
     let retry = cx.settings.stop_retry;
     let limit = cx.settings.stop_limit;
     for ix in cx.worker_ixs() {
+        doubts::settle(cx, ix);
         let worker = cx.worker_mut(ix);
         if worker.missed > 0 {
             continue;
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -6,7 +6,7 @@
 use crate::context::Context;
 use crate::message::{Account, Action, Outcome, Refusal, WorkerIx};
 use crate::worker::Renewal;
-use crate::{account, commits, leases, pacing, roster, takeover, trace};
+use crate::{account, commits, doubts, leases, pacing, roster, takeover, trace};
 
 /// Sends every renewal that is due.
 pub fn send_due(cx: &mut Context) {
@@ -116,6 +116,7 @@
     account::take_in(cx, ix, sent, &account);
     pacing::observe(cx, ix);
     takeover::answered(cx, ix);
+    doubts::settle(cx, ix);
     roster::open(cx, ix);
     schedule_next(cx, ix);
 }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -1,11 +1,14 @@
 //! What the leader knows of one worker: its clock, its leases, and what it runs.
 
+use std::collections::BTreeMap;
+
 use gaplock_jobs::TaskKey;
 use gaplock_policy::tries::Tries;
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
 
+use crate::doubts::Doubt;
 use crate::message::{EndSeq, Run, WorkerClock, WorkerInfo};
 use crate::pacing::{Column, Row};
 use crate::speed::{Mark, Speed};
@@ -138,6 +141,8 @@
     pub stored: EndSeq,
     /// What runs here.
     pub slots: FxHashMap<TaskKey, Slot>,
+    /// Runs that were given up and may still begin here; until it refuses them the worker gets nothing.
+    pub doubts: BTreeMap<TaskKey, Doubt>,
     /// The room that the slots take.
     pub used: Resources,
     /// The processor demand of filling tasks here, in thousandths of a core.
@@ -178,6 +183,7 @@
             noted: EndSeq(0),
             stored: EndSeq(0),
             slots: FxHashMap::default(),
+            doubts: BTreeMap::new(),
             used: Resources::default(),
             filling: 0,
             spare_pressure: Vec::new(),
@@ -257,6 +263,7 @@
             && self.listing == Listing::Ready
             && self.missed == 0
             && self.clock.is_some()
+            && self.doubts.is_empty()
             && self.avoid_until <= now
     }
 }
