Refused stops go out again at once, and a worker whose account is a proof is asked without a wait

Cause: a task whose start was withdrawn waited 2.5 s (median, workers that refuse three calls in five) for its proof: a refused stop was sent again after 0.4 s like an unanswered one, and the renewal after it waited for an end. Ruled out: stops to workers that have not answered a renewal (a connection each that may hang).

--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -96,6 +96,7 @@
         part,
         wants_cpu: table::filling(step),
         ordered: now,
+        stop_again: now,
         confirmed: (!started).then_some(now),
         tries: Tries::default(),
         pace: FULL_PACE,
@@ -237,7 +238,7 @@
 
 /// Orders a run to be stopped; its room stays taken until its end is seen.
 pub fn order_stop(cx: &mut Context, worker: WorkerIx, key: TaskKey, run: Run, why: &'static str) {
-    let now = cx.now;
+    let (now, retry) = (cx.now, cx.settings.stop_retry);
     let w = cx.worker_mut(worker);
     let Some(slot) = w.slots.get_mut(&key) else { return };
     if slot.run != run || slot.phase == Phase::Stopping {
@@ -245,6 +246,7 @@
     }
     slot.phase = Phase::Stopping;
     slot.ordered = now;
+    slot.stop_again = now + retry;
     trace::stop_ordered(key, run, &w.info.id, why);
     cx.actions.push(Action::Stop { worker, task: key, run });
 }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -158,6 +158,10 @@
     cx.actions.push(start);
 }
 
+/// The pause before a stop that was refused is sent again. Nothing was done and the worker answers, so there is
+/// no need to wait as for a lost answer, and a task waits for it.
+const REFUSED_RETRY: Millis = Millis(50);
+
 /// Takes in what became of a stop.
 pub fn stopped(
     cx: &mut Context,
@@ -168,30 +172,29 @@
 ) {
     let now = cx.now;
     doubts::stopped(cx, ix, key, run, &outcome);
+    let limit = cx.settings.stop_retry.0 + cx.settings.stop_limit.0;
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
     if slot.run != run || slot.phase != Phase::Stopping {
         return;
     }
     match outcome {
-        Outcome::Done(_) => {
-            // From now on an account that does not list the run proves that it is over.
-            slot.confirmed.get_or_insert(now);
-            slot.ordered = now;
-        }
         Outcome::Refused(Refusal::OtherIncarnation) => leases::give_up(cx, ix),
         Outcome::Refused(Refusal::Fenced) => cx.actions.push(Action::ConfirmLeadership),
-        Outcome::Refused(Refusal::OldRun) => {
+        // From now on the worker refuses the run, and an account that does not list it proves that it is over.
+        Outcome::Done(_) | Outcome::Refused(Refusal::OldRun) => {
             slot.confirmed.get_or_insert(now);
+            slot.ordered = now;
+            slot.stop_again = now + Millis(limit);
+            cx.worker_mut(ix).hasten_renewal(now);
         }
-        Outcome::Refused(_) | Outcome::NotSent | Outcome::Unclear => {}
+        Outcome::Refused(_) => slot.stop_again = now + REFUSED_RETRY,
+        Outcome::NotSent | Outcome::Unclear => {}
     }
 }
 
 /// Sends stops again whose run is still there.
 pub fn check(cx: &mut Context) {
-    let now = cx.now;
-    let retry = cx.settings.stop_retry;
-    let limit = cx.settings.stop_limit;
+    let (now, retry) = (cx.now, cx.settings.stop_retry);
     for ix in cx.worker_ixs() {
         doubts::settle(cx, ix);
         let worker = cx.worker_mut(ix);
@@ -200,9 +203,9 @@
         }
         let mut again = Vec::new();
         for (key, slot) in &mut worker.slots {
-            let pause = if slot.confirmed.is_some() { Millis(retry.0 + limit.0) } else { retry };
-            if slot.phase == Phase::Stopping && now.since(slot.ordered) >= pause {
+            if slot.phase == Phase::Stopping && slot.stop_again <= now {
                 slot.ordered = now;
+                slot.stop_again = now + retry;
                 again.push((*key, slot.run));
             }
         }
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -28,7 +28,10 @@
     let wait = spread(cx, ix, wait_for(cx.settings.renew_wait, cx.workers.len()));
     let worker = cx.worker_mut(ix);
     worker.renewal = Renewal::InFlight;
-    let quick = until.is_none() || worker.noted > worker.stored || worker.missed > 0;
+    let quick = until.is_none()
+        || worker.noted > worker.stored
+        || worker.missed > 0
+        || worker.awaits_proof();
     let wait = if quick || worker.slots.is_empty() { Millis(0) } else { wait };
     let wait = if worker.is_shared() { wait.min(SHARED_WAIT) } else { wait };
     let stored = worker.stored;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -41,6 +41,8 @@
     pub wants_cpu: u32,
     /// When the order in force was sent.
     pub ordered: Instant,
+    /// When a stop is sent again, unless the end of the run is seen before.
+    pub stop_again: Instant,
     /// When the worker confirmed the run; unset before.
     pub confirmed: Option<Instant>,
     /// The tries of its start.
@@ -244,6 +246,12 @@
         Some(slot)
     }
 
+    /// Tells whether the next account may prove that a run which was stopped is not here.
+    pub fn awaits_proof(&self) -> bool {
+        let is_barred = |slot: &Slot| slot.phase == Phase::Stopping && slot.confirmed.is_some();
+        self.slots.values().any(is_barred)
+    }
+
     /// Tells whether the directory does not list the worker.
     pub fn is_absent(&self) -> bool {
         matches!(self.listing, Listing::Absent { .. })
--- a/crates/sched/tests/fleet/late_starts.rs
+++ b/crates/sched/tests/fleet/late_starts.rs
@@ -7,7 +7,7 @@
 //! with an unanswered try were listed by their worker afterwards in two cases of five, the others never
 //! (`docs/incidents/twice-after-late-call.md`).
 
-use crate::world::{assert_kept, job, step, World};
+use crate::world::{assert_kept, job, step, Faults, World};
 
 /// How late a start arrives, in milliseconds: after its task has ended elsewhere, within its lease.
 const LATE_MS: u64 = 3_000;
@@ -58,6 +58,61 @@
     assert_kept(&world);
 }
 
+#[test]
+fn a_start_carried_out_after_its_job_was_cancelled_does_not_run_on() {
+    let mut world = World::open(83, 2);
+    world.work_ms = 60_000;
+    world.run(100);
+    for worker in &mut world.workers {
+        worker.delays_start = Some(LATE_MS);
+    }
+    world.submit(job(1, vec![step(1, &[])]));
+    world.run(1);
+    let first = first_asked(&world);
+    world.workers[first].unwell = true;
+    world.run(600);
+    world.cancel(1);
+    world.run(400);
+    world.workers[first].unwell = false;
+    for _ in 0..10 {
+        world.run(1_000);
+        assert_eq!(world.running_of(1), 0, "a task runs whose job was cancelled");
+    }
+    assert_kept(&world);
+}
+
+#[test]
+fn starts_that_come_late_to_workers_that_refuse_calls_double_nothing() {
+    for seed in 200..240 {
+        let mut world = World::open(seed, 6);
+        world.faults = Faults {
+            lost_per_mille: 10,
+            unanswered_per_mille: 50,
+            late_per_mille: 200,
+            failing_per_mille: 20,
+            unwell_per_mille: 300,
+        };
+        for worker in &mut world.workers {
+            worker.late_by_own_lease = seed % 2 == 0;
+        }
+        for key in 0..20 {
+            world.submit(job(key, vec![step(5, &[]), step(3, &[0])]));
+            world.run(200);
+            if world.draw(10) == 0 {
+                let gap = world.draw(3_000);
+                world.lose_leader();
+                world.run(gap);
+                world.take_over();
+            }
+        }
+        world.faults = Faults::default();
+        world.run(40_000);
+        assert!(world.violations.is_empty(), "seed {seed}: {:#?}", world.violations);
+        let left = (0..20).filter(|&key| world.state(key).is_none_or(|s| !s.is_final())).count();
+        assert_eq!(left, 0, "seed {seed}: jobs never ended");
+    }
+}
+
 /// Returns the worker that was asked to start the only task.
 fn first_asked(world: &World) -> usize {
     let asked = world.workers.iter().position(|w| w.delays_start.is_none());
