Pauses between refused stops double

Cause: a stop every 50 ms for each withdrawn start at each unwell worker would take some 9,000 calls a second on 490 workers of which a third are unwell (reckoned, not measured). Ruled out: a fixed pause of 200 ms (the first retries are the ones that matter). One function doubles pauses now.

--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -97,6 +97,7 @@
         wants_cpu: table::filling(step),
         ordered: now,
         stop_again: now,
+        stop_refusals: 0,
         confirmed: (!started).then_some(now),
         tries: Tries::default(),
         pace: FULL_PACE,
@@ -141,13 +142,18 @@
     }
 }
 
-/// How often the pause after a failure doubles at most; settings bound it long before.
+/// How often a pause doubles at most; settings bound it long before.
 const MOST_DOUBLINGS: u32 = 8;
 
 /// Returns the pause before the next start of a task that failed `in_row` times in a row.
 pub fn pause_after(cx: &Context, in_row: u32) -> Millis {
-    let doubled = cx.settings.retry_pause.0 << in_row.saturating_sub(1).min(MOST_DOUBLINGS);
-    Millis(doubled.min(cx.settings.retry_pause_max.0))
+    doubled(cx.settings.retry_pause, in_row, cx.settings.retry_pause_max)
+}
+
+/// Returns a pause that begins with `first` and doubles with each time in a row, up to `most`.
+pub fn doubled(first: Millis, in_row: u32, most: Millis) -> Millis {
+    let doublings = in_row.saturating_sub(1).min(MOST_DOUBLINGS);
+    Millis(first.0 << doublings).min(most)
 }
 
 /// Marks a task done and begins what waited for it.
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -159,9 +159,18 @@
 }
 
 /// The pause before a stop that was refused is sent again. Nothing was done and the worker answers, so there is
-/// no need to wait as for a lost answer, and a task waits for it.
+/// no need to wait as for a lost answer, and a task waits for it. It doubles with each refusal up to
+/// [`crate::Settings::stop_retry`], so that hundreds of unwell workers do not use up the leader's processor.
 const REFUSED_RETRY: Millis = Millis(50);
 
+/// Sets when a stop that was refused is sent again.
+fn put_off_stop(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+    let (now, most) = (cx.now, cx.settings.stop_retry);
+    let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
+    slot.stop_refusals += 1;
+    slot.stop_again = now + lifecycle::doubled(REFUSED_RETRY, slot.stop_refusals, most);
+}
+
 /// Takes in what became of a stop.
 pub fn stopped(
     cx: &mut Context,
@@ -187,7 +196,7 @@
             slot.stop_again = now + Millis(limit);
             cx.worker_mut(ix).hasten_renewal(now);
         }
-        Outcome::Refused(_) => slot.stop_again = now + REFUSED_RETRY,
+        Outcome::Refused(_) => put_off_stop(cx, ix, key),
         Outcome::NotSent | Outcome::Unclear => {}
     }
 }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -43,6 +43,8 @@
     pub ordered: Instant,
     /// When a stop is sent again, unless the end of the run is seen before.
     pub stop_again: Instant,
+    /// How often its stop was refused.
+    pub stop_refusals: u32,
     /// When the worker confirmed the run; unset before.
     pub confirmed: Option<Instant>,
     /// The tries of its start.
