--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod leaving;
 mod promises;
 mod renewals;
+mod review;
 mod sharing;
 mod slow_workers;
 mod takeovers;
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -25,6 +25,8 @@
     /// When its work is over, by the virtual clock; unset for a lasting task.
     ends_at: Option<u64>,
     fails: bool,
+    /// When its stop is over; unset while it is not being stopped.
+    stops_at: Option<u64>,
     pub(super) pace: u32,
 }
 
@@ -50,6 +52,12 @@
     pub unwell: bool,
     /// A start is too late by the worker's own leases, not by the end of the lease that it carries.
     pub late_by_own_lease: bool,
+    /// Stops are refused, and nothing else.
+    pub refuses_stops: bool,
+    /// How long a stop takes, in milliseconds.
+    pub stop_ms: u64,
+    /// Stops that arrived.
+    pub stops: u64,
     /// The next start gets no answer and arrives after so many milliseconds.
     pub delays_start: Option<u64>,
     /// How many times as long as elsewhere work takes.
@@ -85,6 +93,9 @@
             failing: false,
             unwell: false,
             late_by_own_lease: false,
+            refuses_stops: false,
+            stop_ms: 0,
+            stops: 0,
             delays_start: None,
             slowness: 1,
             running: BTreeMap::new(),
@@ -110,12 +121,19 @@
             let over = worker
                 .running
                 .iter()
-                .filter(|(_, r)| lapsed || r.ends_at.is_some_and(|end| end <= self.now));
-            let over: Vec<(TaskKey, bool)> = over.map(|(t, r)| (*t, r.fails)).collect();
+                .filter(|(_, r)| {
+                    let due = |at: Option<u64>| at.is_some_and(|at| at <= self.now);
+                    lapsed || due(r.ends_at) || due(r.stops_at)
+                });
+            let now = self.now;
+            let stopped = |r: &SimRun| r.stops_at.is_some_and(|at| at <= now);
+            let over: Vec<(TaskKey, bool, bool)> =
+                over.map(|(t, r)| (*t, r.fails, stopped(r))).collect();
             let waited = !over.is_empty();
-            for (task, fails) in over {
+            for (task, fails, stopped) in over {
                 let how = match (lapsed, fails) {
                     (true, _) => How::Lapsed,
+                    _ if stopped => How::Stopped,
                     (false, true) => How::Failed,
                     (false, false) => How::Done,
                 };
@@ -145,7 +163,9 @@
         if !self.workers[at].up || self.workers[at].cut {
             return self.time_out(trip, &call);
         }
-        if trip.answered && self.refuses(at) {
+        let is_stop = matches!(call, Call::Stop { .. });
+        self.workers[at].stops += u64::from(is_stop);
+        if trip.answered && (self.refuses(at) || is_stop && self.workers[at].refuses_stops) {
             return self.refuse(trip, &call);
         }
         let clock = self.now + self.workers[at].clock_offset;
@@ -257,7 +277,13 @@
                 let worker = &mut self.workers[at];
                 let last = worker.last_ended.entry(*task).or_default();
                 *last = (*last).max(*run);
-                if worker.running.get(task).is_some_and(|r| r.run == *run) {
+                let over = self.now + worker.stop_ms;
+                let mut at_once = false;
+                if let Some(r) = worker.running.get_mut(task).filter(|r| r.run == *run) {
+                    at_once = worker.stop_ms == 0;
+                    r.stops_at.get_or_insert(over);
+                }
+                if at_once {
                     self.end(at, *task, How::Stopped);
                 }
                 Ok(())
@@ -307,7 +333,8 @@
             if work.lasting { None } else { Some(self.now + work.ms * self.workers[at].slowness) };
         let ends_at = if fails { Some(self.now + 50) } else { ends_at };
         let began = self.now;
-        let sim = SimRun { takes: work.takes, run, began, ends_at, fails, pace: 100 };
+        let (takes, stops_at) = (work.takes, None);
+        let sim = SimRun { takes, run, began, ends_at, fails, stops_at, pace: 100 };
         self.workers[at].running.insert(task, sim);
         Ok(())
     }
