--- a/crates/sched/tests/fleet/review.rs
+++ b/crates/sched/tests/fleet/review.rs
@@ -1,8 +1,9 @@
 //! What a cold review of the mend of late starts looked for, on virtual time.
 
-use gaplock_jobs::Step;
+use gaplock_jobs::{JobKey, Step};
+use gaplock_types::time::Millis;
 
-use crate::world::{assert_kept, job, step, World};
+use crate::world::{assert_kept, job, step, Faults, World};
 
 /// How late a start arrives, in milliseconds.
 const LATE_MS: u64 = 3_000;
@@ -81,3 +82,92 @@
     assert_kept(&world);
     assert!(world.is_completed(1));
 }
+
+/// A pace without an answer is carried out after a newer one that was answered.
+#[test]
+fn a_pace_carried_out_after_a_newer_one_does_not_stay_in_force() {
+    let target = Millis(50);
+    let mut world = World::open(95, 1);
+    world.work_ms = 60_000;
+    let tail_target = Some(target);
+    let image = Some("serving".to_string());
+    world.submit(job(1, vec![Step { lasting: true, tail_target, image, ..step(1, &[]) }]));
+    world.run(500);
+    let image = Some("filling".to_string());
+    world.submit(job(2, vec![Step { fills: true, image, ..step(1, &[]) }]));
+    world.run(500);
+    assert_eq!(world.paces_of(2), [100]);
+    world.workers[0].delays_pace = Some(12_000);
+    world.readings.insert(JobKey(1), 4 * target.0 as u32);
+    world.run(3_000);
+    assert_eq!(world.paces_of(2), [0]);
+    world.readings.insert(JobKey(1), 5);
+    world.run(6_000);
+    assert_eq!(world.paces_of(2), [100], "raised again");
+    world.run(5_000);
+    let after: Vec<u32> = world.paces_of(2);
+    world.run(10_000);
+    assert_eq!(world.paces_of(2), [100], "the late pace was {after:?}, and stays in force for 10 s");
+}
+
+/// Everything at once: late and refused orders, cuts, lost entries of the directory, changes of leader,
+/// cancellations, copies, tasks that last.
+#[test]
+fn nothing_of_a_cancelled_job_runs_on_and_every_job_ends() {
+    let (mut bad, mut runs) = (Vec::new(), 0);
+    for seed in 300..420 {
+        let mut world = World::open(seed, 6);
+        world.faults = Faults {
+            lost_per_mille: 20,
+            unanswered_per_mille: 60,
+            late_per_mille: 150,
+            failing_per_mille: 10,
+            unwell_per_mille: 250,
+        };
+        for worker in &mut world.workers {
+            worker.late_by_own_lease = seed % 2 == 0;
+            worker.stop_ms = seed % 3 * 300;
+        }
+        for key in 0..20 {
+            let copies = Step { duplicates: true, ..step(3, &[]) };
+            world.submit(job(key, vec![step(5, &[]), copies, lasting(1)]));
+            let pause = world.draw(600);
+            world.run(pause);
+            let at = world.draw(6) as usize;
+            match world.draw(12) {
+                0 => {
+                    let gap = world.draw(3_000);
+                    world.lose_leader();
+                    world.run(gap);
+                    world.take_over();
+                    for w in 0..6 {
+                        world.list_again(w);
+                    }
+                }
+                1 | 2 => world.workers[at].cut ^= true,
+                3 => world.unlist(at),
+                4 => world.list_again(at),
+                5 | 6 if key > 1 => world.cancel(key - 2),
+                7 => world.workers[at].slowness = 1 + 3 * (world.now % 2),
+                _ => {}
+            }
+        }
+        world.faults = Faults::default();
+        for at in 0..6 {
+            world.workers[at].cut = false;
+            world.workers[at].slowness = 1;
+            world.list_again(at);
+        }
+        for key in 0..20 {
+            world.cancel(key);
+        }
+        world.run(15_000);
+        runs += 1;
+        let running: usize = (0..20).map(|key| world.running_of(key)).sum();
+        let held = world.slots_held();
+        if !world.violations.is_empty() || running > 0 || held > 0 {
+            bad.push((seed, running, held, world.violations.first().cloned()));
+        }
+    }
+    assert!(bad.is_empty(), "{} of {runs} worlds: {bad:#?}", bad.len());
+}
--- a/crates/sched/tests/fleet/world/calls.rs
+++ b/crates/sched/tests/fleet/world/calls.rs
@@ -140,6 +140,7 @@
         let late = roll >= f.lost_per_mille && roll < f.lost_per_mille + f.late_per_mille;
         let delay = match call {
             Call::Start { .. } => self.workers[worker].delays_start.take(),
+            Call::Pace { .. } => self.workers[worker].delays_pace.take(),
             _ => None,
         };
         let late = late || delay.is_some();
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -45,6 +45,11 @@
         self.cx.as_ref().map_or(0, |cx| cx.workers.iter().map(starting).sum())
     }
 
+    /// Returns how many runs the leader holds to be at workers.
+    pub fn slots_held(&self) -> usize {
+        self.cx.as_ref().map_or(0, |cx| cx.workers.iter().map(|w| w.slots.len()).sum())
+    }
+
     /// Tells whether the leader still searches for runs of its predecessors.
     pub fn in_survey(&self) -> bool {
         self.cx.as_ref().is_some_and(|cx| cx.survey.is_some())
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -52,6 +52,8 @@
     pub unwell: bool,
     /// A start is too late by the worker's own leases, not by the end of the lease that it carries.
     pub late_by_own_lease: bool,
+    /// The next pace gets no answer and arrives after so many milliseconds.
+    pub delays_pace: Option<u64>,
     /// Stops are refused, and nothing else.
     pub refuses_stops: bool,
     /// How long a stop takes, in milliseconds.
@@ -93,6 +95,7 @@
             failing: false,
             unwell: false,
             late_by_own_lease: false,
+            delays_pace: None,
             refuses_stops: false,
             stop_ms: 0,
             stops: 0,
