--- a/crates/sched/tests/fleet/review.rs
+++ b/crates/sched/tests/fleet/review.rs
@@ -171,3 +171,19 @@
     }
     assert!(bad.is_empty(), "{} of {runs} worlds: {bad:#?}", bad.len());
 }
+
+/// One job with a task at each of 490 workers is cancelled, and stops take 850 ms: what the leader sends.
+#[test]
+fn a_cancellation_on_a_large_fleet_stays_within_what_a_leader_carries() {
+    let mut world = World::open(96, 490);
+    for worker in &mut world.workers {
+        worker.stop_ms = 850;
+    }
+    world.submit(job(1, vec![Step { most_per_worker: Some(1), ..lasting(490) }]));
+    world.run(3_000);
+    assert_eq!(world.running_of(1), 490);
+    let usual = world.renewals_within(850);
+    world.cancel(1);
+    let while_stopping = world.renewals_within(850);
+    assert!(while_stopping <= 3 * usual + 490, "{usual} renewals in 850 ms before, {while_stopping} while stopping");
+}
