--- a/crates/sched/tests/fleet/review.rs
+++ b/crates/sched/tests/fleet/review.rs
@@ -187,3 +187,40 @@
     let while_stopping = world.renewals_within(850);
     assert!(while_stopping <= 3 * usual + 490, "{usual} renewals in 850 ms before, {while_stopping} while stopping");
 }
+
+/// How long a task waits for the proof that its withdrawn start is barred, at a worker that refuses six calls
+/// in ten, renewals too, with empty workers beside it.
+#[test]
+fn a_withdrawn_start_at_an_unwell_worker_does_not_hold_its_task_for_three_seconds() {
+    let mut late = 0;
+    for refuses in [300, 600, 900] {
+        let mut waits = Vec::new();
+        for seed in 1_000..1_200 {
+            let mut world = World::open(seed, 4);
+            world.run(100);
+            for worker in &mut world.workers {
+                worker.delays_start = Some(60_000);
+            }
+            world.submit(job(1, vec![step(1, &[])]));
+            world.run(1);
+            let asked = world.workers.iter().position(|w| w.delays_start.is_none()).expect("asked");
+            for worker in &mut world.workers {
+                worker.delays_start = None;
+            }
+            world.workers[asked].refuses_per_mille = refuses;
+            let began = world.now;
+            while world.starts == 0 && world.now < began + 30_000 {
+                world.run(10);
+            }
+            waits.push(world.now - began);
+            assert_kept(&world);
+        }
+        waits.sort_unstable();
+        let over = waits.iter().filter(|w| **w >= 3_000).count();
+        println!("refuses {refuses}: median {} p90 {} most {} ms, {over} of 200 over 3 s", waits[100], waits[180], waits[199]);
+        if refuses == 600 {
+            late = over;
+        }
+    }
+    assert!(late <= 2, "{late} of 200 tasks waited over 3 s");
+}
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -52,6 +52,8 @@
     pub unwell: bool,
     /// A start is too late by the worker's own leases, not by the end of the lease that it carries.
     pub late_by_own_lease: bool,
+    /// Calls that it refuses, in a thousand.
+    pub refuses_per_mille: u32,
     /// The next pace gets no answer and arrives after so many milliseconds.
     pub delays_pace: Option<u64>,
     /// Stops are refused, and nothing else.
@@ -95,6 +97,7 @@
             failing: false,
             unwell: false,
             late_by_own_lease: false,
+            refuses_per_mille: 0,
             delays_pace: None,
             refuses_stops: false,
             stop_ms: 0,
@@ -189,7 +192,7 @@
     /// Tells whether an unwell worker refuses the call in hand. What is carried out late was taken in
     /// before.
     fn refuses(&mut self, at: usize) -> bool {
-        let per_mille = self.faults.unwell_per_mille;
+        let per_mille = self.faults.unwell_per_mille.max(self.workers[at].refuses_per_mille);
         self.workers[at].unwell || per_mille > 0 && self.rng.random_range(0..1_000) < per_mille
     }
 
