--- a/crates/sched/tests/fleet/review.rs
+++ b/crates/sched/tests/fleet/review.rs
@@ -224,3 +224,24 @@
     }
     assert!(late <= 2, "{late} of 200 tasks waited over 3 s");
 }
+
+/// An upkeep that a former leader ordered is carried out late, under its successor.
+#[test]
+fn an_upkeep_ordered_by_a_former_leader_does_not_exceed_what_may_be_down() {
+    let mut world = World::open(97, 4);
+    world.run(500);
+    world.hosts.delays_upkeep = Some(1_500);
+    world.ask_wave(1, 4, 60_000, 1);
+    world.run(600);
+    assert!(world.hosts.delays_upkeep.is_none(), "ordered");
+    world.lose_leader();
+    world.submit(job(1, vec![lasting(1)]));
+    world.run(300);
+    world.take_over();
+    for at in 0..4 {
+        world.list_again(at);
+    }
+    world.run(20_000);
+    assert_eq!(world.hosts.most_down, 1, "hosts down at one time, one allowed");
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/world/calls.rs
+++ b/crates/sched/tests/fleet/world/calls.rs
@@ -1,7 +1,10 @@
 //! Calls between the leader and its workers, and what may go wrong with each of them.
 
 use gaplock_jobs::TaskKey;
-use gaplock_sched::message::{EndSeq, Outcome, Permit, Record, Run, WorkerClock, WorkerIx};
+use gaplock_sched::message::{
+    EndSeq, Outcome, Permit, Record, Run, WaveNumber, WorkerClock, WorkerIx,
+};
+use gaplock_types::ids;
 use gaplock_sched::permits::StepKey;
 use gaplock_sched::{Action, Event};
 use gaplock_types::sizes::Resources;
@@ -57,6 +60,8 @@
     ToLeader { event: Event, leader: u64 },
     /// A worker has waited long enough with its answer to a renewal.
     Held { trip: Trip, sent: Instant },
+    /// An order that a host goes down is carried out late.
+    LateUpkeep { wave: WaveNumber, host: ids::HostId },
     /// A commit is stored.
     Stored { records: Vec<Record>, leader: u64 },
 }
@@ -170,6 +175,7 @@
                 self.event(Event::Committed);
             }
             Delivery::ToLeader { .. } | Delivery::Stored { .. } => {}
+            Delivery::LateUpkeep { wave, host } => self.take_down(wave, host),
             Delivery::ToWorker { trip, call, token } => self.at_worker(trip, call, token),
             Delivery::Held { trip, sent } => self.answer_renewal(trip, sent),
         }
--- a/crates/sched/tests/fleet/world/checks.rs
+++ b/crates/sched/tests/fleet/world/checks.rs
@@ -14,6 +14,7 @@
     /// Checks what must hold when a worker carries a start out.
     pub(super) fn check_start(&mut self, at: usize, task: TaskKey) {
         let now = self.now;
+        self.started_at.insert(task, now);
         for (other, worker) in self.workers.iter().enumerate() {
             let copies = self.jobs[&task.job].steps[usize::from(task.step)].duplicates;
             if !copies && other != at && worker.up && worker.running.contains_key(&task) {
@@ -38,6 +39,11 @@
         }
     }
 
+    /// Tells whether copies of a task may run.
+    pub(super) fn copies(&self, task: TaskKey) -> bool {
+        self.jobs[&task.job].steps[usize::from(task.step)].duplicates
+    }
+
     /// Checks that a job which is shown as failed has a task that failed often enough.
     pub(super) fn check_failed(&mut self, progress: &Progress) {
         let worn =
--- a/crates/sched/tests/fleet/world/hosts.rs
+++ b/crates/sched/tests/fleet/world/hosts.rs
@@ -25,6 +25,8 @@
     /// When each host that is down comes back.
     down_until: BTreeMap<ids::HostId, u64>,
     waves: BTreeMap<WaveNumber, WaveRequest>,
+    /// The next order gets no answer and is carried out after so many milliseconds.
+    pub delays_upkeep: Option<u64>,
     /// How many upkeeps each host has had.
     pub upkeeps: BTreeMap<ids::HostId, u32>,
     /// The most hosts that were down at one time.
@@ -73,6 +75,12 @@
     /// Takes a host down; what runs there dies at once.
     pub(super) fn take_down(&mut self, wave: WaveNumber, host: ids::HostId) {
         let leader = self.term;
+        if let Some(ms) = self.hosts.delays_upkeep.take() {
+            self.send(ms, Delivery::LateUpkeep { wave, host: host.clone() });
+            let answer = UpkeepAnswer::Unclear;
+            let event = Event::Upkeep { wave, host, answer };
+            return self.send(2_000, Delivery::ToLeader { event, leader });
+        }
         let of_wave = self.hosts.waves.get(&wave).is_some_and(|w| w.hosts.contains(&host));
         let answer = if of_wave { UpkeepAnswer::Begun } else { UpkeepAnswer::NotOfWave };
         if of_wave && !self.hosts.upkeeps.contains_key(&host) {
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -98,6 +98,8 @@
     roster: BTreeMap<ids::WorkerId, RosterEntry>,
     wave_progress: BTreeMap<WaveNumber, WaveProgress>,
     noted_done: BTreeSet<TaskKey>,
+    /// When each task was last started.
+    started_at: BTreeMap<TaskKey, u64>,
     done: BTreeSet<TaskKey>,
     noted_failed: BTreeMap<TaskKey, u32>,
     failed: BTreeMap<TaskKey, u32>,
@@ -131,6 +133,7 @@
             progress: BTreeMap::new(),
             roster: BTreeMap::new(),
             noted_done: BTreeSet::new(),
+            started_at: BTreeMap::new(),
             done: BTreeSet::new(),
             noted_failed: BTreeMap::new(),
             failed: BTreeMap::new(),
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -69,6 +69,9 @@
     pub(super) running: BTreeMap<TaskKey, SimRun>,
     ends: Vec<End>,
     next_seq: u64,
+    /// When each end came, and when its lease was last over.
+    ended_at: BTreeMap<EndSeq, u64>,
+    lapsed_at: u64,
     token: u64,
     lease_until: u64,
     pub(super) last_ended: BTreeMap<TaskKey, Run>,
@@ -107,6 +110,8 @@
             running: BTreeMap::new(),
             ends: Vec::new(),
             next_seq: 1,
+            ended_at: BTreeMap::new(),
+            lapsed_at: 0,
             token: 0,
             lease_until: 0,
             last_ended: BTreeMap::new(),
@@ -124,6 +129,10 @@
                 continue;
             }
             let lapsed = self.now + worker.clock_offset >= worker.lease_until;
+            if lapsed {
+                self.workers[at].lapsed_at = self.now;
+            }
+            let worker = &self.workers[at];
             let over = worker
                 .running
                 .iter()
@@ -234,6 +243,14 @@
         for end in noted {
             match end.how {
                 How::Done => {
+                    let came = self.workers[at].ended_at.get(&end.seq).copied().unwrap_or(0);
+                    let lapsed = self.workers[at].lapsed_at >= came;
+                    let again = self.started_at.get(&end.task).is_some_and(|s| *s > came);
+                    if again && !lapsed && !self.copies(end.task) {
+                        let now = self.now;
+                        let text = format!("{now}: {} started after its end at {came}, noted later", end.task);
+                        self.violations.push(text);
+                    }
                     self.noted_done.insert(end.task);
                 }
                 How::Failed => *self.noted_failed.entry(end.task).or_default() += 1,
@@ -352,6 +369,7 @@
         *last = (*last).max(sim.run);
         let seq = EndSeq(worker.next_seq);
         worker.next_seq += 1;
+        worker.ended_at.insert(seq, self.now);
         worker.ends.push(End { seq, task, run: sim.run, how, checkpoint: None });
         match how {
             How::Done => {
