--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -98,6 +98,8 @@
         ordered: now,
         stop_again: now,
         stop_refusals: 0,
+        stopping_since: now,
+        barred: None,
         confirmed: (!started).then_some(now),
         tries: Tries::default(),
         pace: FULL_PACE,
@@ -252,6 +254,7 @@
     }
     slot.phase = Phase::Stopping;
     slot.ordered = now;
+    slot.stopping_since = now;
     slot.stop_again = now + retry;
     trace::stop_ordered(key, run, &w.info.id, why);
     cx.actions.push(Action::Stop { worker, task: key, run });
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -92,8 +92,9 @@
     slot: Option<&Slot>,
 ) {
     let tries = slot.map(|s| s.tries).unwrap_or_default();
+    let confirmed = slot.is_some_and(|s| s.confirmed.is_some());
     info!(event = "run_released", %task, run = run.0, %worker, ?proof, phase = ?slot.map(|s| s.phase),
-        tries = tries.sent(), open = tries.open());
+        tries = tries.sent(), open = tries.open(), confirmed);
 }
 
 /// A run of a former leader was found and kept.
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -11,4 +11,5 @@
 mod slow_workers;
 mod takeovers;
 mod waves;
+mod withdrawals;
 mod world;
