A run whose order of pace got no answer is given its pace again for as long as it lasts

Cause: an order of pace without an answer left the pace that was last confirmed in the books, and nothing was sent while that was the wanted one (paces.rs, order_pace and paced). So a halt that was carried out without an answer was never lifted, an order carried out late after a newer one stayed in force, and a successor held every run that it adopted to work at full pace. The event said only whether the pace is in force, not whether a refusal or silence was the answer.

Mend: GivenPaces counts the tries by Tries. A run with an open try is in doubt for good: its wanted pace is ordered again after a quarter of the allowed excess (1 s), though it was confirmed. What fills beside it is lowered for the worst pace that may come into force; its use of the processor and its rate teach nothing. A run of a former leader has an unknown pace until one order is answered; older orders are barred there, since the account that lists it answered a call with this leader's token. A refusal of a try with none open leaves nothing in doubt and costs nothing.

Ruled out: reading the pace off the account (a rough figure over half a second, and none for a task that has no work); a bound on lateness after which the doubt ends (none is promised).

--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -10,6 +10,7 @@
 use gaplock_platform::advice::Answer;
 use gaplock_platform::store::Revision;
 use gaplock_platform::worker::{self, Start, Worker};
+use gaplock_policy::tries::Fate;
 use gaplock_sched::message::{
     Account, EndSeq, FencingToken, Outcome, Permit, Run, UpkeepAnswer, WaveNumber, WorkerClock,
     WorkerIx,
@@ -81,8 +82,8 @@
         Action::Pace { worker, task: key, run, percent } => {
             let client = clients.of(cx, worker);
             task::spawn(async move {
-                let applied = calls.pace(&client, key, run, percent).await;
-                calls.engine.send(Event::Paced { worker, task: key, run, percent, applied });
+                let fate = calls.pace(&client, key, run, percent).await;
+                calls.engine.send(Event::Paced { worker, task: key, run, percent, fate });
             });
         }
         Action::Advise { step, workers } => {
@@ -126,11 +127,11 @@
         outcome
     }
 
-    /// Sets a pace; tells whether it is known to be in force.
-    async fn pace(&self, client: &Worker, key: TaskKey, run: Run, percent: u32) -> bool {
+    /// Sets a pace; tells what became of the order.
+    async fn pace(&self, client: &Worker, key: TaskKey, run: Run, percent: u32) -> Fate {
         let outcome = client.pace(self.token, key, run, percent).await;
         self.count("pace", &outcome);
-        matches!(outcome, Outcome::Done(_))
+        fate(&outcome)
     }
 
     /// Counts a call to a worker for the metrics.
@@ -145,6 +146,15 @@
     }
 }
 
+/// Returns what an answer, or none, says of the try that it answers.
+fn fate<T>(outcome: &Outcome<T>) -> Fate {
+    match outcome {
+        Outcome::Done(_) => Fate::Done,
+        Outcome::Refused(_) | Outcome::NotSent => Fate::NotDone,
+        Outcome::Unclear => Fate::Unknown,
+    }
+}
+
 /// Asks where a step may run.
 async fn advise(
     calls: Calls,
@@ -205,7 +215,7 @@
             Event::Stopped { worker, task, run, outcome: Outcome::NotSent }
         }
         Action::Pace { worker, task, run, percent } => {
-            Event::Paced { worker, task, run, percent, applied: false }
+            Event::Paced { worker, task, run, percent, fate: Fate::NotDone }
         }
         Action::Advise { step, workers } => {
             Event::Advised { step, asked: workers, sent, answer: None }
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -160,8 +160,8 @@
             Event::Stopped { worker, task, run, outcome } => {
                 orders::stopped(self, worker, task, run, outcome);
             }
-            Event::Paced { worker, task, run, percent, applied } => {
-                pacing::paced(self, worker, task, run, percent, applied);
+            Event::Paced { worker, task, run, percent, fate } => {
+                pacing::paced(self, worker, task, run, percent, fate);
             }
             Event::Advised { step, asked, sent, answer } => {
                 permits::advised(self, step, &asked, sent, answer);
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -9,7 +9,7 @@
 
 use crate::context::Context;
 use crate::message::{Action, Run, WorkerIx};
-use crate::pacing::{self, FULL_PACE};
+use crate::pacing::{self, GivenPaces, FULL_PACE};
 use crate::proof::Proof;
 use crate::table::{self, Entry, ReadyStep, Round, Task, TaskState};
 use crate::worker::{Part, Phase, Slot};
@@ -100,6 +100,7 @@
         tries: Tries::default(),
         pace: FULL_PACE,
         pacing: false,
+        paces: if started { GivenPaces::default() } else { GivenPaces::found() },
         percent: occupant.percent,
         reading: occupant.reading,
         mark: None,
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use gaplock_jobs::{config, progress, Job, JobKey, TaskKey};
+use gaplock_policy::tries::Fate;
 use gaplock_types::time::{Instant, Millis};
 use gaplock_types::{ids, sizes};
 
@@ -244,8 +245,8 @@
         run: Run,
         /// The share of full speed that was asked for.
         percent: u32,
-        /// Whether it is known to be in force.
-        applied: bool,
+        /// What became of the order.
+        fate: Fate,
     },
     /// The operators ask for a wave of upkeep.
     Wave(WaveRequest),
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -5,6 +5,7 @@
 //! need (`paces`), and what stays slow for long is moved (`moving`).
 
 mod filling;
+mod given;
 mod model;
 mod moving;
 mod paces;
@@ -18,6 +19,7 @@
 use crate::trace;
 
 pub use filling::part_of;
+pub use given::GivenPaces;
 pub use model::{Column, Learnt, Model, Row, Served};
 pub use moving::check;
 pub use paces::{paced, set_paces};
--- a/crates/sched/src/pacing/filling.rs
+++ b/crates/sched/src/pacing/filling.rs
@@ -41,6 +41,8 @@
     pub share: f64,
     /// The pace that is in force or wanted, in percent of full speed.
     pub pace: u32,
+    /// The highest pace that may come into force whatever is ordered, by an order without an answer.
+    pub open_most: u32,
 }
 
 impl FillingTask {
@@ -49,9 +51,15 @@
         (self.column, self.share)
     }
 
-    /// Returns its image and the share of the worker's processors that it uses at its pace.
+    /// Returns its image and the share of the worker's processors that it uses at the worst of the
+    /// paces that may be in force.
     pub fn paced(&self) -> (Column, f64) {
-        (self.column, self.share * f64::from(self.pace) / 100.0)
+        (self.column, self.share * f64::from(self.worst()) / 100.0)
+    }
+
+    /// Returns the highest pace that may be in force once its own is ordered.
+    pub fn worst(&self) -> u32 {
+        self.pace.max(self.open_most)
     }
 }
 
@@ -65,6 +73,7 @@
             column,
             share: full_share(slot, worker, now),
             pace: slot.pace,
+            open_most: slot.paces.open_most(),
         }),
         _ => None,
     });
@@ -76,8 +85,10 @@
     let cores = f64::from(worker.info.capacity.cpu.0.max(1));
     let wanted = f64::from(slot.wants_cpu) / cores;
     let settled = slot.confirmed.is_some_and(|at| now.since(at) >= SETTLE);
+    // What a run uses tells of its full pace only where it is certain to work at it.
+    let certain = slot.pace == FULL_PACE && slot.paces.is_certain();
     match slot.reading {
-        Some(used) if settled && slot.pace == FULL_PACE && used > 0 => f64::from(used) / cores,
+        Some(used) if settled && certain && used > 0 => f64::from(used) / cores,
         _ => wanted,
     }
 }
--- /dev/null
+++ b/crates/sched/src/pacing/given.rs
@@ -0,0 +1,82 @@
+//! Which paces may be in force for a run.
+//!
+//! No account of a worker says at which pace a run works, and an order without an answer may be carried out
+//! after newer ones, however much later. A run that was given such an order is in doubt for as long as it lasts: its
+//! wanted pace is put in force again and again, and what runs beside it reckons with the worst.
+
+use gaplock_policy::tries::{Fate, Tries};
+use gaplock_types::time::{Instant, Millis};
+
+use super::FULL_PACE;
+
+/// The orders of pace that a run was given.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct GivenPaces {
+    /// One for each order: whatever its pace, it may undo the others.
+    tries: Tries,
+    /// The last order: when it was sent, and the pace.
+    last: Option<(Instant, u32)>,
+    /// Whether nothing is known of the pace in force, or the last order has got no answer.
+    unsettled: bool,
+    /// The highest pace among the orders without an answer.
+    open_most: u32,
+}
+
+impl GivenPaces {
+    /// Builds what is known of a run that a former leader started. The account that lists the run answers a call
+    /// of this leader, so its worker refuses what a former leader may have under way: just the pace in force is
+    /// not known, and one order that is answered settles it.
+    pub fn found() -> Self {
+        Self { unsettled: true, ..Self::default() }
+    }
+
+    /// Counts an order that is being sent.
+    pub fn send(&mut self, now: Instant, percent: u32) {
+        self.tries.send();
+        self.last = Some((now, percent));
+    }
+
+    /// Tells whether an answer can be that of the last order; any other belongs to an order before the run
+    /// was given up and found again.
+    pub fn was_last(&self, percent: u32) -> bool {
+        self.last.is_some_and(|(_, last)| last == percent)
+    }
+
+    /// Takes in what became of the last order and tells whether its pace is in force. A refusal says
+    /// nothing of the orders before it.
+    pub fn settle(&mut self, fate: Fate) -> bool {
+        let percent = self.last.map_or(FULL_PACE, |(_, percent)| percent);
+        self.tries.settle(fate);
+        match fate {
+            Fate::Done => self.unsettled = false,
+            Fate::NotDone => {}
+            Fate::Unknown => {
+                self.unsettled = true;
+                self.open_most = self.open_most.max(percent);
+            }
+        }
+        fate == Fate::Done
+    }
+
+    /// Tells whether the wanted pace must be ordered although it is held to be in force: at once where that
+    /// is not known, and after `every` where an older order may have undone it.
+    pub fn is_due(&self, now: Instant, every: Millis) -> bool {
+        let waited = self.last.is_none_or(|(at, _)| now.since(at) >= every);
+        self.unsettled || self.tries.open() > 0 && waited
+    }
+
+    /// Tells whether the pace last confirmed is in force for certain.
+    pub fn is_certain(&self) -> bool {
+        !self.unsettled && self.tries.open() == 0
+    }
+
+    /// Returns the highest pace that may come into force whatever is ordered.
+    pub fn open_most(&self) -> u32 {
+        self.open_most
+    }
+
+    /// Returns how many orders got no answer.
+    pub fn open(&self) -> u32 {
+        self.tries.open()
+    }
+}
--- a/crates/sched/src/pacing/paces.rs
+++ b/crates/sched/src/pacing/paces.rs
@@ -1,6 +1,7 @@
 //! The pace of filling tasks: lowered as far as the serving tasks beside them need, and raised again.
 
 use gaplock_jobs::TaskKey;
+use gaplock_policy::tries::Fate;
 use gaplock_types::time::Millis;
 
 use super::filling::{self, FillingTask};
@@ -43,7 +44,8 @@
 }
 
 /// Lowers paces until the pressure on a serving image is bearable, beginning with what presses
-/// most.
+/// most. A run in doubt is held to press with the worst of the paces that may be in force, so others beside it
+/// are lowered for what it may press with.
 fn relieve(model: &Model, row: Row, bearable: f64, filling: &mut [FillingTask]) {
     let push = |f: &FillingTask| model.factor(row, Some(f.column)) * f.share;
     filling.sort_by(|a, b| push(b).total_cmp(&push(a)));
@@ -53,10 +55,12 @@
         if excess <= 0.0 || full < LEAST_PUSH {
             return;
         }
-        let pressing = full * f64::from(task.pace) / 100.0;
+        let pressing = full * f64::from(task.worst()) / 100.0;
         let left = (pressing - excess).max(0.0);
-        excess -= pressing - left;
-        task.pace = (left / full * 100.0) as u32;
+        task.pace = task.pace.min((left / full * 100.0) as u32);
+        // What an order without an answer may bring back is not relieved by another order.
+        let stays = full * f64::from(task.worst()) / 100.0;
+        excess -= pressing - stays.max(left);
     }
 }
 
@@ -132,17 +136,26 @@
 /// Below this pace, in percent of full speed, a filling task is better off elsewhere.
 const MOVE_BELOW: u32 = 35;
 
-/// Orders a task's pace, unless the change is not worth a call or an order is on its way.
+/// The part of the allowed excess after which the pace of a run in doubt is put in force again. An order that
+/// is carried out late is then undone, also where two calls in a row are lost and with accounts a third of a
+/// second apart, before it breaks the target. It costs each such run, and no other, one call a second
+/// where 4 s are allowed.
+const AGAIN_AFTER: f64 = 0.25;
+
+/// Orders a task's pace, unless the change is not worth a call or an order is on its way. The pace of a
+/// run in doubt is ordered though it was confirmed before: an older order may have undone it since.
 fn order_pace(cx: &mut Context, ix: WorkerIx, wanted: &FillingTask) {
     let now = cx.now;
+    let again_after = part_of(cx.settings.tail_excess, AGAIN_AFTER);
     let worker = cx.worker_mut(ix);
     let Some(slot) = worker.slots.get_mut(&wanted.key) else { return };
     let edge = wanted.pace == 0 || wanted.pace == FULL_PACE;
     let change = wanted.pace.abs_diff(slot.pace);
-    if slot.phase != Phase::Running || slot.pacing || change == 0 {
+    let worth_a_call = change >= PACE_STEP || edge && change > 0;
+    if slot.phase != Phase::Running || slot.pacing {
         return;
     }
-    if change < PACE_STEP && !edge {
+    if !worth_a_call && !slot.paces.is_due(now, again_after) {
         return;
     }
     if wanted.pace >= MOVE_BELOW {
@@ -151,19 +164,22 @@
         slot.slowed.get_or_insert(now);
     }
     slot.pacing = true;
-    let (from, id) = (slot.pace, worker.info.id.clone());
-    trace::pace_ordered(wanted.key, wanted.run, &id, from, wanted.pace);
+    slot.paces.send(now, wanted.pace);
+    trace::pace_ordered(wanted.key, slot, &worker.info.id, wanted.pace);
     let (task, run, percent) = (wanted.key, wanted.run, wanted.pace);
     cx.actions.push(Action::Pace { worker: ix, task, run, percent });
 }
 
-/// Takes in what became of a change of pace.
-pub fn paced(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, percent: u32, applied: bool) {
+/// Takes in what became of an order of pace.
+pub fn paced(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, percent: u32, fate: Fate) {
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key).filter(|s| s.run == run) else {
         return;
     };
+    if !slot.pacing || !slot.paces.was_last(percent) {
+        return;
+    }
     slot.pacing = false;
-    if applied {
+    if slot.paces.settle(fate) {
         slot.pace = percent;
         slot.mark = None;
     }
--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/speed.rs
@@ -188,5 +188,6 @@
     }
     let wanted = f64::from(slot.wants_cpu) * f64::from(slot.pace) / f64::from(FULL_PACE);
     let used = f64::from(slot.reading.unwrap_or(0));
-    slot.pace >= READ_PACE_LEAST && !slot.pacing && used >= wanted * READ_USE_LEAST
+    let certain = !slot.pacing && slot.paces.is_certain();
+    slot.pace >= READ_PACE_LEAST && certain && used >= wanted * READ_USE_LEAST
 }
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -198,9 +198,10 @@
     info!(event = "wave_completed", wave = wave.0, begun);
 }
 
-/// A filling task's pace is changed.
-pub fn pace_ordered(task: TaskKey, run: Run, worker: &ids::WorkerId, from: u32, to: u32) {
-    info!(event = "pace_ordered", %task, run = run.0, %worker, from, to);
+/// A filling task's pace is ordered: changed, or put in force again.
+pub fn pace_ordered(task: TaskKey, slot: &Slot, worker: &ids::WorkerId, to: u32) {
+    let (run, from, open) = (slot.run.0, slot.pace, slot.paces.open());
+    info!(event = "pace_ordered", %task, run, %worker, from, to, open);
 }
 
 /// Writes down what runs on a worker, with its readings and what the model makes of them.
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -7,7 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::message::{EndSeq, Run, WorkerClock, WorkerInfo};
-use crate::pacing::{Column, Row};
+use crate::pacing::{Column, GivenPaces, Row};
 use crate::speed::{Mark, Speed};
 
 /// What the leader believes of a run at a worker.
@@ -46,6 +46,8 @@
     pub pace: u32,
     /// Whether an order for another pace is on its way.
     pub pacing: bool,
+    /// The orders of pace so far, and what they leave in doubt.
+    pub paces: GivenPaces,
     /// How far the run has come in percent.
     pub percent: u32,
     /// The worker's last reading: tail in milliseconds or processor time in use.
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod backlogs;
 mod bursts;
 mod gangs;
+mod late_paces;
 mod late_starts;
 mod leaving;
 mod promises;
--- a/crates/sched/tests/fleet/world/calls.rs
+++ b/crates/sched/tests/fleet/world/calls.rs
@@ -1,6 +1,7 @@
 //! Calls between the leader and its workers, and what may go wrong with each of them.
 
 use gaplock_jobs::TaskKey;
+use gaplock_policy::tries::Fate;
 use gaplock_sched::message::{EndSeq, Outcome, Permit, Record, Run, WorkerClock, WorkerIx};
 use gaplock_sched::permits::StepKey;
 use gaplock_sched::{Action, Event};
@@ -8,6 +9,7 @@
 use gaplock_types::time::{Instant, Millis};
 use rand::Rng;
 
+use super::hosts::HostOrder;
 use super::World;
 
 /// What a leader asks of a worker.
@@ -57,6 +59,8 @@
     ToLeader { event: Event, leader: u64 },
     /// A worker has waited long enough with its answer to a renewal.
     Held { trip: Trip, sent: Instant },
+    /// An order that a host goes down arrives; its leader may have ended meanwhile.
+    ToHost { order: HostOrder, answered: bool },
     /// A commit is stored.
     Stored { records: Vec<Record>, leader: u64 },
 }
@@ -100,6 +104,7 @@
                 }
                 Action::Stop { worker, task, run } => (worker, Call::Stop { task, run }),
                 Action::Pace { worker, task, run, percent } => {
+                    self.paces_ordered += 1;
                     (worker, Call::Pace { task, run, percent })
                 }
                 Action::Advise { step, workers } => {
@@ -111,7 +116,7 @@
                     continue;
                 }
                 Action::Upkeep { wave, host } => {
-                    self.take_down(wave, host);
+                    self.order_down(wave, host);
                     continue;
                 }
                 Action::ConfirmLeadership => continue,
@@ -140,6 +145,7 @@
         let late = roll >= f.lost_per_mille && roll < f.lost_per_mille + f.late_per_mille;
         let delay = match call {
             Call::Start { .. } => self.workers[worker].delays_start.take(),
+            Call::Pace { .. } => self.workers[worker].delays_paces.pop_front(),
             _ => None,
         };
         let late = late || delay.is_some();
@@ -170,6 +176,7 @@
             }
             Delivery::ToLeader { .. } | Delivery::Stored { .. } => {}
             Delivery::ToWorker { trip, call, token } => self.at_worker(trip, call, token),
+            Delivery::ToHost { order, answered } => self.take_down(order, answered),
             Delivery::Held { trip, sent } => self.answer_renewal(trip, sent),
         }
     }
@@ -224,7 +231,11 @@
             task: *task,
             run: *run,
             percent: *percent,
-            applied: matches!(outcome, Outcome::Done(_)),
+            fate: match outcome {
+                Outcome::Done(_) => Fate::Done,
+                Outcome::Refused(_) | Outcome::NotSent => Fate::NotDone,
+                Outcome::Unclear => Fate::Unknown,
+            },
         },
         Call::Renew(_) => unreachable!("a renewal is answered with an account"),
     }
--- a/crates/sched/tests/fleet/world/hosts.rs
+++ b/crates/sched/tests/fleet/world/hosts.rs
@@ -1,12 +1,15 @@
 //! The hosts beneath the workers: they are listed, go down for upkeep, and come back with a new
 //! worker.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-use gaplock_sched::message::{HostInfo, HostState, UpkeepAnswer, WaveNumber, WaveRequest};
+use gaplock_sched::message::{
+    HostInfo, HostState, UpkeepAnswer, WaveNumber, WaveProgress, WaveRequest,
+};
 use gaplock_sched::Event;
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
+use rand::Rng;
 
 use super::calls::Delivery;
 use super::World;
@@ -17,6 +20,34 @@
 /// How long a host is down for its upkeep, in milliseconds.
 const UPKEEP_MS: u64 = 2_000;
 
+/// How long a leader waits for the answer to an order, in milliseconds: as long as the product.
+const ORDER_LIMIT_MS: u64 = 2_000;
+
+/// How late an order without an answer may arrive, in milliseconds.
+const LATE_MS: std::ops::Range<u64> = 2_000..12_000;
+
+/// What becomes of an order that a host goes down.
+#[derive(Debug, Clone, Copy)]
+pub enum OrderFate {
+    /// It is carried out after so many milliseconds, and answered.
+    Answered(u64),
+    /// It is carried out after so many milliseconds, and gets no answer.
+    Unanswered(u64),
+    /// It never arrives and gets no answer.
+    Lost,
+    /// Nothing is done, and that is the answer.
+    Refused(UpkeepAnswer),
+}
+
+/// An order on its way to the platform.
+#[derive(Debug, Clone)]
+pub struct HostOrder {
+    pub wave: WaveNumber,
+    pub host: ids::HostId,
+    /// The term of the leader that gave it.
+    pub leader: u64,
+}
+
 /// Waves and hosts.
 #[derive(Debug, Default)]
 pub struct Hosts {
@@ -29,9 +60,16 @@
     pub upkeeps: BTreeMap<ids::HostId, u32>,
     /// The most hosts that were down at one time.
     pub most_down: usize,
+    /// What becomes of the next orders; of any further one what the world's faults say.
+    pub fates: VecDeque<OrderFate>,
+    /// The orders that were given, in their turn.
+    pub ordered: Vec<ids::HostId>,
+    /// How much longer than an order's answer a list takes, in milliseconds.
+    pub list_slow_ms: u64,
 }
 
-fn host_name(at: usize) -> ids::HostId {
+/// Returns the name of the n-th host.
+pub fn host_name(at: usize) -> ids::HostId {
     ids::HostId(format!("h{at}"))
 }
 
@@ -67,24 +105,87 @@
         }
         let hosts = Some(hosts.into_values().collect());
         let event = Event::Hosts { sent, hosts };
-        self.send(CALL_MS, Delivery::ToLeader { event, leader });
+        self.send(CALL_MS + self.hosts.list_slow_ms, Delivery::ToLeader { event, leader });
     }
 
-    /// Takes a host down; what runs there dies at once.
-    pub(super) fn take_down(&mut self, wave: WaveNumber, host: ids::HostId) {
-        let leader = self.term;
-        let of_wave = self.hosts.waves.get(&wave).is_some_and(|w| w.hosts.contains(&host));
-        let answer = if of_wave { UpkeepAnswer::Begun } else { UpkeepAnswer::NotOfWave };
-        if of_wave && !self.hosts.upkeeps.contains_key(&host) {
-            let at = self.hosts.of_worker.iter().rposition(|h| *h == host).expect("it has one");
+    /// Sends the order that a host goes down.
+    pub(super) fn order_down(&mut self, wave: WaveNumber, host: ids::HostId) {
+        self.hosts.ordered.push(host.clone());
+        let fate = self.hosts.fates.pop_front().unwrap_or_else(|| self.draw_fate());
+        let order = HostOrder { wave, host, leader: self.term };
+        let (after, answered) = match fate {
+            OrderFate::Answered(ms) => (Some(ms), true),
+            OrderFate::Unanswered(ms) => (Some(ms), false),
+            OrderFate::Lost => (None, false),
+            OrderFate::Refused(answer) => return self.answer_order(&order, CALL_MS, answer),
+        };
+        if !answered {
+            self.answer_order(&order, ORDER_LIMIT_MS, UpkeepAnswer::Unclear);
+        }
+        if let Some(ms) = after {
+            self.send(ms, Delivery::ToHost { order, answered });
+        }
+    }
+
+    /// Draws what becomes of an order.
+    fn draw_fate(&mut self) -> OrderFate {
+        let f = self.faults;
+        let roll = self.rng.random_range(0..1_000);
+        let late = f.lost_per_mille + f.late_per_mille;
+        let unanswered = late + f.unanswered_per_mille;
+        let refused = unanswered + f.unwell_per_mille;
+        match roll {
+            r if r < f.lost_per_mille => OrderFate::Lost,
+            r if r < late => OrderFate::Unanswered(self.rng.random_range(LATE_MS)),
+            r if r < unanswered => OrderFate::Unanswered(0),
+            r if r < refused => OrderFate::Refused(UpkeepAnswer::Busy),
+            _ => OrderFate::Answered(0),
+        }
+    }
+
+    fn answer_order(&mut self, order: &HostOrder, after: u64, answer: UpkeepAnswer) {
+        let (wave, host, leader) = (order.wave, order.host.clone(), order.leader);
+        let event = Event::Upkeep { wave, host, answer };
+        self.send(after, Delivery::ToLeader { event, leader });
+    }
+
+    /// Takes a host down unless that was done before; what runs there dies at once. A token is not
+    /// looked at: the platform does not check it everywhere.
+    pub(super) fn take_down(&mut self, order: HostOrder, answered: bool) {
+        let of_wave =
+            self.hosts.waves.get(&order.wave).is_some_and(|w| w.hosts.contains(&order.host));
+        let host = &order.host;
+        if of_wave && !self.hosts.upkeeps.contains_key(host) {
+            let at = self.hosts.of_worker.iter().rposition(|h| h == host).expect("it has one");
             self.crash(at);
             self.unlist(at);
             self.hosts.upkeeps.insert(host.clone(), 1);
             self.hosts.down_until.insert(host.clone(), self.now + UPKEEP_MS);
             self.hosts.most_down = self.hosts.most_down.max(self.hosts.down_until.len());
         }
-        let event = Event::Upkeep { wave, host, answer };
-        self.send(CALL_MS, Delivery::ToLeader { event, leader });
+        if answered {
+            let answer = if of_wave { UpkeepAnswer::Begun } else { UpkeepAnswer::NotOfWave };
+            self.answer_order(&order, CALL_MS, answer);
+        }
+    }
+
+    /// Notes a wave that is reported as completed although a host of it has not begun.
+    pub(super) fn check_wave(&mut self, progress: &WaveProgress) {
+        let Some(wave) = self.hosts.waves.get(&progress.number) else { return };
+        let waits = |h: &&ids::HostId| !self.hosts.upkeeps.contains_key(*h);
+        if let Some(host) = wave.hosts.iter().find(waits).filter(|_| progress.completed) {
+            let said = format!("a wave is completed, and {host} has not begun");
+            self.violations.push(said);
+        }
+    }
+
+    /// Crashes the worker of the n-th host and lets it come back at once as another one.
+    pub fn replace_worker(&mut self, host: usize) -> usize {
+        self.crash(host);
+        self.unlist(host);
+        let at = self.add_worker(&format!("{}-next", host_name(host)));
+        self.hosts.of_worker[at] = host_name(host);
+        at
     }
 
     /// Brings hosts back whose upkeep is over, each with a new worker.
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -31,6 +31,7 @@
 use calls::Delivery;
 pub use checks::assert_kept;
 use hosts::Hosts;
+pub use hosts::{host_name, OrderFate};
 use worker::SimWorker;
 
 /// The pool that every worker belongs to.
@@ -75,6 +76,8 @@
     pub violations: Vec<String>,
     /// When each renewal was sent.
     pub renewals: Vec<u64>,
+    /// Orders of pace that were sent.
+    pub paces_ordered: u64,
     /// Starts that workers carried out.
     pub starts: u64,
     /// Whether commits are refused.
@@ -114,6 +117,7 @@
             settings: Settings::default(),
             violations: Vec::new(),
             renewals: Vec::new(),
+            paces_ordered: 0,
             starts: 0,
             store_down: false,
             work_ms: 500,
--- a/crates/sched/tests/fleet/world/store.rs
+++ b/crates/sched/tests/fleet/world/store.rs
@@ -76,6 +76,7 @@
                 }
                 Record::Learnt(_) => {}
                 Record::Wave(progress) => {
+                    self.check_wave(&progress);
                     self.wave_progress.insert(progress.number, progress);
                 }
             }
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -1,7 +1,7 @@
 //! What a worker does: it carries orders out under leases and a fencing token, lists its ends until
 //! they are acknowledged, and ends what its lease no longer covers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use gaplock_jobs::TaskKey;
 use gaplock_sched::message::{
@@ -52,6 +52,8 @@
     pub late_by_own_lease: bool,
     /// The next start gets no answer and arrives after so many milliseconds.
     pub delays_start: Option<u64>,
+    /// The next orders of pace get no answer and arrive after so many milliseconds.
+    pub delays_paces: VecDeque<u64>,
     /// How many times as long as elsewhere work takes.
     pub slowness: u64,
     pub(super) running: BTreeMap<TaskKey, SimRun>,
@@ -86,6 +88,7 @@
             unwell: false,
             late_by_own_lease: false,
             delays_start: None,
+            delays_paces: VecDeque::new(),
             slowness: 1,
             running: BTreeMap::new(),
             ends: Vec::new(),
