A host that may go down by an order whose fate is open counts as down, for a successor too

Cause, all in upkeep.rs: the answer to a repeated order was taken for the fate of all its tries, so NotOfWave released a host that an earlier try took down later (answered); a successor knew nothing of orders under way (asked); a list that was asked for after an order and before its answer showed the host as up, and it was held to be back (listed); and a host that was yet to go down could have another worker meanwhile, which was filled with tasks.

Mend: WaveProgress has the hosts that are ordered and not known to have begun, stored before the order is given (old records decode with none); a successor empties and orders those first and counts them meanwhile. Each host keeps its Tries; NotOfWave releases it only with no open try, else it is asked again every 2 s. A host is back only by a list asked for after the answer that its upkeep has begun. Each list marks the worker of a host that is yet to go down as being emptied. The commit holds one record of a wave: two set one key twice.

Ruled out: a bound on lateness (none is promised); counting a host as down after it was said to have begun, since the platform answers an order that is already done as done, so a late one does nothing then.

--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -59,6 +59,11 @@
     if let Some(worker) = worker_of(&record) {
         records.retain(|r| worker_of(r) != Some(worker));
     }
+    // A transaction sets each key once, and the newer record holds all that the older one does.
+    if let Record::Wave(newer) = &record {
+        let same = |r: &Record| matches!(r, Record::Wave(older) if older.number == newer.number);
+        records.retain(|r| !same(r));
+    }
     records.push(record);
 }
 
@@ -146,7 +151,7 @@
     }
     for record in covered.other {
         if let Record::Wave(progress) = record {
-            upkeep::stored(cx, progress.number);
+            upkeep::stored(cx, &progress);
         }
     }
     cx.pass_wanted = true;
--- a/crates/sched/src/message/hosts.rs
+++ b/crates/sched/src/message/hosts.rs
@@ -54,6 +54,10 @@
     pub began_unix_ms: u64,
     /// The hosts whose upkeep has begun.
     pub begun: BTreeSet<ids::HostId>,
+    /// The hosts that may have been ordered down and are not known to have begun; empty in what former versions
+    /// stored. It is stored before the order is given, so a successor knows what may go down yet.
+    #[serde(default)]
+    pub ordered: BTreeSet<ids::HostId>,
     /// Whether the upkeep of every host that stays has begun.
     pub completed: bool,
 }
@@ -61,7 +65,8 @@
 impl WaveProgress {
     /// Builds the progress of a wave that was just heard of.
     pub fn new(number: WaveNumber, began_unix_ms: u64) -> Self {
-        Self { number, began_unix_ms, begun: BTreeSet::new(), completed: false }
+        let (begun, ordered) = (BTreeSet::new(), BTreeSet::new());
+        Self { number, began_unix_ms, begun, ordered, completed: false }
     }
 }
 
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -189,8 +189,9 @@
 }
 
 /// The platform has answered such an order, or not.
-pub fn upkeep_answered(wave: WaveNumber, host: &ids::HostId, answer: UpkeepAnswer) {
-    info!(event = "upkeep_answered", wave = wave.0, %host, ?answer);
+pub fn upkeep_answered(wave: WaveNumber, host: &ids::HostId, answer: UpkeepAnswer, tries: Tries) {
+    let (attempt, open) = (tries.sent(), tries.open());
+    info!(event = "upkeep_answered", wave = wave.0, %host, ?answer, attempt, open);
 }
 
 /// The upkeep of every host of a wave has begun.
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -4,10 +4,16 @@
 //! A host is emptied first: it gets no new tasks, what lasts or can resume leaves it as fast as its
 //! callers allow, and short tasks may end. Only then is it ordered down. What has begun is stored
 //! before it counts, so that a successor neither repeats a host nor reports a wave too early.
+//!
+//! An order without an answer may be carried out after the refusal of its repeat, and after the end of the leader
+//! that gave it. So what is to be ordered is stored first, and a host with an order whose fate is
+//! open counts as down until the platform says that its upkeep has begun. From then on no order takes it down
+//! once more: the platform answers one that is already done as done.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use gaplock_jobs::TaskKey;
+use gaplock_policy::tries::{Fate, Tries};
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
@@ -45,10 +51,42 @@
     left_out: BTreeSet<ids::HostId>,
     /// Hosts that are being emptied, and since when.
     emptying: BTreeMap<ids::HostId, Instant>,
-    /// Hosts that were ordered down and may be down, by the time of the last order.
-    down: BTreeMap<ids::HostId, Instant>,
-    /// Hosts whose order is to be given again, and when.
-    again: BTreeMap<ids::HostId, Instant>,
+    /// Hosts that are stored as ordered; none else is ordered down.
+    ordered: BTreeSet<ids::HostId>,
+    /// Hosts that a former leader may have ordered down.
+    inherited: BTreeSet<ids::HostId>,
+    /// Hosts that were ordered down and may be down, or may go down yet.
+    down: BTreeMap<ids::HostId, Down>,
+}
+
+/// A host that was ordered down.
+#[derive(Debug, Default)]
+struct Down {
+    /// The tries of its order, with one for those of former leaders.
+    tries: Tries,
+    /// When its order is to be given again.
+    again: Option<Instant>,
+    /// When the platform was heard to say that its upkeep has begun.
+    begun: Option<Instant>,
+}
+
+impl Down {
+    /// Builds the state of a host before its first order; orders of former leaders may be open.
+    fn new(inherited: bool) -> Self {
+        let mut down = Self::default();
+        if inherited {
+            down.tries.send();
+            down.tries.settle(Fate::Unknown);
+        }
+        down
+    }
+
+    /// Takes in what became of the last order, to be given again after `pause` unless that is proof enough; returns
+    /// what became of the host.
+    fn settle(&mut self, last: Fate, again: Instant) -> Fate {
+        self.again = Some(again);
+        self.tries.settle(last)
+    }
 }
 
 /// How often the hosts are listed while a wave is under way: a host is away for about 2 s, and all
@@ -61,6 +99,10 @@
 /// The pause before an order that was not carried out is given again.
 const ORDER_AGAIN: Millis = Millis(400);
 
+/// The pause before an order is given again that was refused for good while an earlier one may be carried out
+/// yet: long, since nothing but that one can change the answer.
+const ASK_AGAIN: Millis = Millis(2_000);
+
 /// The time that one host takes from the first stop to its return, for the choice between waiting
 /// for short tasks and being in time.
 const ONE_HOST: Millis = Millis(5_000);
@@ -87,24 +129,28 @@
     if is_new {
         commits::add(cx, Record::Wave(progress.clone()));
     }
+    let inherited: BTreeSet<ids::HostId> =
+        progress.ordered.difference(&progress.begun).cloned().collect();
     let wave = Wave {
         request,
         until,
+        ordered: progress.ordered.clone(),
         progress,
         told: !is_new,
         left_out: BTreeSet::new(),
-        emptying: BTreeMap::new(),
+        emptying: inherited.iter().map(|host| (host.clone(), now)).collect(),
+        inherited,
         down: BTreeMap::new(),
-        again: BTreeMap::new(),
     };
     cx.upkeep.waves.insert(number, wave);
     cx.upkeep.list_due = Some(now);
 }
 
 /// Takes in that a wave's progress is stored.
-pub fn stored(cx: &mut Context, number: WaveNumber) {
-    if let Some(wave) = cx.upkeep.waves.get_mut(&number) {
+pub fn stored(cx: &mut Context, progress: &WaveProgress) {
+    if let Some(wave) = cx.upkeep.waves.get_mut(&progress.number) {
         wave.told = true;
+        wave.ordered.clone_from(&progress.ordered);
     }
 }
 
@@ -114,47 +160,84 @@
     let Some(hosts) = hosts else { return };
     cx.upkeep.hosts = hosts.into_iter().map(|h| (h.id.clone(), h)).collect();
     cx.upkeep.listed = Some(sent);
+    let (mut returned, mut awaited) = (Vec::new(), Vec::new());
     let upkeep = &mut cx.upkeep;
     for wave in upkeep.waves.values_mut() {
-        let back = |host: &ids::HostId, ordered: Instant| {
-            let up = upkeep.hosts.get(host).is_some_and(|h| h.state == HostState::Up);
-            up && sent > ordered && wave.progress.begun.contains(host)
-        };
-        wave.down.retain(|host, ordered| !back(host, *ordered));
+        let is_up = |h: &ids::HostId| upkeep.hosts.get(h).is_some_and(|h| h.state == HostState::Up);
+        // A list that was asked for before the answer may show the host as it was before its upkeep.
+        let is_back = |h: &ids::HostId, d: &Down| is_up(h) && d.begun.is_some_and(|at| sent > at);
+        let back = wave.down.iter().filter(|(h, d)| is_back(h, d)).map(|(h, _)| h.clone());
+        let back: Vec<ids::HostId> = back.collect();
+        wave.down.retain(|h, _| !back.contains(h));
+        returned.extend(back);
+        if !wave.progress.completed {
+            let expected = wave.down.iter().filter(|(_, d)| d.begun.is_none()).map(|(h, _)| h);
+            awaited.extend(expected.chain(wave.emptying.keys()).cloned());
+        }
         let gone = wave.request.hosts.iter().filter(|h| !upkeep.hosts.contains_key(*h));
         wave.left_out.extend(gone.cloned());
     }
+    for host in returned {
+        set_emptying(cx, &host, false);
+    }
+    // A host that is yet to go down may have another worker meanwhile, which a late order would end.
+    for host in awaited {
+        set_emptying(cx, &host, true);
+    }
 }
 
 /// Takes in what became of an order that a host goes down.
 pub fn answered(cx: &mut Context, number: WaveNumber, host: &ids::HostId, answer: UpkeepAnswer) {
     let now = cx.now;
-    trace::upkeep_answered(number, host, answer);
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
+    let Some(down) = wave.down.get_mut(host) else { return };
+    trace::upkeep_answered(number, host, answer, down.tries);
     match answer {
-        UpkeepAnswer::Begun => {
-            wave.again.remove(host);
-            if wave.progress.begun.insert(host.clone()) {
-                let progress = wave.progress.clone();
-                commits::add(cx, Record::Wave(progress));
-            }
-        }
+        UpkeepAnswer::Begun => begun(cx, number, host),
         UpkeepAnswer::NotOfWave => {
-            wave.left_out.insert(host.clone());
-            wave.down.remove(host);
-            wave.again.remove(host);
-            set_emptying(cx, host, false);
+            if down.settle(Fate::NotDone, now + ASK_AGAIN) == Fate::NotDone {
+                leave_out(cx, number, host);
+            }
         }
         UpkeepAnswer::Fenced => {
-            wave.again.insert(host.clone(), now + ORDER_AGAIN);
+            down.settle(Fate::NotDone, now + ORDER_AGAIN);
             cx.actions.push(Action::ConfirmLeadership);
         }
-        UpkeepAnswer::Busy | UpkeepAnswer::Unclear => {
-            wave.again.insert(host.clone(), now + ORDER_AGAIN);
+        UpkeepAnswer::Busy => {
+            down.settle(Fate::NotDone, now + ORDER_AGAIN);
+        }
+        UpkeepAnswer::Unclear => {
+            down.settle(Fate::Unknown, now + ORDER_AGAIN);
         }
     }
 }
 
+/// Notes that the upkeep of a host has begun.
+fn begun(cx: &mut Context, number: WaveNumber, host: &ids::HostId) {
+    let now = cx.now;
+    let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
+    if let Some(down) = wave.down.get_mut(host) {
+        down.again = None;
+        down.begun.get_or_insert(now);
+    }
+    if wave.progress.begun.insert(host.clone()) {
+        wave.progress.ordered.remove(host);
+        let progress = wave.progress.clone();
+        commits::add(cx, Record::Wave(progress));
+    }
+}
+
+/// Leaves a host out that is not of the wave and that no order can take down.
+fn leave_out(cx: &mut Context, number: WaveNumber, host: &ids::HostId) {
+    let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
+    wave.left_out.insert(host.clone());
+    wave.down.remove(host);
+    wave.progress.ordered.remove(host);
+    let progress = wave.progress.clone();
+    commits::add(cx, Record::Wave(progress));
+    set_emptying(cx, host, false);
+}
+
 /// Brings every wave on.
 pub fn check(cx: &mut Context) {
     let active = |w: &&Wave| w.told && !w.progress.completed;
@@ -182,16 +265,16 @@
 fn order_again(cx: &mut Context, number: WaveNumber) {
     let now = cx.now;
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
-    let due: Vec<ids::HostId> =
-        wave.again.iter().filter(|(_, at)| **at <= now).map(|(host, _)| host.clone()).collect();
-    for host in due {
-        wave.again.remove(&host);
-        wave.down.insert(host.clone(), now);
-        cx.actions.push(Action::Upkeep { wave: number, host });
+    for (host, down) in &mut wave.down {
+        if down.again.is_some_and(|at| at <= now) {
+            down.again = None;
+            down.tries.send();
+            cx.actions.push(Action::Upkeep { wave: number, host: host.clone() });
+        }
     }
 }
 
-/// Orders hosts down that are empty, or empty enough.
+/// Orders hosts down that are empty, or empty enough, once that is stored.
 fn order_emptied(cx: &mut Context, number: WaveNumber) {
     let Some(wave) = cx.upkeep.waves.get(&number) else { return };
     let late = is_late(wave, cx.now);
@@ -201,14 +284,23 @@
     };
     let emptied = wave.emptying.iter().filter(|(host, since)| ready(host, **since));
     let emptied: Vec<ids::HostId> = emptied.map(|(host, _)| host.clone()).collect();
-    let now = cx.now;
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
-    for host in emptied {
+    let (stored, others): (Vec<_>, Vec<_>) =
+        emptied.into_iter().partition(|host| wave.ordered.contains(host));
+    for host in stored {
         wave.emptying.remove(&host);
-        wave.down.insert(host.clone(), now);
+        let mut down = Down::new(wave.inherited.contains(&host));
+        down.tries.send();
+        wave.down.insert(host.clone(), down);
         trace::upkeep_ordered(number, &host);
         cx.actions.push(Action::Upkeep { wave: number, host });
     }
+    let known = wave.progress.ordered.len();
+    wave.progress.ordered.extend(others);
+    if wave.progress.ordered.len() > known {
+        let progress = wave.progress.clone();
+        commits::add(cx, Record::Wave(progress));
+    }
 }
 
 /// Tells whether a worker's host may go down: nothing lasting runs there, and nothing else, unless
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod gangs;
 mod late_paces;
 mod late_starts;
+mod late_upkeeps;
 mod leaving;
 mod promises;
 mod renewals;
