--- a/crates/sched/tests/fleet/late_paces.rs
+++ b/crates/sched/tests/fleet/late_paces.rs
@@ -172,3 +172,31 @@
         assert_eq!(paces.len(), 3, "seed {seed}");
     }
 }
+
+/// Returns the paces at which three tasks fill beside one that bears part of them, where the first order that
+/// lifted a halt was answered or got no answer.
+fn paces_beside(world: &mut World, unanswered: bool) -> Vec<u32> {
+    press(world, true);
+    run_until_halted(world);
+    world.run(500);
+    assert_eq!(world.paces_of(2), vec![0; 3]);
+    if unanswered {
+        world.workers[0].delays_paces.extend([60_000]);
+    }
+    world.readings.insert(JobKey(1), 10);
+    world.run(2_500);
+    assert_eq!(world.paces_of(2), vec![100; 3]);
+    world.readings.insert(JobKey(1), 30);
+    world.run(6_000);
+    world.paces_of(2)
+}
+
+#[test]
+fn what_fills_beside_a_run_in_doubt_leaves_room_for_the_worst_of_its_paces() {
+    let certain = paces_beside(&mut shared(117, 3), false);
+    let doubtful = paces_beside(&mut shared(117, 3), true);
+    let sum = |paces: &[u32]| paces.iter().sum::<u32>();
+    assert!(certain.contains(&0), "nothing is halted: {certain:?}");
+    // The run in doubt is ordered to stand still, and the others make room for it working at full pace.
+    assert!(sum(&doubtful) + 100 <= sum(&certain) + 5, "{certain:?}, in doubt {doubtful:?}");
+}
