A successor gives no tasks to the worker of a host that may go down by a former leader's order

Cause: the worker on such a host is known by a list of the hosts only, so a successor filled it until its first list came (after as long as the service takes), and the former leader's late order ended what it had placed. What is stored of an ordered host names the worker that it ran; that worker gets no tasks from the moment it is heard of (upkeep::is_expected_down).

The world now notes lasting tasks that a host takes down beyond what may be missed.

--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -12,7 +12,7 @@
 use crate::message::{Record, WorkerInfo, WorkerIx};
 use crate::table::{Entry, Round};
 use crate::worker::{Listing, Worker};
-use crate::{commits, lifecycle, permits, roster, takeover, trace};
+use crate::{commits, lifecycle, permits, roster, takeover, trace, upkeep};
 
 /// Takes a version of the configuration into force; an older one is ignored.
 pub fn config(cx: &mut Context, config: Arc<config::Config>) {
@@ -147,7 +147,9 @@
     }
     let ix = WorkerIx(cx.workers.len() as u32);
     trace::worker_listed(info, listing);
-    cx.workers.push(Worker::new(info.clone(), listing, cx.now));
+    let mut worker = Worker::new(info.clone(), listing, cx.now);
+    worker.emptying = upkeep::is_expected_down(cx, &info.id);
+    cx.workers.push(worker);
     cx.by_id.insert(info.id.clone(), ix);
     ix
 }
--- a/crates/sched/src/message/hosts.rs
+++ b/crates/sched/src/message/hosts.rs
@@ -1,6 +1,6 @@
 //! What is said of the workers' hosts and of their upkeep.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
@@ -54,10 +54,11 @@
     pub began_unix_ms: u64,
     /// The hosts whose upkeep has begun.
     pub begun: BTreeSet<ids::HostId>,
-    /// The hosts that may have been ordered down and are not known to have begun; empty in what former versions
-    /// stored. It is stored before the order is given, so a successor knows what may go down yet.
+    /// The hosts that may have been ordered down and are not known to have begun, with the worker that each of them
+    /// ran; empty in what former versions stored. It is stored before the order is given, so a successor knows
+    /// what may go down yet, and which worker gets no tasks, before it has a list of the hosts.
     #[serde(default)]
-    pub ordered: BTreeSet<ids::HostId>,
+    pub ordered: BTreeMap<ids::HostId, Option<ids::WorkerId>>,
     /// Whether the upkeep of every host that stays has begun.
     pub completed: bool,
 }
@@ -65,7 +66,7 @@
 impl WaveProgress {
     /// Builds the progress of a wave that was just heard of.
     pub fn new(number: WaveNumber, began_unix_ms: u64) -> Self {
-        let (begun, ordered) = (BTreeSet::new(), BTreeSet::new());
+        let (begun, ordered) = (BTreeSet::new(), BTreeMap::new());
         Self { number, began_unix_ms, begun, ordered, completed: false }
     }
 }
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -51,8 +51,8 @@
     left_out: BTreeSet<ids::HostId>,
     /// Hosts that are being emptied, and since when.
     emptying: BTreeMap<ids::HostId, Instant>,
-    /// Hosts that are stored as ordered; none else is ordered down.
-    ordered: BTreeSet<ids::HostId>,
+    /// Hosts that are stored as ordered, with their workers; none else is ordered down.
+    ordered: BTreeMap<ids::HostId, Option<ids::WorkerId>>,
     /// Hosts that a former leader may have ordered down.
     inherited: BTreeSet<ids::HostId>,
     /// Hosts that were ordered down and may be down, or may go down yet.
@@ -112,6 +112,14 @@
     cx.upkeep.stored = waves.into_iter().map(|w| (w.number, w)).collect();
 }
 
+/// Tells whether the host of a worker that was just heard of may go down by an order of a former leader. Such
+/// a worker gets no tasks, also before the first list of the hosts and before the wave is heard of.
+pub fn is_expected_down(cx: &Context, id: &ids::WorkerId) -> bool {
+    let known = cx.upkeep.waves.values().map(|w| &w.progress);
+    let mut open = cx.upkeep.stored.values().chain(known).filter(|w| !w.completed);
+    open.any(|w| w.ordered.values().flatten().any(|worker| worker == id))
+}
+
 /// Takes in a wave that the operators ask for; one that is known already changes nothing.
 pub fn asked(cx: &mut Context, request: WaveRequest) {
     let number = request.number;
@@ -129,8 +137,7 @@
     if is_new {
         commits::add(cx, Record::Wave(progress.clone()));
     }
-    let inherited: BTreeSet<ids::HostId> =
-        progress.ordered.difference(&progress.begun).cloned().collect();
+    let inherited: BTreeSet<ids::HostId> = progress.ordered.keys().cloned().collect();
     let wave = Wave {
         request,
         until,
@@ -284,10 +291,13 @@
     };
     let emptied = wave.emptying.iter().filter(|(host, since)| ready(host, **since));
     let emptied: Vec<ids::HostId> = emptied.map(|(host, _)| host.clone()).collect();
+    let worker_of = |host: &ids::HostId| cx.upkeep.hosts.get(host).and_then(|h| h.worker.clone());
+    let emptied = emptied.into_iter().map(|host| (host.clone(), worker_of(&host)));
+    let emptied: Vec<(ids::HostId, Option<ids::WorkerId>)> = emptied.collect();
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
     let (stored, others): (Vec<_>, Vec<_>) =
-        emptied.into_iter().partition(|host| wave.ordered.contains(host));
-    for host in stored {
+        emptied.into_iter().partition(|(host, _)| wave.ordered.contains_key(host));
+    for (host, _) in stored {
         wave.emptying.remove(&host);
         let mut down = Down::new(wave.inherited.contains(&host));
         down.tries.send();
--- a/crates/sched/tests/fleet/world/hosts.rs
+++ b/crates/sched/tests/fleet/world/hosts.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 
 use super::calls::Delivery;
+use super::worker::SimWorker;
 use super::World;
 
 /// How long a call to the platform takes, in milliseconds.
@@ -157,6 +158,7 @@
         let host = &order.host;
         if of_wave && !self.hosts.upkeeps.contains_key(host) {
             let at = self.hosts.of_worker.iter().rposition(|h| h == host).expect("it has one");
+            self.check_missed(at, host);
             self.crash(at);
             self.unlist(at);
             self.hosts.upkeeps.insert(host.clone(), 1);
@@ -169,6 +171,24 @@
         }
     }
 
+    /// Notes lasting tasks that go down with their host although too many others of their step are away.
+    fn check_missed(&mut self, at: usize, host: &ids::HostId) {
+        for job in self.jobs.values().filter(|job| !self.cancelled.contains(&job.key)) {
+            let Some(may_miss) = job.steps[0].may_miss else { continue };
+            let of = |w: &SimWorker| w.running.keys().filter(|task| task.job == job.key).count();
+            let running: usize = self.workers.iter().map(of).sum();
+            let ending = of(&self.workers[at]);
+            let away = job.steps[0].count as usize - (running - ending);
+            if ending > 0 && away > may_miss as usize {
+                let said = format!(
+                    "{}: {host} takes {ending} lasting tasks down, {away} are away",
+                    self.now
+                );
+                self.violations.push(said);
+            }
+        }
+    }
+
     /// Notes a wave that is reported as completed although a host of it has not begun.
     pub(super) fn check_wave(&mut self, progress: &WaveProgress) {
         let Some(wave) = self.hosts.waves.get(&progress.number) else { return };
