--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -30,7 +30,7 @@
     if slot.run != run {
         return;
     }
-    let fate = slot.tries.settle(fate_of(&outcome));
+    let fate = slot.tries.settle(outcome.fate());
     if !matches!(slot.phase, Phase::Starting | Phase::Uncertain) {
         return;
     }
@@ -52,15 +52,6 @@
     }
 }
 
-/// Says what one try of an order came to.
-fn fate_of(outcome: &Outcome<WorkerClock>) -> Fate {
-    match outcome {
-        Outcome::Done(_) => Fate::Done,
-        Outcome::Refused(_) | Outcome::NotSent => Fate::NotDone,
-        Outcome::Unclear => Fate::Unknown,
-    }
-}
-
 /// Logs a start that was not simply carried out, with the try that the answer belongs to.
 fn trace_answer(
     cx: &Context,
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -3,7 +3,9 @@
 mod backlogs;
 mod bursts;
 mod gangs;
+mod late_paces;
 mod late_starts;
+mod late_upkeeps;
 mod leaving;
 mod promises;
 mod renewals;
