--- a/crates/coord/src/journal/mod.rs
+++ b/crates/coord/src/journal/mod.rs
@@ -9,12 +9,13 @@
 //! own entry there means that it was committed. `docs/DESIGN.md`, section Journal, gives the cost.
 
 mod replay;
+mod replies;
 mod snapshot;
 
 use gaplock_chart::table::ownership;
-use gaplock_types::{api, ids, time};
+use gaplock_types::{ids, time};
 
-use crate::action::{Action, CallId, ReplyId, StoreAnswer, StoreCall};
+use crate::action::{CallId, StoreAnswer, StoreCall};
 use crate::context::Context;
 use crate::keys;
 use crate::records::{Entry, Record};
@@ -26,11 +27,13 @@
 const ENTRY_MAX_RECORDS: usize = 800;
 const RETRY_EVERY: time::Millis = time::Millis(300);
 
-/// What follows once a record is committed.
-#[derive(Debug, Clone)]
-pub enum After {
-    /// Answer a command.
-    Reply(ReplyId, api::Reply),
+pub use replies::{not_owner_reply, After};
+
+/// A record that is not sent yet, with the replies that wait for it.
+#[derive(Debug)]
+struct Pending {
+    record: Record,
+    after: Vec<After>,
 }
 
 #[derive(Debug)]
@@ -79,11 +82,11 @@
     snap_phase: snapshot::Phase,
     loading: Option<CallId>,
     retry_at: time::Instant,
-    pending: Vec<Record>,
-    after: Vec<After>,
+    pending: Vec<Pending>,
     pending_since: time::Instant,
     inflight: Option<Inflight>,
-    confirming: Option<CallId>,
+    /// The read that is to show that nobody else has claimed, and when it was sent.
+    confirming: Option<(CallId, time::Instant)>,
     /// When ownership was last known to stand.
     pub confirmed_at: time::Instant,
     /// Whether the former owner had released the partition before the claim.
@@ -104,7 +107,6 @@
             loading: None,
             retry_at: time::Instant(0),
             pending: Vec::new(),
-            after: Vec::new(),
             pending_since: time::Instant(0),
             inflight: None,
             confirming: None,
@@ -159,17 +161,7 @@
         if self.pending.is_empty() {
             self.pending_since = cx.now;
         }
-        self.pending.push(record);
-        self.after.extend(after);
-    }
-
-    /// Answers a command once everything that is recorded so far is committed.
-    pub fn reply_with_next(&mut self, id: ReplyId, reply: api::Reply) {
-        let after = After::Reply(id, reply);
-        match &mut self.inflight {
-            Some(inflight) if self.pending.is_empty() => inflight.after.push(after),
-            _ => self.after.push(after),
-        }
+        self.pending.push(Pending { record, after: after.into_iter().collect() });
     }
 
     /// Begins to give the partition up; pending records are committed with the release.
@@ -187,18 +179,10 @@
     /// Drops everything uncommitted and stops being owner; waiting commands are answered.
     pub fn give_up(&mut self, cx: &mut Context, on: ownership::On) {
         self.step(cx, on);
-        let inflight = self.inflight.take();
-        let sent = inflight.is_some();
-        for After::Reply(id, _) in inflight.into_iter().flat_map(|i| i.after) {
-            cx.reply(id, unknown_reply());
-        }
-        for After::Reply(id, _) in std::mem::take(&mut self.after) {
-            cx.reply(id, not_owner_reply());
-        }
-        if sent || !self.pending.is_empty() {
+        if self.busy() {
             cx.note("journal-dropped", self.id.to_string(), "ownership was lost");
         }
-        self.pending.clear();
+        self.drop_replies(cx);
         self.loading = None;
         self.confirming = None;
         self.snap_phase = snapshot::Phase::Idle;
@@ -245,10 +229,10 @@
             return;
         }
         let count = self.pending.len().min(ENTRY_MAX_RECORDS);
-        let records: Vec<Record> = self.pending.drain(..count).collect();
-        let after =
-            if self.pending.is_empty() { std::mem::take(&mut self.after) } else { Vec::new() };
-        self.write(cx, records, after);
+        let sent: Vec<Pending> = self.pending.drain(..count).collect();
+        let (records, after): (Vec<Record>, Vec<Vec<After>>) =
+            sent.into_iter().map(|p| (p.record, p.after)).unzip();
+        self.write(cx, records, after.into_iter().flatten().collect());
     }
 
     fn write(&mut self, cx: &mut Context, records: Vec<Record>, after: Vec<After>) {
@@ -271,18 +255,7 @@
         let due = cx.now.since(self.confirmed_at) >= cx.timing.confirm_every;
         if due && self.confirming.is_none() && self.inflight.is_none() && cx.now >= self.retry_at {
             let key = keys::slot(self.id, self.committed.seq.next().0 % RING);
-            self.confirming = Some(cx.call(StoreCall::Get { key }));
-        }
-    }
-
-    fn time_out_replies(&mut self, cx: &mut Context) {
-        if self.healthy(cx) {
-            return;
-        }
-        let waiting = self.inflight.iter_mut().flat_map(|i| i.after.drain(..));
-        let waiting: Vec<After> = waiting.chain(self.after.drain(..)).collect();
-        for After::Reply(id, _) in waiting {
-            cx.reply(id, unknown_reply());
+            self.confirming = Some((cx.call(StoreCall::Get { key }), cx.now));
         }
     }
 
@@ -292,9 +265,8 @@
             self.loading = None;
             return self.loaded(cx, answer);
         }
-        if self.confirming == Some(call) {
-            self.confirming = None;
-            return self.confirm_answered(cx, answer);
+        if let Some((_, sent_at)) = self.confirming.take_if(|(c, _)| *c == call) {
+            return self.confirm_answered(cx, sent_at, answer);
         }
         if let Some(inflight) = &self.inflight {
             match inflight.phase {
@@ -361,8 +333,8 @@
         }
         // Ownership stood when the write was sent; by its answer it may have ended again.
         self.confirmed_at = since;
-        for After::Reply(id, reply) in after {
-            cx.actions.push(Action::Reply { id, reply });
+        for after in after {
+            after.answer(cx);
         }
         if entry.records.contains(&Record::Release) {
             // Nothing may be left over for a later ownership of this process.
@@ -377,7 +349,12 @@
         Outcome::Committed(entry.records)
     }
 
-    fn confirm_answered(&mut self, cx: &mut Context, answer: &StoreAnswer) -> Outcome {
+    fn confirm_answered(
+        &mut self,
+        cx: &mut Context,
+        sent_at: time::Instant,
+        answer: &StoreAnswer,
+    ) -> Outcome {
         let StoreAnswer::Read(kvs) = answer else {
             self.retry_at = cx.now + RETRY_EVERY;
             return Outcome::Nothing;
@@ -394,19 +371,8 @@
             self.give_up(cx, ownership::On::Fenced);
             return Outcome::Fenced;
         }
-        self.confirmed_at = cx.now;
+        // The answer may be late, as at a process that was frozen: only the question's time counts.
+        self.confirmed_at = self.confirmed_at.max(sent_at);
         Outcome::Nothing
     }
 }
-
-fn unknown_reply() -> api::Reply {
-    let why = "The store did not confirm the change in time";
-    let code = gaplock_types::codes::Code::OutcomeUnknown;
-    api::Reply::Refused(api::Refusal::new(code, why))
-}
-
-/// Builds the refusal of a command that came to an entry which does not own the partition.
-pub fn not_owner_reply() -> api::Reply {
-    let code = gaplock_types::codes::Code::NoOwner;
-    api::Reply::Refused(api::Refusal::new(code, "The partition has no owner now"))
-}
--- a/crates/coord/src/partition/commands.rs
+++ b/crates/coord/src/partition/commands.rs
@@ -115,11 +115,7 @@
     }
 
     pub(super) fn reply_after_commit(&mut self, cx: &mut Context, id: ReplyId, reply: api::Reply) {
-        if self.journal.busy() {
-            self.journal.reply_with_next(id, reply);
-        } else {
-            cx.reply(id, reply);
-        }
+        self.journal.reply_after_commit(cx, id, reply);
     }
 
     fn submission_fault(
--- a/crates/coord/src/partition/mod.rs
+++ b/crates/coord/src/partition/mod.rs
@@ -335,7 +335,7 @@
             Ok(()) => self.journal.append(cx, record, after),
             Err(e) => {
                 cx.note("record-misfit", self.id.to_string(), e.to_string());
-                if let Some(After::Reply(id, _)) = after {
+                if let Some(After::Reply(id, _) | After::Repeat(id, _)) = after {
                     let why = "The change does not fit the partition's state";
                     let refusal = api::Refusal::new(codes::Code::Internal, why);
                     cx.reply(id, api::Reply::Refused(refusal));
--- a/crates/coord/tests/late_answers.rs
+++ b/crates/coord/tests/late_answers.rs
@@ -97,7 +97,7 @@
     a.journal.poll(&mut a.cx);
     let write = a.cx.actions.pop().expect("the first record is being written");
     a.append(2);
-    a.journal.reply_with_next(ReplyId(3), api::Reply::Granted);
+    a.journal.reply_after_commit(&mut a.cx, ReplyId(3), api::Reply::Granted);
     a.cx.actions.push(write);
     a.fence();
     let told = a.told();
