Confirmations: the history says what became of a plan, not the newest generation

Cause: a newer generation was read as the loss of the plan below it, a shared plan id as proof of the whole document, the arrival of an answer as its time. Each row of the history now names its plan (HistoryRow::plan, empty in rows of earlier versions), Document::fate says done, not done or unknown, a confirmation takes over the document that it read, and a repeat (also after its plan's lifetime) is answered by the history. An entry that is behind answers not-ready, one that is busy with another plan in-progress, where both said plan-stale, which claims that nothing ran.

--- a/crates/coord/src/generation.rs
+++ b/crates/coord/src/generation.rs
@@ -7,6 +7,7 @@
 
 use std::sync::Arc;
 
+use gaplock_policy::tries::Fate;
 use gaplock_types::{api, config, ids, time};
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +28,48 @@
     pub history: Vec<api::HistoryRow>,
 }
 
+impl Document {
+    /// Builds what `plan`, confirmed by `by`, makes of the document that it was made against.
+    pub fn of_plan(before: &Self, plan: &api::Plan, by: &str, at_unix_ms: u64) -> Self {
+        let mut config = plan.wanted.clone();
+        config.generation = plan.base.next();
+        config.by = by.to_string();
+        config.at_unix_ms = at_unix_ms;
+        config.plan = plan.id.clone();
+        let mut history = before.history.clone();
+        history.push(api::HistoryRow {
+            generation: config.generation,
+            by: config.by.clone(),
+            at_unix_ms,
+            changes: plan.changes.clone(),
+            plan: plan.id.clone(),
+        });
+        if history.len() > HISTORY_ROWS {
+            history.remove(0);
+        }
+        Self { config, previous: Some(before.config.clone()), history }
+    }
+
+    /// Returns the plan that made a generation, if that is still kept.
+    fn maker(&self, generation: ids::Generation) -> Option<&ids::PlanId> {
+        if self.config.generation == generation {
+            return Some(&self.config.plan);
+        }
+        let row = self.history.iter().find(|r| r.generation == generation)?;
+        (row.plan != ids::PlanId::default()).then_some(&row.plan)
+    }
+
+    /// Tells what became of a plan made against `base`, by this document and its history alone: a
+    /// newer generation does not say that the plan was not stored below it.
+    pub fn fate(&self, plan: &ids::PlanId, base: ids::Generation) -> Fate {
+        match self.maker(base.next()) {
+            Some(maker) if maker == plan => Fate::Done,
+            Some(_) => Fate::NotDone,
+            None => Fate::Unknown,
+        }
+    }
+}
+
 /// The configuration in force at one entry.
 #[derive(Debug, Default)]
 pub struct Generations {
--- a/crates/coord/src/intent.rs
+++ b/crates/coord/src/intent.rs
@@ -1,14 +1,17 @@
 //! Carries one confirmed plan into the store.
 //!
 //! The write is a compare-and-swap against the index that the plan's base was read at. An answer
-//! that was lost is resolved by reading the document back: the plan's id is the writer's mark.
+//! that was lost is resolved by reading the document back: it and its history name the plan that
+//! made each generation. Another entry may have confirmed the same plan and a newer plan may stand
+//! on it, so the document that was read is taken over, and never the writer's own.
 
 use gaplock_chart::table::intent;
+use gaplock_policy::tries::Fate;
 use gaplock_types::{api, codes, ids, time};
 
 use crate::action::{CallId, ReplyId, StoreAnswer, StoreCall};
 use crate::context::Context;
-use crate::generation::{Document, Generations, HISTORY_ROWS};
+use crate::generation::{Document, Generations};
 use crate::keys;
 
 const RETRY_EVERY: time::Millis = time::Millis(300);
@@ -18,9 +21,11 @@
 pub struct Confirmation {
     is: intent::Is,
     waiting: Vec<ReplyId>,
+    base: ids::Generation,
     doc: Document,
     index: ids::StoreIndex,
-    call: Option<CallId>,
+    /// The call on its way, and when it was sent.
+    call: Option<(CallId, time::Instant)>,
     read_at: Option<time::Instant>,
     since: time::Instant,
 }
@@ -30,10 +35,12 @@
 pub enum Outcome {
     /// It is still on its way.
     Open,
-    /// The document is stored at this index.
-    Stored(Box<Document>, ids::StoreIndex),
+    /// The plan is stored; this document was in the store when the call sent then was served.
+    Stored(time::Instant, Box<Document>, ids::StoreIndex),
     /// Another change came first; the caller plans again.
     Conflict,
+    /// The history does not reach back to the plan.
+    Unknown,
 }
 
 impl Confirmation {
@@ -45,26 +52,12 @@
         plan: &api::Plan,
         by: &str,
     ) -> Self {
-        let mut doc = Document::clone(&generations.doc);
-        let before = std::mem::replace(&mut doc.config, plan.wanted.clone());
-        doc.previous = Some(before);
-        doc.config.generation = plan.base.next();
-        doc.config.by = by.to_string();
-        doc.config.at_unix_ms = cx.unix_ms;
-        doc.config.plan = plan.id.clone();
-        doc.history.push(api::HistoryRow {
-            generation: doc.config.generation,
-            by: by.to_string(),
-            at_unix_ms: cx.unix_ms,
-            changes: plan.changes.clone(),
-        });
-        if doc.history.len() > HISTORY_ROWS {
-            doc.history.remove(0);
-        }
+        let doc = Document::of_plan(&generations.doc, plan, by, cx.unix_ms);
         let is = intent::Is::Planned.step(intent::On::Confirm).unwrap_or(intent::Is::Refused);
         let mut confirmation = Self {
             is,
             waiting: vec![id],
+            base: plan.base,
             doc,
             index: generations.index,
             call: None,
@@ -80,6 +73,11 @@
         &self.doc.config.plan
     }
 
+    /// Returns the generation that the plan makes.
+    pub fn generation(&self) -> ids::Generation {
+        self.doc.config.generation
+    }
+
     /// Adds a repeat of the same confirmation; it gets the same answer.
     pub fn join(&mut self, id: ReplyId) {
         self.waiting.push(id);
@@ -93,14 +91,14 @@
     fn write(&mut self, cx: &mut Context) {
         let value = serde_json::to_vec(&self.doc).expect("plain data serialises");
         let key = keys::CONFIG.to_string();
-        self.call = Some(cx.call(StoreCall::Cas { key, value, index: self.index }));
+        self.call = Some((cx.call(StoreCall::Cas { key, value, index: self.index }), cx.now));
     }
 
     /// Reads back what is due, and answers those who have waited too long.
     pub fn poll(&mut self, cx: &mut Context) -> Vec<ReplyId> {
         if self.read_at.is_some_and(|at| cx.now >= at) {
             self.read_at = None;
-            self.call = Some(cx.call(StoreCall::Get { key: keys::CONFIG.to_string() }));
+            self.call = Some((cx.call(StoreCall::Get { key: keys::CONFIG.to_string() }), cx.now));
         }
         if cx.now.since(self.since) >= cx.timing.commit_timeout {
             return self.take_waiting();
@@ -110,12 +108,11 @@
 
     /// Takes in the answer to a store call, if it was this confirmation's.
     pub fn answered(&mut self, cx: &mut Context, call: CallId, answer: &StoreAnswer) -> Outcome {
-        if self.call != Some(call) {
+        let Some((_, sent_at)) = self.call.take_if(|(c, _)| *c == call) else {
             return Outcome::Open;
-        }
-        self.call = None;
+        };
         match answer {
-            StoreAnswer::Written(index) => self.stored(*index),
+            StoreAnswer::Written(index) => self.stored(sent_at, self.doc.clone(), *index),
             StoreAnswer::Conflict => self.read_back(cx, time::Millis(0)),
             StoreAnswer::Unclear => self.read_back(cx, RETRY_EVERY),
             StoreAnswer::Read(kvs) => {
@@ -123,21 +120,31 @@
                     let doc: Document = serde_json::from_slice(&kv.value).ok()?;
                     Some((doc, kv.index))
                 });
-                match found {
-                    Some((doc, index)) if doc.config.plan == self.doc.config.plan => {
-                        self.stored(index)
-                    }
-                    Some((doc, _)) if doc.config.generation >= self.doc.config.generation => {
-                        self.conflict()
-                    }
-                    found => {
-                        // The base may have come from a peer, with no index of the store.
-                        self.index = found.map_or(ids::StoreIndex(0), |(_, index)| index);
-                        self.write(cx);
-                        Outcome::Open
-                    }
+                self.found(cx, sent_at, found)
+            }
+        }
+    }
+
+    fn found(
+        &mut self,
+        cx: &mut Context,
+        sent_at: time::Instant,
+        found: Option<(Document, ids::StoreIndex)>,
+    ) -> Outcome {
+        match found {
+            Some((doc, index)) if doc.config.generation >= self.generation() => {
+                match doc.fate(self.plan(), self.base) {
+                    Fate::Done => self.stored(sent_at, doc, index),
+                    Fate::NotDone => self.conflict(),
+                    Fate::Unknown => Outcome::Unknown,
                 }
             }
+            found => {
+                // The base may have come from a peer, with no index of the store.
+                self.index = found.map_or(ids::StoreIndex(0), |(_, index)| index);
+                self.write(cx);
+                Outcome::Open
+            }
         }
     }
 
@@ -148,9 +155,14 @@
         Outcome::Open
     }
 
-    fn stored(&mut self, index: ids::StoreIndex) -> Outcome {
+    fn stored(
+        &mut self,
+        sent_at: time::Instant,
+        doc: Document,
+        index: ids::StoreIndex,
+    ) -> Outcome {
         self.is = self.is.step(intent::On::Stored).unwrap_or(self.is);
-        Outcome::Stored(Box::new(self.doc.clone()), index)
+        Outcome::Stored(sent_at, Box::new(doc), index)
     }
 
     fn conflict(&mut self) -> Outcome {
@@ -163,3 +175,9 @@
 pub fn stale() -> api::Refusal {
     api::Refusal::new(codes::Code::PlanStale, "Another change was accepted first")
 }
+
+/// Builds the refusal of a plan of whose fate nothing is known any more.
+pub fn unknown() -> api::Refusal {
+    let why = "The history does not reach back to this plan";
+    api::Refusal::new(codes::Code::OutcomeUnknown, why)
+}
--- a/crates/coord/src/node/configuration.rs
+++ b/crates/coord/src/node/configuration.rs
@@ -1,5 +1,6 @@
 //! Puts configurations in force and carries confirmed plans into the store.
 
+use gaplock_policy::tries::Fate;
 use gaplock_types::{api, codes};
 
 use super::Node;
@@ -39,19 +40,24 @@
     }
 
     pub(super) fn confirm(&mut self, cx: &mut Context, id: ReplyId, plan: &api::Plan, by: &str) {
-        let in_force = &self.generations.doc.config;
         let refuse = |refusal| Action::Confirmed { id, outcome: Err(refusal) };
-        if in_force.plan == plan.id && in_force.generation == plan.base.next() {
-            let outcome = Ok(in_force.generation);
-            cx.actions.push(Action::Confirmed { id, outcome });
-            return;
+        match self.generations.doc.fate(&plan.id, plan.base) {
+            Fate::Done => {
+                cx.actions.push(Action::Confirmed { id, outcome: Ok(plan.base.next()) });
+                return;
+            }
+            Fate::NotDone => {
+                cx.actions.push(refuse(intent::stale()));
+                return;
+            }
+            Fate::Unknown => {}
         }
         if let Some(c) = self.confirmation.as_mut().filter(|c| *c.plan() == plan.id) {
             c.join(id);
             return;
         }
-        if plan.base != in_force.generation || self.confirmation.is_some() {
-            cx.actions.push(refuse(intent::stale()));
+        if let Some(refusal) = self.cannot_tell(plan) {
+            cx.actions.push(refuse(refusal));
             return;
         }
         let alone = self.members.peers.is_empty();
@@ -65,6 +71,22 @@
         self.confirmation = Some(Confirmation::open(cx, id, &self.generations, plan, by));
     }
 
+    /// Returns the refusal of a plan that cannot be confirmed here now, where this entry cannot say
+    /// either what became of an earlier confirmation of it.
+    fn cannot_tell(&self, plan: &api::Plan) -> Option<api::Refusal> {
+        let in_force = self.generations.generation();
+        if plan.base > in_force {
+            let why = "This entry does not have the plan's base yet";
+            return Some(api::Refusal::new(codes::Code::NotReady, why));
+        }
+        if plan.base < in_force {
+            return Some(intent::unknown());
+        }
+        let why = "Another change is on its way to the store";
+        let busy = || api::Refusal::new(codes::Code::InProgress, why);
+        self.confirmation.is_some().then(busy)
+    }
+
     pub(super) fn poll_confirmation(&mut self, cx: &mut Context) {
         let Some(confirmation) = &mut self.confirmation else { return };
         let late = confirmation.poll(cx);
@@ -78,16 +100,18 @@
     pub(super) fn confirmation_moved(&mut self, cx: &mut Context, outcome: intent::Outcome) {
         let outcome = match outcome {
             intent::Outcome::Open => return,
-            intent::Outcome::Stored(doc, index) => {
-                let generation = doc.config.generation;
-                if self.generations.read(cx.now, Some((*doc, index))) {
+            intent::Outcome::Stored(sent_at, doc, index) => {
+                // The answer may be late, so it shows what was newest when the call was sent.
+                if self.generations.read(sent_at, Some((*doc, index))) {
                     self.put_in_force(cx);
                 }
-                Ok(generation)
+                Ok(())
             }
             intent::Outcome::Conflict => Err(intent::stale()),
+            intent::Outcome::Unknown => Err(intent::unknown()),
         };
         let Some(mut confirmation) = self.confirmation.take() else { return };
+        let outcome = outcome.map(|()| confirmation.generation());
         for id in confirmation.take_waiting() {
             cx.actions.push(Action::Confirmed { id, outcome: outcome.clone() });
         }
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::task;
+use gaplock_policy::tries::Fate;
 use gaplock_remote::clock;
 use gaplock_types::{api, codes, config, ids};
 use serde::Serialize;
@@ -73,8 +74,9 @@
         let why = format!("The plan has refusals: {}", plan.refused.join("; "));
         return Err(api::Refusal::new(codes::Code::BadRequest, why));
     }
-    let current = engine.with_core(|core| std::sync::Arc::clone(&core.cx.config));
-    let done_before = current.plan == plan.id;
+    let fate = engine.with_core(|core| core.node.generations.doc.fate(&plan.id, plan.base));
+    // A repeat learns what became of the plan, however late it comes.
+    let done_before = fate == Fate::Done;
     let age_s = clock::unix_ms().saturating_sub(made_at) / 1000;
     if !done_before && age_s > plan::LIFETIME_S {
         return Err(api::Refusal::new(codes::Code::PlanExpired, ""));
