A stored release bounds its writer's renewals; a link stays as long as an order may be open

Cause 1: a successor took a stored release as proof that its writer renews no more, but the writer may not know of it (answer lost, store out of reach) and renewed for renew_right, 75 minutes by default. The writer now stops release_right (renew_right, at most silent_limit) after it first sent the release, and the successor waits that long, clock drift included. Weighed: a hand-over message as proof (needs an epoch on the wire), no renewals at all once sent (kills tasks in an outage, scenario release_in_outage). Price: after a hand-over tasks on hosts off the list wait up to silent_limit longer. Cause 2: the link of a worker off the host list went with the bounds of its orders under way; it stays until alive_until. Links of workers off the list are not opened anew by a claim.

--- a/crates/coord/src/intent.rs
+++ b/crates/coord/src/intent.rs
@@ -155,12 +155,7 @@
         Outcome::Open
     }
 
-    fn stored(
-        &mut self,
-        sent_at: time::Instant,
-        doc: Document,
-        index: ids::StoreIndex,
-    ) -> Outcome {
+    fn stored(&mut self, sent_at: time::Instant, doc: Document, index: ids::StoreIndex) -> Outcome {
         self.is = self.is.step(intent::On::Stored).unwrap_or(self.is);
         Outcome::Stored(sent_at, Box::new(doc), index)
     }
--- a/crates/coord/src/journal/mod.rs
+++ b/crates/coord/src/journal/mod.rs
@@ -136,6 +136,12 @@
         self.inflight.as_ref().is_none_or(|i| cx.now.since(i.since) < limit)
     }
 
+    /// Returns since when the release is on its way, answered or not: it may be stored by now.
+    pub fn release_sent_at(&self) -> Option<time::Instant> {
+        let release = |i: &&Inflight| i.entry.records.contains(&Record::Release);
+        self.inflight.as_ref().filter(release).map(|i| i.since)
+    }
+
     /// Tells whether records wait to be committed.
     pub fn busy(&self) -> bool {
         self.inflight.is_some() || !self.pending.is_empty()
--- a/crates/coord/src/partition/mod.rs
+++ b/crates/coord/src/partition/mod.rs
@@ -9,6 +9,7 @@
 mod guarding;
 pub mod lending;
 mod reconcile;
+mod renewing;
 mod replicas;
 mod schedule;
 mod starting;
@@ -140,9 +141,16 @@
                 link.step(cx, upstream::On::Drop, "the host list does not show it any more");
             }
         }
+        self.drop_gone(cx);
+    }
+
+    /// Forgets workers that the host list does not show any more, once nothing of theirs is left and
+    /// no order under way can be carried out there: the worker may be shown again before that.
+    fn drop_gone(&mut self, cx: &Context) {
         let state = &self.state;
         self.links.retain(|worker, link| {
-            link.is != upstream::Is::Gone || state.on_worker(worker).next().is_some()
+            let open = cx.now < link.alive_until || state.on_worker(worker).next().is_some();
+            link.is != upstream::Is::Gone || open
         });
     }
 
@@ -157,6 +165,7 @@
             return;
         }
         self.reconcile(cx);
+        self.drop_gone(cx);
         if self.journal.healthy(cx) {
             self.keep_replicas(cx);
             self.schedule(cx);
@@ -192,8 +201,12 @@
         let checked = self.check.check(&Fact::Owned(epoch));
         cx.allowed(checked);
         self.claimed_at = cx.now;
-        self.fence_wait =
-            if self.journal.was_released { time::Millis(0) } else { cx.timing.renew_right };
+        // A stored release does not say that its writer knows of it and has stopped renewing.
+        self.fence_wait = cx.certain(match self.journal.was_released {
+            true => cx.timing.release_right(),
+            false => cx.timing.renew_right,
+        });
+        self.links.retain(|_, link| link.is != upstream::Is::Gone);
         for link in self.links.values_mut() {
             *link = Link::open(link.host.clone());
         }
@@ -282,52 +295,11 @@
         }
     }
 
-    /// Tells whether this owner may still renew leases and start work: its ownership was confirmed
-    /// not too long ago, so that a successor can reckon when its renewals have ended.
-    fn may_renew(&self, cx: &Context) -> bool {
-        cx.now.since(self.journal.confirmed_at) < cx.timing.renew_right
-    }
-
-    /// Takes in only what further renewals need; nothing is recorded any more.
-    fn answered_while_draining(
-        &mut self,
-        cx: &mut Context,
-        worker: &ids::WorkerId,
-        answer: &WorkerAnswer,
-    ) {
-        let WorkerAnswer::Lease(reply) = answer else { return };
-        if reply.epoch > self.journal.epoch() {
-            self.fence(cx);
-        } else if let Some(link) = self.links.get_mut(worker) {
-            link.answered(cx, reply);
-        }
-    }
-
     fn call_workers(&mut self, cx: &mut Context) {
         self.renew_leases(cx);
         self.send_starts(cx);
     }
 
-    fn renew_leases(&mut self, cx: &mut Context) {
-        if !self.may_renew(cx) {
-            self.links.values_mut().for_each(Link::pause);
-            return;
-        }
-        let epoch = self.journal.epoch();
-        for (worker, link) in &mut self.links {
-            if link.is == upstream::Is::Gone || !link.lease_due(cx) {
-                continue;
-            }
-            let req = link.ask(cx, self.id, epoch, &self.me);
-            cx.actions.push(Action::Worker {
-                partition: self.id,
-                worker: worker.clone(),
-                addr: link.host.addr.clone(),
-                req: WorkerCall::Lease(req),
-            });
-        }
-    }
-
     /// Applies a record to the pending fold and hands it to the journal.
     fn record(&mut self, cx: &mut Context, record: Record, after: Option<After>) {
         let epoch = self.journal.epoch();
