confirm-dead names the boot that the operator was shown

Cause: the declaration named the worker only, so one that came late, at an owner that had not heard the worker yet, held for a newer boot and its running tasks went elsewhere at once. It now carries the boot of the survey's row, and an owner that knows or has stored another boot refuses it.

--- a/crates/coord/src/partition/commands.rs
+++ b/crates/coord/src/partition/commands.rs
@@ -62,7 +62,7 @@
                 self.once_done(cx, id, &once_name(&partner, &key), &claimer, end);
             }
             api::Command::Borrow(wanted) => self.borrow(cx, id, &wanted),
-            api::Command::ConfirmDead { worker } => self.confirm_dead(cx, id, worker),
+            api::Command::ConfirmDead { worker, boot } => self.confirm_dead(cx, id, worker, boot),
             api::Command::Survey => {
                 let survey = self.survey();
                 cx.reply(id, api::Reply::Survey(survey));
@@ -242,7 +242,13 @@
         self.record(cx, record, Some(After::Reply(id, api::Reply::Done)));
     }
 
-    fn confirm_dead(&mut self, cx: &mut Context, id: ReplyId, worker: ids::WorkerId) {
+    fn confirm_dead(
+        &mut self,
+        cx: &mut Context,
+        id: ReplyId,
+        worker: ids::WorkerId,
+        boot: Option<wire::Boot>,
+    ) {
         let Some(link) = self.links.get(&worker) else {
             cx.reply(id, refused(codes::Code::NotFound, "There is no such worker here"));
             return;
@@ -252,6 +258,11 @@
             cx.reply(id, refused(codes::Code::BadRequest, why));
             return;
         }
+        if self.boots_at(&worker).any(|b| Some(b) != boot) {
+            let why = "The worker has booted anew since it was declared dead";
+            cx.reply(id, refused(codes::Code::BadRequest, why));
+            return;
+        }
         let record = Record::WorkerDead { worker };
         self.record(cx, record, Some(After::Reply(id, api::Reply::Done)));
     }
--- a/crates/coord/src/partition/survey.rs
+++ b/crates/coord/src/partition/survey.rs
@@ -57,10 +57,22 @@
         self.state.waiting_partners().map(|p| (p, self.state.waiting(p).count()))
     }
 
+    /// Returns the boots of a worker that this owner has heard or that tasks are stored for.
+    pub(super) fn boots_at<'a>(
+        &'a self,
+        worker: &'a ids::WorkerId,
+    ) -> impl Iterator<Item = wire::Boot> + 'a {
+        let heard = self.links.get(worker).and_then(|l| l.boot);
+        let place = |id| self.state.task(id).and_then(|t| t.place.as_ref());
+        let stored = self.state.on_worker(worker).filter_map(place).map(|p| p.boot);
+        heard.into_iter().chain(stored)
+    }
+
     /// Lists the partition's jobs and workers.
     pub fn survey(&self) -> api::Survey {
         let workers = self.links.iter().map(|(worker, link)| api::WorkerRow {
             worker: worker.clone(),
+            boot: self.boots_at(worker).next(),
             domain: link.host.domain.clone(),
             partition: self.id,
             owner: self.me.entry.clone(),
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -197,7 +197,7 @@
     let Some(row) = rows.into_iter().find(|w| w.worker == worker) else {
         return Err(api::Refusal::new(codes::Code::NotFound, "No owner knows this worker"));
     };
-    let command = api::Command::ConfirmDead { worker };
+    let command = api::Command::ConfirmDead { worker, boot: row.boot };
     match once::command(req.state(), row.partition, command).await {
         api::Reply::Done => Ok("declared dead"),
         other => Err(callers::unexpected(other)),
--- a/crates/soak/tests/late_calls.rs
+++ b/crates/soak/tests/late_calls.rs
@@ -3,9 +3,10 @@
 //! Seen: by reading, not in a run. A former owner went on renewing leases after its release had been
 //! carried out without an answer, while its successor took the stored release as proof that it would
 //! not; and an owner forgot until when an order may still be carried out at a worker that was off the
-//! host list for a moment, acknowledged the ended run, and the order under way began it anew. Cause: a
+//! host list for a moment, acknowledged the ended run, and the order under way began it anew; and an
+//! operator's word that a host is off, carried out late, held for a boot that came after it. Cause: a
 //! stored release says nothing of when its writer learns of it; a link was dropped with what bounds
-//! its orders. Proof: the tests below failed before and hold since.
+//! its orders; the declaration named no boot. Proof: the tests below failed before and hold since.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -227,3 +228,31 @@
     w.tick(&mut [&mut a], 1_000);
     assert_eq!(runs(&w), 1, "an order carried out late began the ended run again");
 }
+
+#[test]
+fn a_late_word_that_a_host_is_off_says_nothing_of_a_newer_boot() {
+    let mut w = World::open(&["w0", "w1"]);
+    let (mut a, mut b) = (owner("a", world::timing()), owner("b", world::timing()));
+    let worker = ids::WorkerId::from("w0");
+    w.set_hosts(&mut a, &["w0"]);
+    w.claim(&mut a);
+    w.tick(&mut [&mut a], 400);
+    let shown = a.partition.survey().workers[0].boot;
+    let now = time::Instant(w.now);
+    let traits = w.workers["w0"].traits.clone();
+    w.workers.insert("w0".to_string(), worker::Model::open(traits, wire::Boot(9), now));
+    w.tick(&mut [&mut a], 1_000);
+    w.submit(&mut a, 10_000_000);
+    w.tick(&mut [&mut a], 1_000);
+    assert_eq!(w.runs_at("w0"), 1, "the task runs on the new boot");
+    // The next owner does not reach the worker, and the operator's word for the old boot comes late.
+    a.partition.release(&mut a.cx);
+    w.tick(&mut [&mut a], 200);
+    b.cut.insert("w0".to_string());
+    w.set_hosts(&mut b, &["w0", "w1"]);
+    w.claim(&mut b);
+    let command = api::Command::ConfirmDead { worker, boot: shown };
+    b.partition.command(&mut b.cx, ReplyId(2), command);
+    w.tick(&mut [&mut b], 2_000);
+    assert_eq!(w.runs_at("w1"), 0);
+}
--- a/crates/soak/tests/scenarios.rs
+++ b/crates/soak/tests/scenarios.rs
@@ -240,7 +240,8 @@
             }
             "dead" => {
                 let worker = ids::WorkerId(args.next_pos().ok_or("worker")?.value.clone());
-                self.command(api::Command::ConfirmDead { worker });
+                let boot = self.workers.get(worker.as_str()).map(|model| model.boot);
+                self.command(api::Command::ConfirmDead { worker, boot });
             }
             "cut" => {
                 self.cut.insert(args.next_pos().ok_or("worker")?.value.clone());
--- a/crates/types/src/api.rs
+++ b/crates/types/src/api.rs
@@ -234,6 +234,10 @@
     ConfirmDead {
         /// The worker.
         worker: ids::WorkerId,
+        /// The boot that the operator was shown: a declaration that comes late says nothing of a
+        /// newer one.
+        #[serde(default)]
+        boot: Option<wire::Boot>,
     },
     /// Run a task that another partition lends, or tell how it stands; may be repeated.
     Borrow(Loan),
@@ -353,6 +357,9 @@
 pub struct WorkerRow {
     /// The worker.
     pub worker: ids::WorkerId,
+    /// Its boot, as its owner knows it.
+    #[serde(default)]
+    pub boot: Option<wire::Boot>,
     /// Its failure domain.
     pub domain: ids::DomainId,
     /// Its partition.
