A refusal in an outage says nothing of an earlier try; a write without its index is unclear

Cause 1: while the store is away every writing command was refused as never taken (store-down, ran: no), a repeat too whose first try had been carried out; it is answered in-progress (ran: unknown) now, as are repeats that wait for a commit which does not come. Cause 2: a success without the key's index counted as a write at index 0.

--- a/crates/coord/src/journal/mod.rs
+++ b/crates/coord/src/journal/mod.rs
@@ -27,7 +27,7 @@
 const ENTRY_MAX_RECORDS: usize = 800;
 const RETRY_EVERY: time::Millis = time::Millis(300);
 
-pub use replies::{not_owner_reply, After};
+pub use replies::{begun_reply, not_owner_reply, After};
 
 /// A record that is not sent yet, with the replies that wait for it.
 #[derive(Debug)]
--- a/crates/coord/src/journal/replies.rs
+++ b/crates/coord/src/journal/replies.rs
@@ -27,10 +27,14 @@
 
     /// Says that the record may have been stored, or may be yet.
     fn unknown(self, cx: &mut Context) {
-        let (Self::Reply(id, _) | Self::Repeat(id, _)) = self;
-        let why = "The store did not confirm the change in time";
-        let refusal = api::Refusal::new(codes::Code::OutcomeUnknown, why);
-        cx.reply(id, api::Reply::Refused(refusal));
+        match self {
+            Self::Reply(id, _) => {
+                let why = "The store did not confirm the change in time";
+                let refusal = api::Refusal::new(codes::Code::OutcomeUnknown, why);
+                cx.reply(id, api::Reply::Refused(refusal));
+            }
+            Self::Repeat(id, _) => cx.reply(id, begun_reply()),
+        }
     }
 
     /// Answers what waits behind a record that never left this process.
@@ -76,6 +80,13 @@
     }
 }
 
+/// Builds the refusal of a repeat whose earlier try was recorded: what became of that is not known,
+/// and asking again does no harm.
+pub fn begun_reply() -> api::Reply {
+    let why = "The store has not confirmed an earlier try in time";
+    api::Reply::Refused(api::Refusal::new(codes::Code::InProgress, why))
+}
+
 /// Builds the refusal of a command that came to an entry which does not own the partition.
 pub fn not_owner_reply() -> api::Reply {
     let code = codes::Code::NoOwner;
--- a/crates/coord/src/partition/commands.rs
+++ b/crates/coord/src/partition/commands.rs
@@ -4,6 +4,7 @@
 use gaplock_policy::placement;
 use gaplock_types::{api, codes, ids, wire};
 
+use super::lending::loan_key;
 use super::Partition;
 use crate::action::ReplyId;
 use crate::context::Context;
@@ -40,7 +41,12 @@
         }
         let writes = !matches!(command, api::Command::Status { .. } | api::Command::Survey);
         if writes && !self.journal.healthy(cx) {
-            cx.reply(id, refused(codes::Code::StoreDown, ""));
+            // A refusal speaks of this try, and an earlier one may be stored.
+            let reply = match self.has_begun(&command) {
+                true => journal::begun_reply(),
+                false => refused(codes::Code::StoreDown, ""),
+            };
+            cx.reply(id, reply);
             return;
         }
         match command {
@@ -71,6 +77,29 @@
         self.journal.poll(cx);
     }
 
+    /// Tells whether an earlier try of a command has been recorded, stored or not.
+    fn has_begun(&self, command: &api::Command) -> bool {
+        match command {
+            api::Command::Submit { partner, key, .. } => {
+                self.state.job_by_key(partner, key).is_some()
+            }
+            api::Command::OnceClaim { partner, key, .. } => {
+                self.state.once.contains_key(&once_name(partner, key))
+            }
+            api::Command::Cancel { partner, job } => self
+                .visible_job(partner.as_ref(), *job)
+                .is_some_and(|found| found.tasks.iter().any(|t| t.unwanted || t.is.is_final())),
+            api::Command::ConfirmDead { worker, .. } => self.state.dead.contains(worker),
+            api::Command::Borrow(wanted) => {
+                self.state.job_by_key(&wanted.partner, &loan_key(wanted.run)).is_some()
+            }
+            // Whoever stores an end repeats it until that is confirmed.
+            api::Command::OnceDone { .. } | api::Command::Status { .. } | api::Command::Survey => {
+                false
+            }
+        }
+    }
+
     fn submit(
         &mut self,
         cx: &mut Context,
--- a/crates/remote/src/store.rs
+++ b/crates/remote/src/store.rs
@@ -149,9 +149,10 @@
         let Ok(answer) = self.http.call(call).await else { return StoreAnswer::Unclear };
         match answer.status {
             200 => {
+                // Without its index a write is not known well enough to build the next one on it.
                 let results = answer.json::<TxnAnswer>().map(|a| a.results).unwrap_or_default();
-                let index = results.first().map_or(0, |r| r.kv.modify_index);
-                StoreAnswer::Written(ids::StoreIndex(index))
+                let index = results.first().map(|r| ids::StoreIndex(r.kv.modify_index));
+                index.map_or(StoreAnswer::Unclear, StoreAnswer::Written)
             }
             409 => StoreAnswer::Conflict,
             _ => StoreAnswer::Unclear,
--- a/crates/soak/tests/late_calls.rs
+++ b/crates/soak/tests/late_calls.rs
@@ -4,9 +4,11 @@
 //! carried out without an answer, while its successor took the stored release as proof that it would
 //! not; and an owner forgot until when an order may still be carried out at a worker that was off the
 //! host list for a moment, acknowledged the ended run, and the order under way began it anew; and an
-//! operator's word that a host is off, carried out late, held for a boot that came after it. Cause: a
+//! operator's word that a host is off, carried out late, held for a boot that came after it; and a repeat
+//! in an outage was refused as never taken, though its first try had been carried out. Cause: a
 //! stored release says nothing of when its writer learns of it; a link was dropped with what bounds
-//! its orders; the declaration named no boot. Proof: the tests below failed before and hold since.
+//! its orders; the declaration named no boot; a refusal of a try was given for all
+//! tries under its key. Proof: the tests below failed before and hold since.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -16,7 +18,7 @@
 use gaplock_coord::partition::Partition;
 use gaplock_soak::{clients, world};
 use gaplock_standin::{store, worker};
-use gaplock_types::{api, config, ids, sizes, time, wire};
+use gaplock_types::{api, codes, config, ids, sizes, time, wire};
 
 const CAPACITY: sizes::Resources = sizes::Resources::new(4_000, 8_192, 0);
 const STEP: u64 = 50;
@@ -38,6 +40,8 @@
     late: Vec<(String, wire::StartRequest)>,
     /// Whether a copy of each start order is kept back.
     copy_starts: bool,
+    /// What was replied, by command.
+    replies: BTreeMap<u64, api::Reply>,
 }
 
 fn owner(name: &str, timing: Timing) -> Owner {
@@ -76,6 +80,7 @@
             workers: each.collect(),
             late: Vec::new(),
             copy_starts: false,
+            replies: BTreeMap::new(),
         }
     }
 
@@ -89,6 +94,9 @@
                         o.partition.store_answered(&mut o.cx, call, &answer);
                     }
                     Action::Worker { worker, req, .. } => self.call_worker(o, &worker, &req),
+                    Action::Reply { id, reply } => {
+                        self.replies.insert(id.0, reply);
+                    }
                     Action::Violated(v) => panic!("{:?}: {}", v.invariant, v.evidence),
                     _ => {}
                 }
@@ -161,6 +169,10 @@
     }
 
     fn submit(&mut self, o: &mut Owner, work_ms: u64) {
+        self.submit_as(o, 1, work_ms);
+    }
+
+    fn submit_as(&mut self, o: &mut Owner, id: u64, work_ms: u64) {
         let spec = api::JobSpec {
             class: "bundle".into(),
             demand: sizes::Resources::new(3_000, 256, 0),
@@ -170,10 +182,29 @@
         };
         let (partner, key) = (clients::PARTNER.into(), ids::RequestKey("k".to_string()));
         let command = api::Command::Submit { partner, key, spec };
-        o.partition.command(&mut o.cx, ReplyId(1), command);
+        o.partition.command(&mut o.cx, ReplyId(id), command);
+        self.pump(o);
+    }
+
+    fn claim_once(&mut self, o: &mut Owner, id: u64) {
+        let command = api::Command::OnceClaim {
+            partner: clients::PARTNER.into(),
+            key: ids::RequestKey("once".to_string()),
+            digest: "d".to_string(),
+            claimer: format!("c{id}"),
+        };
+        o.partition.command(&mut o.cx, ReplyId(id), command);
         self.pump(o);
     }
 
+    /// Returns whether the work behind a refused command may have run.
+    fn ran(&self, id: u64) -> Option<codes::Ran> {
+        match self.replies.get(&id) {
+            Some(api::Reply::Refused(refusal)) => Some(refusal.ran),
+            _ => None,
+        }
+    }
+
     fn runs_at(&self, name: &str) -> usize {
         self.workers[name].active().count()
     }
@@ -256,3 +287,22 @@
     w.tick(&mut [&mut b], 2_000);
     assert_eq!(w.runs_at("w1"), 0);
 }
+
+#[test]
+fn a_repeat_in_an_outage_is_not_refused_as_never_taken() {
+    let mut w = World::open(&["w0"]);
+    let mut a = owner("a", world::timing());
+    w.set_hosts(&mut a, &["w0"]);
+    w.claim(&mut a);
+    w.tick(&mut [&mut a], 400);
+    // What is written is carried out, and no answer comes.
+    a.store_lost = true;
+    w.submit_as(&mut a, 1, 1_000);
+    w.claim_once(&mut a, 2);
+    w.tick(&mut [&mut a], 2_000);
+    assert_eq!((w.ran(1), w.ran(2)), (Some(codes::Ran::Unknown), Some(codes::Ran::Unknown)));
+    w.submit_as(&mut a, 3, 1_000);
+    w.claim_once(&mut a, 4);
+    w.tick(&mut [&mut a], 2_000);
+    assert_eq!((w.ran(3), w.ran(4)), (Some(codes::Ran::Unknown), Some(codes::Ran::Unknown)));
+}
