Stand-ins as processes: writes and orders that are carried out late, without an answer

The store draws late writes only where they are switched on (late_percent, late_ms), so other faults keep their draws; a worker puts starts and controls off after /set-late MS.

--- a/crates/standin/src/bin/store.rs
+++ b/crates/standin/src/bin/store.rs
@@ -79,6 +79,15 @@
         }
         None => StoreCall::Delete { key: op.key.clone(), index },
     };
+    let late = model.lock().expect("lock").late();
+    if let Some(late_ms) = late {
+        let model = Arc::clone(model);
+        task::spawn(async move {
+            task::sleep(Duration::from_millis(late_ms)).await;
+            model.lock().expect("lock").carry_out(&call);
+        });
+        return never().await;
+    }
     let (result, lost) = {
         let mut model = model.lock().expect("lock");
         let result = model.carry_out(&call);
--- a/crates/standin/src/bin/worker.rs
+++ b/crates/standin/src/bin/worker.rs
@@ -65,8 +65,13 @@
     ops: BTreeMap<String, u32>,
     /// Answers are cut short, for tests.
     cut_answers: bool,
+    /// Orders are carried out so much later, without an answer, in milliseconds; 0 for at once.
+    late_ms: u64,
 }
 
+/// How long a caller waits in vain for the answer to a late order.
+const NO_ANSWER: Duration = Duration::from_secs(30);
+
 fn main() {
     let values = gaplock_settings::read_or_exit("standin-worker", "stand-in workers", TABLE);
     let traits = Traits {
@@ -106,6 +111,7 @@
         model: Model::open(traits, boot, now),
         ops: BTreeMap::new(),
         cut_answers: false,
+        late_ms: 0,
     }));
     let handler = move |whole| answer(Arc::clone(&shared), whole);
     // The control connections of a former and a new owner may overlap for a moment.
@@ -119,15 +125,39 @@
     if let Some(rest) = path.strip_prefix("/svc/") {
         return service(shared, &whole, rest, body).await;
     }
+    let late_ms = shared.lock().expect("lock").late_ms;
+    if late_ms > 0 && ["/start", "/control"].contains(&path.as_str()) {
+        return put_off(shared, path, body, late_ms).await;
+    }
+    carry_out(&shared, &path, &body)
+}
+
+/// Carries an order out late: its caller has long given it up, and newer ones may have come.
+async fn put_off(
+    shared: Arc<Mutex<Shared>>,
+    path: String,
+    body: Vec<u8>,
+    late_ms: u64,
+) -> Response {
+    task::spawn(async move {
+        task::sleep(Duration::from_millis(late_ms)).await;
+        carry_out(&shared, &path, &body);
+    });
+    task::sleep(NO_ANSWER).await;
+    Response::new(503)
+}
+
+fn carry_out(shared: &Mutex<Shared>, path: &str, body: &[u8]) -> Response {
     let now = clock::now();
     let mut shared = shared.lock().expect("lock");
     let model = &mut shared.model;
-    match path.as_str() {
-        "/lease" => with(&body, |req| model.lease(now, &req)),
-        "/start" => with(&body, |req| model.start(now, &req)),
-        "/control" => with(&body, |req| model.control(now, &req)),
-        "/set-leaving" => with(&body, |leaving: bool| model.set_leaving(now, leaving)),
-        "/set-cut" => with(&body, |cut: bool| shared.cut_answers = cut),
+    match path {
+        "/lease" => with(body, |req| model.lease(now, &req)),
+        "/start" => with(body, |req| model.start(now, &req)),
+        "/control" => with(body, |req| model.control(now, &req)),
+        "/set-leaving" => with(body, |leaving: bool| model.set_leaving(now, leaving)),
+        "/set-late" => with(body, |late_ms: u64| shared.late_ms = late_ms),
+        "/set-cut" => with(body, |cut: bool| shared.cut_answers = cut),
         "/judge" => {
             model.advance(now);
             let verdicts = Verdicts {
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -19,6 +19,11 @@
     pub slow_ms: u64,
     /// Of each hundred writes, how many take effect without an answer.
     pub lose_percent: u64,
+    /// Of each hundred writes, how many are carried out only after `late_ms`, without an answer and if
+    /// their condition still holds then.
+    pub late_percent: u64,
+    /// How late those are, in milliseconds.
+    pub late_ms: u64,
 }
 
 /// Calls served so far.
@@ -34,6 +39,9 @@
     pub written_bytes: u64,
     /// Answers lost after the write took effect.
     pub lost: u64,
+    /// Writes put off.
+    #[serde(default)]
+    pub late: u64,
 }
 
 /// The store's contents.
@@ -97,12 +105,25 @@
 
     /// Draws whether the answer to a write that took effect is lost.
     pub fn loses(&mut self) -> bool {
-        self.draws += 1;
-        let draw = gaplock_coord::assign::stable_hash(&self.draws.to_string()) % 100;
-        let lost = draw < self.faults.lose_percent;
+        let lost = self.draw() < self.faults.lose_percent;
         self.counts.lost += u64::from(lost);
         lost
     }
+
+    /// Draws whether a write is carried out late, and by how many milliseconds. Nothing is drawn where
+    /// no write is late, so that other faults keep their draws.
+    pub fn late(&mut self) -> Option<u64> {
+        if self.faults.late_percent == 0 || self.draw() >= self.faults.late_percent {
+            return None;
+        }
+        self.counts.late += 1;
+        Some(self.faults.late_ms)
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.draws += 1;
+        gaplock_coord::assign::stable_hash(&self.draws.to_string()) % 100
+    }
 }
 
 fn row((key, (value, index)): (&String, &(Vec<u8>, ids::StoreIndex))) -> Kv {
