--- a/crates/coord/src/journal/snapshot.rs
+++ b/crates/coord/src/journal/snapshot.rs
@@ -27,7 +27,8 @@
 
 impl Journal {
     pub(super) fn poll_snapshot(&mut self, cx: &mut Context) {
-        let behind = self.committed.seq.0 - self.snap.1 .0;
+        // A successor's snapshot may have been read back, which an older one must not replace.
+        let behind = self.committed.seq.0.saturating_sub(self.snap.1 .0);
         match self.snap_phase {
             Phase::Idle if self.is != ownership::Is::Claiming && behind >= SNAPSHOT_AFTER => {
                 let value = serde_json::to_vec(&self.committed).expect("plain data serialises");
--- a/crates/coord/src/partition/commands.rs
+++ b/crates/coord/src/partition/commands.rs
@@ -88,7 +88,7 @@
             }
             api::Command::Cancel { partner, job } => self
                 .visible_job(partner.as_ref(), *job)
-                .is_some_and(|found| found.tasks.iter().any(|t| t.unwanted || t.is.is_final())),
+                .is_some_and(|found| found.tasks.iter().all(|t| t.unwanted || t.is.is_final())),
             api::Command::ConfirmDead { worker, .. } => self.state.dead.contains(worker),
             api::Command::Borrow(wanted) => {
                 self.state.job_by_key(&wanted.partner, &loan_key(wanted.run)).is_some()
--- a/crates/coord/tests/late_answers.rs
+++ b/crates/coord/tests/late_answers.rs
@@ -2,9 +2,10 @@
 //!
 //! Seen: by reading, not in a run. A repeat that waits behind records not yet sent was refused as
 //! never taken, though its first try was under way at the store; and ownership was dated by the
-//! arrival of a read's answer, which may have lain for seconds at a frozen process. Cause: one list
-//! of waiting replies for records sent and not sent, and the time of the answer for that of the
-//! question. Proof: the tests below failed before and hold since.
+//! arrival of a read's answer, which may have lain for seconds at a frozen process. And, in a run on
+//! virtual time: a former owner that read its successor's snapshot back counted how far it was behind
+//! below zero. Cause: one list of waiting replies for records sent and not sent, the time of the answer
+//! for that of the question, and a snapshot taken for this owner's own. Proof: the tests below failed before and hold since.
 
 use gaplock_coord::action::{Action, CallId, Kv, ReplyId, StoreAnswer, StoreCall};
 use gaplock_coord::context::{Context, Timing};
@@ -135,3 +136,36 @@
     assert_eq!(a.answer(&StoreAnswer::Read(Vec::new())), Outcome::Nothing);
     assert_eq!(a.journal.confirmed_at, asked_at);
 }
+
+#[test]
+fn a_newer_snapshot_by_a_successor_is_not_overwritten() {
+    let mut a = Owner::open();
+    let mut index = 1;
+    // Enough entries for a snapshot, whose writing gets no answer.
+    let snapshot = loop {
+        index += 1;
+        a.append(index);
+        a.journal.poll(&mut a.cx);
+        let written = StoreAnswer::Written(ids::StoreIndex(index));
+        a.answer(&written);
+        a.cx.actions.clear();
+        a.journal.poll(&mut a.cx);
+        if let Some(Action::Store { call, .. }) = a.cx.actions.pop() {
+            break call;
+        }
+    };
+    a.journal.answered(&mut a.cx, snapshot, &StoreAnswer::Conflict);
+    a.journal.poll(&mut a.cx);
+    // The successor's snapshot is found; this owner does not know of it yet.
+    let mut newer = a.journal.committed.clone();
+    newer.seq = ids::Seq(newer.seq.0 + 5);
+    let value = serde_json::to_vec(&newer).unwrap();
+    let kv = Kv { key: "k".to_string(), value, index: ids::StoreIndex(999) };
+    a.answer(&StoreAnswer::Read(vec![kv]));
+    a.cx.actions.clear();
+    a.journal.poll(&mut a.cx);
+    let writes = a.cx.actions.iter().filter(|action| {
+        matches!(action, Action::Store { req: StoreCall::Cas { index, .. }, .. } if index.0 == 999)
+    });
+    assert_eq!(writes.count(), 0, "an older snapshot was sent over the newer one");
+}
