--- a/crates/coord/src/partition/commands.rs
+++ b/crates/coord/src/partition/commands.rs
@@ -4,6 +4,7 @@
 use gaplock_policy::placement;
 use gaplock_types::{api, codes, ids, wire};
 
+use super::lending::loan_key;
 use super::Partition;
 use crate::action::ReplyId;
 use crate::context::Context;
@@ -40,7 +41,12 @@
         }
         let writes = !matches!(command, api::Command::Status { .. } | api::Command::Survey);
         if writes && !self.journal.healthy(cx) {
-            cx.reply(id, refused(codes::Code::StoreDown, ""));
+            // A refusal speaks of this try, and an earlier one may be stored.
+            let reply = match self.has_begun(&command) {
+                true => journal::begun_reply(),
+                false => refused(codes::Code::StoreDown, ""),
+            };
+            cx.reply(id, reply);
             return;
         }
         match command {
@@ -62,7 +68,7 @@
                 self.once_done(cx, id, &once_name(&partner, &key), &claimer, end);
             }
             api::Command::Borrow(wanted) => self.borrow(cx, id, &wanted),
-            api::Command::ConfirmDead { worker } => self.confirm_dead(cx, id, worker),
+            api::Command::ConfirmDead { worker, boot } => self.confirm_dead(cx, id, worker, boot),
             api::Command::Survey => {
                 let survey = self.survey();
                 cx.reply(id, api::Reply::Survey(survey));
@@ -71,6 +77,29 @@
         self.journal.poll(cx);
     }
 
+    /// Tells whether an earlier try of a command has been recorded, stored or not.
+    fn has_begun(&self, command: &api::Command) -> bool {
+        match command {
+            api::Command::Submit { partner, key, .. } => {
+                self.state.job_by_key(partner, key).is_some()
+            }
+            api::Command::OnceClaim { partner, key, .. } => {
+                self.state.once.contains_key(&once_name(partner, key))
+            }
+            api::Command::Cancel { partner, job } => self
+                .visible_job(partner.as_ref(), *job)
+                .is_some_and(|found| found.tasks.iter().all(|t| t.unwanted || t.is.is_final())),
+            api::Command::ConfirmDead { worker, .. } => self.state.dead.contains(worker),
+            api::Command::Borrow(wanted) => {
+                self.state.job_by_key(&wanted.partner, &loan_key(wanted.run)).is_some()
+            }
+            // Whoever stores an end repeats it until that is confirmed.
+            api::Command::OnceDone { .. } | api::Command::Status { .. } | api::Command::Survey => {
+                false
+            }
+        }
+    }
+
     fn submit(
         &mut self,
         cx: &mut Context,
@@ -115,11 +144,7 @@
     }
 
     pub(super) fn reply_after_commit(&mut self, cx: &mut Context, id: ReplyId, reply: api::Reply) {
-        if self.journal.busy() {
-            self.journal.reply_with_next(id, reply);
-        } else {
-            cx.reply(id, reply);
-        }
+        self.journal.reply_after_commit(cx, id, reply);
     }
 
     fn submission_fault(
@@ -246,7 +271,13 @@
         self.record(cx, record, Some(After::Reply(id, api::Reply::Done)));
     }
 
-    fn confirm_dead(&mut self, cx: &mut Context, id: ReplyId, worker: ids::WorkerId) {
+    fn confirm_dead(
+        &mut self,
+        cx: &mut Context,
+        id: ReplyId,
+        worker: ids::WorkerId,
+        boot: Option<wire::Boot>,
+    ) {
         let Some(link) = self.links.get(&worker) else {
             cx.reply(id, refused(codes::Code::NotFound, "There is no such worker here"));
             return;
@@ -256,6 +287,11 @@
             cx.reply(id, refused(codes::Code::BadRequest, why));
             return;
         }
+        if self.boots_at(&worker).any(|b| Some(b) != boot) {
+            let why = "The worker has booted anew since it was declared dead";
+            cx.reply(id, refused(codes::Code::BadRequest, why));
+            return;
+        }
         let record = Record::WorkerDead { worker };
         self.record(cx, record, Some(After::Reply(id, api::Reply::Done)));
     }
--- a/crates/types/src/api.rs
+++ b/crates/types/src/api.rs
@@ -147,6 +147,10 @@
     pub at_unix_ms: u64,
     /// What changed, a sentence each.
     pub changes: Vec<String>,
+    /// The plan that made it, by which a repeated confirmation learns what became of the plan; empty
+    /// in rows of earlier versions.
+    #[serde(default)]
+    pub plan: ids::PlanId,
 }
 
 /// How many requests of a service an entry could take.
@@ -230,6 +234,10 @@
     ConfirmDead {
         /// The worker.
         worker: ids::WorkerId,
+        /// The boot that the operator was shown: a declaration that comes late says nothing of a
+        /// newer one.
+        #[serde(default)]
+        boot: Option<wire::Boot>,
     },
     /// Run a task that another partition lends, or tell how it stands; may be repeated.
     Borrow(Loan),
@@ -349,6 +357,9 @@
 pub struct WorkerRow {
     /// The worker.
     pub worker: ids::WorkerId,
+    /// Its boot, as its owner knows it.
+    #[serde(default)]
+    pub boot: Option<wire::Boot>,
     /// Its failure domain.
     pub domain: ids::DomainId,
     /// Its partition.
