Commits: no two transactions share a mark, and one with an open try is repeated until its fate is known

Cause: write_part gave a commit up where its repeat was refused, though the first try was open, and the next commit bore the same mark with other records; when the late one landed, reading the mark back said that the newer one was stored.

Weighed: (a) repeat the very same transaction until its fate is known; (b) give it up, remember the marks of this term, and go on from the revision of whichever is found, with the records written anew. Both keep the term when the late write lands. (a) keeps the order of records by itself, since nothing newer is written while a try is open, and needs one mark to be known; (b) has several transactions in flight that exclude each other, and a caller that must know which of the records it gave up are stored. What (a) costs is one more commit once the store answers again; newer records would have been refused meanwhile as well. At most one try can be carried out, as each expects the last commit's revision.

The decision is a plain state machine, sched/writing.rs, driven by the ledger. Marks count the transactions built. The loop ends with the leadership, also against a silent store.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -233,14 +233,23 @@
             }
             Err(CommitError::Deposed) => {
                 node.metrics.committed("deposed", took);
-                tracing::warn!(event = "leadership_lost", why = "a commit was refused");
-                engine.standing.lose();
+                deposed(&engine.standing, records.len());
                 return;
             }
         }
     }
 }
 
+/// Takes in that a commit ended with the leadership, be it by the commit's refusal or before it.
+fn deposed(standing: &Standing, records: usize) {
+    if standing.right(clock::now()) == Right::Lost {
+        tracing::info!(event = "commit_given_up", records, why = "the leadership is over");
+    } else {
+        tracing::warn!(event = "leadership_lost", why = "a commit was refused");
+    }
+    standing.lose();
+}
+
 /// Builds the term of a claim.
 pub fn term(number: u64, revision: Revision) -> Term {
     Term { number, token: FencingToken(revision.0) }
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 
 use gaplock_platform::store::{LeaseId, Revision, Store, StoreError, Txn};
+use gaplock_sched::writing::CommitMark;
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
 use crate::keys;
-use crate::ledger::{self, CommitMark};
+use crate::ledger;
 
 /// How long the store keeps a leader that does not renew. A shorter lease finds a dead host
 /// sooner; a store that answers a hundred times slower than usual must still fit in.
--- a/crates/node/src/leading.rs
+++ b/crates/node/src/leading.rs
@@ -47,7 +47,7 @@
 
 /// Builds the engine from what was read, and feeds it until the leadership is over.
 async fn run(node: &Arc<Node>, claim: Claim, standing: &Arc<Standing>, state: reading::State) {
-    let ledger = ledger::open(Arc::clone(&node.store), claim.revision, claim.mark);
+    let ledger = ledger::open(Arc::clone(&node.store), Arc::clone(standing), &claim);
     let term = engine::term(claim.term, claim.revision);
     let (now, unix_ms) = (clock::now(), clock::unix_ms());
     let mut cx = Context::open(node.settings(), term, now, unix_ms);
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -7,12 +7,15 @@
 use gaplock_jobs::TaskKey;
 use gaplock_platform::store::{self, Item, Revision, Store, StoreError, Txn};
 use gaplock_platform::waves;
-use gaplock_policy::tries::{Fate, Tries};
+use gaplock_policy::tries::Tries;
+use gaplock_remote::clock;
 use gaplock_sched::message::{Record, RosterEntry, WorkerInfo};
+use gaplock_sched::writing::{self, Answer, CommitMark, CommitRevision, Next, Sight, Writer};
 use gaplock_types::time::Millis;
 use gaplock_types::{ids, sizes};
 
 use crate::keys;
+use crate::leadership::{Claim, Right, Standing};
 
 /// The stored form of a worker in the roster.
 #[derive(Debug, serde::Serialize, serde::Deserialize)]
@@ -58,21 +61,12 @@
     }
 }
 
-/// The stored number of the leadership and of its last commit.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct CommitMark {
-    /// The leadership.
-    pub term: u64,
-    /// The commit within it.
-    pub number: u64,
-}
-
 /// Why a commit is not stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CommitError {
-    /// Another leader has taken over, or the leadership was taken away.
+    /// Another leader has taken over, or the leadership is over; the last commit may be stored.
     Deposed,
-    /// The store is away; nothing was written.
+    /// The store is away; nothing was written and nothing will be.
     Away,
 }
 
@@ -80,21 +74,23 @@
 #[derive(Debug)]
 pub struct Ledger {
     store: Arc<Store>,
+    standing: Arc<Standing>,
     leader: Revision,
-    commits: Revision,
-    mark: CommitMark,
+    writer: Writer,
 }
 
 /// Entries of a transaction that are left for records: two go to its conditions and one to the commit's
 /// mark.
 const RECORD_ENTRIES: usize = store::TXN_MOST_ENTRIES - 3;
 
-/// The pause before a commit whose fate is unknown is looked at again.
+/// The pause before a commit whose fate is unknown is sent again: half of the one that the leader makes
+/// while the store is away, since ends wait for it.
 const UNCLEAR_PAUSE: Duration = Duration::from_millis(100);
 
 /// Builds the right to write from a fresh claim.
-pub fn open(store: Arc<Store>, claimed: Revision, mark: CommitMark) -> Ledger {
-    Ledger { store, leader: claimed, commits: claimed, mark }
+pub fn open(store: Arc<Store>, standing: Arc<Standing>, claim: &Claim) -> Ledger {
+    let writer = writing::open(claim.mark, CommitRevision(claim.revision.0));
+    Ledger { store, standing, leader: claim.revision, writer }
 }
 
 impl Ledger {
@@ -116,61 +112,80 @@
         Ok(())
     }
 
+    /// Writes one transaction; `writing` decides by the answers what follows.
     async fn write_part(&mut self, records: &[Record]) -> Result<(), CommitError> {
-        let next = CommitMark { term: self.mark.term, number: self.mark.number + 1 };
-        let txn = self.transaction(records, next);
-        let mut tries = Tries::default();
+        let mark = self.writer.begin();
+        let txn = self.transaction(records, mark);
+        let mut next = Next::Send;
         loop {
-            tries.send();
-            match self.store.commit(&txn).await {
-                Ok(revision) => return self.advance(next, revision),
-                Err(StoreError::Away) => {
-                    log_refused(next, tries, records.len());
-                    return Err(CommitError::Away);
-                }
-                Err(StoreError::Unclear) => {
-                    tries.settle(Fate::Unknown);
-                    log_unclear(next, tries, records.len());
-                }
-                Err(StoreError::Conflict | StoreError::Gone) => {}
-            }
-            match self.store.get(keys::COMMITS).await {
-                Ok(Some(item)) if item.revision == self.commits => {
-                    self.check_leader().await?;
-                }
-                Ok(Some(item)) if decode_mark(&item.value) == Some(next) => {
-                    log_found(next, tries, records.len());
-                    return self.advance(next, item.revision);
-                }
-                Ok(_) => return Err(CommitError::Deposed),
-                Err(_) => task::sleep(UNCLEAR_PAUSE).await,
-            }
+            next = match next {
+                Next::Send => self.send(&txn, mark, records.len()).await,
+                Next::Look => self.look(mark, records.len()).await,
+                Next::Wait => self.wait().await,
+                Next::Stored => return Ok(()),
+                Next::NotStored => return Err(CommitError::Away),
+                Next::Over => return Err(CommitError::Deposed),
+            };
         }
     }
 
-    fn advance(&mut self, mark: CommitMark, revision: Revision) -> Result<(), CommitError> {
-        self.mark = mark;
-        self.commits = revision;
-        Ok(())
+    /// Sends a try of a transaction.
+    async fn send(&mut self, txn: &Txn, mark: CommitMark, records: usize) -> Next {
+        self.writer.sent();
+        let answer = match self.store.commit(txn).await {
+            Ok(revision) => Answer::Stored(CommitRevision(revision.0)),
+            Err(StoreError::Conflict) => Answer::Conflict,
+            // No key of a commit is under a lease, so none can be missing: nothing was done.
+            Err(StoreError::Away | StoreError::Gone) => Answer::Refused,
+            Err(StoreError::Unclear) => Answer::Silent,
+        };
+        let next = self.writer.answered(answer);
+        match answer {
+            Answer::Refused => log_refused(mark, self.writer.tries(), records),
+            Answer::Silent => log_unclear(mark, self.writer.tries(), records),
+            Answer::Stored(_) | Answer::Conflict => {}
+        }
+        next
     }
 
-    /// Finds out whether the leadership still stands after a conflict.
-    async fn check_leader(&self) -> Result<(), CommitError> {
-        match self.store.get(keys::LEADER).await {
-            Ok(Some(item)) if item.revision == self.leader => Ok(()),
-            Ok(_) => Err(CommitError::Deposed),
-            Err(_) => {
-                task::sleep(UNCLEAR_PAUSE).await;
-                Ok(())
-            }
+    /// Looks which commit is the last one and whether the claim still stands.
+    async fn look(&mut self, mark: CommitMark, records: usize) -> Next {
+        let sight = self.sight().await.unwrap_or_else(|e| {
+            tracing::debug!(event = "store_silent", error = %e);
+            Sight::Nothing
+        });
+        let next = self.writer.looked(sight);
+        if next == Next::Stored {
+            log_found(mark, self.writer.tries(), records);
         }
+        next
+    }
+
+    async fn sight(&self) -> Result<Sight, StoreError> {
+        let commits = self.store.get(keys::COMMITS).await?;
+        let mark = commits.as_ref().and_then(|item| decode_mark(&item.value));
+        let revision = CommitRevision(commits.map_or(0, |item| item.revision.0));
+        // Where something newer is stored, that alone decides.
+        let leads = revision == self.writer.last() && self.leads().await?;
+        Ok(Sight::Last { mark, revision, leads })
+    }
+
+    /// Tells whether the claim is still stored.
+    async fn leads(&self) -> Result<bool, StoreError> {
+        let leader = self.store.get(keys::LEADER).await?;
+        Ok(leader.is_some_and(|item| item.revision == self.leader))
+    }
+
+    async fn wait(&self) -> Next {
+        task::sleep(UNCLEAR_PAUSE).await;
+        self.writer.waited(self.standing.right(clock::now()) != Right::Lost)
     }
 
     fn transaction(&self, records: &[Record], mark: CommitMark) -> Txn {
         let mut txn = Txn {
             expected: vec![
                 (keys::LEADER.to_string(), self.leader),
-                (keys::COMMITS.to_string(), self.commits),
+                (keys::COMMITS.to_string(), Revision(self.writer.last().0)),
             ],
             set: vec![(keys::COMMITS.to_string(), encode(&mark), None)],
             remove: Vec::new(),
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod trace;
 pub mod upkeep;
 pub mod worker;
+pub mod writing;
 
 pub use context::Context;
 pub use message::{Action, Event};
