The fleet's world drives the leader's writes: lost, late, refused, and over changes of leader

The world's store carries writes out under their conditions and hands the answers to sched/writing.rs. It checks that what the leader takes for stored is what the store holds.

--- /dev/null
+++ b/crates/sched/tests/fleet/late_writes.rs
@@ -0,0 +1,107 @@
+//! Commits that the store carries out late: after their repeat, after its refusal, after a newer leader's claim.
+//!
+//! Seen: tasks that had ended as done started again under the next leader. A commit without an answer was
+//! repeated, the repeat refused, the next commit bore the same mark, and the late one was taken for it.
+//! Cause: an answer to a repeated call was taken for the fate of the call. Proved by the logs of days played
+//! again (`docs/incidents/twice-after-late-call.md`). The world checks that what the leader takes for stored
+//! is what the store holds, and that nothing starts after its end was acknowledged.
+
+use crate::world::{assert_kept, job, step, Faults, World, WriteFaults};
+
+/// Every write goes unanswered and is carried out seconds later.
+const ALL_LATE: WriteFaults = WriteFaults {
+    lost_per_mille: 0,
+    unanswered_per_mille: 0,
+    late_per_mille: 1_000,
+    refused_per_mille: 0,
+};
+
+/// Writes that go wrong in every way.
+const MIXED: WriteFaults = WriteFaults {
+    lost_per_mille: 50,
+    unanswered_per_mille: 100,
+    late_per_mille: 150,
+    refused_per_mille: 150,
+};
+
+/// Orders that go wrong in every way but by the refusals of unwell workers.
+const ORDERS: Faults = Faults {
+    lost_per_mille: 20,
+    unanswered_per_mille: 50,
+    late_per_mille: 50,
+    failing_per_mille: 20,
+    unwell_per_mille: 0,
+};
+
+#[test]
+fn a_commit_carried_out_after_its_repeat_was_refused_is_not_taken_for_a_newer_one() {
+    let mut world = World::open(101, 2);
+    world.run(100);
+    world.write_faults = ALL_LATE;
+    world.submit(job(1, vec![step(4, &[]), step(4, &[0])]));
+    world.run(600);
+    world.write_faults = WriteFaults::default();
+    world.store_down = true;
+    world.run(9_000);
+    world.store_down = false;
+    world.run(2_000);
+    world.take_over();
+    world.run(3_000);
+    assert!(world.is_completed(1));
+    assert_eq!(world.starts, 8, "tasks that had ended were started again");
+    assert_kept(&world);
+}
+
+#[test]
+fn a_late_commit_of_a_former_leader_changes_nothing() {
+    let mut world = World::open(102, 2);
+    world.run(100);
+    world.write_faults = ALL_LATE;
+    world.submit(job(1, vec![step(4, &[])]));
+    world.run(1_000);
+    world.take_over();
+    world.write_faults = WriteFaults::default();
+    world.run(12_000);
+    assert!(world.is_completed(1));
+    assert_eq!(world.starts, 4, "tasks that had ended were started again");
+    assert_kept(&world);
+}
+
+#[test]
+fn writes_and_orders_that_come_late_double_nothing_over_all_leaders() {
+    for seed in 0..30 {
+        let mut world = World::open(seed, 6);
+        world.faults = ORDERS;
+        world.write_faults = MIXED;
+        for key in 0..20 {
+            world.submit(job(key, vec![step(5, &[]), step(3, &[0])]));
+            world.run(200);
+            match world.draw(10) {
+                0 => change_leader(&mut world),
+                1 => refuse_for_a_while(&mut world),
+                _ => {}
+            }
+        }
+        world.faults = Faults::default();
+        world.write_faults = WriteFaults::default();
+        world.run(40_000);
+        assert!(world.violations.is_empty(), "seed {seed}: {:#?}", world.violations);
+        let left = (0..20).filter(|&key| world.state(key).is_none_or(|s| !s.is_final())).count();
+        assert_eq!(left, 0, "seed {seed}: jobs never ended");
+    }
+}
+
+fn change_leader(world: &mut World) {
+    let gap = world.draw(3_000);
+    world.lose_leader();
+    world.run(gap);
+    world.take_over();
+}
+
+/// Lets the store refuse writes for some seconds while tasks end, with a commit under way or not.
+fn refuse_for_a_while(world: &mut World) {
+    let length = world.draw(6_000);
+    world.store_down = true;
+    world.run(length);
+    world.store_down = false;
+}
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod bursts;
 mod gangs;
 mod late_starts;
+mod late_writes;
 mod leaving;
 mod promises;
 mod renewals;
--- a/crates/sched/tests/fleet/world/calls.rs
+++ b/crates/sched/tests/fleet/world/calls.rs
@@ -1,13 +1,15 @@
 //! Calls between the leader and its workers, and what may go wrong with each of them.
 
 use gaplock_jobs::TaskKey;
-use gaplock_sched::message::{EndSeq, Outcome, Permit, Record, Run, WorkerClock, WorkerIx};
+use gaplock_sched::message::{EndSeq, Outcome, Permit, Run, WorkerClock, WorkerIx};
 use gaplock_sched::permits::StepKey;
+use gaplock_sched::writing::CommitMark;
 use gaplock_sched::{Action, Event};
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::{Instant, Millis};
 use rand::Rng;
 
+use super::writes::{Heard, Write};
 use super::World;
 
 /// What a leader asks of a worker.
@@ -57,8 +59,10 @@
     ToLeader { event: Event, leader: u64 },
     /// A worker has waited long enough with its answer to a renewal.
     Held { trip: Trip, sent: Instant },
-    /// A commit is stored.
-    Stored { records: Vec<Record>, leader: u64 },
+    /// A write of the leader arrives at the store.
+    ToStore { write: Write, answered: bool },
+    /// The leader hears of its write, or has waited before it goes on.
+    FromStore { mark: CommitMark, heard: Heard },
 }
 
 /// How long a leader waits for an answer, in milliseconds: as long as the product waits for the
@@ -164,11 +168,9 @@
     pub(super) fn deliver(&mut self, delivery: Delivery) {
         match delivery {
             Delivery::ToLeader { event, leader } if leader == self.term => self.event(event),
-            Delivery::Stored { records, leader } if leader == self.term => {
-                self.store(records);
-                self.event(Event::Committed);
-            }
-            Delivery::ToLeader { .. } | Delivery::Stored { .. } => {}
+            Delivery::ToLeader { .. } => {}
+            Delivery::ToStore { write, answered } => self.at_store(write, answered),
+            Delivery::FromStore { mark, heard } => self.from_store(mark, heard),
             Delivery::ToWorker { trip, call, token } => self.at_worker(trip, call, token),
             Delivery::Held { trip, sent } => self.answer_renewal(trip, sent),
         }
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -2,8 +2,8 @@
 //! late, get lost, or are carried out after newer ones. It checks the promises while it runs.
 //!
 //! This file holds the world's state, what a test does to it, and the passing of time. [`calls`]
-//! carries what the leader sends, [`worker`] carries it out, [`store`] keeps what a successor
-//! learns, [`hosts`] lie beneath the workers, [`checks`] looks for broken promises, and [`views`]
+//! carries what the leader sends, [`worker`] carries it out, [`writes`] go to the [`store`], which
+//! keeps what a successor learns, [`hosts`] lie beneath the workers, [`checks`] looks for broken promises, and [`views`]
 //! tells a test what came of it all.
 
 mod builders;
@@ -13,6 +13,7 @@
 mod store;
 mod views;
 mod worker;
+mod writes;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -32,6 +33,8 @@
 pub use checks::assert_kept;
 use hosts::Hosts;
 use worker::SimWorker;
+pub use writes::WriteFaults;
+use writes::Writes;
 
 /// The pool that every worker belongs to.
 pub const SERVICE: &str = "coldtrace";
@@ -70,6 +73,7 @@
     pub cx: Option<Context>,
     pub workers: Vec<SimWorker>,
     pub faults: Faults,
+    pub write_faults: WriteFaults,
     pub settings: Settings,
     /// Broken promises, in words.
     pub violations: Vec<String>,
@@ -97,6 +101,7 @@
     progress: BTreeMap<JobKey, Progress>,
     roster: BTreeMap<ids::WorkerId, RosterEntry>,
     wave_progress: BTreeMap<WaveNumber, WaveProgress>,
+    writes: Writes,
     noted_done: BTreeSet<TaskKey>,
     done: BTreeSet<TaskKey>,
     noted_failed: BTreeMap<TaskKey, u32>,
@@ -111,6 +116,8 @@
             cx: None,
             workers: Vec::new(),
             faults: Faults::default(),
+            write_faults: WriteFaults::default(),
+            writes: Writes::default(),
             settings: Settings::default(),
             violations: Vec::new(),
             renewals: Vec::new(),
--- a/crates/sched/tests/fleet/world/store.rs
+++ b/crates/sched/tests/fleet/world/store.rs
@@ -7,20 +7,14 @@
 use gaplock_types::time::Instant;
 
 use super::builders::config;
-use super::calls::Delivery;
 use super::World;
 
-/// How long a commit takes, in milliseconds; the users' store answers in some 4 ms.
-const COMMIT_MS: u64 = 4;
-
-/// How long it takes until the leader hears that a commit was refused, in milliseconds.
-const REFUSED_MS: u64 = 200;
-
 impl World {
     /// Replaces the leader by a new one that knows only the store.
     pub fn take_over(&mut self) {
         self.term += 1;
         self.token += 10;
+        self.writes.claim(self.term);
         let term = Term { number: self.term, token: FencingToken(self.token) };
         let mut cx = Context::open(self.settings.clone(), term, self.instant(), self.unix());
         cx.handle(self.instant(), self.unix(), Event::Config(config(self.advice)));
@@ -48,12 +42,7 @@
         let now = Instant(self.now);
         let Some(cx) = &mut self.cx else { return };
         let Some(records) = commits::take(cx, now) else { return };
-        let leader = self.term;
-        if self.store_down {
-            let event = Event::CommitFailed;
-            return self.send(REFUSED_MS, Delivery::ToLeader { event, leader });
-        }
-        self.send(COMMIT_MS, Delivery::Stored { records, leader });
+        self.write(records);
     }
 
     /// Keeps what a commit holds.
