Callers' writes and claims: one rule for what tries here and at the leader prove; each claim names its lease

inbox.rs: store_cancel took its own fate where the leader gave no answer (refused though the leader may store it) and the leader's where its own try was open (refused though it may be stored here). store_job was right. Both now go by policy/handing.rs, tested as a table. A conflict of a cancellation was told as stored although the job may have been forgotten meanwhile; the keys are looked at now. A job found gone while being handed in cannot happen; it was mapped to a refusal and is unclear now.

leadership.rs: two tries of a claim wrote equal records under different leases, so an earlier one carried out late passed for the later one, whose lease keeps nothing. The record names the lease; records without it decode. claim returned the error of its look, which could be Away although the claim was sent; it is Unclear now. claim_invited gave up where an earlier try of its own had been carried out late; it replaces it.

remote: no call is sent again on a kept connection that closes (new test, passes on the old code too).

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -7,13 +7,14 @@
 use gaplock_jobs::JobKey;
 use gaplock_platform::callers;
 use gaplock_platform::store::StoreError;
+use gaplock_policy::handing::Handed;
 use gaplock_remote::clock;
 use gaplock_serve::Whole;
 use gaplock_types::codes::Code;
 use http_types::{Method, Response, StatusCode};
 
 use crate::node::Node;
-use crate::peers::{Handed, StatusAnswer};
+use crate::peers::StatusAnswer;
 use crate::{inbox, keys, ledger};
 
 /// When a refused caller may come back, in seconds: about the length of a change of leader.
@@ -75,8 +76,11 @@
     tracing::info!(event = "job_handed_in", job = %key, queue, outcome = ?handed);
     match handed {
         Handed::Stored => answer(node, Code::Accepted, StatusCode::Ok.into(), b"{}".to_vec()),
-        Handed::NotStored | Handed::NoSuchJob => refuse(node, Code::StoreDown),
-        Handed::Unclear => answer(node, Code::OutcomeUnknown, GATEWAY_TIMEOUT, Vec::new()),
+        Handed::NotStored => refuse(node, Code::StoreDown),
+        // Nobody finds a job gone that is being handed in; what it would mean is not known.
+        Handed::Unclear | Handed::NoSuchJob => {
+            answer(node, Code::OutcomeUnknown, GATEWAY_TIMEOUT, Vec::new())
+        }
     }
 }
 
--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -11,10 +11,11 @@
 use gaplock_platform::store::{Revision, StoreError};
 use gaplock_policy::succession;
 use gaplock_remote::clock;
+use gaplock_sched::claims::LeaderRecord;
 use gaplock_types::time::{Instant, Millis};
 
 use crate::handover::Invited;
-use crate::leadership::{self, Claim, LeaderRecord, Right, Standing};
+use crate::leadership::{self, Claim, Right, Standing};
 use crate::leading;
 use crate::node::{Node, Role};
 use crate::peers::{Heartbeat, HeartbeatAnswer, PeerError};
@@ -82,6 +83,7 @@
         addr: node.peer_addr.clone(),
         incarnation: node.incarnation,
         term: 0,
+        lease: 0,
     }
 }
 
@@ -139,8 +141,9 @@
 async fn claim_invited(node: &Arc<Node>, invited: Invited) {
     let mut seen = Revision(invited.invitation.claim);
     let sent = clock::now();
+    let me = my_record(node);
     for _ in 0..INVITED_TRIES {
-        match leadership::claim(&node.store, &my_record(node), seen).await {
+        match leadership::claim(&node.store, &me, seen).await {
             Ok(claim) => {
                 answer(&invited, true);
                 return lead(node, claim, sent).await;
@@ -151,6 +154,8 @@
         match leadership::current(&node.store).await {
             Ok(None) => seen = Revision(0),
             Ok(Some((_, revision))) if revision == seen => {}
+            // An earlier try was carried out late, under a lease that nobody renews: it is replaced.
+            Ok(Some((record, revision))) if record.is_by_process_of(&me) => seen = revision,
             Ok(Some(_)) => break,
             Err(e) => tracing::debug!(event = "store_silent", error = %e),
         }
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -6,11 +6,13 @@
 use async_std::task;
 use gaplock_jobs::{Job, JobKey};
 use gaplock_platform::store::{Revision, StoreError, Txn};
+use gaplock_policy::handing::{self, AtLeader, Handed, JobNow};
+use gaplock_policy::tries::{Fate, Tries};
 
 use crate::keys;
 use crate::ledger;
 use crate::node::Node;
-use crate::peers::Handed;
+use crate::peers::PeerError;
 
 /// The pause before a write whose fate is unknown is made again.
 const UNCLEAR_PAUSE: Duration = Duration::from_millis(50);
@@ -22,15 +24,26 @@
 
 /// Stores a job, by this host's own connection to the store or else through the leader.
 pub async fn store_job(node: &Arc<Node>, job: Arc<Job>) -> Handed {
-    let handed = store_job_here(node, Arc::clone(&job)).await;
-    if !matches!(handed, Handed::NotStored | Handed::Unclear) {
-        return handed;
+    let here = store_job_here(node, Arc::clone(&job)).await;
+    if is_settled(here) {
+        return here;
     }
-    let Some(addr) = node.leader_addr() else { return handed };
-    match node.leader.store_job(&addr, &job).await {
-        Ok(Handed::NotStored) | Err(crate::peers::PeerError::NotSent) => handed,
-        Ok(other) => other,
-        Err(crate::peers::PeerError::Unclear) => Handed::Unclear,
+    let Some(addr) = node.leader_addr() else { return here };
+    let asked = node.leader.store_job(&addr, &job).await;
+    handing::join(here, at_leader(asked))
+}
+
+/// Tells whether what became of it here needs no word of the leader.
+fn is_settled(here: Handed) -> bool {
+    matches!(here, Handed::Stored | Handed::NoSuchJob)
+}
+
+/// Tells what the leader's answer, or its silence, says of its part.
+fn at_leader(asked: Result<Handed, PeerError>) -> AtLeader {
+    match asked {
+        Ok(there) => AtLeader::Answered(there),
+        Err(PeerError::NotSent) => AtLeader::NotAsked,
+        Err(PeerError::Unclear) => AtLeader::Silent,
     }
 }
 
@@ -42,37 +55,52 @@
         set: vec![(key, ledger::encode(&*job), None)],
         remove: Vec::new(),
     };
-    let handed = write_once(node, &txn).await;
+    let handed = match write_once(node, &txn).await {
+        // The only thing that it expects is that the job is not there.
+        Written::Conflict => Handed::Stored,
+        Written::Settled(handed) => handed,
+    };
     if handed == Handed::Stored {
         announce_job(node, job);
     }
     handed
 }
 
-/// Makes a write that expects its key not to be there; finding the key there counts as stored.
-async fn write_once(node: &Node, txn: &Txn) -> Handed {
+/// What became of a write that was tried for a while.
+enum Written {
+    /// This is known of it.
+    Settled(Handed),
+    /// Something that it expects is not so, be it by an earlier try of the same write or not.
+    Conflict,
+}
+
+/// Makes a write that can be done only once; a try without an answer is followed by others for a while.
+async fn write_once(node: &Node, txn: &Txn) -> Written {
     if node.is_store_away() {
-        return Handed::NotStored;
+        return Written::Settled(Handed::NotStored);
     }
     let began = Instant::now();
-    let mut unclear = false;
+    let mut tries = Tries::default();
     loop {
-        match node.store.commit(txn).await {
-            Ok(_) | Err(StoreError::Conflict) => {
+        tries.send();
+        let last = match node.store.commit(txn).await {
+            Ok(_) => {
                 node.store_answered();
-                return Handed::Stored;
-            }
-            Err(StoreError::Away | StoreError::Gone) if !unclear => {
-                node.store_failed();
-                return Handed::NotStored;
+                return Written::Settled(Handed::Stored);
             }
-            Err(_) => {
-                node.store_failed();
-                unclear = true;
+            Err(StoreError::Conflict) => {
+                node.store_answered();
+                return Written::Conflict;
             }
+            Err(StoreError::Away | StoreError::Gone) => Fate::NotDone,
+            Err(StoreError::Unclear) => Fate::Unknown,
+        };
+        node.store_failed();
+        if tries.settle(last) == Fate::NotDone {
+            return Written::Settled(Handed::NotStored);
         }
         if began.elapsed() > UNCLEAR_LIMIT {
-            return Handed::Unclear;
+            return Written::Settled(Handed::Unclear);
         }
         task::sleep(UNCLEAR_PAUSE).await;
     }
@@ -94,12 +122,13 @@
 
 /// Stores a cancellation, by this host's own connection to the store or else through the leader.
 pub async fn store_cancel(node: &Arc<Node>, key: JobKey) -> Handed {
-    let handed = store_cancel_here(node, key).await;
-    if !matches!(handed, Handed::NotStored | Handed::Unclear) {
-        return handed;
+    let here = store_cancel_here(node, key).await;
+    if is_settled(here) {
+        return here;
     }
-    let Some(addr) = node.leader_addr() else { return handed };
-    node.leader.store_cancel(&addr, key).await.unwrap_or(handed)
+    let Some(addr) = node.leader_addr() else { return here };
+    let asked = node.leader.store_cancel(&addr, key).await;
+    handing::join(here, at_leader(asked))
 }
 
 /// Stores a cancellation by this host's own connection to the store.
@@ -114,17 +143,38 @@
     };
     let cancel = keys::cancel(key);
     let txn = Txn {
-        expected: vec![(cancel.clone(), Revision(0)), (job.key, job.revision)],
+        expected: vec![(cancel.clone(), Revision(0)), (job.key.clone(), job.revision)],
         set: vec![(cancel, b"{}".to_vec(), None)],
         remove: Vec::new(),
     };
-    let handed = write_once(node, &txn).await;
+    let handed = match write_once(node, &txn).await {
+        Written::Conflict => cancel_after_conflict(node, key, job.revision).await,
+        Written::Settled(handed) => handed,
+    };
     if handed == Handed::Stored {
         announce_cancel(node, key);
     }
     handed
 }
 
+/// Finds out what a cancellation met that expected the job at this revision.
+async fn cancel_after_conflict(node: &Node, key: JobKey, expected: Revision) -> Handed {
+    let read = async {
+        let cancelled = node.store.get(&keys::cancel(key)).await?.is_some();
+        let job = match node.store.get(&keys::job(key)).await? {
+            None => JobNow::Gone,
+            Some(item) if item.revision == expected => JobNow::AsExpected,
+            Some(_) => JobNow::Anew,
+        };
+        Ok::<_, StoreError>(handing::cancel_after_conflict(cancelled, job))
+    };
+    read.await.unwrap_or_else(|e| {
+        tracing::info!(event = "state_unknown", job = %key, error = %e);
+        Handed::Unclear
+    })
+}
+
+/// Tells the leader of a stored cancellation, in the background: its watch would find it too.
 fn announce_cancel(node: &Arc<Node>, key: JobKey) {
     let node = Arc::clone(node);
     task::spawn(async move {
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use gaplock_platform::store::{LeaseId, Revision, Store, StoreError, Txn};
+use gaplock_policy::tries::Fate;
+use gaplock_sched::claims::{self, LeaderRecord};
 use gaplock_sched::writing::CommitMark;
-use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
 use crate::keys;
@@ -32,19 +33,6 @@
 /// ends our leadership: more than the time between two of our own confirmations.
 const CONFIRMED_LATER: Millis = Millis(700);
 
-/// The stored claim.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct LeaderRecord {
-    /// The leader's host.
-    pub host: ids::EntryId,
-    /// Where it answers other hosts.
-    pub addr: String,
-    /// The process that claimed.
-    pub incarnation: ids::Incarnation,
-    /// The number of the leadership.
-    pub term: u64,
-}
-
 /// A leadership that this process holds.
 #[derive(Debug, Clone, Copy)]
 pub struct Claim {
@@ -71,14 +59,16 @@
 /// Claims the leadership over the claim at `seen`, or over none where it is the zero revision.
 ///
 /// # Errors
-/// [`StoreError::Conflict`] where another host was faster; otherwise the store's error.
+/// [`StoreError::Conflict`] where another host was faster, or an earlier try of this one; otherwise the
+/// store's error. After [`StoreError::Unclear`] the claim may be stored later, under a lease that nobody
+/// renews: it is then replaced, or gone with its lease.
 pub async fn claim(store: &Store, me: &LeaderRecord, seen: Revision) -> Result<Claim, StoreError> {
     let lease = store.lease(LEASE.as_duration()).await?;
     let last = store.get(keys::COMMITS).await?;
     let commits = last.as_ref().map_or(Revision(0), |item| item.revision);
     let term = last.and_then(|item| ledger::decode_mark(&item.value)).map_or(1, |m| m.term + 1);
     let mark = CommitMark { term, number: 0 };
-    let record = LeaderRecord { term, ..me.clone() };
+    let record = LeaderRecord { term, lease: lease.0, ..me.clone() };
     let txn = Txn {
         expected: vec![(keys::LEADER.to_string(), seen), (keys::COMMITS.to_string(), commits)],
         set: vec![
@@ -89,10 +79,16 @@
     };
     match store.commit(&txn).await {
         Ok(revision) => Ok(Claim { term, revision, lease, mark }),
-        Err(StoreError::Unclear) => match current(store).await? {
-            Some((found, revision)) if found == record => Ok(Claim { term, revision, lease, mark }),
-            _ => Err(StoreError::Unclear),
-        },
+        Err(StoreError::Unclear) => {
+            // No answer to the look leaves the try as open as it was.
+            let found = current(store).await.map_err(|_| StoreError::Unclear)?;
+            match found {
+                Some((stored, revision)) if claims::fate(&record, &stored) == Fate::Done => {
+                    Ok(Claim { term, revision, lease, mark })
+                }
+                _ => Err(StoreError::Unclear),
+            }
+        }
         Err(e) => Err(e),
     }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,7 +1,8 @@
 //! Calls between hosts: JSON-RPC over WebSocket by `jsonrpsee`.
 //!
 //! Followers call the leader only: with a heartbeat, with what callers handed in, and with
-//! questions about jobs. Nothing depends on one of these calls for safety.
+//! questions about jobs. Nothing depends on one of these calls for safety, and none is sent a second time by
+//! itself: the library neither reconnects nor repeats, and a connection that owes an answer is dropped.
 
 use std::io;
 use std::sync::{Arc, Mutex};
@@ -11,6 +12,7 @@
 use gaplock_jobs::config::Config;
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey};
+use gaplock_policy::handing::Handed;
 use gaplock_policy::succession;
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
@@ -114,19 +116,6 @@
     State(JobState),
 }
 
-/// What became of something handed on to the leader.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub enum Handed {
-    /// It is stored.
-    Stored,
-    /// There is no such job.
-    NoSuchJob,
-    /// It is not stored and never will be.
-    NotStored,
-    /// It may be stored.
-    Unclear,
-}
-
 const HEARTBEAT: &str = "heartbeat";
 const JOB_STORED: &str = "job_stored";
 const CANCEL_STORED: &str = "cancel_stored";
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod estimate;
 pub mod fair;
 pub mod guard;
+pub mod handing;
 pub mod health;
 pub mod pairing;
 pub mod placement;
--- a/crates/remote/tests/whole.rs
+++ b/crates/remote/tests/whole.rs
@@ -129,3 +129,46 @@
         assert!(client.call(call(2_000)).await.is_ok(), "another silent connection was used");
     });
 }
+
+/// Serves connections that answer one request and are closed, without an answer, once the second one is read;
+/// counts requests over all connections.
+async fn server_that_closes_on_the_second_request() -> (String, Arc<AtomicUsize>) {
+    let listener = net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap().to_string();
+    let requests = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&requests);
+    task::spawn(async move {
+        let mut incoming = listener.incoming();
+        while let Some(Ok(mut stream)) = incoming.next().await {
+            let counted = Arc::clone(&counted);
+            task::spawn(async move {
+                let mut buf = [0_u8; 4_096];
+                for answers in [true, false] {
+                    if stream.read(&mut buf).await.unwrap_or(0) == 0 {
+                        return;
+                    }
+                    counted.fetch_add(1, Ordering::SeqCst);
+                    if !answers || stream.write_all(FULL.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (addr, requests)
+}
+
+/// A call that was sent on a kept connection may have been carried out before the connection closed, so it
+/// is unclear, and only the caller may send it again.
+#[test]
+fn a_call_on_a_kept_connection_that_closes_is_unclear_and_not_sent_again() {
+    task::block_on(async {
+        let (addr, requests) = server_that_closes_on_the_second_request().await;
+        let client = Client::open(addr, 2);
+        client.call(call(500)).await.unwrap();
+        let second = client.call(call(500)).await;
+        assert_eq!(second.map(|a| a.status), Err(HttpError::Unclear));
+        task::sleep(Duration::from_millis(100)).await;
+        assert_eq!(requests.load(Ordering::SeqCst), 2, "the client sent a call again by itself");
+    });
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod account;
 pub mod availability;
 pub mod choices;
+pub mod claims;
 pub mod commits;
 pub mod context;
 pub mod dispatch;
