--- a/crates/sched/tests/fleet/world/writes.rs
+++ b/crates/sched/tests/fleet/world/writes.rs
@@ -191,12 +191,12 @@
             self.store(write.records);
         }
         if answered {
-            self.from_store(mark, Heard::Answer(answer));
+            self.hear_of_write(mark, Heard::Answer(answer));
         }
     }
 
     /// Lets the leader hear of its write; an answer to an earlier one goes nowhere.
-    pub(super) fn from_store(&mut self, mark: CommitMark, heard: Heard) {
+    pub(super) fn hear_of_write(&mut self, mark: CommitMark, heard: Heard) {
         if self.writes.in_flight.as_ref().is_none_or(|w| w.mark != mark) {
             return;
         }
