--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod account;
 pub mod availability;
 pub mod choices;
+pub mod claims;
 pub mod commits;
 pub mod context;
 pub mod dispatch;
@@ -34,6 +35,7 @@
 pub mod trace;
 pub mod upkeep;
 pub mod worker;
+pub mod writing;
 
 pub use context::Context;
 pub use message::{Action, Event};
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 mod late_paces;
 mod late_starts;
 mod late_upkeeps;
+mod late_writes;
 mod leaving;
 mod promises;
 mod renewals;
