--- /dev/null
+++ b/crates/soak/src/processes/callers.rs
@@ -0,0 +1,101 @@
+//! The callers: they hand in jobs and cancel some, on connections that they keep open.
+
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use gaplock_jobs::JobKey;
+use gaplock_platform_standin::caller::Caller;
+use gaplock_platform_standin::site::{lasting, two_steps, Site};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{FAULTY_TIME, LOCK};
+
+/// What the callers of one job were told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Told {
+    Accepted,
+    Refused,
+    Unclear,
+    Cancelled,
+    /// Its tasks run until it is cancelled.
+    Lasts,
+}
+
+/// How many callers there are: one that waits for a frozen host leaves the others to go on.
+pub(super) const COUNT: u64 = 3;
+
+/// The distance between the first jobs of two callers.
+const KEYS: u64 = 1_000_000;
+
+/// How many hosts a caller tries for one call.
+const TRIES: usize = 4;
+
+/// Every so many jobs one lasts.
+const LASTS_EVERY: u64 = 6;
+
+/// Every so many jobs that end by themselves one is cancelled.
+const CANCELLED_EVERY: u32 = 8;
+
+/// Pauses between two jobs of one caller, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 60..450;
+
+/// Hands in and cancels jobs until the faulty time is over; then cancels what lasts.
+pub(super) fn call(site: &Mutex<Site>, jobs: &Mutex<Vec<(JobKey, Told)>>, caller: u64, seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ u64::MAX);
+    rng.set_stream(caller);
+    let open = |site: &Site| site.hosts.iter().map(|h| Caller::new(&h.callers)).collect();
+    let mut hosts: Vec<Caller> = open(&site.lock().expect(LOCK));
+    let note = |key, told| jobs.lock().expect(LOCK).push((key, told));
+    let began = Instant::now();
+    let mut lasting_jobs = Vec::new();
+    for n in 1.. {
+        if began.elapsed() >= FAULTY_TIME {
+            break;
+        }
+        let key = JobKey(caller * KEYS + n);
+        let lasts = n % LASTS_EVERY == 0;
+        let told = submit(&mut hosts, key, lasts, &mut rng);
+        note(key, told);
+        if lasts {
+            note(key, Told::Lasts);
+            lasting_jobs.push(key);
+        }
+        let one_of = if lasts { 2 } else { CANCELLED_EVERY };
+        if told == Told::Accepted && rng.random_range(0..one_of) == 0 {
+            note(key, cancel(site, &mut hosts, key, &mut rng));
+        }
+        thread::sleep(Duration::from_millis(rng.random_range(PAUSE_MS)));
+    }
+    for key in lasting_jobs {
+        note(key, cancel(site, &mut hosts, key, &mut rng));
+    }
+}
+
+/// Sends a job to one host after the other.
+fn submit(hosts: &mut [Caller], key: JobKey, lasts: bool, rng: &mut ChaCha8Rng) -> Told {
+    let body = if lasts { lasting() } else { two_steps() };
+    let mut told = Told::Refused;
+    for _ in 0..TRIES {
+        let at = rng.random_range(0..hosts.len());
+        match hosts[at].submit(key, &body) {
+            Some(200) => return Told::Accepted,
+            Some(503 | 429) => {}
+            _ => told = Told::Unclear,
+        }
+    }
+    told
+}
+
+/// Sends a cancellation to one host after the other, and tells the judge of the first success.
+fn cancel(site: &Mutex<Site>, hosts: &mut [Caller], key: JobKey, rng: &mut ChaCha8Rng) -> Told {
+    for _ in 0..TRIES {
+        let at = rng.random_range(0..hosts.len());
+        if hosts[at].cancel(key) == Some(200) {
+            site.lock().expect(LOCK).fleet.note_cancelled(key);
+            return Told::Cancelled;
+        }
+    }
+    Told::Unclear
+}
