--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -45,6 +45,8 @@
     writes: bool,
     /// As many hosts as one machine bears.
     many: bool,
+    /// Every so many moments one brings a single fault besides.
+    single_one_of: u32,
 }
 
 /// Every so many seeds one has many hosts.
@@ -67,13 +69,16 @@
 const POLL: Duration = Duration::from_millis(50);
 const LOCK: &str = "no holder of the lock panics";
 
-/// Returns what a seed plays: by its remainder nothing more, late orders, late writes, or both.
-fn play(seed: u64) -> Play {
+/// Returns what a seed plays: by its remainder nothing more, late orders, late writes, or both. Where more is
+/// played, there are fewer single faults: a leader must live to take a late write for another.
+fn play(seed: u64, rng: &mut ChaCha8Rng) -> Play {
     let kind = seed % 4;
+    let single_one_of = if kind == 1 { 1 } else { rng.random_range(2..7) };
     Play {
         orders: kind == 2 || kind == 0,
         writes: kind == 3 || kind == 0,
-        many: seed % MANY_EVERY == 0,
+        many: seed.is_multiple_of(MANY_EVERY),
+        single_one_of,
     }
 }
 
@@ -83,7 +88,7 @@
 /// Returns why the site could not be started or its processes not be handled.
 pub fn run(program: PathBuf, seed: u64) -> io::Result<Report> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let play = play(seed);
+    let play = play(seed, &mut rng);
     let plan = Plan {
         program,
         dir: std::env::temp_dir().join(format!("gaplock-soak-{}-{seed}", std::process::id())),
@@ -150,7 +155,8 @@
             let starts = site.fleet.starts_of(key).join("; ");
             report.violations.push(format!("{key} was refused and ran: {starts}"));
         }
-        if told(key, Told::Accepted) && !(told(key, Told::Lasts) && !told(key, Told::Cancelled)) {
+        let ends = !told(key, Told::Lasts) || told(key, Told::Cancelled);
+        if told(key, Told::Accepted) && ends {
             check_ended(site, key, until, report);
         }
     }
--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -23,21 +23,42 @@
 /// The shares of calls that are in trouble during a spell, in percent.
 const SHARE: std::ops::Range<u32> = 5..40;
 
-/// A spell of trouble, and when it is over.
-#[derive(Debug)]
+/// The share of transactions that are late; the repeat of a late one is often late too.
+const STORE_SHARE: std::ops::Range<u32> = 15..60;
+
+/// How long the store writes late before it refuses, and how long it refuses then, in milliseconds: a commit
+/// is sent again for about a second, and is late by up to 6 s.
+const LATE_FIRST_MS: std::ops::Range<u64> = 300..1_200;
+const REFUSING_MS: std::ops::Range<u64> = 2_000..5_000;
+
+/// How long after that the leader is killed, in milliseconds: what it learnt in between must be stored.
+const KILLED_AFTER_MS: std::ops::Range<u64> = 100..1_500;
+
+/// A spell of trouble, from its beginning to its end.
+#[derive(Debug, Clone, Copy)]
 struct Spell {
-    at: Place,
+    trouble: Trouble,
+    from: Instant,
     over: Instant,
+    begun: bool,
 }
 
-/// Where trouble is.
+/// What trouble there is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Place {
-    Worker(usize),
-    /// The store writes late and loses answers.
-    Writes,
+enum Trouble {
+    Worker(usize, WorkerTrouble),
+    /// The store writes late and loses answers, by a seed.
+    Writes(StoreTrouble, u64),
     /// The store refuses transactions.
     Refusals,
+    /// The leader is killed.
+    Killing,
+}
+
+/// All spells that are on or to come.
+#[derive(Debug, Default)]
+struct Spells {
+    list: Vec<Spell>,
 }
 
 /// Gives each worker a way of judging lateness, and a time that its runs take to stop.
@@ -47,102 +68,158 @@
         let by_leases = rng.random_range(0..2) == 0;
         let lateness = if by_leases { Lateness::ByLeases } else { Lateness::ByStart };
         site.fleet.set_lateness(worker, lateness);
-        site.fleet.set_trouble(worker, calm_worker(rng));
+        site.fleet.set_trouble(worker, calm_worker(worker));
     }
 }
 
-/// A worker in no trouble; its runs take their time to stop all the same.
-fn calm_worker(rng: &mut ChaCha8Rng) -> WorkerTrouble {
-    let limit_ms = judge::STOP_LIMIT.as_millis() as u64;
-    let stop_takes = Duration::from_millis(rng.random_range(0..limit_ms / 2));
+/// A worker in no trouble; its runs take a time of its own to stop, at most half of what they may.
+fn calm_worker(n: usize) -> WorkerTrouble {
+    let stop_takes = judge::STOP_LIMIT * (n as u32 % 4) / 6;
     WorkerTrouble { stop_takes, ..WorkerTrouble::default() }
 }
 
-/// Injects faults until the faulty time is over, then makes everything whole again.
+/// Injects faults until the faulty time and the store's trouble are over, then makes everything whole again.
 pub(super) fn inject(site: &Mutex<Site>, play: Play, rng: &mut ChaCha8Rng) -> io::Result<u64> {
     let began = Instant::now();
-    let mut faults = 0;
-    let mut spells: Vec<Spell> = Vec::new();
-    while began.elapsed() < FAULTY_TIME {
-        {
-            let mut site = site.lock().expect(LOCK);
-            end_spells(&site, &mut spells, rng);
-            if play.orders && rng.random_range(0..2) == 0 {
-                trouble_workers(&site, &mut spells, rng);
-                faults += 1;
-            }
-            if play.writes && rng.random_range(0..2) == 0 {
-                trouble_store(&site, &mut spells, rng);
-                faults += 1;
-            }
-            if !(play.orders || play.writes) || rng.random_range(0..2) == 0 {
-                one_fault(&mut site, rng)?;
-                faults += 1;
-            }
+    let (mut faults, mut next) = (0, began);
+    let mut spells = Spells::default();
+    let faulty = |spells: &Spells| began.elapsed() < FAULTY_TIME || spells.store_troubled();
+    while faulty(&spells) {
+        let mut locked = site.lock().expect(LOCK);
+        spells.tick(&mut locked)?;
+        if Instant::now() >= next && began.elapsed() < FAULTY_TIME {
+            faults += some_faults(&mut locked, play, &mut spells, rng)?;
+            next = Instant::now() + millis(rng, 50..900);
         }
-        thread::sleep(Duration::from_millis(rng.random_range(50..900)));
+        drop(locked);
+        thread::sleep(POLL);
     }
-    make_whole(&mut site.lock().expect(LOCK), rng)?;
+    make_whole(&mut site.lock().expect(LOCK))?;
     Ok(faults)
 }
 
-/// Ends the spells whose time is over, but where another one has begun at the same place.
-fn end_spells(site: &Site, spells: &mut Vec<Spell>, rng: &mut ChaCha8Rng) {
-    let now = Instant::now();
-    let (over, on): (Vec<Spell>, Vec<Spell>) = spells.drain(..).partition(|s| s.over <= now);
-    *spells = on;
-    for spell in over {
-        if spells.iter().any(|s| s.at == spell.at) {
-            continue;
-        }
-        match spell.at {
-            Place::Worker(n) => site.fleet.set_trouble(n, calm_worker(rng)),
-            Place::Writes => site.store.set_trouble(StoreTrouble::default(), 0),
-            Place::Refusals => site.store.set_writes_refused(false),
-        }
+/// Injects what is due at one moment and returns how many faults that were.
+fn some_faults(
+    site: &mut Site,
+    play: Play,
+    spells: &mut Spells,
+    rng: &mut ChaCha8Rng,
+) -> io::Result<u64> {
+    let before = spells.list.len();
+    if play.orders && rng.random_range(0..2) == 0 {
+        spells.trouble_workers(site.fleet.len(), rng);
+    }
+    if play.writes && !spells.store_troubled() && rng.random_range(0..2) == 0 {
+        spells.trouble_store(rng);
+    }
+    let mut faults = (spells.list.len() - before) as u64;
+    if rng.random_range(0..play.single_one_of) == 0 {
+        one_fault(site, rng)?;
+        faults += 1;
     }
+    Ok(faults)
 }
 
-fn spell(at: Place, rng: &mut ChaCha8Rng) -> Spell {
-    Spell { at, over: Instant::now() + Duration::from_millis(rng.random_range(SPELL_MS)) }
+fn millis(rng: &mut ChaCha8Rng, range: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(rng.random_range(range))
 }
 
-/// Lets some workers carry orders out late and be unwell.
-fn trouble_workers(site: &Site, spells: &mut Vec<Spell>, rng: &mut ChaCha8Rng) {
-    let one_of = rng.random_range(1..4);
-    for worker in 0..site.fleet.len() {
-        if rng.random_range(0..one_of) != 0 {
-            continue;
+impl Spells {
+    fn add(&mut self, trouble: Trouble, from: Instant, over: Instant) {
+        self.list.push(Spell { trouble, from, over, begun: false });
+    }
+
+    /// Begins and ends what is due.
+    fn tick(&mut self, site: &mut Site) -> io::Result<()> {
+        let now = Instant::now();
+        let over: Vec<Spell> = self.list.iter().filter(|s| s.over <= now).copied().collect();
+        self.list.retain(|s| s.over > now);
+        over.iter().filter(|s| s.begun).for_each(|s| self.end(site, s.trouble));
+        for spell in self.list.iter_mut().filter(|s| s.from <= now && !s.begun) {
+            spell.begun = true;
+            begin(site, spell.trouble)?;
+        }
+        Ok(())
+    }
+
+    /// Ends a spell, unless another one of its kind is on at the same place.
+    fn end(&self, site: &Site, trouble: Trouble) {
+        let on = |is: &dyn Fn(Trouble) -> bool| self.list.iter().any(|s| s.begun && is(s.trouble));
+        match trouble {
+            Trouble::Worker(n, _) if !on(&|t| matches!(t, Trouble::Worker(m, _) if m == n)) => {
+                site.fleet.set_trouble(n, calm_worker(n));
+            }
+            Trouble::Writes(..) if !on(&|t| matches!(t, Trouble::Writes(..))) => {
+                site.store.set_trouble(StoreTrouble::default(), 0);
+            }
+            Trouble::Refusals if !on(&|t| t == Trouble::Refusals) => {
+                site.store.set_writes_refused(false);
+            }
+            _ => {}
         }
-        let (late, unwell) = (rng.random_range(SHARE), rng.random_range(SHARE));
-        let trouble = WorkerTrouble { late, unwell, ..calm_worker(rng) };
-        site.fleet.set_trouble(worker, trouble);
-        spells.push(spell(Place::Worker(worker), rng));
     }
-}
 
-/// Lets the store write late and lose answers, refuse transactions, or both.
-fn trouble_store(site: &Site, spells: &mut Vec<Spell>, rng: &mut ChaCha8Rng) {
-    let which = rng.random_range(0..3);
-    if which != 0 {
-        let (late, lost) = (rng.random_range(SHARE), rng.random_range(SHARE));
-        site.store.set_trouble(StoreTrouble { late, lost }, rng.random());
-        spells.push(spell(Place::Writes, rng));
+    /// Tells whether the store is in trouble or will be.
+    fn store_troubled(&self) -> bool {
+        self.list.iter().any(|s| !matches!(s.trouble, Trouble::Worker(..)))
     }
-    if which != 1 {
-        site.store.set_writes_refused(true);
-        spells.push(spell(Place::Refusals, rng));
+
+    /// Lets some workers carry orders out late and be unwell.
+    fn trouble_workers(&mut self, workers: usize, rng: &mut ChaCha8Rng) {
+        let one_of = rng.random_range(1..4);
+        for worker in 0..workers {
+            if rng.random_range(0..one_of) != 0 {
+                continue;
+            }
+            let (late, unwell) = (rng.random_range(SHARE), rng.random_range(SHARE));
+            let trouble = WorkerTrouble { late, unwell, ..calm_worker(worker) };
+            let over = Instant::now() + millis(rng, SPELL_MS);
+            self.add(Trouble::Worker(worker, trouble), Instant::now(), over);
+        }
+    }
+
+    /// Lets the store write late and lose answers, then often refuse transactions, and then often has the
+    /// leader killed.
+    fn trouble_store(&mut self, rng: &mut ChaCha8Rng) {
+        let now = Instant::now();
+        let late = rng.random_range(STORE_SHARE);
+        let lost = if rng.random_range(0..3) == 0 { rng.random_range(SHARE) } else { 0 };
+        let refusing_from = now + millis(rng, LATE_FIRST_MS);
+        self.add(Trouble::Writes(StoreTrouble { late, lost }, rng.random()), now, refusing_from);
+        if rng.random_range(0..4) == 0 {
+            return;
+        }
+        let served_from = refusing_from + millis(rng, REFUSING_MS);
+        self.add(Trouble::Refusals, refusing_from, served_from);
+        if rng.random_range(0..4) != 0 {
+            let killed = served_from + millis(rng, KILLED_AFTER_MS);
+            self.add(Trouble::Killing, killed, killed + POLL * 4);
+        }
     }
 }
 
+fn begin(site: &mut Site, trouble: Trouble) -> io::Result<()> {
+    match trouble {
+        Trouble::Worker(n, trouble) => site.fleet.set_trouble(n, trouble),
+        Trouble::Writes(trouble, seed) => site.store.set_trouble(trouble, seed),
+        Trouble::Refusals => site.store.set_writes_refused(true),
+        Trouble::Killing => {
+            if let Some(leader) = site.leader() {
+                site.hosts[leader].kill()?;
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Makes everything whole again.
-fn make_whole(site: &mut Site, rng: &mut ChaCha8Rng) -> io::Result<()> {
+fn make_whole(site: &mut Site) -> io::Result<()> {
     site.store.set_down(false);
     site.store.set_writes_refused(false);
     site.store.set_trouble(StoreTrouble::default(), 0);
     for worker in 0..site.fleet.len() {
         site.fleet.set_link(worker, Mode::Pass);
-        site.fleet.set_trouble(worker, calm_worker(rng));
+        site.fleet.set_trouble(worker, calm_worker(worker));
     }
     for host in &mut site.hosts {
         host.store_link.set(Mode::Pass);
@@ -156,6 +233,7 @@
     }
     Ok(())
 }
+
 fn one_fault(site: &mut Site, rng: &mut ChaCha8Rng) -> io::Result<()> {
     let leader = site.leader();
     let any = rng.random_range(0..site.hosts.len());
