--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -6,7 +6,7 @@
 use crate::context::Context;
 use crate::message::{Account, Action, Outcome, Refusal, WorkerIx};
 use crate::worker::Renewal;
-use crate::{account, commits, leases, pacing, roster, takeover, trace};
+use crate::{account, commits, doubts, leases, pacing, roster, takeover, trace};
 
 /// Sends every renewal that is due.
 pub fn send_due(cx: &mut Context) {
@@ -28,7 +28,10 @@
     let wait = spread(cx, ix, wait_for(cx.settings.renew_wait, cx.workers.len()));
     let worker = cx.worker_mut(ix);
     worker.renewal = Renewal::InFlight;
-    let quick = until.is_none() || worker.noted > worker.stored || worker.missed > 0;
+    let quick = until.is_none()
+        || worker.noted > worker.stored
+        || worker.missed > 0
+        || worker.awaits_proof();
     let wait = if quick || worker.slots.is_empty() { Millis(0) } else { wait };
     let wait = if worker.is_shared() { wait.min(SHARED_WAIT) } else { wait };
     let stored = worker.stored;
@@ -116,6 +119,7 @@
     account::take_in(cx, ix, sent, &account);
     pacing::observe(cx, ix);
     takeover::answered(cx, ix);
+    doubts::settle(cx, ix);
     roster::open(cx, ix);
     schedule_next(cx, ix);
 }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -1,11 +1,14 @@
 //! What the leader knows of one worker: its clock, its leases, and what it runs.
 
+use std::collections::BTreeMap;
+
 use gaplock_jobs::TaskKey;
 use gaplock_policy::tries::Tries;
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
 
+use crate::doubts::Doubt;
 use crate::message::{EndSeq, Run, WorkerClock, WorkerInfo};
 use crate::pacing::{Column, Row};
 use crate::speed::{Mark, Speed};
@@ -38,6 +41,10 @@
     pub wants_cpu: u32,
     /// When the order in force was sent.
     pub ordered: Instant,
+    /// When a stop is sent again, unless the end of the run is seen before.
+    pub stop_again: Instant,
+    /// How often its stop was refused.
+    pub stop_refusals: u32,
     /// When the worker confirmed the run; unset before.
     pub confirmed: Option<Instant>,
     /// The tries of its start.
@@ -138,6 +145,8 @@
     pub stored: EndSeq,
     /// What runs here.
     pub slots: FxHashMap<TaskKey, Slot>,
+    /// Runs that were given up and may still begin here; until it refuses them the worker gets nothing.
+    pub doubts: BTreeMap<TaskKey, Doubt>,
     /// The room that the slots take.
     pub used: Resources,
     /// The processor demand of filling tasks here, in thousandths of a core.
@@ -178,6 +187,7 @@
             noted: EndSeq(0),
             stored: EndSeq(0),
             slots: FxHashMap::default(),
+            doubts: BTreeMap::new(),
             used: Resources::default(),
             filling: 0,
             spare_pressure: Vec::new(),
@@ -238,6 +248,12 @@
         Some(slot)
     }
 
+    /// Tells whether the next account may prove that a run which was stopped is not here.
+    pub fn awaits_proof(&self) -> bool {
+        let is_barred = |slot: &Slot| slot.phase == Phase::Stopping && slot.confirmed.is_some();
+        self.slots.values().any(is_barred)
+    }
+
     /// Tells whether the directory does not list the worker.
     pub fn is_absent(&self) -> bool {
         matches!(self.listing, Listing::Absent { .. })
@@ -257,6 +273,7 @@
             && self.listing == Listing::Ready
             && self.missed == 0
             && self.clock.is_some()
+            && self.doubts.is_empty()
             && self.avoid_until <= now
     }
 }
