--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -61,11 +61,12 @@
     list: Vec<Spell>,
 }
 
-/// Gives each worker a way of judging lateness, and a time that its runs take to stop.
-pub(super) fn prepare(site: &Site, seed: u64, rng: &mut ChaCha8Rng) {
+/// Gives each worker a way of judging lateness, and a time that its runs take to stop. A seed of single
+/// faults only draws nothing here, and so keeps the course that it had before there were others.
+pub(super) fn prepare(site: &Site, seed: u64, play: Play, rng: &mut ChaCha8Rng) {
     site.fleet.seed(seed);
     for worker in 0..site.fleet.len() {
-        let by_leases = rng.random_range(0..2) == 0;
+        let by_leases = !play.only_single() && rng.random_range(0..2) == 0;
         let lateness = if by_leases { Lateness::ByLeases } else { Lateness::ByStart };
         site.fleet.set_lateness(worker, lateness);
         site.fleet.set_trouble(worker, calm_worker(worker));
@@ -113,7 +114,7 @@
         spells.trouble_store(rng);
     }
     let mut faults = (spells.list.len() - before) as u64;
-    if rng.random_range(0..play.single_one_of) == 0 {
+    if play.only_single() || rng.random_range(0..play.single_one_of) == 0 {
         one_fault(site, rng)?;
         faults += 1;
     }
