--- a/crates/sched/src/account.rs
+++ b/crates/sched/src/account.rs
@@ -31,8 +31,8 @@
     let Some(slot) = worker.slots.get_mut(&row.task) else { return };
     if matches!(slot.phase, Phase::Starting | Phase::Uncertain) {
         slot.phase = Phase::Running;
-        slot.confirmed = Some(now);
     }
+    slot.confirmed.get_or_insert(now);
     slot.percent = row.percent;
     slot.reading = row.reading;
     speed::observe(cx, ix, row.task);
@@ -91,11 +91,12 @@
 
 /// Stops a run that must not go on; its room stays taken as long as its job is known.
 fn stop_stray(cx: &mut Context, ix: WorkerIx, row: &RunningTask, why: &'static str) {
-    let known = cx.worker(ix).slots.get(&row.task).is_some_and(|s| s.run == row.run);
-    if known {
+    let held = cx.worker(ix).slots.get(&row.task).map(|s| s.run);
+    if held == Some(row.run) {
         return;
     }
-    if !cx.jobs.contains_key(&row.task.job) {
+    // A slot of another run is never given up for this one: its own start may be under way.
+    if held.is_some() || !cx.jobs.contains_key(&row.task.job) {
         trace::stop_ordered(row.task, row.run, &cx.worker(ix).info.id, why);
         cx.actions.push(Action::Stop { worker: ix, task: row.task, run: row.run });
         return;
@@ -114,9 +115,10 @@
         account.running.iter().any(|row| row.task == *key && row.run == run)
     };
     let worker = cx.worker(ix);
+    let before = |at: Option<Instant>| at.is_some_and(|at| at < sent);
     let settled = |slot: &Slot| match slot.phase {
-        Phase::Running => slot.confirmed.is_some_and(|at| at < sent),
-        Phase::Stopping => slot.confirmed.is_some_and(|at| at < sent) && slot.ordered < sent,
+        Phase::Running => before(slot.confirmed),
+        Phase::Stopping => (before(slot.confirmed) || before(slot.barred)) && slot.ordered < sent,
         Phase::Starting | Phase::Uncertain => false,
     };
     let missing: Vec<(TaskKey, Run)> = worker
--- a/crates/sched/src/doubts.rs
+++ b/crates/sched/src/doubts.rs
@@ -26,7 +26,8 @@
 /// Keeps a run in doubt that is being given up, unless its worker has confirmed the run or its stop: what has
 /// begun there never begins again.
 pub fn keep(worker: &mut Worker, key: TaskKey, slot: &Slot) {
-    if slot.confirmed.is_none() && slot.tries.sent() > 0 {
+    let unknown = slot.confirmed.is_none() && slot.barred.is_none();
+    if unknown && slot.tries.sent() > 0 {
         worker.doubts.insert(key, Doubt { run: slot.run, asked: None });
     }
 }
@@ -35,7 +36,7 @@
 pub fn settle(cx: &mut Context, ix: WorkerIx) {
     let (now, retry) = (cx.now, cx.settings.stop_retry);
     let worker = cx.worker_mut(ix);
-    if worker.missed > 0 {
+    if !worker.answers() {
         return;
     }
     let mut due = Vec::new();
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -11,21 +11,22 @@
 use crate::worker::Slot;
 use crate::{commits, doubts, lifecycle, roster, takeover, trace};
 
-/// Gives up the runs of silent workers whose leases are certainly over, and workers that are
+/// Gives up the runs of workers that are silent or refuse stops once their leases are certainly over, and workers that are
 /// neither listed nor answering.
 pub fn check(cx: &mut Context) {
     let now = cx.now;
-    let drift = cx.settings.drift_per_mille;
+    let (drift, lease) = (cx.settings.drift_per_mille, cx.settings.lease());
     for ix in cx.worker_ixs() {
         let worker = cx.worker(ix);
-        if worker.missed == 0 || worker.lapsed_by(drift).is_some_and(|at| at > now) {
+        let ending = worker.missed > 0 || worker.is_left_to_lapse(now, lease);
+        if !ending || worker.lapsed_by(drift).is_some_and(|at| at > now) {
             continue;
         }
         let unsurveyed = cx.survey.is_some() && worker.answered.is_none();
         if unsurveyed {
             continue;
         }
-        let absent = worker.is_absent();
+        let absent = worker.is_absent() && worker.missed > 0;
         keep_doubts(cx, ix);
         free_all(cx, ix, Proof::LeaseOver);
         roster::lapsed(cx, ix);
@@ -74,12 +75,12 @@
     takeover::answered(cx, ix);
 }
 
-/// Returns the end of a lease at a worker that begins now, and remembers it as granted; none while a run
-/// that was given up could begin under it.
+/// Returns the end of a lease at a worker that begins now, and remembers it as granted; none while the
+/// worker's leases are left to end.
 pub fn grant(cx: &mut Context, ix: WorkerIx) -> Option<WorkerClock> {
     let (now, lease) = (cx.now, cx.settings.lease());
     let worker = cx.worker_mut(ix);
-    if !worker.doubts.is_empty() {
+    if worker.is_left_to_lapse(now, lease) {
         return None;
     }
     let until = worker.lease_end(now, lease)?;
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -9,7 +9,7 @@
 
 use crate::context::Context;
 use crate::message::{Action, Run, WorkerIx};
-use crate::pacing::{self, FULL_PACE};
+use crate::pacing::{self, GivenPaces, FULL_PACE};
 use crate::proof::Proof;
 use crate::table::{self, Entry, ReadyStep, Round, Task, TaskState};
 use crate::worker::{Part, Phase, Slot};
@@ -98,10 +98,13 @@
         ordered: now,
         stop_again: now,
         stop_refusals: 0,
+        stopping_since: now,
+        barred: None,
         confirmed: (!started).then_some(now),
         tries: Tries::default(),
         pace: FULL_PACE,
         pacing: false,
+        paces: if started { GivenPaces::default() } else { GivenPaces::found() },
         percent: occupant.percent,
         reading: occupant.reading,
         mark: None,
@@ -252,6 +255,7 @@
     }
     slot.phase = Phase::Stopping;
     slot.ordered = now;
+    slot.stopping_since = now;
     slot.stop_again = now + retry;
     trace::stop_ordered(key, run, &w.info.id, why);
     cx.actions.push(Action::Stop { worker, task: key, run });
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -30,7 +30,7 @@
     if slot.run != run {
         return;
     }
-    let fate = slot.tries.settle(fate_of(&outcome));
+    let fate = slot.tries.settle(outcome.fate());
     if !matches!(slot.phase, Phase::Starting | Phase::Uncertain) {
         return;
     }
@@ -52,15 +52,6 @@
     }
 }
 
-/// Says what one try of an order came to.
-fn fate_of(outcome: &Outcome<WorkerClock>) -> Fate {
-    match outcome {
-        Outcome::Done(_) => Fate::Done,
-        Outcome::Refused(_) | Outcome::NotSent => Fate::NotDone,
-        Outcome::Unclear => Fate::Unknown,
-    }
-}
-
 /// Logs a start that was not simply carried out, with the try that the answer belongs to.
 fn trace_answer(
     cx: &Context,
@@ -158,8 +149,8 @@
     cx.actions.push(start);
 }
 
-/// The pause before a stop that was refused is sent again. Nothing was done and the worker answers, so there is
-/// no need to wait as for a lost answer, and a task waits for it. It doubles with each refusal up to
+/// The first pause before the stop of a withdrawn start is sent again that was refused: a task waits for it,
+/// and a worker that refuses some calls may take the next one. It doubles with each refusal up to
 /// [`crate::Settings::stop_retry`], so that hundreds of unwell workers do not use up the leader's processor.
 const REFUSED_RETRY: Millis = Millis(50);
 
@@ -168,7 +159,9 @@
     let (now, most) = (cx.now, cx.settings.stop_retry);
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
     slot.stop_refusals += 1;
-    slot.stop_again = now + lifecycle::doubled(REFUSED_RETRY, slot.stop_refusals, most);
+    if slot.confirmed.is_none() {
+        slot.stop_again = now + lifecycle::doubled(REFUSED_RETRY, slot.stop_refusals, most);
+    }
 }
 
 /// Takes in what became of a stop.
@@ -191,7 +184,7 @@
         Outcome::Refused(Refusal::Fenced) => cx.actions.push(Action::ConfirmLeadership),
         // From now on the worker refuses the run, and an account that does not list it proves that it is over.
         Outcome::Done(_) | Outcome::Refused(Refusal::OldRun) => {
-            slot.confirmed.get_or_insert(now);
+            slot.barred.get_or_insert(now);
             slot.ordered = now;
             slot.stop_again = now + Millis(limit);
             cx.worker_mut(ix).hasten_renewal(now);
@@ -207,7 +200,7 @@
     for ix in cx.worker_ixs() {
         doubts::settle(cx, ix);
         let worker = cx.worker_mut(ix);
-        if worker.missed > 0 {
+        if !worker.answers() {
             continue;
         }
         let mut again = Vec::new();
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -84,6 +84,7 @@
                 cx.actions.push(Action::ConfirmLeadership);
             }
             missed(cx, ix);
+            refused(cx, ix);
         }
         Outcome::NotSent | Outcome::Unclear => missed(cx, ix),
     }
@@ -98,6 +99,7 @@
     let (now, retry) = (cx.now, cx.settings.renew_retry);
     let worker = cx.worker_mut(ix);
     worker.missed += 1;
+    worker.refuses = false;
     if worker.missed == 1 {
         trace::worker_silent(&worker.info.id);
     }
@@ -105,6 +107,19 @@
     worker.renewal = Renewal::Due(now + pause);
 }
 
+/// The pause before a refused renewal is sent again whose account a task waits for.
+const REFUSED_RETRY: Millis = Millis(50);
+
+/// Takes in that the last renewal was refused, by a worker that is unwell but answers.
+fn refused(cx: &mut Context, ix: WorkerIx) {
+    let now = cx.now;
+    let worker = cx.worker_mut(ix);
+    worker.refuses = true;
+    if worker.awaits_proof() {
+        worker.renewal = Renewal::Due(now + REFUSED_RETRY);
+    }
+}
+
 /// Takes in a worker's account.
 fn answered(cx: &mut Context, ix: WorkerIx, sent: Instant, account: Account) {
     let now = cx.now;
@@ -114,6 +129,7 @@
     }
     let worker = cx.worker_mut(ix);
     worker.missed = 0;
+    worker.refuses = false;
     worker.answered.get_or_insert(now);
     worker.read_clock(now, account.clock);
     account::take_in(cx, ix, sent, &account);
@@ -129,9 +145,11 @@
     let now = cx.now;
     let poll = wait_for(cx.settings.poll_every, cx.workers.len());
     let idle = cx.settings.idle_renew_every;
+    let lease = cx.settings.lease();
     let worker = cx.worker_mut(ix);
     let unstored = worker.noted > worker.stored;
-    let next = if unstored {
+    // Without a lease to ask for, a renewal does not wait at the worker.
+    let next = if unstored || worker.is_left_to_lapse(now, lease) {
         now + poll
     } else if worker.slots.is_empty() {
         now + idle
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -92,8 +92,9 @@
     slot: Option<&Slot>,
 ) {
     let tries = slot.map(|s| s.tries).unwrap_or_default();
+    let confirmed = slot.is_some_and(|s| s.confirmed.is_some());
     info!(event = "run_released", %task, run = run.0, %worker, ?proof, phase = ?slot.map(|s| s.phase),
-        tries = tries.sent(), open = tries.open());
+        tries = tries.sent(), open = tries.open(), confirmed);
 }
 
 /// A run of a former leader was found and kept.
@@ -189,8 +190,9 @@
 }
 
 /// The platform has answered such an order, or not.
-pub fn upkeep_answered(wave: WaveNumber, host: &ids::HostId, answer: UpkeepAnswer) {
-    info!(event = "upkeep_answered", wave = wave.0, %host, ?answer);
+pub fn upkeep_answered(wave: WaveNumber, host: &ids::HostId, answer: UpkeepAnswer, tries: Tries) {
+    let (attempt, open) = (tries.sent(), tries.open());
+    info!(event = "upkeep_answered", wave = wave.0, %host, ?answer, attempt, open);
 }
 
 /// The upkeep of every host of a wave has begun.
@@ -198,9 +200,10 @@
     info!(event = "wave_completed", wave = wave.0, begun);
 }
 
-/// A filling task's pace is changed.
-pub fn pace_ordered(task: TaskKey, run: Run, worker: &ids::WorkerId, from: u32, to: u32) {
-    info!(event = "pace_ordered", %task, run = run.0, %worker, from, to);
+/// A filling task's pace is ordered: changed, or put in force again.
+pub fn pace_ordered(task: TaskKey, slot: &Slot, worker: &ids::WorkerId, to: u32) {
+    let (run, from, open) = (slot.run.0, slot.pace, slot.paces.open());
+    info!(event = "pace_ordered", %task, run, %worker, from, to, open);
 }
 
 /// Writes down what runs on a worker, with its readings and what the model makes of them.
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -10,7 +10,7 @@
 
 use crate::doubts::Doubt;
 use crate::message::{EndSeq, Run, WorkerClock, WorkerInfo};
-use crate::pacing::{Column, Row};
+use crate::pacing::{Column, GivenPaces, Row};
 use crate::speed::{Mark, Speed};
 
 /// What the leader believes of a run at a worker.
@@ -45,14 +45,20 @@
     pub stop_again: Instant,
     /// How often its stop was refused.
     pub stop_refusals: u32,
-    /// When the worker confirmed the run; unset before.
+    /// When its first stop was sent.
+    pub stopping_since: Instant,
+    /// When the worker confirmed that the run is or was there; unset before.
     pub confirmed: Option<Instant>,
+    /// When the worker confirmed a stop, after which it refuses the run for ever; unset before.
+    pub barred: Option<Instant>,
     /// The tries of its start.
     pub tries: Tries,
     /// The share of full speed in percent that was last put in force.
     pub pace: u32,
     /// Whether an order for another pace is on its way.
     pub pacing: bool,
+    /// The orders of pace so far, and what they leave in doubt.
+    pub paces: GivenPaces,
     /// How far the run has come in percent.
     pub percent: u32,
     /// The worker's last reading: tail in milliseconds or processor time in use.
@@ -137,6 +143,8 @@
     pub answered: Option<Instant>,
     /// Renewals without an answer since the last answer.
     pub missed: u32,
+    /// Whether the last renewal was refused: the worker is unwell but answers.
+    pub refuses: bool,
     /// The renewal call.
     pub renewal: Renewal,
     /// The last end that the leader has taken in.
@@ -183,6 +191,7 @@
             lease_until: None,
             answered: None,
             missed: 0,
+            refuses: false,
             renewal: Renewal::Due(now),
             noted: EndSeq(0),
             stored: EndSeq(0),
@@ -248,10 +257,25 @@
         Some(slot)
     }
 
-    /// Tells whether the next account may prove that a run which was stopped is not here.
+    /// Tells whether the next account may prove that a withdrawn start was never carried out. A run that is
+    /// or was here needs no such haste: its end answers a waiting renewal.
     pub fn awaits_proof(&self) -> bool {
-        let is_barred = |slot: &Slot| slot.phase == Phase::Stopping && slot.confirmed.is_some();
-        self.slots.values().any(is_barred)
+        self.slots.values().any(|slot| slot.confirmed.is_none() && slot.barred.is_some())
+    }
+
+    /// Tells whether the worker answers, if only with refusals.
+    pub fn answers(&self) -> bool {
+        self.missed == 0 || self.refuses
+    }
+
+    /// Tells whether the worker's leases are left to end: a run that was given up may begin under a new one,
+    /// or a stop has been refused for `limit`, and only the end of all leases frees its task.
+    pub fn is_left_to_lapse(&self, now: Instant, limit: Millis) -> bool {
+        let is_stuck = |slot: &Slot| {
+            let refused = slot.stop_refusals > 0 && slot.barred.is_none();
+            slot.phase == Phase::Stopping && refused && now.since(slot.stopping_since) >= limit
+        };
+        !self.doubts.is_empty() || self.slots.values().any(is_stuck)
     }
 
     /// Tells whether the directory does not list the worker.
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -3,7 +3,9 @@
 mod backlogs;
 mod bursts;
 mod gangs;
+mod late_paces;
 mod late_starts;
+mod late_upkeeps;
 mod leaving;
 mod promises;
 mod renewals;
@@ -11,4 +13,5 @@
 mod slow_workers;
 mod takeovers;
 mod waves;
+mod withdrawals;
 mod world;
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -31,6 +31,7 @@
 use calls::Delivery;
 pub use checks::assert_kept;
 use hosts::Hosts;
+pub use hosts::{host_name, OrderFate};
 use worker::SimWorker;
 
 /// The pool that every worker belongs to.
@@ -75,6 +76,8 @@
     pub violations: Vec<String>,
     /// When each renewal was sent.
     pub renewals: Vec<u64>,
+    /// Orders of pace that were sent.
+    pub paces_ordered: u64,
     /// Starts that workers carried out.
     pub starts: u64,
     /// Whether commits are refused.
@@ -98,6 +101,8 @@
     roster: BTreeMap<ids::WorkerId, RosterEntry>,
     wave_progress: BTreeMap<WaveNumber, WaveProgress>,
     noted_done: BTreeSet<TaskKey>,
+    /// When each task was last started.
+    started_at: BTreeMap<TaskKey, u64>,
     done: BTreeSet<TaskKey>,
     noted_failed: BTreeMap<TaskKey, u32>,
     failed: BTreeMap<TaskKey, u32>,
@@ -114,6 +119,7 @@
             settings: Settings::default(),
             violations: Vec::new(),
             renewals: Vec::new(),
+            paces_ordered: 0,
             starts: 0,
             store_down: false,
             work_ms: 500,
@@ -131,6 +137,7 @@
             progress: BTreeMap::new(),
             roster: BTreeMap::new(),
             noted_done: BTreeSet::new(),
+            started_at: BTreeMap::new(),
             done: BTreeSet::new(),
             noted_failed: BTreeMap::new(),
             failed: BTreeMap::new(),
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -1,7 +1,7 @@
 //! What a worker does: it carries orders out under leases and a fencing token, lists its ends until
 //! they are acknowledged, and ends what its lease no longer covers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use gaplock_jobs::TaskKey;
 use gaplock_sched::message::{
@@ -21,10 +21,12 @@
     takes: Resources,
     run: Run,
     /// When its work began.
-    began: u64,
+    pub(super) began: u64,
     /// When its work is over, by the virtual clock; unset for a lasting task.
     ends_at: Option<u64>,
     fails: bool,
+    /// When its stop is over; unset while it is not being stopped.
+    stops_at: Option<u64>,
     pub(super) pace: u32,
 }
 
@@ -50,13 +52,26 @@
     pub unwell: bool,
     /// A start is too late by the worker's own leases, not by the end of the lease that it carries.
     pub late_by_own_lease: bool,
+    /// Calls that it refuses, in a thousand.
+    pub refuses_per_mille: u32,
+    /// Stops are refused, and nothing else.
+    pub refuses_stops: bool,
+    /// How long a stop takes, in milliseconds.
+    pub stop_ms: u64,
+    /// Stops that arrived.
+    pub stops: u64,
     /// The next start gets no answer and arrives after so many milliseconds.
     pub delays_start: Option<u64>,
+    /// The next orders of pace get no answer and arrive after so many milliseconds.
+    pub delays_paces: VecDeque<u64>,
     /// How many times as long as elsewhere work takes.
     pub slowness: u64,
     pub(super) running: BTreeMap<TaskKey, SimRun>,
     ends: Vec<End>,
     next_seq: u64,
+    /// When each end came, and when its lease was last over.
+    ended_at: BTreeMap<EndSeq, u64>,
+    lapsed_at: u64,
     token: u64,
     lease_until: u64,
     pub(super) last_ended: BTreeMap<TaskKey, Run>,
@@ -85,11 +100,18 @@
             failing: false,
             unwell: false,
             late_by_own_lease: false,
+            refuses_per_mille: 0,
+            refuses_stops: false,
+            stop_ms: 0,
+            stops: 0,
             delays_start: None,
+            delays_paces: VecDeque::new(),
             slowness: 1,
             running: BTreeMap::new(),
             ends: Vec::new(),
             next_seq: 1,
+            ended_at: BTreeMap::new(),
+            lapsed_at: 0,
             token: 0,
             lease_until: 0,
             last_ended: BTreeMap::new(),
@@ -107,15 +129,23 @@
                 continue;
             }
             let lapsed = self.now + worker.clock_offset >= worker.lease_until;
-            let over = worker
-                .running
-                .iter()
-                .filter(|(_, r)| lapsed || r.ends_at.is_some_and(|end| end <= self.now));
-            let over: Vec<(TaskKey, bool)> = over.map(|(t, r)| (*t, r.fails)).collect();
+            if lapsed {
+                self.workers[at].lapsed_at = self.now;
+            }
+            let worker = &self.workers[at];
+            let over = worker.running.iter().filter(|(_, r)| {
+                let due = |at: Option<u64>| at.is_some_and(|at| at <= self.now);
+                lapsed || due(r.ends_at) || due(r.stops_at)
+            });
+            let now = self.now;
+            let stopped = |r: &SimRun| r.stops_at.is_some_and(|at| at <= now);
+            let over: Vec<(TaskKey, bool, bool)> =
+                over.map(|(t, r)| (*t, r.fails, stopped(r))).collect();
             let waited = !over.is_empty();
-            for (task, fails) in over {
+            for (task, fails, stopped) in over {
                 let how = match (lapsed, fails) {
                     (true, _) => How::Lapsed,
+                    _ if stopped => How::Stopped,
                     (false, true) => How::Failed,
                     (false, false) => How::Done,
                 };
@@ -145,7 +175,9 @@
         if !self.workers[at].up || self.workers[at].cut {
             return self.time_out(trip, &call);
         }
-        if trip.answered && self.refuses(at) {
+        let is_stop = matches!(call, Call::Stop { .. });
+        self.workers[at].stops += u64::from(is_stop);
+        if trip.answered && (self.refuses(at) || is_stop && self.workers[at].refuses_stops) {
             return self.refuse(trip, &call);
         }
         let clock = self.now + self.workers[at].clock_offset;
@@ -166,7 +198,7 @@
     /// Tells whether an unwell worker refuses the call in hand. What is carried out late was taken in
     /// before.
     fn refuses(&mut self, at: usize) -> bool {
-        let per_mille = self.faults.unwell_per_mille;
+        let per_mille = self.faults.unwell_per_mille.max(self.workers[at].refuses_per_mille);
         self.workers[at].unwell || per_mille > 0 && self.rng.random_range(0..1_000) < per_mille
     }
 
@@ -208,6 +240,17 @@
         for end in noted {
             match end.how {
                 How::Done => {
+                    let came = self.workers[at].ended_at.get(&end.seq).copied().unwrap_or(0);
+                    let lapsed = self.workers[at].lapsed_at >= came;
+                    let again = self.started_at.get(&end.task).is_some_and(|s| *s > came);
+                    if again && !lapsed && !self.copies(end.task) {
+                        let now = self.now;
+                        let text = format!(
+                            "{now}: {} started after its end at {came}, noted later",
+                            end.task
+                        );
+                        self.violations.push(text);
+                    }
                     self.noted_done.insert(end.task);
                 }
                 How::Failed => *self.noted_failed.entry(end.task).or_default() += 1,
@@ -257,7 +300,13 @@
                 let worker = &mut self.workers[at];
                 let last = worker.last_ended.entry(*task).or_default();
                 *last = (*last).max(*run);
-                if worker.running.get(task).is_some_and(|r| r.run == *run) {
+                let over = self.now + worker.stop_ms;
+                let mut at_once = false;
+                if let Some(r) = worker.running.get_mut(task).filter(|r| r.run == *run) {
+                    at_once = worker.stop_ms == 0;
+                    r.stops_at.get_or_insert(over);
+                }
+                if at_once {
                     self.end(at, *task, How::Stopped);
                 }
                 Ok(())
@@ -307,7 +356,8 @@
             if work.lasting { None } else { Some(self.now + work.ms * self.workers[at].slowness) };
         let ends_at = if fails { Some(self.now + 50) } else { ends_at };
         let began = self.now;
-        let sim = SimRun { takes: work.takes, run, began, ends_at, fails, pace: 100 };
+        let (takes, stops_at) = (work.takes, None);
+        let sim = SimRun { takes, run, began, ends_at, fails, stops_at, pace: 100 };
         self.workers[at].running.insert(task, sim);
         Ok(())
     }
@@ -319,6 +369,7 @@
         *last = (*last).max(sim.run);
         let seq = EndSeq(worker.next_seq);
         worker.next_seq += 1;
+        worker.ended_at.insert(seq, self.now);
         worker.ends.push(End { seq, task, run: sim.run, how, checkpoint: None });
         match how {
             How::Done => {
