--- /dev/null
+++ b/crates/soak/src/processes/faults.rs
@@ -0,0 +1,285 @@
+//! Faults from outside: single ones, and spells of trouble at workers and the store that overlap with them.
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+use std::{io, thread};
+
+use gaplock_platform_standin::judge;
+use gaplock_platform_standin::relay::Mode;
+use gaplock_platform_standin::site::{self, Site};
+use gaplock_platform_standin::trouble::{Lateness, StoreTrouble, WorkerTrouble};
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+
+use super::{Play, FAULTY_TIME, LOCK, POLL};
+
+/// How long a process that was told to stop may take, by the sites' settings.
+const STOP_LIMIT: Duration = Duration::from_millis(3_500);
+
+/// How long a spell lasts, in milliseconds: up to half of the faulty time.
+const SPELL_MS: std::ops::Range<u64> = 500..4_000;
+
+/// The shares of calls that are in trouble during a spell, in percent.
+const SHARE: std::ops::Range<u32> = 5..40;
+
+/// The share of transactions that are late; the repeat of a late one is often late too.
+const STORE_SHARE: std::ops::Range<u32> = 15..60;
+
+/// How long the store writes late before it refuses, and how long it refuses then, in milliseconds: a commit
+/// is sent again for about a second, and is late by up to 6 s.
+const LATE_FIRST_MS: std::ops::Range<u64> = 300..1_200;
+const REFUSING_MS: std::ops::Range<u64> = 2_000..5_000;
+
+/// How long after that the leader is killed, in milliseconds: what it learnt in between must be stored.
+const KILLED_AFTER_MS: std::ops::Range<u64> = 100..1_500;
+
+/// A spell of trouble, from its beginning to its end.
+#[derive(Debug, Clone, Copy)]
+struct Spell {
+    trouble: Trouble,
+    from: Instant,
+    over: Instant,
+    begun: bool,
+}
+
+/// What trouble there is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Trouble {
+    Worker(usize, WorkerTrouble),
+    /// The store writes late and loses answers, by a seed.
+    Writes(StoreTrouble, u64),
+    /// The store refuses transactions.
+    Refusals,
+    /// The leader is killed.
+    Killing,
+}
+
+/// All spells that are on or to come.
+#[derive(Debug, Default)]
+struct Spells {
+    list: Vec<Spell>,
+}
+
+/// Gives each worker a way of judging lateness, and a time that its runs take to stop. A seed of single
+/// faults only draws nothing here, and so keeps the course that it had before there were others.
+pub(super) fn prepare(site: &Site, seed: u64, play: Play, rng: &mut ChaCha8Rng) {
+    site.fleet.seed(seed);
+    for worker in 0..site.fleet.len() {
+        let by_leases = !play.only_single() && rng.random_range(0..2) == 0;
+        let lateness = if by_leases { Lateness::ByLeases } else { Lateness::ByStart };
+        site.fleet.set_lateness(worker, lateness);
+        site.fleet.set_trouble(worker, calm_worker(worker));
+    }
+}
+
+/// A worker in no trouble; its runs take a time of its own to stop, at most half of what they may.
+fn calm_worker(n: usize) -> WorkerTrouble {
+    let stop_takes = judge::STOP_LIMIT * (n as u32 % 4) / 6;
+    WorkerTrouble { stop_takes, ..WorkerTrouble::default() }
+}
+
+/// Injects faults until the faulty time and the store's trouble are over, then makes everything whole again.
+pub(super) fn inject(site: &Mutex<Site>, play: Play, rng: &mut ChaCha8Rng) -> io::Result<u64> {
+    let began = Instant::now();
+    let (mut faults, mut next) = (0, began);
+    let mut spells = Spells::default();
+    let faulty = |spells: &Spells| began.elapsed() < FAULTY_TIME || spells.store_troubled();
+    while faulty(&spells) {
+        let mut locked = site.lock().expect(LOCK);
+        spells.tick(&mut locked)?;
+        if Instant::now() >= next && began.elapsed() < FAULTY_TIME {
+            faults += some_faults(&mut locked, play, &mut spells, rng)?;
+            next = Instant::now() + millis(rng, 50..900);
+        }
+        drop(locked);
+        thread::sleep(POLL);
+    }
+    make_whole(&mut site.lock().expect(LOCK))?;
+    Ok(faults)
+}
+
+/// Injects what is due at one moment and returns how many faults that were.
+fn some_faults(
+    site: &mut Site,
+    play: Play,
+    spells: &mut Spells,
+    rng: &mut ChaCha8Rng,
+) -> io::Result<u64> {
+    let before = spells.list.len();
+    if play.orders && rng.random_range(0..2) == 0 {
+        spells.trouble_workers(site.fleet.len(), rng);
+    }
+    if play.writes && !spells.store_troubled() && rng.random_range(0..2) == 0 {
+        spells.trouble_store(rng);
+    }
+    let mut faults = (spells.list.len() - before) as u64;
+    if play.only_single() || rng.random_range(0..play.single_one_of) == 0 {
+        one_fault(site, rng)?;
+        faults += 1;
+    }
+    Ok(faults)
+}
+
+fn millis(rng: &mut ChaCha8Rng, range: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(rng.random_range(range))
+}
+
+impl Spells {
+    fn add(&mut self, trouble: Trouble, from: Instant, over: Instant) {
+        self.list.push(Spell { trouble, from, over, begun: false });
+    }
+
+    /// Begins and ends what is due.
+    fn tick(&mut self, site: &mut Site) -> io::Result<()> {
+        let now = Instant::now();
+        let over: Vec<Spell> = self.list.iter().filter(|s| s.over <= now).copied().collect();
+        self.list.retain(|s| s.over > now);
+        over.iter().filter(|s| s.begun).for_each(|s| self.end(site, s.trouble));
+        for spell in self.list.iter_mut().filter(|s| s.from <= now && !s.begun) {
+            spell.begun = true;
+            begin(site, spell.trouble)?;
+        }
+        Ok(())
+    }
+
+    /// Ends a spell, unless another one of its kind is on at the same place.
+    fn end(&self, site: &Site, trouble: Trouble) {
+        let on = |is: &dyn Fn(Trouble) -> bool| self.list.iter().any(|s| s.begun && is(s.trouble));
+        match trouble {
+            Trouble::Worker(n, _) if !on(&|t| matches!(t, Trouble::Worker(m, _) if m == n)) => {
+                site.fleet.set_trouble(n, calm_worker(n));
+            }
+            Trouble::Writes(..) if !on(&|t| matches!(t, Trouble::Writes(..))) => {
+                site.store.set_trouble(StoreTrouble::default(), 0);
+            }
+            Trouble::Refusals if !on(&|t| t == Trouble::Refusals) => {
+                site.store.set_writes_refused(false);
+            }
+            _ => {}
+        }
+    }
+
+    /// Tells whether the store is in trouble or will be.
+    fn store_troubled(&self) -> bool {
+        self.list.iter().any(|s| !matches!(s.trouble, Trouble::Worker(..)))
+    }
+
+    /// Lets some workers carry orders out late and be unwell.
+    fn trouble_workers(&mut self, workers: usize, rng: &mut ChaCha8Rng) {
+        let one_of = rng.random_range(1..4);
+        for worker in 0..workers {
+            if rng.random_range(0..one_of) != 0 {
+                continue;
+            }
+            let (late, unwell) = (rng.random_range(SHARE), rng.random_range(SHARE));
+            let trouble = WorkerTrouble { late, unwell, ..calm_worker(worker) };
+            let over = Instant::now() + millis(rng, SPELL_MS);
+            self.add(Trouble::Worker(worker, trouble), Instant::now(), over);
+        }
+    }
+
+    /// Lets the store write late and lose answers, then often refuse transactions, and then often has the
+    /// leader killed.
+    fn trouble_store(&mut self, rng: &mut ChaCha8Rng) {
+        let now = Instant::now();
+        let late = rng.random_range(STORE_SHARE);
+        let lost = if rng.random_range(0..3) == 0 { rng.random_range(SHARE) } else { 0 };
+        let refusing_from = now + millis(rng, LATE_FIRST_MS);
+        self.add(Trouble::Writes(StoreTrouble { late, lost }, rng.random()), now, refusing_from);
+        if rng.random_range(0..4) == 0 {
+            return;
+        }
+        let served_from = refusing_from + millis(rng, REFUSING_MS);
+        self.add(Trouble::Refusals, refusing_from, served_from);
+        if rng.random_range(0..4) != 0 {
+            let killed = served_from + millis(rng, KILLED_AFTER_MS);
+            self.add(Trouble::Killing, killed, killed + POLL * 4);
+        }
+    }
+}
+
+fn begin(site: &mut Site, trouble: Trouble) -> io::Result<()> {
+    match trouble {
+        Trouble::Worker(n, trouble) => site.fleet.set_trouble(n, trouble),
+        Trouble::Writes(trouble, seed) => site.store.set_trouble(trouble, seed),
+        Trouble::Refusals => site.store.set_writes_refused(true),
+        Trouble::Killing => {
+            if let Some(leader) = site.leader() {
+                site.hosts[leader].kill()?;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Makes everything whole again.
+fn make_whole(site: &mut Site) -> io::Result<()> {
+    site.store.set_down(false);
+    site.store.set_writes_refused(false);
+    site.store.set_trouble(StoreTrouble::default(), 0);
+    for worker in 0..site.fleet.len() {
+        site.fleet.set_link(worker, Mode::Pass);
+        site.fleet.set_trouble(worker, calm_worker(worker));
+    }
+    for host in &mut site.hosts {
+        host.store_link.set(Mode::Pass);
+        host.signal(Signal::CONT);
+    }
+    // The platform starts again what has ended, also a process that is still stopping now.
+    let began = Instant::now();
+    while began.elapsed() < STOP_LIMIT {
+        site.hosts.iter_mut().try_for_each(site::Host::restart)?;
+        thread::sleep(POLL);
+    }
+    Ok(())
+}
+
+fn one_fault(site: &mut Site, rng: &mut ChaCha8Rng) -> io::Result<()> {
+    let leader = site.leader();
+    let any = rng.random_range(0..site.hosts.len());
+    let at = leader.filter(|_| rng.random_range(0..2) == 0).unwrap_or(any);
+    if rng.random_range(0..4) == 0 {
+        worker_fault(site, rng);
+        return Ok(());
+    }
+    match rng.random_range(0..11) {
+        0 | 1 => site.hosts[at].kill()?,
+        2 => site.hosts[at].signal(Signal::STOP),
+        3 => site.hosts[at].signal(Signal::TERM),
+        4 => site.hosts[at].store_link.set(Mode::Silent),
+        5 => site.hosts[at].store_link.set(Mode::Reset),
+        6 => site.hosts[at].store_link.set(Mode::OneWay),
+        7 => site.hosts[at].store_link.set(Mode::Delay),
+        8 => site.store.set_down(rng.random_range(0..2) == 0),
+        9 => site.hosts[at].store_link.silence_open(),
+        _ => return mend(site, rng),
+    }
+    // Half of the time something else is mended meanwhile, so that faults overlap but do not pile
+    // up until nothing runs.
+    if rng.random_range(0..2) == 0 {
+        mend(site, rng)?;
+    }
+    Ok(())
+}
+
+/// Crashes a worker, or harms the way to it; about half of the ways are whole at any time.
+fn worker_fault(site: &Site, rng: &mut ChaCha8Rng) {
+    let at = rng.random_range(0..site.fleet.len());
+    match rng.random_range(0..10) {
+        0 => site.fleet.crash(at),
+        1 => site.fleet.set_link(at, Mode::Silent),
+        2 => site.fleet.set_link(at, Mode::Reset),
+        3 => site.fleet.set_link(at, Mode::OneWay),
+        4 => site.fleet.set_link(at, Mode::Delay),
+        5 => site.fleet.silence_open(at),
+        _ => site.fleet.set_link(at, Mode::Pass),
+    }
+}
+
+fn mend(site: &mut Site, rng: &mut ChaCha8Rng) -> io::Result<()> {
+    let at = rng.random_range(0..site.hosts.len());
+    site.hosts[at].store_link.set(Mode::Pass);
+    site.hosts[at].signal(Signal::CONT);
+    site.hosts[at].restart()
+}
