--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -5,7 +5,7 @@
 
 use gaplock_remote::http::{Call, Client};
 use gaplock_settings::Values;
-use gaplock_types::{api, config, wire};
+use gaplock_types::{api, config, ids, wire};
 use http_types::Method;
 use serde::Serialize;
 use serde_json::{json, Value};
@@ -106,16 +106,23 @@
         serde_json::from_str(&text).map_err(|e| Ended::Usage(format!("{file}: {e}")))?;
     let body = serde_json::to_vec(&plan).expect("plain data serialises");
     let done: Value = server.call(Method::Post, "/v1/plans/confirm", body).await?;
-    if json {
-        print_json(&done);
-        return Ok(());
-    }
     let status: Option<api::ConfigStatus> = serde_json::from_value(done["status"].clone()).ok();
-    match status {
-        Some(status) => print_status(&status),
+    match &status {
+        _ if json => print_json(&done),
+        Some(status) => print_status(status),
         None => println!("confirmed"),
     }
-    Ok(())
+    match status.filter(|status| status.plan != plan.id) {
+        Some(newer) => Err(superseded(newer.generation)),
+        None => Ok(()),
+    }
+}
+
+/// Says that a plan was confirmed, as a repeat learns, but is not what is in force.
+fn superseded(generation: ids::Generation) -> Ended {
+    Ended::Stale(format!(
+        "the plan was confirmed before, and {generation} has taken its place since"
+    ))
 }
 
 fn print_status(status: &api::ConfigStatus) {
