--- a/crates/coord/src/context.rs
+++ b/crates/coord/src/context.rs
@@ -44,8 +44,8 @@
 }
 
 impl Timing {
-    /// Returns how long an owner goes on renewing once its release is on its way: the release may be
-    /// stored without its knowing, and its successor waits for just this long.
+    /// Returns how long an owner goes on renewing once its release is on its way: the release may
+    /// be stored without its knowing, and its successor waits for just this long.
     pub fn release_right(&self) -> time::Millis {
         self.renew_right.min(self.silent_limit)
     }
--- a/crates/coord/src/partition/mod.rs
+++ b/crates/coord/src/partition/mod.rs
@@ -144,8 +144,8 @@
         self.drop_gone(cx);
     }
 
-    /// Forgets workers that the host list does not show any more, once nothing of theirs is left and
-    /// no order under way can be carried out there: the worker may be shown again before that.
+    /// Forgets workers that the host list does not show any more, once nothing of theirs is left
+    /// and no order under way can be carried out there: the worker may be shown again before that.
     fn drop_gone(&mut self, cx: &Context) {
         let state = &self.state;
         self.links.retain(|worker, link| {
--- a/crates/coord/tests/confirmations.rs
+++ b/crates/coord/tests/confirmations.rs
@@ -1,11 +1,11 @@
 //! What a confirmation of a plan is told when its write was repeated or confirmed elsewhere too.
 //!
-//! Seen: by reading, not in a run. A plan whose write was carried out late was refused as stale once
-//! the next plan was stored on top of it; a plan confirmed at two entries was put in force at one with
-//! the other's name and time missing; a repeat of a confirmation was refused as stale as soon as a newer
-//! plan was in force, or where the entry itself was behind. Cause: the newest document was read as the
-//! fate of the plan, and the plan's id as proof of the whole document. Proof: the tests below failed
-//! before and hold since.
+//! Seen: by reading, not in a run. A plan whose write was carried out late was refused as stale
+//! once the next plan was stored on top of it; a plan confirmed at two entries was put in force at
+//! one with the other's name and time missing; a repeat of a confirmation was refused as stale as
+//! soon as a newer plan was in force, or where the entry itself was behind. Cause: the newest
+//! document was read as the fate of the plan, and the plan's id as proof of the whole document.
+//! Proof: the tests below failed before and hold since.
 
 use gaplock_coord::action::{Action, CallId, Kv, ReplyId, StoreAnswer, StoreCall};
 use gaplock_coord::assign::Layout;
--- a/crates/coord/tests/late_answers.rs
+++ b/crates/coord/tests/late_answers.rs
@@ -2,10 +2,11 @@
 //!
 //! Seen: by reading, not in a run. A repeat that waits behind records not yet sent was refused as
 //! never taken, though its first try was under way at the store; and ownership was dated by the
-//! arrival of a read's answer, which may have lain for seconds at a frozen process. And, in a run on
-//! virtual time: a former owner that read its successor's snapshot back counted how far it was behind
-//! below zero. Cause: one list of waiting replies for records sent and not sent, the time of the answer
-//! for that of the question, and a snapshot taken for this owner's own. Proof: the tests below failed before and hold since.
+//! arrival of a read's answer, which may have lain for seconds at a frozen process. And, in a run
+//! on virtual time: a former owner that read its successor's snapshot back counted how far it was
+//! behind below zero. Cause: one list of waiting replies for records sent and not sent, the time of
+//! the answer for that of the question, and a snapshot taken for this owner's own. Proof: the tests
+//! below failed before and hold since.
 
 use gaplock_coord::action::{Action, CallId, Kv, ReplyId, StoreAnswer, StoreCall};
 use gaplock_coord::context::{Context, Timing};
--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -154,7 +154,8 @@
         match leadership::current(&node.store).await {
             Ok(None) => seen = Revision(0),
             Ok(Some((_, revision))) if revision == seen => {}
-            // An earlier try was carried out late, under a lease that nobody renews: it is replaced.
+            // An earlier try was carried out late, under a lease that nobody renews: it is
+            // replaced.
             Ok(Some((record, revision))) if record.is_by_process_of(&me) => seen = revision,
             Ok(Some(_)) => break,
             Err(e) => tracing::debug!(event = "store_silent", error = %e),
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -74,7 +74,8 @@
     Conflict,
 }
 
-/// Makes a write that can be done only once; a try without an answer is followed by others for a while.
+/// Makes a write that can be done only once; a try without an answer is followed by others for a
+/// while.
 async fn write_once(node: &Node, txn: &Txn) -> Written {
     if node.is_store_away() {
         return Written::Settled(Handed::NotStored);
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -79,12 +79,12 @@
     writer: Writer,
 }
 
-/// Entries of a transaction that are left for records: two go to its conditions and one to the commit's
-/// mark.
+/// Entries of a transaction that are left for records: two go to its conditions and one to the
+/// commit's mark.
 const RECORD_ENTRIES: usize = store::TXN_MOST_ENTRIES - 3;
 
-/// The pause before a commit whose fate is unknown is sent again: half of the one that the leader makes
-/// while the store is away, since ends wait for it.
+/// The pause before a commit whose fate is unknown is sent again: half of the one that the leader
+/// makes while the store is away, since ends wait for it.
 const UNCLEAR_PAUSE: Duration = Duration::from_millis(100);
 
 /// Builds the right to write from a fresh claim.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,8 +1,9 @@
 //! Calls between hosts: JSON-RPC over WebSocket by `jsonrpsee`.
 //!
 //! Followers call the leader only: with a heartbeat, with what callers handed in, and with
-//! questions about jobs. Nothing depends on one of these calls for safety, and none is sent a second time by
-//! itself: the library neither reconnects nor repeats, and a connection that owes an answer is dropped.
+//! questions about jobs. Nothing depends on one of these calls for safety, and none is sent a
+//! second time by itself: the library neither reconnects nor repeats, and a connection that owes an
+//! answer is dropped.
 
 use std::io;
 use std::sync::{Arc, Mutex};
@@ -27,8 +28,8 @@
 /// How long a call to the leader may take; a healthy one takes a millisecond or two.
 const CALL_LIMIT: Duration = Duration::from_millis(700);
 
-/// How long an invitation may go unanswered: a claim is three calls to the store, each of which takes
-/// up to 0.4 s where it is slow.
+/// How long an invitation may go unanswered: a claim is three calls to the store, each of which
+/// takes up to 0.4 s where it is slow.
 const INVITE_LIMIT: Duration = Duration::from_millis(2_000);
 
 /// How long a connection may take to open.
@@ -37,8 +38,8 @@
 /// The largest message; a job is bounded by the callers' limits, far below this.
 const MESSAGE_MOST_BYTES: u32 = 4 << 20;
 
-/// How many other hosts may be connected: some times the hundreds that the users' sites grow to, and
-/// half of the descriptors of their smallest host. The library's own bound is 100.
+/// How many other hosts may be connected: some times the hundreds that the users' sites grow to,
+/// and half of the descriptors of their smallest host. The library's own bound is 100.
 const MOST_CONNECTIONS: u32 = 2_000;
 
 /// Why a call has no answer.
--- a/crates/node/tests/late_cancels.rs
+++ b/crates/node/tests/late_cancels.rs
@@ -1,17 +1,18 @@
 //! Cancellations that the store carries out late, after the leader's own try of them was refused.
 //!
-//! Found by reading and shown here first: a host whose write of a cancellation got no answer asked the leader, whose
-//! write was refused, and told the caller that nothing was stored; seconds later it was. Cause: the leader's answer was
-//! taken for the fate of both tries. The caller is now told that the outcome is not known.
+//! Found by reading and shown here first: a host whose write of a cancellation got no answer asked
+//! the leader, whose write was refused, and told the caller that nothing was stored; seconds later
+//! it was. Cause: the leader's answer was taken for the fate of both tries. The caller is now told
+//! that the outcome is not known.
+
+mod support;
 
-use std::path::PathBuf;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gaplock_jobs::JobKey;
-use gaplock_platform_standin::site::{self, two_steps, Output, Plan, Site};
-
-const WAIT_LIMIT: Duration = Duration::from_secs(20);
+use gaplock_platform_standin::site::{self, two_steps};
+use support::wait_for;
 
 /// Where cancellations are stored.
 const CANCELS: &str = "gaplock/in/cancel/";
@@ -19,34 +20,10 @@
 /// What a caller is told whose outcome is not known.
 const UNKNOWN: u16 = 504;
 
-fn open_site() -> Site {
-    let plan = Plan {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node")),
-        dir: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
-        hosts: 2,
-        workers: 2,
-        work: Duration::from_secs(60),
-        output: Output::File,
-    };
-    let site = site::open(&plan).expect("the site starts");
-    for host in &site.hosts {
-        wait_for("readiness", || host.is_ready());
-    }
-    wait_for("the workers to be known", || site.knows_workers());
-    site
-}
-
-fn wait_for(what: &str, mut met: impl FnMut() -> bool) {
-    let began = Instant::now();
-    while !met() {
-        assert!(began.elapsed() < WAIT_LIMIT, "waited too long for {what}");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
 #[test]
 fn a_cancellation_that_may_be_stored_here_is_not_refused_because_the_leader_was() {
-    let site = open_site();
+    let site = support::open_site(2, 2, Duration::from_secs(60));
+    wait_for("the workers to be known", || site.knows_workers());
     let job = JobKey(1);
     let leader = site.leader().expect("there is a leader");
     let follower = &site.hosts[1 - leader];
--- a/crates/node/tests/late_writes.rs
+++ b/crates/node/tests/late_writes.rs
@@ -1,20 +1,21 @@
 //! Commits that the store carries out late, after it has refused their repeat.
 //!
-//! Seen: dozens of tasks that had ended as done ran again under the next leader. A commit without an answer
-//! had been sent again and refused, the next commit bore the same mark with other records, and when the
-//! late one was carried out, its mark was taken for that of the newer one: ends were acknowledged that were
-//! not stored. Cause: an answer to a repeated call says nothing of the earlier tries. Proved by the logs of
-//! fifteen days played again: in all seven in which a commit was found by its mark, an earlier one
-//! of the same number, with fewer records, was open (`docs/incidents/twice-after-late-call.md`).
+//! Seen: dozens of tasks that had ended as done ran again under the next leader. A commit without
+//! an answer had been sent again and refused, the next commit bore the same mark with other
+//! records, and when the late one was carried out, its mark was taken for that of the newer one:
+//! ends were acknowledged that were not stored. Cause: an answer to a repeated call says nothing of
+//! the earlier tries. Proved by the logs of fifteen days played again: in all seven in which a
+//! commit was found by its mark, an earlier one of the same number, with fewer records, was open
+//! (`docs/incidents/twice-after-late-call.md`).
+
+mod support;
 
-use std::path::PathBuf;
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gaplock_jobs::JobKey;
-use gaplock_platform_standin::site::{self, two_steps, Output, Plan, Site};
-
-const WAIT_LIMIT: Duration = Duration::from_secs(20);
+use gaplock_platform_standin::site::{self, two_steps};
+use support::wait_for;
 
 /// Where the leader stores how far jobs have come.
 const PROGRESS: &str = "gaplock/progress/";
@@ -22,34 +23,10 @@
 /// How many tasks the job has.
 const TASKS: u64 = 10;
 
-fn open_site() -> Site {
-    let plan = Plan {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node")),
-        dir: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
-        hosts: 2,
-        workers: 4,
-        work: Duration::from_millis(200),
-        output: Output::File,
-    };
-    let site = site::open(&plan).expect("the site starts");
-    for host in &site.hosts {
-        wait_for("readiness", || host.is_ready());
-    }
-    wait_for("the workers to be known", || site.knows_workers());
-    site
-}
-
-fn wait_for(what: &str, mut met: impl FnMut() -> bool) {
-    let began = Instant::now();
-    while !met() {
-        assert!(began.elapsed() < WAIT_LIMIT, "waited too long for {what}");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
 #[test]
 fn a_commit_carried_out_after_its_repeat_was_refused_is_not_taken_for_a_newer_one() {
-    let mut site = open_site();
+    let mut site = support::open_site(2, 4, Duration::from_millis(200));
+    wait_for("the workers to be known", || site.knows_workers());
     let job = JobKey(1);
     let first = site.leader().expect("there is a leader");
     let other = 1 - first;
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -1,8 +1,8 @@
 //! A call to another host is sent once, whatever becomes of its connection.
 //!
-//! `peers.rs` tells a caller of such a call that it may have been carried out once its connection is lost, and a
-//! refusal must be true: a library that sent the call again by itself on a new connection would carry out
-//! what was taken for settled. The library is held to it here.
+//! `peers.rs` tells a caller of such a call that it may have been carried out once its connection
+//! is lost, and a refusal must be true: a library that sent the call again by itself on a new
+//! connection would carry out what was taken for settled. The library is held to it here.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -1,40 +1,15 @@
 //! The real daemon in several processes, against stand-ins of the platform.
 
-use std::path::PathBuf;
+mod support;
+
 use std::time::{Duration, Instant};
 
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::cloud;
-use gaplock_platform_standin::site::{
-    self, call, connect_as_peer, two_steps, Output, Plan, Site, PREFIX,
-};
+use gaplock_platform_standin::site::{call, connect_as_peer, two_steps, Output, Site, PREFIX};
 use rustix::process::Signal;
 use serde_json::json;
-
-const WAIT_LIMIT: Duration = Duration::from_secs(20);
-
-fn open_site(hosts: usize, workers: usize, work: Duration) -> Site {
-    open_site_with(hosts, workers, work, Output::File)
-}
-
-fn open_site_with(hosts: usize, workers: usize, work: Duration, output: Output) -> Site {
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node"));
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let site =
-        site::open(&Plan { program, dir, hosts, workers, work, output }).expect("the site starts");
-    for host in &site.hosts {
-        wait_for("readiness", || host.is_ready());
-    }
-    site
-}
-
-fn wait_for(what: &str, mut met: impl FnMut() -> bool) {
-    let began = Instant::now();
-    while !met() {
-        assert!(began.elapsed() < WAIT_LIMIT, "waited too long for {what}");
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
+use support::{open_site, open_site_with, wait_for};
 
 fn shows(site: &Site, host: usize, key: u64, state: &str) -> bool {
     site.hosts[host].state(JobKey(key)).is_some_and(|(_, word)| word == state)
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -1,10 +1,11 @@
 //! A short seeded run of the soak of processes; longer ones are run by hand with `scripts/soak`.
 //!
-//! Seen by some of these seeds: tasks that ran twice at one time, or were started again after their end was
-//! acknowledged, by a start that was carried out late after the refusal of its repeat; and all tasks of many jobs started again
-//! under the next leader, after a commit that was carried out late had been taken for a newer one. Cause: an
-//! answer to a repeated call was taken for the fate of the earlier try. Proved by the judge of the stand-ins,
-//! which tells the worker, run, try and times of each such start.
+//! Seen by some of these seeds: tasks that ran twice at one time, or were started again after their
+//! end was acknowledged, by a start that was carried out late after the refusal of its repeat; and
+//! all tasks of many jobs started again under the next leader, after a commit that was carried out
+//! late had been taken for a newer one. Cause: an answer to a repeated call was taken for the fate
+//! of the earlier try. Proved by the judge of the stand-ins, which tells the worker, run, try and
+//! times of each such start.
 
 use std::path::PathBuf;
 
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,35 @@
+//! What the tests with real processes share: a site that is ready, and waiting for a condition.
+
+use std::path::PathBuf;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use gaplock_platform_standin::site::{self, Output, Plan, Site};
+
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
+/// Starts a site whose hosts are ready and write their output into a file.
+pub fn open_site(hosts: usize, workers: usize, work: Duration) -> Site {
+    open_site_with(hosts, workers, work, Output::File)
+}
+
+/// Starts a site whose hosts are ready.
+pub fn open_site_with(hosts: usize, workers: usize, work: Duration, output: Output) -> Site {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node"));
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let site =
+        site::open(&Plan { program, dir, hosts, workers, work, output }).expect("the site starts");
+    for host in &site.hosts {
+        wait_for("readiness", || host.is_ready());
+    }
+    site
+}
+
+/// Waits until a condition is met, and fails the test if that takes too long.
+pub fn wait_for(what: &str, mut met: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !met() {
+        assert!(began.elapsed() < WAIT_LIMIT, "waited too long for {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
--- a/crates/policy/src/handing.rs
+++ b/crates/policy/src/handing.rs
@@ -1,8 +1,9 @@
 //! What became of something that a caller handed in: a job or a cancellation.
 //!
-//! A host writes it by its own connection to the store or asks the leader to, or both. Each of these is a
-//! try of one call, and what one of them proves says nothing of the other ([`crate::tries`]). A caller is
-//! refused only where it is certain that nothing is stored and nothing ever will be.
+//! A host writes it by its own connection to the store or asks the leader to, or both. Each of
+//! these is a try of one call, and what one of them proves says nothing of the other
+//! ([`crate::tries`]). A caller is refused only where it is certain that nothing is stored and
+//! nothing ever will be.
 
 /// What became of something handed in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -28,8 +29,8 @@
     Answered(Handed),
 }
 
-/// Joins what became of it here with what became of it at the leader; the same rule holds for jobs and
-/// cancellations. What is stored by either is stored, and a job that either found gone takes no
+/// Joins what became of it here with what became of it at the leader; the same rule holds for jobs
+/// and cancellations. What is stored by either is stored, and a job that either found gone takes no
 /// cancellation any more; otherwise it is not stored only if that is certain of both.
 pub fn join(here: Handed, at_leader: AtLeader) -> Handed {
     let there = match at_leader {
@@ -53,9 +54,9 @@
     Anew,
 }
 
-/// Tells what became of a cancellation that met a conflict, by what is stored after it. It expects that
-/// there is no cancellation yet and that the job is as it was read; the conflict alone does not say which
-/// of the two is not so.
+/// Tells what became of a cancellation that met a conflict, by what is stored after it. It expects
+/// that there is no cancellation yet and that the job is as it was read; the conflict alone does
+/// not say which of the two is not so.
 pub fn cancel_after_conflict(cancelled: bool, job: JobNow) -> Handed {
     match (cancelled, job) {
         (true, _) => Handed::Stored,
--- a/crates/policy/src/tries.rs
+++ b/crates/policy/src/tries.rs
@@ -1,9 +1,9 @@
 //! Calls that are sent several times under one name.
 //!
-//! An answer speaks of the try that it answers and of no other. A try without an answer is *open*: it may
-//! have been carried out, and may yet be, after later calls and after the refusal of a later try. Whoever
-//! repeats a call keeps its [`Tries`] and goes by [`Tries::settle`], never by the last answer alone
-//! (`docs/PLATFORM.md`, section Repeated calls).
+//! An answer speaks of the try that it answers and of no other. A try without an answer is *open*:
+//! it may have been carried out, and may yet be, after later calls and after the refusal of a later
+//! try. Whoever repeats a call keeps its [`Tries`] and goes by [`Tries::settle`], never by the last
+//! answer alone (`docs/PLATFORM.md`, section Repeated calls).
 
 /// What became of a call, or of one try of it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -29,8 +29,8 @@
         self.sent += 1;
     }
 
-    /// Takes in what became of the last try and returns what became of the call. A call is not done only
-    /// if that is known of each of its tries.
+    /// Takes in what became of the last try and returns what became of the call. A call is not done
+    /// only if that is known of each of its tries.
     pub fn settle(&mut self, last: Fate) -> Fate {
         match last {
             Fate::Done => Fate::Done,
--- a/crates/policy/tests/handing.rs
+++ b/crates/policy/tests/handing.rs
@@ -1,8 +1,9 @@
 //! What callers are told of jobs and cancellations, by what became of them here and at the leader.
 //!
-//! Found by reading, not seen on a run: a cancellation that was not stored here was refused although the leader, asked to
-//! store it, gave no answer; and one that may have been stored here was refused because the leader's own
-//! try was. Cause: one try's answer was taken for the fate of both.
+//! Found by reading, not seen on a run: a cancellation that was not stored here was refused
+//! although the leader, asked to store it, gave no answer; and one that may have been stored here
+//! was refused because the leader's own try was. Cause: one try's answer was taken for the fate of
+//! both.
 
 use gaplock_policy::handing::{self, AtLeader, Handed, JobNow};
 use Handed::{NoSuchJob, NotStored, Stored, Unclear};
--- a/crates/remote/tests/store.rs
+++ b/crates/remote/tests/store.rs
@@ -1,8 +1,8 @@
 //! What the store's client takes for the success of a write.
 //!
-//! Seen: by reading, not in a run. A success without the key's new index was taken for a write at index 0,
-//! on which every later write of that key would be refused for ever. Cause: a missing part of an answer
-//! was filled in. Proof: the test below failed before and holds since.
+//! Seen: by reading, not in a run. A success without the key's new index was taken for a write at
+//! index 0, on which every later write of that key would be refused for ever. Cause: a missing part
+//! of an answer was filled in. Proof: the test below failed before and holds since.
 
 use std::time::Duration;
 
--- a/crates/remote/tests/whole.rs
+++ b/crates/remote/tests/whole.rs
@@ -130,8 +130,8 @@
     });
 }
 
-/// Serves connections that answer one request and are closed, without an answer, once the second one is read;
-/// counts requests over all connections.
+/// Serves connections that answer one request and are closed, without an answer, once the second
+/// one is read; counts requests over all connections.
 async fn server_that_closes_on_the_second_request() -> (String, Arc<AtomicUsize>) {
     let listener = net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let addr = listener.local_addr().unwrap().to_string();
@@ -158,8 +158,8 @@
     (addr, requests)
 }
 
-/// A call that was sent on a kept connection may have been carried out before the connection closed, so it
-/// is unclear, and only the caller may send it again.
+/// A call that was sent on a kept connection may have been carried out before the connection
+/// closed, so it is unclear, and only the caller may send it again.
 #[test]
 fn a_call_on_a_kept_connection_that_closes_is_unclear_and_not_sent_again() {
     task::block_on(async {
--- a/crates/sched/src/claims.rs
+++ b/crates/sched/src/claims.rs
@@ -1,7 +1,9 @@
-//! Claims of the leadership as they are stored, and what a stored one says of a try without an answer.
+//! Claims of the leadership as they are stored, and what a stored one says of a try without an
+//! answer.
 //!
-//! Each try of a claim is made under a lease of its own. A leader renews the lease of the try that it
-//! takes for stored, so it must know which one that is: another try's claim goes with another lease.
+//! Each try of a claim is made under a lease of its own. A leader renews the lease of the try that
+//! it takes for stored, so it must know which one that is: another try's claim goes with another
+//! lease.
 
 use gaplock_policy::tries::Fate;
 use gaplock_types::ids;
@@ -29,8 +31,8 @@
     }
 }
 
-/// Tells what became of a try without an answer, by a claim that is stored after it. Any other claim than
-/// the try itself leaves it open, also one that an earlier try of the same process made.
+/// Tells what became of a try without an answer, by a claim that is stored after it. Any other
+/// claim than the try itself leaves it open, also one that an earlier try of the same process made.
 pub fn fate(sent: &LeaderRecord, stored: &LeaderRecord) -> Fate {
     if stored == sent {
         Fate::Done
--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -48,8 +48,8 @@
     commits.urgent = true;
 }
 
-/// Adds a record that is not a job's progress. It takes the place of an earlier one on the same worker,
-/// since one commit must not write a key twice.
+/// Adds a record that is not a job's progress. It takes the place of an earlier one on the same
+/// worker, since one commit must not write a key twice.
 pub fn add(cx: &mut Context, record: Record) {
     push(&mut cx.commits.other, record);
     cx.commits.since.get_or_insert(cx.now);
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -35,13 +35,13 @@
 /// How often a dispatch pass may run while events pour in; a pass looks at every ready step.
 const PASS_EVERY: Millis = Millis(4);
 
-/// A pass goes over all workers, so on large fleets it runs less often: once in a millisecond for so
-/// many of them. At 3,000 workers a pass takes some 0.1 ms (`scripts/measure leader`).
+/// A pass goes over all workers, so on large fleets it runs less often: once in a millisecond for
+/// so many of them. At 3,000 workers a pass takes some 0.1 ms (`scripts/measure leader`).
 const WORKERS_PER_MS: u64 = 150;
 
-/// A pass that held many waiting steps against many workers is followed by a longer pause: one millisecond
-/// for so many looks at a worker, each of which takes some 0.05 us. Without that the passes of a full
-/// installation leave no processor time for its renewals (`docs/DECISIONS.md`).
+/// A pass that held many waiting steps against many workers is followed by a longer pause: one
+/// millisecond for so many looks at a worker, each of which takes some 0.05 us. Without that the
+/// passes of a full installation leave no processor time for its renewals (`docs/DECISIONS.md`).
 const LOOKS_PER_MS: u64 = 2_000;
 
 /// How often due renewals are looked for while events pour in; a look goes over all workers.
@@ -50,8 +50,8 @@
 /// How often bounds of time are checked.
 const HOUSEKEEPING_EVERY: Millis = Millis(50);
 
-/// How often better places are looked for: each look goes over all workers for every image that is stuck,
-/// and moves one task to a worker.
+/// How often better places are looked for: each look goes over all workers for every image that is
+/// stuck, and moves one task to a worker.
 const REARRANGE_EVERY: Millis = Millis(200);
 
 /// Everything that a leader knows.
--- a/crates/sched/src/doubts.rs
+++ b/crates/sched/src/doubts.rs
@@ -1,10 +1,10 @@
 //! Starts that may outlive the leases at their worker.
 //!
-//! A run is given up once all leases at its silent worker are over. A try of its start that is still under
-//! way is void by then where the worker goes by the end of the lease that the start carries. Where it goes by
-//! its own leases, it may carry the start out under one that it gets later. So a worker that comes back gets
-//! leases and tasks only after it has been told, by stops, to refuse all such runs for ever. A later
-//! leader's token bars them without that.
+//! A run is given up once all leases at its silent worker are over. A try of its start that is
+//! still under way is void by then where the worker goes by the end of the lease that the start
+//! carries. Where it goes by its own leases, it may carry the start out under one that it gets
+//! later. So a worker that comes back gets leases and tasks only after it has been told, by stops,
+//! to refuse all such runs for ever. A later leader's token bars them without that.
 
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::Instant;
@@ -23,8 +23,8 @@
     asked: Option<Instant>,
 }
 
-/// Keeps a run in doubt that is being given up, unless its worker has confirmed the run or its stop: what has
-/// begun there never begins again.
+/// Keeps a run in doubt that is being given up, unless its worker has confirmed the run or its
+/// stop: what has begun there never begins again.
 pub fn keep(worker: &mut Worker, key: TaskKey, slot: &Slot) {
     let unknown = slot.confirmed.is_none() && slot.barred.is_none();
     if unknown && slot.tries.sent() > 0 {
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -11,8 +11,8 @@
 use crate::worker::Slot;
 use crate::{commits, doubts, lifecycle, roster, takeover, trace};
 
-/// Gives up the runs of workers that are silent or refuse stops once their leases are certainly over, and workers that are
-/// neither listed nor answering.
+/// Gives up the runs of workers that are silent or refuse stops once their leases are certainly
+/// over, and workers that are neither listed nor answering.
 pub fn check(cx: &mut Context) {
     let now = cx.now;
     let (drift, lease) = (cx.settings.drift_per_mille, cx.settings.lease());
@@ -75,8 +75,8 @@
     takeover::answered(cx, ix);
 }
 
-/// Returns the end of a lease at a worker that begins now, and remembers it as granted; none while the
-/// worker's leases are left to end.
+/// Returns the end of a lease at a worker that begins now, and remembers it as granted; none while
+/// the worker's leases are left to end.
 pub fn grant(cx: &mut Context, ix: WorkerIx) -> Option<WorkerClock> {
     let (now, lease) = (cx.now, cx.settings.lease());
     let worker = cx.worker_mut(ix);
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -134,8 +134,8 @@
     state == Some(TaskState::Active { worker, run })
 }
 
-/// Takes a run off a worker by a proof that it is not there, and makes its task pending again if that
-/// was held to be there.
+/// Takes a run off a worker by a proof that it is not there, and makes its task pending again if
+/// that was held to be there.
 pub fn requeue(cx: &mut Context, worker: WorkerIx, key: TaskKey, run: Run, proof: Proof) {
     let was_active = is_active(cx, key, worker, run);
     let slot = vacate(cx, worker, key, run);
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -367,6 +367,7 @@
         /// The host.
         host: ids::HostId,
     },
-    /// A worker or the hosts' service knows of a later leader: make sure that this host still leads.
+    /// A worker or the hosts' service knows of a later leader: make sure that this host still
+    /// leads.
     ConfirmLeadership,
 }
--- a/crates/sched/src/message/hosts.rs
+++ b/crates/sched/src/message/hosts.rs
@@ -54,9 +54,10 @@
     pub began_unix_ms: u64,
     /// The hosts whose upkeep has begun.
     pub begun: BTreeSet<ids::HostId>,
-    /// The hosts that may have been ordered down and are not known to have begun, with the worker that each of them
-    /// ran; empty in what former versions stored. It is stored before the order is given, so a successor knows
-    /// what may go down yet, and which worker gets no tasks, before it has a list of the hosts.
+    /// The hosts that may have been ordered down and are not known to have begun, with the worker
+    /// that each of them ran; empty in what former versions stored. It is stored before the order
+    /// is given, so a successor knows what may go down yet, and which worker gets no tasks, before
+    /// it has a list of the hosts.
     #[serde(default)]
     pub ordered: BTreeMap<ids::HostId, Option<ids::WorkerId>>,
     /// Whether the upkeep of every host that stays has begun.
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -1,9 +1,10 @@
 //! Answers to starts and stops, and orders that got none.
 //!
-//! A start without an answer may be carried out seconds later, also after the refusal of its repeat. It is
-//! sent again under the same run number, which a worker carries out only once. Its task goes elsewhere once
-//! every try was refused. Where a try is open, the start is withdrawn: a stop makes the worker refuse the run
-//! for ever, and the next account tells whether it is there (`docs/PLATFORM.md`, section Repeated calls).
+//! A start without an answer may be carried out seconds later, also after the refusal of its
+//! repeat. It is sent again under the same run number, which a worker carries out only once. Its
+//! task goes elsewhere once every try was refused. Where a try is open, the start is withdrawn: a
+//! stop makes the worker refuse the run for ever, and the next account tells whether it is there
+//! (`docs/PLATFORM.md`, section Repeated calls).
 
 use gaplock_jobs::TaskKey;
 use gaplock_policy::tries::Fate;
@@ -80,8 +81,8 @@
     pacing::set_paces(cx, ix);
 }
 
-/// Frees a task whose start was certainly not carried out, or withdraws the start while a try of it is
-/// open: that one may be carried out when the task has long ended elsewhere.
+/// Frees a task whose start was certainly not carried out, or withdraws the start while a try of it
+/// is open: that one may be carried out when the task has long ended elsewhere.
 fn not_done(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, fate: Fate, proof: Proof) {
     match fate {
         Fate::NotDone => lifecycle::requeue(cx, ix, key, run, proof),
@@ -126,8 +127,8 @@
     send_start(cx, ix, key, run);
 }
 
-/// Spares a worker for a while that left a start unanswered, so that one silent worker does not take
-/// up the starts that may be under way.
+/// Spares a worker for a while that left a start unanswered, so that one silent worker does not
+/// take up the starts that may be under way.
 fn suspect(cx: &mut Context, ix: WorkerIx) {
     let (now, pause) = (cx.now, cx.settings.renew_retry);
     let worker = cx.worker_mut(ix);
@@ -149,9 +150,10 @@
     cx.actions.push(start);
 }
 
-/// The first pause before the stop of a withdrawn start is sent again that was refused: a task waits for it,
-/// and a worker that refuses some calls may take the next one. It doubles with each refusal up to
-/// [`crate::Settings::stop_retry`], so that hundreds of unwell workers do not use up the leader's processor.
+/// The first pause before the stop of a withdrawn start is sent again that was refused: a task
+/// waits for it, and a worker that refuses some calls may take the next one. It doubles with each
+/// refusal up to [`crate::Settings::stop_retry`], so that hundreds of unwell workers do not use up
+/// the leader's processor.
 const REFUSED_RETRY: Millis = Millis(50);
 
 /// Sets when a stop that was refused is sent again.
@@ -182,7 +184,8 @@
     match outcome {
         Outcome::Refused(Refusal::OtherIncarnation) => leases::give_up(cx, ix),
         Outcome::Refused(Refusal::Fenced) => cx.actions.push(Action::ConfirmLeadership),
-        // From now on the worker refuses the run, and an account that does not list it proves that it is over.
+        // From now on the worker refuses the run, and an account that does not list it proves that
+        // it is over.
         Outcome::Done(_) | Outcome::Refused(Refusal::OldRun) => {
             slot.barred.get_or_insert(now);
             slot.ordered = now;
--- a/crates/sched/src/pacing/filling.rs
+++ b/crates/sched/src/pacing/filling.rs
@@ -41,7 +41,8 @@
     pub share: f64,
     /// The pace that is in force or wanted, in percent of full speed.
     pub pace: u32,
-    /// The highest pace that may come into force whatever is ordered, by an order without an answer.
+    /// The highest pace that may come into force whatever is ordered, by an order without an
+    /// answer.
     pub open_most: u32,
 }
 
--- a/crates/sched/src/pacing/given.rs
+++ b/crates/sched/src/pacing/given.rs
@@ -1,8 +1,9 @@
 //! Which paces may be in force for a run.
 //!
-//! No account of a worker says at which pace a run works, and an order without an answer may be carried out
-//! after newer ones, however much later. A run that was given such an order is in doubt for as long as it lasts: its
-//! wanted pace is put in force again and again, and what runs beside it reckons with the worst.
+//! No account of a worker says at which pace a run works, and an order without an answer may be
+//! carried out after newer ones, however much later. A run that was given such an order is in doubt
+//! for as long as it lasts: its wanted pace is put in force again and again, and what runs beside
+//! it reckons with the worst.
 
 use gaplock_policy::tries::{Fate, Tries};
 use gaplock_types::time::{Instant, Millis};
@@ -23,9 +24,9 @@
 }
 
 impl GivenPaces {
-    /// Builds what is known of a run that a former leader started. The account that lists the run answers a call
-    /// of this leader, so its worker refuses what a former leader may have under way: just the pace in force is
-    /// not known, and one order that is answered settles it.
+    /// Builds what is known of a run that a former leader started. The account that lists the run
+    /// answers a call of this leader, so its worker refuses what a former leader may have under
+    /// way: just the pace in force is not known, and one order that is answered settles it.
     pub fn found() -> Self {
         Self { unsettled: true, ..Self::default() }
     }
@@ -36,14 +37,14 @@
         self.last = Some((now, percent));
     }
 
-    /// Tells whether an answer can be that of the last order; any other belongs to an order before the run
-    /// was given up and found again.
+    /// Tells whether an answer can be that of the last order; any other belongs to an order before
+    /// the run was given up and found again.
     pub fn was_last(&self, percent: u32) -> bool {
         self.last.is_some_and(|(_, last)| last == percent)
     }
 
-    /// Takes in what became of the last order and tells whether its pace is in force. A refusal says
-    /// nothing of the orders before it.
+    /// Takes in what became of the last order and tells whether its pace is in force. A refusal
+    /// says nothing of the orders before it.
     pub fn settle(&mut self, fate: Fate) -> bool {
         let percent = self.last.map_or(FULL_PACE, |(_, percent)| percent);
         self.tries.settle(fate);
@@ -58,8 +59,8 @@
         fate == Fate::Done
     }
 
-    /// Tells whether the wanted pace must be ordered although it is held to be in force: at once where that
-    /// is not known, and after `every` where an older order may have undone it.
+    /// Tells whether the wanted pace must be ordered although it is held to be in force: at once
+    /// where that is not known, and after `every` where an older order may have undone it.
     pub fn is_due(&self, now: Instant, every: Millis) -> bool {
         let waited = self.last.is_none_or(|(at, _)| now.since(at) >= every);
         self.unsettled || self.tries.open() > 0 && waited
--- a/crates/sched/src/pacing/paces.rs
+++ b/crates/sched/src/pacing/paces.rs
@@ -1,4 +1,5 @@
-//! The pace of filling tasks: lowered as far as the serving tasks beside them need, and raised again.
+//! The pace of filling tasks: lowered as far as the serving tasks beside them need, and raised
+//! again.
 
 use gaplock_jobs::TaskKey;
 use gaplock_policy::tries::Fate;
@@ -44,8 +45,8 @@
 }
 
 /// Lowers paces until the pressure on a serving image is bearable, beginning with what presses
-/// most. A run in doubt is held to press with the worst of the paces that may be in force, so others beside it
-/// are lowered for what it may press with.
+/// most. A run in doubt is held to press with the worst of the paces that may be in force, so
+/// others beside it are lowered for what it may press with.
 fn relieve(model: &Model, row: Row, bearable: f64, filling: &mut [FillingTask]) {
     let push = |f: &FillingTask| model.factor(row, Some(f.column)) * f.share;
     filling.sort_by(|a, b| push(b).total_cmp(&push(a)));
@@ -136,14 +137,15 @@
 /// Below this pace, in percent of full speed, a filling task is better off elsewhere.
 const MOVE_BELOW: u32 = 35;
 
-/// The part of the allowed excess after which the pace of a run in doubt is put in force again. An order that
-/// is carried out late is then undone, also where two calls in a row are lost and with accounts a third of a
-/// second apart, before it breaks the target. It costs each such run, and no other, one call a second
-/// where 4 s are allowed.
+/// The part of the allowed excess after which the pace of a run in doubt is put in force again. An
+/// order that is carried out late is then undone, also where two calls in a row are lost and with
+/// accounts a third of a second apart, before it breaks the target. It costs each such run, and no
+/// other, one call a second where 4 s are allowed.
 const AGAIN_AFTER: f64 = 0.25;
 
-/// Orders a task's pace, unless the change is not worth a call or an order is on its way. The pace of a
-/// run in doubt is ordered though it was confirmed before: an older order may have undone it since.
+/// Orders a task's pace, unless the change is not worth a call or an order is on its way. The pace
+/// of a run in doubt is ordered though it was confirmed before: an older order may have undone it
+/// since.
 fn order_pace(cx: &mut Context, ix: WorkerIx, wanted: &FillingTask) {
     let now = cx.now;
     let again_after = part_of(cx.settings.tail_excess, AGAIN_AFTER);
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -38,8 +38,8 @@
     cx.actions.push(Action::Renew { worker: ix, stored, until, wait });
 }
 
-/// How many renewals a second one leader carries: half a core, of which each takes some 0.15 ms, with
-/// more than half to spare (`docs/CAPACITY.md`).
+/// How many renewals a second one leader carries: half a core, of which each takes some 0.15 ms,
+/// with more than half to spare (`docs/CAPACITY.md`).
 const RENEWALS_PER_SECOND: u64 = 1_000;
 
 /// The longest that a worker holds a renewal back, by the workers' interface.
@@ -66,8 +66,8 @@
     Millis(wait.0 / 4 + wait.0 * 3 / 4 * part / 1_000)
 }
 
-/// How long a renewal waits where tasks fill beside tasks that serve: readings are renewed every half
-/// second, and one that is a second old lets a task disturb or stand still for as long
+/// How long a renewal waits where tasks fill beside tasks that serve: readings are renewed every
+/// half second, and one that is a second old lets a task disturb or stand still for as long
 /// (`docs/DECISIONS.md`).
 const SHARED_WAIT: Millis = Millis(350);
 
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -37,7 +37,8 @@
     info!(event = "start_ordered", %task, run = run.0, %worker, waited_ms = waited.0);
 }
 
-/// A start was not simply carried out: which try that speaks of, and how many earlier ones are open.
+/// A start was not simply carried out: which try that speaks of, and how many earlier ones are
+/// open.
 pub fn start_answered(
     task: TaskKey,
     run: Run,
@@ -82,8 +83,8 @@
         seq = end.seq.0, expected);
 }
 
-/// A run is taken off its worker without a listed end, so that its task may go elsewhere: by which proof,
-/// and what is known of the tries of its start.
+/// A run is taken off its worker without a listed end, so that its task may go elsewhere: by which
+/// proof, and what is known of the tries of its start.
 pub fn run_released(
     task: TaskKey,
     run: Run,
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -5,10 +5,10 @@
 //! callers allow, and short tasks may end. Only then is it ordered down. What has begun is stored
 //! before it counts, so that a successor neither repeats a host nor reports a wave too early.
 //!
-//! An order without an answer may be carried out after the refusal of its repeat, and after the end of the leader
-//! that gave it. So what is to be ordered is stored first, and a host with an order whose fate is
-//! open counts as down until the platform says that its upkeep has begun. From then on no order takes it down
-//! once more: the platform answers one that is already done as done.
+//! An order without an answer may be carried out after the refusal of its repeat, and after the end
+//! of the leader that gave it. So what is to be ordered is stored first, and a host with an order
+//! whose fate is open counts as down until the platform says that its upkeep has begun. From then
+//! on no order takes it down once more: the platform answers one that is already done as done.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -81,8 +81,8 @@
         down
     }
 
-    /// Takes in what became of the last order, to be given again after `pause` unless that is proof enough; returns
-    /// what became of the host.
+    /// Takes in what became of the last order, to be given again after `pause` unless that is proof
+    /// enough; returns what became of the host.
     fn settle(&mut self, last: Fate, again: Instant) -> Fate {
         self.again = Some(again);
         self.tries.settle(last)
@@ -99,8 +99,8 @@
 /// The pause before an order that was not carried out is given again.
 const ORDER_AGAIN: Millis = Millis(400);
 
-/// The pause before an order is given again that was refused for good while an earlier one may be carried out
-/// yet: long, since nothing but that one can change the answer.
+/// The pause before an order is given again that was refused for good while an earlier one may be
+/// carried out yet: long, since nothing but that one can change the answer.
 const ASK_AGAIN: Millis = Millis(2_000);
 
 /// The time that one host takes from the first stop to its return, for the choice between waiting
@@ -112,8 +112,9 @@
     cx.upkeep.stored = waves.into_iter().map(|w| (w.number, w)).collect();
 }
 
-/// Tells whether the host of a worker that was just heard of may go down by an order of a former leader. Such
-/// a worker gets no tasks, also before the first list of the hosts and before the wave is heard of.
+/// Tells whether the host of a worker that was just heard of may go down by an order of a former
+/// leader. Such a worker gets no tasks, also before the first list of the hosts and before the wave
+/// is heard of.
 pub fn is_expected_down(cx: &Context, id: &ids::WorkerId) -> bool {
     let known = cx.upkeep.waves.values().map(|w| &w.progress);
     let mut open = cx.upkeep.stored.values().chain(known).filter(|w| !w.completed);
@@ -171,7 +172,8 @@
     let upkeep = &mut cx.upkeep;
     for wave in upkeep.waves.values_mut() {
         let is_up = |h: &ids::HostId| upkeep.hosts.get(h).is_some_and(|h| h.state == HostState::Up);
-        // A list that was asked for before the answer may show the host as it was before its upkeep.
+        // A list that was asked for before the answer may show the host as it was before its
+        // upkeep.
         let is_back = |h: &ids::HostId, d: &Down| is_up(h) && d.begun.is_some_and(|at| sent > at);
         let back = wave.down.iter().filter(|(h, d)| is_back(h, d)).map(|(h, _)| h.clone());
         let back: Vec<ids::HostId> = back.collect();
@@ -187,7 +189,8 @@
     for host in returned {
         set_emptying(cx, &host, false);
     }
-    // A host that is yet to go down may have another worker meanwhile, which a late order would end.
+    // A host that is yet to go down may have another worker meanwhile, which a late order would
+    // end.
     for host in awaited {
         set_emptying(cx, &host, true);
     }
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -153,7 +153,8 @@
     pub stored: EndSeq,
     /// What runs here.
     pub slots: FxHashMap<TaskKey, Slot>,
-    /// Runs that were given up and may still begin here; until it refuses them the worker gets nothing.
+    /// Runs that were given up and may still begin here; until it refuses them the worker gets
+    /// nothing.
     pub doubts: BTreeMap<TaskKey, Doubt>,
     /// The room that the slots take.
     pub used: Resources,
@@ -257,8 +258,8 @@
         Some(slot)
     }
 
-    /// Tells whether the next account may prove that a withdrawn start was never carried out. A run that is
-    /// or was here needs no such haste: its end answers a waiting renewal.
+    /// Tells whether the next account may prove that a withdrawn start was never carried out. A run
+    /// that is or was here needs no such haste: its end answers a waiting renewal.
     pub fn awaits_proof(&self) -> bool {
         self.slots.values().any(|slot| slot.confirmed.is_none() && slot.barred.is_some())
     }
@@ -268,8 +269,9 @@
         self.missed == 0 || self.refuses
     }
 
-    /// Tells whether the worker's leases are left to end: a run that was given up may begin under a new one,
-    /// or a stop has been refused for `limit`, and only the end of all leases frees its task.
+    /// Tells whether the worker's leases are left to end: a run that was given up may begin under a
+    /// new one, or a stop has been refused for `limit`, and only the end of all leases frees its
+    /// task.
     pub fn is_left_to_lapse(&self, now: Instant, limit: Millis) -> bool {
         let is_stuck = |slot: &Slot| {
             let refused = slot.stop_refusals > 0 && slot.barred.is_none();
--- a/crates/sched/src/writing.rs
+++ b/crates/sched/src/writing.rs
@@ -1,11 +1,12 @@
 //! The leader's writes to the store: which transaction is stored, by what the answers prove.
 //!
-//! A commit is a transaction that expects the last one. A try of it without an answer may be carried out
-//! seconds later, also after the refusal of a repeat, so a transaction with an open try is neither given up
-//! nor replaced: the very same one is sent again until it is known what became of it. At most one try can be
-//! carried out, since the first one that is ends what the others expect, and nothing newer can be
-//! written in its place. Each transaction bears a mark of its own, so reading the last mark says which one
-//! is stored. A driver carries out what [`Writer`] asks for and hands the answers back.
+//! A commit is a transaction that expects the last one. A try of it without an answer may be
+//! carried out seconds later, also after the refusal of a repeat, so a transaction with an open try
+//! is neither given up nor replaced: the very same one is sent again until it is known what became
+//! of it. At most one try can be carried out, since the first one that is ends what the others
+//! expect, and nothing newer can be written in its place. Each transaction bears a mark of its own,
+//! so reading the last mark says which one is stored. A driver carries out what [`Writer`] asks for
+//! and hands the answers back.
 
 use gaplock_policy::tries::{Fate, Tries};
 
@@ -40,7 +41,8 @@
 /// What a look at the store showed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sight {
-    /// The last commit that is stored, and, where that is the last one known, whether the claim stands.
+    /// The last commit that is stored, and, where that is the last one known, whether the claim
+    /// stands.
     Last {
         /// Its mark, where it can be read.
         mark: Option<CommitMark>,
@@ -127,8 +129,9 @@
         }
     }
 
-    /// Takes in a look at the store. A mark other than this transaction's, at another revision than that of the
-    /// last commit, is another leader's: each earlier transaction is stored as that commit or never will be.
+    /// Takes in a look at the store. A mark other than this transaction's, at another revision than
+    /// that of the last commit, is another leader's: each earlier transaction is stored as that
+    /// commit or never will be.
     pub fn looked(&mut self, sight: Sight) -> Next {
         let Sight::Last { mark, revision, leads } = sight else { return Next::Wait };
         if mark == Some(self.mark) {
--- a/crates/sched/tests/claims.rs
+++ b/crates/sched/tests/claims.rs
@@ -1,7 +1,8 @@
 //! What a stored claim says of a try of a claim that got no answer.
 //!
-//! Found by reading, not seen on a run: two tries of a claim wrote equal records under different leases, so an
-//! earlier try that was carried out late would have been taken for the later one, and its lease left to end.
+//! Found by reading, not seen on a run: two tries of a claim wrote equal records under different
+//! leases, so an earlier try that was carried out late would have been taken for the later one, and
+//! its lease left to end.
 
 use gaplock_policy::tries::Fate;
 use gaplock_sched::claims::{self, LeaderRecord};
--- a/crates/sched/tests/fleet/late_paces.rs
+++ b/crates/sched/tests/fleet/late_paces.rs
@@ -1,9 +1,10 @@
 //! Orders of pace that are carried out without an answer, or seconds late, after newer ones.
 //!
-//! Found by reading the code beside the fault of `late_starts`: the pace last confirmed was taken for the one
-//! in force, and nothing was sent while it was the wanted one. Cause: an order without an answer may have
-//! been carried out, or may be carried out later, and a worker's account does not say which pace is in force.
-//! Proved by the tests below, which stood still or went on disturbing for ever.
+//! Found by reading the code beside the fault of `late_starts`: the pace last confirmed was taken
+//! for the one in force, and nothing was sent while it was the wanted one. Cause: an order without
+//! an answer may have been carried out, or may be carried out later, and a worker's account does
+//! not say which pace is in force. Proved by the tests below, which stood still or went on
+//! disturbing for ever.
 
 use gaplock_jobs::{Job, JobKey, Step};
 use gaplock_types::time::Millis;
@@ -42,7 +43,8 @@
     world
 }
 
-/// Lets the serving task's tail be so far over its target that all that fills is halted, or as short as can be.
+/// Lets the serving task's tail be so far over its target that all that fills is halted, or as
+/// short as can be.
 fn press(world: &mut World, pressed: bool) {
     world.readings.insert(JobKey(1), if pressed { 4 * TARGET_MS } else { 1 });
 }
@@ -173,8 +175,8 @@
     }
 }
 
-/// Returns the paces at which three tasks fill beside one that bears part of them, where the first order that
-/// lifted a halt was answered or got no answer.
+/// Returns the paces at which three tasks fill beside one that bears part of them, where the first
+/// order that lifted a halt was answered or got no answer.
 fn paces_beside(world: &mut World, unanswered: bool) -> Vec<u32> {
     press(world, true);
     run_until_halted(world);
@@ -197,7 +199,8 @@
     let doubtful = paces_beside(&mut shared(117, 3), true);
     let sum = |paces: &[u32]| paces.iter().sum::<u32>();
     assert!(certain.contains(&0), "nothing is halted: {certain:?}");
-    // The run in doubt is ordered to stand still, and the others make room for it working at full pace.
+    // The run in doubt is ordered to stand still, and the others make room for it working at full
+    // pace.
     assert!(sum(&doubtful) + 100 <= sum(&certain) + 5, "{certain:?}, in doubt {doubtful:?}");
 }
 
--- a/crates/sched/tests/fleet/late_upkeeps.rs
+++ b/crates/sched/tests/fleet/late_upkeeps.rs
@@ -1,9 +1,10 @@
 //! Orders that a host goes down that are carried out late, and answers that speak of a later try.
 //!
-//! Found by reading the code beside the fault of `late_starts`: the refusal of a repeated order released its
-//! host although the first one could still be carried out, and a successor knew nothing of orders whose fate
-//! was open, so others went down meanwhile. Cause: an answer to a repeated call says nothing of the earlier
-//! tries. Proved by the tests below: more hosts of a wave were down at one time than may be.
+//! Found by reading the code beside the fault of `late_starts`: the refusal of a repeated order
+//! released its host although the first one could still be carried out, and a successor knew
+//! nothing of orders whose fate was open, so others went down meanwhile. Cause: an answer to a
+//! repeated call says nothing of the earlier tries. Proved by the tests below: more hosts of a wave
+//! were down at one time than may be.
 
 use gaplock_jobs::Step;
 use gaplock_sched::message::{UpkeepAnswer, WaveProgress};
@@ -53,8 +54,8 @@
     world.take_over();
     world.run(20);
     assert!(!world.in_survey());
-    // Its successor finds that host the busiest, so that it would be the last to go down: another worker has come up
-    // there, which it takes for that of another host as long as it has no list.
+    // Its successor finds that host the busiest, so that it would be the last to go down: another
+    // worker has come up there, which it takes for that of another host as long as it has no list.
     let next = world.replace_worker(0);
     set_unwell(&mut world, next, true);
     world.submit(job(1, vec![step(4, &[])]));
@@ -147,7 +148,8 @@
     }
 }
 
-/// Draws what becomes of an order: a third are carried out late, a third get no answer or are refused.
+/// Draws what becomes of an order: a third are carried out late, a third get no answer or are
+/// refused.
 fn draw_fate(world: &mut World) -> OrderFate {
     match world.draw(9) {
         0..3 => OrderFate::Unanswered(2_000 + world.draw(10_000)),
--- a/crates/sched/tests/fleet/late_writes.rs
+++ b/crates/sched/tests/fleet/late_writes.rs
@@ -1,12 +1,14 @@
-//! Commits that the store carries out late: after their repeat, after its refusal, after a newer leader's claim.
+//! Commits that the store carries out late: after their repeat, after its refusal, after a newer
+//! leader's claim.
 //!
-//! Seen: tasks that had ended as done started again under the next leader. A commit without an answer was
-//! repeated, the repeat refused, the next commit bore the same mark, and the late one was taken for it.
-//! Cause: an answer to a repeated call was taken for the fate of the call. Proved by the logs of days played
-//! again (`docs/incidents/twice-after-late-call.md`). The world checks that what the leader takes for stored
-//! is what the store holds, and that nothing starts after its end was acknowledged.
+//! Seen: tasks that had ended as done started again under the next leader. A commit without an
+//! answer was repeated, the repeat refused, the next commit bore the same mark, and the late one
+//! was taken for it. Cause: an answer to a repeated call was taken for the fate of the call. Proved
+//! by the logs of days played again (`docs/incidents/twice-after-late-call.md`). The world checks
+//! that what the leader takes for stored is what the store holds, and that nothing starts after its
+//! end was acknowledged.
 
-use crate::world::{assert_kept, job, step, Faults, World, WriteFaults};
+use crate::world::{assert_all_end, assert_kept, job, step, Faults, World, WriteFaults};
 
 /// Every write goes unanswered and is carried out seconds later.
 const ALL_LATE: WriteFaults = WriteFaults {
@@ -82,12 +84,7 @@
                 _ => {}
             }
         }
-        world.faults = Faults::default();
-        world.write_faults = WriteFaults::default();
-        world.run(40_000);
-        assert!(world.violations.is_empty(), "seed {seed}: {:#?}", world.violations);
-        let left = (0..20).filter(|&key| world.state(key).is_none_or(|s| !s.is_final())).count();
-        assert_eq!(left, 0, "seed {seed}: jobs never ended");
+        assert_all_end(&mut world, seed);
     }
 }
 
--- a/crates/sched/tests/fleet/promises.rs
+++ b/crates/sched/tests/fleet/promises.rs
@@ -1,6 +1,6 @@
 //! What must hold whatever goes wrong, on virtual time.
 
-use crate::world::{self, assert_kept, job, step, Faults, World};
+use crate::world::{self, assert_kept, job, play, step, Faults, World};
 use gaplock_jobs::config::Advice;
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::JobKey;
@@ -130,21 +130,7 @@
             failing_per_mille: 20,
             unwell_per_mille: 0,
         };
-        for key in 0..20 {
-            world.submit(job(key, vec![step(5, &[]), step(3, &[0])]));
-            world.run(200);
-            if world.draw(10) == 0 {
-                let gap = world.draw(3_000);
-                world.lose_leader();
-                world.run(gap);
-                world.take_over();
-            }
-        }
-        world.faults = Faults::default();
-        world.run(40_000);
-        assert!(world.violations.is_empty(), "seed {seed}: {:#?}", world.violations);
-        let left = (0..20).filter(|&key| world.state(key).is_none_or(|s| !s.is_final())).count();
-        assert_eq!(left, 0, "seed {seed}: jobs never ended");
+        play(&mut world, seed);
     }
 }
 
--- a/crates/sched/tests/fleet/withdrawals.rs
+++ b/crates/sched/tests/fleet/withdrawals.rs
@@ -1,10 +1,12 @@
-//! Starts that are withdrawn: how long their tasks wait for the proof, and what the proof costs in calls.
+//! Starts that are withdrawn: how long their tasks wait for the proof, and what the proof costs in
+//! calls.
 //!
-//! Seen: a worker was asked for its account without a pause for as long as any stop took there, 58,000 times a
-//! second over 490 workers; a task waited up to 19 s at a worker that refused six calls in ten, and for ever
-//! at one that refused stops alone. Cause: the account that proves a withdrawn start was asked for after
-//! every stop, stops were held back while renewals were refused, and renewals kept the leases of a worker
-//! that took no stops. Proved by these tests, which failed on that code.
+//! Seen: a worker was asked for its account without a pause for as long as any stop took there,
+//! 58,000 times a second over 490 workers; a task waited up to 19 s at a worker that refused six
+//! calls in ten, and for ever at one that refused stops alone. Cause: the account that proves a
+//! withdrawn start was asked for after every stop, stops were held back while renewals were
+//! refused, and renewals kept the leases of a worker that took no stops. Proved by these tests,
+//! which failed on that code.
 
 use gaplock_jobs::Step;
 
@@ -37,7 +39,8 @@
     );
 }
 
-/// A worker that refuses stops but answers renewals is neither asked without a pause nor flooded with stops.
+/// A worker that refuses stops but answers renewals is neither asked without a pause nor flooded
+/// with stops.
 #[test]
 fn a_worker_that_refuses_stops_is_not_flooded() {
     let mut world = World::open(92, 8);
@@ -55,8 +58,8 @@
     );
 }
 
-/// A start is withdrawn at a worker that answers renewals and refuses stops: its task goes elsewhere once a
-/// lease is over, not never.
+/// A start is withdrawn at a worker that answers renewals and refuses stops: its task goes
+/// elsewhere once a lease is over, not never.
 #[test]
 fn a_withdrawn_start_whose_stop_is_refused_does_not_hold_its_task_for_ever() {
     let mut world = World::open(93, 2);
@@ -97,8 +100,8 @@
     assert!(world.is_completed(1));
 }
 
-/// Everything at once: late and refused orders, cuts, lost entries of the directory, changes of leader,
-/// cancellations, copies, tasks that last.
+/// Everything at once: late and refused orders, cuts, lost entries of the directory, changes of
+/// leader, cancellations, copies, tasks that last.
 #[test]
 fn nothing_of_a_cancelled_job_runs_on_and_every_job_ends() {
     let (mut bad, mut runs, mut longest_of_all) = (Vec::new(), 0, 0);
@@ -169,7 +172,8 @@
     assert!(bad.is_empty(), "{} of {runs} worlds: {bad:#?}", bad.len());
 }
 
-/// One job with a task at each of 490 workers is cancelled, and stops take 850 ms: what the leader sends.
+/// One job with a task at each of 490 workers is cancelled, and stops take 850 ms: what the leader
+/// sends.
 #[test]
 fn a_cancellation_on_a_large_fleet_stays_within_what_a_leader_carries() {
     let mut world = World::open(96, 490);
@@ -188,8 +192,8 @@
     );
 }
 
-/// How long a task waits for the proof that its withdrawn start is barred, at a worker that refuses six calls
-/// in ten, renewals too, with empty workers beside it.
+/// How long a task waits for the proof that its withdrawn start is barred, at a worker that refuses
+/// six calls in ten, renewals too, with empty workers beside it.
 #[test]
 fn a_withdrawn_start_at_an_unwell_worker_does_not_hold_its_task_for_three_seconds() {
     let mut late = 0;
--- a/crates/sched/tests/fleet/world/checks.rs
+++ b/crates/sched/tests/fleet/world/checks.rs
@@ -3,13 +3,39 @@
 use gaplock_jobs::progress::{JobState, Progress};
 use gaplock_jobs::TaskKey;
 
-use super::{World, MAX_ATTEMPTS};
+use super::builders::{job, step};
+use super::{Faults, World, WriteFaults, MAX_ATTEMPTS};
 
 /// Fails the test if a promise was broken while the world ran.
 pub fn assert_kept(world: &World) {
     assert!(world.violations.is_empty(), "{:#?}", world.violations);
 }
 
+/// Plays twenty jobs of two steps with changes of leader between, and checks how they end.
+pub fn play(world: &mut World, seed: u64) {
+    for key in 0..20 {
+        world.submit(job(key, vec![step(5, &[]), step(3, &[0])]));
+        world.run(200);
+        if world.draw(10) == 0 {
+            let gap = world.draw(3_000);
+            world.lose_leader();
+            world.run(gap);
+            world.take_over();
+        }
+    }
+    assert_all_end(world, seed);
+}
+
+/// Ends all faults, and fails the test if a promise was broken or one of twenty jobs never ends.
+pub fn assert_all_end(world: &mut World, seed: u64) {
+    world.faults = Faults::default();
+    world.write_faults = WriteFaults::default();
+    world.run(40_000);
+    assert!(world.violations.is_empty(), "seed {seed}: {:#?}", world.violations);
+    let left = (0..20).filter(|&key| world.state(key).is_none_or(|s| !s.is_final())).count();
+    assert_eq!(left, 0, "seed {seed}: jobs never ended");
+}
+
 impl World {
     /// Checks what must hold when a worker carries a start out.
     pub(super) fn check_start(&mut self, at: usize, task: TaskKey) {
--- a/crates/sched/tests/fleet/world/hosts.rs
+++ b/crates/sched/tests/fleet/world/hosts.rs
@@ -171,7 +171,8 @@
         }
     }
 
-    /// Notes lasting tasks that go down with their host although too many others of their step are away.
+    /// Notes lasting tasks that go down with their host although too many others of their step are
+    /// away.
     fn check_missed(&mut self, at: usize, host: &ids::HostId) {
         for job in self.jobs.values().filter(|job| !self.cancelled.contains(&job.key)) {
             let Some(may_miss) = job.steps[0].may_miss else { continue };
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! This file holds the world's state, what a test does to it, and the passing of time. [`calls`]
 //! carries what the leader sends, [`worker`] carries it out, [`writes`] go to the [`store`], which
-//! keeps what a successor learns, [`hosts`] lie beneath the workers, [`checks`] looks for broken promises, and [`views`]
-//! tells a test what came of it all.
+//! keeps what a successor learns, [`hosts`] lie beneath the workers, [`checks`] looks for broken
+//! promises, and [`views`] tells a test what came of it all.
 
 mod builders;
 mod calls;
@@ -30,7 +30,7 @@
 
 pub use builders::{job, step};
 use calls::Delivery;
-pub use checks::assert_kept;
+pub use checks::{assert_all_end, assert_kept, play};
 use hosts::Hosts;
 pub use hosts::{host_name, OrderFate};
 use worker::SimWorker;
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -90,7 +90,8 @@
         self.workers.iter().map(of).sum()
     }
 
-    /// Returns for how long the longest run on a worker that is up has run since `from`, in milliseconds.
+    /// Returns for how long the longest run on a worker that is up has run since `from`, in
+    /// milliseconds.
     pub fn longest_run_since(&self, from: u64) -> u64 {
         let runs = self.workers.iter().filter(|w| w.up).flat_map(|w| w.running.values());
         runs.map(|r| self.now - r.began.max(from)).max().unwrap_or(0)
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -195,8 +195,8 @@
         self.reply(trip, calls::answer(ix, &call, outcome));
     }
 
-    /// Tells whether an unwell worker refuses the call in hand. What is carried out late was taken in
-    /// before.
+    /// Tells whether an unwell worker refuses the call in hand. What is carried out late was taken
+    /// in before.
     fn refuses(&mut self, at: usize) -> bool {
         let per_mille = self.faults.unwell_per_mille.max(self.workers[at].refuses_per_mille);
         self.workers[at].unwell || per_mille > 0 && self.rng.random_range(0..1_000) < per_mille
--- a/crates/sched/tests/fleet/world/writes.rs
+++ b/crates/sched/tests/fleet/world/writes.rs
@@ -1,5 +1,6 @@
-//! The leader's writes on their way to the store: lost, late, refused, without an answer, or in conflict
-//! with those of a newer leader. `gaplock_sched::writing` decides what follows, as in the product.
+//! The leader's writes on their way to the store: lost, late, refused, without an answer, or in
+//! conflict with those of a newer leader. `gaplock_sched::writing` decides what follows, as in the
+//! product.
 
 use gaplock_sched::message::Record;
 use gaplock_sched::writing::{self, Answer, CommitMark, CommitRevision, Next, Sight, Writer};
@@ -18,10 +19,12 @@
 /// How long the leader waits for the answer to a write, in milliseconds, as in the product.
 const LIMIT_MS: u64 = 900;
 
-/// The pause before a write whose fate is unknown is sent again, in milliseconds, as in the product.
+/// The pause before a write whose fate is unknown is sent again, in milliseconds, as in the
+/// product.
 const PAUSE_MS: u64 = 100;
 
-/// How late a write without an answer may be carried out, in milliseconds: before and after its repeat.
+/// How late a write without an answer may be carried out, in milliseconds: before and after its
+/// repeat.
 const LATE_MS: std::ops::Range<u64> = 500..8_000;
 
 /// What goes wrong with writes, each as a share of them in a thousand.
@@ -31,7 +34,8 @@
     pub lost_per_mille: u32,
     /// Writes whose answer is lost.
     pub unanswered_per_mille: u32,
-    /// Writes without an answer that are carried out seconds later, if what they expect still holds.
+    /// Writes without an answer that are carried out seconds later, if what they expect still
+    /// holds.
     pub late_per_mille: u32,
     /// Writes that the store refuses.
     pub refused_per_mille: u32,
--- a/crates/sched/tests/writing.rs
+++ b/crates/sched/tests/writing.rs
@@ -1,10 +1,10 @@
 //! What becomes of the leader's writes, by the answers of the store.
 //!
-//! Seen: a commit without an answer was sent again and refused, the next one bore the same mark with other
-//! records, and when the first was carried out late, its mark was taken for the newer one's. Cause: an answer
-//! to a repeated call was taken for the fate of the call. Proved by the logs of days played again
-//! (`docs/incidents/twice-after-late-call.md`). Now a transaction with an open try is repeated until its
-//! fate is known, and no two ever share a mark.
+//! Seen: a commit without an answer was sent again and refused, the next one bore the same mark
+//! with other records, and when the first was carried out late, its mark was taken for the newer
+//! one's. Cause: an answer to a repeated call was taken for the fate of the call. Proved by the
+//! logs of days played again (`docs/incidents/twice-after-late-call.md`). Now a transaction with an
+//! open try is repeated until its fate is known, and no two ever share a mark.
 
 use gaplock_sched::writing::{self, Answer, CommitMark, CommitRevision, Next, Sight, Writer};
 
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -35,7 +35,8 @@
     StoreLoses,
     /// Callers cancel in waves.
     Cancel,
-    /// Writes get no answer in time and are carried out seconds later, if their condition still holds.
+    /// Writes get no answer in time and are carried out seconds later, if their condition still
+    /// holds.
     LateWrites,
     /// Starts, stops and speeds get no answer in time and are carried out seconds later.
     LateOrders,
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -1,11 +1,11 @@
 //! A randomised soak of the real daemon in processes of its own.
 //!
 //! Faults come from outside: signals, links to the store and to workers that are delayed, reset,
-//! silenced or cut one way, workers that crash, answer late or are unwell, and a store that writes late,
-//! loses answers or refuses. They come in series and overlap. What callers and workers see is checked
-//! against the promises of the users' pages: nothing runs twice at one time or again after its end was
-//! acknowledged, what was refused never runs, what was cancelled stops, and what was accepted comes to an
-//! end and is shown.
+//! silenced or cut one way, workers that crash, answer late or are unwell, and a store that writes
+//! late, loses answers or refuses. They come in series and overlap. What callers and workers see is
+//! checked against the promises of the users' pages: nothing runs twice at one time or again after
+//! its end was acknowledged, what was refused never runs, what was cancelled stops, and what was
+//! accepted comes to an end and is shown.
 
 mod callers;
 mod faults;
@@ -66,8 +66,8 @@
 /// of leader, and their own work twice over.
 const SETTLE_LIMIT: Duration = Duration::from_secs(25);
 
-/// How long the judge looks at the calm after the faults where orders come late: what is left of the 6 s by
-/// which the last one is late, 3 s to see its run, 0.9 s to stop it, and a little more.
+/// How long the judge looks at the calm after the faults where orders come late: what is left of
+/// the 6 s by which the last one is late, 3 s to see its run, 0.9 s to stop it, and a little more.
 const CALM_WATCHED: Duration = Duration::from_millis(7_000);
 
 /// How long the hosts may take to become ready.
@@ -76,8 +76,9 @@
 const POLL: Duration = Duration::from_millis(50);
 const LOCK: &str = "no holder of the lock panics";
 
-/// Returns what a seed plays: by its remainder nothing more, late orders, late writes, or both. Where more is
-/// played, there are fewer single faults: a leader must live to take a late write for another.
+/// Returns what a seed plays: by its remainder nothing more, late orders, late writes, or both.
+/// Where more is played, there are fewer single faults: a leader must live to take a late write for
+/// another.
 fn play(seed: u64, rng: &mut ChaCha8Rng) -> Play {
     let kind = seed % 4;
     let single_one_of = if kind == 1 { 1 } else { rng.random_range(2..7) };
--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -1,4 +1,5 @@
-//! Faults from outside: single ones, and spells of trouble at workers and the store that overlap with them.
+//! Faults from outside: single ones, and spells of trouble at workers and the store that overlap
+//! with them.
 
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
@@ -26,12 +27,13 @@
 /// The share of transactions that are late; the repeat of a late one is often late too.
 const STORE_SHARE: std::ops::Range<u32> = 15..60;
 
-/// How long the store writes late before it refuses, and how long it refuses then, in milliseconds: a commit
-/// is sent again for about a second, and is late by up to 6 s.
+/// How long the store writes late before it refuses, and how long it refuses then, in milliseconds:
+/// a commit is sent again for about a second, and is late by up to 6 s.
 const LATE_FIRST_MS: std::ops::Range<u64> = 300..1_200;
 const REFUSING_MS: std::ops::Range<u64> = 2_000..5_000;
 
-/// How long after that the leader is killed, in milliseconds: what it learnt in between must be stored.
+/// How long after that the leader is killed, in milliseconds: what it learnt in between must be
+/// stored.
 const KILLED_AFTER_MS: std::ops::Range<u64> = 100..1_500;
 
 /// A spell of trouble, from its beginning to its end.
@@ -61,8 +63,9 @@
     list: Vec<Spell>,
 }
 
-/// Gives each worker a way of judging lateness, and a time that its runs take to stop. A seed of single
-/// faults only draws nothing here, and so keeps the course that it had before there were others.
+/// Gives each worker a way of judging lateness, and a time that its runs take to stop. A seed of
+/// single faults only draws nothing here, and so keeps the course that it had before there were
+/// others.
 pub(super) fn prepare(site: &Site, seed: u64, play: Play, rng: &mut ChaCha8Rng) {
     site.fleet.seed(seed);
     for worker in 0..site.fleet.len() {
@@ -79,7 +82,8 @@
     WorkerTrouble { stop_takes, ..WorkerTrouble::default() }
 }
 
-/// Injects faults until the faulty time and the store's trouble are over, then makes everything whole again.
+/// Injects faults until the faulty time and the store's trouble are over, then makes everything
+/// whole again.
 pub(super) fn inject(site: &Mutex<Site>, play: Play, rng: &mut ChaCha8Rng) -> io::Result<u64> {
     let began = Instant::now();
     let (mut faults, mut next) = (0, began);
@@ -179,8 +183,8 @@
         }
     }
 
-    /// Lets the store write late and lose answers, then often refuse transactions, and then often has the
-    /// leader killed.
+    /// Lets the store write late and lose answers, then often refuse transactions, and then often
+    /// has the leader killed.
     fn trouble_store(&mut self, rng: &mut ChaCha8Rng) {
         let now = Instant::now();
         let late = rng.random_range(STORE_SHARE);
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -295,8 +295,8 @@
         self.at(delay, due);
     }
 
-    /// Puts a call on its way that is carried out late, long after its caller has given it up, if such
-    /// a fault strikes; returns it otherwise.
+    /// Puts a call on its way that is carried out late, long after its caller has given it up, if
+    /// such a fault strikes; returns it otherwise.
     fn send_late(&mut self, fault: Fault, due: Due) -> Option<Due> {
         if !self.strikes(fault, LATE_ONE_IN) {
             return Some(due);
--- a/crates/soak/tests/late_calls.rs
+++ b/crates/soak/tests/late_calls.rs
@@ -1,14 +1,14 @@
 //! Orders and writes that are carried out late, with two owners of one partition and real models.
 //!
-//! Seen: by reading, not in a run. A former owner went on renewing leases after its release had been
-//! carried out without an answer, while its successor took the stored release as proof that it would
-//! not; and an owner forgot until when an order may still be carried out at a worker that was off the
-//! host list for a moment, acknowledged the ended run, and the order under way began it anew; and an
-//! operator's word that a host is off, carried out late, held for a boot that came after it; and a repeat
-//! in an outage was refused as never taken, though its first try had been carried out. Cause: a
-//! stored release says nothing of when its writer learns of it; a link was dropped with what bounds
-//! its orders; the declaration named no boot; a refusal of a try was given for all
-//! tries under its key. Proof: the tests below failed before and hold since.
+//! Seen: by reading, not in a run. A former owner went on renewing leases after its release had
+//! been carried out without an answer, while its successor took the stored release as proof that it
+//! would not; and an owner forgot until when an order may still be carried out at a worker that was
+//! off the host list for a moment, acknowledged the ended run, and the order under way began it
+//! anew; and an operator's word that a host is off, carried out late, held for a boot that came
+//! after it; and a repeat in an outage was refused as never taken, though its first try had been
+//! carried out. Cause: a stored release says nothing of when its writer learns of it; a link was
+//! dropped with what bounds its orders; the declaration named no boot; a refusal of a try was given
+//! for all tries under its key. Proof: the tests below failed before and hold since.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -276,7 +276,8 @@
     w.submit(&mut a, 10_000_000);
     w.tick(&mut [&mut a], 1_000);
     assert_eq!(w.runs_at("w0"), 1, "the task runs on the new boot");
-    // The next owner does not reach the worker, and the operator's word for the old boot comes late.
+    // The next owner does not reach the worker, and the operator's word for the old boot comes
+    // late.
     a.partition.release(&mut a.cx);
     w.tick(&mut [&mut a], 200);
     b.cut.insert("w0".to_string());
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -19,8 +19,8 @@
     pub slow_ms: u64,
     /// Of each hundred writes, how many take effect without an answer.
     pub lose_percent: u64,
-    /// Of each hundred writes, how many are carried out only after `late_ms`, without an answer and if
-    /// their condition still holds then.
+    /// Of each hundred writes, how many are carried out only after `late_ms`, without an answer and
+    /// if their condition still holds then.
     pub late_percent: u64,
     /// How late those are, in milliseconds.
     pub late_ms: u64,
@@ -110,8 +110,8 @@
         lost
     }
 
-    /// Draws whether a write is carried out late, and by how many milliseconds. Nothing is drawn where
-    /// no write is late, so that other faults keep their draws.
+    /// Draws whether a write is carried out late, and by how many milliseconds. Nothing is drawn
+    /// where no write is late, so that other faults keep their draws.
     pub fn late(&mut self) -> Option<u64> {
         if self.faults.late_percent == 0 || self.draw() >= self.faults.late_percent {
             return None;
--- a/crates/types/src/api.rs
+++ b/crates/types/src/api.rs
@@ -147,8 +147,8 @@
     pub at_unix_ms: u64,
     /// What changed, a sentence each.
     pub changes: Vec<String>,
-    /// The plan that made it, by which a repeated confirmation learns what became of the plan; empty
-    /// in rows of earlier versions.
+    /// The plan that made it, by which a repeated confirmation learns what became of the plan;
+    /// empty in rows of earlier versions.
     #[serde(default)]
     pub plan: ids::PlanId,
 }
