A worker that is left to lapse gets no tasks

Cause: found in reading the diff: a task could be placed at a worker that gets no leases because it refuses a stop; its start was not sent, and it waited for the end of the leases there. Test: failed before, passes now.

--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -17,8 +17,10 @@
     let now = cx.now;
     let (drift, lease) = (cx.settings.drift_per_mille, cx.settings.lease());
     for ix in cx.worker_ixs() {
+        let worker = cx.worker_mut(ix);
+        worker.refuses_stops = worker.has_refused_a_stop_for(now, lease);
         let worker = cx.worker(ix);
-        let ending = worker.missed > 0 || worker.is_left_to_lapse(now, lease);
+        let ending = worker.missed > 0 || worker.is_left_to_lapse();
         if !ending || worker.lapsed_by(drift).is_some_and(|at| at > now) {
             continue;
         }
@@ -80,7 +82,7 @@
 pub fn grant(cx: &mut Context, ix: WorkerIx) -> Option<WorkerClock> {
     let (now, lease) = (cx.now, cx.settings.lease());
     let worker = cx.worker_mut(ix);
-    if worker.is_left_to_lapse(now, lease) {
+    if worker.is_left_to_lapse() {
         return None;
     }
     let until = worker.lease_end(now, lease)?;
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -145,11 +145,10 @@
     let now = cx.now;
     let poll = wait_for(cx.settings.poll_every, cx.workers.len());
     let idle = cx.settings.idle_renew_every;
-    let lease = cx.settings.lease();
     let worker = cx.worker_mut(ix);
     let unstored = worker.noted > worker.stored;
     // Without a lease to ask for, a renewal does not wait at the worker.
-    let next = if unstored || worker.is_left_to_lapse(now, lease) {
+    let next = if unstored || worker.is_left_to_lapse() {
         now + poll
     } else if worker.slots.is_empty() {
         now + idle
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -145,6 +145,8 @@
     pub missed: u32,
     /// Whether the last renewal was refused: the worker is unwell but answers.
     pub refuses: bool,
+    /// Whether the worker has refused a stop for the length of a lease; looked at now and then.
+    pub refuses_stops: bool,
     /// The renewal call.
     pub renewal: Renewal,
     /// The last end that the leader has taken in.
@@ -193,6 +195,7 @@
             answered: None,
             missed: 0,
             refuses: false,
+            refuses_stops: false,
             renewal: Renewal::Due(now),
             noted: EndSeq(0),
             stored: EndSeq(0),
@@ -270,14 +273,18 @@
     }
 
     /// Tells whether the worker's leases are left to end: a run that was given up may begin under a
-    /// new one, or a stop has been refused for `limit`, and only the end of all leases frees its
-    /// task.
-    pub fn is_left_to_lapse(&self, now: Instant, limit: Millis) -> bool {
+    /// new one, or the end of all leases is what frees the task of a stop that it refuses.
+    pub fn is_left_to_lapse(&self) -> bool {
+        !self.doubts.is_empty() || self.refuses_stops
+    }
+
+    /// Tells whether the worker has refused a stop for so long.
+    pub fn has_refused_a_stop_for(&self, now: Instant, limit: Millis) -> bool {
         let is_stuck = |slot: &Slot| {
             let refused = slot.stop_refusals > 0 && slot.barred.is_none();
             slot.phase == Phase::Stopping && refused && now.since(slot.stopping_since) >= limit
         };
-        !self.doubts.is_empty() || self.slots.values().any(is_stuck)
+        self.slots.values().any(is_stuck)
     }
 
     /// Tells whether the directory does not list the worker.
@@ -299,7 +306,7 @@
             && self.listing == Listing::Ready
             && self.missed == 0
             && self.clock.is_some()
-            && self.doubts.is_empty()
+            && !self.is_left_to_lapse()
             && self.avoid_until <= now
     }
 }
--- a/crates/sched/tests/fleet/withdrawals.rs
+++ b/crates/sched/tests/fleet/withdrawals.rs
@@ -83,6 +83,29 @@
     assert_kept(&world);
 }
 
+/// A worker whose leases are left to end, since it refuses a stop, is given nothing meanwhile.
+#[test]
+fn a_worker_that_is_left_to_lapse_gets_no_tasks() {
+    let mut world = World::open(98, 2);
+    world.run(100);
+    for worker in &mut world.workers {
+        worker.delays_start = Some(60_000);
+    }
+    world.submit(job(1, vec![step(1, &[])]));
+    world.run(1);
+    let asked = world.workers.iter().position(|w| w.delays_start.is_none()).expect("asked");
+    world.workers[1 - asked].delays_start = None;
+    world.workers[asked].unwell = true;
+    world.run(450);
+    world.workers[asked].unwell = false;
+    world.workers[asked].refuses_stops = true;
+    world.run(7_000);
+    world.submit(job(2, vec![step(8, &[])]));
+    world.run(1_000);
+    assert!(world.is_completed(2), "tasks wait at a worker that is left to lapse");
+    assert_kept(&world);
+}
+
 /// As before, with nothing else amiss than orders that are refused: what held before the mend.
 #[test]
 fn a_gang_one_of_whose_starts_is_withdrawn_is_started_anew_soon() {
