--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -58,9 +58,10 @@
 
 /// Claims the leadership over the claim at `seen`, or over none where it is the zero revision.
 ///
-/// # Errors [`StoreError::Conflict`] where another host was faster, or an earlier try of this one;
-/// otherwise the store's error. After [`StoreError::Unclear`] the claim may be stored later, under
-/// a lease that nobody renews: it is then replaced, or gone with its lease.
+/// # Errors
+/// [`StoreError::Conflict`] where another host was faster, or an earlier try of this one; otherwise
+/// the store's error. After [`StoreError::Unclear`] the claim may be stored later, under a lease
+/// that nobody renews: it is then replaced, or gone with its lease.
 pub async fn claim(store: &Store, me: &LeaderRecord, seen: Revision) -> Result<Claim, StoreError> {
     let lease = store.lease(LEASE.as_duration()).await?;
     let last = store.get(keys::COMMITS).await?;
