Room of a full pool: whole pieces, and kept for short tasks while they wait

Two mechanisms made the pieces: what takes processors went to the emptiest worker, and each lasting task left two cores on its own worker (RESERVED_CPU). Ruled out: memory (no_memory 0 to 7 of 890 workers), what fills (if_emptied the same), the leader's processor (no processor time charged).

What takes processors goes to the fullest worker that holds it; RESERVED_CPU is gone. While short tasks have had to wait, a lasting task that has never run leaves workers alone on which a short task began or ended within 2 s (30 s at most); one that was at work before does so for 5 s.

What existing tests found of the first form, each mended: - bursts: eight starts at a time to workers that had fallen silent took up all starts under way; one worker has a sixteenth of them at most. - leaving: eight of nine tasks of a job lay on one worker and could not leave it one by one in time; a worker takes a third of a lasting step's tasks before others go elsewhere. - renewals: workers without tasks were all asked at one time after a takeover; their pauses are spread. - promises: lasting tasks that serve nobody gain no progress once they are at work, and made their worker look slow.

--- a/crates/sched/src/choices.rs
+++ b/crates/sched/src/choices.rs
@@ -46,6 +46,7 @@
 struct Asked {
     avoid: Option<WorkerIx>,
     waited: Millis,
+    again: bool,
 }
 
 /// Workers on which tasks of one step could start now, the best one first. The step's tasks must be
@@ -78,7 +79,7 @@
 
     /// Works the order out anew, or only the place of the worker that took the last task.
     fn bring_up_to_date(&mut self, cx: &Context, wanted: &Wanted<'_>) {
-        let asked = Some(Asked { avoid: wanted.avoid, waited: wanted.waited });
+        let asked = Some(Asked { avoid: wanted.avoid, waited: wanted.waited, again: wanted.again });
         let all = 0..cx.workers.len() as u32;
         if self.asked != asked {
             self.asked = asked;
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -44,6 +44,14 @@
 /// passes of a full installation leave no processor time for its renewals (`docs/DECISIONS.md`).
 const LOOKS_PER_MS: u64 = 2_000;
 
+/// The part of all starts under way that one worker may have, as a divisor. What takes processors goes
+/// to the fullest worker that holds it, so without a bound a few workers that have just fallen silent
+/// would take up all of them.
+const STARTS_SHARE: usize = 16;
+
+/// The starts that one worker may have under way on the weakest of leaders.
+const STARTS_LEAST: usize = 2;
+
 /// How often due renewals are looked for while events pour in; a look goes over all workers.
 const RENEWALS_EVERY: Millis = Millis(2);
 
@@ -93,6 +101,8 @@
     pub pass_wanted: bool,
     /// How many looks at a worker the last dispatch pass took.
     pub pass_looks: usize,
+    /// When a short task last found no room in its pool.
+    pub short_waited: Option<Instant>,
     /// When the directory could be read again after the last outage, or was first read.
     pub directory_back: Instant,
     /// When what was learnt was last stored.
@@ -127,6 +137,7 @@
             starts_under_way: 0,
             pass_wanted: false,
             pass_looks: 0,
+            short_waited: None,
             directory_back: now,
             learnt_kept: now,
             last_pass: Instant(0),
@@ -154,7 +165,7 @@
                 renewals::renewed(self, worker, sent, outcome);
             }
             Event::Started { worker, task, run, outcome } => {
-                self.start_answered();
+                self.start_answered(worker);
                 orders::started(self, worker, task, run, outcome);
             }
             Event::Stopped { worker, task, run, outcome } => {
@@ -206,9 +217,12 @@
     }
 
     /// Takes in that one start fewer is under way; steps may have waited for that.
-    fn start_answered(&mut self) {
-        self.pass_wanted |= self.has_most_starts() && !self.ready.is_empty();
+    fn start_answered(&mut self, ix: WorkerIx) {
+        let waited_for = self.has_most_starts() || self.has_most_starts_at(ix);
+        self.pass_wanted |= waited_for && !self.ready.is_empty();
         self.starts_under_way = self.starts_under_way.saturating_sub(1);
+        let worker = self.worker_mut(ix);
+        worker.starts_under_way = worker.starts_under_way.saturating_sub(1);
     }
 
     /// Tells whether as many starts are under way as may be.
@@ -216,6 +230,12 @@
         self.starts_under_way >= self.settings.starts_under_way_most
     }
 
+    /// Tells whether as many starts are under way to a worker as may be.
+    pub fn has_most_starts_at(&self, ix: WorkerIx) -> bool {
+        let most = (self.settings.starts_under_way_most / STARTS_SHARE).max(STARTS_LEAST);
+        self.worker(ix).starts_under_way >= most
+    }
+
     /// Looks now and then for better places for what runs.
     fn rearrange(&mut self) {
         if self.now.since(self.last_rearranged) < REARRANGE_EVERY {
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -13,9 +13,9 @@
 use crate::lifecycle::Occupant;
 use crate::message::{Run, WorkerIx};
 use crate::placement::{self, Wanted};
-use crate::table::{self, ReadyStep, TaskState};
+use crate::table::{self, ReadyStep, Task, TaskState};
 use crate::worker::Phase;
-use crate::{gangs, lifecycle, orders, pacing, permits, trace};
+use crate::{gangs, lifecycle, orders, pacing, permits, room, trace};
 
 /// A demand for which no worker had room in this pass; a demand at least as large with the same
 /// restrictions need not be tried.
@@ -41,13 +41,13 @@
 
 impl Blocked {
     /// Builds what is known once a task of a step has found no worker.
-    fn of(service: ids::ServiceId, step: &Step, waited: Millis) -> Self {
+    fn of(service: ids::ServiceId, step: &Step, first: First) -> Self {
         let filling = step.fills.then(|| BlockedFilling {
             image: step.image.clone(),
             demand: step.demand.cpu,
-            impatient: pacing::is_impatient(waited),
+            impatient: pacing::is_impatient(first.waited),
         });
-        let lasting = step.lasting.then(|| placement::may_take_all(waited));
+        let lasting = step.lasting.then(|| room::may_take_kept(first.waited, first.again));
         Self { service, label: step.label.clone(), takes: table::takes(step), filling, lasting }
     }
 
@@ -75,12 +75,23 @@
     }
 }
 
+/// The task of a step that is tried first.
+#[derive(Debug, Clone, Copy)]
+struct First {
+    /// How long it has waited.
+    waited: Millis,
+    /// Whether it may have been at work before.
+    again: bool,
+}
+
 /// What one pass knows, so that it need not go over all workers for each step.
 #[derive(Debug)]
 struct Pass {
     blocked: Vec<Blocked>,
     /// The most free processors of any worker when the pass began; it only gets less.
     most_free: sizes::MilliCores,
+    /// The most processors that any worker has.
+    largest: sizes::MilliCores,
     /// How many steps were held against all workers.
     searches: usize,
 }
@@ -91,7 +102,8 @@
         return;
     }
     let ready: Vec<ReadyStep> = cx.ready.iter().copied().collect();
-    let mut pass = Pass { blocked: Vec::new(), most_free: most_free(cx), searches: 0 };
+    let (most_free, largest) = most_processors(cx);
+    let mut pass = Pass { blocked: Vec::new(), most_free, largest, searches: 0 };
     for step in ready {
         if cx.has_most_starts() {
             break;
@@ -101,10 +113,12 @@
     cx.pass_looks = pass.searches * cx.workers.len();
 }
 
-/// Returns the most free processors of any worker that takes tasks.
-fn most_free(cx: &Context) -> sizes::MilliCores {
-    let taking = cx.workers.iter().filter(|w| w.takes_tasks(cx.now));
-    taking.map(|w| w.info.capacity.minus(&w.used).cpu).max().unwrap_or_default()
+/// Returns the most free processors, and the most in all, of any worker that takes tasks.
+fn most_processors(cx: &Context) -> (sizes::MilliCores, sizes::MilliCores) {
+    let taking = || cx.workers.iter().filter(|w| w.takes_tasks(cx.now));
+    let free = taking().map(|w| w.info.capacity.minus(&w.used).cpu).max();
+    let largest = taking().map(|w| w.info.capacity.cpu).max();
+    (free.unwrap_or_default(), largest.unwrap_or_default())
 }
 
 /// Starts what it can of one step, unless a demand like it found no room in this pass.
@@ -114,14 +128,14 @@
     let Some(service) = service_of(cx, &job) else { return };
     let step = &job.steps[usize::from(ready.step)];
     let Some(round) = entry.round(ready.round) else { return };
-    let pending = &round.steps[usize::from(ready.step)].pending;
-    let Some(waited) = longest_wait(cx, ready, pending) else { return };
-    let wanted = Blocked::of(service.clone(), step, waited);
+    let pending = in_order(cx, ready, step, &round.steps[usize::from(ready.step)].pending);
+    let Some(first) = first_that_may_start(cx, ready, &pending) else { return };
+    let wanted = Blocked::of(service.clone(), step, first);
     if pass.blocked.iter().any(|b| b.covers(&wanted)) {
         return;
     }
-    let pending: Vec<u32> = pending.iter().copied().collect();
     if wanted.takes.cpu > pass.most_free && advice_of(cx, &job).is_none() {
+        note_scarcity(cx, step, pass);
         return explain_first(cx, &job, &service, ready, &pending);
     }
     if step.gang {
@@ -131,20 +145,51 @@
     pass.searches += 1;
     let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending) else { return };
     explain(cx, &job, &service, unplaced, pending.len());
+    note_scarcity(cx, step, pass);
     if advice_of(cx, &job).is_some() {
         permits::ask(cx, ready, pending.len());
     } else if step.most_per_worker.is_none() {
-        let waited = cx.task(unplaced).map_or(Millis(0), |t| cx.now.since(t.since));
-        pass.blocked.push(Blocked::of(service, step, waited));
+        let first = cx.task(unplaced).map_or(first, |t| first_of(cx, t));
+        pass.blocked.push(Blocked::of(service, step, first));
+    }
+}
+
+/// Takes in that a step found no room. A short one speaks for scarcity, unless no worker could ever
+/// hold it.
+fn note_scarcity(cx: &mut Context, step: &Step, pass: &Pass) {
+    if room::is_short(step) && step.demand.cpu <= pass.largest {
+        room::short_waits(cx);
+    }
+}
+
+/// Returns a step's pending tasks in the order in which they are tried. Of lasting ones those come
+/// first that were at work before, by their wait: they may take room that new ones may not, and a
+/// step is given up at the first task that finds none.
+fn in_order(cx: &Context, ready: ReadyStep, step: &Step, pending: &BTreeSet<u32>) -> Vec<u32> {
+    let mut order: Vec<u32> = pending.iter().copied().collect();
+    if step.lasting {
+        let key = |&index: &u32| task_of(ready, index);
+        order.sort_by_key(|index| cx.task(key(index)).map(|t| (!t.may_have_run, t.since)));
     }
+    order
+}
+
+/// Returns the key of a step's task.
+fn task_of(ready: ReadyStep, index: u32) -> TaskKey {
+    TaskKey { job: ready.job, round: ready.round, step: ready.step, index }
+}
+
+/// Finds the first task of a step that may start, if there is one. Tasks of one step begin to wait
+/// together, but for those that start again.
+fn first_that_may_start(cx: &Context, ready: ReadyStep, pending: &[u32]) -> Option<First> {
+    let mut tasks = pending.iter().map(|&index| task_of(ready, index));
+    let task = tasks.find(|&task| may_start(cx, task))?;
+    cx.task(task).map(|t| first_of(cx, t))
 }
 
-/// Returns how long the first task of a step that may start has waited, if there is one. Tasks of one
-/// step begin to wait together, but for those that start again.
-fn longest_wait(cx: &Context, ready: ReadyStep, pending: &BTreeSet<u32>) -> Option<Millis> {
-    let key = |&index| TaskKey { job: ready.job, round: ready.round, step: ready.step, index };
-    let mut tasks = pending.iter().map(key).filter(|&task| may_start(cx, task));
-    tasks.next().and_then(|task| cx.task(task)).map(|t| cx.now.since(t.since))
+/// Says what decides of a task that is tried first.
+fn first_of(cx: &Context, task: &Task) -> First {
+    First { waited: cx.now.since(task.since), again: task.may_have_run }
 }
 
 /// Logs why the first task of a step that may start finds no worker.
@@ -155,8 +200,8 @@
     ready: ReadyStep,
     pending: &[u32],
 ) {
-    let key = |&index| TaskKey { job: ready.job, round: ready.round, step: ready.step, index };
-    if let Some(task) = pending.iter().map(key).find(|&task| may_start(cx, task)) {
+    let mut tasks = pending.iter().map(|&index| task_of(ready, index));
+    if let Some(task) = tasks.find(|&task| may_start(cx, task)) {
         explain(cx, job, service, task, pending.len());
     }
 }
@@ -176,7 +221,7 @@
         if cx.has_most_starts() {
             return None;
         }
-        let task = TaskKey { job: ready.job, round: ready.round, step: ready.step, index };
+        let task = task_of(ready, index);
         if !may_start(cx, task) {
             continue;
         }
@@ -217,9 +262,10 @@
 ) -> Option<Wanted<'a>> {
     let step = &job.steps[usize::from(task.step)];
     let found = cx.task(task)?;
-    let (avoid, waited) = (found.failed_on, cx.now.since(found.since));
+    let First { waited, again } = first_of(cx, found);
+    let avoid = found.failed_on;
     let (advice, only_rack) = (advice_of(cx, job), None);
-    Some(Wanted { service, step, task, avoid, waited, only_rack, advice })
+    Some(Wanted { service, step, task, avoid, waited, again, only_rack, advice })
 }
 
 /// How often the log says why a step waits.
@@ -259,6 +305,7 @@
     let worker = cx.worker(ix).info.id.clone();
     if let Some(t) = cx.task_mut(task) {
         t.state = TaskState::Active { worker: ix, run };
+        t.may_have_run = true;
         trace::start_ordered(task, run, &worker, now.since(t.since));
     }
 }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod placement;
 pub mod proof;
 pub mod renewals;
+pub mod room;
 pub mod roster;
 pub mod settings;
 pub mod speed;
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -13,7 +13,7 @@
 use crate::proof::Proof;
 use crate::table::{self, Entry, ReadyStep, Round, Task, TaskState};
 use crate::worker::{Part, Phase, Slot};
-use crate::{commits, trace};
+use crate::{commits, room, trace};
 
 /// How much later than its objective a lasting step is served: room that comes free goes to work
 /// that ends soon, whose caller waits for it, as long as there is any.
@@ -84,6 +84,7 @@
     let w = cx.worker_mut(worker);
     w.occupy(key, slot_of(step, part, occupant, now));
     w.hasten_renewal(now);
+    room::changed(cx, worker, key);
     pacing::refresh(cx, worker);
 }
 
@@ -124,6 +125,7 @@
         let now = cx.now;
         cx.worker_mut(worker).filling_ended = now;
     }
+    room::changed(cx, worker, key);
     pacing::refresh(cx, worker);
     Some(slot)
 }
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -147,6 +147,7 @@
     }
     let start = Action::Start { worker: ix, task: key, run, job, until, checkpoint, ticket };
     cx.starts_under_way += 1;
+    cx.worker_mut(ix).starts_under_way += 1;
     cx.actions.push(start);
 }
 
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -3,14 +3,16 @@
 use gaplock_jobs::config::Advice;
 use gaplock_jobs::{Step, TaskKey};
 use gaplock_types::ids;
+use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 
 use crate::context::Context;
 use crate::message::WorkerIx;
 use crate::pacing;
 use crate::permits::{self, StepKey};
+use crate::room;
 use crate::table;
-use crate::worker::Worker;
+use crate::worker::{Part, Worker};
 
 /// What is asked of a worker.
 #[derive(Debug, Clone, Copy)]
@@ -25,16 +27,18 @@
     pub avoid: Option<WorkerIx>,
     /// How long the task has waited.
     pub waited: Millis,
+    /// Whether it may have been at work before.
+    pub again: bool,
     /// Set where only workers of one rack will do.
     pub only_rack: Option<&'a String>,
     /// Set where another service says which workers may run the step.
     pub advice: Option<&'a Advice>,
 }
 
-/// Worth of running in the rack that holds the data, against one whole worker of free room.
+/// Worth of running in the rack that holds the data, against one whole worker.
 const RACK_WORTH: f64 = 4.0;
 
-/// Cost of the worker on which the task failed last, against one whole worker of free room.
+/// Cost of the worker on which the task failed last, against one whole worker.
 const FAILED_HERE_COST: f64 = 8.0;
 
 /// Why a worker does not get a task.
@@ -42,13 +46,13 @@
 pub enum Unfit {
     /// It belongs to another pool, or is gone.
     OtherPool,
-    /// It is draining, unlisted, silent or avoided.
+    /// It is draining, unlisted, silent or avoided, or has many starts to answer.
     NotTaking,
     /// It has no room.
     Full,
     /// Its tasks come along much slower than elsewhere.
     Slow,
-    /// It has room, but that is kept for tasks that end soon.
+    /// It has room, but that is kept for short tasks.
     Reserved,
     /// It lacks the label.
     Label,
@@ -63,7 +67,7 @@
 /// How many workers do not get a task, by reason; for the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct UnfitCounts {
-    /// Draining, unlisted, silent or avoided workers.
+    /// Workers that are draining, unlisted, silent or avoided, or have many starts to answer.
     pub not_taking: u32,
     /// Workers without room.
     pub full: u32,
@@ -79,8 +83,31 @@
     pub not_permitted: u32,
     /// Workers on which the task would disturb.
     pub disturbs: u32,
+    /// Full workers that have the processors but not the memory.
+    pub no_memory: u32,
+    /// Full workers that would have room without the tasks that fill there.
+    pub if_emptied: u32,
     /// The most processor room that a worker of the pool has, in thousandths of a core.
     pub most_free: u32,
+    /// The processor room of the pool in sum, in thousandths of a core.
+    pub free_in_all: u64,
+}
+
+impl UnfitCounts {
+    /// Counts a worker without room, and what would make it.
+    fn note_full(&mut self, worker: &Worker, step: &Step) {
+        let takes = table::takes(step);
+        let room = worker.info.capacity.minus(&worker.used);
+        self.full += 1;
+        self.no_memory += u32::from(room.cpu >= takes.cpu);
+        self.if_emptied += u32::from(room.plus(&taken_by_filling(worker)).holds(&takes));
+    }
+}
+
+/// Returns the room that filling tasks take of a worker.
+fn taken_by_filling(worker: &Worker) -> Resources {
+    let filling = worker.slots.values().filter(|slot| matches!(slot.part, Part::Filling(_)));
+    filling.fold(Resources::default(), |sum, slot| sum.plus(&slot.takes))
 }
 
 /// Counts why no worker gets a task.
@@ -96,7 +123,7 @@
         match unfit {
             Unfit::OtherPool => continue,
             Unfit::NotTaking => counts.not_taking += 1,
-            Unfit::Full => counts.full += 1,
+            Unfit::Full => counts.note_full(worker, wanted.step),
             Unfit::Slow => counts.slow += 1,
             Unfit::Reserved => counts.reserved += 1,
             Unfit::Label => counts.label += 1,
@@ -105,6 +132,7 @@
             Unfit::Disturbs => counts.disturbs += 1,
         }
         counts.most_free = counts.most_free.max(free);
+        counts.free_in_all += u64::from(free);
     }
     counts
 }
@@ -133,8 +161,8 @@
     let step = entry.step(key)?;
     let queue = cx.config.as_ref()?.queue(&entry.job.queue)?;
     let (service, advice) = (&queue.service, queue.advice.as_ref());
-    let (avoid, waited, only_rack) = (Some(here), Millis(0), None);
-    choose(cx, &Wanted { service, step, task: key, avoid, waited, only_rack, advice })
+    let (avoid, waited, again, only_rack) = (Some(here), Millis(0), true, None);
+    choose(cx, &Wanted { service, step, task: key, avoid, waited, again, only_rack, advice })
         .filter(|ix| *ix != here)
 }
 
@@ -145,7 +173,7 @@
     if worker.gone || worker.info.service != *wanted.service {
         return Err(Unfit::OtherPool);
     }
-    if !worker.takes_tasks(cx.now) {
+    if !worker.takes_tasks(cx.now) || cx.has_most_starts_at(ix) {
         return Err(Unfit::NotTaking);
     }
     let taken = worker.used.plus(&takes);
@@ -172,8 +200,8 @@
     if step.most_per_worker.is_some_and(|most| same_step(worker, wanted.task) >= most) {
         return Err(Unfit::Spread);
     }
-    let left = worker.info.capacity.minus(&taken).cpu.0;
-    if step.lasting && left < RESERVED_CPU && !may_take_all(wanted.waited) {
+    let may_take_kept = !step.lasting || room::may_take_kept(wanted.waited, wanted.again);
+    if !may_take_kept && room::is_kept(cx, worker) {
         return Err(Unfit::Reserved);
     }
     Ok(())
@@ -182,22 +210,16 @@
 /// How long a task waits for a worker that is not slow: about what a short task loses on a slow one.
 const SLOW_AVOIDED_FOR: Millis = Millis(1_000);
 
-/// Cost of a slow worker, against one whole worker of free room.
+/// Cost of a slow worker, against one whole worker.
 const SLOW_COST: f64 = 6.0;
 
-/// The processor room, in thousandths of a core, that a lasting task at first leaves on its worker
-/// for tasks that end soon: they are worth several times as much for each core and second. It is
-/// somewhat more than the mean short task of the users' sites asks for.
-const RESERVED_CPU: u32 = 2_000;
-
-/// How long a lasting task leaves that room: it must be at work again within 3 s where there is
-/// room for it.
-const RESERVED_FOR: Millis = Millis(1_800);
+/// The part of a lasting step's tasks, as a divisor, that one worker takes before its other tasks go
+/// elsewhere: they all go down with it, and leave it one by one where few of them may be missed.
+const TOGETHER_SHARE: u32 = 3;
 
-/// Tells whether a lasting task has waited so long that it may take the room kept for others.
-pub fn may_take_all(waited: Millis) -> bool {
-    waited >= RESERVED_FOR
-}
+/// Cost of that part being there already, against one whole worker: more than any fit is worth, less
+/// than what gathering an image is.
+const TOGETHER_COST: f64 = 1.5;
 
 /// Counts the tasks of the same step and round at a worker.
 fn same_step(worker: &Worker, task: TaskKey) -> u32 {
@@ -205,12 +227,18 @@
     worker.slots.keys().filter(same).count() as u32
 }
 
-/// Returns how good a place a worker is for the task, in whole workers of free room, or nothing
+/// Returns the share of a worker's processors that is neither taken nor wanted by what fills there;
+/// what fills goes where most of it is left.
+fn spread(worker: &Worker) -> f64 {
+    let cores = f64::from(worker.info.capacity.cpu.0.max(1));
+    (cores - f64::from(worker.used.cpu.0) - f64::from(worker.filling)) / cores
+}
+
+/// Returns how good a place a worker is for the task, in whole workers, or nothing
 /// where the task would disturb too much yet.
 fn score(cx: &Context, ix: WorkerIx, worker: &Worker, wanted: &Wanted<'_>) -> Option<f64> {
-    let cores = f64::from(worker.info.capacity.cpu.0.max(1));
-    let free = cores - f64::from(worker.used.cpu.0) - f64::from(worker.filling);
-    let mut score = free / cores;
+    let mut score =
+        if wanted.step.fills { spread(worker) } else { room::tightness(worker, wanted.step) };
     let in_rack = |rack: &String| worker.info.labels.contains(rack);
     if wanted.step.rack.as_ref().is_some_and(in_rack) {
         score += RACK_WORTH;
@@ -218,6 +246,9 @@
     if wanted.avoid == Some(ix) {
         score -= FAILED_HERE_COST;
     }
+    if wanted.step.lasting && same_step(worker, wanted.task) * TOGETHER_SHARE >= wanted.step.count {
+        score -= TOGETHER_COST;
+    }
     if worker.speed.is_slow(cx.now) {
         score -= SLOW_COST;
     }
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -54,8 +54,8 @@
 /// The prime by which workers' positions are spread over a wait.
 const SPREAD_BY: u64 = 7_919;
 
-/// Returns the wait of a worker's renewal. The first ones after a takeover differ from worker to
-/// worker, from a quarter of the wait on, since all workers were asked at one time and would answer
+/// Returns the wait of a worker's renewal, or the time until an idle worker's next one. The first ones
+/// after a takeover differ from worker to worker, from a quarter of the wait on, since all workers were asked at one time and would answer
 /// at one time ever after.
 fn spread(cx: &Context, ix: WorkerIx, wait: Millis) -> Millis {
     let recent = cx.worker(ix).answered.is_some_and(|at| cx.now.since(at) < wait);
@@ -144,7 +144,7 @@
 fn schedule_next(cx: &mut Context, ix: WorkerIx) {
     let now = cx.now;
     let poll = wait_for(cx.settings.poll_every, cx.workers.len());
-    let idle = cx.settings.idle_renew_every;
+    let idle = spread(cx, ix, cx.settings.idle_renew_every);
     let worker = cx.worker_mut(ix);
     let unstored = worker.noted > worker.stored;
     // Without a lease to ask for, a renewal does not wait at the worker.
--- /dev/null
+++ b/crates/sched/src/room.rs
@@ -0,0 +1,76 @@
+//! Who gets the room of a pool that lasting tasks fill, and in what pieces.
+//!
+//! The pattern: tasks that stay for minutes take nine tenths of a pool's processors, and short jobs
+//! whose tasks ask for anything up to a whole worker arrive every second. Spread out, the lasting
+//! tasks leave a few cores on every worker, thousands in sum, and a large task fits on none. Two
+//! rules answer it:
+//!
+//! - What takes processors goes to the fullest worker that holds it ([`tightness`]), so that what
+//!   is free lies in whole pieces.
+//! - While short tasks have to wait, a new lasting task leaves the workers alone that they have just
+//!   used ([`is_kept`]): whatever it took there would be cut up for minutes, while a short task uses
+//!   a piece for a second, and is worth some four times as much for each core and second.
+//!
+//! `docs/DECISIONS.md` (section The room of a full pool) has what each rule is worth.
+
+use gaplock_jobs::{Step, TaskKey};
+use gaplock_types::time::Millis;
+
+use crate::context::Context;
+use crate::message::WorkerIx;
+use crate::worker::Worker;
+
+/// How long a worker stays kept after a short task has begun or ended there: somewhat longer than a
+/// short task of the users works, and below the 3 s for which a lasting task may wait beside room.
+const KEPT_FOR: Millis = Millis(2_000);
+
+/// How long room counts as scarce after a short task has found none. Short jobs come in waves of
+/// about that length; a lasting task that got in between two of them would stay.
+const SCARCE_FOR: Millis = Millis(10_000);
+
+/// How long a lasting task that was at work before leaves kept room alone. Users of its service miss
+/// it, and expect it back within some 6 s.
+const BACK_AFTER: Millis = Millis(5_000);
+
+/// How long a lasting task that has never run leaves kept room alone at most, so that short tasks do
+/// not keep a new service out for ever.
+const NEW_AFTER: Millis = Millis(30_000);
+
+/// Returns how well a task that takes processors fits a worker, against one whole worker: 0 where it
+/// takes all that is free, and the less the more it leaves.
+pub fn tightness(worker: &Worker, step: &Step) -> f64 {
+    let cores = f64::from(worker.info.capacity.cpu.0.max(1));
+    let free = cores - f64::from(worker.used.cpu.0);
+    (f64::from(step.demand.cpu.0) - free) / cores
+}
+
+/// Tells whether a step's tasks take processors of their own and end soon.
+pub fn is_short(step: &Step) -> bool {
+    !step.lasting && !step.fills
+}
+
+/// Tells whether a worker's room is kept for short tasks.
+pub fn is_kept(cx: &Context, worker: &Worker) -> bool {
+    let within = |at, span| cx.now.since(at) < span;
+    cx.short_waited.is_some_and(|at| within(at, SCARCE_FOR))
+        && worker.short_changed.is_some_and(|at| within(at, KEPT_FOR))
+}
+
+/// Tells whether a lasting task has waited so long that it may take kept room; `again` says that it
+/// may have been at work before.
+pub fn may_take_kept(waited: Millis, again: bool) -> bool {
+    waited >= if again { BACK_AFTER } else { NEW_AFTER }
+}
+
+/// Takes in that a short task has found no room in its pool.
+pub fn short_waits(cx: &mut Context) {
+    cx.short_waited = Some(cx.now);
+}
+
+/// Takes in that a run of a step has begun or ended at a worker.
+pub fn changed(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+    let now = cx.now;
+    if cx.step(key).is_some_and(is_short) {
+        cx.worker_mut(ix).short_changed = Some(now);
+    }
+}
--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/speed.rs
@@ -124,6 +124,10 @@
 
 /// Takes in a run's progress from its worker's account.
 pub fn observe(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+    // A lasting task comes along only while it starts.
+    if cx.step(key).is_some_and(|step| step.lasting) {
+        return;
+    }
     let now = cx.now;
     let typical = cx.step_state(key).and_then(|step| step.rates.typical());
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -52,6 +52,9 @@
     pub failed_on: Option<WorkerIx>,
     /// When the task became pending, for the log.
     pub since: Instant,
+    /// Whether it may have been at work before: it was ordered to a worker, be it by a former
+    /// leader.
+    pub may_have_run: bool,
     /// A run on a slow worker that goes on while a copy is started elsewhere.
     pub slow_run: Option<(WorkerIx, Run)>,
 }
@@ -68,6 +71,7 @@
             checkpoint: None,
             failed_on: None,
             since: Instant(0),
+            may_have_run: false,
             slow_run: None,
         }
     }
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -129,6 +129,7 @@
     for task in entry.tasks_mut() {
         if task.state != TaskState::Done {
             task.state = TaskState::Unknown;
+            task.may_have_run = true;
         }
     }
     entry
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -64,7 +64,8 @@
         not_taking = unfit.not_taking, full = unfit.full, reserved = unfit.reserved,
         slow = unfit.slow, label = unfit.label, spread = unfit.spread, disturbs = unfit.disturbs,
         not_permitted = unfit.not_permitted,
-        most_free = unfit.most_free);
+        no_memory = unfit.no_memory, if_emptied = unfit.if_emptied,
+        most_free = unfit.most_free, free_in_all = unfit.free_in_all);
 }
 
 /// A run was ordered to stop.
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -149,6 +149,8 @@
     pub refuses_stops: bool,
     /// The renewal call.
     pub renewal: Renewal,
+    /// How many starts have been sent here whose answer, or the lack of one, is not known yet.
+    pub starts_under_way: usize,
     /// The last end that the leader has taken in.
     pub noted: EndSeq,
     /// The last end that is stored.
@@ -168,6 +170,8 @@
     pub spare_filling: f64,
     /// When a filling task last ended here.
     pub filling_ended: Instant,
+    /// When a short task last began or ended here.
+    pub short_changed: Option<Instant>,
     /// How fast it is against others.
     pub speed: Speed,
     /// Failed runs since the last good one.
@@ -197,6 +201,7 @@
             refuses: false,
             refuses_stops: false,
             renewal: Renewal::Due(now),
+            starts_under_way: 0,
             noted: EndSeq(0),
             stored: EndSeq(0),
             slots: FxHashMap::default(),
@@ -206,6 +211,7 @@
             spare_pressure: Vec::new(),
             spare_filling: 1.0,
             filling_ended: Instant(0),
+            short_changed: None,
             speed: Speed::default(),
             failures: 0,
             quarantines: 0,
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod late_upkeeps;
 mod late_writes;
 mod leaving;
+mod packing;
 mod promises;
 mod renewals;
 mod sharing;
--- a/crates/sched/tests/fleet/slow_workers.rs
+++ b/crates/sched/tests/fleet/slow_workers.rs
@@ -81,3 +81,16 @@
     assert_eq!(world.running_of(1), 8);
     assert_kept(&world);
 }
+
+/// A lasting task comes to its full percentage while it starts and gains nothing from then on.
+#[test]
+fn lasting_tasks_that_are_at_work_do_not_make_their_worker_look_slow() {
+    let mut world = World::open(56, 1);
+    let mut lasting = step(6, &[]);
+    lasting.lasting = true;
+    world.submit(job(1, vec![lasting]));
+    world.run(5_000);
+    let cx = world.cx.as_ref().expect("it is led");
+    assert!(!cx.workers[0].speed.is_slow(cx.now));
+    assert_kept(&world);
+}
