--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -12,6 +12,7 @@
 use gaplock_remote::clock;
 use gaplock_sched::context::Term;
 use gaplock_sched::message::{FencingToken, Record};
+use gaplock_sched::room::{self, Free};
 use gaplock_sched::{commits, Context, Event};
 use gaplock_types::time::Instant;
 
@@ -111,7 +112,7 @@
         loop {
             let now = clock::now();
             match self.engine.standing.right(now) {
-                Right::Lost => return,
+                Right::Lost => break,
                 Right::Act => self.act(true),
                 Right::Wait => self.act(false),
             }
@@ -120,10 +121,11 @@
             let wait = self.cx.next_wake().since(now).as_duration();
             match future::timeout(wait, self.rx.recv()).await {
                 Ok(Ok(message)) => self.take_in(message),
-                Ok(Err(_)) => return,
+                Ok(Err(_)) => break,
                 Err(_) => self.cx.handle(clock::now(), clock::unix_ms(), Event::Tick),
             }
         }
+        self.show_room(Free::default(), 0);
     }
 
     /// Takes in a message and those that wait behind it, up to a batch.
@@ -185,6 +187,16 @@
         let counts = counts.into_iter();
         let counts = counts.map(|(queue, waiting)| QueueCount { queue: queue.into(), waiting });
         *self.engine.waiting.lock().expect("no holder of the lock panics") = counts.collect();
+        let free = room::free(&self.cx);
+        self.show_room(free, self.cx.ready.len());
+    }
+
+    /// Shows the pool's room in the metrics.
+    fn show_room(&self, free: Free, waiting_steps: usize) {
+        let metrics = &self.node.metrics;
+        metrics.free_millicores.set(free.in_all as i64);
+        metrics.largest_free_millicores.set(i64::from(free.largest.0));
+        metrics.waiting_steps.set(waiting_steps as i64);
     }
 }
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -30,6 +30,12 @@
     pub terms: Counter,
     /// The version of the configuration in force.
     pub config_version: Gauge,
+    /// What is free on the workers that take tasks, in thousandths of a core; 0 on a follower.
+    pub free_millicores: Gauge,
+    /// The most that is free on one such worker; far below the largest demand, the room lies in pieces.
+    pub largest_free_millicores: Gauge,
+    /// Steps with tasks that wait for a worker; 0 on a follower.
+    pub waiting_steps: Gauge,
     /// Log lines that were dropped because standard output was not read in time.
     pub log_lines_dropped: Gauge,
 }
@@ -52,6 +58,15 @@
     let log_lines_dropped = Gauge::default();
     let what = "Log lines dropped because standard output was not read in time";
     registry.register("log_lines_dropped", what, log_lines_dropped.clone());
+    let mut gauge = |name: &str, help: &str| {
+        let gauge = Gauge::default();
+        registry.register(name, help, gauge.clone());
+        gauge
+    };
+    let free_millicores = gauge("free_millicores", "Free processors of all workers together");
+    let largest_free_millicores =
+        gauge("largest_free_millicores", "The most free processors of one worker");
+    let waiting_steps = gauge("waiting_steps", "Steps whose tasks wait for a worker");
     Metrics {
         registry,
         answers,
@@ -60,6 +75,9 @@
         commit_time,
         terms,
         config_version,
+        free_millicores,
+        largest_free_millicores,
+        waiting_steps,
         log_lines_dropped,
     }
 }
--- a/crates/sched/src/room.rs
+++ b/crates/sched/src/room.rs
@@ -14,6 +14,7 @@
 //! `docs/DECISIONS.md` (section The room of a full pool) has what each rule is worth.
 
 use gaplock_jobs::{Step, TaskKey};
+use gaplock_types::sizes::MilliCores;
 use gaplock_types::time::Millis;
 
 use crate::context::Context;
@@ -36,6 +37,25 @@
 /// not keep a new service out for ever.
 const NEW_AFTER: Millis = Millis(30_000);
 
+/// The processors that are free on the workers that take tasks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Free {
+    /// On all of them together, in thousandths of a core.
+    pub in_all: u64,
+    /// The most on one of them.
+    pub largest: MilliCores,
+}
+
+/// Adds up what is free.
+pub fn free(cx: &Context) -> Free {
+    let taking = cx.workers.iter().filter(|w| w.takes_tasks(cx.now));
+    let free = taking.map(|w| w.info.capacity.minus(&w.used).cpu);
+    free.fold(Free::default(), |sum, cpu| Free {
+        in_all: sum.in_all + u64::from(cpu.0),
+        largest: sum.largest.max(cpu),
+    })
+}
+
 /// Returns how well a task that takes processors fits a worker, against one whole worker: 0 where it
 /// takes all that is free, and the less the more it leaves.
 pub fn tightness(worker: &Worker, step: &Step) -> f64 {
--- a/crates/sched/tests/fleet/packing.rs
+++ b/crates/sched/tests/fleet/packing.rs
@@ -1,7 +1,8 @@
 //! Room on a pool that lasting tasks fill, on virtual time: who gets it and in what pieces.
 
 use gaplock_jobs::{Job, Step};
-use gaplock_types::sizes::Resources;
+use gaplock_sched::room;
+use gaplock_types::sizes::{MilliCores, Resources};
 
 use crate::world::{assert_kept, job, step, World};
 
@@ -10,6 +11,9 @@
 /// What a worker of the fleet has, in thousandths of a core.
 const WHOLE: u32 = 8_000;
 
+/// Half of what all workers have together, in thousandths of a core.
+const HALF_OF_ALL: u64 = WORKERS as u64 * WHOLE as u64 / 2;
+
 /// How long a short task works, in milliseconds.
 const SHORT_MS: u64 = 500;
 
@@ -59,6 +63,8 @@
     // Half of the fleet's processors, which fit on half of the workers.
     world.submit(lasting_job(1, WORKERS as u32, WHOLE / 2));
     world.run(2_000);
+    let half = room::Free { in_all: HALF_OF_ALL, largest: MilliCores(WHOLE) };
+    assert_eq!(room::free(world.cx.as_ref().expect("it is led")), half);
     world.submit(short_job(2, WORKERS as u32 / 2, WHOLE));
     world.run(AT_ONCE_MS);
     assert_eq!(world.running_of(2), WORKERS / 2);
