--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -101,8 +101,8 @@
     pub pass_wanted: bool,
     /// How many looks at a worker the last dispatch pass took.
     pub pass_looks: usize,
-    /// When a short task last found no room in its pool.
-    pub short_waited: Option<Instant>,
+    /// When a short task last found no room, by pool.
+    pub short_waited: FxHashMap<ids::ServiceId, Instant>,
     /// When the directory could be read again after the last outage, or was first read.
     pub directory_back: Instant,
     /// When what was learnt was last stored.
@@ -137,7 +137,7 @@
             starts_under_way: 0,
             pass_wanted: false,
             pass_looks: 0,
-            short_waited: None,
+            short_waited: FxHashMap::default(),
             directory_back: now,
             learnt_kept: now,
             last_pass: Instant(0),
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -135,7 +135,7 @@
         return;
     }
     if wanted.takes.cpu > pass.most_free && advice_of(cx, &job).is_none() {
-        note_scarcity(cx, step, pass);
+        note_scarcity(cx, &service, step, pass);
         return explain_first(cx, &job, &service, ready, &pending);
     }
     if step.gang {
@@ -145,7 +145,7 @@
     pass.searches += 1;
     let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending) else { return };
     explain(cx, &job, &service, unplaced, pending.len());
-    note_scarcity(cx, step, pass);
+    note_scarcity(cx, &service, step, pass);
     if advice_of(cx, &job).is_some() {
         permits::ask(cx, ready, pending.len());
     } else if step.most_per_worker.is_none() {
@@ -156,9 +156,9 @@
 
 /// Takes in that a step found no room. A short one speaks for scarcity, unless no worker could ever
 /// hold it.
-fn note_scarcity(cx: &mut Context, step: &Step, pass: &Pass) {
+fn note_scarcity(cx: &mut Context, pool: &ids::ServiceId, step: &Step, pass: &Pass) {
     if room::is_short(step) && step.demand.cpu <= pass.largest {
-        room::short_waits(cx);
+        room::short_waits(cx, pool);
     }
 }
 
--- a/crates/sched/src/room.rs
+++ b/crates/sched/src/room.rs
@@ -14,8 +14,9 @@
 //! `docs/DECISIONS.md` (section The room of a full pool) has what each rule is worth.
 
 use gaplock_jobs::{Step, TaskKey};
+use gaplock_types::ids;
 use gaplock_types::sizes::MilliCores;
-use gaplock_types::time::Millis;
+use gaplock_types::time::{Instant, Millis};
 
 use crate::context::Context;
 use crate::message::WorkerIx;
@@ -71,9 +72,9 @@
 
 /// Tells whether a worker's room is kept for short tasks.
 pub fn is_kept(cx: &Context, worker: &Worker) -> bool {
-    let within = |at, span| cx.now.since(at) < span;
-    cx.short_waited.is_some_and(|at| within(at, SCARCE_FOR))
-        && worker.short_changed.is_some_and(|at| within(at, KEPT_FOR))
+    let within = |at: &Instant, span| cx.now.since(*at) < span;
+    worker.short_changed.is_some_and(|at| within(&at, KEPT_FOR))
+        && cx.short_waited.get(&worker.info.service).is_some_and(|at| within(at, SCARCE_FOR))
 }
 
 /// Tells whether a lasting task has waited so long that it may take kept room; `again` says that it
@@ -83,8 +84,14 @@
 }
 
 /// Takes in that a short task has found no room in its pool.
-pub fn short_waits(cx: &mut Context) {
-    cx.short_waited = Some(cx.now);
+pub fn short_waits(cx: &mut Context, pool: &ids::ServiceId) {
+    let now = cx.now;
+    match cx.short_waited.get_mut(pool) {
+        Some(at) => *at = now,
+        None => {
+            cx.short_waited.insert(pool.clone(), now);
+        }
+    }
 }
 
 /// Takes in that a run of a step has begun or ended at a worker.
