Unused connections to workers by what the descriptors allow

At 1,300 workers a leader with 4,100 descriptors would need 6,500. A process without descriptors neither starts tasks nor renews leases.

Change. crates/policy/src/connections.rs: up to four, as many as 70 % of the descriptors carry beside one in use for each worker; test first. Nothing changes up to 1,146 workers on a host of 8,192 descriptors, and up to 574 on one of 4,100.

--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -10,6 +10,7 @@
 use gaplock_platform::advice::Answer;
 use gaplock_platform::store::Revision;
 use gaplock_platform::worker::{self, Start, Worker};
+use gaplock_policy::connections;
 use gaplock_policy::tries::Fate;
 use gaplock_sched::message::{
     Account, EndSeq, FencingToken, Outcome, Permit, Run, UpkeepAnswer, WaveNumber, WorkerClock,
@@ -25,17 +26,24 @@
 use crate::node::Node;
 
 /// The clients of all workers, by their positions.
-#[derive(Default)]
 pub struct Clients {
     opened: Vec<Arc<Worker>>,
+    /// How many files and connections this process may have open.
+    descriptors: usize,
 }
 
 impl Clients {
+    /// Builds the clients of a leader whose process may have so many files and connections open.
+    pub fn open(descriptors: usize) -> Self {
+        Self { opened: Vec::new(), descriptors }
+    }
+
     /// Returns a worker's client.
     fn of(&mut self, cx: &Context, ix: WorkerIx) -> Arc<Worker> {
         while self.opened.len() <= ix.0 as usize {
             let info = &cx.workers[self.opened.len()].info;
-            self.opened.push(Arc::new(worker::open(&info.addr, info.id.clone())));
+            let kept = connections::kept(self.descriptors, cx.workers.len());
+            self.opened.push(Arc::new(worker::open(&info.addr, info.id.clone(), kept)));
         }
         Arc::clone(&self.opened[ix.0 as usize])
     }
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -95,7 +95,7 @@
         rx,
         engine,
         node: Arc::clone(node),
-        clients: Clients::default(),
+        clients: Clients::open(node.installation.descriptors),
         to_ledger,
         counted: Instant(0),
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! values, so that seeds replay. Learnt values are a cache that may be lost at any time; nothing
 //! that must last lives in this crate. `docs/DECISIONS.md` says why each rule is as it is.
 
+pub mod connections;
 pub mod estimate;
 pub mod fair;
 pub mod guard;
