--- a/crates/coord/src/node/mod.rs
+++ b/crates/coord/src/node/mod.rs
@@ -278,16 +278,7 @@
                     p.want(cx);
                 }
             }
-            Event::Command { partition, id, command } => {
-                match self.partitions.get_mut(&partition) {
-                    Some(p) => p.command(cx, id, command),
-                    None => {
-                        let why = "There is no such partition";
-                        let refusal = api::Refusal::new(codes::Code::NotFound, why);
-                        cx.reply(id, api::Reply::Refused(refusal));
-                    }
-                }
-            }
+            Event::Command { partition, id, command } => self.command(cx, partition, id, command),
             Event::Config { sent_at, doc } => {
                 self.store_ok_at = self.store_ok_at.max(Some(sent_at));
                 if self.generations.read(sent_at, doc) {
@@ -318,6 +309,24 @@
         }
     }
 
+    /// Hands a command to its partition.
+    fn command(
+        &mut self,
+        cx: &mut Context,
+        partition: ids::PartitionId,
+        id: ReplyId,
+        command: api::Command,
+    ) {
+        match self.partitions.get_mut(&partition) {
+            Some(p) => p.command(cx, id, command),
+            None => {
+                let why = "There is no such partition";
+                let refusal = api::Refusal::new(codes::Code::NotFound, why);
+                cx.reply(id, api::Reply::Refused(refusal));
+            }
+        }
+    }
+
     fn tick(&mut self, cx: &mut Context) {
         self.started_at.get_or_insert(cx.now);
         self.refresh_membership(cx);
--- a/crates/coord/src/state/mod.rs
+++ b/crates/coord/src/state/mod.rs
@@ -120,6 +120,12 @@
     pub end: Option<api::OnceEnd>,
 }
 
+/// Takes a task off its worker, and keeps why.
+fn leave_place(task: &mut Task, why: &str) {
+    task.place = None;
+    task.why = why.to_string();
+}
+
 /// A partition's state.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct PartState {
@@ -172,11 +178,7 @@
         record: &Record,
     ) -> Result<()> {
         match record {
-            Record::Claim => {
-                self.epoch = epoch;
-                self.owner = owner.clone();
-                self.released = false;
-            }
+            Record::Claim => self.take_claim(epoch, owner),
             Record::Release => self.released = true,
             Record::JobAdd { .. } => self.add_job(home, record),
             Record::TaskAdd { number } => self.add_task(home, *number),
@@ -194,34 +196,27 @@
             }
             Record::Requeue { run, checkpoint_ms, evicted, failed, why } => {
                 self.step(run.task, task::On::Requeue, record, |t| {
-                    t.place = None;
                     t.checkpoint_ms = *checkpoint_ms;
                     t.evictions += u32::from(*evicted);
                     t.failures += u32::from(*failed);
-                    t.why.clone_from(why);
+                    leave_place(t, why);
                 })?;
             }
             Record::Finish { run } => {
                 self.step(run.task, task::On::Finish, record, |t| t.place = None)?;
             }
             Record::GiveUp { task, why } => {
-                self.step(*task, task::On::GiveUp, record, |t| {
-                    t.place = None;
-                    t.why.clone_from(why);
-                })?;
+                self.step(*task, task::On::GiveUp, record, |t| leave_place(t, why))?;
             }
             Record::Cancel { number, index } => self.cancel(home, *number, *index, record)?,
             Record::Cancelled { run } => {
-                self.step(run.task, task::On::Cancel, record, |t| {
-                    t.place = None;
-                    t.why = "cancelled".to_string();
-                })?;
+                self.step(run.task, task::On::Cancel, record, |t| leave_place(t, "cancelled"))?;
             }
             Record::JobForget { number } => self.forget_job(*number),
             Record::OnceClaim { id, digest, claimer, at_unix_ms } => {
                 let (digest, claimer) = (digest.clone(), claimer.clone());
-                let at_unix_ms = *at_unix_ms;
-                self.once.insert(id.clone(), Once { digest, claimer, at_unix_ms, end: None });
+                let once = Once { digest, claimer, at_unix_ms: *at_unix_ms, end: None };
+                self.once.insert(id.clone(), once);
             }
             Record::OnceEnd { id, end } => self.end_once(id, end),
             Record::OnceForget { id, whole } => self.forget_once(id, *whole),
@@ -235,6 +230,13 @@
         Ok(())
     }
 
+    /// Takes in that the partition has a new owner.
+    fn take_claim(&mut self, epoch: ids::Epoch, owner: &ids::Member) {
+        self.epoch = epoch;
+        self.owner = owner.clone();
+        self.released = false;
+    }
+
     /// Puts a run at its place.
     fn assign(&mut self, run: &wire::Run, place: Place, record: &Record) -> Result<()> {
         self.step(run.task, task::On::Assign, record, |t| {
--- a/crates/demo/src/prove/batch.rs
+++ b/crates/demo/src/prove/batch.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use async_std::task;
+use gaplock_standin::judge::Findings;
+use gaplock_types::api::JobStatus;
 use gaplock_types::sizes;
 use http_types::Method;
 use serde_json::{json, Value};
@@ -70,27 +72,8 @@
     // Kills, freezes and cuts fall between decision, commit, start and acknowledgement, since
     // further jobs are submitted all the while.
     for round in 0..3_u64 {
-        let victim = site.an_owner_besides(0).await?;
         v.faults += 1;
-        match round {
-            0 => {
-                site.cluster.entries[victim].process.kill();
-                site.cluster.entries.remove(victim);
-                site.cluster.add_entry().await?;
-            }
-            1 => {
-                site.cluster.entries[victim].process.freeze();
-                task::sleep(Duration::from_millis(2_000)).await;
-                site.cluster.entries[victim].process.thaw();
-            }
-            _ => {
-                site.cluster.set_store(json!({"lose_percent": 30})).await?;
-                site.cluster.entries[victim].store_relay.set_cut(true);
-                task::sleep(Duration::from_millis(2_000)).await;
-                site.cluster.entries[victim].store_relay.set_cut(false);
-                site.cluster.set_store(json!({})).await?;
-            }
-        }
+        harm_an_owner(&mut site, round).await?;
         site.balance();
         for i in 0..4 {
             let key = format!("one-{round}-{i}");
@@ -112,15 +95,45 @@
     let statuses = site.wait_ended(0, &jobs, ENDED_LIMIT).await?;
     let attempts: u32 = statuses.iter().flat_map(|s| &s.tasks).map(|t| t.attempts).sum();
     let tasks: usize = statuses.iter().map(|s| s.tasks.len()).sum();
-    for s in &statuses {
-        v.check(s.tasks.iter().all(|t| t.state == "done"), || format!("{} lost tasks", s.job));
-    }
+    check_done(&mut v, &statuses);
     v.figure(format!("{tasks} tasks in {attempts} attempts"));
     v.take_in(site.cluster.judge().await?);
     site.check_entries(&mut v, &[0, 1, 2]).await?;
     Ok(v)
 }
 
+/// Kills, freezes or cuts off an owner, by the round.
+async fn harm_an_owner(site: &mut Site, round: u64) -> io::Result<()> {
+    let victim = site.an_owner_besides(0).await?;
+    match round {
+        0 => {
+            site.cluster.entries[victim].process.kill();
+            site.cluster.entries.remove(victim);
+            site.cluster.add_entry().await?;
+        }
+        1 => {
+            site.cluster.entries[victim].process.freeze();
+            task::sleep(Duration::from_millis(2_000)).await;
+            site.cluster.entries[victim].process.thaw();
+        }
+        _ => {
+            site.cluster.set_store(json!({"lose_percent": 30})).await?;
+            site.cluster.entries[victim].store_relay.set_cut(true);
+            task::sleep(Duration::from_millis(2_000)).await;
+            site.cluster.entries[victim].store_relay.set_cut(false);
+            site.cluster.set_store(json!({})).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Checks that no task of a job was lost.
+fn check_done(v: &mut Verdict, statuses: &[JobStatus]) {
+    for s in statuses {
+        v.check(s.tasks.iter().all(|t| t.state == "done"), || format!("{} lost tasks", s.job));
+    }
+}
+
 /// A failure domain loses all its workers: what its partition holds runs in others.
 async fn lose_a_failure_domain(
     site: &mut Site,
@@ -138,6 +151,17 @@
     Ok(())
 }
 
+/// Checks that each run of a task begins where the one before left off.
+fn check_resumed(v: &mut Verdict, findings: &Findings) {
+    for (task, stretches) in &findings.by_task {
+        for pair in stretches.windows(2).filter(|pair| !pair[0].service) {
+            let resumed = pair[1].resume_ms;
+            let left = pair[0].checkpoint_ms;
+            v.check(resumed == left, || format!("{task}: left {left}, resumed from {resumed}"));
+        }
+    }
+}
+
 /// Promise 3: evicted work resumes exactly once, from its checkpoint.
 pub async fn resume_once() -> io::Result<Verdict> {
     let mut v = Verdict::default();
@@ -179,16 +203,8 @@
     let findings = site.cluster.judge().await?;
     let evictions: u32 = statuses.iter().flat_map(|s| &s.tasks).map(|t| t.evictions).sum();
     v.check(evictions > 0, || "nothing was evicted".to_string());
-    for s in &statuses {
-        v.check(s.tasks.iter().all(|t| t.state == "done"), || format!("{} lost tasks", s.job));
-    }
-    for (task, stretches) in &findings.by_task {
-        for pair in stretches.windows(2).filter(|pair| !pair[0].service) {
-            let resumed = pair[1].resume_ms;
-            let left = pair[0].checkpoint_ms;
-            v.check(resumed == left, || format!("{task}: left {left}, resumed from {resumed}"));
-        }
-    }
+    check_done(&mut v, &statuses);
+    check_resumed(&mut v, &findings);
     v.figure(format!("{evictions} evictions"));
     v.take_in(findings);
     site.check_entries(&mut v, &[0, 1, 2]).await?;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -249,24 +249,8 @@
 /// Returns every fault at once.
 pub fn parse(values: &Values) -> Result<Cfg, Faults> {
     let domains: Vec<ids::DomainId> = values.list("domains")?;
-    let millis = |name| time::Millis(values.number(name));
     let duration = |name| Duration::from_millis(values.number(name));
-    let timing = Timing {
-        commit_delay: millis("commit-delay"),
-        commit_timeout: millis("commit-timeout"),
-        lease_every: millis("lease-every"),
-        task_ttl: millis("task-ttl"),
-        silent_limit: millis("silent-limit"),
-        renew_right: millis("renew-right"),
-        confirm_every: millis("confirm-every"),
-        beat_every: millis("beat-every"),
-        member_ttl: millis("member-ttl"),
-        member_refresh: millis("member-refresh"),
-        config_max_age: millis("config-max-age"),
-        drift_per_mille: values.number("drift"),
-        once_keep: millis("once-keep"),
-        job_keep: millis("job-keep"),
-    };
+    let timing = timing(values);
     let mut faults = faults_between(&timing);
     if values.number("config-wait") * 2 > timing.config_max_age.0 {
         faults.push("--config-wait: it must be at most half of --config-max-age".to_string());
@@ -306,6 +290,27 @@
     })
 }
 
+/// Reads the bounds and intervals.
+fn timing(values: &Values) -> Timing {
+    let millis = |name| time::Millis(values.number(name));
+    Timing {
+        commit_delay: millis("commit-delay"),
+        commit_timeout: millis("commit-timeout"),
+        lease_every: millis("lease-every"),
+        task_ttl: millis("task-ttl"),
+        silent_limit: millis("silent-limit"),
+        renew_right: millis("renew-right"),
+        confirm_every: millis("confirm-every"),
+        beat_every: millis("beat-every"),
+        member_ttl: millis("member-ttl"),
+        member_refresh: millis("member-refresh"),
+        config_max_age: millis("config-max-age"),
+        drift_per_mille: values.number("drift"),
+        once_keep: millis("once-keep"),
+        job_keep: millis("job-keep"),
+    }
+}
+
 fn faults_between(t: &Timing) -> Vec<String> {
     let mut faults = Vec::new();
     let mut need = |good: bool, why: &str| {
--- a/crates/measure/src/badworker.rs
+++ b/crates/measure/src/badworker.rs
@@ -63,65 +63,102 @@
     demand: sizes::Resources,
 }
 
+/// A fleet with one worker that fails what it starts.
+struct Fleet {
+    ours: bool,
+    running: Vec<Vec<Running>>,
+    quarantined: Vec<bool>,
+    health: health::Health,
+    waiting: Vec<u64>,
+    out: Outcome,
+}
+
 fn run(workers: usize, seed: u64, ours: bool) -> Outcome {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut health = health::Health::default();
-    let mut quarantined = vec![false; workers];
-    let mut fleet: Vec<Vec<Running>> = (0..workers).map(|_| Vec::new()).collect();
-    let mut waiting: Vec<u64> = Vec::new();
     let mut next_job = 0_u64;
-    let mut out = Outcome { lost: 0, good_workers_quarantined: 0, broken_given_up: 0, broken: 0 };
+    let mut fleet = Fleet {
+        ours,
+        running: (0..workers).map(|_| Vec::new()).collect(),
+        quarantined: vec![false; workers],
+        health: health::Health::default(),
+        waiting: Vec::new(),
+        out: Outcome { lost: 0, good_workers_quarantined: 0, broken_given_up: 0, broken: 0 },
+    };
     for now in (0..RUN_MS).step_by(STEP_MS as usize) {
-        let at = time::Instant(now);
         for i in 0..workers {
-            let worker = ids::WorkerId(format!("w{i}"));
-            let (ended, left) =
-                std::mem::take(&mut fleet[i]).into_iter().partition(|r: &Running| r.ends_ms <= now);
-            fleet[i] = left;
-            let ended: Vec<Running> = ended;
-            for r in ended {
-                let broken = r.job.is_multiple_of(BROKEN_JOBS);
-                let job = job_id(r.job);
-                if i != BAD && !broken {
-                    health.success(&worker, job);
-                    continue;
-                }
-                out.lost += u64::from(i == BAD && !broken);
-                match health.failure(at, &worker, job) {
-                    health::Finding::GiveUp if broken && ours => {
-                        out.broken_given_up += 1;
-                        continue;
-                    }
-                    health::Finding::Quarantine if ours => {
-                        quarantined[i] = true;
-                        out.good_workers_quarantined += u64::from(i != BAD);
-                    }
-                    _ => {}
-                }
-                waiting.push(r.job);
-            }
-            if quarantined[i] && health.probation(at, &worker) {
-                quarantined[i] = false;
-            }
+            fleet.end_runs(i, now);
         }
         // About one start a second for each eight workers keeps the fleet two thirds full.
         for _ in 0..(workers as u64 * STEP_MS).div_ceil(8_000) {
             next_job += 1;
-            out.broken += u64::from(next_job.is_multiple_of(BROKEN_JOBS));
-            waiting.push(next_job);
+            fleet.out.broken += u64::from(next_job.is_multiple_of(BROKEN_JOBS));
+            fleet.waiting.push(next_job);
+        }
+        fleet.place_jobs(now, &mut rng);
+    }
+    fleet.out
+}
+
+impl Fleet {
+    /// Ends the runs of a worker whose time is over, and its quarantine.
+    fn end_runs(&mut self, i: usize, now: u64) {
+        let at = time::Instant(now);
+        let worker = ids::WorkerId(format!("w{i}"));
+        let running = std::mem::take(&mut self.running[i]).into_iter();
+        let (ended, left): (Vec<Running>, Vec<Running>) = running.partition(|r| r.ends_ms <= now);
+        self.running[i] = left;
+        for r in ended {
+            if self.end_run(i, at, &worker, &r) {
+                self.waiting.push(r.job);
+            }
+        }
+        if self.quarantined[i] && self.health.probation(at, &worker) {
+            self.quarantined[i] = false;
+        }
+    }
+
+    /// Takes in the end of a run; tells whether its job is to run again.
+    fn end_run(
+        &mut self,
+        i: usize,
+        at: time::Instant,
+        worker: &ids::WorkerId,
+        r: &Running,
+    ) -> bool {
+        let broken = r.job.is_multiple_of(BROKEN_JOBS);
+        let job = job_id(r.job);
+        if i != BAD && !broken {
+            self.health.success(worker, job);
+            return false;
         }
-        for job in std::mem::take(&mut waiting) {
-            let chosen = choose(&fleet, &quarantined, &health, ours, &mut rng);
+        self.out.lost += u64::from(i == BAD && !broken);
+        match self.health.failure(at, worker, job) {
+            health::Finding::GiveUp if broken && self.ours => {
+                self.out.broken_given_up += 1;
+                return false;
+            }
+            health::Finding::Quarantine if self.ours => {
+                self.quarantined[i] = true;
+                self.out.good_workers_quarantined += u64::from(i != BAD);
+            }
+            _ => {}
+        }
+        true
+    }
+
+    /// Starts the waiting jobs for which a worker is found.
+    fn place_jobs(&mut self, now: u64, rng: &mut ChaCha8Rng) {
+        for job in std::mem::take(&mut self.waiting) {
+            let chosen = choose(&self.running, &self.quarantined, &self.health, self.ours, rng);
             let Some((i, demand)) = chosen else {
-                waiting.push(job);
+                self.waiting.push(job);
                 continue;
             };
             let broken = job.is_multiple_of(BROKEN_JOBS);
             let runs_ms = if i == BAD || broken { 200 } else { rng.random_range(20_000..60_000) };
-            fleet[i].push(Running { job, ends_ms: now + runs_ms, demand });
+            self.running[i].push(Running { job, ends_ms: now + runs_ms, demand });
         }
     }
-    out
 }
 
 fn job_id(number: u64) -> ids::JobId {
--- a/crates/measure/src/scale.rs
+++ b/crates/measure/src/scale.rs
@@ -23,26 +23,11 @@
     let mut rows = Vec::new();
     let mut costs = Vec::new();
     for workers in FLEETS {
-        let domains = (workers * 31).div_ceil(1_300).max(3);
-        let layout = assign::Layout {
-            domains: (0..domains).map(|i| ids::DomainId(format!("d{i}"))).collect(),
-            slices: 2,
-        };
-        let partitions = layout.count() as usize;
-        let here = workers.div_ceil(partitions);
+        let layout = layout_of(workers);
+        let here = workers.div_ceil(layout.count() as usize);
         let decision_us = decision_cost_us(here);
         costs.push(decision_us);
-        let state = state_of(here * TASKS_PER_WORKER);
-        let snapshot = serde_json::to_vec(&state).expect("plain data serialises").len();
-        rows.push(vec![
-            workers.to_string(),
-            partitions.to_string(),
-            here.to_string(),
-            format!("{decision_us:.1}"),
-            format!("{:.1}", owners_cost_us(&layout)),
-            snapshot.to_string(),
-            (snapshot / (here * TASKS_PER_WORKER)).to_string(),
-        ]);
+        rows.push(row(workers, here, &layout, decision_us));
     }
     let growth = costs[FLEETS.len() - 1] / costs[0];
     let findings = vec![
@@ -76,6 +61,28 @@
     }
 }
 
+/// Returns the failure domains of a fleet, as many for its size as at the two-year size.
+fn layout_of(workers: usize) -> assign::Layout {
+    let domains = (workers * 31).div_ceil(1_300).max(3);
+    let domains = (0..domains).map(|i| ids::DomainId(format!("d{i}"))).collect();
+    assign::Layout { domains, slices: 2 }
+}
+
+/// Builds the row of a fleet with `here` workers in each partition.
+fn row(workers: usize, here: usize, layout: &assign::Layout, decision_us: f64) -> Vec<String> {
+    let state = state_of(here * TASKS_PER_WORKER);
+    let snapshot = serde_json::to_vec(&state).expect("plain data serialises").len();
+    vec![
+        workers.to_string(),
+        layout.count().to_string(),
+        here.to_string(),
+        format!("{decision_us:.1}"),
+        format!("{:.1}", owners_cost_us(layout)),
+        snapshot.to_string(),
+        (snapshot / (here * TASKS_PER_WORKER)).to_string(),
+    ]
+}
+
 fn decision_cost_us(workers: usize) -> f64 {
     let service = ids::ServiceId::from("coldtrace");
     let mut learnt = pairing::Pairing::default();
--- a/crates/soak/src/world/mod.rs
+++ b/crates/soak/src/world/mod.rs
@@ -337,16 +337,7 @@
             Due::ToWorker { to, .. } if self.workers[to].frozen_until > self.now => {
                 self.workers[to].held.push_back(due);
             }
-            Due::ToWorker { from, life, to, sent_at, part, req, answered } => {
-                let answer = self.serve_worker(to, &req);
-                if self.cut_worker(from, to) {
-                    return;
-                }
-                let worker = ids::WorkerId(format!("w{to}"));
-                let event = Event::Worker { partition: part, worker, req, sent_at, answer };
-                let due = Due::WorkerAnswered { to: from, life, event: Box::new(event), answered };
-                self.send(due);
-            }
+            due @ Due::ToWorker { .. } => self.reach_worker(due),
             Due::WorkerAnswered { to, life, event, answered } => {
                 // The first answer counts, and so does the caller's own limit.
                 if !self.answered.insert(answered, true).unwrap_or(false) {
@@ -361,17 +352,7 @@
                 self.deliver(to, life, Event::Hosts(hosts));
             }
             Due::ToNode { to, life, event } => self.deliver(to, life, *event),
-            Due::PeerConfigAsked { from, life, to } => {
-                let doc =
-                    self.entries[to].node.as_ref().map(|n| Document::clone(&n.generations.doc));
-                if let Some(doc) = doc.filter(|_| !self.cut_peers(from, to)) {
-                    self.send(Due::ToNode {
-                        to: from,
-                        life,
-                        event: Box::new(Event::PeerConfig(doc)),
-                    });
-                }
-            }
+            Due::PeerConfigAsked { from, life, to } => self.pass_config_on(from, life, to),
             Due::CommandTo { from, to, part, id, command } => {
                 self.routes.insert(id, from);
                 let life = self.entries[to].life;
@@ -388,6 +369,27 @@
         }
     }
 
+    /// Carries a call to a worker out, and sends its answer unless the way back is cut.
+    fn reach_worker(&mut self, due: Due) {
+        let Due::ToWorker { from, life, to, sent_at, part, req, answered } = due else { return };
+        let answer = self.serve_worker(to, &req);
+        if self.cut_worker(from, to) {
+            return;
+        }
+        let worker = ids::WorkerId(format!("w{to}"));
+        let event = Event::Worker { partition: part, worker, req, sent_at, answer };
+        self.send(Due::WorkerAnswered { to: from, life, event: Box::new(event), answered });
+    }
+
+    /// Answers an entry that asks another one for its configuration.
+    fn pass_config_on(&mut self, from: usize, life: u64, to: usize) {
+        let doc = self.entries[to].node.as_ref().map(|n| Document::clone(&n.generations.doc));
+        if let Some(doc) = doc.filter(|_| !self.cut_peers(from, to)) {
+            let event = Box::new(Event::PeerConfig(doc));
+            self.send(Due::ToNode { to: from, life, event });
+        }
+    }
+
     fn cut_peers(&self, a: usize, b: usize) -> bool {
         let pair = (a.min(b), a.max(b));
         self.peer_cuts.get(&pair).is_some_and(|until| *until > self.now)
