A lost worker and its runs in the log: what tells a crash from a cut

The record of the incident cannot say of a released run how long it lived, nor of a worker how the directory showed it when its runs were given up and how many went together. run_released now has held_ms, and one worker_lost line for each worker has the rest. No decision changes.

--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -52,6 +52,9 @@
 fn free_all(cx: &mut Context, ix: WorkerIx, proof: Proof) {
     let slots: Vec<(TaskKey, Run)> =
         cx.worker(ix).slots.iter().map(|(key, slot)| (*key, slot.run)).collect();
+    if !slots.is_empty() {
+        trace::worker_lost(cx.worker(ix), cx.now, proof);
+    }
     for (key, run) in slots {
         lifecycle::requeue(cx, ix, key, run, proof);
     }
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -141,7 +141,8 @@
 pub fn requeue(cx: &mut Context, worker: WorkerIx, key: TaskKey, run: Run, proof: Proof) {
     let was_active = is_active(cx, key, worker, run);
     let slot = vacate(cx, worker, key, run);
-    trace::run_released(key, run, &cx.worker(worker).info.id, proof, slot.as_ref());
+    let released = slot.as_ref().map(|slot| (slot, cx.now));
+    trace::run_released(key, run, &cx.worker(worker).info.id, proof, released);
     if was_active {
         make_pending(cx, key, Millis(0));
     }
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -8,7 +8,7 @@
 use gaplock_policy::tries::Tries;
 use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
-use gaplock_types::time::Millis;
+use gaplock_types::time::{Instant, Millis};
 use tracing::{debug, info, warn};
 
 use crate::context::Context;
@@ -18,7 +18,7 @@
 use crate::placement::UnfitCounts;
 use crate::proof::Proof;
 use crate::table::Entry;
-use crate::worker::{Listing, Slot};
+use crate::worker::{Listing, Slot, Worker};
 
 /// The leader has heard of a job.
 pub fn job_known(entry: &Entry) {
@@ -91,12 +91,22 @@
     run: Run,
     worker: &ids::WorkerId,
     proof: Proof,
-    slot: Option<&Slot>,
+    released: Option<(&Slot, Instant)>,
 ) {
+    let slot = released.map(|(slot, _)| slot);
     let tries = slot.map(|s| s.tries).unwrap_or_default();
     let confirmed = slot.is_some_and(|s| s.confirmed.is_some());
+    let held_ms = released.and_then(|(s, now)| s.confirmed.map(|at| now.since(at).0));
     info!(event = "run_released", %task, run = run.0, %worker, ?proof, phase = ?slot.map(|s| s.phase),
-        tries = tries.sent(), open = tries.open(), confirmed);
+        tries = tries.sent(), open = tries.open(), confirmed, held_ms);
+}
+
+/// All runs at a worker are given up: how the directory showed it, since when it had not answered,
+/// and how many runs go together.
+pub fn worker_lost(worker: &Worker, now: Instant, proof: Proof) {
+    let silent_ms = worker.clock.map(|(answered, _)| now.since(answered).0);
+    info!(event = "worker_lost", worker = %worker.info.id, addr = %worker.info.addr, ?proof,
+        listing = ?worker.listing, missed = worker.missed, silent_ms, runs = worker.slots.len());
 }
 
 /// A run of a former leader was found and kept.
