--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod backlogs;
 mod bursts;
+mod crashes;
 mod gangs;
 mod late_paces;
 mod late_starts;
--- a/crates/sched/tests/fleet/world/calls.rs
+++ b/crates/sched/tests/fleet/world/calls.rs
@@ -2,7 +2,7 @@
 
 use gaplock_jobs::TaskKey;
 use gaplock_policy::tries::Fate;
-use gaplock_sched::message::{EndSeq, Outcome, Permit, Run, WorkerClock, WorkerIx};
+use gaplock_sched::message::{EndSeq, Outcome, Permit, Refusal, Run, WorkerClock, WorkerIx};
 use gaplock_sched::permits::StepKey;
 use gaplock_sched::writing::CommitMark;
 use gaplock_sched::{Action, Event};
@@ -65,6 +65,10 @@
     ToHost { order: HostOrder, answered: bool },
     /// A write of the leader arrives at the store.
     ToStore { write: Write, answered: bool },
+    /// The directory drops the entry of a worker that has crashed.
+    Unlisted { at: usize },
+    /// The host of a worker that has crashed has another one.
+    Reborn { at: usize },
     /// The leader hears of its write, or has waited before it goes on.
     FromStore { mark: CommitMark, heard: Heard },
 }
@@ -144,6 +148,10 @@
         let (token, leader) = (self.token, self.term);
         let roll = self.rng.random_range(0..1_000);
         let f = self.faults;
+        if self.workers[worker].replaced && !self.workers[worker].cut {
+            let event = other_incarnation(ix, &call);
+            return self.send(1, Delivery::ToLeader { event, leader });
+        }
         let reached = self.workers[worker].up && !self.workers[worker].cut;
         let lost = roll < f.lost_per_mille || !reached;
         let late = roll >= f.lost_per_mille && roll < f.lost_per_mille + f.late_per_mille;
@@ -180,6 +188,8 @@
             Delivery::ToWorker { trip, call, token } => self.at_worker(trip, call, token),
             Delivery::ToHost { order, answered } => self.take_down(order, answered),
             Delivery::Held { trip, sent } => self.answer_renewal(trip, sent),
+            Delivery::Unlisted { at } => self.unlist(at),
+            Delivery::Reborn { at } => self.reborn(at),
         }
     }
 
@@ -223,6 +233,17 @@
     }
 }
 
+/// Builds the answer of another incarnation than the one that is meant.
+fn other_incarnation(worker: WorkerIx, call: &Call) -> Event {
+    match call {
+        Call::Renew(renewal) => {
+            let outcome = Outcome::Refused(Refusal::OtherIncarnation);
+            Event::Renewed { worker, sent: renewal.sent, outcome }
+        }
+        other => answer(worker, other, Outcome::Refused(Refusal::OtherIncarnation)),
+    }
+}
+
 /// Builds the answer to an order.
 pub fn answer(worker: WorkerIx, call: &Call, outcome: Outcome<WorkerClock>) -> Event {
     match call {
--- a/crates/sched/tests/fleet/world/checks.rs
+++ b/crates/sched/tests/fleet/world/checks.rs
@@ -74,7 +74,8 @@
     pub(super) fn check_failed(&mut self, progress: &Progress) {
         let worn =
             |(task, &failed): (&TaskKey, &u32)| task.job == progress.key && failed >= MAX_ATTEMPTS;
-        if progress.state == JobState::Failed && !self.failed.iter().any(worn) {
+        let culprit = self.crashes.has_culprit(progress.key);
+        if progress.state == JobState::Failed && !culprit && !self.failed.iter().any(worn) {
             let violation = format!("{}: {} failed without cause", self.now, progress.key);
             self.violations.push(violation);
         }
--- /dev/null
+++ b/crates/sched/tests/fleet/world/crashes.rs
@@ -0,0 +1,112 @@
+//! Tasks that crash the worker which runs them, and workers that come back as another incarnation.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use gaplock_jobs::{JobKey, TaskKey};
+use gaplock_sched::Event;
+use gaplock_types::ids;
+
+use super::calls::Delivery;
+use super::World;
+
+/// How many workers may crash under one task that crashes its workers, before its starts are counted.
+const CRASHES_FREE: usize = 3;
+
+/// How many starts there are too many after that.
+const STARTS_AFTER: usize = 3;
+
+/// How long after a crash the directory drops the worker's entry, in milliseconds: some heartbeats.
+const UNLISTED_AFTER_MS: u64 = 2_000;
+
+/// How long after a crash its host has a new worker, in milliseconds.
+const BACK_AFTER_MS: u64 = 3_000;
+
+/// Which tasks crash their workers, and what they have done so far.
+#[derive(Debug, Default)]
+pub struct Crashes {
+    /// How long after its start each such task crashes its worker, in milliseconds.
+    after: BTreeMap<TaskKey, u64>,
+    /// Workers whose crash the directory never shows, since it keeps their entry, and whose host stays
+    /// down.
+    pub silent: bool,
+    /// The workers that crashed under each such task.
+    under: BTreeMap<TaskKey, BTreeSet<usize>>,
+    /// Starts of each such task since then, once there were too many crashes.
+    starts_since: BTreeMap<TaskKey, usize>,
+    /// Runs of other tasks that went down with a worker.
+    pub innocent_runs: usize,
+}
+
+impl Crashes {
+    /// Returns how long after its start a task crashes its worker, if it does.
+    pub fn after(&self, task: TaskKey) -> Option<u64> {
+        self.after.get(&task).copied()
+    }
+
+    /// Tells whether a task of a job crashes its workers.
+    pub fn has_culprit(&self, job: JobKey) -> bool {
+        self.after.keys().any(|task| task.job == job)
+    }
+
+    /// Returns how many workers have crashed under a job's tasks.
+    pub fn of(&self, key: u64) -> usize {
+        let of_job = self.under.iter().filter(|(task, _)| task.job == JobKey(key));
+        of_job.map(|(_, workers)| workers.len()).sum()
+    }
+}
+
+impl World {
+    /// Makes the first task of a job's step crash each worker that runs it, so many milliseconds after
+    /// its start.
+    pub fn crash_under(&mut self, key: u64, step: u16, after_ms: u64) {
+        let task = TaskKey { job: JobKey(key), round: 0, step, index: 0 };
+        self.crashes.after.insert(task, after_ms);
+    }
+
+    /// Counts the start of a task, and notes one too many after its crashes.
+    pub(super) fn count_start(&mut self, task: TaskKey) {
+        let crashed = self.crashes.under.get(&task).map_or(0, BTreeSet::len);
+        if crashed < CRASHES_FREE {
+            return;
+        }
+        let starts = self.crashes.starts_since.entry(task).or_default();
+        *starts += 1;
+        if *starts == STARTS_AFTER {
+            let said = format!("{}: {task} starts again after {crashed} crashes", self.now);
+            self.violations.push(said);
+        }
+    }
+
+    /// Crashes a worker on account of a task.
+    pub(super) fn crash_by(&mut self, at: usize, task: TaskKey) {
+        self.crashes.under.entry(task).or_default().insert(at);
+        let runs = self.workers[at].running.keys();
+        self.crashes.innocent_runs +=
+            runs.filter(|run| !self.crashes.after.contains_key(run)).count();
+        self.crash_and_return(at);
+    }
+
+    /// Crashes a worker whose host has another one some seconds later.
+    pub fn crash_and_return(&mut self, at: usize) {
+        self.crash(at);
+        if !self.crashes.silent {
+            self.send(UNLISTED_AFTER_MS, Delivery::Unlisted { at });
+            self.send(BACK_AFTER_MS, Delivery::Reborn { at });
+        }
+    }
+
+    /// Adds the next incarnation of a worker, at the same address.
+    pub(super) fn reborn(&mut self, at: usize) {
+        let dead = &self.workers[at];
+        let (id, addr) = (ids::WorkerId(format!("{}+", dead.info.id)), dead.info.addr.clone());
+        let (host, labels) = (self.host_of(at), dead.info.labels.clone());
+        self.workers[at].replaced = true;
+        let next = self.push_worker(&id.0);
+        self.set_host(next, host);
+        let info = &mut self.workers[next].info;
+        info.addr = addr;
+        info.labels = labels;
+        let info = info.clone();
+        self.event(Event::Listed(info));
+    }
+}
--- a/crates/sched/tests/fleet/world/hosts.rs
+++ b/crates/sched/tests/fleet/world/hosts.rs
@@ -80,6 +80,16 @@
         self.hosts.of_worker.push(host_name(worker));
     }
 
+    /// Returns the host of a worker.
+    pub(super) fn host_of(&self, worker: usize) -> ids::HostId {
+        self.hosts.of_worker[worker].clone()
+    }
+
+    /// Says on which host a worker is.
+    pub(super) fn set_host(&mut self, worker: usize, host: ids::HostId) {
+        self.hosts.of_worker[worker] = host;
+    }
+
     /// Asks for a wave of upkeep of the first `hosts` hosts.
     pub fn ask_wave(&mut self, number: u64, hosts: usize, within: u64, at_once: u32) {
         let number = WaveNumber(number);
@@ -205,7 +215,7 @@
         self.crash(host);
         self.unlist(host);
         let at = self.add_worker(&format!("{}-next", host_name(host)));
-        self.hosts.of_worker[at] = host_name(host);
+        self.set_host(at, host_name(host));
         at
     }
 
@@ -217,7 +227,7 @@
             self.hosts.down_until.remove(&host);
             let at = self.workers.len();
             self.add_worker(&format!("{host}-again-{at}"));
-            self.hosts.of_worker[at] = host;
+            self.set_host(at, host);
         }
     }
 }
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -3,12 +3,14 @@
 //!
 //! This file holds the world's state, what a test does to it, and the passing of time. [`calls`]
 //! carries what the leader sends, [`worker`] carries it out, [`writes`] go to the [`store`], which
-//! keeps what a successor learns, [`hosts`] lie beneath the workers, [`checks`] looks for broken
+//! keeps what a successor learns, [`hosts`] lie beneath the workers, [`crashes`] take them down,
+//! [`checks`] looks for broken
 //! promises, and [`views`] tells a test what came of it all.
 
 mod builders;
 mod calls;
 mod checks;
+mod crashes;
 mod hosts;
 mod store;
 mod views;
@@ -31,6 +33,7 @@
 pub use builders::{job, step};
 use calls::Delivery;
 pub use checks::{assert_all_end, assert_kept, play};
+use crashes::Crashes;
 use hosts::Hosts;
 pub use hosts::{host_name, OrderFate};
 use worker::SimWorker;
@@ -94,6 +97,8 @@
     pub readings: BTreeMap<JobKey, u32>,
     /// What lies beneath the workers.
     pub hosts: Hosts,
+    /// Which tasks crash their workers.
+    pub crashes: Crashes,
     rng: ChaCha8Rng,
     term: u64,
     token: u64,
@@ -133,6 +138,7 @@
             advice: None,
             readings: BTreeMap::new(),
             hosts: Hosts::default(),
+            crashes: Crashes::default(),
             wave_progress: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             term: 0,
@@ -158,12 +164,18 @@
 
     /// Adds a worker and lists it.
     pub fn add_worker(&mut self, id: &str) -> usize {
-        let worker = SimWorker::new(id, self.workers.len());
-        let info = worker.info.clone();
-        self.workers.push(worker);
-        self.add_host(self.workers.len() - 1);
+        let at = self.push_worker(id);
+        let info = self.workers[at].info.clone();
         self.event(Event::Listed(info));
-        self.workers.len() - 1
+        at
+    }
+
+    /// Adds a worker that is not listed yet.
+    fn push_worker(&mut self, id: &str) -> usize {
+        let at = self.workers.len();
+        self.workers.push(SimWorker::new(id, at));
+        self.add_host(at);
+        at
     }
 
     /// Ends the leader without a successor.
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -27,6 +27,8 @@
     fails: bool,
     /// When its stop is over; unset while it is not being stopped.
     stops_at: Option<u64>,
+    /// When it crashes its worker, if it does.
+    crashes_at: Option<u64>,
     pub(super) pace: u32,
 }
 
@@ -44,6 +46,8 @@
 pub struct SimWorker {
     pub info: WorkerInfo,
     pub up: bool,
+    /// Another incarnation answers at its address.
+    pub replaced: bool,
     /// No call gets through, in either direction.
     pub cut: bool,
     /// Every run fails.
@@ -96,6 +100,7 @@
         Self {
             info,
             up: true,
+            replaced: false,
             cut: false,
             failing: false,
             unwell: false,
@@ -128,6 +133,12 @@
             if !worker.up {
                 continue;
             }
+            let crash = |r: &SimRun| r.crashes_at.is_some_and(|at| at <= self.now);
+            let culprit = worker.running.iter().find(|(_, r)| crash(r)).map(|(task, _)| *task);
+            if let Some(task) = culprit {
+                self.crash_by(at, task);
+                continue;
+            }
             let lapsed = self.now + worker.clock_offset >= worker.lease_until;
             if lapsed {
                 self.workers[at].lapsed_at = self.now;
@@ -349,6 +360,7 @@
             return Err(Refusal::Room);
         }
         self.check_start(at, task);
+        self.count_start(task);
         self.starts += 1;
         let fails = self.workers[at].failing
             || self.rng.random_range(0..1_000) < self.faults.failing_per_mille;
@@ -357,7 +369,8 @@
         let ends_at = if fails { Some(self.now + 50) } else { ends_at };
         let began = self.now;
         let (takes, stops_at) = (work.takes, None);
-        let sim = SimRun { takes, run, began, ends_at, fails, stops_at, pace: 100 };
+        let crashes_at = self.crashes.after(task).map(|ms| began + ms);
+        let sim = SimRun { takes, run, began, ends_at, fails, stops_at, crashes_at, pace: 100 };
         self.workers[at].running.insert(task, sim);
         Ok(())
     }
