Workers lost under a task are counted; the task is tried alone and given up after three

Cause: a run that goes with its worker leaves no listed end, so it was released by a proof that it is over and its task started again at once, beside the same neighbours. Nothing counted it, over one leader or several.

Change: a worker that is lost without having left counts against the runs it held (crashes). Such a task starts again once the count is stored, alone on an empty worker where one is free, and its job fails after three. Not counted: a worker that leaves, one whose leases were left to end, a start that did not reach it; taken back: one that answers again or that the directory goes on listing. A successor counts what a closed worker of the roster held and, for workers of which nobody knows what they ran, the suspects that it finds nowhere.

Ruled out: counting listed failures more strictly (there is none to count); giving up at two, since an innocent task can be beside two crashes by chance.

--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -1,5 +1,7 @@
 //! How far a job has come: the part of the scheduler's state that is stored.
 
+use gaplock_types::ids;
+
 use crate::job::JobKey;
 
 /// A job's state as its caller sees it.
@@ -40,6 +42,16 @@
     /// The last checkpoint of a run that no worker lists any more.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<String>,
+    /// The workers that crashed under it; a few at most.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashed: Vec<ids::WorkerId>,
+    /// Whether one more may have crashed under it at a change of leader.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub perhaps_crashed: bool,
+}
+
+fn is_false(flag: &bool) -> bool {
+    !flag
 }
 
 /// Progress of one step in one round.
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -28,6 +28,9 @@
     capacity: sizes::Resources,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     holds: Option<Vec<TaskKey>>,
+    /// Whether it was leaving when it was closed; what it ran is not suspected of its loss.
+    #[serde(default)]
+    leaving: bool,
 }
 
 impl RosterRecord {
@@ -42,6 +45,7 @@
             domain: info.domain.clone(),
             labels: info.labels.clone(),
             capacity: info.capacity,
+            leaving: info.draining,
         }
     }
 
@@ -54,7 +58,7 @@
             domain: self.domain,
             labels: self.labels,
             capacity: self.capacity,
-            draining: false,
+            draining: self.leaving,
             remaining: None::<Millis>,
         };
         RosterEntry { info, holds: self.holds }
--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -15,7 +15,7 @@
 use crate::context::Context;
 use crate::message::{EndSeq, Record, RosterEntry, WorkerIx};
 use crate::table::{Entry, StepState, Task, TaskState};
-use crate::{trace, upkeep};
+use crate::{crashes, trace, upkeep};
 
 /// What waits to be stored, and what is being stored.
 #[derive(Debug, Default)]
@@ -104,6 +104,7 @@
     let other = mem::take(&mut cx.commits.other);
     cx.commits.since = None;
     cx.commits.urgent = false;
+    crashes::being_saved(cx, &jobs);
     let ends = uncommitted_ends(cx);
     let roster = roster_of(cx, &other);
     let entries = jobs.iter().filter_map(|key| cx.jobs.get(key));
@@ -134,6 +135,7 @@
 pub fn committed(cx: &mut Context) {
     let Some(covered) = cx.commits.in_flight.take() else { return };
     let now = cx.now;
+    crashes::commit_ended(cx, true);
     for (key, state) in covered.jobs {
         if let Some(entry) = cx.jobs.get_mut(&key) {
             entry.shown = state;
@@ -161,6 +163,7 @@
 pub fn failed(cx: &mut Context) {
     let Some(covered) = cx.commits.in_flight.take() else { return };
     trace::commit_failed(covered.jobs.len(), covered.other.len());
+    crashes::commit_ended(cx, false);
     let now = cx.now;
     for (key, _) in covered.jobs {
         mark(&mut cx.commits, now, key);
@@ -197,12 +200,16 @@
     let done = tasks.clone().filter(|(_, t)| t.state == TaskState::Done).map(|(index, _)| index);
     // While a run is at a worker, the worker keeps its checkpoint.
     let kept = |t: &Task| t.checkpoint.is_some() && !matches!(t.state, TaskState::Active { .. });
-    let noted = |t: &Task| t.state != TaskState::Done && (t.failed > 0 || kept(t));
+    let is_noted = |t: &Task| t.failed > 0 || kept(t) || t.suspicion.is_some();
+    let noted = |t: &Task| t.state != TaskState::Done && is_noted(t);
+    let crashed = |t: &Task| t.suspicion.as_ref().map(|s| s.crashed.clone()).unwrap_or_default();
     let notes = tasks.filter(|(_, t)| noted(t)).map(|(index, t)| TaskNote {
         index,
         failed: t.failed,
         counted_runs: t.counted_runs.iter().map(|run| run.0).collect(),
         checkpoint: t.checkpoint.clone(),
+        crashed: crashed(t),
+        perhaps_crashed: t.suspicion.as_ref().is_some_and(|s| s.perhaps),
     });
     StepProgress { done: progress::pack(done), notes: notes.collect() }
 }
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -9,6 +9,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::commits::{self, Commits};
+use crate::crashes::Crashes;
 use crate::message::{Action, Event, FencingToken, Run, WorkerIx};
 use crate::pacing::{self, Pacing};
 use crate::permits::{self, Permits};
@@ -17,7 +18,7 @@
 use crate::takeover::{self, Survey};
 use crate::upkeep::{self, Upkeep};
 use crate::worker::Worker;
-use crate::{dispatch, drain, intake, leases, orders, renewals, roster, stragglers};
+use crate::{crashes, dispatch, drain, intake, leases, orders, renewals, roster, stragglers};
 
 /// A leadership: its rising number and the token that fences every earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -91,6 +92,8 @@
     pub pacing: Pacing,
     /// Where steps may run whose queue asks another service.
     pub permits: Permits,
+    /// Tasks under which workers were lost.
+    pub crashes: Crashes,
     /// Waves of upkeep.
     pub upkeep: Upkeep,
     /// What is to be done.
@@ -132,6 +135,7 @@
             commits: Commits::default(),
             pacing: Pacing::default(),
             permits: Permits::default(),
+            crashes: Crashes::default(),
             upkeep: Upkeep::default(),
             actions: Vec::new(),
             starts_under_way: 0,
@@ -197,6 +201,7 @@
             leases::check(self);
             roster::check(self);
             orders::check(self);
+            crashes::check(self);
             upkeep::check(self);
             drain::check(self);
             self.rearrange();
--- /dev/null
+++ b/crates/sched/src/crashes.rs
@@ -0,0 +1,405 @@
+//! Tasks that crash the workers which run them.
+//!
+//! A run that goes with its worker leaves no listed end: only the loss of the worker tells of it. So
+//! each worker that is lost without having left counts against the tasks that ran there. From then
+//! on a task is a suspect. It starts again only once the count is stored, so that no successor forgets
+//! it, and alone on a worker where one is free ([`trials`]), so that a further crash takes nothing else
+//! down and speaks against it alone. After [`MOST_CRASHES`] workers its job fails.
+//!
+//! What looks like a crash and is none is not counted, or taken back: a worker that leaves, one that
+//! answers again, one that the directory still hears of (`docs/PLATFORM.md`, section Crashing tasks).
+
+pub mod trials;
+
+use std::collections::BTreeSet;
+
+use gaplock_jobs::progress::{JobState, TaskNote};
+use gaplock_jobs::{JobKey, TaskKey};
+use gaplock_types::ids;
+use gaplock_types::time::{Instant, Millis};
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use crate::context::Context;
+use crate::message::WorkerIx;
+use crate::table::{Task, TaskState};
+use crate::worker::{Listing, Slot, Worker};
+use crate::{commits, lifecycle, trace};
+
+/// How many workers may crash under a task before its job fails. Two may crash by chance while an
+/// unlucky task is there; the third one does so with the task alone on it.
+pub const MOST_CRASHES: usize = 3;
+
+/// How long a run must have been at work to speak for its task: longer than anything that goes wrong
+/// at a start. A task that crashes workers later than that takes one down in half a minute at most.
+const CLEARED_AFTER: Millis = Millis(30_000);
+
+/// How long the directory may go on listing a silent worker that has crashed: its entry lapses after
+/// three heartbeats, and a change takes half a second to reach us. One that is still listed is cut off.
+const LISTED_FOR: Millis = Millis(10_000);
+
+/// How long a task waits for its first crash to be stored: many times what a commit takes. Beyond that
+/// the store is away, and innocent neighbours of a crash need not wait for its return.
+const SAVE_PATIENCE: Millis = Millis(1_000);
+
+/// How many tasks may be suspected of the loss of a worker of which nobody knows what it ran. Where
+/// more could have been there, the loss says nothing of any of them.
+const DOUBTFUL_MOST: usize = 64;
+
+/// Whether what is known of a suspect is stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Saved {
+    /// It is not.
+    No,
+    /// It is in the commit in flight.
+    InFlight,
+    /// It is, or there is nothing to store.
+    #[default]
+    Yes,
+}
+
+/// What speaks against a task under which workers were lost.
+#[derive(Debug, Clone, Default)]
+pub struct Suspicion {
+    /// The workers that crashed under it.
+    pub crashed: Vec<ids::WorkerId>,
+    /// Whether one more may have crashed under it, at a change of leader.
+    pub perhaps: bool,
+    /// Workers under it that were silent past all leases while the directory listed them, and since when.
+    silent: Vec<(ids::WorkerId, Instant)>,
+    saved: Saved,
+    /// When a worker was last lost under it.
+    since: Instant,
+    /// How long its last lost run was known to have been at work.
+    lived: Millis,
+    /// Whether it starts like any other task, because it cannot be tried alone.
+    ordinary: bool,
+}
+
+impl Suspicion {
+    /// Returns how many workers were lost under the task, for all that is known.
+    fn level(&self) -> usize {
+        self.crashed.len() + self.silent.len() + usize::from(self.perhaps)
+    }
+
+    fn names(&self, worker: &ids::WorkerId) -> bool {
+        self.crashed.contains(worker) || self.silent.iter().any(|(id, _)| id == worker)
+    }
+
+    /// Tells whether the task may start. With as many losses as a task may have it waits until it is
+    /// known which of them were crashes.
+    fn may_start(&self, now: Instant) -> bool {
+        if self.crashed.len() + self.silent.len() >= MOST_CRASHES {
+            return false;
+        }
+        let waited_enough = self.level() == 1 && now.since(self.since) >= SAVE_PATIENCE;
+        self.saved == Saved::Yes || waited_enough
+    }
+
+    /// Takes in that the directory or the worker itself tells of a silent one; whether that changed
+    /// anything.
+    fn resolve(&mut self, worker: &ids::WorkerId, crashed: bool) -> bool {
+        let before = self.silent.len() + self.crashed.len();
+        let was_silent = self.silent.iter().any(|(id, _)| id == worker);
+        self.silent.retain(|(id, _)| id != worker);
+        if !crashed {
+            self.crashed.retain(|id| id != worker);
+        } else if was_silent {
+            self.crashed.push(worker.clone());
+        }
+        was_silent || self.silent.len() + self.crashed.len() != before
+    }
+}
+
+/// What the leader knows of crashes beyond single tasks.
+#[derive(Debug, Default)]
+pub struct Crashes {
+    /// All tasks with a suspicion.
+    pub suspects: BTreeSet<TaskKey>,
+    /// When a worker at an address last crashed.
+    lost_at: FxHashMap<String, Instant>,
+}
+
+/// How a worker was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Loss {
+    /// Its incarnation is over, and it did not say that it would leave.
+    Crashed,
+    /// It is silent, but the directory lists it.
+    Silent,
+}
+
+/// Takes in that all runs at a worker are being given up; `gone` if its incarnation is certainly over.
+pub fn worker_lost(cx: &mut Context, ix: WorkerIx, gone: bool) {
+    let worker = cx.worker(ix);
+    let Some(loss) = loss_of(worker, gone) else { return };
+    let (id, addr, trial) = (worker.info.id.clone(), worker.info.addr.clone(), worker.trial);
+    let heard = worker.clock.map(|(heard, _)| heard);
+    let beside = worker.slots.len();
+    let mut blamed: Vec<(TaskKey, Millis)> = Vec::new();
+    for (key, slot) in &worker.slots {
+        let excused = trial.is_some_and(|t| t.task.job != key.job);
+        let lived = lived(slot, heard);
+        if !excused && may_have_begun(slot) && lived < CLEARED_AFTER {
+            blamed.push((*key, lived));
+        }
+    }
+    if loss == Loss::Crashed && beside > 0 {
+        cx.crashes.lost_at.insert(addr, cx.now);
+    }
+    for (key, lived) in blamed {
+        suspect(cx, key, &id, loss, lived, beside);
+    }
+}
+
+/// Tells how a worker was lost whose runs are given up, if it was: it may also have left, or answer.
+fn loss_of(worker: &Worker, gone: bool) -> Option<Loss> {
+    let lapses_on_purpose = worker.answers() && !gone;
+    if lapses_on_purpose || has_left(worker) {
+        return None;
+    }
+    let crashed = gone || worker.is_absent();
+    Some(if crashed { Loss::Crashed } else { Loss::Silent })
+}
+
+/// Tells whether a worker was leaving: by its own word, by an order of ours, or because it answered
+/// after the directory had dropped it.
+pub fn has_left(worker: &Worker) -> bool {
+    let answered_after = |since| worker.clock.is_some_and(|(heard, _)| heard > since);
+    let left = match worker.listing {
+        Listing::Ready => false,
+        Listing::Draining { .. } => true,
+        Listing::Absent { since } => answered_after(since),
+    };
+    left || worker.emptying || worker.info.draining
+}
+
+/// Returns how long a run was known to be at work when its worker was last heard.
+fn lived(slot: &Slot, heard: Option<Instant>) -> Millis {
+    slot.confirmed.zip(heard).map_or(Millis(0), |(confirmed, heard)| heard.since(confirmed))
+}
+
+/// Tells whether a run may ever have begun.
+fn may_have_begun(slot: &Slot) -> bool {
+    slot.confirmed.is_some() || slot.tries.sent() > 0 && slot.barred.is_none()
+}
+
+/// Counts a lost worker against a task.
+fn suspect(
+    cx: &mut Context,
+    key: TaskKey,
+    worker: &ids::WorkerId,
+    loss: Loss,
+    lived: Millis,
+    beside: usize,
+) {
+    let now = cx.now;
+    let is_gang = cx.step(key).is_some_and(|step| step.gang);
+    let live = cx.jobs.get(&key.job).is_some_and(|entry| !entry.state.is_final());
+    let Some(task) = cx.task_mut(key).filter(|t| live && t.state != TaskState::Done) else {
+        return;
+    };
+    let suspicion = task.suspicion.get_or_insert_default();
+    if suspicion.names(worker) {
+        return;
+    }
+    match loss {
+        Loss::Crashed => suspicion.crashed.push(worker.clone()),
+        Loss::Silent => suspicion.silent.push((worker.clone(), now)),
+    }
+    (suspicion.since, suspicion.lived, suspicion.ordinary) = (now, lived, is_gang);
+    let crashes = suspicion.crashed.len();
+    if loss == Loss::Crashed {
+        suspicion.saved = Saved::No;
+        commits::mark_urgent(&mut cx.commits, now, key.job);
+    }
+    cx.crashes.suspects.insert(key);
+    trace::task_suspected(key, worker, loss, crashes, lived, beside);
+}
+
+/// Takes in that a worker's incarnation is over of which nothing was known but its silence.
+pub fn worker_gone(cx: &mut Context, ix: WorkerIx) {
+    if !has_left(cx.worker(ix)) {
+        resolve(cx, ix, true);
+    }
+}
+
+/// Takes in that a worker answers: it did not crash.
+pub fn worker_answers(cx: &mut Context, ix: WorkerIx) {
+    resolve(cx, ix, false);
+}
+
+/// Settles the losses of a worker, one way or the other, for all tasks that it ran.
+fn resolve(cx: &mut Context, ix: WorkerIx, crashed: bool) {
+    if cx.crashes.suspects.is_empty() {
+        return;
+    }
+    let id = cx.worker(ix).info.id.clone();
+    let suspects: Vec<TaskKey> = cx.crashes.suspects.iter().copied().collect();
+    for key in suspects {
+        resolve_for(cx, key, &id, crashed);
+    }
+}
+
+fn resolve_for(cx: &mut Context, key: TaskKey, worker: &ids::WorkerId, crashed: bool) {
+    let now = cx.now;
+    let Some(suspicion) = cx.task_mut(key).and_then(|t| t.suspicion.as_mut()) else { return };
+    if !suspicion.resolve(worker, crashed) {
+        return;
+    }
+    suspicion.saved = Saved::No;
+    let level = suspicion.level();
+    commits::mark(&mut cx.commits, now, key.job);
+    trace::suspicion_settled(key, worker, crashed, level);
+    if level == 0 {
+        clear(cx, key);
+    }
+}
+
+/// Drops all suspicion of a task.
+fn clear(cx: &mut Context, key: TaskKey) {
+    cx.crashes.suspects.remove(&key);
+    if let Some(task) = cx.task_mut(key) {
+        task.suspicion = None;
+    }
+    cx.pass_wanted = true;
+}
+
+/// Does what time alone calls for: judges silent workers, clears tasks that have been at work for long,
+/// and fails the jobs of those that have crashed too many workers.
+pub fn check(cx: &mut Context) {
+    let suspects: Vec<TaskKey> = cx.crashes.suspects.iter().copied().collect();
+    for key in suspects {
+        judge_silent(cx, key);
+        let live = cx.jobs.get(&key.job).is_some_and(|entry| !entry.state.is_final());
+        let task = cx.task(key).filter(|t| live && t.state != TaskState::Done);
+        let Some(crashes) = task.and_then(|t| t.suspicion.as_ref()).map(|s| s.crashed.len()) else {
+            cx.crashes.suspects.remove(&key);
+            continue;
+        };
+        if crashes >= MOST_CRASHES {
+            trace::crashes_used_up(key, crashes);
+            lifecycle::end_job(cx, key.job, JobState::Failed);
+        } else if has_been_at_work(cx, key) {
+            trace::task_cleared(key, crashes);
+            clear(cx, key);
+            commits::mark(&mut cx.commits, cx.now, key.job);
+        }
+    }
+}
+
+/// Decides about workers that have been silent for so long that the directory tells what they are: one
+/// that it still lists is cut off from here.
+fn judge_silent(cx: &mut Context, key: TaskKey) {
+    let now = cx.now;
+    let Some(suspicion) = cx.task(key).and_then(|t| t.suspicion.as_ref()) else { return };
+    let old = |since: Instant| now.since(since.max(cx.directory_back)) >= LISTED_FOR;
+    let due = suspicion.silent.iter().filter(|(_, since)| old(*since));
+    let due: Vec<ids::WorkerId> = due.map(|(id, _)| id.clone()).collect();
+    for id in due {
+        let ix = cx.by_id.get(&id).copied();
+        let listed = ix.is_some_and(|ix| !cx.worker(ix).gone && !cx.worker(ix).is_absent());
+        resolve_for(cx, key, &id, !listed);
+    }
+}
+
+/// Tells whether a task's run has been at work for so long that it speaks for the task.
+fn has_been_at_work(cx: &Context, key: TaskKey) -> bool {
+    let Some(TaskState::Active { worker, .. }) = cx.task(key).map(|t| t.state) else {
+        return false;
+    };
+    let worker = cx.worker(worker);
+    let heard = worker.clock.map(|(heard, _)| heard);
+    worker.slots.get(&key).is_some_and(|slot| lived(slot, heard) >= CLEARED_AFTER)
+}
+
+/// Tells whether a pending task may start like any other one.
+pub fn may_start(task: &Task, now: Instant) -> bool {
+    task.suspicion.as_ref().is_none_or(|s| s.ordinary && s.may_start(now))
+}
+
+/// Takes in that the progress of these jobs is being stored.
+pub fn being_saved(cx: &mut Context, jobs: &BTreeSet<JobKey>) {
+    let of_jobs = |key: &TaskKey| jobs.contains(&key.job);
+    change_saved(cx, of_jobs, Saved::No, Saved::InFlight);
+}
+
+/// Takes in that the commit in flight is stored or, unless `stored`, certainly is not.
+pub fn commit_ended(cx: &mut Context, stored: bool) {
+    let now_saved = if stored { Saved::Yes } else { Saved::No };
+    change_saved(cx, |_| true, Saved::InFlight, now_saved);
+}
+
+fn change_saved(cx: &mut Context, of: impl Fn(&TaskKey) -> bool, from: Saved, to: Saved) {
+    let suspects: Vec<TaskKey> = cx.crashes.suspects.iter().copied().filter(of).collect();
+    for key in suspects {
+        let suspicion = cx.task_mut(key).and_then(|t| t.suspicion.as_mut());
+        if let Some(suspicion) = suspicion.filter(|s| s.saved == from) {
+            suspicion.saved = to;
+        }
+    }
+}
+
+/// Puts what a former leader stored of a task's crashes back.
+pub fn restored(note: &TaskNote) -> Option<Box<Suspicion>> {
+    if note.crashed.is_empty() && !note.perhaps_crashed {
+        return None;
+    }
+    let (crashed, perhaps) = (note.crashed.clone(), note.perhaps_crashed);
+    Some(Box::new(Suspicion { crashed, perhaps, ..Suspicion::default() }))
+}
+
+/// Finds the suspects of a job that was restored.
+pub fn find_suspects(cx: &mut Context, job: JobKey) {
+    let Some(entry) = cx.jobs.get_mut(&job) else { return };
+    let gangs: Vec<bool> = entry.job.steps.iter().map(|step| step.gang).collect();
+    for (key, task) in entry.keyed_tasks_mut() {
+        if let Some(suspicion) = &mut task.suspicion {
+            suspicion.ordinary = gangs[usize::from(key.step)];
+            cx.crashes.suspects.insert(key);
+        }
+    }
+}
+
+/// Counts a worker that a successor could not find against the tasks that it is known to have held.
+pub fn holder_lost(cx: &mut Context, ix: WorkerIx, held: &[TaskKey], gone: bool) {
+    if has_left(cx.worker(ix)) {
+        return;
+    }
+    let id = cx.worker(ix).info.id.clone();
+    let loss = if gone { Loss::Crashed } else { Loss::Silent };
+    for &key in held {
+        if cx.task(key).is_some_and(|t| t.state == TaskState::Unknown) {
+            suspect(cx, key, &id, loss, Millis(0), held.len());
+        }
+    }
+}
+
+/// Takes in that a successor has found workers gone that may have run any task, and these tasks at no
+/// other one. Suspects are counted as having been there, since their start must not be forgotten; of
+/// the others each may have been.
+pub fn any_lost(cx: &mut Context, lost: &[WorkerIx], unfound: &FxHashSet<TaskKey>) {
+    let crashed = lost.iter().find(|&&ix| !has_left(cx.worker(ix)));
+    let Some(&ix) = crashed else { return };
+    let id = cx.worker(ix).info.id.clone();
+    let (suspects, others): (Vec<TaskKey>, Vec<TaskKey>) =
+        unfound.iter().partition(|key| cx.crashes.suspects.contains(key));
+    for key in suspects {
+        suspect(cx, key, &id, Loss::Crashed, Millis(0), unfound.len());
+    }
+    if others.len() <= DOUBTFUL_MOST {
+        others.into_iter().for_each(|key| doubt(cx, key));
+    }
+}
+
+/// Notes that a worker may have crashed under a task.
+fn doubt(cx: &mut Context, key: TaskKey) {
+    let now = cx.now;
+    let is_gang = cx.step(key).is_some_and(|step| step.gang);
+    let Some(task) = cx.task_mut(key) else { return };
+    let suspicion = task.suspicion.get_or_insert_default();
+    suspicion.perhaps = true;
+    (suspicion.since, suspicion.saved, suspicion.ordinary) = (now, Saved::No, is_gang);
+    cx.crashes.suspects.insert(key);
+    commits::mark_urgent(&mut cx.commits, now, key.job);
+    trace::task_doubted(key);
+}
--- /dev/null
+++ b/crates/sched/src/crashes/trials.rs
@@ -0,0 +1,138 @@
+//! Trials of suspects: each runs alone on a worker for a while.
+//!
+//! The pattern: a task takes its worker down some milliseconds after its start, with six to eighteen
+//! runs of other tasks, and all of them are released and started again together. Alone, a suspect takes
+//! nothing down, and the next crash tells it from its former neighbours. Of those that were lost
+//! together the one that had lived least is tried first, since most crashes follow a start at once.
+
+use std::cmp::Reverse;
+
+use gaplock_jobs::TaskKey;
+use gaplock_types::time::{Instant, Millis};
+
+use crate::context::Context;
+use crate::message::WorkerIx;
+use crate::table::{Task, TaskState};
+use crate::worker::Worker;
+use crate::{dispatch, placement};
+
+/// How long a suspect keeps a worker to itself for each worker lost under it; a short task has ended
+/// long before, and a lasting one lives as long after nearly every start that goes wrong.
+const ALONE_FOR: Millis = Millis(3_000);
+
+/// The part of all workers, as a divisor, that tasks with a single loss may keep to themselves: after
+/// the loss of a failure domain there are hundreds of them, nearly all innocent.
+const TRIALS_SHARE: usize = 16;
+
+/// How long a task with several losses waits for an empty worker: below the time after which users
+/// miss a task that could run.
+const ALONE_PATIENCE: Millis = Millis(1_500);
+
+/// A worker that one task has to itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Trial {
+    /// The task.
+    pub task: TaskKey,
+    /// When others may start there again, if the task still runs.
+    pub until: Instant,
+}
+
+/// Tells whether a worker is kept for another job's suspect.
+pub fn is_kept_from(worker: &Worker, task: TaskKey, now: Instant) -> bool {
+    worker.trial.is_some_and(|trial| trial.until > now && trial.task.job != task.job)
+}
+
+/// A suspect that waits for an empty worker.
+#[derive(Debug, Clone, Copy)]
+struct Waiting {
+    task: TaskKey,
+    losses: usize,
+    lived: Millis,
+    waited: Millis,
+}
+
+/// Starts suspects alone on empty workers, those with most losses first. The others start like any task
+/// from now on, at once or after some patience.
+pub fn start(cx: &mut Context) {
+    let waiting = waiting(cx);
+    if waiting.is_empty() {
+        return;
+    }
+    let mut empty = empty_workers(cx);
+    let under_way = cx.workers.iter().filter(|w| w.trial.is_some()).count();
+    let mut left = (cx.workers.len() / TRIALS_SHARE).max(1).saturating_sub(under_way);
+    for suspect in waiting {
+        if cx.has_most_starts() {
+            return;
+        }
+        let several = suspect.losses > 1;
+        if (several || left > 0) && start_alone(cx, suspect.task, &mut empty) {
+            left = left.saturating_sub(1);
+        } else if !several || suspect.waited >= ALONE_PATIENCE {
+            start_like_others(cx, suspect.task);
+        }
+    }
+}
+
+/// Lists the suspects that may start and wait for an empty worker, in the order in which they are tried.
+fn waiting(cx: &Context) -> Vec<Waiting> {
+    let now = cx.now;
+    let waits = |task: &Task| task.state == TaskState::Pending && task.not_before <= now;
+    let mut found: Vec<Waiting> = Vec::new();
+    for &key in &cx.crashes.suspects {
+        let Some(task) = cx.task(key).filter(|t| waits(t)) else { continue };
+        let Some(suspicion) = task.suspicion.as_ref() else { continue };
+        if !suspicion.ordinary && suspicion.may_start(now) {
+            let (losses, lived) = (suspicion.level(), suspicion.lived);
+            found.push(Waiting { task: key, losses, lived, waited: now.since(task.since) });
+        }
+    }
+    found.sort_by_key(|w| (Reverse(w.losses), w.lived, w.task));
+    found
+}
+
+/// Lists the workers on which nothing runs.
+fn empty_workers(cx: &Context) -> Vec<WorkerIx> {
+    let all = cx.workers.iter().enumerate();
+    let empty = all.filter(|(_, w)| w.slots.is_empty() && w.takes_tasks(cx.now));
+    empty.map(|(at, _)| WorkerIx(at as u32)).collect()
+}
+
+/// Starts a task on the empty worker that tells most: one whose address has not lost a worker lately.
+/// Another crash at an address that crashes anyway would speak against an innocent task.
+fn start_alone(cx: &mut Context, key: TaskKey, empty: &mut Vec<WorkerIx>) -> bool {
+    let Some(job) = cx.jobs.get(&key.job).map(|entry| entry.job.clone()) else { return false };
+    let Some(service) = dispatch::service_of(cx, &job) else { return false };
+    let Some(wanted) = dispatch::wanted(cx, &job, &service, key) else { return false };
+    let lost_at = |ix: WorkerIx| cx.crashes.lost_at.get(&cx.worker(ix).info.addr).copied();
+    let fit =
+        empty.iter().enumerate().filter(|(_, ix)| placement::value(cx, **ix, &wanted).is_some());
+    let Some((at, &ix)) = fit.min_by_key(|(_, ix)| lost_at(**ix)) else { return false };
+    empty.swap_remove(at);
+    dispatch::start_at(cx, ix, key);
+    keep(cx, ix, key);
+    true
+}
+
+/// Lets a suspect start where any task would.
+fn start_like_others(cx: &mut Context, key: TaskKey) {
+    let suspicion = cx.task_mut(key).and_then(|t| t.suspicion.as_mut());
+    if let Some(suspicion) = suspicion {
+        suspicion.ordinary = true;
+    }
+}
+
+/// Keeps a worker for a suspect that starts there, unless it has a single loss and others run there.
+pub fn placed(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+    let losses = cx.task(key).and_then(|t| t.suspicion.as_ref()).map_or(0, |s| s.level());
+    if losses > 1 && cx.worker(ix).trial.is_none() {
+        keep(cx, ix, key);
+    }
+}
+
+/// Keeps a worker for a task for as long as its losses call for.
+fn keep(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+    let losses = cx.task(key).and_then(|t| t.suspicion.as_ref()).map_or(0, |s| s.level());
+    let until = cx.now + Millis(ALONE_FOR.0 * losses as u64);
+    cx.worker_mut(ix).trial = Some(Trial { task: key, until });
+}
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -10,6 +10,7 @@
 
 use crate::choices::Choices;
 use crate::context::Context;
+use crate::crashes::{self, trials};
 use crate::lifecycle::Occupant;
 use crate::message::{Run, WorkerIx};
 use crate::placement::{self, Wanted};
@@ -101,6 +102,7 @@
     if cx.config.is_none() {
         return;
     }
+    trials::start(cx);
     let ready: Vec<ReadyStep> = cx.ready.iter().copied().collect();
     let (most_free, largest) = most_processors(cx);
     let mut pass = Pass { blocked: Vec::new(), most_free, largest, searches: 0 };
@@ -229,15 +231,20 @@
         let chosen = choices.take(cx, &wanted);
         debug_assert_eq!(chosen, placement::choose(cx, &wanted), "the kept order is another one");
         let Some(ix) = chosen else { return Some(task) };
-        let run = next_run(cx, task);
-        reserve(cx, ix, task, run);
-        orders::send_start(cx, ix, task, run);
+        start_at(cx, ix, task);
     }
     None
 }
 
+/// Starts a task at a worker.
+pub fn start_at(cx: &mut Context, ix: WorkerIx, task: TaskKey) {
+    let run = next_run(cx, task);
+    reserve(cx, ix, task, run);
+    orders::send_start(cx, ix, task, run);
+}
+
 /// Returns the pool of workers that runs a job.
-fn service_of(cx: &Context, job: &Job) -> Option<ids::ServiceId> {
+pub fn service_of(cx: &Context, job: &Job) -> Option<ids::ServiceId> {
     let config = cx.config.as_ref()?;
     config.queue(&job.queue).map(|q| q.service.clone())
 }
@@ -247,10 +254,11 @@
     cx.config.as_ref()?.queue(&job.queue)?.advice.as_ref()
 }
 
-/// Tells whether a task is pending and its pause over.
+/// Tells whether a task is pending, its pause over, and nothing speaks against starting it beside
+/// others.
 pub fn may_start(cx: &Context, task: TaskKey) -> bool {
-    let state = cx.task(task);
-    state.is_some_and(|t| t.state == TaskState::Pending && t.not_before <= cx.now)
+    let due = |t: &&Task| t.state == TaskState::Pending && t.not_before <= cx.now;
+    cx.task(task).filter(due).is_some_and(|t| crashes::may_start(t, cx.now))
 }
 
 /// Says what a task asks of a worker.
@@ -308,4 +316,5 @@
         t.may_have_run = true;
         trace::start_ordered(task, run, &worker, now.since(t.since));
     }
+    trials::placed(cx, ix, task);
 }
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -9,7 +9,7 @@
 use crate::message::{Record, Run, WorkerClock, WorkerIx};
 use crate::proof::Proof;
 use crate::worker::Slot;
-use crate::{commits, doubts, lifecycle, roster, takeover, trace};
+use crate::{commits, crashes, doubts, lifecycle, roster, takeover, trace};
 
 /// Gives up the runs of workers that are silent or refuse stops once their leases are certainly
 /// over, and workers that are neither listed nor answering.
@@ -29,6 +29,7 @@
             continue;
         }
         let absent = worker.is_absent() && worker.missed > 0;
+        crashes::worker_lost(cx, ix, false);
         keep_doubts(cx, ix);
         free_all(cx, ix, Proof::LeaseOver);
         roster::lapsed(cx, ix);
@@ -62,6 +63,8 @@
 
 /// Forgets a worker whose incarnation certainly runs nothing any more.
 pub fn give_up(cx: &mut Context, ix: WorkerIx) {
+    crashes::worker_lost(cx, ix, true);
+    crashes::worker_gone(cx, ix);
     free_all(cx, ix, Proof::WorkerGone);
     let worker = cx.worker_mut(ix);
     if worker.gone {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claims;
 pub mod commits;
 pub mod context;
+pub mod crashes;
 pub mod dispatch;
 pub mod doubts;
 pub mod drain;
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -172,6 +172,7 @@
     }
     task.state = TaskState::Done;
     task.checkpoint = None;
+    task.suspicion = None;
     let Some(round) = entry.round_mut(key.round) else { return };
     let step = &mut round.steps[usize::from(key.step)];
     step.left = step.left.saturating_sub(1);
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -39,6 +39,10 @@
         Outcome::Done(clock) => confirmed(cx, ix, key, clock),
         Outcome::Refused(Refusal::OtherIncarnation) => {
             trace::worker_gone(&cx.worker(ix).info.id, "another incarnation answers");
+            // A start of which no try is open did not reach the worker that is lost.
+            if fate == Fate::NotDone {
+                lifecycle::requeue(cx, ix, key, run, Proof::Refused);
+            }
             leases::give_up(cx, ix);
         }
         Outcome::Refused(refusal) => {
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -7,6 +7,7 @@
 use gaplock_types::time::Millis;
 
 use crate::context::Context;
+use crate::crashes::trials;
 use crate::message::WorkerIx;
 use crate::pacing;
 use crate::permits::{self, StepKey};
@@ -46,7 +47,8 @@
 pub enum Unfit {
     /// It belongs to another pool, or is gone.
     OtherPool,
-    /// It is draining, unlisted, silent or avoided, or has many starts to answer.
+    /// It is draining, unlisted, silent, avoided or kept for a task that may crash it, or has many
+    /// starts to answer.
     NotTaking,
     /// It has no room.
     Full,
@@ -176,6 +178,9 @@
     if !worker.takes_tasks(cx.now) || cx.has_most_starts_at(ix) {
         return Err(Unfit::NotTaking);
     }
+    if trials::is_kept_from(worker, wanted.task, cx.now) {
+        return Err(Unfit::NotTaking);
+    }
     let taken = worker.used.plus(&takes);
     if !worker.info.capacity.holds(&taken) {
         return Err(Unfit::Full);
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -6,7 +6,7 @@
 use crate::context::Context;
 use crate::message::{Account, Action, Outcome, Refusal, WorkerIx};
 use crate::worker::Renewal;
-use crate::{account, commits, doubts, leases, pacing, roster, takeover, trace};
+use crate::{account, commits, crashes, doubts, leases, pacing, roster, takeover, trace};
 
 /// Sends every renewal that is due.
 pub fn send_due(cx: &mut Context) {
@@ -127,6 +127,9 @@
         trace::worker_back(&cx.worker(ix).info.id, cx.worker(ix).missed);
         cx.pass_wanted = true;
     }
+    if cx.worker(ix).missed > 0 || cx.worker(ix).answered.is_none() {
+        crashes::worker_answers(cx, ix);
+    }
     let worker = cx.worker_mut(ix);
     worker.missed = 0;
     worker.refuses = false;
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -10,7 +10,7 @@
 use crate::context::Context;
 use crate::message::{Record, RosterEntry, WorkerIx};
 use crate::worker::{Listing, Worker};
-use crate::{commits, trace};
+use crate::{commits, crashes, trace};
 
 /// After how many renewals without an answer a worker is closed: a single answer is lost now and then,
 /// and each change is a write.
@@ -42,7 +42,8 @@
     worker.in_roster = false;
     worker.roster_pending = false;
     worker.closed = true;
-    let info = worker.info.clone();
+    let mut info = worker.info.clone();
+    info.draining = crashes::has_left(worker);
     let holds: Vec<TaskKey> = worker.slots.keys().copied().collect();
     worker.forgotten = holds.is_empty();
     trace::worker_closed(&info.id, holds.len());
--- a/crates/sched/src/stragglers.rs
+++ b/crates/sched/src/stragglers.rs
@@ -49,6 +49,10 @@
 
 /// Tells whether a run is better off elsewhere.
 fn is_straggler(cx: &Context, ix: WorkerIx, key: TaskKey, slot: &Slot) -> bool {
+    // A copy of a task that crashes its workers would take two of them down.
+    if cx.task(key).is_some_and(|task| task.suspicion.is_some()) {
+        return false;
+    }
     if slot.phase != Phase::Running || !lifecycle::is_active(cx, key, ix, slot.run) {
         return false;
     }
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -8,6 +8,7 @@
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Instant;
 
+use crate::crashes::Suspicion;
 use crate::message::{Run, WorkerIx};
 use crate::speed::StepRates;
 
@@ -57,6 +58,8 @@
     pub may_have_run: bool,
     /// A run on a slow worker that goes on while a copy is started elsewhere.
     pub slow_run: Option<(WorkerIx, Run)>,
+    /// What speaks against it, if workers were lost under it; few tasks have any.
+    pub suspicion: Option<Box<Suspicion>>,
 }
 
 impl Task {
@@ -73,6 +76,7 @@
             since: Instant(0),
             may_have_run: false,
             slow_run: None,
+            suspicion: None,
         }
     }
 }
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -4,6 +4,7 @@
 //! worker that does not answer keeps the tasks in doubt until its longest possible lease is over.
 
 use std::collections::BTreeMap;
+use std::mem;
 use std::sync::Arc;
 
 use gaplock_jobs::progress::{self, JobState, Progress, StepProgress};
@@ -16,7 +17,7 @@
 use crate::pacing::Learnt;
 use crate::table::{Entry, Round, StepState, TaskState};
 use crate::worker::Listing;
-use crate::{intake, leases, lifecycle, trace, upkeep};
+use crate::{crashes, intake, leases, lifecycle, trace, upkeep};
 
 /// The search for runs of former leaders.
 #[derive(Debug)]
@@ -25,6 +26,8 @@
     pub waiting: FxHashSet<WorkerIx>,
     /// Workers that have not answered and may run just these tasks.
     pub closed: FxHashMap<WorkerIx, Vec<TaskKey>>,
+    /// Workers that might have run anything and are gone.
+    pub lost: Vec<WorkerIx>,
     /// Set once the open workers are through.
     pub settled: bool,
     /// When their leases are certainly over.
@@ -73,12 +76,14 @@
     let lease = cx.settings.lease().with_drift(cx.settings.drift_per_mille);
     let until = cx.now + lease + cx.settings.takeover_margin;
     trace::takeover_began(cx.term.number, jobs.len(), waiting.len(), closed.len());
-    let survey = Survey { waiting, closed, settled: false, until, began: cx.now };
+    let lost = Vec::new();
+    let survey = Survey { waiting, closed, lost, settled: false, until, began: cx.now };
     cx.survey = Some(survey);
     for job in jobs {
         let key = job.key;
         let entry = restored(cx, job, progress.remove(&key));
         cx.jobs.insert(key, entry);
+        crashes::find_suspects(cx, key);
     }
     for key in cancelled {
         intake::cancel(cx, key);
@@ -148,17 +153,27 @@
             task.failed = note.failed;
             task.counted_runs = note.counted_runs.iter().copied().map(Run).collect();
             task.checkpoint.clone_from(&note.checkpoint);
+            task.suspicion = crashes::restored(note);
         }
     }
 }
 
 /// Takes in that a worker has answered, or certainly runs nothing.
 pub fn answered(cx: &mut Context, ix: WorkerIx) {
+    let gone = cx.worker(ix).gone;
     let Some(survey) = &mut cx.survey else { return };
-    survey.waiting.remove(&ix);
+    if survey.waiting.remove(&ix) && gone {
+        survey.lost.push(ix);
+    }
     let held = survey.closed.remove(&ix);
-    if held.is_some() && survey.waiting.is_empty() {
-        settle_all(cx);
+    let is_narrowed = survey.waiting.is_empty();
+    if let Some(held) = held {
+        if gone {
+            crashes::holder_lost(cx, ix, &held, true);
+        }
+        if is_narrowed {
+            settle_all(cx);
+        }
     }
     check_survey(cx);
 }
@@ -188,19 +203,37 @@
 
 /// Ends the survey: nothing is in doubt any more.
 fn end_survey(cx: &mut Context) {
-    let Some(survey) = cx.survey.take() else { return };
-    for ix in survey.waiting.into_iter().chain(survey.closed.into_keys()) {
+    let Some(mut survey) = cx.survey.take() else { return };
+    for ix in survey.waiting {
         if cx.worker(ix).is_absent() {
             leases::give_up(cx, ix);
+            survey.lost.push(ix);
         }
     }
-    settle_all(cx);
+    for (ix, held) in survey.closed {
+        let gone = cx.worker(ix).is_absent();
+        crashes::holder_lost(cx, ix, &held, gone);
+        if gone {
+            leases::give_up(cx, ix);
+        }
+    }
+    settle(cx, &FxHashSet::default(), &survey.lost);
 }
 
-/// Decides about every task that was in doubt, but for those that a closed worker may hold which has
-/// not answered: none of the others runs anywhere.
+/// Decides about the tasks that are no longer in doubt once the open workers are through.
 fn settle_all(cx: &mut Context) {
-    let held = held(cx);
+    let (held, lost) = held(cx);
+    settle(cx, &held, &lost);
+}
+
+/// Decides about every task that was in doubt, but for those that a closed worker may hold which has
+/// not answered: none of the others runs anywhere, and some may have gone with the workers that are
+/// lost.
+fn settle(cx: &mut Context, held: &FxHashSet<TaskKey>, lost: &[WorkerIx]) {
+    if !lost.is_empty() {
+        let unfound = unfound(cx, held);
+        crashes::any_lost(cx, lost, &unfound);
+    }
     let keys: Vec<JobKey> = cx.jobs.keys().copied().collect();
     for key in keys {
         let Some(entry) = cx.jobs.get_mut(&key) else { continue };
@@ -220,11 +253,23 @@
     }
 }
 
-/// Notes that the open workers are through, and returns the tasks that closed workers may hold.
-fn held(cx: &mut Context) -> FxHashSet<TaskKey> {
-    let Some(survey) = &mut cx.survey else { return FxHashSet::default() };
+/// Notes that the open workers are through, and returns the tasks that closed workers may hold and the
+/// open workers that are gone.
+fn held(cx: &mut Context) -> (FxHashSet<TaskKey>, Vec<WorkerIx>) {
+    let Some(survey) = &mut cx.survey else { return Default::default() };
     survey.settled = true;
-    survey.closed.values().flatten().copied().collect()
+    let held = survey.closed.values().flatten().copied().collect();
+    (held, mem::take(&mut survey.lost))
+}
+
+/// Lists the tasks that may have run and were found nowhere.
+fn unfound(cx: &mut Context, held: &FxHashSet<TaskKey>) -> FxHashSet<TaskKey> {
+    let mut found = FxHashSet::default();
+    for entry in cx.jobs.values_mut().filter(|e| e.state == JobState::Active) {
+        let tasks = entry.keyed_tasks_mut().filter(|(_, t)| t.state == TaskState::Unknown);
+        found.extend(tasks.map(|(key, _)| key).filter(|key| !held.contains(key)));
+    }
+    found
 }
 
 /// Ends a job all of whose tasks turned out to be done, which [`lifecycle::finish_task`] does not
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -12,6 +12,7 @@
 use tracing::{debug, info, warn};
 
 use crate::context::Context;
+use crate::crashes::Loss;
 use crate::message::{
     End, Outcome, Run, UpkeepAnswer, WaveNumber, WaveRequest, WorkerClock, WorkerInfo, WorkerIx,
 };
@@ -109,6 +110,39 @@
         listing = ?worker.listing, missed = worker.missed, silent_ms, runs = worker.slots.len());
 }
 
+/// A worker was lost under a task: how, how many have crashed under it, how long the run had been at
+/// work, and how many runs were lost together.
+pub fn task_suspected(
+    task: TaskKey,
+    worker: &ids::WorkerId,
+    loss: Loss,
+    crashes: usize,
+    lived: Millis,
+    together: usize,
+) {
+    info!(event = "task_suspected", %task, %worker, ?loss, crashes, lived_ms = lived.0, together);
+}
+
+/// A worker of which nobody knows what it ran is lost, and the task was found nowhere.
+pub fn task_doubted(task: TaskKey) {
+    info!(event = "task_doubted", %task);
+}
+
+/// It is known what became of a worker that was silent under a task.
+pub fn suspicion_settled(task: TaskKey, worker: &ids::WorkerId, crashed: bool, losses: usize) {
+    info!(event = "suspicion_settled", %task, %worker, crashed, losses);
+}
+
+/// A task has been at work for so long that its crashes are forgotten.
+pub fn task_cleared(task: TaskKey, crashes: usize) {
+    info!(event = "task_cleared", %task, crashes);
+}
+
+/// A task has crashed as many workers as it may.
+pub fn crashes_used_up(task: TaskKey, crashes: usize) {
+    warn!(event = "crashes_used_up", %task, crashes);
+}
+
 /// A run of a former leader was found and kept.
 pub fn run_adopted(task: TaskKey, run: Run, worker: &ids::WorkerId) {
     info!(event = "run_adopted", %task, run = run.0, %worker);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -8,6 +8,7 @@
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
 
+use crate::crashes::trials::Trial;
 use crate::doubts::Doubt;
 use crate::message::{EndSeq, Run, WorkerClock, WorkerInfo};
 use crate::pacing::{Column, GivenPaces, Row};
@@ -180,6 +181,8 @@
     pub quarantines: u32,
     /// No new tasks before this time.
     pub avoid_until: Instant,
+    /// Set while it is kept for a task that may crash it.
+    pub trial: Option<Trial>,
 }
 
 impl Worker {
@@ -216,6 +219,7 @@
             failures: 0,
             quarantines: 0,
             avoid_until: Instant(0),
+            trial: None,
         }
     }
 
@@ -262,6 +266,7 @@
             return None;
         }
         let slot = self.slots.remove(&task)?;
+        self.trial = self.trial.filter(|trial| trial.task != task);
         self.used = self.used.minus(&slot.takes);
         self.filling = self.filling.saturating_sub(slot.wants_cpu);
         Some(slot)
