--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -45,13 +45,9 @@
     /// The workers that crashed under it; a few at most.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashed: Vec<ids::WorkerId>,
-    /// Whether one more may have crashed under it at a change of leader.
-    #[serde(default, skip_serializing_if = "is_false")]
-    pub perhaps_crashed: bool,
-}
-
-fn is_false(flag: &bool) -> bool {
-    !flag
+    /// One more that may have crashed under it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub perhaps_crashed: Option<ids::WorkerId>,
 }
 
 /// Progress of one step in one round.
--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -209,7 +209,7 @@
         counted_runs: t.counted_runs.iter().map(|run| run.0).collect(),
         checkpoint: t.checkpoint.clone(),
         crashed: crashed(t),
-        perhaps_crashed: t.suspicion.as_ref().is_some_and(|s| s.perhaps),
+        perhaps_crashed: t.suspicion.as_ref().and_then(|s| s.perhaps.clone()),
     });
     StepProgress { done: progress::pack(done), notes: notes.collect() }
 }
--- a/crates/sched/src/crashes.rs
+++ b/crates/sched/src/crashes.rs
@@ -25,21 +25,40 @@
 use crate::worker::{Listing, Slot, Worker};
 use crate::{commits, lifecycle, trace};
 
-/// How many workers may crash under a task before its job fails. Two may crash by chance while an
-/// unlucky task is there; the third one does so with the task alone on it.
-pub const MOST_CRASHES: usize = 3;
+/// How many workers may crash under a task before its job fails, whatever else is known. Users bear five
+/// starts of a task that crashes its workers; one of them may be forgotten with its leader.
+pub const MOST_CRASHES: usize = 4;
+
+/// How many are enough where each crash followed the start at once and the last one took a worker that
+/// the task had to itself: two may crash by chance while an unlucky task is there, a third hardly so.
+const CRASHES_AT_START: usize = 3;
+
+/// How long after a start a crash still counts as following it at once: above the time between two
+/// answers of a worker on which a task is tried ([`trials::WAIT`]).
+const AT_START: Millis = Millis(400);
 
 /// How long a run must have been at work to speak for its task: longer than anything that goes wrong
 /// at a start. A task that crashes workers later than that takes one down in half a minute at most.
 const CLEARED_AFTER: Millis = Millis(30_000);
 
 /// How long the directory may go on listing a silent worker that has crashed: its entry lapses after
-/// three heartbeats, and a change takes half a second to reach us. One that is still listed is cut off.
+/// three heartbeats, and a change takes half a second to reach us.
 const LISTED_FOR: Millis = Millis(10_000);
 
-/// How long a task waits for its first crash to be stored: many times what a commit takes. Beyond that
-/// the store is away, and innocent neighbours of a crash need not wait for its return.
-const SAVE_PATIENCE: Millis = Millis(1_000);
+/// How long a silent worker that the directory lists speaks against its tasks. It is most likely cut off
+/// from here; but what crashed it would be started without end if its silence were forgotten soon.
+const SILENT_FOR: Millis = Millis(600_000);
+
+/// How many workers lost at about one time make a common cause more likely than as many tasks that
+/// crash them: at least so many, and this part of all workers as a divisor.
+const MANY_LEAST: usize = 4;
+
+/// See [`MANY_LEAST`].
+const MANY_SHARE: usize = 16;
+
+/// How far apart the news of workers may be that were lost at one time: one is known by its successor,
+/// another one by the end of its leases.
+const AT_ONE_TIME: Millis = Millis(3_000);
 
 /// How many tasks may be suspected of the loss of a worker of which nobody knows what it ran. Where
 /// more could have been there, the loss says nothing of any of them.
@@ -62,15 +81,17 @@
 pub struct Suspicion {
     /// The workers that crashed under it.
     pub crashed: Vec<ids::WorkerId>,
-    /// Whether one more may have crashed under it, at a change of leader.
-    pub perhaps: bool,
+    /// One more that may have crashed under it, at a change of leader or together with many others.
+    pub perhaps: Option<ids::WorkerId>,
     /// Workers under it that were silent past all leases while the directory listed them, and since when.
     silent: Vec<(ids::WorkerId, Instant)>,
     saved: Saved,
-    /// When a worker was last lost under it.
-    since: Instant,
     /// How long its last lost run was known to have been at work.
     lived: Millis,
+    /// Whether each crash followed a start at once, as far as is known.
+    at_start: bool,
+    /// Whether the last crash took a worker that the task had to itself.
+    alone: bool,
     /// Whether it starts like any other task, because it cannot be tried alone.
     ordinary: bool,
 }
@@ -78,7 +99,13 @@
 impl Suspicion {
     /// Returns how many workers were lost under the task, for all that is known.
     fn level(&self) -> usize {
-        self.crashed.len() + self.silent.len() + usize::from(self.perhaps)
+        self.crashed.len() + self.silent.len() + usize::from(self.perhaps.is_some())
+    }
+
+    /// Tells whether the task is held to crash its workers.
+    fn is_proven(&self) -> bool {
+        let at_start = self.at_start && self.alone && self.crashed.len() >= CRASHES_AT_START;
+        at_start || self.crashed.len() >= MOST_CRASHES
     }
 
     fn names(&self, worker: &ids::WorkerId) -> bool {
@@ -87,26 +114,24 @@
 
     /// Tells whether the task may start. With as many losses as a task may have it waits until it is
     /// known which of them were crashes.
-    fn may_start(&self, now: Instant) -> bool {
-        if self.crashed.len() + self.silent.len() >= MOST_CRASHES {
-            return false;
-        }
-        let waited_enough = self.level() == 1 && now.since(self.since) >= SAVE_PATIENCE;
-        self.saved == Saved::Yes || waited_enough
+    fn may_start(&self) -> bool {
+        let undecided = self.crashed.len() + self.silent.len() >= MOST_CRASHES;
+        self.saved == Saved::Yes && !undecided && !self.is_proven()
     }
 
     /// Takes in that the directory or the worker itself tells of a silent one; whether that changed
     /// anything.
     fn resolve(&mut self, worker: &ids::WorkerId, crashed: bool) -> bool {
-        let before = self.silent.len() + self.crashed.len();
         let was_silent = self.silent.iter().any(|(id, _)| id == worker);
         self.silent.retain(|(id, _)| id != worker);
-        if !crashed {
-            self.crashed.retain(|id| id != worker);
-        } else if was_silent {
-            self.crashed.push(worker.clone());
+        if crashed {
+            self.crashed.extend(was_silent.then(|| worker.clone()));
+            return was_silent;
         }
-        was_silent || self.silent.len() + self.crashed.len() != before
+        let before = self.level();
+        self.crashed.retain(|id| id != worker);
+        self.perhaps = self.perhaps.take().filter(|id| id != worker);
+        was_silent || self.level() != before
     }
 }
 
@@ -128,27 +153,64 @@
     Silent,
 }
 
+/// A worker's loss, as it speaks against one of the tasks that ran there.
+#[derive(Debug, Clone)]
+struct Evidence<'a> {
+    worker: &'a ids::WorkerId,
+    loss: Loss,
+    /// How long the run was known to have been at work.
+    lived: Millis,
+    /// Whether the worker ever confirmed the run; a start without an answer may not have reached it.
+    confirmed: bool,
+    /// How many runs were lost together.
+    together: usize,
+    /// Whether nothing but tasks of its job was lost.
+    alone: bool,
+}
+
 /// Takes in that all runs at a worker are being given up; `gone` if its incarnation is certainly over.
 pub fn worker_lost(cx: &mut Context, ix: WorkerIx, gone: bool) {
     let worker = cx.worker(ix);
-    let Some(loss) = loss_of(worker, gone) else { return };
-    let (id, addr, trial) = (worker.info.id.clone(), worker.info.addr.clone(), worker.trial);
+    let Some(loss) = loss_of(worker, gone).filter(|_| !worker.slots.is_empty()) else { return };
+    let (id, addr) = (worker.info.id.clone(), worker.info.addr.clone());
+    let (together, blamed) = (worker.slots.len(), blamed(worker));
+    let many = are_many_lost(cx);
+    if loss == Loss::Crashed {
+        cx.crashes.lost_at.insert(addr, cx.now);
+    }
+    for (key, confirmed, lived) in blamed {
+        let alone = cx.worker(ix).slots.keys().all(|other| other.job == key.job);
+        let known = cx.crashes.suspects.contains(&key);
+        if many && !known && lived >= AT_START {
+            doubt(cx, key, &id, false);
+        } else {
+            suspect(cx, key, &Evidence { worker: &id, loss, lived, confirmed, together, alone });
+        }
+    }
+}
+
+/// Lists the tasks against which the loss of a worker speaks, whether it had confirmed them, and how long
+/// each was at work. Where one
+/// was being tried, it speaks against that one's job alone; a run that was at work for long speaks for its
+/// task.
+fn blamed(worker: &Worker) -> Vec<(TaskKey, bool, Millis)> {
     let heard = worker.clock.map(|(heard, _)| heard);
-    let beside = worker.slots.len();
-    let mut blamed: Vec<(TaskKey, Millis)> = Vec::new();
+    let mut found = Vec::new();
     for (key, slot) in &worker.slots {
-        let excused = trial.is_some_and(|t| t.task.job != key.job);
+        let excused = worker.trial.is_some_and(|t| t.task.job != key.job);
         let lived = lived(slot, heard);
         if !excused && may_have_begun(slot) && lived < CLEARED_AFTER {
-            blamed.push((*key, lived));
+            found.push((*key, slot.confirmed.is_some(), lived));
         }
     }
-    if loss == Loss::Crashed && beside > 0 {
-        cx.crashes.lost_at.insert(addr, cx.now);
-    }
-    for (key, lived) in blamed {
-        suspect(cx, key, &id, loss, lived, beside);
-    }
+    found
+}
+
+/// Tells whether so many workers are silent or were just lost that one cause is likely.
+fn are_many_lost(cx: &Context) -> bool {
+    let silent = cx.workers.iter().filter(|w| !w.gone && !w.answers()).count();
+    let lost = cx.crashes.lost_at.values().filter(|at| cx.now.since(**at) < AT_ONE_TIME).count();
+    silent + lost >= MANY_LEAST.max(cx.worker_ixs().len() / MANY_SHARE)
 }
 
 /// Tells how a worker was lost whose runs are given up, if it was: it may also have left, or answer.
@@ -184,15 +246,8 @@
 }
 
 /// Counts a lost worker against a task.
-fn suspect(
-    cx: &mut Context,
-    key: TaskKey,
-    worker: &ids::WorkerId,
-    loss: Loss,
-    lived: Millis,
-    beside: usize,
-) {
-    let now = cx.now;
+fn suspect(cx: &mut Context, key: TaskKey, evidence: &Evidence<'_>) {
+    let (now, worker, loss) = (cx.now, evidence.worker, evidence.loss);
     let is_gang = cx.step(key).is_some_and(|step| step.gang);
     let live = cx.jobs.get(&key.job).is_some_and(|entry| !entry.state.is_final());
     let Some(task) = cx.task_mut(key).filter(|t| live && t.state != TaskState::Done) else {
@@ -206,14 +261,19 @@
         Loss::Crashed => suspicion.crashed.push(worker.clone()),
         Loss::Silent => suspicion.silent.push((worker.clone(), now)),
     }
-    (suspicion.since, suspicion.lived, suspicion.ordinary) = (now, lived, is_gang);
+    let first = suspicion.crashed.len() + suspicion.silent.len() == 1;
+    let at_start = evidence.confirmed && evidence.lived < AT_START;
+    suspicion.at_start = at_start && (first || suspicion.at_start);
+    (suspicion.lived, suspicion.ordinary) = (evidence.lived, is_gang);
+    suspicion.alone = evidence.alone;
     let crashes = suspicion.crashed.len();
     if loss == Loss::Crashed {
         suspicion.saved = Saved::No;
         commits::mark_urgent(&mut cx.commits, now, key.job);
     }
     cx.crashes.suspects.insert(key);
-    trace::task_suspected(key, worker, loss, crashes, lived, beside);
+    let (lived, together) = (evidence.lived, evidence.together);
+    trace::task_suspected(key, worker, loss, crashes, lived, together);
 }
 
 /// Takes in that a worker's incarnation is over of which nothing was known but its silence.
@@ -272,11 +332,12 @@
         judge_silent(cx, key);
         let live = cx.jobs.get(&key.job).is_some_and(|entry| !entry.state.is_final());
         let task = cx.task(key).filter(|t| live && t.state != TaskState::Done);
-        let Some(crashes) = task.and_then(|t| t.suspicion.as_ref()).map(|s| s.crashed.len()) else {
+        let Some(suspicion) = task.and_then(|t| t.suspicion.as_ref()) else {
             cx.crashes.suspects.remove(&key);
             continue;
         };
-        if crashes >= MOST_CRASHES {
+        let crashes = suspicion.crashed.len();
+        if suspicion.is_proven() {
             trace::crashes_used_up(key, crashes);
             lifecycle::end_job(cx, key.job, JobState::Failed);
         } else if has_been_at_work(cx, key) {
@@ -287,19 +348,27 @@
     }
 }
 
-/// Decides about workers that have been silent for so long that the directory tells what they are: one
-/// that it still lists is cut off from here.
+/// Decides about workers that have been silent for so long that the directory tells what became of them.
 fn judge_silent(cx: &mut Context, key: TaskKey) {
     let now = cx.now;
     let Some(suspicion) = cx.task(key).and_then(|t| t.suspicion.as_ref()) else { return };
-    let old = |since: Instant| now.since(since.max(cx.directory_back)) >= LISTED_FOR;
-    let due = suspicion.silent.iter().filter(|(_, since)| old(*since));
-    let due: Vec<ids::WorkerId> = due.map(|(id, _)| id.clone()).collect();
-    for id in due {
-        let ix = cx.by_id.get(&id).copied();
-        let listed = ix.is_some_and(|ix| !cx.worker(ix).gone && !cx.worker(ix).is_absent());
-        resolve_for(cx, key, &id, !listed);
+    let mut crashed: Vec<ids::WorkerId> = Vec::new();
+    let mut forgotten: Vec<ids::WorkerId> = Vec::new();
+    for (id, since) in &suspicion.silent {
+        let for_so_long = now.since((*since).max(cx.directory_back));
+        if for_so_long >= SILENT_FOR {
+            forgotten.push(id.clone());
+        } else if for_so_long >= LISTED_FOR && !is_listed(cx, id) {
+            crashed.push(id.clone());
+        }
     }
+    crashed.iter().for_each(|id| resolve_for(cx, key, id, true));
+    forgotten.iter().for_each(|id| resolve_for(cx, key, id, false));
+}
+
+fn is_listed(cx: &Context, id: &ids::WorkerId) -> bool {
+    let worker = cx.by_id.get(id).map(|&ix| cx.worker(ix));
+    worker.is_some_and(|w| !w.gone && !w.is_absent())
 }
 
 /// Tells whether a task's run has been at work for so long that it speaks for the task.
@@ -313,8 +382,8 @@
 }
 
 /// Tells whether a pending task may start like any other one.
-pub fn may_start(task: &Task, now: Instant) -> bool {
-    task.suspicion.as_ref().is_none_or(|s| s.ordinary && s.may_start(now))
+pub fn may_start(task: &Task) -> bool {
+    task.suspicion.as_ref().is_none_or(|s| s.ordinary && s.may_start())
 }
 
 /// Takes in that the progress of these jobs is being stored.
@@ -341,10 +410,10 @@
 
 /// Puts what a former leader stored of a task's crashes back.
 pub fn restored(note: &TaskNote) -> Option<Box<Suspicion>> {
-    if note.crashed.is_empty() && !note.perhaps_crashed {
+    let (crashed, perhaps) = (note.crashed.clone(), note.perhaps_crashed.clone());
+    if crashed.is_empty() && perhaps.is_none() {
         return None;
     }
-    let (crashed, perhaps) = (note.crashed.clone(), note.perhaps_crashed);
     Some(Box::new(Suspicion { crashed, perhaps, ..Suspicion::default() }))
 }
 
@@ -367,13 +436,20 @@
     }
     let id = cx.worker(ix).info.id.clone();
     let loss = if gone { Loss::Crashed } else { Loss::Silent };
+    let evidence = Evidence { worker: &id, loss, ..unknown_lives(&id, held.len()) };
     for &key in held {
         if cx.task(key).is_some_and(|t| t.state == TaskState::Unknown) {
-            suspect(cx, key, &id, loss, Millis(0), held.len());
+            suspect(cx, key, &evidence);
         }
     }
 }
 
+/// Builds the evidence of a crash whose runs a former leader started: how long they lived is not known.
+fn unknown_lives(worker: &ids::WorkerId, together: usize) -> Evidence<'_> {
+    let (loss, lived, confirmed, alone) = (Loss::Crashed, AT_START, false, false);
+    Evidence { worker, loss, lived, confirmed, together, alone }
+}
+
 /// Takes in that a successor has found workers gone that may have run any task, and these tasks at no
 /// other one. Suspects are counted as having been there, since their start must not be forgotten; of
 /// the others each may have been.
@@ -383,23 +459,29 @@
     let id = cx.worker(ix).info.id.clone();
     let (suspects, others): (Vec<TaskKey>, Vec<TaskKey>) =
         unfound.iter().partition(|key| cx.crashes.suspects.contains(key));
-    for key in suspects {
-        suspect(cx, key, &id, Loss::Crashed, Millis(0), unfound.len());
-    }
+    let evidence = unknown_lives(&id, unfound.len());
+    suspects.into_iter().for_each(|key| suspect(cx, key, &evidence));
     if others.len() <= DOUBTFUL_MOST {
-        others.into_iter().for_each(|key| doubt(cx, key));
+        others.into_iter().for_each(|key| doubt(cx, key, &id, true));
     }
 }
 
-/// Notes that a worker may have crashed under a task.
-fn doubt(cx: &mut Context, key: TaskKey) {
+/// Notes that a worker may have crashed under a task. Where that is to last, it is stored before the task
+/// starts again, and the task is tried alone.
+fn doubt(cx: &mut Context, key: TaskKey, worker: &ids::WorkerId, lasts: bool) {
     let now = cx.now;
     let is_gang = cx.step(key).is_some_and(|step| step.gang);
-    let Some(task) = cx.task_mut(key) else { return };
+    let live = cx.jobs.get(&key.job).is_some_and(|entry| !entry.state.is_final());
+    let Some(task) = cx.task_mut(key).filter(|t| live && t.state != TaskState::Done) else {
+        return;
+    };
     let suspicion = task.suspicion.get_or_insert_default();
-    suspicion.perhaps = true;
-    (suspicion.since, suspicion.saved, suspicion.ordinary) = (now, Saved::No, is_gang);
+    suspicion.perhaps = Some(worker.clone());
+    suspicion.ordinary = is_gang || !lasts;
+    if lasts {
+        suspicion.saved = Saved::No;
+        commits::mark_urgent(&mut cx.commits, now, key.job);
+    }
     cx.crashes.suspects.insert(key);
-    commits::mark_urgent(&mut cx.commits, now, key.job);
-    trace::task_doubted(key);
+    trace::task_doubted(key, worker);
 }
--- a/crates/sched/src/crashes/trials.rs
+++ b/crates/sched/src/crashes/trials.rs
@@ -28,6 +28,10 @@
 /// miss a task that could run.
 const ALONE_PATIENCE: Millis = Millis(1_500);
 
+/// How long a renewal waits at a worker on which a task is tried: what the worker was last heard to run
+/// tells a crash at the start from a later one.
+pub const WAIT: Millis = Millis(250);
+
 /// A worker that one task has to itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Trial {
@@ -82,7 +86,7 @@
     for &key in &cx.crashes.suspects {
         let Some(task) = cx.task(key).filter(|t| waits(t)) else { continue };
         let Some(suspicion) = task.suspicion.as_ref() else { continue };
-        if !suspicion.ordinary && suspicion.may_start(now) {
+        if !suspicion.ordinary && suspicion.may_start() {
             let (losses, lived) = (suspicion.level(), suspicion.lived);
             found.push(Waiting { task: key, losses, lived, waited: now.since(task.since) });
         }
@@ -98,16 +102,21 @@
     empty.map(|(at, _)| WorkerIx(at as u32)).collect()
 }
 
-/// Starts a task on the empty worker that tells most: one whose address has not lost a worker lately.
-/// Another crash at an address that crashes anyway would speak against an innocent task.
+/// Starts a task on the empty worker that tells most: one whose address has not lost a worker lately, and
+/// that answered last. The loss of a worker that crashes anyway, or is dead already, would speak against an
+/// innocent task.
 fn start_alone(cx: &mut Context, key: TaskKey, empty: &mut Vec<WorkerIx>) -> bool {
     let Some(job) = cx.jobs.get(&key.job).map(|entry| entry.job.clone()) else { return false };
     let Some(service) = dispatch::service_of(cx, &job) else { return false };
     let Some(wanted) = dispatch::wanted(cx, &job, &service, key) else { return false };
-    let lost_at = |ix: WorkerIx| cx.crashes.lost_at.get(&cx.worker(ix).info.addr).copied();
+    let rank = |ix: WorkerIx| {
+        let worker = cx.worker(ix);
+        let heard = worker.clock.map(|(heard, _)| heard);
+        (cx.crashes.lost_at.get(&worker.info.addr).copied(), Reverse(heard))
+    };
     let fit =
         empty.iter().enumerate().filter(|(_, ix)| placement::value(cx, **ix, &wanted).is_some());
-    let Some((at, &ix)) = fit.min_by_key(|(_, ix)| lost_at(**ix)) else { return false };
+    let Some((at, &ix)) = fit.min_by_key(|(_, ix)| rank(**ix)) else { return false };
     empty.swap_remove(at);
     dispatch::start_at(cx, ix, key);
     keep(cx, ix, key);
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -258,7 +258,7 @@
 /// others.
 pub fn may_start(cx: &Context, task: TaskKey) -> bool {
     let due = |t: &&Task| t.state == TaskState::Pending && t.not_before <= cx.now;
-    cx.task(task).filter(due).is_some_and(|t| crashes::may_start(t, cx.now))
+    cx.task(task).filter(due).is_some_and(crashes::may_start)
 }
 
 /// Says what a task asks of a worker.
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -6,10 +6,10 @@
 use gaplock_jobs::TaskKey;
 
 use crate::context::Context;
-use crate::message::{Record, Run, WorkerClock, WorkerIx};
+use crate::message::{Run, WorkerClock, WorkerIx};
 use crate::proof::Proof;
 use crate::worker::Slot;
-use crate::{commits, crashes, doubts, lifecycle, roster, takeover, trace};
+use crate::{crashes, doubts, lifecycle, roster, takeover, trace};
 
 /// Gives up the runs of workers that are silent or refuse stops once their leases are certainly
 /// over, and workers that are neither listed nor answering.
@@ -73,12 +73,10 @@
     worker.gone = true;
     worker.clock = None;
     worker.lease_until = None;
-    let id = worker.info.id.clone();
     worker.in_roster = false;
     worker.roster_pending = false;
-    if !worker.forgotten {
-        worker.forgotten = true;
-        commits::add(cx, Record::ForgetWorker(id));
+    if !takeover::waits_for(cx, ix) {
+        roster::forget(cx, ix);
     }
     takeover::answered(cx, ix);
 }
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -4,9 +4,10 @@
 use gaplock_types::time::{Instant, Millis};
 
 use crate::context::Context;
+use crate::crashes::{self, trials};
 use crate::message::{Account, Action, Outcome, Refusal, WorkerIx};
 use crate::worker::Renewal;
-use crate::{account, commits, crashes, doubts, leases, pacing, roster, takeover, trace};
+use crate::{account, commits, doubts, leases, pacing, roster, takeover, trace};
 
 /// Sends every renewal that is due.
 pub fn send_due(cx: &mut Context) {
@@ -34,6 +35,7 @@
         || worker.awaits_proof();
     let wait = if quick || worker.slots.is_empty() { Millis(0) } else { wait };
     let wait = if worker.is_shared() { wait.min(SHARED_WAIT) } else { wait };
+    let wait = if worker.trial.is_some() { wait.min(trials::WAIT) } else { wait };
     let stored = worker.stored;
     cx.actions.push(Action::Renew { worker: ix, stored, until, wait });
 }
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -54,6 +54,17 @@
     commits::add(cx, record);
 }
 
+/// Takes a worker off the roster that certainly runs nothing any more.
+pub fn forget(cx: &mut Context, ix: WorkerIx) {
+    let worker = cx.worker_mut(ix);
+    if worker.forgotten {
+        return;
+    }
+    worker.forgotten = true;
+    let id = worker.info.id.clone();
+    commits::add(cx, Record::ForgetWorker(id));
+}
+
 /// Takes a closed worker off the roster once the leases of all that it may have run are over.
 pub fn lapsed(cx: &mut Context, ix: WorkerIx) {
     if cx.worker(ix).closed && !cx.worker(ix).forgotten {
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -17,7 +17,7 @@
 use crate::pacing::Learnt;
 use crate::table::{Entry, Round, StepState, TaskState};
 use crate::worker::Listing;
-use crate::{crashes, intake, leases, lifecycle, trace, upkeep};
+use crate::{crashes, intake, leases, lifecycle, roster, trace, upkeep};
 
 /// The search for runs of former leaders.
 #[derive(Debug)]
@@ -158,6 +158,12 @@
     }
 }
 
+/// Tells whether the survey waits for a worker that may run any task. If it is gone, the roster names it
+/// until it is known which tasks it may have taken along, since this leader may be lost before.
+pub fn waits_for(cx: &Context, ix: WorkerIx) -> bool {
+    cx.survey.as_ref().is_some_and(|survey| survey.waiting.contains(&ix))
+}
+
 /// Takes in that a worker has answered, or certainly runs nothing.
 pub fn answered(cx: &mut Context, ix: WorkerIx) {
     let gone = cx.worker(ix).gone;
@@ -233,6 +239,7 @@
     if !lost.is_empty() {
         let unfound = unfound(cx, held);
         crashes::any_lost(cx, lost, &unfound);
+        lost.iter().for_each(|&ix| roster::forget(cx, ix));
     }
     let keys: Vec<JobKey> = cx.jobs.keys().copied().collect();
     for key in keys {
@@ -265,7 +272,8 @@
 /// Lists the tasks that may have run and were found nowhere.
 fn unfound(cx: &mut Context, held: &FxHashSet<TaskKey>) -> FxHashSet<TaskKey> {
     let mut found = FxHashSet::default();
-    for entry in cx.jobs.values_mut().filter(|e| e.state == JobState::Active) {
+    // What a former leader started last may not be stored as begun.
+    for entry in cx.jobs.values_mut().filter(|e| !e.state.is_final()) {
         let tasks = entry.keyed_tasks_mut().filter(|(_, t)| t.state == TaskState::Unknown);
         found.extend(tasks.map(|(key, _)| key).filter(|key| !held.contains(key)));
     }
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -123,9 +123,10 @@
     info!(event = "task_suspected", %task, %worker, ?loss, crashes, lived_ms = lived.0, together);
 }
 
-/// A worker of which nobody knows what it ran is lost, and the task was found nowhere.
-pub fn task_doubted(task: TaskKey) {
-    info!(event = "task_doubted", %task);
+/// A worker may have crashed under a task: it was lost at a change of leader, and the task was found
+/// nowhere, or it was lost together with many others.
+pub fn task_doubted(task: TaskKey, worker: &ids::WorkerId) {
+    info!(event = "task_doubted", %task, %worker);
 }
 
 /// It is known what became of a worker that was silent under a task.
--- a/crates/sched/tests/fleet/world/crashes.rs
+++ b/crates/sched/tests/fleet/world/crashes.rs
@@ -56,6 +56,14 @@
 }
 
 impl World {
+    /// Lets time pass until a job's tasks have crashed so many workers, or `most_ms` are over.
+    pub fn run_until_crashes(&mut self, key: u64, crashes: usize, most_ms: u64) {
+        let until = self.now + most_ms;
+        while self.crashes.of(key) < crashes && self.now < until {
+            self.run(1);
+        }
+    }
+
     /// Makes the first task of a job's step crash each worker that runs it, so many milliseconds after
     /// its start.
     pub fn crash_under(&mut self, key: u64, step: u16, after_ms: u64) {
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -12,6 +12,7 @@
 mod checks;
 mod crashes;
 mod hosts;
+mod log;
 mod store;
 mod views;
 mod worker;
@@ -121,6 +122,7 @@
 impl World {
     /// Builds a world of `workers` workers of 8 cores, led from the start.
     pub fn open(seed: u64, workers: usize) -> Self {
+        log::open();
         let mut world = Self {
             now: START_MS,
             cx: None,
@@ -238,6 +240,7 @@
         let until = self.now + ms;
         while self.now < until {
             self.now += 1;
+            log::set_now(self.now);
             self.step_workers();
             self.step_hosts();
             while let Some(entry) = self.deliveries.first_entry() {
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -39,6 +39,11 @@
         self.cx.as_ref().map_or(0, |cx| cx.pass_looks)
     }
 
+    /// Returns how many tasks the leader suspects of having crashed a worker.
+    pub fn suspects(&self) -> usize {
+        self.cx.as_ref().map_or(0, |cx| cx.crashes.suspects.len())
+    }
+
     /// Returns how many starts wait for their answer.
     pub fn starts_under_way(&self) -> usize {
         let starting = |w: &Worker| w.slots.values().filter(|s| s.phase == Phase::Starting).count();
