--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -125,7 +125,7 @@
                 Err(_) => self.cx.handle(clock::now(), clock::unix_ms(), Event::Tick),
             }
         }
-        self.show_room(Free::default(), 0);
+        self.show_room(Free::default(), 0, 0);
     }
 
     /// Takes in a message and those that wait behind it, up to a batch.
@@ -188,15 +188,16 @@
         let counts = counts.map(|(queue, waiting)| QueueCount { queue: queue.into(), waiting });
         *self.engine.waiting.lock().expect("no holder of the lock panics") = counts.collect();
         let free = room::free(&self.cx);
-        self.show_room(free, self.cx.ready.len());
+        self.show_room(free, self.cx.ready.len(), self.cx.crashes.suspects.len());
     }
 
     /// Shows the pool's room in the metrics.
-    fn show_room(&self, free: Free, waiting_steps: usize) {
+    fn show_room(&self, free: Free, waiting_steps: usize, suspects: usize) {
         let metrics = &self.node.metrics;
         metrics.free_millicores.set(free.in_all as i64);
         metrics.largest_free_millicores.set(i64::from(free.largest.0));
         metrics.waiting_steps.set(waiting_steps as i64);
+        metrics.suspect_tasks.set(suspects as i64);
     }
 }
 
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -4,7 +4,6 @@
 //! Each feed is a task that watches a prefix; where a watch starts too late to be complete, the
 //! prefix is listed anew. Feeds live for one leadership and are ended by `leading`.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,9 +13,9 @@
 use gaplock_platform::store::{Change, Item, Revision, StoreError};
 use gaplock_platform::waves;
 use gaplock_sched::Event;
-use gaplock_types::ids;
 
 use crate::engine::Engine;
+use crate::entries::Entries;
 use crate::keys;
 use crate::node::Node;
 
@@ -39,8 +38,8 @@
     pub inbox: Revision,
     /// The revision at which the directory was read.
     pub directory: Revision,
-    /// The workers that the directory listed.
-    pub known: BTreeSet<ids::WorkerId>,
+    /// What the directory listed.
+    pub entries: Entries,
 }
 
 /// Starts the feeds of a leadership. Waves are read only where the installation has duties.
@@ -48,7 +47,7 @@
     let (inbox, directory) = (Arc::clone(node), Arc::clone(node));
     let mut feeds = vec![
         task::spawn(feed_inbox(inbox, Arc::clone(engine), seen.inbox)),
-        task::spawn(feed_directory(directory, Arc::clone(engine), seen.directory, seen.known)),
+        task::spawn(feed_directory(directory, Arc::clone(engine), seen.directory, seen.entries)),
     ];
     if node.installation.has_duties {
         feeds.push(task::spawn(feed_waves(Arc::clone(node), Arc::clone(engine))));
@@ -119,7 +118,7 @@
     node: Arc<Node>,
     engine: Arc<Engine>,
     from: Revision,
-    mut known: BTreeSet<ids::WorkerId>,
+    mut entries: Entries,
 ) {
     let mut from = from;
     let mut away = false;
@@ -130,7 +129,7 @@
                 back(&engine, &mut away);
                 from = watched.revision;
                 for change in &watched.changes {
-                    if let Some(event) = directory_event(change, &mut known) {
+                    if let Some(event) = entries.changed(change) {
                         engine.send(event);
                     }
                 }
@@ -140,9 +139,8 @@
                 Ok(listed) => {
                     back(&engine, &mut away);
                     from = listed.revision;
-                    directory_events(&listed.items, &mut known)
-                        .into_iter()
-                        .for_each(|event| engine.send(event));
+                    let events = entries.listed(&listed.items);
+                    events.into_iter().for_each(|event| engine.send(event));
                 }
                 Err(e) => {
                     tracing::debug!(event = "store_silent", error = %e);
@@ -166,42 +164,6 @@
     }
 }
 
-/// Turns one change of the directory into an event; a malformed entry changes nothing.
-fn directory_event(change: &Change, known: &mut BTreeSet<ids::WorkerId>) -> Option<Event> {
-    match change {
-        Change::Removed(key) => {
-            let id = directory::worker_of(key)?;
-            known.remove(&id);
-            Some(Event::Unlisted(id))
-        }
-        Change::Set(item) => {
-            let id = directory::worker_of(&item.key)?;
-            match directory::decode(id.clone(), &item.value) {
-                Ok(info) => {
-                    known.insert(id);
-                    Some(Event::Listed(info))
-                }
-                Err(e) => {
-                    tracing::warn!(event = "directory_malformed", worker = %id, error = %e);
-                    None
-                }
-            }
-        }
-    }
-}
-
-/// Turns a whole listing into events: what is listed, and what no longer is.
-pub fn directory_events(items: &[Item], known: &mut BTreeSet<ids::WorkerId>) -> Vec<Event> {
-    let before = std::mem::take(known);
-    let mut events: Vec<Event> = Vec::new();
-    for item in items {
-        events.extend(directory_event(&Change::Set(item.clone()), known));
-    }
-    let gone = before.difference(known);
-    events.extend(gone.map(|id| Event::Unlisted(id.clone())));
-    events
-}
-
 /// Tells the engine of waves of upkeep: those that are there, then each that is asked for.
 async fn feed_waves(node: Arc<Node>, engine: Arc<Engine>) {
     let mut from = None;
--- a/crates/node/src/leading.rs
+++ b/crates/node/src/leading.rs
@@ -1,6 +1,5 @@
 //! One leadership from its claim to its end: restores the state, runs the engine, then hands over.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use gaplock_platform::store::Txn;
@@ -11,7 +10,7 @@
 use crate::leadership::{Claim, Standing};
 use crate::node::{Node, Role};
 use crate::peers::Invitation;
-use crate::{engine, feeds, keeping, keys, ledger, reading};
+use crate::{engine, entries, feeds, keeping, keys, ledger, reading};
 
 /// Leads until the leadership is over.
 pub async fn lead(node: &Arc<Node>, claim: Claim, sent: Instant) {
@@ -55,14 +54,14 @@
         cx.handle(now, unix_ms, Event::Config(config));
     }
     takeover::restore(&mut cx, state.stored);
-    let mut known = BTreeSet::new();
-    for event in feeds::directory_events(&state.directory.items, &mut known) {
+    let mut entries = entries::open(node.metrics.unreadable_entries.clone());
+    for event in entries.listed(&state.directory.items) {
         cx.handle(now, unix_ms, event);
     }
     let driver = engine::open(node, cx, Arc::clone(standing), ledger);
     let engine = driver.engine();
     node.set_role(Role::Leader(Arc::clone(&engine)));
-    let seen = feeds::Seen { inbox: state.inbox, directory: state.directory.revision, known };
+    let seen = feeds::Seen { inbox: state.inbox, directory: state.directory.revision, entries };
     let feeds = feeds::open(node, &engine, seen);
     driver.run().await;
     for feed in feeds {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -3,6 +3,7 @@
 mod actions;
 mod callers;
 mod engine;
+mod entries;
 mod feeds;
 mod following;
 mod handover;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -36,6 +36,10 @@
     pub largest_free_millicores: Gauge,
     /// Steps with tasks that wait for a worker; 0 on a follower.
     pub waiting_steps: Gauge,
+    /// Entries of the directory that are not what a worker writes, as the leader saw it last.
+    pub unreadable_entries: Gauge,
+    /// Tasks that are suspected of crashing workers; 0 on a follower.
+    pub suspect_tasks: Gauge,
     /// Log lines that were dropped because standard output was not read in time.
     pub log_lines_dropped: Gauge,
 }
@@ -67,6 +71,9 @@
     let largest_free_millicores =
         gauge("largest_free_millicores", "The most free processors of one worker");
     let waiting_steps = gauge("waiting_steps", "Steps whose tasks wait for a worker");
+    let unreadable_entries =
+        gauge("unreadable_entries", "Entries of the directory that no worker writes");
+    let suspect_tasks = gauge("suspect_tasks", "Tasks that are suspected of crashing workers");
     Metrics {
         registry,
         answers,
@@ -78,6 +85,8 @@
         free_millicores,
         largest_free_millicores,
         waiting_steps,
+        unreadable_entries,
+        suspect_tasks,
         log_lines_dropped,
     }
 }
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -10,6 +10,7 @@
 
 use crate::commits::{self, Commits};
 use crate::crashes::Crashes;
+use crate::directory::Unnamed;
 use crate::message::{Action, Event, FencingToken, Run, WorkerIx};
 use crate::pacing::{self, Pacing};
 use crate::permits::{self, Permits};
@@ -18,7 +19,9 @@
 use crate::takeover::{self, Survey};
 use crate::upkeep::{self, Upkeep};
 use crate::worker::Worker;
-use crate::{crashes, dispatch, drain, intake, leases, orders, renewals, roster, stragglers};
+use crate::{
+    crashes, directory, dispatch, drain, intake, leases, orders, renewals, roster, stragglers,
+};
 
 /// A leadership: its rising number and the token that fences every earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -82,6 +85,8 @@
     pub workers: Vec<Worker>,
     /// Workers by their incarnation.
     pub by_id: FxHashMap<ids::WorkerId, WorkerIx>,
+    /// Entries of the directory whose pool the configuration does not name.
+    pub unnamed: Unnamed,
     /// Steps with pending tasks.
     pub ready: BTreeSet<ReadyStep>,
     /// Set while former leaders' runs are being searched for.
@@ -130,6 +135,7 @@
             jobs: FxHashMap::default(),
             workers: Vec::new(),
             by_id: FxHashMap::default(),
+            unnamed: Unnamed::default(),
             ready: BTreeSet::new(),
             survey: None,
             commits: Commits::default(),
@@ -162,8 +168,9 @@
             Event::Config(config) => intake::config(self, config),
             Event::Job(job) => intake::job(self, job),
             Event::Cancel(key) => intake::cancel(self, key),
-            Event::Listed(info) => intake::listed(self, info),
-            Event::Unlisted(id) => intake::unlisted(self, &id),
+            Event::Listed(info) => directory::listed(self, info),
+            Event::Unreadable(id) => directory::unreadable(self, &id),
+            Event::Unlisted(id) => directory::unlisted(self, &id),
             Event::DirectoryBack => self.directory_back = now,
             Event::Renewed { worker, sent, outcome } => {
                 renewals::renewed(self, worker, sent, outcome);
--- a/crates/sched/src/crashes.rs
+++ b/crates/sched/src/crashes.rs
@@ -228,7 +228,7 @@
 pub fn has_left(worker: &Worker) -> bool {
     let answered_after = |since| worker.clock.is_some_and(|(heard, _)| heard > since);
     let left = match worker.listing {
-        Listing::Ready => false,
+        Listing::Ready | Listing::Unreadable => false,
         Listing::Draining { .. } => true,
         Listing::Absent { since } => answered_after(since),
     };
--- /dev/null
+++ b/crates/sched/src/directory.rs
@@ -0,0 +1,116 @@
+//! What the directory says of workers.
+//!
+//! Others than workers may write there. An entry that cannot be read, or whose pool no configuration
+//! names, names no worker that gets tasks; what runs at a worker that was sound before goes on.
+
+use std::collections::BTreeMap;
+
+use gaplock_types::ids;
+
+use crate::context::Context;
+use crate::message::{WorkerInfo, WorkerIx};
+use crate::worker::{Listing, Worker};
+use crate::{roster, trace, upkeep};
+
+/// Sound entries whose pool the configuration does not name; a later one may.
+pub type Unnamed = BTreeMap<ids::WorkerId, WorkerInfo>;
+
+/// How many such entries are kept. Workers of a pool that nobody uses are few; another writer's entries
+/// may be any number.
+const UNNAMED_MOST: usize = 4_096;
+
+/// Takes in what the directory says of a worker.
+pub fn listed(cx: &mut Context, info: WorkerInfo) {
+    if !is_pool_named(cx, &info.service) {
+        return set_aside(cx, info);
+    }
+    cx.unnamed.remove(&info.id);
+    let listing = listing_of(cx, &info);
+    let ix = known_or_new(cx, &info, listing);
+    let worker = cx.worker_mut(ix);
+    let was = worker.listing;
+    worker.listing = match (was, listing) {
+        (Listing::Draining { .. }, Listing::Draining { .. }) => was,
+        _ => listing,
+    };
+    worker.info = info;
+    worker.gone = false;
+    if was != listing {
+        trace::worker_listed(&worker.info, worker.listing);
+    }
+    if !worker.info.capacity.holds(&worker.used) {
+        trace::worker_overfull(worker);
+    }
+    roster::open(cx, ix);
+    cx.pass_wanted = true;
+}
+
+/// Returns how the directory shows a worker.
+fn listing_of(cx: &Context, info: &WorkerInfo) -> Listing {
+    if !info.draining {
+        return Listing::Ready;
+    }
+    let remaining = info.remaining.unwrap_or(cx.settings.drain);
+    Listing::Draining { since: cx.now, remaining }
+}
+
+/// Tells whether the configuration names a pool; before the first one each may be.
+fn is_pool_named(cx: &Context, pool: &ids::ServiceId) -> bool {
+    let Some(config) = &cx.config else { return true };
+    config.pools.iter().any(|p| p.service == *pool)
+}
+
+/// Keeps an entry whose pool is not named, and gives the worker that it names no more tasks.
+fn set_aside(cx: &mut Context, info: WorkerInfo) {
+    unreadable(cx, &info.id);
+    if cx.unnamed.len() < UNNAMED_MOST || cx.unnamed.contains_key(&info.id) {
+        cx.unnamed.insert(info.id.clone(), info);
+    }
+}
+
+/// Takes in that the configuration has changed: entries may name workers now that did not before.
+pub fn pools_changed(cx: &mut Context) {
+    for info in std::mem::take(&mut cx.unnamed).into_values() {
+        listed(cx, info);
+    }
+}
+
+/// Finds a worker by its incarnation, or adds it.
+pub fn known_or_new(cx: &mut Context, info: &WorkerInfo, listing: Listing) -> WorkerIx {
+    if let Some(&ix) = cx.by_id.get(&info.id) {
+        return ix;
+    }
+    let ix = WorkerIx(cx.workers.len() as u32);
+    trace::worker_listed(info, listing);
+    let mut worker = Worker::new(info.clone(), listing, cx.now);
+    worker.emptying = upkeep::is_expected_down(cx, &info.id);
+    cx.workers.push(worker);
+    cx.by_id.insert(info.id.clone(), ix);
+    ix
+}
+
+/// Takes in that the directory's entry of a worker is not what a worker writes. One that is leaving goes
+/// on leaving.
+pub fn unreadable(cx: &mut Context, id: &ids::WorkerId) {
+    cx.unnamed.remove(id);
+    let Some(&ix) = cx.by_id.get(id) else { return };
+    let worker = cx.worker_mut(ix);
+    if matches!(worker.listing, Listing::Ready) {
+        worker.listing = Listing::Unreadable;
+        trace::worker_listed(&worker.info, worker.listing);
+    }
+}
+
+/// Takes in that the directory no longer lists a worker. It may live on, so nothing of it is
+/// given up here; see [`crate::leases::check`].
+pub fn unlisted(cx: &mut Context, id: &ids::WorkerId) {
+    cx.unnamed.remove(id);
+    let Some(&ix) = cx.by_id.get(id) else { return };
+    let since = cx.now;
+    let worker = cx.worker_mut(ix);
+    if worker.is_absent() {
+        return;
+    }
+    worker.listing = Listing::Absent { since };
+    trace::worker_listed(&worker.info, worker.listing);
+}
--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/drain.rs
@@ -54,6 +54,7 @@
             let leaving = Departure { last_call: cx.now, announced: false };
             worker.emptying.then_some(leaving)
         }
+        Listing::Unreadable => None,
         Listing::Draining { since, remaining } => {
             Some(Departure { last_call: last_call(since, remaining), announced: true })
         }
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -1,18 +1,16 @@
-//! What comes in from outside: configuration, jobs, cancellations, the directory of workers.
+//! What comes in from outside: configuration, jobs, cancellations.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{config, Job, JobKey};
-use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
 use crate::context::Context;
-use crate::message::{Record, WorkerInfo, WorkerIx};
+use crate::message::Record;
 use crate::table::{Entry, Round};
-use crate::worker::{Listing, Worker};
-use crate::{commits, lifecycle, permits, roster, takeover, trace, upkeep};
+use crate::{commits, directory, lifecycle, permits, takeover, trace};
 
 /// Takes a version of the configuration into force; an older one is ignored.
 pub fn config(cx: &mut Context, config: Arc<config::Config>) {
@@ -27,6 +25,7 @@
     }
     cx.config = Some(config);
     cx.pass_wanted = true;
+    directory::pools_changed(cx);
 }
 
 /// How many failed runs a task may have whose queue the configuration no longer names.
@@ -115,58 +114,6 @@
     lifecycle::end_job(cx, key, JobState::Cancelled);
 }
 
-/// Takes in what the directory says of a worker.
-pub fn listed(cx: &mut Context, info: WorkerInfo) {
-    let now = cx.now;
-    let listing = if info.draining {
-        let remaining = info.remaining.unwrap_or(cx.settings.drain);
-        Listing::Draining { since: now, remaining }
-    } else {
-        Listing::Ready
-    };
-    let ix = known_or_new(cx, &info, listing);
-    let worker = cx.worker_mut(ix);
-    let was = worker.listing;
-    worker.listing = match (was, listing) {
-        (Listing::Draining { .. }, Listing::Draining { .. }) => was,
-        _ => listing,
-    };
-    worker.info = info;
-    worker.gone = false;
-    if was != listing {
-        trace::worker_listed(&worker.info, worker.listing);
-    }
-    roster::open(cx, ix);
-    cx.pass_wanted = true;
-}
-
-/// Finds a worker by its incarnation, or adds it.
-pub fn known_or_new(cx: &mut Context, info: &WorkerInfo, listing: Listing) -> WorkerIx {
-    if let Some(&ix) = cx.by_id.get(&info.id) {
-        return ix;
-    }
-    let ix = WorkerIx(cx.workers.len() as u32);
-    trace::worker_listed(info, listing);
-    let mut worker = Worker::new(info.clone(), listing, cx.now);
-    worker.emptying = upkeep::is_expected_down(cx, &info.id);
-    cx.workers.push(worker);
-    cx.by_id.insert(info.id.clone(), ix);
-    ix
-}
-
-/// Takes in that the directory no longer lists a worker. It may live on, so nothing of it is
-/// given up here; see [`crate::leases::check`].
-pub fn unlisted(cx: &mut Context, id: &ids::WorkerId) {
-    let Some(&ix) = cx.by_id.get(id) else { return };
-    let since = cx.now;
-    let worker = cx.worker_mut(ix);
-    if worker.is_absent() {
-        return;
-    }
-    worker.listing = Listing::Absent { since };
-    trace::worker_listed(&worker.info, worker.listing);
-}
-
 /// Drops jobs whose final state has been kept for long enough.
 pub fn forget_finished(cx: &mut Context) {
     let keep = cx.settings.keep_finished.0;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod commits;
 pub mod context;
 pub mod crashes;
+pub mod directory;
 pub mod dispatch;
 pub mod doubts;
 pub mod drain;
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -200,6 +200,8 @@
     Cancel(JobKey),
     /// The directory lists a worker, or lists it differently.
     Listed(WorkerInfo),
+    /// The directory's entry of a worker is not what a worker writes.
+    Unreadable(ids::WorkerId),
     /// The directory no longer lists a worker.
     Unlisted(ids::WorkerId),
     /// The directory can be read again after it could not be; entries may have lapsed meanwhile.
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -17,7 +17,7 @@
 use crate::pacing::Learnt;
 use crate::table::{Entry, Round, StepState, TaskState};
 use crate::worker::Listing;
-use crate::{crashes, intake, leases, lifecycle, roster, trace, upkeep};
+use crate::{crashes, directory, intake, leases, lifecycle, roster, trace, upkeep};
 
 /// The search for runs of former leaders.
 #[derive(Debug)]
@@ -60,7 +60,7 @@
     upkeep::restore(cx, waves);
     let (mut waiting, mut closed) = (FxHashSet::default(), FxHashMap::default());
     for entry in roster {
-        let ix = intake::known_or_new(cx, &entry.info, Listing::Absent { since: cx.now });
+        let ix = directory::known_or_new(cx, &entry.info, Listing::Absent { since: cx.now });
         let worker = cx.worker_mut(ix);
         worker.in_roster = entry.holds.is_none();
         worker.closed = entry.holds.is_some();
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -159,6 +159,13 @@
     info!(event = "worker_listed", worker = %info.id, addr = %info.addr, ?listing);
 }
 
+/// A worker's room has shrunk below what it runs. Nothing is stopped for that: the worker goes on, and
+/// whatever was stopped would lose its work.
+pub fn worker_overfull(worker: &Worker) {
+    info!(event = "worker_overfull", worker = %worker.info.id, capacity = %worker.info.capacity,
+        used = %worker.used);
+}
+
 /// A worker did not answer.
 pub fn worker_silent(worker: &ids::WorkerId) {
     warn!(event = "worker_silent", %worker);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -100,6 +100,8 @@
         /// How long it stays at least.
         remaining: Millis,
     },
+    /// Its entry is not what a worker writes. It gets no tasks, and keeps those that it has.
+    Unreadable,
     /// It is not listed since this time. It may be about to end without having said so, may have
     /// lost its way to the directory, or may be dead.
     Absent {
--- /dev/null
+++ b/crates/sched/tests/fleet/foreign.rs
@@ -0,0 +1,81 @@
+//! Entries of the directory that another writer has put there, and workers of pools that nobody uses.
+//!
+//! Seen by reading: an entry that could not be read left the former one in force, so a worker went on
+//! getting tasks that the directory no longer named; and each entry was asked for an account, whatever
+//! pool it named. These tests failed on that code.
+
+use gaplock_jobs::Step;
+
+use crate::world::{assert_kept, job, step, World};
+
+fn lasting(count: u32) -> Step {
+    Step { lasting: true, ..step(count, &[]) }
+}
+
+#[test]
+fn a_worker_whose_entry_cannot_be_read_gets_no_tasks_and_keeps_those_it_has() {
+    let mut world = World::open(601, 4);
+    world.submit(job(1, vec![lasting(8)]));
+    world.run(1_000);
+    let before = world.running_at(0);
+    world.spoil_entry(0);
+    world.submit(job(2, vec![lasting(24)]));
+    world.run(5_000);
+    assert_eq!(world.running_at(0), before, "tasks were started or stopped there");
+    assert_eq!(world.running_of(1), 8);
+    assert_kept(&world);
+}
+
+#[test]
+fn a_worker_whose_entry_is_sound_again_gets_tasks() {
+    let mut world = World::open(602, 1);
+    world.run(500);
+    world.spoil_entry(0);
+    world.submit(job(1, vec![step(4, &[])]));
+    world.run(3_000);
+    assert!(!world.is_completed(1));
+    for _ in 0..5 {
+        world.list_again(0);
+        world.spoil_entry(0);
+        world.run(200);
+    }
+    world.list_again(0);
+    world.run(2_000);
+    assert!(world.is_completed(1));
+    assert_kept(&world);
+}
+
+#[test]
+fn an_entry_of_an_unknown_pool_is_not_asked_for_anything() {
+    let mut world = World::open(603, 2);
+    world.add_worker_of("x1", "another-pool");
+    world.run(20_000);
+    assert_eq!(world.renewals_to(2), 0);
+    world.submit(job(1, vec![step(4, &[])]));
+    world.run(2_000);
+    assert!(world.is_completed(1));
+    assert_kept(&world);
+}
+
+#[test]
+fn a_pool_that_a_later_configuration_names_is_used() {
+    let mut world = World::open(604, 1);
+    world.add_worker_of("x1", "another-pool");
+    world.run(1_000);
+    world.name_pool("another-pool");
+    world.run(6_000);
+    assert!(world.renewals_to(1) > 0);
+}
+
+/// A crashed worker whose entry cannot be read still counts, once the entry has lapsed.
+#[test]
+fn a_worker_that_crashes_behind_an_unreadable_entry_is_given_up() {
+    let mut world = World::open(605, 3);
+    world.submit(job(1, vec![lasting(6)]));
+    world.run(1_000);
+    world.spoil_entry(0);
+    world.crash_and_return(0);
+    world.run(12_000);
+    assert_eq!(world.running_of(1), 6);
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -2,7 +2,9 @@
 
 mod backlogs;
 mod bursts;
+mod capacity;
 mod crashes;
+mod foreign;
 mod gangs;
 mod late_paces;
 mod late_starts;
--- a/crates/sched/tests/fleet/renewals.rs
+++ b/crates/sched/tests/fleet/renewals.rs
@@ -12,7 +12,8 @@
 
 /// Returns the most renewals that were sent at one time from `since` on.
 fn most_at_one_time(world: &World, since: u64) -> usize {
-    let sent: Vec<u64> = world.renewals.iter().copied().filter(|at| *at >= since).collect();
+    let times = world.renewals.iter().map(|(at, _)| *at);
+    let sent: Vec<u64> = times.filter(|at| *at >= since).collect();
     let within =
         |from: u64| sent.iter().filter(|at| (from..from + AT_ONE_TIME).contains(*at)).count();
     sent.iter().map(|from| within(*from)).max().unwrap_or(0)
--- a/crates/sched/tests/fleet/world/calls.rs
+++ b/crates/sched/tests/fleet/world/calls.rs
@@ -38,6 +38,8 @@
 pub struct Work {
     pub takes: Resources,
     pub lasting: bool,
+    /// When the leader sent the start.
+    pub sent: u64,
     /// How long the task runs unless it lasts, in milliseconds.
     pub ms: u64,
 }
@@ -101,13 +103,13 @@
         for action in actions {
             let (worker, call) = match action {
                 Action::Renew { worker, stored, until, wait } => {
-                    self.renewals.push(self.now);
                     let renewal = Renewal { stored, until, wait: wait.0, sent: now };
                     (worker, Call::Renew(renewal))
                 }
                 Action::Start { worker, task, run, job, until, .. } => {
                     let step = &job.steps[usize::from(task.step)];
-                    let work = Work { takes: step.demand, lasting: step.lasting, ms: self.work_ms };
+                    let (takes, lasting, ms) = (step.demand, step.lasting, self.work_ms);
+                    let work = Work { takes, lasting, sent: now.0, ms };
                     (worker, Call::Start { task, run, until, work })
                 }
                 Action::Stop { worker, task, run } => (worker, Call::Stop { task, run }),
@@ -145,6 +147,9 @@
 
     fn call(&mut self, ix: WorkerIx, call: Call) {
         let worker = self.worker_of(ix);
+        if matches!(call, Call::Renew(_)) {
+            self.renewals.push((self.now, worker));
+        }
         let (token, leader) = (self.token, self.term);
         let roll = self.rng.random_range(0..1_000);
         let f = self.faults;
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -21,12 +21,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use gaplock_jobs::config::Advice;
+use gaplock_jobs::config::{Advice, Config, Pool};
 use gaplock_jobs::progress::Progress;
 use gaplock_jobs::{Job, JobKey, TaskKey};
 use gaplock_sched::message::{RosterEntry, WaveNumber, WaveProgress};
 use gaplock_sched::{Context, Event, Settings};
 use gaplock_types::ids;
+use gaplock_types::sizes::Resources;
 use gaplock_types::time::{Instant, Millis};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -82,8 +83,8 @@
     pub settings: Settings,
     /// Broken promises, in words.
     pub violations: Vec<String>,
-    /// When each renewal was sent.
-    pub renewals: Vec<u64>,
+    /// When each renewal was sent, and to which worker.
+    pub renewals: Vec<(u64, usize)>,
     /// Orders of pace that were sent.
     pub paces_ordered: u64,
     /// Starts that workers carried out.
@@ -210,6 +211,35 @@
         self.event(Event::Unlisted(id));
     }
 
+    /// Adds a worker of another pool and lists it.
+    pub fn add_worker_of(&mut self, id: &str, pool: &str) {
+        let at = self.push_worker(id);
+        self.workers[at].info.service = pool.into();
+        self.list_again(at);
+    }
+
+    /// Puts a configuration into force that names one more pool.
+    pub fn name_pool(&mut self, pool: &str) {
+        let mut config = Config::clone(&builders::config(self.advice));
+        config.version += 1;
+        let named = Pool { service: pool.into(), guards_capacity: true, headroom: false };
+        config.pools.push(named);
+        self.event(Event::Config(Arc::new(config)));
+    }
+
+    /// Changes a worker's room, and lists it so.
+    pub fn resize(&mut self, worker: usize, capacity: Resources) {
+        self.workers[worker].info.capacity = capacity;
+        self.workers[worker].resized = self.now;
+        self.list_again(worker);
+    }
+
+    /// Puts something else into a worker's entry.
+    pub fn spoil_entry(&mut self, worker: usize) {
+        let id = self.workers[worker].info.id.clone();
+        self.event(Event::Unreadable(id));
+    }
+
     /// Lists a worker again as it was.
     pub fn list_again(&mut self, worker: usize) {
         let info = self.workers[worker].info.clone();
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -34,6 +34,11 @@
         self.renewals.len() - before
     }
 
+    /// Returns how many renewals were ever sent to a worker.
+    pub fn renewals_to(&self, worker: usize) -> usize {
+        self.renewals.iter().filter(|(_, to)| *to == worker).count()
+    }
+
     /// Returns how many looks at a worker the last dispatch pass took.
     pub fn looks(&self) -> usize {
         self.cx.as_ref().map_or(0, |cx| cx.pass_looks)
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -15,6 +15,10 @@
 use super::calls::{self, Call, Delivery, Renewal, Trip, Work};
 use super::{World, SERVICE};
 
+/// How long after a room has changed a start may still be sent by the former one, in milliseconds: the
+/// users count a room that has shrunk 3 s and a heartbeat later.
+const RESIZE_HEARD_MS: u64 = 3_000;
+
 #[derive(Debug, Clone)]
 pub(super) struct SimRun {
     /// What it takes of the worker's room.
@@ -46,6 +50,10 @@
 pub struct SimWorker {
     pub info: WorkerInfo,
     pub up: bool,
+    /// It starts what it is told to, whatever room it has.
+    pub unguarded: bool,
+    /// When its room last changed.
+    pub(super) resized: u64,
     /// Another incarnation answers at its address.
     pub replaced: bool,
     /// No call gets through, in either direction.
@@ -100,6 +108,8 @@
         Self {
             info,
             up: true,
+            unguarded: false,
+            resized: 0,
             replaced: false,
             cut: false,
             failing: false,
@@ -356,9 +366,13 @@
         }
         let taken: u32 = worker.running.values().map(|r| r.takes.cpu.0).sum();
         let cores = taken + work.takes.cpu.0;
-        if cores > worker.info.capacity.cpu.0 {
+        let beyond = cores > worker.info.capacity.cpu.0;
+        if beyond && !worker.unguarded {
             return Err(Refusal::Room);
         }
+        if beyond && work.sent >= worker.resized + RESIZE_HEARD_MS {
+            self.violations.push(format!("{}: {task} starts beyond the room of {at}", self.now));
+        }
         self.check_start(at, task);
         self.count_start(task);
         self.starts += 1;
