Library: a task whose workers boot anew soon after its start is given up after four

The record of a requeue now says whether the worker booted anew within 30 s of the run's work; four in a row give the task up. A worker that is leaving, a run that worked for longer, and a run of which nothing was heard are not counted. Not mended: replacements of service replicas are new tasks with a count of their own.

--- a/crates/coord/src/partition/lending.rs
+++ b/crates/coord/src/partition/lending.rs
@@ -197,7 +197,8 @@
         let checked = self.check.check(&Fact::Requeued { run, checkpoint_ms });
         if cx.allowed(checked) {
             let why = "it came back from where it was lent to".to_string();
-            let record = Record::Requeue { run, checkpoint_ms, evicted: false, failed, why };
+            let record =
+                Record::Requeue { run, checkpoint_ms, evicted: false, failed, crashed: false, why };
             self.record(cx, record, None);
         }
     }
--- a/crates/coord/src/partition/reconcile.rs
+++ b/crates/coord/src/partition/reconcile.rs
@@ -16,10 +16,20 @@
 
 const STOP_RETRY: time::Millis = time::Millis(1_000);
 
+/// How many boots of workers in a row may end soon after a task's start before it is given up: a third
+/// one may be chance, or the doing of a neighbour.
+const MOST_CRASHES: u32 = 4;
+
+/// How much work a run must have done to speak for its task when its worker boots anew: longer than
+/// anything that goes wrong at a start.
+const CLEARED_AFTER_MS: u64 = 30_000;
+
 /// How a run is proven to have stopped.
 pub(super) struct Stopped {
     pub(super) checkpoint_ms: u64,
     pub(super) failed: bool,
+    /// Whether its worker booted anew soon after its start.
+    pub(super) crashed: bool,
     pub(super) why: String,
 }
 
@@ -90,12 +100,22 @@
             wire::RunState::Failed => {
                 let why = format!("it failed on {worker}");
                 let checkpoint_ms = report.checkpoint_ms;
-                self.stopped(cx, worker, run, Stopped { checkpoint_ms, failed: true, why });
+                self.stopped(
+                    cx,
+                    worker,
+                    run,
+                    Stopped { checkpoint_ms, failed: true, crashed: false, why },
+                );
             }
             wire::RunState::Stopped => {
                 let why = why.unwrap_or_else(|| format!("its lease on {worker} lapsed"));
                 let checkpoint_ms = report.checkpoint_ms;
-                self.stopped(cx, worker, run, Stopped { checkpoint_ms, failed: false, why });
+                self.stopped(
+                    cx,
+                    worker,
+                    run,
+                    Stopped { checkpoint_ms, failed: false, crashed: false, why },
+                );
             }
         }
     }
@@ -206,7 +226,7 @@
         how: Stopped,
     ) {
         let Some(t) = self.state.task(run.task) else { return };
-        let (unwanted, kept) = (t.unwanted, t.checkpoint_ms);
+        let (unwanted, kept, crashes) = (t.unwanted, t.checkpoint_ms, t.crashes);
         if unwanted {
             let checked = self.check.check(&Fact::Ended(run));
             if cx.allowed(checked) {
@@ -224,13 +244,10 @@
             }
         }
         if finding == health::Finding::GiveUp {
-            let checked = self.check.check(&Fact::Ended(run));
-            if cx.allowed(checked) {
-                let why = format!("it failed on {} workers", health::JOB_WORKERS);
-                self.remember(cx, run.task.job, format!("{} given up: {why}", run.task));
-                self.record(cx, Record::GiveUp { task: run.task, why }, None);
-            }
-            return;
+            return self.give_up(cx, run, format!("it failed on {} workers", health::JOB_WORKERS));
+        }
+        if how.crashed && crashes + 1 >= MOST_CRASHES {
+            return self.give_up(cx, run, format!("{MOST_CRASHES} workers booted anew under it"));
         }
         let checkpoint_ms = how.checkpoint_ms.max(kept);
         let checked = self.check.check(&Fact::Requeued { run, checkpoint_ms });
@@ -240,8 +257,18 @@
         let view = self.links.get(worker).and_then(|l| l.runs.get(&run));
         let evicted = view.is_some_and(|v| v.evicting.is_some());
         self.remember(cx, run.task.job, format!("{} waits again: {}", run.task, how.why));
-        let Stopped { failed, why, .. } = how;
-        self.record(cx, Record::Requeue { run, checkpoint_ms, evicted, failed, why }, None);
+        let Stopped { failed, crashed, why, .. } = how;
+        let record = Record::Requeue { run, checkpoint_ms, evicted, failed, crashed, why };
+        self.record(cx, record, None);
+    }
+
+    /// Gives up the task of a run that is proven to have stopped.
+    fn give_up(&mut self, cx: &mut Context, run: wire::Run, why: String) {
+        let checked = self.check.check(&Fact::Ended(run));
+        if cx.allowed(checked) {
+            self.remember(cx, run.task.job, format!("{} given up: {why}", run.task));
+            self.record(cx, Record::GiveUp { task: run.task, why }, None);
+        }
     }
 
     /// Judges the runs that a worker's report does not mention.
@@ -277,10 +304,20 @@
             if refused_for_good {
                 let why = format!("{worker} refused it: {:?}", view.refused);
                 let failed = view.refused == Some(wire::Verdict::Failed);
-                self.stopped(cx, worker, run, Stopped { checkpoint_ms, failed, why });
+                self.stopped(
+                    cx,
+                    worker,
+                    run,
+                    Stopped { checkpoint_ms, failed, crashed: false, why },
+                );
             } else if view.started && sent_at >= view.started_at {
                 let why = format!("{worker} does not know it any more");
-                self.stopped(cx, worker, run, Stopped { checkpoint_ms, failed: false, why });
+                self.stopped(
+                    cx,
+                    worker,
+                    run,
+                    Stopped { checkpoint_ms, failed: false, crashed: false, why },
+                );
             }
         }
     }
@@ -342,8 +379,9 @@
         if let Some(view) = link.and_then(|l| l.runs.get(&run)) {
             checkpoint_ms = checkpoint_ms.max(view.checkpoint_ms);
         }
+        let crashed = link.is_some_and(|l| ended_soon(l, run, place.boot));
         let why = format!("{worker} is gone and its leases have ended");
-        self.stopped(cx, worker, run, Stopped { checkpoint_ms, failed: false, why });
+        self.stopped(cx, worker, run, Stopped { checkpoint_ms, failed: false, crashed, why });
     }
 
     /// Returns from when on no run of `boot` on `worker` can be alive.
@@ -375,3 +413,12 @@
         }
     }
 }
+
+/// Tells whether a worker booted anew soon after the start of a run that its former boot may have begun.
+/// A worker that is leaving ends as it said.
+fn ended_soon(link: &Link, run: wire::Run, boot: wire::Boot) -> bool {
+    let rebooted = link.boot.is_some_and(|b| b != boot) && link.is != upstream::Is::Leaving;
+    let began = |v: &RunView| v.started || v.valid_until > time::Instant::default();
+    let soon = |v: &RunView| began(v) && v.progress_ms < CLEARED_AFTER_MS;
+    rebooted && link.runs.get(&run).is_some_and(soon)
+}
--- a/crates/coord/src/records.rs
+++ b/crates/coord/src/records.rs
@@ -75,6 +75,9 @@
         evicted: bool,
         /// Whether the task itself failed.
         failed: bool,
+        /// Whether its worker booted anew soon after its start.
+        #[serde(default)]
+        crashed: bool,
         /// Why.
         why: String,
     },
--- a/crates/coord/src/state/mod.rs
+++ b/crates/coord/src/state/mod.rs
@@ -56,6 +56,9 @@
     pub evictions: u32,
     /// Failures so far.
     pub failures: u32,
+    /// Runs in a row under which the worker booted anew soon after the start.
+    #[serde(default)]
+    pub crashes: u32,
     /// Whether it is to end as cancelled once it is proven stopped.
     #[serde(default)]
     pub unwanted: bool,
@@ -194,11 +197,12 @@
             Record::ResumeFrom { task, checkpoint_ms } => {
                 self.change(*task, |t| t.checkpoint_ms = *checkpoint_ms);
             }
-            Record::Requeue { run, checkpoint_ms, evicted, failed, why } => {
+            Record::Requeue { run, checkpoint_ms, evicted, failed, crashed, why } => {
                 self.step(run.task, task::On::Requeue, record, |t| {
                     t.checkpoint_ms = *checkpoint_ms;
                     t.evictions += u32::from(*evicted);
                     t.failures += u32::from(*failed);
+                    t.crashes = if *crashed { t.crashes + 1 } else { 0 };
                     leave_place(t, why);
                 })?;
             }
@@ -375,6 +379,7 @@
         checkpoint_ms: 0,
         evictions: 0,
         failures: 0,
+        crashes: 0,
         unwanted: false,
         why: String::new(),
     }
