Suspects are found by their workers, and looked for only where one waits

By reading: each worker that answered for the first time, or again, went over all suspects, and each pass did; with a third of 900 workers lost there are over a thousand. An index by worker, a mark that a suspect may wait, and a look at all of them five times a second.

--- a/crates/sched/src/crashes.rs
+++ b/crates/sched/src/crashes.rs
@@ -140,8 +140,27 @@
 pub struct Crashes {
     /// All tasks with a suspicion.
     pub suspects: BTreeSet<TaskKey>,
+    /// The suspects that a lost worker speaks or spoke against.
+    by_worker: FxHashMap<ids::WorkerId, Vec<TaskKey>>,
     /// When a worker at an address last crashed.
     lost_at: FxHashMap<String, Instant>,
+    /// Set when a suspect may wait to be tried alone.
+    may_wait: bool,
+    checked: Instant,
+}
+
+impl Crashes {
+    /// Adds a suspect and the worker that speaks against it.
+    fn add(&mut self, key: TaskKey, worker: &ids::WorkerId) {
+        self.suspects.insert(key);
+        self.by_worker.entry(worker.clone()).or_default().push(key);
+        self.note_waiting();
+    }
+
+    /// Takes in that a suspect waits for a worker.
+    pub fn note_waiting(&mut self) {
+        self.may_wait = true;
+    }
 }
 
 /// How a worker was lost.
@@ -271,7 +290,7 @@
         suspicion.saved = Saved::No;
         commits::mark_urgent(&mut cx.commits, now, key.job);
     }
-    cx.crashes.suspects.insert(key);
+    cx.crashes.add(key, worker);
     let (lived, together) = (evidence.lived, evidence.together);
     trace::task_suspected(key, worker, loss, crashes, lived, together);
 }
@@ -290,12 +309,8 @@
 
 /// Settles the losses of a worker, one way or the other, for all tasks that it ran.
 fn resolve(cx: &mut Context, ix: WorkerIx, crashed: bool) {
-    if cx.crashes.suspects.is_empty() {
-        return;
-    }
     let id = cx.worker(ix).info.id.clone();
-    let suspects: Vec<TaskKey> = cx.crashes.suspects.iter().copied().collect();
-    for key in suspects {
+    for key in cx.crashes.by_worker.get(&id).cloned().unwrap_or_default() {
         resolve_for(cx, key, &id, crashed);
     }
 }
@@ -324,9 +339,19 @@
     cx.pass_wanted = true;
 }
 
+/// How often suspects are looked at; none of them starts meanwhile that must not.
+const CHECK_EVERY: Millis = Millis(200);
+
 /// Does what time alone calls for: judges silent workers, clears tasks that have been at work for long,
 /// and fails the jobs of those that have crashed too many workers.
 pub fn check(cx: &mut Context) {
+    if cx.now.since(cx.crashes.checked) < CHECK_EVERY {
+        return;
+    }
+    cx.crashes.checked = cx.now;
+    if cx.crashes.suspects.is_empty() {
+        cx.crashes.by_worker.clear();
+    }
     let suspects: Vec<TaskKey> = cx.crashes.suspects.iter().copied().collect();
     for key in suspects {
         judge_silent(cx, key);
@@ -422,9 +447,10 @@
     let Some(entry) = cx.jobs.get_mut(&job) else { return };
     let gangs: Vec<bool> = entry.job.steps.iter().map(|step| step.gang).collect();
     for (key, task) in entry.keyed_tasks_mut() {
-        if let Some(suspicion) = &mut task.suspicion {
-            suspicion.ordinary = gangs[usize::from(key.step)];
-            cx.crashes.suspects.insert(key);
+        let Some(suspicion) = &mut task.suspicion else { continue };
+        suspicion.ordinary = gangs[usize::from(key.step)];
+        for worker in suspicion.crashed.iter().chain(&suspicion.perhaps) {
+            cx.crashes.add(key, worker);
         }
     }
 }
@@ -482,6 +508,6 @@
         suspicion.saved = Saved::No;
         commits::mark_urgent(&mut cx.commits, now, key.job);
     }
-    cx.crashes.suspects.insert(key);
+    cx.crashes.add(key, worker);
     trace::task_doubted(key, worker);
 }
--- a/crates/sched/src/crashes/trials.rs
+++ b/crates/sched/src/crashes/trials.rs
@@ -12,7 +12,7 @@
 
 use crate::context::Context;
 use crate::message::WorkerIx;
-use crate::table::{Task, TaskState};
+use crate::table::TaskState;
 use crate::worker::Worker;
 use crate::{dispatch, placement};
 
@@ -58,6 +58,9 @@
 /// Starts suspects alone on empty workers, those with most losses first. The others start like any task
 /// from now on, at once or after some patience.
 pub fn start(cx: &mut Context) {
+    if !cx.crashes.may_wait {
+        return;
+    }
     let waiting = waiting(cx);
     if waiting.is_empty() {
         return;
@@ -79,18 +82,20 @@
 }
 
 /// Lists the suspects that may start and wait for an empty worker, in the order in which they are tried.
-fn waiting(cx: &Context) -> Vec<Waiting> {
+fn waiting(cx: &mut Context) -> Vec<Waiting> {
     let now = cx.now;
-    let waits = |task: &Task| task.state == TaskState::Pending && task.not_before <= now;
+    let mut any = false;
     let mut found: Vec<Waiting> = Vec::new();
     for &key in &cx.crashes.suspects {
-        let Some(task) = cx.task(key).filter(|t| waits(t)) else { continue };
-        let Some(suspicion) = task.suspicion.as_ref() else { continue };
-        if !suspicion.ordinary && suspicion.may_start() {
+        let Some(task) = cx.task(key).filter(|t| t.state == TaskState::Pending) else { continue };
+        let Some(suspicion) = task.suspicion.as_ref().filter(|s| !s.ordinary) else { continue };
+        any = true;
+        if task.not_before <= now && suspicion.may_start() {
             let (losses, lived) = (suspicion.level(), suspicion.lived);
             found.push(Waiting { task: key, losses, lived, waited: now.since(task.since) });
         }
     }
+    cx.crashes.may_wait = any;
     found.sort_by_key(|w| (Reverse(w.losses), w.lived, w.task));
     found
 }
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -38,11 +38,15 @@
     task.state = TaskState::Pending;
     task.not_before = now + pause;
     task.since = now;
+    let is_suspect = task.suspicion.is_some();
     if let Some(round) = entry.round_mut(key.round) {
         round.steps[usize::from(key.step)].pending.insert(key.index);
     }
     cx.ready.insert(ready);
     cx.pass_wanted = true;
+    if is_suspect {
+        cx.crashes.note_waiting();
+    }
 }
 
 /// Takes a task out of the pending ones, because it is being started or was found running.
