Tasks lost together with many workers are doubted first, and nothing waits for that

Cause: hundreds of innocent tasks waited for a commit and kept whole workers to themselves.

No worker is kept for a task with a single loss meanwhile, and one keeps it for 1 s by the square of its losses, not 3 s by each.

--- a/crates/sched/src/crashes.rs
+++ b/crates/sched/src/crashes.rs
@@ -102,6 +102,11 @@
         self.crashed.len() + self.silent.len() + usize::from(self.perhaps.is_some())
     }
 
+    /// Returns how many losses the task is tried for; one that is only possible adds nothing to others.
+    fn losses(&self) -> usize {
+        (self.crashed.len() + self.silent.len()).max(1)
+    }
+
     /// Tells whether the task is held to crash its workers.
     fn is_proven(&self) -> bool {
         let at_start = self.at_start && self.alone && self.crashed.len() >= CRASHES_AT_START;
@@ -200,8 +205,12 @@
     for (key, confirmed, lived) in blamed {
         let alone = cx.worker(ix).slots.keys().all(|other| other.job == key.job);
         let known = cx.crashes.suspects.contains(&key);
-        if many && !known && lived >= AT_START {
-            doubt(cx, key, &id, false);
+        if many && !known {
+            let at_start = lived < AT_START;
+            // Nothing waits for this to be stored: after the loss of a failure domain it is hundreds.
+            if doubt(cx, key, &id) && at_start {
+                commits::mark(&mut cx.commits, cx.now, key.job);
+            }
         } else {
             suspect(cx, key, &Evidence { worker: &id, loss, lived, confirmed, together, alone });
         }
@@ -488,26 +497,33 @@
     let evidence = unknown_lives(&id, unfound.len());
     suspects.into_iter().for_each(|key| suspect(cx, key, &evidence));
     if others.len() <= DOUBTFUL_MOST {
-        others.into_iter().for_each(|key| doubt(cx, key, &id, true));
+        for key in others {
+            if doubt(cx, key, &id) {
+                hold_until_saved(cx, key);
+            }
+        }
     }
 }
 
-/// Notes that a worker may have crashed under a task. Where that is to last, it is stored before the task
-/// starts again, and the task is tried alone.
-fn doubt(cx: &mut Context, key: TaskKey, worker: &ids::WorkerId, lasts: bool) {
-    let now = cx.now;
-    let is_gang = cx.step(key).is_some_and(|step| step.gang);
+/// Notes that a worker may have crashed under a task; whether the task may still start.
+fn doubt(cx: &mut Context, key: TaskKey, worker: &ids::WorkerId) -> bool {
     let live = cx.jobs.get(&key.job).is_some_and(|entry| !entry.state.is_final());
     let Some(task) = cx.task_mut(key).filter(|t| live && t.state != TaskState::Done) else {
-        return;
+        return false;
     };
     let suspicion = task.suspicion.get_or_insert_default();
     suspicion.perhaps = Some(worker.clone());
-    suspicion.ordinary = is_gang || !lasts;
-    if lasts {
-        suspicion.saved = Saved::No;
-        commits::mark_urgent(&mut cx.commits, now, key.job);
-    }
+    suspicion.ordinary = true;
     cx.crashes.add(key, worker);
     trace::task_doubted(key, worker);
+    true
+}
+
+/// Holds a task back until what is known of it is stored, and lets it be tried alone.
+fn hold_until_saved(cx: &mut Context, key: TaskKey) {
+    let now = cx.now;
+    let is_gang = cx.step(key).is_some_and(|step| step.gang);
+    let Some(suspicion) = cx.task_mut(key).and_then(|t| t.suspicion.as_mut()) else { return };
+    (suspicion.saved, suspicion.ordinary) = (Saved::No, is_gang);
+    commits::mark_urgent(&mut cx.commits, now, key.job);
 }
--- a/crates/sched/src/crashes/trials.rs
+++ b/crates/sched/src/crashes/trials.rs
@@ -16,12 +16,15 @@
 use crate::worker::Worker;
 use crate::{dispatch, placement};
 
-/// How long a suspect keeps a worker to itself for each worker lost under it; a short task has ended
-/// long before, and a lasting one lives as long after nearly every start that goes wrong.
-const ALONE_FOR: Millis = Millis(3_000);
+use super::are_many_lost;
 
-/// The part of all workers, as a divisor, that tasks with a single loss may keep to themselves: after
-/// the loss of a failure domain there are hundreds of them, nearly all innocent.
+/// How long a suspect keeps a worker to itself, by the square of the workers lost under it: after one,
+/// which is most often chance, as long as a start takes to go wrong; after two, longer than what short
+/// tasks work.
+const ALONE_FOR: Millis = Millis(1_000);
+
+/// The part of all workers, as a divisor, that tasks with a single loss may keep to themselves; none while
+/// many workers are lost, when there are hundreds of such tasks, nearly all innocent, and room is scarce.
 const TRIALS_SHARE: usize = 16;
 
 /// How long a task with several losses waits for an empty worker: below the time after which users
@@ -67,7 +70,8 @@
     }
     let mut empty = empty_workers(cx);
     let under_way = cx.workers.iter().filter(|w| w.trial.is_some()).count();
-    let mut left = (cx.workers.len() / TRIALS_SHARE).max(1).saturating_sub(under_way);
+    let most = if are_many_lost(cx) { 0 } else { (cx.workers.len() / TRIALS_SHARE).max(1) };
+    let mut left = most.saturating_sub(under_way);
     for suspect in waiting {
         if cx.has_most_starts() {
             return;
@@ -91,7 +95,7 @@
         let Some(suspicion) = task.suspicion.as_ref().filter(|s| !s.ordinary) else { continue };
         any = true;
         if task.not_before <= now && suspicion.may_start() {
-            let (losses, lived) = (suspicion.level(), suspicion.lived);
+            let (losses, lived) = (suspicion.losses(), suspicion.lived);
             found.push(Waiting { task: key, losses, lived, waited: now.since(task.since) });
         }
     }
@@ -138,15 +142,18 @@
 
 /// Keeps a worker for a suspect that starts there, unless it has a single loss and others run there.
 pub fn placed(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
-    let losses = cx.task(key).and_then(|t| t.suspicion.as_ref()).map_or(0, |s| s.level());
-    if losses > 1 && cx.worker(ix).trial.is_none() {
+    if losses(cx, key) > 1 && cx.worker(ix).trial.is_none() {
         keep(cx, ix, key);
     }
 }
 
 /// Keeps a worker for a task for as long as its losses call for.
 fn keep(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
-    let losses = cx.task(key).and_then(|t| t.suspicion.as_ref()).map_or(0, |s| s.level());
-    let until = cx.now + Millis(ALONE_FOR.0 * losses as u64);
+    let losses = losses(cx, key) as u64;
+    let until = cx.now + Millis(ALONE_FOR.0 * losses * losses);
     cx.worker_mut(ix).trial = Some(Trial { task: key, until });
 }
+
+fn losses(cx: &Context, key: TaskKey) -> usize {
+    cx.task(key).and_then(|t| t.suspicion.as_ref()).map_or(0, |s| s.losses())
+}
