Crashes by what they do: evidence, suspicion, verdict, inheritance, trials

No behaviour changes: evidence says against whom a loss speaks, suspicion is plain state with its bounds, verdict takes back or proves, inherited is what a successor finds out, trials places suspects.

--- /dev/null
+++ b/crates/sched/src/crashes/inherited.rs
@@ -0,0 +1,79 @@
+//! What a successor finds out about crashes under its predecessors.
+
+use gaplock_jobs::progress::TaskNote;
+use gaplock_jobs::{JobKey, TaskKey};
+use gaplock_types::ids;
+use rustc_hash::FxHashSet;
+
+use super::evidence::{doubt, has_left, hold_until_saved, suspect, Evidence, Loss, AT_START};
+use super::Suspicion;
+use crate::context::Context;
+use crate::message::WorkerIx;
+use crate::table::TaskState;
+
+/// How many tasks may be suspected of the loss of a worker of which nobody knows what it ran. Where
+/// more could have been there, the loss says nothing of any of them.
+const DOUBTFUL_MOST: usize = 64;
+
+/// Puts what a former leader stored of a task's crashes back.
+pub fn restored(note: &TaskNote) -> Option<Box<Suspicion>> {
+    let (crashed, perhaps) = (note.crashed.clone(), note.perhaps_crashed.clone());
+    if crashed.is_empty() && perhaps.is_none() {
+        return None;
+    }
+    Some(Box::new(Suspicion { crashed, perhaps, ..Suspicion::default() }))
+}
+
+/// Finds the suspects of a job that was restored.
+pub fn find_suspects(cx: &mut Context, job: JobKey) {
+    let Some(entry) = cx.jobs.get_mut(&job) else { return };
+    let gangs: Vec<bool> = entry.job.steps.iter().map(|step| step.gang).collect();
+    for (key, task) in entry.keyed_tasks_mut() {
+        let Some(suspicion) = &mut task.suspicion else { continue };
+        suspicion.ordinary = gangs[usize::from(key.step)];
+        for worker in suspicion.crashed.iter().chain(&suspicion.perhaps) {
+            cx.crashes.add(key, worker);
+        }
+    }
+}
+
+/// Counts a worker that a successor could not find against the tasks that it is known to have held.
+pub fn holder_lost(cx: &mut Context, ix: WorkerIx, held: &[TaskKey], gone: bool) {
+    if has_left(cx.worker(ix)) {
+        return;
+    }
+    let id = cx.worker(ix).info.id.clone();
+    let loss = if gone { Loss::Crashed } else { Loss::Silent };
+    let evidence = Evidence { worker: &id, loss, ..unknown_lives(&id, held.len()) };
+    for &key in held {
+        if cx.task(key).is_some_and(|t| t.state == TaskState::Unknown) {
+            suspect(cx, key, &evidence);
+        }
+    }
+}
+
+/// Builds the evidence of a crash whose runs a former leader started: how long they lived is not known.
+fn unknown_lives(worker: &ids::WorkerId, together: usize) -> Evidence<'_> {
+    let (loss, lived, confirmed, alone) = (Loss::Crashed, AT_START, false, false);
+    Evidence { worker, loss, lived, confirmed, together, alone }
+}
+
+/// Takes in that a successor has found workers gone that may have run any task, and these tasks at no
+/// other one. Suspects are counted as having been there, since their start must not be forgotten; of
+/// the others each may have been.
+pub fn any_lost(cx: &mut Context, lost: &[WorkerIx], unfound: &FxHashSet<TaskKey>) {
+    let crashed = lost.iter().find(|&&ix| !has_left(cx.worker(ix)));
+    let Some(&ix) = crashed else { return };
+    let id = cx.worker(ix).info.id.clone();
+    let (suspects, others): (Vec<TaskKey>, Vec<TaskKey>) =
+        unfound.iter().partition(|key| cx.crashes.suspects.contains(key));
+    let evidence = unknown_lives(&id, unfound.len());
+    suspects.into_iter().for_each(|key| suspect(cx, key, &evidence));
+    if others.len() <= DOUBTFUL_MOST {
+        for key in others {
+            if doubt(cx, key, &id) {
+                hold_until_saved(cx, key);
+            }
+        }
+    }
+}
--- a/crates/sched/src/crashes/trials.rs
+++ b/crates/sched/src/crashes/trials.rs
@@ -16,7 +16,7 @@
 use crate::worker::Worker;
 use crate::{dispatch, placement};
 
-use super::are_many_lost;
+use super::evidence::are_many_lost;
 
 /// How long a suspect keeps a worker to itself, by the square of the workers lost under it: after one,
 /// which is most often chance, as long as a start takes to go wrong; after two, longer than what short
--- /dev/null
+++ b/crates/sched/src/crashes/verdict.rs
@@ -0,0 +1,132 @@
+//! What becomes of a suspicion: taken back, forgotten, or proven.
+
+use gaplock_jobs::progress::JobState;
+use gaplock_jobs::TaskKey;
+use gaplock_types::ids;
+use gaplock_types::time::Millis;
+
+use super::evidence::{has_left, lived, CLEARED_AFTER};
+use super::suspicion::Saved;
+use crate::context::Context;
+use crate::message::WorkerIx;
+use crate::table::TaskState;
+use crate::{commits, lifecycle, trace};
+
+/// How long the directory may go on listing a silent worker that has crashed: its entry lapses after
+/// three heartbeats, and a change takes half a second to reach us.
+const LISTED_FOR: Millis = Millis(10_000);
+
+/// How long a silent worker that the directory lists speaks against its tasks. It is most likely cut off
+/// from here; but what crashed it would be started without end if its silence were forgotten soon.
+const SILENT_FOR: Millis = Millis(600_000);
+
+/// Takes in that a worker's incarnation is over of which nothing was known but its silence.
+pub fn worker_gone(cx: &mut Context, ix: WorkerIx) {
+    if !has_left(cx.worker(ix)) {
+        resolve(cx, ix, true);
+    }
+}
+
+/// Takes in that a worker answers: it did not crash.
+pub fn worker_answers(cx: &mut Context, ix: WorkerIx) {
+    resolve(cx, ix, false);
+}
+
+/// Settles the losses of a worker, one way or the other, for all tasks that it ran.
+fn resolve(cx: &mut Context, ix: WorkerIx, crashed: bool) {
+    let id = cx.worker(ix).info.id.clone();
+    for key in cx.crashes.by_worker.get(&id).cloned().unwrap_or_default() {
+        resolve_for(cx, key, &id, crashed);
+    }
+}
+
+fn resolve_for(cx: &mut Context, key: TaskKey, worker: &ids::WorkerId, crashed: bool) {
+    let now = cx.now;
+    let Some(suspicion) = cx.task_mut(key).and_then(|t| t.suspicion.as_mut()) else { return };
+    if !suspicion.resolve(worker, crashed) {
+        return;
+    }
+    suspicion.saved = Saved::No;
+    let level = suspicion.level();
+    commits::mark(&mut cx.commits, now, key.job);
+    trace::suspicion_settled(key, worker, crashed, level);
+    if level == 0 {
+        clear(cx, key);
+    }
+}
+
+/// Drops all suspicion of a task.
+fn clear(cx: &mut Context, key: TaskKey) {
+    cx.crashes.suspects.remove(&key);
+    if let Some(task) = cx.task_mut(key) {
+        task.suspicion = None;
+    }
+    cx.pass_wanted = true;
+}
+
+/// How often suspects are looked at; none of them starts meanwhile that must not.
+const CHECK_EVERY: Millis = Millis(200);
+
+/// Does what time alone calls for: judges silent workers, clears tasks that have been at work for long,
+/// and fails the jobs of those that have crashed too many workers.
+pub fn check(cx: &mut Context) {
+    if cx.now.since(cx.crashes.checked) < CHECK_EVERY {
+        return;
+    }
+    cx.crashes.checked = cx.now;
+    if cx.crashes.suspects.is_empty() {
+        cx.crashes.by_worker.clear();
+    }
+    let suspects: Vec<TaskKey> = cx.crashes.suspects.iter().copied().collect();
+    for key in suspects {
+        judge_silent(cx, key);
+        let live = cx.jobs.get(&key.job).is_some_and(|entry| !entry.state.is_final());
+        let task = cx.task(key).filter(|t| live && t.state != TaskState::Done);
+        let Some(suspicion) = task.and_then(|t| t.suspicion.as_ref()) else {
+            cx.crashes.suspects.remove(&key);
+            continue;
+        };
+        let crashes = suspicion.crashed.len();
+        if suspicion.is_proven() {
+            trace::crashes_used_up(key, crashes);
+            lifecycle::end_job(cx, key.job, JobState::Failed);
+        } else if has_been_at_work(cx, key) {
+            trace::task_cleared(key, crashes);
+            clear(cx, key);
+            commits::mark(&mut cx.commits, cx.now, key.job);
+        }
+    }
+}
+
+/// Decides about workers that have been silent for so long that the directory tells what became of them.
+fn judge_silent(cx: &mut Context, key: TaskKey) {
+    let now = cx.now;
+    let Some(suspicion) = cx.task(key).and_then(|t| t.suspicion.as_ref()) else { return };
+    let mut crashed: Vec<ids::WorkerId> = Vec::new();
+    let mut forgotten: Vec<ids::WorkerId> = Vec::new();
+    for (id, since) in &suspicion.silent {
+        let for_so_long = now.since((*since).max(cx.directory_back));
+        if for_so_long >= SILENT_FOR {
+            forgotten.push(id.clone());
+        } else if for_so_long >= LISTED_FOR && !is_listed(cx, id) {
+            crashed.push(id.clone());
+        }
+    }
+    crashed.iter().for_each(|id| resolve_for(cx, key, id, true));
+    forgotten.iter().for_each(|id| resolve_for(cx, key, id, false));
+}
+
+fn is_listed(cx: &Context, id: &ids::WorkerId) -> bool {
+    let worker = cx.by_id.get(id).map(|&ix| cx.worker(ix));
+    worker.is_some_and(|w| !w.gone && !w.is_absent())
+}
+
+/// Tells whether a task's run has been at work for so long that it speaks for the task.
+fn has_been_at_work(cx: &Context, key: TaskKey) -> bool {
+    let Some(TaskState::Active { worker, .. }) = cx.task(key).map(|t| t.state) else {
+        return false;
+    };
+    let worker = cx.worker(worker);
+    let heard = worker.clock.map(|(heard, _)| heard);
+    worker.slots.get(&key).is_some_and(|slot| lived(slot, heard) >= CLEARED_AFTER)
+}
