--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -34,3 +34,9 @@
 fn late_writes_and_a_refusing_store_break_no_promise() {
     soak(&[31, 135]);
 }
+
+/// A job one of whose tasks crashes its workers, beside lost leaders, late orders and late writes.
+#[test]
+fn tasks_that_crash_their_workers_are_given_up_and_no_others() {
+    soak(&[8_001, 8_004]);
+}
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -4,7 +4,8 @@
 //! silenced or cut one way, workers that crash, answer late or are unwell, and a store that writes
 //! late, loses answers or refuses. They come in series and overlap. What callers and workers see is
 //! checked against the promises of the users' pages: nothing runs twice at one time or again after
-//! its end was acknowledged, what was refused never runs, what was cancelled stops, and what was
+//! its end was acknowledged, a task that crashes its workers is given up and no other one is, what was
+//! refused never runs, what was cancelled stops, and what was
 //! accepted comes to an end and is shown.
 
 mod callers;
@@ -165,21 +166,22 @@
         }
         let ends = !told(key, Told::Lasts) || told(key, Told::Cancelled);
         if told(key, Told::Accepted) && ends {
-            check_ended(site, key, until, report);
+            let end = if told(key, Told::Crashes) { "failed" } else { "completed" };
+            check_ended(site, key, end, until, report);
         }
     }
     report.checks += 1;
     report.violations.extend(site.fleet.violations());
 }
 
-/// Checks that an accepted job comes to an end that its caller is shown.
-fn check_ended(site: &Site, key: JobKey, until: Instant, report: &mut Report) {
+/// Checks that an accepted job comes to its end, or is cancelled, and that its caller is shown that.
+fn check_ended(site: &Site, key: JobKey, end: &str, until: Instant, report: &mut Report) {
     let mut last = None;
     let left = until.saturating_duration_since(Instant::now()).max(POLL * 2);
     let ended = wait(left, || {
         last = site.hosts.iter().find_map(|h| h.state(key));
         let word = last.as_ref().map(|(_, word)| word.as_str());
-        word == Some("completed") || word == Some("canceled")
+        word == Some(end) || word == Some("canceled")
     });
     let word = last.map(|(status, word)| format!("{status} {word}")).unwrap_or_default();
     if !ended {
--- a/crates/soak/src/processes/callers.rs
+++ b/crates/soak/src/processes/callers.rs
@@ -6,7 +6,7 @@
 
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::caller::Caller;
-use gaplock_platform_standin::site::{lasting, two_steps, Site};
+use gaplock_platform_standin::site::{crashing, lasting, two_steps, Site};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -21,6 +21,8 @@
     Cancelled,
     /// Its tasks run until it is cancelled.
     Lasts,
+    /// One of its tasks crashes its workers.
+    Crashes,
 }
 
 /// How many callers there are: one that waits for a frozen host leaves the others to go on.
@@ -35,6 +37,12 @@
 /// Every so many jobs one lasts.
 const LASTS_EVERY: u64 = 6;
 
+/// Seeds from here on also hand in jobs that crash workers; earlier ones keep the course that they had.
+const FIRST_WITH_CRASHES: u64 = 8_000;
+
+/// Every so many jobs of theirs one is such a job, beginning with the fourth.
+const CRASHES_EVERY: u64 = 9;
+
 /// Every so many jobs that end by themselves one is cancelled.
 const CANCELLED_EVERY: u32 = 8;
 
@@ -56,8 +64,17 @@
         }
         let key = JobKey(caller * KEYS + n);
         let lasts = n % LASTS_EVERY == 0;
-        let told = submit(&mut hosts, key, lasts, &mut rng);
+        let crashes = seed >= FIRST_WITH_CRASHES && n % CRASHES_EVERY == 4;
+        let body = match (crashes, lasts) {
+            (true, _) => crashing(),
+            (false, true) => lasting(),
+            (false, false) => two_steps(),
+        };
+        let told = submit(&mut hosts, key, &body, &mut rng);
         note(key, told);
+        if crashes {
+            note(key, Told::Crashes);
+        }
         if lasts {
             note(key, Told::Lasts);
             lasting_jobs.push(key);
@@ -74,12 +91,11 @@
 }
 
 /// Sends a job to one host after the other.
-fn submit(hosts: &mut [Caller], key: JobKey, lasts: bool, rng: &mut ChaCha8Rng) -> Told {
-    let body = if lasts { lasting() } else { two_steps() };
+fn submit(hosts: &mut [Caller], key: JobKey, body: &str, rng: &mut ChaCha8Rng) -> Told {
     let mut told = Told::Refused;
     for _ in 0..TRIES {
         let at = rng.random_range(0..hosts.len());
-        match hosts[at].submit(key, &body) {
+        match hosts[at].submit(key, body) {
             Some(200) => return Told::Accepted,
             Some(503 | 429) => {}
             _ => told = Told::Unclear,
