--- a/crates/coord/src/partition/starting.rs
+++ b/crates/coord/src/partition/starting.rs
@@ -60,17 +60,11 @@
         if let Some(view) = link.runs.get_mut(&run) {
             view.valid_until = valid_until;
         }
-        let start = wire::StartRequest {
-            epoch,
-            boot: place.boot,
-            seen,
-            ttl_ms: cx.timing.task_ttl.0,
-            run,
-            kind: job.kind.clone(),
-            demand: place.reserve,
-            work_ms: job.work_ms,
-            resume_ms: t.checkpoint_ms,
-        };
+        let ttl_ms = cx.timing.task_ttl.0;
+        let (boot, kind, demand) = (place.boot, job.kind.clone(), place.reserve);
+        let (work_ms, resume_ms) = (job.work_ms, t.checkpoint_ms);
+        let start =
+            wire::StartRequest { epoch, boot, seen, ttl_ms, run, kind, demand, work_ms, resume_ms };
         cx.actions.push(Action::Worker {
             partition: self.id,
             worker: worker.clone(),
--- a/crates/coord/src/state/mod.rs
+++ b/crates/coord/src/state/mod.rs
@@ -197,25 +197,11 @@
             Record::ResumeFrom { task, checkpoint_ms } => {
                 self.change(*task, |t| t.checkpoint_ms = *checkpoint_ms);
             }
-            Record::Requeue { run, checkpoint_ms, evicted, failed, crashed, why } => {
-                self.step(run.task, task::On::Requeue, record, |t| {
-                    t.checkpoint_ms = *checkpoint_ms;
-                    t.evictions += u32::from(*evicted);
-                    t.failures += u32::from(*failed);
-                    t.crashes = if *crashed { t.crashes + 1 } else { 0 };
-                    leave_place(t, why);
-                })?;
-            }
-            Record::Finish { run } => {
-                self.step(run.task, task::On::Finish, record, |t| t.place = None)?;
-            }
-            Record::GiveUp { task, why } => {
-                self.step(*task, task::On::GiveUp, record, |t| leave_place(t, why))?;
-            }
+            Record::Requeue { .. }
+            | Record::Finish { .. }
+            | Record::GiveUp { .. }
+            | Record::Cancelled { .. } => self.leave(record)?,
             Record::Cancel { number, index } => self.cancel(home, *number, *index, record)?,
-            Record::Cancelled { run } => {
-                self.step(run.task, task::On::Cancel, record, |t| leave_place(t, "cancelled"))?;
-            }
             Record::JobForget { number } => self.forget_job(*number),
             Record::OnceClaim { id, digest, claimer, at_unix_ms } => {
                 let (digest, claimer) = (digest.clone(), claimer.clone());
@@ -250,6 +236,31 @@
         })
     }
 
+    /// Takes a run off its place, by one of the records that do so.
+    fn leave(&mut self, record: &Record) -> Result<()> {
+        match record {
+            Record::Requeue { run, checkpoint_ms, evicted, failed, crashed, why } => {
+                self.step(run.task, task::On::Requeue, record, |t| {
+                    t.checkpoint_ms = *checkpoint_ms;
+                    t.evictions += u32::from(*evicted);
+                    t.failures += u32::from(*failed);
+                    t.crashes = if *crashed { t.crashes + 1 } else { 0 };
+                    leave_place(t, why);
+                })
+            }
+            Record::Finish { run } => {
+                self.step(run.task, task::On::Finish, record, |t| t.place = None)
+            }
+            Record::GiveUp { task, why } => {
+                self.step(*task, task::On::GiveUp, record, |t| leave_place(t, why))
+            }
+            Record::Cancelled { run } => {
+                self.step(run.task, task::On::Cancel, record, |t| leave_place(t, "cancelled"))
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Forgets a job with its caller's key.
     fn forget_job(&mut self, number: u64) {
         if let Some(job) = self.jobs.remove(&number) {
--- a/crates/measure/src/fairness.rs
+++ b/crates/measure/src/fairness.rs
@@ -95,17 +95,51 @@
     }
 }
 
+/// One installation under one policy.
+struct Sim {
+    rng: ChaCha8Rng,
+    queues: Vec<VecDeque<Waiting>>,
+    urgent: Vec<VecDeque<Waiting>>,
+    running: Vec<Running>,
+    held: Vec<sizes::Resources>,
+    got: Vec<f64>,
+    hold: fair::Hold,
+    waits: u64,
+    started: u64,
+    urgent_wait_s: u64,
+}
+
 fn run(seed: u64, ours: bool, flood: bool) -> Outcome {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut queues: Vec<VecDeque<Waiting>> = vec![VecDeque::new(); PARTNERS];
-    let mut urgent: Vec<VecDeque<Waiting>> = vec![VecDeque::new(); PARTNERS];
-    let mut running: Vec<Running> = Vec::new();
-    let mut held = vec![sizes::Resources::default(); PARTNERS];
-    let mut got = vec![0.0; PARTNERS];
-    let mut hold = fair::Hold::default();
-    let (mut waits, mut started, mut urgent_wait_s) = (0, 0_u64, 0);
+    let mut sim = Sim {
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        queues: vec![VecDeque::new(); PARTNERS],
+        urgent: vec![VecDeque::new(); PARTNERS],
+        running: Vec::new(),
+        held: vec![sizes::Resources::default(); PARTNERS],
+        got: vec![0.0; PARTNERS],
+        hold: fair::Hold::default(),
+        waits: 0,
+        started: 0,
+        urgent_wait_s: 0,
+    };
     for now in 0..RUN_S {
-        running.retain(|r| {
+        sim.end_and_arrive(now, flood);
+        let urgent_waits = sim.start_all(now, ours);
+        sim.hold.note(time::Instant(now * 1_000), urgent_waits);
+        if ours && urgent_waits {
+            let Sim { running, held, got, queues, .. } = &mut sim;
+            evict_one(now, running, held, got, queues);
+        }
+    }
+    let wait_s = sim.waits as f64 / sim.started.max(1) as f64;
+    Outcome { got: sim.got, wait_s, urgent_wait_s: sim.urgent_wait_s }
+}
+
+impl Sim {
+    /// Ends what is over and lets new tasks arrive.
+    fn end_and_arrive(&mut self, now: u64, flood: bool) {
+        let held = &mut self.held;
+        self.running.retain(|r| {
             if r.ends <= now {
                 held[r.partner] = held[r.partner].minus(&r.demand);
             }
@@ -113,49 +147,57 @@
         });
         for partner in 0..PARTNERS {
             let rate = if flood && partner == 0 { RATE * FLOOD } else { RATE };
-            arrive(&mut rng, now, partner, rate, &mut queues[partner], &mut urgent[partner]);
+            let (queue, urgent) = (&mut self.queues[partner], &mut self.urgent[partner]);
+            arrive(&mut self.rng, now, partner, rate, queue, urgent);
         }
+    }
+
+    /// Starts what the policy picks until nothing more fits; tells whether urgent work waits.
+    fn start_all(&mut self, now: u64, ours: bool) -> bool {
         let mut skip = [false; PARTNERS];
         let mut urgent_waits = false;
         let at = time::Instant(now * 1_000);
         loop {
             let next = if ours {
-                let held_back = urgent_waits && hold.holds_back(at);
-                pick_ours(&queues, &urgent, &held, &skip, held_back)
+                let held_back = urgent_waits && self.hold.holds_back(at);
+                pick_ours(&self.queues, &self.urgent, &self.held, &skip, held_back)
             } else {
-                pick_first(&queues, &urgent, &skip)
+                pick_first(&self.queues, &self.urgent, &skip)
             };
-            let Some((partner, is_urgent)) = next else { break };
-            let queue = if is_urgent { &mut urgent[partner] } else { &mut queues[partner] };
-            let Some(task) = queue.front().cloned() else { break };
-            let used = held.iter().fold(sizes::Resources::default(), |sum, h| sum.plus(h));
-            if !CAPACITY.holds(&used.plus(&task.demand)) {
-                skip[partner] = true;
-                urgent_waits |= is_urgent;
-                if !ours {
-                    break;
-                }
+            let Some((partner, is_urgent)) = next else { return urgent_waits };
+            if self.start(now, partner, is_urgent) {
                 continue;
             }
-            queue.pop_front();
-            held[partner] = held[partner].plus(&task.demand);
-            let ends = now + rng.random_range(TASK_S / 2..=TASK_S * 3 / 2);
-            running.push(Running { ends, partner, demand: task.demand, urgent: is_urgent });
-            got[partner] += f64::from(task.demand.cpu.0) / 1000.0 * (ends - now) as f64;
-            if partner > 0 {
-                waits += now - task.since;
-                started += 1;
-            }
-            if is_urgent {
-                urgent_wait_s = urgent_wait_s.max(now - task.since);
+            skip[partner] = true;
+            urgent_waits |= is_urgent;
+            if !ours {
+                return urgent_waits;
             }
         }
-        hold.note(at, urgent_waits);
-        if ours && urgent_waits {
-            evict_one(now, &mut running, &mut held, &mut got, &mut queues);
+    }
+
+    /// Starts a partner's first task, if there is room for it.
+    fn start(&mut self, now: u64, partner: usize, is_urgent: bool) -> bool {
+        let queues = if is_urgent { &mut self.urgent } else { &mut self.queues };
+        let Some(task) = queues[partner].front().cloned() else { return false };
+        let used = self.held.iter().fold(sizes::Resources::default(), |sum, h| sum.plus(h));
+        if !CAPACITY.holds(&used.plus(&task.demand)) {
+            return false;
+        }
+        queues[partner].pop_front();
+        self.held[partner] = self.held[partner].plus(&task.demand);
+        let ends = now + self.rng.random_range(TASK_S / 2..=TASK_S * 3 / 2);
+        self.running.push(Running { ends, partner, demand: task.demand, urgent: is_urgent });
+        self.got[partner] += f64::from(task.demand.cpu.0) / 1000.0 * (ends - now) as f64;
+        if partner > 0 {
+            self.waits += now - task.since;
+            self.started += 1;
+        }
+        if is_urgent {
+            self.urgent_wait_s = self.urgent_wait_s.max(now - task.since);
         }
+        true
     }
-    Outcome { got, wait_s: waits as f64 / started.max(1) as f64, urgent_wait_s }
 }
 
 /// Moves the ordinary task with the most work left away, of the partner that holds most; its work
--- a/crates/soak/src/world/actions.rs
+++ b/crates/soak/src/world/actions.rs
@@ -12,21 +12,7 @@
 impl World {
     pub(super) fn carry_out(&mut self, i: usize, life: u64, action: Action) {
         match action {
-            Action::Store { call, req } => {
-                let reach = self.entries[i].cut_store_until <= self.now;
-                let write = matches!(req, StoreCall::Cas { .. } | StoreCall::Delete { .. });
-                let due = Due::ToStore { from: i, life, call, req };
-                let due = match reach && write {
-                    true => self.send_late(Fault::LateWrites, due),
-                    false => Some(due).filter(|_| reach),
-                };
-                if let Some(due) = due {
-                    self.send(due);
-                }
-                // Whatever happens to the call, the caller's own limit ends it.
-                let event = Event::Store { call, answer: StoreAnswer::Unclear };
-                self.at(500, Due::ToNode { to: i, life, event: Box::new(event) });
-            }
+            Action::Store { call, req } => self.call_store(i, life, call, req),
             Action::Worker { partition, worker, req, .. } => {
                 self.call_worker(i, life, partition, &worker, req);
             }
@@ -66,6 +52,23 @@
         }
     }
 
+    /// Sends a call to the store, if the entry reaches it.
+    fn call_store(&mut self, i: usize, life: u64, call: CallId, req: StoreCall) {
+        let reach = self.entries[i].cut_store_until <= self.now;
+        let write = matches!(req, StoreCall::Cas { .. } | StoreCall::Delete { .. });
+        let due = Due::ToStore { from: i, life, call, req };
+        let due = match reach && write {
+            true => self.send_late(Fault::LateWrites, due),
+            false => Some(due).filter(|_| reach),
+        };
+        if let Some(due) = due {
+            self.send(due);
+        }
+        // Whatever happens to the call, the caller's own limit ends it.
+        let event = Event::Store { call, answer: StoreAnswer::Unclear };
+        self.at(500, Due::ToNode { to: i, life, event: Box::new(event) });
+    }
+
     pub(super) fn put_in_force(&mut self, i: usize, config: &Arc<config::Config>) {
         let step = (config.generation, config.plan.clone());
         self.note(format!("e{i} puts {} in force", config.generation));
