What a silent worker says: leaving is no crash, and long silence is not many losses

By reading, then by two tests that failed: a worker that was cut off from here, said that it leaves and left, counted as a crash ten seconds later; and eight workers that had been silent for half a minute made every later loss one of many, so a crashing task took four workers instead of three. A silent worker that has left is forgotten, and only workers that answered within ten seconds speak for a loss of many. What was never stored is not stored when it is taken back.

--- a/crates/sched/src/crashes/evidence.rs
+++ b/crates/sched/src/crashes/evidence.rs
@@ -101,9 +101,14 @@
     found
 }
 
-/// Tells whether so many workers are silent or were just lost that one cause is likely.
+/// How long ago a worker may have answered last whose silence speaks for a loss of many: longer than its
+/// leases, by whose end it is given up.
+const LATELY: Millis = Millis(10_000);
+
+/// Tells whether so many workers have fallen silent or were lost lately that one cause is likely.
 pub(super) fn are_many_lost(cx: &Context) -> bool {
-    let silent = cx.workers.iter().filter(|w| !w.gone && !w.answers()).count();
+    let lately = |w: &Worker| w.clock.is_some_and(|(heard, _)| cx.now.since(heard) < LATELY);
+    let silent = cx.workers.iter().filter(|w| !w.gone && !w.answers() && lately(w)).count();
     let lost = cx.crashes.lost_at.values().filter(|at| cx.now.since(**at) < AT_ONE_TIME).count();
     silent + lost >= MANY_LEAST.max(cx.worker_ixs().len() / MANY_SHARE)
 }
--- a/crates/sched/src/crashes/suspicion.rs
+++ b/crates/sched/src/crashes/suspicion.rs
@@ -61,6 +61,11 @@
         (self.crashed.len() + self.silent.len()).max(1)
     }
 
+    /// Returns what a successor must know: how many workers crashed, and whether one more may have.
+    pub(super) fn to_store(&self) -> (usize, bool) {
+        (self.crashed.len(), self.perhaps.is_some())
+    }
+
     /// Tells whether the task is held to crash its workers.
     pub(super) fn is_proven(&self) -> bool {
         let at_start = self.at_start && self.alone && self.crashed.len() >= CRASHES_AT_START;
--- a/crates/sched/src/crashes/verdict.rs
+++ b/crates/sched/src/crashes/verdict.rs
@@ -10,6 +10,7 @@
 use crate::context::Context;
 use crate::message::WorkerIx;
 use crate::table::TaskState;
+use crate::worker::Worker;
 use crate::{commits, lifecycle, trace};
 
 /// How long the directory may go on listing a silent worker that has crashed: its entry lapses after
@@ -43,12 +44,15 @@
 fn resolve_for(cx: &mut Context, key: TaskKey, worker: &ids::WorkerId, crashed: bool) {
     let now = cx.now;
     let Some(suspicion) = cx.task_mut(key).and_then(|t| t.suspicion.as_mut()) else { return };
+    let stored = suspicion.to_store();
     if !suspicion.resolve(worker, crashed) {
         return;
     }
-    suspicion.saved = Saved::No;
     let level = suspicion.level();
-    commits::mark(&mut cx.commits, now, key.job);
+    if suspicion.to_store() != stored {
+        suspicion.saved = Saved::No;
+        commits::mark(&mut cx.commits, now, key.job);
+    }
     trace::suspicion_settled(key, worker, crashed, level);
     if level == 0 {
         clear(cx, key);
@@ -106,9 +110,10 @@
     let mut forgotten: Vec<ids::WorkerId> = Vec::new();
     for (id, since) in &suspicion.silent {
         let for_so_long = now.since((*since).max(cx.directory_back));
-        if for_so_long >= SILENT_FOR {
+        let worker = cx.by_id.get(id).map(|&ix| cx.worker(ix));
+        if for_so_long >= SILENT_FOR || worker.is_some_and(has_left) {
             forgotten.push(id.clone());
-        } else if for_so_long >= LISTED_FOR && !is_listed(cx, id) {
+        } else if for_so_long >= LISTED_FOR && !worker.is_some_and(is_listed) {
             crashed.push(id.clone());
         }
     }
@@ -116,9 +121,8 @@
     forgotten.iter().for_each(|id| resolve_for(cx, key, id, false));
 }
 
-fn is_listed(cx: &Context, id: &ids::WorkerId) -> bool {
-    let worker = cx.by_id.get(id).map(|&ix| cx.worker(ix));
-    worker.is_some_and(|w| !w.gone && !w.is_absent())
+fn is_listed(worker: &Worker) -> bool {
+    !worker.gone && !worker.is_absent()
 }
 
 /// Tells whether a task's run has been at work for so long that it speaks for the task.
--- a/crates/sched/tests/fleet/crashes.rs
+++ b/crates/sched/tests/fleet/crashes.rs
@@ -363,3 +363,43 @@
         assert_all_end(&mut world, seed);
     }
 }
+
+/// A worker that is cut off from the leader says that it leaves, and leaves: that is no crash.
+#[test]
+fn a_silent_worker_that_leaves_speaks_against_nobody() {
+    let mut world = World::open(403, 6);
+    world.submit(job(1, vec![lasting(6)]));
+    world.run(1_000);
+    let at = (0..6).find(|&at| world.running_at(at) > 0).expect("it runs somewhere");
+    world.workers[at].cut = true;
+    world.run(7_500);
+    world.drain(at, 2_000);
+    world.run(2_500);
+    world.crash(at);
+    world.unlist(at);
+    world.run(12_000);
+    assert_eq!(world.crashes_counted(1), 0);
+    assert_kept(&world);
+}
+
+/// Workers that have been silent for long do not turn every later crash into one of many: a task that
+/// crashes its worker is counted from its first crash on.
+#[test]
+fn workers_that_are_long_silent_hide_no_crash() {
+    let mut world = World::open(404, 24);
+    world.run(1_000);
+    for at in 0..8 {
+        world.workers[at].cut = true;
+    }
+    world.run(30_000);
+    world.crash_under(1, 0, AT_ONCE_MS);
+    world.submit(job(1, vec![step(1, &[])]));
+    assert_given_up_after(world, 3);
+}
+
+fn assert_given_up_after(mut world: World, crashes: usize) {
+    world.run(40_000);
+    assert_eq!(world.state(1), Some(JobState::Failed));
+    assert_eq!(world.crashes.of(1), crashes);
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -49,6 +49,14 @@
         self.cx.as_ref().map_or(0, |cx| cx.crashes.suspects.len())
     }
 
+    /// Returns how many crashes the leader counts against a job's tasks.
+    pub fn crashes_counted(&self, key: u64) -> usize {
+        let Some(cx) = &self.cx else { return 0 };
+        let of_job = cx.crashes.suspects.iter().filter(|task| task.job == JobKey(key));
+        let suspicions = of_job.filter_map(|task| cx.task(*task)?.suspicion.as_ref());
+        suspicions.map(|s| s.crashed.len()).sum()
+    }
+
     /// Returns how many starts wait for their answer.
     pub fn starts_under_way(&self) -> usize {
         let starting = |w: &Worker| w.slots.values().filter(|s| s.phase == Phase::Starting).count();
