What is kept of crashes is bounded in a leader that leads for months

By reading: the index of suspects by worker was dropped only when there was no suspect at all, and addresses that had lost a worker were kept for ever. Both are bounded now by the suspects there are and by ten minutes.

--- a/crates/sched/src/crashes/suspicion.rs
+++ b/crates/sched/src/crashes/suspicion.rs
@@ -18,6 +18,15 @@
 /// the task had to itself: two may crash by chance while an unlucky task is there, a third hardly so.
 const CRASHES_AT_START: usize = 3;
 
+/// How many workers speak against one suspect at most; more are those of former ones.
+const WORKERS_PER_SUSPECT: usize = MOST_CRASHES + 1;
+
+/// How many addresses are kept before those are dropped that have lost no worker for long.
+const ADDRESSES_KEPT: usize = 1_024;
+
+/// For how long the loss of a worker speaks against its address: hosts that fail do so within minutes.
+const LOSS_REMEMBERED: Millis = Millis(600_000);
+
 /// Whether what is known of a suspect is stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(super) enum Saved {
@@ -121,6 +130,17 @@
         self.note_waiting();
     }
 
+    /// Drops workers that speak against no suspect any more, and addresses that lost none for long.
+    pub(super) fn forget_old(&mut self, now: Instant) {
+        if self.by_worker.len() > self.suspects.len() * WORKERS_PER_SUSPECT {
+            let suspects = &self.suspects;
+            self.by_worker.retain(|_, keys| keys.iter().any(|key| suspects.contains(key)));
+        }
+        if self.lost_at.len() > ADDRESSES_KEPT {
+            self.lost_at.retain(|_, at| now.since(*at) < LOSS_REMEMBERED);
+        }
+    }
+
     /// Takes in that a suspect waits for a worker.
     pub fn note_waiting(&mut self) {
         self.may_wait = true;
--- a/crates/sched/src/crashes/verdict.rs
+++ b/crates/sched/src/crashes/verdict.rs
@@ -78,9 +78,7 @@
         return;
     }
     cx.crashes.checked = cx.now;
-    if cx.crashes.suspects.is_empty() {
-        cx.crashes.by_worker.clear();
-    }
+    cx.crashes.forget_old(cx.now);
     let suspects: Vec<TaskKey> = cx.crashes.suspects.iter().copied().collect();
     for key in suspects {
         judge_silent(cx, key);
