An account of a worker that is gone is not believed; rounds and estimates are bounded; recent starts beside a trial

A worker's last account arrived after another incarnation had answered in its place; its runs were adopted at the dead one, where no lease is looked at. Old fault, more likely the more workers crash. Two leaders in a row were lost within a second of a crash, with more than 64 tasks found nowhere, so nothing was doubted. A culprit that had just started where a suspect was then tried was excused for the trial; now it is not. Still possible where a pool has no empty worker. - By reading: all due rounds of a repeating job began at once (60,000 in the test; one request could take all memory of each leader in turn), and an endless estimate wrapped around.

--- a/crates/sched/src/crashes/evidence.rs
+++ b/crates/sched/src/crashes/evidence.rs
@@ -5,6 +5,7 @@
 use gaplock_types::time::{Instant, Millis};
 
 use super::suspicion::Saved;
+use super::trials::Trial;
 use crate::context::Context;
 use crate::message::WorkerIx;
 use crate::table::TaskState;
@@ -87,12 +88,14 @@
 }
 
 /// Lists the tasks against which the loss of a worker speaks. Where one was being tried there, these are
-/// its job's alone; a run that was at work for long speaks for its task.
+/// its job's, and those that had just started when the trial began; a run that was at work for long
+/// speaks for its task.
 fn blamed(worker: &Worker) -> Vec<Blamed> {
     let heard = worker.clock.map(|(heard, _)| heard);
     let mut found = Vec::new();
     for (&key, slot) in &worker.slots {
-        let excused = worker.trial.is_some_and(|t| t.task.job != key.job);
+        let settled = |t: Trial| slot.confirmed.is_some_and(|at| t.began.since(at) >= AT_START);
+        let excused = worker.trial.is_some_and(|t| t.task.job != key.job && settled(t));
         let lived = lived(slot, heard);
         if !excused && may_have_begun(slot) && lived < CLEARED_AFTER {
             found.push(Blamed { key, confirmed: slot.confirmed.is_some(), lived });
--- a/crates/sched/src/crashes/inherited.rs
+++ b/crates/sched/src/crashes/inherited.rs
@@ -7,13 +7,18 @@
 
 use super::evidence::{doubt, has_left, hold_until_saved, suspect, Evidence, Loss, AT_START};
 use super::Suspicion;
+use crate::commits;
 use crate::context::Context;
 use crate::message::WorkerIx;
 use crate::table::TaskState;
 
-/// How many tasks may be suspected of the loss of a worker of which nobody knows what it ran. Where
-/// more could have been there, the loss says nothing of any of them.
-const DOUBTFUL_MOST: usize = 64;
+/// How many tasks may be held back for the loss of a worker of which nobody knows what it ran. Where more
+/// could have been there, nothing waits for the doubt to be stored.
+const HELD_BACK_MOST: usize = 64;
+
+/// How many tasks may be doubted for such a loss: each changes its job's record. Where more could have
+/// been there, the loss says nothing of any of them.
+const DOUBTED_MOST: usize = 1_000;
 
 /// Puts what a former leader stored of a task's crashes back.
 pub fn restored(note: &TaskNote) -> Option<Box<Suspicion>> {
@@ -69,11 +74,15 @@
         unfound.iter().partition(|key| cx.crashes.suspects.contains(key));
     let evidence = unknown_lives(&id, unfound.len());
     suspects.into_iter().for_each(|key| suspect(cx, key, &evidence));
-    if others.len() <= DOUBTFUL_MOST {
-        for key in others {
-            if doubt(cx, key, &id) {
-                hold_until_saved(cx, key);
-            }
+    let (few, too_many) = (others.len() <= HELD_BACK_MOST, others.len() > DOUBTED_MOST);
+    for key in others {
+        if too_many || !doubt(cx, key, &id) {
+            continue;
+        }
+        if few {
+            hold_until_saved(cx, key);
+        } else {
+            commits::mark(&mut cx.commits, cx.now, key.job);
         }
     }
 }
--- a/crates/sched/src/crashes/trials.rs
+++ b/crates/sched/src/crashes/trials.rs
@@ -40,6 +40,8 @@
 pub struct Trial {
     /// The task.
     pub task: TaskKey,
+    /// When it began.
+    pub began: Instant,
     /// When others may start there again, if the task still runs.
     pub until: Instant,
 }
@@ -151,7 +153,7 @@
 fn keep(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
     let losses = losses(cx, key) as u64;
     let until = cx.now + Millis(ALONE_FOR.0 * losses * losses);
-    cx.worker_mut(ix).trial = Some(Trial { task: key, until });
+    cx.worker_mut(ix).trial = Some(Trial { task: key, began: cx.now, until });
 }
 
 fn losses(cx: &Context, key: TaskKey) -> usize {
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -31,12 +31,17 @@
 /// How many failed runs a task may have whose queue the configuration no longer names.
 const FALLBACK_ATTEMPTS: u32 = 2;
 
+/// The longest time that a job is allowed, for ordering: ten years. What callers estimate beyond that means
+/// nothing, and sums of times must not wrap around.
+const ALLOWED_MOST: Millis = Millis(315_360_000_000);
+
 /// Builds the entry of a job that nothing is known to have happened to.
 pub fn entry(cx: &Context, job: Arc<Job>) -> Entry {
     let queue = cx.config.as_ref().and_then(|c| c.queue(&job.queue));
     let chain = longest_chain(&job);
     let stretch = queue.map_or(1.0, |q| q.stretch);
-    let allowed = (chain.0 as f64 * stretch) as u64 + queue.map_or(0, |q| q.slack.0);
+    let allowed = (chain.0 as f64 * stretch) as u64;
+    let allowed = allowed.saturating_add(queue.map_or(0, |q| q.slack.0)).min(ALLOWED_MOST.0);
     let age = Millis(cx.unix_ms.saturating_sub(job.accepted_unix_ms));
     Entry {
         state: JobState::Queued,
@@ -57,7 +62,7 @@
     let mut ends: Vec<u64> = Vec::with_capacity(job.steps.len());
     for step in &job.steps {
         let begin = step.after.iter().map(|&b| ends[usize::from(b)]).max().unwrap_or(0);
-        ends.push(begin + step.estimate.0);
+        ends.push(begin.saturating_add(step.estimate.0));
     }
     Millis(ends.into_iter().max().unwrap_or(0))
 }
@@ -80,7 +85,7 @@
         let unix_ms = cx.unix_ms;
         let Some(entry) = cx.jobs.get_mut(&key) else { return };
         let next = entry.next_round;
-        if entry.state.is_final() || next >= entry.rounds_in_all() {
+        if entry.state.is_final() || next >= entry.rounds_in_all() || entry.has_most_rounds() {
             return;
         }
         if entry.due_unix_ms(next) > unix_ms {
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -75,6 +75,12 @@
 
 /// Takes in what became of a renewal.
 pub fn renewed(cx: &mut Context, ix: WorkerIx, sent: Instant, outcome: Outcome<Account>) {
+    // What an incarnation said before it was known to be over speaks of runs that are over too; nobody
+    // would look for their ends. One that is listed again is asked anew.
+    if cx.worker(ix).gone {
+        cx.worker_mut(ix).renewal = Renewal::Due(cx.now);
+        return;
+    }
     match outcome {
         Outcome::Done(account) => answered(cx, ix, sent, account),
         Outcome::Refused(Refusal::OtherIncarnation) => {
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use gaplock_jobs::job::{self, Repeat};
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey, Step, TaskKey};
 use gaplock_types::sizes::Resources;
@@ -162,7 +163,15 @@
 
     /// Returns when a round is due, in milliseconds since 1970; 0 for a job that does not repeat.
     pub fn due_unix_ms(&self, round: u32) -> u64 {
-        self.job.repeat.map_or(0, |r| r.first_unix_ms + u64::from(round) * r.every.0)
+        let after = |r: Repeat| u64::from(round).saturating_mul(r.every.0);
+        self.job.repeat.map_or(0, |r| r.first_unix_ms.saturating_add(after(r)))
+    }
+
+    /// Tells whether as many rounds are under way as may be: together they have no more tasks than one
+    /// job may have, so that no request makes a leader keep more.
+    pub fn has_most_rounds(&self) -> bool {
+        let tasks: u64 = self.job.steps.iter().map(|step| u64::from(step.count)).sum();
+        self.rounds.len() as u64 >= (job::MOST_TASKS / tasks.max(1)).max(1)
     }
 
     /// Goes over all tasks of the rounds under way.
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -120,7 +120,7 @@
 /// Adds rounds that a former leader may have begun without storing anything of them, and puts
 /// every task that is not done in doubt.
 fn with_unknown_first_rounds(mut entry: Entry, unix_ms: u64) -> Entry {
-    while entry.next_round < entry.rounds_in_all() {
+    while entry.next_round < entry.rounds_in_all() && !entry.has_most_rounds() {
         let number = entry.next_round;
         if entry.due_unix_ms(number) > unix_ms {
             break;
--- a/crates/sched/tests/fleet/crashes.rs
+++ b/crates/sched/tests/fleet/crashes.rs
@@ -8,6 +8,7 @@
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::Step;
+use gaplock_types::time::Instant;
 
 use crate::world::{assert_all_end, assert_kept, job, step, Faults, World};
 
@@ -403,3 +404,23 @@
     assert_eq!(world.crashes.of(1), crashes);
     assert_kept(&world);
 }
+
+/// Seen: jobs whose tasks waited for ever, in processes beside crashing workers. A worker's last account
+/// arrived after another incarnation had answered in its place, and the tasks that it listed were held
+/// to run there, where nobody looks any more.
+#[test]
+fn an_account_that_comes_after_its_worker_is_gone_is_not_believed() {
+    let mut world = World::open(405, 6);
+    world.submit(job(1, vec![lasting(12)]));
+    world.run(1_000);
+    let at = (0..6).find(|&at| world.running_at(at) > 0).expect("it runs somewhere");
+    let (sent, account) = (Instant(world.now), world.account(at));
+    world.crash_and_return(at);
+    while world.cx.as_ref().is_some_and(|cx| !cx.workers[at].gone) {
+        world.run(1);
+    }
+    world.hear_of(at, sent, account);
+    world.run(10_000);
+    assert_eq!(world.running_of(1), 12);
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod late_upkeeps;
 mod late_writes;
 mod leaving;
+mod odd_jobs;
 mod packing;
 mod promises;
 mod renewals;
--- /dev/null
+++ b/crates/sched/tests/fleet/odd_jobs.rs
@@ -0,0 +1,70 @@
+//! Jobs whose figures are far beyond what any caller means: what they cost a leader is bounded.
+//!
+//! Seen by reading: a job that repeats had all its due rounds begun at once, so one request could take all
+//! memory of the leader, and of each one after it; and an estimate near the largest number wrapped
+//! around, which put the job before all others. These tests failed on that code.
+
+use gaplock_jobs::job::Repeat;
+use gaplock_jobs::{Job, JobKey};
+use gaplock_types::time::Millis;
+
+use crate::world::{assert_kept, job, step, World};
+
+fn repeating(times: u32, every: u64) -> Job {
+    let repeat = Some(Repeat { times, first_unix_ms: 0, every: Millis(every) });
+    Job { repeat, ..job(1, vec![step(2, &[])]) }
+}
+
+#[test]
+fn rounds_that_are_due_at_once_do_not_all_begin_at_once() {
+    let mut world = World::open(701, 4);
+    world.submit(repeating(60_000, 0));
+    assert!(world.rounds_under_way(1) <= 10_000, "{}", world.rounds_under_way(1));
+    world.submit(job(2, vec![step(2, &[])]));
+    world.run(100);
+    assert!(world.rounds_under_way(1) <= 10_000);
+    world.take_over();
+    assert!(world.rounds_under_way(1) <= 10_000, "{}", world.rounds_under_way(1));
+    assert_kept(&world);
+}
+
+#[test]
+fn rounds_that_had_to_wait_are_run_in_their_turn() {
+    let mut world = World::open(702, 40);
+    world.work_ms = 1;
+    let mut wide = repeating(3, 0);
+    wide.steps = vec![step(9_000, &[])];
+    world.submit(wide);
+    assert_eq!(world.rounds_under_way(1), 2);
+    while world.rounds_finished(1) == 0 && world.now < 60_000 {
+        world.run(10);
+    }
+    world.run(100);
+    assert_eq!((world.rounds_finished(1), world.rounds_under_way(1)), (1, 2));
+    assert_kept(&world);
+}
+
+#[test]
+fn a_round_that_is_due_beyond_all_time_is_not_due_now() {
+    let mut world = World::open(703, 2);
+    world.submit(repeating(3, u64::MAX / 2 + 1));
+    world.run(2_000);
+    assert_eq!(world.rounds_finished(1), 1);
+    assert_kept(&world);
+}
+
+#[test]
+fn an_estimate_without_end_puts_a_job_last() {
+    let mut world = World::open(704, 1);
+    let mut endless = job(1, vec![step(8, &[]), step(1, &[0])]);
+    for step in &mut endless.steps {
+        step.estimate = Millis(u64::MAX);
+    }
+    world.submit(endless);
+    world.submit(job(2, vec![step(1, &[])]));
+    let cx = world.cx.as_ref().expect("it leads");
+    let due = |key| cx.jobs[&JobKey(key)].due;
+    assert!(due(1) > due(2));
+    world.run(3_000);
+    assert!(world.is_completed(1) && world.is_completed(2));
+}
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -24,7 +24,7 @@
 use gaplock_jobs::config::{Advice, Config, Pool};
 use gaplock_jobs::progress::Progress;
 use gaplock_jobs::{Job, JobKey, TaskKey};
-use gaplock_sched::message::{RosterEntry, WaveNumber, WaveProgress};
+use gaplock_sched::message::{Account, Outcome, RosterEntry, WaveNumber, WaveProgress};
 use gaplock_sched::{Context, Event, Settings};
 use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
@@ -205,6 +205,14 @@
         self.workers[worker].running.clear();
     }
 
+    /// Hands the leader an account that a worker gave before, as the answer to a renewal of that time.
+    pub fn hear_of(&mut self, worker: usize, sent: Instant, account: Account) {
+        let id = &self.workers[worker].info.id;
+        let ix = self.cx.as_ref().and_then(|cx| cx.by_id.get(id).copied());
+        let worker = ix.expect("the leader knows the worker");
+        self.event(Event::Renewed { worker, sent, outcome: Outcome::Done(account) });
+    }
+
     /// Takes a worker off the directory.
     pub fn unlist(&mut self, worker: usize) {
         let id = self.workers[worker].info.id.clone();
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -57,6 +57,16 @@
         suspicions.map(|s| s.crashed.len()).sum()
     }
 
+    /// Returns how many rounds of a job the leader has begun and not finished.
+    pub fn rounds_under_way(&self, key: u64) -> usize {
+        self.cx.as_ref().map_or(0, |cx| cx.jobs[&JobKey(key)].rounds.len())
+    }
+
+    /// Returns how many rounds of a job are finished.
+    pub fn rounds_finished(&self, key: u64) -> usize {
+        self.cx.as_ref().map_or(0, |cx| cx.jobs[&JobKey(key)].finished.len())
+    }
+
     /// Returns how many starts wait for their answer.
     pub fn starts_under_way(&self) -> usize {
         let starting = |w: &Worker| w.slots.values().filter(|s| s.phase == Phase::Starting).count();
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -294,7 +294,14 @@
             let renewal = Renewal { stored: EndSeq(0), until: None, wait: 0, sent };
             return self.time_out(trip, &Call::Renew(renewal));
         }
-        let Some(ix) = self.awaited_by(trip) else { return };
+        let Some(worker) = self.awaited_by(trip) else { return };
+        let outcome = Outcome::Done(self.account(trip.worker));
+        self.reply(trip, Event::Renewed { worker, sent, outcome });
+    }
+
+    /// Returns a worker's account of itself.
+    pub fn account(&self, at: usize) -> Account {
+        let worker = &self.workers[at];
         let running = worker.running.iter().map(|(task, r)| RunningTask {
             task: *task,
             run: r.run,
@@ -302,13 +309,11 @@
             percent: r.percent(self.now),
             reading: self.readings.get(&task.job).map(|tail| tail * worker.slowness as u32),
         });
-        let account = Account {
+        Account {
             clock: WorkerClock(self.now + worker.clock_offset),
             running: running.collect(),
             ends: worker.ends.clone(),
-        };
-        let outcome = Outcome::Done(account);
-        self.reply(trip, Event::Renewed { worker: ix, sent, outcome });
+        }
     }
 
     fn order(&mut self, at: usize, call: &Call, clock: u64) -> Result<(), Refusal> {
