A supposed loss counts from the second time on; a late answer is no departure

It is supposed once now and counted from the second time on, so one crash at most is forgotten. One that leaves serves on for seconds: half a second is asked for.

--- a/crates/sched/src/crashes/evidence.rs
+++ b/crates/sched/src/crashes/evidence.rs
@@ -126,10 +126,15 @@
     Some(if crashed { Loss::Crashed } else { Loss::Silent })
 }
 
+/// How long after the directory has dropped a worker its answers show that it was leaving: one that leaves
+/// serves on for seconds, while the last answer of one that crashed may be taken in a little late.
+const SERVES_ON: Millis = Millis(500);
+
 /// Tells whether a worker was leaving: by its own word, by an order of ours, or because it answered
 /// after the directory had dropped it.
 pub fn has_left(worker: &Worker) -> bool {
-    let answered_after = |since| worker.clock.is_some_and(|(heard, _)| heard > since);
+    let answered_after =
+        |since: Instant| worker.clock.is_some_and(|(heard, _)| heard > since + SERVES_ON);
     let left = match worker.listing {
         Listing::Ready | Listing::Unreadable => false,
         Listing::Draining { .. } => true,
--- a/crates/sched/src/crashes/inherited.rs
+++ b/crates/sched/src/crashes/inherited.rs
@@ -64,16 +64,20 @@
 }
 
 /// Takes in that a successor has found workers gone that may have run any task, and these tasks at no
-/// other one. Suspects are counted as having been there, since their start must not be forgotten; of
-/// the others each may have been.
+/// other one: each of them may have been there, or may have waited. A suspect of which that has been
+/// supposed once is counted the second time, so that no more than one crash is forgotten.
 pub fn any_lost(cx: &mut Context, lost: &[WorkerIx], unfound: &FxHashSet<TaskKey>) {
     let crashed = lost.iter().find(|&&ix| !has_left(cx.worker(ix)));
     let Some(&ix) = crashed else { return };
     let id = cx.worker(ix).info.id.clone();
-    let (suspects, others): (Vec<TaskKey>, Vec<TaskKey>) =
-        unfound.iter().partition(|key| cx.crashes.suspects.contains(key));
+    let doubted = |key: &TaskKey| {
+        let suspicion = cx.task(*key).and_then(|t| t.suspicion.as_ref());
+        suspicion.is_some_and(|s| s.perhaps.is_some())
+    };
+    let (twice, others): (Vec<TaskKey>, Vec<TaskKey>) =
+        unfound.iter().partition(|key| doubted(key));
     let evidence = unknown_lives(&id, unfound.len());
-    suspects.into_iter().for_each(|key| suspect(cx, key, &evidence));
+    twice.into_iter().for_each(|key| suspect(cx, key, &evidence));
     let (few, too_many) = (others.len() <= HELD_BACK_MOST, others.len() > DOUBTED_MOST);
     for key in others {
         if too_many || !doubt(cx, key, &id) {
--- a/crates/sched/src/crashes/trials.rs
+++ b/crates/sched/src/crashes/trials.rs
@@ -144,7 +144,9 @@
 
 /// Keeps a worker for a suspect that starts there, unless it has a single loss and others run there.
 pub fn placed(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
-    if losses(cx, key) > 1 && cx.worker(ix).trial.is_none() {
+    let now = cx.now;
+    let is_free = cx.worker(ix).trial.is_none_or(|trial| trial.until <= now);
+    if losses(cx, key) > 1 && is_free {
         keep(cx, ix, key);
     }
 }
--- a/crates/sched/tests/fleet/crashes.rs
+++ b/crates/sched/tests/fleet/crashes.rs
@@ -8,6 +8,7 @@
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::Step;
+use gaplock_types::sizes::Resources;
 use gaplock_types::time::Instant;
 
 use crate::world::{assert_all_end, assert_kept, job, step, Faults, World};
@@ -424,3 +425,49 @@
     assert_eq!(world.running_of(1), 12);
     assert_kept(&world);
 }
+
+/// Seen in processes: jobs that had lost one or two workers and then only waited were given up after some
+/// changes of leader, at each of which a worker was gone that might have run them. Such a loss is supposed
+/// once, and counted from the second time on.
+#[test]
+fn a_task_that_only_waits_is_not_given_up_for_three_lost_leaders() {
+    let mut world = World::open(406, 8);
+    world.submit(job(1, vec![lasting(1)]));
+    world.run(1_000);
+    let at = (0..8).find(|&at| world.running_at(at) > 0).expect("it runs somewhere");
+    world.crash(at);
+    world.unlist(at);
+    for worker in (0..8).filter(|&worker| worker != at) {
+        world.resize(worker, Resources::new(0, 0, 0));
+    }
+    world.run(8_000);
+    assert_eq!(world.crashes_counted(1), 1);
+    for _ in 0..3 {
+        let at = (0..8).find(|&at| world.workers[at].up).expect("one is up");
+        world.lose_leader();
+        world.crash(at);
+        world.run(500);
+        world.take_over();
+        world.run(8_000);
+    }
+    assert_ne!(world.state(1), Some(JobState::Failed));
+    assert_kept(&world);
+}
+
+/// The last answer of a worker that crashed is taken in just after the directory has dropped its entry: that
+/// does not make it one that left.
+#[test]
+fn an_answer_just_after_the_entry_has_gone_is_no_departure() {
+    let mut world = World::open(407, 6);
+    world.submit(job(1, vec![lasting(6)]));
+    world.run(1_000);
+    let at = (0..6).find(|&at| world.running_at(at) > 0).expect("it runs somewhere");
+    let (sent, account) = (Instant(world.now), world.account(at));
+    world.crash_and_return(at);
+    world.unlist(at);
+    world.run(5);
+    world.hear_of(at, sent, account);
+    world.run(9_000);
+    assert!(world.suspects() > 0, "the crash is not counted");
+    assert_kept(&world);
+}
