Evacuated failure domains get nothing new, over every leader, until they are taken back

Cause: nothing in the code knew the operators' word for an evacuation.

Change: the word stays where the operators write it (op/evacuate/DOMAIN). A new leader reads it with the roster, before its first start; then it is read every half second in the time of a call for one key. Workers of such a domain take no tasks (Worker::takes_tasks), so first starts, starts again, copies, moves, gangs, trials and permits follow; a start without an answer is withdrawn there, not sent again. What runs there runs on. The newest revision wins; an entry that cannot be read names no domain.

The simulated workers lie in failure domains of eight now, which no earlier test looks at.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -1,6 +1,7 @@
 //! Drives the scheduler's state with real time, sockets and the store while this host leads.
 
 use std::collections::BTreeMap;
+use std::iter;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant as StdInstant};
 
@@ -13,7 +14,7 @@
 use gaplock_sched::context::Term;
 use gaplock_sched::message::{FencingToken, Record};
 use gaplock_sched::room::{self, Free};
-use gaplock_sched::{commits, Context, Event};
+use gaplock_sched::{commits, evacuation, Context, Event};
 use gaplock_types::time::Instant;
 
 use crate::actions::{self, Calls, Clients};
@@ -126,6 +127,7 @@
             }
         }
         self.show_room(Free::default(), 0, 0);
+        self.node.metrics.show_evacuated(iter::empty());
     }
 
     /// Takes in a message and those that wait behind it, up to a batch.
@@ -187,6 +189,9 @@
         let counts = counts.into_iter();
         let counts = counts.map(|(queue, waiting)| QueueCount { queue: queue.into(), waiting });
         *self.engine.waiting.lock().expect("no holder of the lock panics") = counts.collect();
+        let evacuated = self.cx.evacuated.domains.iter();
+        let shown = evacuated.map(|domain| (domain, evacuation::running_in(&self.cx, domain)));
+        self.node.metrics.show_evacuated(shown);
         let free = room::free(&self.cx);
         self.show_room(free, self.cx.ready.len(), self.cx.crashes.suspects.len());
     }
--- /dev/null
+++ b/crates/node/src/evacuations.rs
@@ -0,0 +1,61 @@
+//! Tells the engine which failure domains the operators have evacuated.
+//!
+//! The word is read anew several times within the bound that the installation sets, in place of a watch: a
+//! watch whose connection has gone silent would be noticed only after the bound.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use async_std::task;
+use gaplock_platform::evacuations;
+use gaplock_platform::store::{Item, StoreError};
+use gaplock_sched::evacuation::Evacuated;
+use gaplock_sched::Event;
+use gaplock_types::time::Millis;
+
+use crate::engine::Engine;
+use crate::node::Node;
+
+/// How many times the word is read within the bound: several readings in a row may fail or be lost.
+const READS_IN_BOUND: u64 = 10;
+
+/// The longest pause between two readings, whatever the bound.
+const PAUSE_MOST: Millis = Millis(500);
+
+/// Feeds the engine of a leadership; `bound` is how soon an evacuation must be heeded.
+pub async fn feed(node: Arc<Node>, engine: Arc<Engine>, bound: Millis) {
+    let pause = Millis(bound.0 / READS_IN_BOUND).min(PAUSE_MOST).as_duration();
+    let mut refused = BTreeSet::new();
+    loop {
+        match read(&node, &mut refused).await {
+            Ok(evacuated) => engine.send(Event::Evacuated(evacuated)),
+            Err(e) => tracing::debug!(event = "store_silent", error = %e),
+        }
+        task::sleep(pause).await;
+    }
+}
+
+/// Reads the operators' word. An entry that names no domain is logged once and kept in `refused`.
+///
+/// # Errors
+/// Returns the store's error.
+pub async fn read(node: &Node, refused: &mut BTreeSet<String>) -> Result<Evacuated, StoreError> {
+    let listed = node.store.list_few(evacuations::PREFIX).await?;
+    let mut unreadable = BTreeSet::new();
+    let mut domains = BTreeSet::new();
+    for Item { key, value, .. } in listed.items {
+        match evacuations::decode(&key, &value) {
+            Ok(domain) => {
+                domains.insert(domain);
+            }
+            Err(e) => {
+                if !refused.contains(&key) {
+                    tracing::warn!(event = "evacuation_malformed", key, error = %e);
+                }
+                unreadable.insert(key);
+            }
+        }
+    }
+    *refused = unreadable;
+    Ok(Evacuated { revision: listed.revision.0, domains })
+}
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -1,5 +1,5 @@
 //! Feeds the engine with what changes in the store while this host leads: the inbox, the directory
-//! of workers, and the operators' waves of upkeep.
+//! of workers, the operators' evacuations, and their waves of upkeep.
 //!
 //! Each feed is a task that watches a prefix; where a watch starts too late to be complete, the
 //! prefix is listed anew. Feeds live for one leadership and are ended by `leading`.
@@ -16,6 +16,7 @@
 
 use crate::engine::Engine;
 use crate::entries::Entries;
+use crate::evacuations;
 use crate::keys;
 use crate::node::Node;
 
@@ -42,13 +43,18 @@
     pub entries: Entries,
 }
 
-/// Starts the feeds of a leadership. Waves are read only where the installation has duties.
+/// Starts the feeds of a leadership. Evacuations are read only where the installation bounds them, waves
+/// where it has duties.
 pub fn open(node: &Arc<Node>, engine: &Arc<Engine>, seen: Seen) -> Vec<JoinHandle<()>> {
     let (inbox, directory) = (Arc::clone(node), Arc::clone(node));
     let mut feeds = vec![
         task::spawn(feed_inbox(inbox, Arc::clone(engine), seen.inbox)),
         task::spawn(feed_directory(directory, Arc::clone(engine), seen.directory, seen.entries)),
     ];
+    if let Some(bound) = node.installation.bounds.evacuate {
+        let feed = evacuations::feed(Arc::clone(node), Arc::clone(engine), bound);
+        feeds.push(task::spawn(feed));
+    }
     if node.installation.has_duties {
         feeds.push(task::spawn(feed_waves(Arc::clone(node), Arc::clone(engine))));
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 mod engine;
 mod entries;
+mod evacuations;
 mod feeds;
 mod following;
 mod handover;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use gaplock_types::codes::Code;
+use gaplock_types::ids;
 use prometheus_client::encoding::{text, EncodeLabelSet};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -16,9 +17,18 @@
     kind: String,
 }
 
+/// A failure domain as a label.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct DomainLabel {
+    domain: String,
+}
+
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 2.5];
 
+/// The most evacuated failure domains that are shown: above the users' 31, and a bound whatever is written.
+const EVACUATED_SHOWN: usize = 64;
+
 /// Everything that a host counts.
 pub struct Metrics {
     registry: Registry,
@@ -26,6 +36,7 @@
     orders: Family<Label, Counter>,
     commits: Family<Label, Counter>,
     commit_time: Histogram,
+    evacuated_runs: Family<DomainLabel, Gauge>,
     /// Leaderships that this process has held.
     pub terms: Counter,
     /// The version of the configuration in force.
@@ -55,6 +66,9 @@
     registry.register("commits", "Commits of the leader by outcome", commits.clone());
     let commit_time = Histogram::new(BUCKETS);
     registry.register("commit_seconds", "Time of a commit", commit_time.clone());
+    let evacuated_runs = Family::<DomainLabel, Gauge>::default();
+    let what = "Tasks that still run in an evacuated failure domain";
+    registry.register("evacuated_domain_runs", what, evacuated_runs.clone());
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let config_version = Gauge::default();
@@ -80,6 +94,7 @@
         orders,
         commits,
         commit_time,
+        evacuated_runs,
         terms,
         config_version,
         free_millicores,
@@ -108,6 +123,16 @@
         self.commit_time.observe(took.as_secs_f64());
     }
 
+    /// Shows the evacuated failure domains, each with the tasks that still run there; the others are not
+    /// shown.
+    pub fn show_evacuated<'a>(&self, domains: impl Iterator<Item = (&'a ids::DomainId, usize)>) {
+        self.evacuated_runs.clear();
+        for (domain, runs) in domains.take(EVACUATED_SHOWN) {
+            let label = DomainLabel { domain: domain.to_string() };
+            self.evacuated_runs.get_or_create(&label).set(runs as i64);
+        }
+    }
+
     /// Renders the counters as text.
     pub fn render(&self) -> String {
         let mut out = String::new();
--- a/crates/node/src/reading.rs
+++ b/crates/node/src/reading.rs
@@ -3,6 +3,7 @@
 //! On a narrow link that takes seconds, so a reading that is cut goes on where it stopped, ends at once
 //! when the leadership is lost, and is given up when it takes too long for this host.
 
+use std::collections::BTreeSet;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use gaplock_platform::directory;
 use gaplock_platform::store::{Item, Listed, Reading, Revision, StoreError};
 use gaplock_remote::clock;
+use gaplock_sched::evacuation::Evacuated;
 use gaplock_sched::takeover::Stored;
 use gaplock_types::time::Millis;
 
@@ -20,7 +22,7 @@
 use crate::leadership::{Right, Standing};
 use crate::ledger::{self, RosterRecord};
 use crate::node::Node;
-use crate::{following, keys};
+use crate::{evacuations, following, keys};
 
 /// The stored state, from which the scheduler's state is restored and the feeds go on.
 pub struct State {
@@ -48,6 +50,7 @@
     directory: Reading,
     learnt: Option<Item>,
     waves: Vec<Item>,
+    evacuated: Evacuated,
 }
 
 impl Readings {
@@ -117,6 +120,9 @@
     node.store.read_on(keys::PROGRESS, &mut readings.progress).await?;
     node.store.read_on(keys::INBOX, &mut readings.inbox).await?;
     readings.learnt = node.store.get(keys::LEARNT).await?;
+    if node.installation.bounds.evacuate.is_some() {
+        readings.evacuated = evacuations::read(node, &mut BTreeSet::new()).await?;
+    }
     if node.installation.has_duties {
         readings.waves = node.store.list(keys::WAVES).await?.items;
     }
@@ -137,6 +143,7 @@
     stored.roster = entries.map(RosterRecord::entry).collect();
     stored.learnt = readings.learnt.as_ref().and_then(ledger::decode).unwrap_or_default();
     stored.waves = readings.waves.iter().filter_map(ledger::decode).collect();
+    stored.evacuated = readings.evacuated;
     State { stored, inbox: inbox.revision, directory: readings.directory.listed() }
 }
 
--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -85,6 +85,27 @@
     assert_eq!((site.cloud.upkeeps(), site.cloud.most_away()), (4, 1));
 }
 
+#[test]
+fn an_evacuated_domain_gets_nothing_over_a_change_of_leader() {
+    let mut site = open_site(3, 4, Duration::from_millis(300));
+    let first = site.leader().expect("there is a leader");
+    let other = (first + 1) % 3;
+    let runs = "gaplock_evacuated_domain_runs{domain=\"hall\"}";
+    site.store.put("op/evacuate/", &json!({}));
+    site.store.put("op/evacuate/nowhere", &json!([7]));
+    site.store.put("op/evacuate/hall", &json!({}));
+    wait_for("the leader to hear of it", || site.hosts[first].metric(runs) == Some(0));
+    assert_eq!(submit(&site, other, 1), Some(200));
+    site.hosts[first].kill().expect("it runs");
+    wait_for("another leader", || site.leader().is_some_and(|leader| leader != first));
+    std::thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(site.fleet.starts(), 0);
+    assert!(shows(&site, other, 1, "queued"));
+    site.store.remove("op/evacuate/hall");
+    wait_for("completion", || shows(&site, other, 1, "completed"));
+    assert!(site.twice().is_empty());
+}
+
 #[test]
 fn a_job_is_refused_at_once_while_the_store_is_away() {
     let site = open_site(2, 2, Duration::from_millis(300));
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -11,6 +11,7 @@
 use crate::commits::{self, Commits};
 use crate::crashes::Crashes;
 use crate::directory::Unnamed;
+use crate::evacuation::{self, Evacuated};
 use crate::message::{Action, Event, FencingToken, Run, WorkerIx};
 use crate::pacing::{self, Pacing};
 use crate::permits::{self, Permits};
@@ -87,6 +88,8 @@
     pub by_id: FxHashMap<ids::WorkerId, WorkerIx>,
     /// Entries of the directory whose pool the configuration does not name.
     pub unnamed: Unnamed,
+    /// The failure domains to whose workers nothing new goes.
+    pub evacuated: Evacuated,
     /// Steps with pending tasks.
     pub ready: BTreeSet<ReadyStep>,
     /// Set while former leaders' runs are being searched for.
@@ -136,6 +139,7 @@
             workers: Vec::new(),
             by_id: FxHashMap::default(),
             unnamed: Unnamed::default(),
+            evacuated: Evacuated::default(),
             ready: BTreeSet::new(),
             survey: None,
             commits: Commits::default(),
@@ -172,6 +176,7 @@
             Event::Unreadable(id) => directory::unreadable(self, &id),
             Event::Unlisted(id) => directory::unlisted(self, &id),
             Event::DirectoryBack => self.directory_back = now,
+            Event::Evacuated(evacuated) => evacuation::read(self, evacuated),
             Event::Renewed { worker, sent, outcome } => {
                 renewals::renewed(self, worker, sent, outcome);
             }
--- a/crates/sched/src/directory.rs
+++ b/crates/sched/src/directory.rs
@@ -10,7 +10,7 @@
 use crate::context::Context;
 use crate::message::{WorkerInfo, WorkerIx};
 use crate::worker::{Listing, Worker};
-use crate::{roster, trace, upkeep};
+use crate::{evacuation, roster, trace, upkeep};
 
 /// Sound entries whose pool the configuration does not name; a later one may.
 pub type Unnamed = BTreeMap<ids::WorkerId, WorkerInfo>;
@@ -35,6 +35,8 @@
     };
     worker.info = info;
     worker.gone = false;
+    evacuation::mark(cx, ix);
+    let worker = cx.worker(ix);
     if was != listing {
         trace::worker_listed(&worker.info, worker.listing);
     }
@@ -86,6 +88,7 @@
     worker.emptying = upkeep::is_expected_down(cx, &info.id);
     cx.workers.push(worker);
     cx.by_id.insert(info.id.clone(), ix);
+    evacuation::mark(cx, ix);
     ix
 }
 
--- /dev/null
+++ b/crates/sched/src/evacuation.rs
@@ -0,0 +1,58 @@
+//! Failure domains that the operators have evacuated.
+//!
+//! Nothing new goes to the workers of such a domain until the operators take it back: no first start,
+//! no start again, no copy, no move, no member of a gang. What runs there runs on. The operators' word
+//! lies in the store, so it outlives every leader; a successor reads it before its first start.
+//!
+//! What else follows from a worker that gets nothing (room, largest worker, trials, permits) goes by
+//! [`crate::worker::Worker::takes_tasks`]; `docs/PLATFORM.md` (section Evacuations) has the rest.
+
+use std::collections::BTreeSet;
+
+use gaplock_types::ids;
+
+use crate::context::Context;
+use crate::message::WorkerIx;
+use crate::trace;
+
+/// The operators' word on which failure domains are evacuated, as it lay in the store at one revision.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Evacuated {
+    /// The store's revision at which it was read.
+    pub revision: u64,
+    /// All evacuated domains.
+    pub domains: BTreeSet<ids::DomainId>,
+}
+
+/// Takes in what the store says; an older reading changes nothing.
+pub fn read(cx: &mut Context, evacuated: Evacuated) {
+    if evacuated.revision < cx.evacuated.revision {
+        return;
+    }
+    let before = std::mem::replace(&mut cx.evacuated, evacuated);
+    if before.domains == cx.evacuated.domains {
+        return;
+    }
+    for domain in cx.evacuated.domains.difference(&before.domains) {
+        trace::domain_evacuated(domain, running_in(cx, domain));
+    }
+    for domain in before.domains.difference(&cx.evacuated.domains) {
+        trace::domain_taken_back(domain);
+    }
+    for ix in (0..cx.workers.len() as u32).map(WorkerIx) {
+        mark(cx, ix);
+    }
+    cx.pass_wanted = true;
+}
+
+/// Marks a worker by the domain that it says it is in.
+pub fn mark(cx: &mut Context, ix: WorkerIx) {
+    let evacuated = cx.evacuated.domains.contains(&cx.worker(ix).info.domain);
+    cx.worker_mut(ix).evacuated = evacuated;
+}
+
+/// Counts the runs at the workers of a domain.
+pub fn running_in(cx: &Context, domain: &ids::DomainId) -> usize {
+    let there = cx.workers.iter().filter(|w| !w.gone && w.info.domain == *domain);
+    there.map(|w| w.slots.len()).sum()
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod doubts;
 pub mod drain;
 pub mod ends;
+pub mod evacuation;
 pub mod gangs;
 pub mod intake;
 pub mod leases;
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -9,6 +9,7 @@
 use gaplock_types::time::{Instant, Millis};
 use gaplock_types::{ids, sizes};
 
+use crate::evacuation::Evacuated;
 use crate::pacing::Learnt;
 use crate::permits::StepKey;
 use crate::settings::Settings;
@@ -206,6 +207,8 @@
     Unlisted(ids::WorkerId),
     /// The directory can be read again after it could not be; entries may have lapsed meanwhile.
     DirectoryBack,
+    /// The operators' word on evacuated failure domains was read.
+    Evacuated(Evacuated),
     /// A renewal was answered or not.
     Renewed {
         /// The worker.
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -117,13 +117,18 @@
     cx.worker_mut(ix).avoid_until = now + pause;
 }
 
-/// Sends a start without an answer again, or withdraws it once it was tried often enough.
+/// Sends a start without an answer again, or withdraws it once it was tried often enough or nothing is to
+/// go to its worker any more.
 fn unclear(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
     let now = cx.now;
     let most = cx.settings.start_tries;
     suspect(cx, ix);
+    let evacuated = cx.worker(ix).evacuated;
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
     slot.phase = Phase::Uncertain;
+    if evacuated {
+        return lifecycle::order_stop(cx, ix, key, run, "its failure domain is evacuated");
+    }
     if slot.tries.sent() >= most {
         return lifecycle::order_stop(cx, ix, key, run, "start not answered");
     }
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -50,6 +50,8 @@
     /// It is draining, unlisted, silent, avoided or kept for a task that may crash it, or has many
     /// starts to answer.
     NotTaking,
+    /// Its failure domain is evacuated.
+    Evacuated,
     /// It has no room.
     Full,
     /// Its tasks come along much slower than elsewhere.
@@ -71,6 +73,8 @@
 pub struct UnfitCounts {
     /// Workers that are draining, unlisted, silent or avoided, or have many starts to answer.
     pub not_taking: u32,
+    /// Workers of evacuated failure domains.
+    pub evacuated: u32,
     /// Workers without room.
     pub full: u32,
     /// Slow workers.
@@ -125,6 +129,10 @@
         match unfit {
             Unfit::OtherPool => continue,
             Unfit::NotTaking => counts.not_taking += 1,
+            Unfit::Evacuated => {
+                counts.evacuated += 1;
+                continue;
+            }
             Unfit::Full => counts.note_full(worker, wanted.step),
             Unfit::Slow => counts.slow += 1,
             Unfit::Reserved => counts.reserved += 1,
@@ -175,6 +183,9 @@
     if worker.gone || worker.info.service != *wanted.service {
         return Err(Unfit::OtherPool);
     }
+    if worker.evacuated {
+        return Err(Unfit::Evacuated);
+    }
     if !worker.takes_tasks(cx.now) || cx.has_most_starts_at(ix) {
         return Err(Unfit::NotTaking);
     }
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -13,6 +13,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::context::Context;
+use crate::evacuation::{self, Evacuated};
 use crate::message::{RosterEntry, Run, WaveProgress, WorkerIx};
 use crate::pacing::Learnt;
 use crate::table::{Entry, Round, StepState, TaskState};
@@ -51,11 +52,14 @@
     pub learnt: Learnt,
     /// How far waves of upkeep have come.
     pub waves: Vec<WaveProgress>,
+    /// The failure domains that the operators have evacuated.
+    pub evacuated: Evacuated,
 }
 
 /// Fills a new leader's state from the store and begins the survey.
 pub fn restore(cx: &mut Context, stored: Stored) {
-    let Stored { jobs, mut progress, cancelled, roster, learnt, waves } = stored;
+    let Stored { jobs, mut progress, cancelled, roster, learnt, waves, evacuated } = stored;
+    evacuation::read(cx, evacuated);
     cx.pacing.restore(&learnt);
     upkeep::restore(cx, waves);
     let (mut waiting, mut closed) = (FxHashSet::default(), FxHashMap::default());
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -62,7 +62,7 @@
     unfit: &UnfitCounts,
 ) {
     info!(event = "step_waits", %task, pending, waited_ms = waited.0, %demand,
-        not_taking = unfit.not_taking, full = unfit.full, reserved = unfit.reserved,
+        not_taking = unfit.not_taking, evacuated = unfit.evacuated, full = unfit.full, reserved = unfit.reserved,
         slow = unfit.slow, label = unfit.label, spread = unfit.spread, disturbs = unfit.disturbs,
         not_permitted = unfit.not_permitted,
         no_memory = unfit.no_memory, if_emptied = unfit.if_emptied,
@@ -166,6 +166,16 @@
         used = %worker.used);
 }
 
+/// The operators have evacuated a failure domain, at whose workers so many tasks run.
+pub fn domain_evacuated(domain: &ids::DomainId, running: usize) {
+    info!(event = "domain_evacuated", %domain, running);
+}
+
+/// The operators have taken an evacuated failure domain back.
+pub fn domain_taken_back(domain: &ids::DomainId) {
+    info!(event = "domain_taken_back", %domain);
+}
+
 /// A worker did not answer.
 pub fn worker_silent(worker: &ids::WorkerId) {
     warn!(event = "worker_silent", %worker);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -130,6 +130,8 @@
     pub gone: bool,
     /// Set while it is emptied because its host is to go down for upkeep.
     pub emptying: bool,
+    /// Set while its failure domain is evacuated.
+    pub evacuated: bool,
     /// Whether the roster in the store names it; without that it gets no task.
     pub in_roster: bool,
     /// Whether its roster record is in the commit in flight.
@@ -195,6 +197,7 @@
             listing,
             gone: false,
             emptying: false,
+            evacuated: false,
             in_roster: false,
             roster_pending: false,
             closed: false,
@@ -315,6 +318,7 @@
     pub fn takes_tasks(&self, now: Instant) -> bool {
         !self.gone
             && !self.emptying
+            && !self.evacuated
             && self.in_roster
             && self.listing == Listing::Ready
             && self.missed == 0
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod bursts;
 mod capacity;
 mod crashes;
+mod evacuations;
 mod foreign;
 mod gangs;
 mod late_paces;
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! This file holds the world's state, what a test does to it, and the passing of time. [`calls`]
 //! carries what the leader sends, [`worker`] carries it out, [`writes`] go to the [`store`], which
-//! keeps what a successor learns, [`hosts`] lie beneath the workers, [`crashes`] take them down,
+//! keeps what a successor learns, [`evacuations`] are asked for by
+//! the operators, [`hosts`] lie beneath the workers, [`crashes`] take them down,
 //! [`checks`] looks for broken
 //! promises, and [`views`] tells a test what came of it all.
 
@@ -11,6 +12,7 @@
 mod calls;
 mod checks;
 mod crashes;
+mod evacuations;
 mod hosts;
 mod log;
 mod store;
@@ -36,6 +38,7 @@
 use calls::Delivery;
 pub use checks::{assert_all_end, assert_kept, play};
 use crashes::Crashes;
+use evacuations::Words;
 use hosts::Hosts;
 pub use hosts::{host_name, OrderFate};
 use worker::SimWorker;
@@ -101,6 +104,8 @@
     pub hosts: Hosts,
     /// Which tasks crash their workers.
     pub crashes: Crashes,
+    /// Which failure domains the operators have evacuated.
+    words: Words,
     rng: ChaCha8Rng,
     term: u64,
     token: u64,
@@ -142,6 +147,7 @@
             readings: BTreeMap::new(),
             hosts: Hosts::default(),
             crashes: Crashes::default(),
+            words: Words::default(),
             wave_progress: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             term: 0,
@@ -281,6 +287,7 @@
             log::set_now(self.now);
             self.step_workers();
             self.step_hosts();
+            self.read_words();
             while let Some(entry) = self.deliveries.first_entry() {
                 if entry.key().0 > self.now {
                     break;
--- a/crates/sched/tests/fleet/world/store.rs
+++ b/crates/sched/tests/fleet/world/store.rs
@@ -25,6 +25,7 @@
             roster: self.roster.values().cloned().collect(),
             learnt: Default::default(),
             waves: self.wave_progress.values().cloned().collect(),
+            evacuated: self.evacuated(),
         };
         takeover::restore(&mut cx, stored);
         for worker in self.workers.iter().filter(|w| w.up) {
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -8,6 +8,7 @@
     Account, End, EndSeq, How, Outcome, Refusal, Run, RunningTask, WorkerClock, WorkerInfo,
 };
 use gaplock_sched::Event;
+use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Instant;
 use rand::Rng;
@@ -45,6 +46,14 @@
     }
 }
 
+/// How many workers lie in one failure domain: two racks.
+const DOMAIN_WORKERS: usize = 8;
+
+/// Returns the failure domain of the worker at a position.
+pub fn domain_of(at: usize) -> ids::DomainId {
+    ids::DomainId(format!("hall-{}", at / DOMAIN_WORKERS))
+}
+
 /// One worker's incarnation.
 #[derive(Debug)]
 pub struct SimWorker {
@@ -99,7 +108,7 @@
             id: id.into(),
             addr: format!("{id}:1"),
             service: SERVICE.into(),
-            domain: "hall".into(),
+            domain: domain_of(at),
             labels: vec![format!("r{}", at / 4)],
             capacity: Resources::new(8_000, 16_000, 0),
             draining: false,
@@ -379,6 +388,7 @@
             self.violations.push(format!("{}: {task} starts beyond the room of {at}", self.now));
         }
         self.check_start(at, task);
+        self.check_evacuated(at, task, work.sent);
         self.count_start(task);
         self.starts += 1;
         let fails = self.workers[at].failing
