A new leader reads the parts of the stored state beside each other, and claims with one wait fewer

Change: all parts are read by calls beside each other, boxed, since their states together overflow a thread's stack (seen in a debug build: the process died without a word); the claim's lease and the last commit too. Order does not matter: only the holder of the claim writes progress and roster, inbox and directory are watched from the revision at which they were read.

--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -63,8 +63,11 @@
 /// the store's error. After [`StoreError::Unclear`] the claim may be stored later, under a lease
 /// that nobody renews: it is then replaced, or gone with its lease.
 pub async fn claim(store: &Store, me: &LeaderRecord, seen: Revision) -> Result<Claim, StoreError> {
-    let lease = store.lease(LEASE.as_duration()).await?;
-    let last = store.get(keys::COMMITS).await?;
+    let (lease, last) = futures::join!(
+        Box::pin(store.lease(LEASE.as_duration())),
+        Box::pin(store.get(keys::COMMITS))
+    );
+    let (lease, last) = (lease?, last?);
     let commits = last.as_ref().map_or(Revision(0), |item| item.revision);
     let term = last.and_then(|item| ledger::decode_mark(&item.value)).map_or(1, |m| m.term + 1);
     let mark = CommitMark { term, number: 0 };
--- a/crates/node/src/reading.rs
+++ b/crates/node/src/reading.rs
@@ -112,20 +112,39 @@
     }
 }
 
-/// Reads what is still missing of everything.
+/// Reads what is still missing of everything, all parts beside each other: one after the other they
+/// take nine calls, 3.9 s where the store takes 0.4 s for each, and nothing is started meanwhile. The order
+/// does not matter, since only the holder of the claim writes progress and roster, and the inbox and the
+/// directory are watched from the revision at which they were read.
 async fn read_on(node: &Arc<Node>, readings: &mut Readings) -> Result<(), StoreError> {
-    following::read_config(node).await;
-    node.store.read_on(keys::ROSTER, &mut readings.roster).await?;
-    node.store.read_on(directory::PREFIX, &mut readings.directory).await?;
-    node.store.read_on(keys::PROGRESS, &mut readings.progress).await?;
-    node.store.read_on(keys::INBOX, &mut readings.inbox).await?;
-    readings.learnt = node.store.get(keys::LEARNT).await?;
-    if node.installation.bounds.evacuate.is_some() {
-        readings.evacuated = evacuations::read(node, &mut BTreeSet::new()).await?;
-    }
-    if node.installation.has_duties {
-        readings.waves = node.store.list(keys::WAVES).await?.items;
-    }
+    let (store, installation) = (&node.store, &node.installation);
+    let Readings { inbox, progress, roster, directory, learnt, waves, evacuated } = readings;
+    let read_evacuated = async {
+        if installation.bounds.evacuate.is_some() {
+            *evacuated = evacuations::read(node, &mut BTreeSet::new()).await?;
+        }
+        Ok(())
+    };
+    let read_waves = async {
+        if installation.has_duties {
+            *waves = store.list(keys::WAVES).await?.items;
+        }
+        Ok(())
+    };
+    // Boxed: the states of so many calls are too large for a thread's stack.
+    let (_, roster, directory, progress, inbox, found, evacuated, waves) = futures::join!(
+        Box::pin(following::read_config(node)),
+        Box::pin(store.read_on(keys::ROSTER, roster)),
+        Box::pin(store.read_on(directory::PREFIX, directory)),
+        Box::pin(store.read_on(keys::PROGRESS, progress)),
+        Box::pin(store.read_on(keys::INBOX, inbox)),
+        Box::pin(store.get(keys::LEARNT)),
+        Box::pin(read_evacuated),
+        Box::pin(read_waves),
+    );
+    // A part that was read whole is kept; the next reading goes on with the others.
+    roster.and(directory).and(progress).and(inbox).and(evacuated).and(waves)?;
+    *learnt = found?;
     node.store_answered();
     Ok(())
 }
--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -6,6 +6,7 @@
 
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::cloud;
+use gaplock_platform_standin::relay::Mode;
 use gaplock_platform_standin::site::{call, connect_as_peer, two_steps, Output, Site, PREFIX};
 use rustix::process::Signal;
 use serde_json::json;
@@ -85,6 +86,25 @@
     assert_eq!((site.cloud.upkeeps(), site.cloud.most_away()), (4, 1));
 }
 
+/// How long a successor may read the state where each call to the store takes 300 ms, in milliseconds: its
+/// eight parts one after the other take 2,400 ms, and nothing starts meanwhile.
+const READ_MOST_MS: u64 = 1_200;
+
+#[test]
+fn a_successor_reads_the_parts_of_the_state_beside_each_other() {
+    let mut site = open_site(2, 4, Duration::from_millis(300));
+    let first = site.leader().expect("there is a leader");
+    assert_eq!(submit(&site, first, 1), Some(200));
+    for host in &site.hosts {
+        host.store_link.set(Mode::Delay);
+    }
+    site.hosts[first].kill().expect("it runs");
+    let successor = &site.hosts[1 - first];
+    wait_for("a successor", || !successor.logged("state_read").is_empty());
+    let took = successor.logged("state_read")[0]["took_ms"].as_u64().expect("it is a number");
+    assert!(took <= READ_MOST_MS, "the state was read in {took} ms");
+}
+
 #[test]
 fn an_evacuated_domain_gets_nothing_over_a_change_of_leader() {
     let mut site = open_site(3, 4, Duration::from_millis(300));
