A filling image goes to the worker that the fewest other images could use

Cause: half of the waiting steps on full pools wait a few milliseconds, a tenth of them 3 to 7 s: images that press on most of what serves find the workers that bear them taken by images that could go anywhere, since what fills is spread by free processors.

Change: with each account a worker is told the share of known filling images of which one more task is bearable there, and a place costs by that share. Eighteen images against some four serving images a worker: some 70 sums an account.

The new test fails with a cost of nothing (five of six pressing tasks find a place) and passes with it.

--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -20,7 +20,7 @@
 
 pub use filling::part_of;
 pub use given::GivenPaces;
-pub use model::{Column, Learnt, Model, Row, Served};
+pub use model::{Column, Learnt, LearntFactor, LearntImage, Model, Row, Served};
 pub use moving::check;
 pub use paces::{paced, set_paces};
 pub use placing::{is_impatient, placement_cost, refresh};
--- a/crates/sched/src/pacing/model.rs
+++ b/crates/sched/src/pacing/model.rs
@@ -10,6 +10,8 @@
 use gaplock_types::time::Instant;
 use rustc_hash::FxHashMap;
 
+use super::LEAST_PUSH;
+
 /// A serving image by its position.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Row(pub u16);
@@ -292,6 +294,21 @@
         filling.map(|(column, share)| image.factor(column) * share).sum()
     }
 
+    /// Returns the share of the known filling images of which one more task, on so much of a worker's
+    /// processors, is bearable beside serving images with so much pressure to spare.
+    pub fn openness(&self, spare: &[(Row, f64)], share: f64) -> f64 {
+        let columns = self.columns.len().min(MOST_COLUMNS);
+        if columns == 0 {
+            return 1.0;
+        }
+        let bearable = |column: Column| {
+            let push = |row: Row| self.factor(row, Some(column)) * share;
+            spare.iter().all(|&(row, left)| push(row) < LEAST_PUSH || push(row) <= left)
+        };
+        let open = (0..columns as u16).filter(|&c| bearable(Column(c))).count();
+        open as f64 / columns as f64
+    }
+
     /// Returns a job's expected load `ahead_s` seconds from now.
     pub fn load(&self, job: JobKey, now: Instant, ahead_s: f64) -> f64 {
         self.loads.get(&job).map_or(LOAD_PRIOR, |load| load.expected(now, ahead_s))
--- a/crates/sched/src/pacing/placing.rs
+++ b/crates/sched/src/pacing/placing.rs
@@ -1,5 +1,10 @@
 //! What a placement would disturb: the room that serving tasks leave for filling ones, and the cost
 //! that the choice of a worker counts.
+//!
+//! The pattern: a pool near its capacity in which some filling images press on most of what serves and
+//! others on little. Spread evenly, those that press on little take the workers that alone bear the others,
+//! which then wait for seconds beside room. So an image goes to the least open worker that bears it
+//! ([`OPEN_COST`]): to the one that the fewest images could use.
 
 use gaplock_jobs::Step;
 use gaplock_types::time::Millis;
@@ -19,6 +24,10 @@
 /// time on the users' sites.
 const PLACED_AHEAD_S: f64 = 1.0;
 
+/// The share of a worker's processors that a filling task takes in the mean, by which workers are compared:
+/// about two of sixteen to twenty-four cores on the users' sites.
+const TYPICAL_SHARE: f64 = 0.1;
+
 /// Recomputes how much more pressure the serving tasks on a worker bear, by their image. What is slowed
 /// down counts with its full pace, to which it is to come back before others join it.
 pub fn refresh(cx: &mut Context, ix: WorkerIx) {
@@ -37,7 +46,10 @@
         }
     }
     let left = spare_filling(cx, worker);
+    let openness =
+        if left < TYPICAL_SHARE { 0.0 } else { cx.pacing.openness(&spare, TYPICAL_SHARE) };
     let worker = cx.worker_mut(ix);
+    worker.openness = openness;
     worker.spare_pressure = spare;
     worker.spare_filling = left;
 }
@@ -92,6 +104,10 @@
 /// Cost of a unit of pressure beyond what is bearable, against one worker of free room.
 const EXCESS_COST: f64 = 20.0;
 
+/// Cost of a worker on which every known filling image would find a place, against one worker of free room.
+/// On full pools 1 is worth 0.027 and 3 is worth 0.018 (`docs/design/shifted-work.md`).
+const OPEN_COST: f64 = 1.0;
+
 /// Cost of a unit of bearable pressure, against one worker of free room.
 const PRESSURE_COST: f64 = 6.0;
 
@@ -103,7 +119,7 @@
     if !worker.spare_pressure.is_empty() && share > worker.spare_filling {
         return None;
     }
-    let mut cost = 0.0;
+    let mut cost = worker.openness * OPEN_COST;
     for &(row, spare) in &worker.spare_pressure {
         let push = cx.pacing.factor(row, column) * share;
         if push < LEAST_PUSH {
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -173,6 +173,8 @@
     pub spare_pressure: Vec<(Row, f64)>,
     /// The share of the processors that more filling tasks may use without crowding what serves.
     pub spare_filling: f64,
+    /// The share of the known filling images that would find a place here.
+    pub openness: f64,
     /// When a filling task last ended here.
     pub filling_ended: Instant,
     /// When a short task last began or ended here.
@@ -218,6 +220,7 @@
             filling: 0,
             spare_pressure: Vec::new(),
             spare_filling: 1.0,
+            openness: 1.0,
             filling_ended: Instant(0),
             short_changed: None,
             speed: Speed::default(),
--- a/crates/sched/tests/fleet/sharing.rs
+++ b/crates/sched/tests/fleet/sharing.rs
@@ -1,6 +1,7 @@
 //! Tasks that fill beside tasks that serve, on virtual time.
 
 use gaplock_jobs::{Job, JobKey, Step};
+use gaplock_sched::pacing::{Learnt, LearntFactor, LearntImage};
 use gaplock_types::time::Millis;
 
 use crate::world::{assert_kept, job, step, World};
@@ -58,6 +59,51 @@
     assert_kept(&world);
 }
 
+/// A reading of a serving task with so much to do that a pressing image does not go beside it, and one that
+/// presses on nothing does, in milliseconds.
+const BUSY_MS: u32 = 30;
+
+/// What a leader has learnt of two serving images, of which one bears everything, and of two filling images,
+/// of which one presses on the other serving image.
+fn learnt() -> Learnt {
+    let factor = |image: &str, factor| LearntFactor { image: image.into(), factor, variance: 0.1 };
+    let image = |image: &str, heavy| LearntImage {
+        image: image.into(),
+        lowest_ms: f64::from(CALM_MS),
+        factors: vec![factor("heavy", heavy), factor("light", 0.0)],
+    };
+    Learnt { images: vec![image("sturdy", 0.0), image("touchy", 4.0)] }
+}
+
+/// A job of a serving task of an image, or of `count` filling ones.
+fn job_of(key: u64, image: &str, count: u32, fills: bool) -> Job {
+    let tail_target = Some(Millis(TARGET_MS)).filter(|_| !fills);
+    let image = Some(image.to_string());
+    job(key, vec![Step { lasting: !fills, fills, tail_target, image, ..step(count, &[]) }])
+}
+
+/// The pattern: images that press on nothing come first and could go anywhere, those that press on most of
+/// what serves come after them. Spread evenly, the first left room for three or four of the six others.
+#[test]
+fn images_that_go_anywhere_leave_the_open_workers_to_those_that_do_not() {
+    let mut world = World::open(105, 2);
+    world.work_ms = 60_000;
+    world.learnt = learnt();
+    world.take_over();
+    world.submit(job_of(1, "sturdy", 1, false));
+    world.run(500);
+    world.submit(job_of(2, "touchy", 1, false));
+    world.readings.insert(JobKey(1), CALM_MS);
+    world.readings.insert(JobKey(2), BUSY_MS);
+    world.run(3_000);
+    world.submit(job_of(3, "light", 4, true));
+    world.run(1_000);
+    world.submit(job_of(4, "heavy", 6, true));
+    world.run(1_000);
+    assert_eq!((world.running_of(3), world.running_of(4)), (4, 6));
+    assert_kept(&world);
+}
+
 /// A reading that leaves no room beside what serves, in milliseconds.
 const NEAR_TARGET_MS: u32 = 48;
 
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -27,6 +27,7 @@
 use gaplock_jobs::progress::Progress;
 use gaplock_jobs::{Job, JobKey, TaskKey};
 use gaplock_sched::message::{Account, Outcome, RosterEntry, WaveNumber, WaveProgress};
+use gaplock_sched::pacing::Learnt;
 use gaplock_sched::{Context, Event, Settings};
 use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
@@ -98,6 +99,8 @@
     pub work_ms: u64,
     /// How the service that says where steps may run is asked, if at all.
     pub advice: Option<Advice>,
+    /// What a successor finds stored of how images disturb each other.
+    pub learnt: Learnt,
     /// What workers read of each job's tasks.
     pub readings: BTreeMap<JobKey, u32>,
     /// What lies beneath the workers.
@@ -144,6 +147,7 @@
             store_down: false,
             work_ms: 500,
             advice: None,
+            learnt: Learnt::default(),
             readings: BTreeMap::new(),
             hosts: Hosts::default(),
             crashes: Crashes::default(),
--- a/crates/sched/tests/fleet/world/store.rs
+++ b/crates/sched/tests/fleet/world/store.rs
@@ -23,7 +23,7 @@
             progress: self.progress.clone(),
             cancelled: self.cancelled.iter().copied().collect(),
             roster: self.roster.values().cloned().collect(),
-            learnt: Default::default(),
+            learnt: self.learnt.clone(),
             waves: self.wave_progress.values().cloned().collect(),
             evacuated: self.evacuated(),
         };
