--- a/crates/sched/tests/fleet/sharing.rs
+++ b/crates/sched/tests/fleet/sharing.rs
@@ -82,11 +82,10 @@
     job(key, vec![Step { lasting: !fills, fills, tail_target, image, ..step(count, &[]) }])
 }
 
-/// The pattern: images that press on nothing come first and could go anywhere, those that press on most of
-/// what serves come after them. Spread evenly, the first left room for three or four of the six others.
-#[test]
-fn images_that_go_anywhere_leave_the_open_workers_to_those_that_do_not() {
-    let mut world = World::open(105, 2);
+/// A fleet of two workers: a calm serving task that bears everything on one, a busy one that bears only the
+/// light image on the other.
+fn sturdy_beside_touchy(seed: u64) -> World {
+    let mut world = World::open(seed, 2);
     world.work_ms = 60_000;
     world.learnt = learnt();
     world.take_over();
@@ -96,6 +95,14 @@
     world.readings.insert(JobKey(1), CALM_MS);
     world.readings.insert(JobKey(2), BUSY_MS);
     world.run(3_000);
+    world
+}
+
+/// The pattern: images that press on nothing come first and could go anywhere, those that press on most of
+/// what serves come after them. Spread evenly, the first left room for three or four of the six others.
+#[test]
+fn images_that_go_anywhere_leave_the_open_workers_to_those_that_do_not() {
+    let mut world = sturdy_beside_touchy(105);
     world.submit(job_of(3, "light", 4, true));
     world.run(1_000);
     world.submit(job_of(4, "heavy", 6, true));
@@ -108,16 +115,7 @@
 /// not crowded while the other has room.
 #[test]
 fn no_worker_is_crowded_while_another_has_room() {
-    let mut world = World::open(106, 2);
-    world.work_ms = 60_000;
-    world.learnt = learnt();
-    world.take_over();
-    world.submit(job_of(1, "sturdy", 1, false));
-    world.run(500);
-    world.submit(job_of(2, "touchy", 1, false));
-    world.readings.insert(JobKey(1), CALM_MS);
-    world.readings.insert(JobKey(2), BUSY_MS);
-    world.run(3_000);
+    let mut world = sturdy_beside_touchy(106);
     world.submit(job_of(3, "light", 8, true));
     world.run(1_000);
     let most = world.running_at(0).max(world.running_at(1)) - 1;
