A checkpoint carries which run saved it and where; each start that brings one says so

Now the record of a checkpoint keeps its run and worker up to the start, start_resumes logs them with each try, and calls to workers are counted apart where they bring one. No change of logic: the same text goes out as before.

--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -42,6 +42,9 @@
     /// The last checkpoint of a run that no worker lists any more.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub checkpoint: Option<String>,
+    /// The run that saved it; 0 where no checkpoint is stored.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub checkpoint_run: u64,
     /// The workers that crashed under it; a few at most.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashed: Vec<ids::WorkerId>,
@@ -50,6 +53,10 @@
     pub perhaps_crashed: Option<ids::WorkerId>,
 }
 
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
 /// Progress of one step in one round.
 #[derive(Debug, Clone, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
 pub struct StepProgress {
--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -126,6 +126,9 @@
     async fn start(&self, client: &Worker, start: &Start<'_>) -> Outcome<WorkerClock> {
         let outcome = client.start(self.token, start).await;
         self.count("start", &outcome);
+        if start.checkpoint.is_some() {
+            self.count("resumed_start", &outcome);
+        }
         outcome
     }
 
--- a/crates/sched/src/account.rs
+++ b/crates/sched/src/account.rs
@@ -9,7 +9,7 @@
 use crate::proof::Proof;
 use crate::table::TaskState;
 use crate::worker::{Phase, Slot};
-use crate::{ends, lifecycle, speed, trace};
+use crate::{checkpoints, ends, lifecycle, speed, trace};
 
 /// Takes in the account that answers a renewal which was sent at `sent`.
 pub fn take_in(cx: &mut Context, ix: WorkerIx, sent: Instant, account: &Account) {
@@ -36,10 +36,8 @@
     slot.percent = row.percent;
     slot.reading = row.reading;
     speed::observe(cx, ix, row.task);
+    checkpoints::take_in(cx, ix, row.task, row.run, row.checkpoint.as_deref());
     let Some(task) = cx.task_mut(row.task) else { return };
-    if row.checkpoint.is_some() {
-        task.checkpoint.clone_from(&row.checkpoint);
-    }
     if row.percent >= AT_WORK_PERCENT {
         task.failed_in_row = 0;
     }
@@ -73,9 +71,7 @@
     occupy_found(cx, ix, row);
     let Some(task) = cx.task_mut(key) else { return };
     task.state = TaskState::Active { worker: ix, run: row.run };
-    if row.checkpoint.is_some() {
-        task.checkpoint.clone_from(&row.checkpoint);
-    }
+    checkpoints::take_in(cx, ix, key, row.run, row.checkpoint.as_deref());
     trace::run_adopted(key, row.run, &cx.worker(ix).info.id);
 }
 
--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -207,7 +207,8 @@
         index,
         failed: t.failed,
         counted_runs: t.counted_runs.iter().map(|run| run.0).collect(),
-        checkpoint: t.checkpoint.clone(),
+        checkpoint: t.checkpoint.as_ref().map(|c| c.text.to_string()),
+        checkpoint_run: t.checkpoint.as_ref().map_or(0, |c| c.run.0),
         crashed: crashed(t),
         perhaps_crashed: t.suspicion.as_ref().and_then(|s| s.perhaps.clone()),
     });
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -7,7 +7,7 @@
 use crate::context::Context;
 use crate::message::{End, How, Run, WorkerIx};
 use crate::table::TaskState;
-use crate::{commits, lifecycle, speed, trace};
+use crate::{checkpoints, commits, lifecycle, speed, trace};
 
 /// Takes in the ends of a worker that are new.
 pub fn take_in(cx: &mut Context, ix: WorkerIx, ends: &[End]) {
@@ -28,14 +28,9 @@
         speed::observe_end(cx, ix, end.task, &slot);
     }
     trace::run_ended(end, &cx.worker(ix).info.id, was_active);
-    let Some(entry) = cx.jobs.get_mut(&end.task.job) else { return };
-    let live = !entry.state.is_final();
-    if let Some(task) = entry.task_mut(end.task) {
-        if end.checkpoint.is_some() {
-            task.checkpoint.clone_from(&end.checkpoint);
-        }
-    }
-    if !live {
+    checkpoints::take_in(cx, ix, end.task, end.run, end.checkpoint.as_deref());
+    let Some(entry) = cx.jobs.get(&end.task.job) else { return };
+    if entry.state.is_final() {
         return;
     }
     match end.how {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod account;
 pub mod availability;
+pub mod checkpoints;
 pub mod choices;
 pub mod claims;
 pub mod commits;
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -332,7 +332,7 @@
         /// The end of the lease by the worker's clock.
         until: WorkerClock,
         /// Where to resume.
-        checkpoint: Option<String>,
+        checkpoint: Option<Arc<str>>,
         /// The permission, where the queue needs one.
         ticket: Option<String>,
     },
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -148,12 +148,18 @@
 pub fn send_start(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
     let Some(entry) = cx.jobs.get(&key.job) else { return };
     let job = entry.job.clone();
-    let checkpoint = entry.task(key).and_then(|t| t.checkpoint.clone());
+    let found = entry.task(key).and_then(|t| t.checkpoint.clone());
     let Some(until) = leases::grant(cx, ix) else { return };
     let ticket = permits::ticket(cx, StepKey::of(key), ix);
-    if let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) {
+    let slot = cx.worker_mut(ix).slots.get_mut(&key);
+    let attempt = slot.map_or(1, |slot| {
         slot.tries.send();
+        slot.tries.sent()
+    });
+    if let Some(found) = &found {
+        trace::start_resumes(cx, (key, run), ix, attempt, found);
     }
+    let checkpoint = found.map(|found| found.text);
     let start = Action::Start { worker: ix, task: key, run, job, until, checkpoint, ticket };
     cx.starts_under_way += 1;
     cx.worker_mut(ix).starts_under_way += 1;
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -9,6 +9,7 @@
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Instant;
 
+use crate::checkpoints::Checkpoint;
 use crate::crashes::Suspicion;
 use crate::message::{Run, WorkerIx};
 use crate::speed::StepRates;
@@ -49,7 +50,7 @@
     /// No start before this time.
     pub not_before: Instant,
     /// Where the next run resumes.
-    pub checkpoint: Option<String>,
+    pub checkpoint: Option<Checkpoint>,
     /// The worker on which the last run failed; the next run avoids it.
     pub failed_on: Option<WorkerIx>,
     /// When the task became pending, for the log.
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -18,7 +18,7 @@
 use crate::pacing::Learnt;
 use crate::table::{Entry, Round, StepState, TaskState};
 use crate::worker::Listing;
-use crate::{crashes, directory, intake, leases, lifecycle, roster, trace, upkeep};
+use crate::{checkpoints, crashes, directory, intake, leases, lifecycle, roster, trace, upkeep};
 
 /// The search for runs of former leaders.
 #[derive(Debug)]
@@ -156,7 +156,7 @@
         if let Some(task) = state.tasks.get_mut(note.index as usize) {
             task.failed = note.failed;
             task.counted_runs = note.counted_runs.iter().copied().map(Run).collect();
-            task.checkpoint.clone_from(&note.checkpoint);
+            task.checkpoint = checkpoints::restored(note);
             task.suspicion = crashes::restored(note);
         }
     }
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -11,6 +11,7 @@
 use gaplock_types::time::{Instant, Millis};
 use tracing::{debug, info, warn};
 
+use crate::checkpoints::Checkpoint;
 use crate::context::Context;
 use crate::crashes::Loss;
 use crate::message::{
@@ -38,6 +39,24 @@
     info!(event = "start_ordered", %task, run = run.0, %worker, waited_ms = waited.0);
 }
 
+/// A try of a start brings a checkpoint: by which run and worker it was saved, and its first signs.
+pub fn start_resumes(
+    cx: &Context,
+    (task, run): (TaskKey, Run),
+    ix: WorkerIx,
+    attempt: u32,
+    checkpoint: &Checkpoint,
+) {
+    let worker = &cx.worker(ix).info.id;
+    let saved_at = checkpoint.worker.map(|ix| cx.worker(ix).info.id.as_str());
+    let text: String = checkpoint.text.chars().take(CHECKPOINT_SHOWN).collect();
+    info!(event = "start_resumes", %task, run = run.0, %worker, attempt, saved_by = checkpoint.run.0,
+        saved_at, text);
+}
+
+/// How many signs of a checkpoint a log line shows; the workers' own have sixteen.
+const CHECKPOINT_SHOWN: usize = 32;
+
 /// A start was not simply carried out: which try that speaks of, and how many earlier ones are
 /// open.
 pub fn start_answered(
