Simulated workers save checkpoints, and each start is held against all that its task ever saved

The world judges: a start brings nothing or a text of its own task (for a gang: of a member), steps that save nothing bring nothing, all starts under one run number bring the same, and listed work that is done again is counted. One test plays 20 random worlds with gangs, copies and workers that list a text for everything.

--- /dev/null
+++ b/crates/sched/tests/fleet/checkpoints.rs
@@ -0,0 +1,157 @@
+//! Checkpoints on virtual time: whatever goes wrong, a start brings nothing or what its own task saved.
+//!
+//! Workers of the users were told to start tasks with checkpoints that were not theirs. Nothing stood
+//! between a worker's list and the next start: any text beside a task was taken for its checkpoint, each
+//! member of a gang and each try of a start brought the text known at that moment, and a start that was
+//! refused for its checkpoint was repeated with it without end.
+
+use gaplock_jobs::Step;
+
+use crate::world::{assert_kept, job, play, step, Faults, World};
+
+/// Long enough for several checkpoints.
+const WORK_MS: u64 = 2_000;
+
+/// Builds a step of `count` tasks that save their progress.
+fn saving(count: u32, after: &[u16]) -> Step {
+    Step { checkpoints: true, ..step(count, after) }
+}
+
+#[test]
+fn a_task_resumes_where_its_stopped_run_had_come() {
+    let mut world = World::open(901, 3);
+    world.work_ms = WORK_MS;
+    world.submit(job(1, vec![saving(6, &[])]));
+    world.run(1_000);
+    world.drain(0, 2_000);
+    world.run(3_500);
+    assert!(world.is_completed(1));
+    assert!(world.checkpoints.brought > 0, "no start brought a checkpoint");
+    assert_eq!(world.checkpoints.thrown_away_ms, 0);
+    assert_kept(&world);
+}
+
+#[test]
+fn a_step_that_saves_nothing_brings_nothing() {
+    let mut world = World::open(902, 3);
+    world.work_ms = WORK_MS;
+    world.checkpoints.lists_all = true;
+    world.submit(job(1, vec![step(6, &[])]));
+    world.submit(job(2, vec![Step { duplicates: true, ..step(6, &[]) }]));
+    world.run(1_000);
+    world.drain(0, 2_000);
+    world.run(8_000);
+    assert!(world.is_completed(1) && world.is_completed(2));
+    assert_kept(&world);
+}
+
+#[test]
+fn all_members_of_a_gang_bring_the_same_checkpoint() {
+    let mut world = World::open(903, 3);
+    world.work_ms = WORK_MS;
+    world.submit(job(1, vec![Step { gang: true, ..saving(6, &[]) }]));
+    world.run(1_100);
+    let worker = world.busy_worker();
+    world.crash(worker);
+    world.run(3_000);
+    world.unlist(worker);
+    world.run(12_000);
+    assert!(world.checkpoints.brought > 0, "no start brought a checkpoint");
+    assert_kept(&world);
+}
+
+#[test]
+fn every_try_of_a_start_brings_the_same_checkpoint() {
+    let mut world = World::open(910, 2);
+    world.work_ms = 60_000;
+    world.submit(job(1, vec![saving(1, &[])]));
+    world.run(1_000);
+    let (first, second) = (world.busy_worker(), 1 - world.busy_worker());
+    world.workers[first].cut = true;
+    // The end of the first run is heard of between two tries of the second one's start.
+    world.workers[second].delays_start = Some(2_500);
+    while world.starts_under_way() == 0 {
+        world.run(1);
+    }
+    world.workers[first].cut = false;
+    world.run(10_000);
+    assert!(world.checkpoints.brought >= 2, "the start was not sent again");
+    assert_kept(&world);
+}
+
+#[test]
+fn a_start_that_is_refused_for_its_checkpoint_goes_without_it() {
+    let mut world = World::open(904, 3);
+    world.work_ms = WORK_MS;
+    world.submit(job(1, vec![saving(6, &[])]));
+    world.run(1_000);
+    world.workers.iter_mut().for_each(|w| w.refuses_checkpoints = true);
+    world.drain(0, 2_000);
+    world.run(8_000);
+    assert!(world.is_completed(1), "a task waits for ever with a checkpoint that nobody takes");
+    assert!(world.checkpoints.brought < 30, "{} starts brought it", world.checkpoints.brought);
+    assert_kept(&world);
+}
+
+#[test]
+fn a_late_end_of_an_older_run_does_not_take_a_newer_ones_place() {
+    let mut world = World::open(905, 2);
+    world.work_ms = 60_000;
+    world.submit(job(1, vec![saving(1, &[])]));
+    world.run(1_000);
+    let (first, second) = (world.busy_worker(), 1 - world.busy_worker());
+    world.workers[first].cut = true;
+    world.run(20_000);
+    world.workers[first].cut = false;
+    let before = world.ends_listed(first);
+    while world.ends_listed(first) == before {
+        world.run(1);
+    }
+    world.crash(second);
+    world.unlist(second);
+    world.run(12_000);
+    assert_eq!(world.running_of(1), 1);
+    assert_eq!(world.checkpoints.thrown_away_ms, 0);
+    assert_kept(&world);
+}
+
+#[test]
+fn a_successor_knows_the_checkpoints_of_ends_that_the_workers_have_forgotten() {
+    let mut world = World::open(906, 2);
+    world.work_ms = 6_000;
+    world.submit(job(1, vec![saving(16, &[])]));
+    world.run(1_000);
+    world.drain(0, 1_500);
+    world.run(1_600);
+    assert_eq!(world.running_at(0), 0);
+    world.crash(0);
+    world.unlist(0);
+    world.change_leader(100);
+    world.run(10_000);
+    assert!(world.is_completed(1));
+    assert_eq!(world.checkpoints.thrown_away_ms, 0, "saved work was done again");
+    assert_kept(&world);
+}
+
+#[test]
+fn whatever_goes_wrong_a_start_brings_its_own_checkpoint() {
+    for seed in 930..950 {
+        let mut world = World::open(seed, 6);
+        world.work_ms = WORK_MS;
+        world.checkpoints.lists_all = true;
+        world.faults = Faults {
+            lost_per_mille: 20,
+            unanswered_per_mille: 50,
+            late_per_mille: 50,
+            failing_per_mille: 20,
+            unwell_per_mille: 20,
+        };
+        for key in 20..30 {
+            let gang = Step { gang: true, ..saving(3, &[]) };
+            let copies = Step { duplicates: true, ..saving(3, &[]) };
+            world.submit(job(key, vec![saving(3, &[]), step(2, &[0]), gang, copies]));
+            world.run(300);
+        }
+        play(&mut world, seed);
+    }
+}
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod backlogs;
 mod bursts;
 mod capacity;
+mod checkpoints;
 mod crashes;
 mod evacuations;
 mod foreign;
--- a/crates/sched/tests/fleet/world/calls.rs
+++ b/crates/sched/tests/fleet/world/calls.rs
@@ -10,6 +10,7 @@
 use gaplock_types::time::{Instant, Millis};
 use rand::Rng;
 
+use super::checkpoints::Brought;
 use super::hosts::HostOrder;
 use super::writes::{Heard, Write};
 use super::World;
@@ -18,7 +19,7 @@
 #[derive(Debug, Clone)]
 pub enum Call {
     Renew(Renewal),
-    Start { task: TaskKey, run: Run, until: WorkerClock, work: Work },
+    Start { task: TaskKey, run: Run, until: WorkerClock, work: Work, checkpoint: Brought },
     Stop { task: TaskKey, run: Run },
     Pace { task: TaskKey, run: Run, percent: u32 },
 }
@@ -106,11 +107,12 @@
                     let renewal = Renewal { stored, until, wait: wait.0, sent: now };
                     (worker, Call::Renew(renewal))
                 }
-                Action::Start { worker, task, run, job, until, .. } => {
+                Action::Start { worker, task, run, job, until, checkpoint, .. } => {
                     let step = &job.steps[usize::from(task.step)];
                     let (takes, lasting, ms) = (step.demand, step.lasting, self.work_ms);
                     let work = Work { takes, lasting, sent: now.0, ms };
-                    (worker, Call::Start { task, run, until, work })
+                    let checkpoint = checkpoint.map(|text| text.to_string());
+                    (worker, Call::Start { task, run, until, work, checkpoint })
                 }
                 Action::Stop { worker, task, run } => (worker, Call::Stop { task, run }),
                 Action::Pace { worker, task, run, percent } => {
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -5,11 +5,12 @@
 //! carries what the leader sends, [`worker`] carries it out, [`writes`] go to the [`store`], which
 //! keeps what a successor learns, [`evacuations`] are asked for by
 //! the operators, [`hosts`] lie beneath the workers, [`crashes`] take them down,
-//! [`checks`] looks for broken
+//! [`checkpoints`] are what runs save and starts bring, [`checks`] looks for broken
 //! promises, and [`views`] tells a test what came of it all.
 
 mod builders;
 mod calls;
+mod checkpoints;
 mod checks;
 mod crashes;
 mod evacuations;
@@ -37,6 +38,7 @@
 
 pub use builders::{job, lasting, step};
 use calls::Delivery;
+use checkpoints::Checkpoints;
 pub use checks::{assert_all_end, assert_kept, play};
 use crashes::Crashes;
 use evacuations::Words;
@@ -107,6 +109,8 @@
     pub hosts: Hosts,
     /// Which tasks crash their workers.
     pub crashes: Crashes,
+    /// What tasks save, and what starts bring.
+    pub checkpoints: Checkpoints,
     /// Which failure domains the operators have evacuated.
     words: Words,
     rng: ChaCha8Rng,
@@ -151,6 +155,7 @@
             readings: BTreeMap::new(),
             hosts: Hosts::default(),
             crashes: Crashes::default(),
+            checkpoints: Checkpoints::default(),
             words: Words::default(),
             wave_progress: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -123,6 +123,11 @@
         self.workers.iter().position(busy).expect("something runs somewhere")
     }
 
+    /// Returns how many ends a worker still lists.
+    pub fn ends_listed(&self, worker: usize) -> usize {
+        self.workers[worker].ends.len()
+    }
+
     /// Returns on how many workers that are up a job's tasks run.
     pub fn running_of(&self, key: u64) -> usize {
         let of = |w: &SimWorker| w.running.keys().filter(|t| t.job == JobKey(key)).count();
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -14,6 +14,7 @@
 use rand::Rng;
 
 use super::calls::{self, Call, Delivery, Renewal, Trip, Work};
+use super::checkpoints::{Brought, Saves};
 use super::{World, SERVICE};
 
 /// How long after a room has changed a start may still be sent by the former one, in milliseconds: the
@@ -29,6 +30,8 @@
     pub(super) began: u64,
     /// When its work is over, by the virtual clock; unset for a lasting task.
     ends_at: Option<u64>,
+    /// What it has saved.
+    pub(super) saves: Saves,
     fails: bool,
     /// When its stop is over; unset while it is not being stopped.
     stops_at: Option<u64>,
@@ -77,6 +80,8 @@
     pub refuses_per_mille: u32,
     /// Stops are refused, and nothing else.
     pub refuses_stops: bool,
+    /// Starts that bring a checkpoint are refused as invalid.
+    pub refuses_checkpoints: bool,
     /// How long a stop takes, in milliseconds.
     pub stop_ms: u64,
     /// Stops that arrived.
@@ -88,7 +93,7 @@
     /// How many times as long as elsewhere work takes.
     pub slowness: u64,
     pub(super) running: BTreeMap<TaskKey, SimRun>,
-    ends: Vec<End>,
+    pub(super) ends: Vec<End>,
     next_seq: u64,
     /// When each end came, and when its lease was last over.
     ended_at: BTreeMap<EndSeq, u64>,
@@ -126,6 +131,7 @@
             late_by_own_lease: false,
             refuses_per_mille: 0,
             refuses_stops: false,
+            refuses_checkpoints: false,
             stop_ms: 0,
             stops: 0,
             delays_start: None,
@@ -309,27 +315,35 @@
     }
 
     /// Returns a worker's account of itself.
-    pub fn account(&self, at: usize) -> Account {
+    pub fn account(&mut self, at: usize) -> Account {
+        let runs: Vec<(TaskKey, SimRun)> =
+            self.workers[at].running.iter().map(|(task, r)| (*task, r.clone())).collect();
+        let running: Vec<RunningTask> =
+            runs.iter().map(|(task, r)| self.listed(at, *task, r)).collect();
+        let ends = self.workers[at].ends.clone();
+        running.iter().for_each(|row| self.told(row.task, &row.checkpoint));
+        ends.iter().for_each(|end| self.told(end.task, &end.checkpoint));
         let worker = &self.workers[at];
-        let running = worker.running.iter().map(|(task, r)| RunningTask {
-            task: *task,
+        Account { clock: WorkerClock(self.now + worker.clock_offset), running, ends }
+    }
+
+    /// Returns the line of a worker's account for one of its runs.
+    fn listed(&mut self, at: usize, task: TaskKey, r: &SimRun) -> RunningTask {
+        let reading = self.readings.get(&task.job).copied();
+        RunningTask {
+            task,
             run: r.run,
-            checkpoint: None,
+            checkpoint: self.listed_checkpoint(task, r),
             percent: r.percent(self.now),
-            reading: self.readings.get(&task.job).map(|tail| tail * worker.slowness as u32),
-        });
-        Account {
-            clock: WorkerClock(self.now + worker.clock_offset),
-            running: running.collect(),
-            ends: worker.ends.clone(),
+            reading: reading.map(|tail| tail * self.workers[at].slowness as u32),
         }
     }
 
     fn order(&mut self, at: usize, call: &Call, clock: u64) -> Result<(), Refusal> {
         match call {
-            Call::Start { task, run, until, work } => {
+            Call::Start { task, run, until, work, checkpoint } => {
                 self.grant(at, *until);
-                self.start(at, *task, *run, *until, *work, clock)
+                self.start(at, (*task, *run), *until, *work, checkpoint, clock)
             }
             Call::Stop { task, run } => {
                 let worker = &mut self.workers[at];
@@ -360,13 +374,17 @@
     fn start(
         &mut self,
         at: usize,
-        task: TaskKey,
-        run: Run,
+        (task, run): (TaskKey, Run),
         until: WorkerClock,
         work: Work,
+        checkpoint: &Brought,
         clock: u64,
     ) -> Result<(), Refusal> {
+        self.check_brought(task, run, checkpoint);
         let worker = &self.workers[at];
+        if worker.refuses_checkpoints && checkpoint.is_some() {
+            return Err(Refusal::Invalid);
+        }
         if worker.running.get(&task).is_some_and(|r| r.run == run) {
             return Ok(());
         }
@@ -393,26 +411,29 @@
         self.starts += 1;
         let fails = self.workers[at].failing
             || self.rng.random_range(0..1_000) < self.faults.failing_per_mille;
-        let ends_at =
-            if work.lasting { None } else { Some(self.now + work.ms * self.workers[at].slowness) };
+        let saves = self.resume(task, checkpoint, self.workers[at].slowness);
+        let left = work.ms.saturating_sub(saves.from_ms) * self.workers[at].slowness;
+        let ends_at = if work.lasting { None } else { Some(self.now + left) };
         let ends_at = if fails { Some(self.now + 50) } else { ends_at };
         let began = self.now;
         let (takes, stops_at) = (work.takes, None);
         let crashes_at = self.crashes.after(task).map(|ms| began + ms);
-        let sim = SimRun { takes, run, began, ends_at, fails, stops_at, crashes_at, pace: 100 };
+        let sim =
+            SimRun { takes, run, began, ends_at, saves, fails, stops_at, crashes_at, pace: 100 };
         self.workers[at].running.insert(task, sim);
         Ok(())
     }
 
     fn end(&mut self, at: usize, task: TaskKey, how: How) {
+        let Some(sim) = self.workers[at].running.remove(&task) else { return };
+        let checkpoint = self.last_checkpoint(task, &sim, how);
         let worker = &mut self.workers[at];
-        let Some(sim) = worker.running.remove(&task) else { return };
         let last = worker.last_ended.entry(task).or_default();
         *last = (*last).max(sim.run);
         let seq = EndSeq(worker.next_seq);
         worker.next_seq += 1;
         worker.ended_at.insert(seq, self.now);
-        worker.ends.push(End { seq, task, run: sim.run, how, checkpoint: None });
+        worker.ends.push(End { seq, task, run: sim.run, how, checkpoint });
         match how {
             How::Done => {
                 self.done.insert(task);
