Only steps that save progress have checkpoints

Cause: any text that a worker listed beside a task was taken for its checkpoint, also where the caller had said that the step saves none; nothing stood between a row and the next start. Mend: the one place that takes a text in, and the one that restores it, ask the step. Why it holds: no other code writes a task's checkpoint.

--- a/crates/sched/src/checkpoints.rs
+++ b/crates/sched/src/checkpoints.rs
@@ -1,15 +1,18 @@
 //! Checkpoints: where a task resumes, and by whose word.
 //!
 //! A checkpoint is a worker's text in which nothing tells whose it is. What is known of it besides, which run
-//! saved it and at which worker, goes along with it up to the start that brings it.
+//! saved it and at which worker, goes along with it up to the start that brings it. Nothing else is taken for a
+//! checkpoint: whatever stands here is brought by the next start, and a start with a text that is not its task's
+//! is work that nobody asked for.
 
 use std::sync::Arc;
 
 use gaplock_jobs::progress::TaskNote;
-use gaplock_jobs::TaskKey;
+use gaplock_jobs::{Step, TaskKey};
 
 use crate::context::Context;
 use crate::message::{Run, WorkerIx};
+use crate::trace;
 
 /// What a task saved.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,8 +25,11 @@
     pub worker: Option<WorkerIx>,
 }
 
-/// Returns what a former leader stored of a task's checkpoint.
-pub fn restored(note: &TaskNote) -> Option<Checkpoint> {
+/// Returns what a former leader stored of the checkpoint of a step's task.
+pub fn restored(step: &Step, note: &TaskNote) -> Option<Checkpoint> {
+    if !step.checkpoints {
+        return None;
+    }
     let text = note.checkpoint.as_deref()?.into();
     Some(Checkpoint { text, run: Run(note.checkpoint_run), worker: None })
 }
@@ -31,6 +37,15 @@
 /// Takes in the checkpoint that a worker lists beside a run.
 pub fn take_in(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, listed: Option<&str>) {
     let Some(text) = listed else { return };
+    // Only the caller says which steps save progress; a worker may list a text beside anything.
+    if !cx.step(key).is_some_and(|step| step.checkpoints) {
+        return trace::checkpoint_passed_over(
+            key,
+            run,
+            &cx.worker(ix).info.id,
+            "its step saves none",
+        );
+    }
     let Some(task) = cx.task_mut(key) else { return };
     if task.checkpoint.as_ref().is_some_and(|known| &*known.text == text) {
         return;
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use gaplock_jobs::progress::{self, JobState, Progress, StepProgress};
-use gaplock_jobs::{Job, JobKey, TaskKey};
+use gaplock_jobs::{Job, JobKey, Step, TaskKey};
 use gaplock_types::time::Instant;
 use rustc_hash::{FxHashMap, FxHashSet};
 
@@ -113,8 +113,9 @@
             continue;
         }
         let mut round = Round::new(stored.round, &entry.job);
-        for (state, stored) in round.steps.iter_mut().zip(&stored.steps) {
-            apply(state, stored);
+        let steps = round.steps.iter_mut().zip(&entry.job.steps);
+        for ((state, step), stored) in steps.zip(&stored.steps) {
+            apply(state, step, stored);
         }
         entry.rounds.push(round);
     }
@@ -145,7 +146,7 @@
 }
 
 /// Puts stored ends, failures and checkpoints into an untouched step.
-fn apply(state: &mut StepState, stored: &StepProgress) {
+fn apply(state: &mut StepState, step: &Step, stored: &StepProgress) {
     for index in progress::unpack(&stored.done) {
         if let Some(task) = state.tasks.get_mut(index as usize) {
             task.state = TaskState::Done;
@@ -156,7 +157,7 @@
         if let Some(task) = state.tasks.get_mut(note.index as usize) {
             task.failed = note.failed;
             task.counted_runs = note.counted_runs.iter().copied().map(Run).collect();
-            task.checkpoint = checkpoints::restored(note);
+            task.checkpoint = checkpoints::restored(step, note);
             task.suspicion = crashes::restored(note);
         }
     }
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -54,6 +54,12 @@
         saved_at, text);
 }
 
+/// A worker lists a text as the checkpoint of a run that is not taken for one, and why (debug: a list repeats
+/// it).
+pub fn checkpoint_passed_over(task: TaskKey, run: Run, worker: &ids::WorkerId, why: &'static str) {
+    debug!(event = "checkpoint_passed_over", %task, run = run.0, %worker, why);
+}
+
 /// How many signs of a checkpoint a log line shows; the workers' own have sixteen.
 const CHECKPOINT_SHOWN: usize = 32;
 
