Every try of a start brings what its first try brought

Cause: each try read the task's checkpoint anew, and an end of an older run that was heard of between two tries changed it; whichever try is carried out decides, and the first may come last. Mend: what a start brings is decided once, when the run takes its room, and stays with the run. The same holds for the note whether a run resumed, which was read from the task, too.

--- a/crates/sched/src/account.rs
+++ b/crates/sched/src/account.rs
@@ -81,8 +81,8 @@
         lifecycle::vacate(cx, ix, row.task, old);
     }
     let (run, phase) = (row.run, Phase::Running);
-    let (percent, reading) = (row.percent, row.reading);
-    lifecycle::occupy(cx, ix, row.task, Occupant { run, phase, percent, reading });
+    let (percent, reading, resumes_from) = (row.percent, row.reading, None);
+    lifecycle::occupy(cx, ix, row.task, Occupant { run, resumes_from, phase, percent, reading });
 }
 
 /// Stops a run that must not go on; its room stays taken as long as its job is known.
--- a/crates/sched/src/checkpoints.rs
+++ b/crates/sched/src/checkpoints.rs
@@ -9,6 +9,7 @@
 
 use gaplock_jobs::progress::TaskNote;
 use gaplock_jobs::{Step, TaskKey};
+use gaplock_types::time::Instant;
 
 use crate::context::Context;
 use crate::message::{Run, WorkerIx};
@@ -23,6 +24,8 @@
     pub run: Run,
     /// The worker that listed it; unset where a former leader stored it.
     pub worker: Option<WorkerIx>,
+    /// When this leader heard of it.
+    pub heard: Instant,
 }
 
 /// Returns what a former leader stored of the checkpoint of a step's task.
@@ -31,7 +34,12 @@
         return None;
     }
     let text = note.checkpoint.as_deref()?.into();
-    Some(Checkpoint { text, run: Run(note.checkpoint_run), worker: None })
+    Some(Checkpoint { text, run: Run(note.checkpoint_run), worker: None, heard: Instant(0) })
+}
+
+/// Returns what the next start of a task brings.
+pub fn of_task(cx: &Context, key: TaskKey) -> Option<Checkpoint> {
+    cx.task(key)?.checkpoint.clone()
 }
 
 /// Takes in the checkpoint that a worker lists beside a run.
@@ -46,9 +54,11 @@
             "its step saves none",
         );
     }
+    let now = cx.now;
     let Some(task) = cx.task_mut(key) else { return };
     if task.checkpoint.as_ref().is_some_and(|known| &*known.text == text) {
         return;
     }
-    task.checkpoint = Some(Checkpoint { text: text.into(), run, worker: Some(ix) });
+    let (text, worker) = (text.into(), Some(ix));
+    task.checkpoint = Some(Checkpoint { text, run, worker, heard: now });
 }
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -8,6 +8,7 @@
 use gaplock_types::time::Millis;
 use gaplock_types::{ids, sizes};
 
+use crate::checkpoints::{self, Checkpoint};
 use crate::choices::Choices;
 use crate::context::Context;
 use crate::crashes::{self, trials};
@@ -251,7 +252,8 @@
 /// Starts a task at a worker.
 pub fn start_at(cx: &mut Context, ix: WorkerIx, task: TaskKey) {
     let run = next_run(cx, task);
-    reserve(cx, ix, task, run);
+    let checkpoint = checkpoints::of_task(cx, task);
+    reserve(cx, ix, (task, run), checkpoint);
     orders::send_start(cx, ix, task, run);
 }
 
@@ -316,12 +318,17 @@
     cx.run_number(starts)
 }
 
-/// Takes the room for a run and holds the task to be there from now on.
-pub fn reserve(cx: &mut Context, ix: WorkerIx, task: TaskKey, run: Run) {
+/// Takes the room for a run, says what its start brings, and holds the task to be there from now on.
+pub fn reserve(
+    cx: &mut Context,
+    ix: WorkerIx,
+    (task, run): (TaskKey, Run),
+    resumes_from: Option<Checkpoint>,
+) {
     let now = cx.now;
     lifecycle::leave_pending(cx, task);
     let (phase, percent, reading) = (Phase::Starting, 0, None);
-    lifecycle::occupy(cx, ix, task, Occupant { run, phase, percent, reading });
+    lifecycle::occupy(cx, ix, task, Occupant { run, resumes_from, phase, percent, reading });
     let worker = cx.worker(ix).info.id.clone();
     if let Some(t) = cx.task_mut(task) {
         t.state = TaskState::Active { worker: ix, run };
--- a/crates/sched/src/gangs.rs
+++ b/crates/sched/src/gangs.rs
@@ -14,7 +14,7 @@
 use crate::placement::{self, Wanted};
 use crate::proof::Proof;
 use crate::table::ReadyStep;
-use crate::{dispatch, lifecycle, orders, permits};
+use crate::{checkpoints, dispatch, lifecycle, orders, permits};
 
 /// Starts all members of a gang under one run number, or none of them.
 pub fn start(
@@ -102,7 +102,8 @@
             return None;
         };
         set_starts(cx, task, starts);
-        dispatch::reserve(cx, ix, task, run);
+        let checkpoint = checkpoints::of_task(cx, task);
+        dispatch::reserve(cx, ix, (task, run), checkpoint);
         placed.push((task, ix));
     }
     Some(placed)
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -7,6 +7,7 @@
 use gaplock_policy::tries::Tries;
 use gaplock_types::time::{Instant, Millis};
 
+use crate::checkpoints::Checkpoint;
 use crate::context::Context;
 use crate::message::{Action, Run, WorkerIx};
 use crate::pacing::{self, GivenPaces, FULL_PACE};
@@ -62,10 +63,12 @@
 }
 
 /// What is known of a run when it is put on a worker.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Occupant {
     /// The run.
     pub run: Run,
+    /// What its start brings.
+    pub resumes_from: Option<Checkpoint>,
     /// How far its order has come.
     pub phase: Phase,
     /// How far the run has come in percent.
@@ -106,6 +109,7 @@
         stopping_since: now,
         barred: None,
         confirmed: (!started).then_some(now),
+        resumes_from: occupant.resumes_from,
         tries: Tries::default(),
         pace: FULL_PACE,
         pacing: false,
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -73,13 +73,12 @@
 /// Takes in that a run is at its worker.
 fn confirmed(cx: &mut Context, ix: WorkerIx, key: TaskKey, clock: WorkerClock) {
     let now = cx.now;
-    let resumes = cx.task(key).is_some_and(|t| t.checkpoint.is_some());
     let worker = cx.worker_mut(ix);
     worker.read_clock(now, clock);
     let Some(slot) = worker.slots.get_mut(&key) else { return };
     slot.phase = Phase::Running;
     slot.confirmed = Some(now);
-    if !resumes {
+    if slot.resumes_from.is_none() {
         slot.mark = Some(Mark { at: now, percent: 0 });
     }
     pacing::set_paces(cx, ix);
@@ -148,18 +147,15 @@
 pub fn send_start(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
     let Some(entry) = cx.jobs.get(&key.job) else { return };
     let job = entry.job.clone();
-    let found = entry.task(key).and_then(|t| t.checkpoint.clone());
     let Some(until) = leases::grant(cx, ix) else { return };
     let ticket = permits::ticket(cx, StepKey::of(key), ix);
-    let slot = cx.worker_mut(ix).slots.get_mut(&key);
-    let attempt = slot.map_or(1, |slot| {
-        slot.tries.send();
-        slot.tries.sent()
-    });
-    if let Some(found) = &found {
-        trace::start_resumes(cx, (key, run), ix, attempt, found);
+    let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
+    slot.tries.send();
+    let (attempt, resumes_from) = (slot.tries.sent(), slot.resumes_from.clone());
+    if let Some(checkpoint) = &resumes_from {
+        trace::start_resumes(cx, (key, run), ix, attempt, checkpoint);
     }
-    let checkpoint = found.map(|found| found.text);
+    let checkpoint = resumes_from.map(|checkpoint| checkpoint.text);
     let start = Action::Start { worker: ix, task: key, run, job, until, checkpoint, ticket };
     cx.starts_under_way += 1;
     cx.worker_mut(ix).starts_under_way += 1;
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -8,6 +8,7 @@
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
 
+use crate::checkpoints::Checkpoint;
 use crate::crashes::trials::Trial;
 use crate::doubts::Doubt;
 use crate::message::{EndSeq, Run, WorkerClock, WorkerInfo};
@@ -52,6 +53,8 @@
     pub confirmed: Option<Instant>,
     /// When the worker confirmed a stop, after which it refuses the run for ever; unset before.
     pub barred: Option<Instant>,
+    /// What every try of its start brings; unset also for a run that a former leader started.
+    pub resumes_from: Option<Checkpoint>,
     /// The tries of its start.
     pub tries: Tries,
     /// The share of full speed in percent that was last put in force.
