All members of a gang bring the same checkpoint

Cause: each member brought its own last checkpoint. Mend: one checkpoint is chosen for the gang before any member takes its room: of the newest run, and of that run the one heard of last.

--- a/crates/sched/src/checkpoints.rs
+++ b/crates/sched/src/checkpoints.rs
@@ -42,6 +42,13 @@
     cx.task(key)?.checkpoint.clone()
 }
 
+/// Returns what the next starts of a gang bring: any member's checkpoint serves for all, and all must bring
+/// the same. The one of the newest run loses least, and of that run the one heard of last.
+pub fn of_gang(cx: &Context, members: &[TaskKey]) -> Option<Checkpoint> {
+    let found = members.iter().filter_map(|&key| cx.task(key)?.checkpoint.as_ref());
+    found.max_by_key(|c| (c.run, c.heard)).cloned()
+}
+
 /// Takes in the checkpoint that a worker lists beside a run.
 pub fn take_in(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, listed: Option<&str>) {
     let Some(text) = listed else { return };
--- a/crates/sched/src/gangs.rs
+++ b/crates/sched/src/gangs.rs
@@ -93,6 +93,7 @@
     rack: Option<&String>,
 ) -> Option<Vec<(TaskKey, WorkerIx)>> {
     let run = cx.run_number(starts);
+    let checkpoint = checkpoints::of_gang(cx, members);
     let mut placed: Vec<(TaskKey, WorkerIx)> = Vec::new();
     for &task in members {
         let wanted =
@@ -102,8 +103,7 @@
             return None;
         };
         set_starts(cx, task, starts);
-        let checkpoint = checkpoints::of_task(cx, task);
-        dispatch::reserve(cx, ix, (task, run), checkpoint);
+        dispatch::reserve(cx, ix, (task, run), checkpoint.clone());
         placed.push((task, ix));
     }
     Some(placed)
