A late end of an older run does not take a newer run's checkpoint away

What callers saw: saved work done again. Cause: whatever was listed last was the task's checkpoint, so the end of a run that had been cut off, listed when its worker was back, replaced what the newer run had saved; and a run that lists the text which its start brought counted as having saved it.

--- a/crates/sched/src/checkpoints.rs
+++ b/crates/sched/src/checkpoints.rs
@@ -52,20 +52,33 @@
 /// Takes in the checkpoint that a worker lists beside a run.
 pub fn take_in(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, listed: Option<&str>) {
     let Some(text) = listed else { return };
-    // Only the caller says which steps save progress; a worker may list a text beside anything.
-    if !cx.step(key).is_some_and(|step| step.checkpoints) {
-        return trace::checkpoint_passed_over(
-            key,
-            run,
-            &cx.worker(ix).info.id,
-            "its step saves none",
-        );
+    if let Some(why) = unfit(cx, key, run) {
+        return trace::checkpoint_passed_over(key, run, &cx.worker(ix).info.id, why);
     }
-    let now = cx.now;
-    let Some(task) = cx.task_mut(key) else { return };
-    if task.checkpoint.as_ref().is_some_and(|known| &*known.text == text) {
+    if is_known(cx, ix, key, run, text) {
         return;
     }
-    let (text, worker) = (text.into(), Some(ix));
-    task.checkpoint = Some(Checkpoint { text, run, worker, heard: now });
+    let (text, worker, heard) = (text.into(), Some(ix), cx.now);
+    let Some(task) = cx.task_mut(key) else { return };
+    task.checkpoint = Some(Checkpoint { text, run, worker, heard });
+}
+
+/// Says why nothing that a run lists is taken for its task's checkpoint.
+fn unfit(cx: &Context, key: TaskKey, run: Run) -> Option<&'static str> {
+    // Only the caller says which steps save progress; a worker may list a text beside anything.
+    if !cx.step(key).is_some_and(|step| step.checkpoints) {
+        return Some("its step saves none");
+    }
+    // A run that was cut off lists its end late, when a newer one has come further.
+    let known = cx.task(key).and_then(|task| task.checkpoint.as_ref());
+    known.filter(|known| known.run > run).map(|_| "a newer run saved one")
+}
+
+/// Tells whether a text says nothing new: it is the task's last, or the run has saved none since its start
+/// brought it.
+fn is_known(cx: &Context, ix: WorkerIx, key: TaskKey, run: Run, text: &str) -> bool {
+    let slot = cx.worker(ix).slots.get(&key).filter(|slot| slot.run == run);
+    let brought = slot.and_then(|slot| slot.resumes_from.as_ref());
+    let last = cx.task(key).and_then(|task| task.checkpoint.as_ref());
+    [brought, last].into_iter().flatten().any(|known| &*known.text == text)
 }
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -23,12 +23,12 @@
 /// Frees the room of a run that ended, and decides what becomes of its task.
 fn take_in_end(cx: &mut Context, ix: WorkerIx, end: &End) {
     let was_active = lifecycle::is_active(cx, end.task, ix, end.run);
+    checkpoints::take_in(cx, ix, end.task, end.run, end.checkpoint.as_deref());
     let slot = lifecycle::vacate(cx, ix, end.task, end.run);
     if let Some(slot) = slot.filter(|_| end.how == How::Done) {
         speed::observe_end(cx, ix, end.task, &slot);
     }
     trace::run_ended(end, &cx.worker(ix).info.id, was_active);
-    checkpoints::take_in(cx, ix, end.task, end.run, end.checkpoint.as_deref());
     let Some(entry) = cx.jobs.get(&end.task.job) else { return };
     if entry.state.is_final() {
         return;
