A checkpoint is stored as long as no worker keeps it

What callers saw: saved work done again after a change of leader. Cause: the end of a stopped run was acknowledged by a commit that did not hold its checkpoint: such an end changes nothing else of its job, so the job was not written; and a task that had just been ordered to a worker again counted as kept there, although its start may be lost together with the leader. Mend: a task that becomes pending with a checkpoint marks its job, and the checkpoint stays in the record until the run that goes on has saved one of its own.

--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -12,6 +12,7 @@
 use gaplock_types::ids;
 use gaplock_types::time::Instant;
 
+use crate::checkpoints::Checkpoint;
 use crate::context::Context;
 use crate::message::{EndSeq, Record, RosterEntry, WorkerIx};
 use crate::table::{Entry, StepState, Task, TaskState};
@@ -195,11 +196,16 @@
     Progress { key, state: entry.state, ended_unix_ms, rounds }
 }
 
+/// Tells whether the run that saved a task's checkpoint goes on, so that its worker keeps it. A run that only
+/// began there may be lost with its start.
+fn is_at_worker(task: &Task, checkpoint: &Checkpoint) -> bool {
+    matches!(task.state, TaskState::Active { run, .. } if run == checkpoint.run)
+}
+
 fn step_progress(step: &StepState) -> StepProgress {
     let tasks = step.tasks.iter().enumerate().map(|(index, task)| (index as u32, task));
     let done = tasks.clone().filter(|(_, t)| t.state == TaskState::Done).map(|(index, _)| index);
-    // While a run is at a worker, the worker keeps its checkpoint.
-    let kept = |t: &Task| t.checkpoint.is_some() && !matches!(t.state, TaskState::Active { .. });
+    let kept = |t: &Task| t.checkpoint.as_ref().is_some_and(|c| !is_at_worker(t, c));
     let is_noted = |t: &Task| t.failed > 0 || kept(t) || t.suspicion.is_some();
     let noted = |t: &Task| t.state != TaskState::Done && is_noted(t);
     let crashed = |t: &Task| t.suspicion.as_ref().map(|s| s.crashed.clone()).unwrap_or_default();
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -40,11 +40,16 @@
     task.not_before = now + pause;
     task.since = now;
     let is_suspect = task.suspicion.is_some();
+    let is_saved = task.checkpoint.is_some();
     if let Some(round) = entry.round_mut(key.round) {
         round.steps[usize::from(key.step)].pending.insert(key.index);
     }
     cx.ready.insert(ready);
     cx.pass_wanted = true;
+    if is_saved {
+        // No worker keeps the checkpoint once the end of its run is acknowledged.
+        commits::mark(&mut cx.commits, now, key.job);
+    }
     if is_suspect {
         cx.crashes.note_waiting();
     }
