A checkpoint that a worker refuses is not brought again

Cause: a start refused as invalid was repeated at once elsewhere with the same text. Mend: the refused text is given up, in the record too, and the task begins from its start; a wrong text, wherever it came from, goes out once at most to such a worker.

--- a/crates/sched/src/checkpoints.rs
+++ b/crates/sched/src/checkpoints.rs
@@ -13,7 +13,7 @@
 
 use crate::context::Context;
 use crate::message::{Run, WorkerIx};
-use crate::trace;
+use crate::{commits, trace};
 
 /// What a task saved.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -63,6 +63,23 @@
     task.checkpoint = Some(Checkpoint { text, run, worker, heard });
 }
 
+/// Takes in that a worker refused a start as invalid. If it brought a checkpoint, nothing brings that again: every
+/// worker would refuse it as this one did, and a text that is not the task's must not go out a second time.
+pub fn refused(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+    let slot = cx.worker(ix).slots.get(&key);
+    let Some(brought) = slot.and_then(|slot| slot.resumes_from.clone()) else { return };
+    let Some(step) = cx.step(key) else { return };
+    let members = if step.gang { 0..step.count } else { key.index..key.index + 1 };
+    for index in members {
+        let Some(task) = cx.task_mut(TaskKey { index, ..key }) else { continue };
+        if task.checkpoint.as_ref().is_some_and(|c| c.text == brought.text) {
+            task.checkpoint = None;
+        }
+    }
+    commits::mark(&mut cx.commits, cx.now, key.job);
+    trace::checkpoint_refused(cx, key, ix, &brought);
+}
+
 /// Says why nothing that a run lists is taken for its task's checkpoint.
 fn unfit(cx: &Context, key: TaskKey, run: Run) -> Option<&'static str> {
     // Only the caller says which steps save progress; a worker may list a text beside anything.
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -16,7 +16,7 @@
 use crate::proof::Proof;
 use crate::speed::Mark;
 use crate::worker::Phase;
-use crate::{doubts, leases, lifecycle, pacing, permits, trace};
+use crate::{checkpoints, doubts, leases, lifecycle, pacing, permits, trace};
 
 /// Takes in what became of the last try of a start.
 pub fn started(
@@ -46,6 +46,9 @@
             leases::give_up(cx, ix);
         }
         Outcome::Refused(refusal) => {
+            if refusal == Refusal::Invalid {
+                checkpoints::refused(cx, ix, key);
+            }
             spare_after(cx, ix, key, refusal);
             not_done(cx, ix, key, run, fate, Proof::Refused);
         }
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -48,8 +48,7 @@
     checkpoint: &Checkpoint,
 ) {
     let worker = &cx.worker(ix).info.id;
-    let saved_at = checkpoint.worker.map(|ix| cx.worker(ix).info.id.as_str());
-    let text: String = checkpoint.text.chars().take(CHECKPOINT_SHOWN).collect();
+    let (saved_at, text) = (saved_at(cx, checkpoint), shown(checkpoint));
     info!(event = "start_resumes", %task, run = run.0, %worker, attempt, saved_by = checkpoint.run.0,
         saved_at, text);
 }
@@ -60,6 +59,23 @@
     debug!(event = "checkpoint_passed_over", %task, run = run.0, %worker, why);
 }
 
+/// A worker refused a start as invalid that brought a checkpoint, which nothing brings again.
+pub fn checkpoint_refused(cx: &Context, task: TaskKey, ix: WorkerIx, checkpoint: &Checkpoint) {
+    let worker = &cx.worker(ix).info.id;
+    let (saved_at, text) = (saved_at(cx, checkpoint), shown(checkpoint));
+    warn!(event = "checkpoint_refused", %task, %worker, saved_by = checkpoint.run.0, saved_at, text);
+}
+
+/// Returns the worker that listed a checkpoint to this leader.
+fn saved_at<'a>(cx: &'a Context, checkpoint: &Checkpoint) -> Option<&'a str> {
+    checkpoint.worker.map(|ix| cx.worker(ix).info.id.as_str())
+}
+
+/// Returns a checkpoint's first signs.
+fn shown(checkpoint: &Checkpoint) -> String {
+    checkpoint.text.chars().take(CHECKPOINT_SHOWN).collect()
+}
+
 /// How many signs of a checkpoint a log line shows; the workers' own have sixteen.
 const CHECKPOINT_SHOWN: usize = 32;
 
