A start that is refused as invalid pauses before it is tried again

Cause: a task whose start was refused as invalid was pending again at once, and each worker was only spared for 0.2 s, so that a fleet of 490 took thousands a second. Test a_start_that_every_worker_refuses_as_invalid_is_repeated_ever_more_rarely failed (4 workers, 320 starts in 20 s; now under 20). Mend: the pause that failed runs have, doubling with each refusal in a row up to 1.5 s; a start that is taken ends the row.

--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -15,6 +15,7 @@
 use crate::permits::StepKey;
 use crate::proof::Proof;
 use crate::speed::Mark;
+use crate::table::TaskState;
 use crate::worker::Phase;
 use crate::{checkpoints, doubts, leases, lifecycle, pacing, permits, trace};
 
@@ -46,11 +47,14 @@
             leases::give_up(cx, ix);
         }
         Outcome::Refused(refusal) => {
+            spare_after(cx, ix, key, refusal);
             if refusal == Refusal::Invalid {
                 checkpoints::refused(cx, ix, key);
             }
-            spare_after(cx, ix, key, refusal);
             not_done(cx, ix, key, run, fate, Proof::Refused);
+            if refusal == Refusal::Invalid {
+                put_off_invalid(cx, key);
+            }
         }
         Outcome::NotSent => {
             spare(cx, ix, cx.settings.renew_retry);
@@ -84,6 +88,9 @@
     if slot.resumes_from.is_none() {
         slot.mark = Some(Mark { at: now, percent: 0 });
     }
+    if let Some(task) = cx.task_mut(key) {
+        task.invalid_in_row = 0;
+    }
     pacing::set_paces(cx, ix);
 }
 
@@ -98,6 +105,18 @@
     }
 }
 
+/// Lets a task pause whose start was refused as invalid: the next worker most likely refuses it, too.
+fn put_off_invalid(cx: &mut Context, key: TaskKey) {
+    let Some(task) = cx.task_mut(key) else { return };
+    task.invalid_in_row += 1;
+    let in_row = task.invalid_in_row;
+    let until = cx.now + lifecycle::pause_after(cx, in_row);
+    let task = cx.task_mut(key).filter(|task| task.state == TaskState::Pending);
+    if let Some(task) = task {
+        task.not_before = until;
+    }
+}
+
 /// Spares a worker that refused a start, where and for as long as that helps.
 fn spare_after(cx: &mut Context, ix: WorkerIx, key: TaskKey, refusal: Refusal) {
     let (retry, full) = (cx.settings.renew_retry, cx.settings.full_pause);
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -47,6 +47,8 @@
     pub counted_runs: Vec<Run>,
     /// Failures since the task last worked, for the pause before the next start.
     pub failed_in_row: u32,
+    /// Starts in a row that were refused as invalid, for the pause before the next one.
+    pub invalid_in_row: u32,
     /// No start before this time.
     pub not_before: Instant,
     /// Where the next run resumes.
@@ -72,6 +74,7 @@
             failed: 0,
             counted_runs: Vec::new(),
             failed_in_row: 0,
+            invalid_in_row: 0,
             not_before: Instant(0),
             checkpoint: None,
             failed_on: None,
--- a/crates/sched/tests/fleet/odd_jobs.rs
+++ b/crates/sched/tests/fleet/odd_jobs.rs
@@ -68,3 +68,17 @@
     world.run(3_000);
     assert!(world.is_completed(1) && world.is_completed(2));
 }
+
+#[test]
+fn a_start_that_every_worker_refuses_as_invalid_is_repeated_ever_more_rarely() {
+    let mut world = World::open(95, 4);
+    world.workers.iter_mut().for_each(|w| w.refuses_starts = true);
+    world.submit(job(1, vec![step(1, &[])]));
+    world.run(20_000);
+    let refused: u64 = world.workers.iter().map(|w| w.invalid_starts).sum();
+    assert!(refused <= 20, "it was sent {refused} times in 20 s");
+    world.workers.iter_mut().for_each(|w| w.refuses_starts = false);
+    world.run(6_000);
+    assert!(world.is_completed(1));
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -82,6 +82,10 @@
     pub refuses_stops: bool,
     /// Starts that bring a checkpoint are refused as invalid.
     pub refuses_checkpoints: bool,
+    /// All starts are refused as invalid.
+    pub refuses_starts: bool,
+    /// Starts that were refused as invalid.
+    pub invalid_starts: u64,
     /// How long a stop takes, in milliseconds.
     pub stop_ms: u64,
     /// Stops that arrived.
@@ -132,6 +136,8 @@
             refuses_per_mille: 0,
             refuses_stops: false,
             refuses_checkpoints: false,
+            refuses_starts: false,
+            invalid_starts: 0,
             stop_ms: 0,
             stops: 0,
             delays_start: None,
@@ -381,10 +387,12 @@
         clock: u64,
     ) -> Result<(), Refusal> {
         self.check_brought(task, run, checkpoint);
-        let worker = &self.workers[at];
-        if worker.refuses_checkpoints && checkpoint.is_some() {
+        let worker = &mut self.workers[at];
+        if worker.refuses_starts || worker.refuses_checkpoints && checkpoint.is_some() {
+            worker.invalid_starts += 1;
             return Err(Refusal::Invalid);
         }
+        let worker = &self.workers[at];
         if worker.running.get(&task).is_some_and(|r| r.run == run) {
             return Ok(());
         }
