A stored record speaks of the job under whose key it lies

Cause: progress, jobs and the roster were read by what their values say, whatever key they lay under, so that a record of another writer gave a job another one's progress and its tasks another one's checkpoints. By reading: the former code had no function to hold a test against, so no test failed first.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use gaplock_jobs::job;
-use gaplock_jobs::progress::{JobState, Progress};
+use gaplock_jobs::progress::JobState;
 use gaplock_jobs::JobKey;
 use gaplock_platform::callers;
 use gaplock_platform::store::StoreError;
@@ -15,7 +15,7 @@
 
 use crate::node::Node;
 use crate::peers::StatusAnswer;
-use crate::{inbox, keys, ledger};
+use crate::{inbox, keys, records};
 
 /// When a refused caller may come back, in seconds: about the length of a change of leader.
 const RETRY_AFTER_S: &str = "1";
@@ -124,7 +124,7 @@
 
 async fn stored_state(node: &Node, key: JobKey) -> Result<Option<JobState>, StoreError> {
     if let Some(item) = node.store.get(&keys::progress(key)).await? {
-        let progress: Progress = ledger::decode(&item).ok_or(StoreError::Unclear)?;
+        let progress = records::progress(&item).ok_or(StoreError::Unclear)?;
         return Ok(Some(progress.state));
     }
     let job = node.store.get(&keys::job(key)).await?;
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -19,6 +19,7 @@
 use crate::evacuations;
 use crate::keys;
 use crate::node::Node;
+use crate::records;
 
 /// How long a watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
@@ -79,7 +80,7 @@
     if let Some(key) = item.key.strip_prefix(keys::CANCELS) {
         return key.parse().ok().map(Handed::Cancel);
     }
-    serde_json::from_slice(&item.value).ok().map(|job| Handed::Job(Arc::new(job)))
+    records::job(item).map(|job| Handed::Job(Arc::new(job)))
 }
 
 /// Hands in the jobs and cancellations that callers' hosts have stored.
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -4,66 +4,16 @@
 use std::time::Duration;
 
 use async_std::task;
-use gaplock_jobs::TaskKey;
-use gaplock_platform::store::{self, Item, Revision, Store, StoreError, Txn};
+use gaplock_platform::store::{self, Revision, Store, StoreError, Txn};
 use gaplock_platform::waves;
 use gaplock_policy::tries::Tries;
 use gaplock_remote::clock;
-use gaplock_sched::message::{Record, RosterEntry, WorkerInfo};
+use gaplock_sched::message::Record;
 use gaplock_sched::writing::{self, Answer, CommitMark, CommitRevision, Next, Sight, Writer};
-use gaplock_types::time::Millis;
-use gaplock_types::{ids, sizes};
 
 use crate::keys;
 use crate::leadership::{Claim, Right, Standing};
-
-/// The stored form of a worker in the roster.
-#[derive(Debug, serde::Serialize, serde::Deserialize)]
-pub struct RosterRecord {
-    id: ids::WorkerId,
-    addr: String,
-    service: ids::ServiceId,
-    domain: ids::DomainId,
-    labels: Vec<String>,
-    capacity: sizes::Resources,
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    holds: Option<Vec<TaskKey>>,
-    /// Whether it was leaving when it was closed; what it ran is not suspected of its loss.
-    #[serde(default)]
-    leaving: bool,
-}
-
-impl RosterRecord {
-    /// Builds the stored form.
-    pub fn of(entry: &RosterEntry) -> Self {
-        let info = &entry.info;
-        Self {
-            holds: entry.holds.clone(),
-            id: info.id.clone(),
-            addr: info.addr.clone(),
-            service: info.service.clone(),
-            domain: info.domain.clone(),
-            labels: info.labels.clone(),
-            capacity: info.capacity,
-            leaving: info.draining,
-        }
-    }
-
-    /// Returns what the roster says of the worker.
-    pub fn entry(self) -> RosterEntry {
-        let info = WorkerInfo {
-            id: self.id,
-            addr: self.addr,
-            service: self.service,
-            domain: self.domain,
-            labels: self.labels,
-            capacity: self.capacity,
-            draining: self.leaving,
-            remaining: None::<Millis>,
-        };
-        RosterEntry { info, holds: self.holds }
-    }
-}
+use crate::records::RosterRecord;
 
 /// Why a commit is not stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -270,14 +220,3 @@
 pub fn decode_mark(value: &[u8]) -> Option<CommitMark> {
     serde_json::from_slice(value).ok()
 }
-
-/// Decodes a stored record; a malformed one is logged and passed over.
-pub fn decode<T: serde::de::DeserializeOwned>(item: &Item) -> Option<T> {
-    match serde_json::from_slice(&item.value) {
-        Ok(record) => Some(record),
-        Err(e) => {
-            tracing::warn!(event = "record_malformed", key = item.key, error = %e);
-            None
-        }
-    }
-}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -18,6 +18,7 @@
 mod node;
 mod peers;
 mod reading;
+mod records;
 mod reloading;
 mod serving;
 mod settings;
--- a/crates/node/src/reading.rs
+++ b/crates/node/src/reading.rs
@@ -10,7 +10,6 @@
 
 use async_std::task;
 use futures::future::{select, Either};
-use gaplock_jobs::progress::Progress;
 use gaplock_platform::directory;
 use gaplock_platform::store::{Item, Listed, Reading, Revision, StoreError};
 use gaplock_remote::clock;
@@ -20,9 +19,8 @@
 
 use crate::feeds::{self, Handed};
 use crate::leadership::{Right, Standing};
-use crate::ledger::{self, RosterRecord};
 use crate::node::Node;
-use crate::{evacuations, following, keys};
+use crate::{evacuations, following, keys, records};
 
 /// The stored state, from which the scheduler's state is restored and the feeds go on.
 pub struct State {
@@ -156,12 +154,11 @@
     let roster = readings.roster.listed();
     let mut stored = Stored::default();
     sort_inbox(&inbox.items, &mut stored);
-    let read = progress.items.iter().filter_map(ledger::decode::<Progress>);
+    let read = progress.items.iter().filter_map(records::progress);
     stored.progress = read.map(|p| (p.key, p)).collect();
-    let entries = roster.items.iter().filter_map(ledger::decode::<RosterRecord>);
-    stored.roster = entries.map(RosterRecord::entry).collect();
-    stored.learnt = readings.learnt.as_ref().and_then(ledger::decode).unwrap_or_default();
-    stored.waves = readings.waves.iter().filter_map(ledger::decode).collect();
+    stored.roster = roster.items.iter().filter_map(records::roster_entry).collect();
+    stored.learnt = readings.learnt.as_ref().and_then(records::decode).unwrap_or_default();
+    stored.waves = readings.waves.iter().filter_map(records::decode).collect();
     stored.evacuated = readings.evacuated;
     State { stored, inbox: inbox.revision, directory: readings.directory.listed() }
 }
