A task that is done takes no checkpoint, and an empty text is none

What callers saw: nothing; by following checkpoints through late ends and copies. Cause: the end of a slow run, listed after its copy was done, gave a done task a checkpoint again (test the_end_of_a_copy_says_nothing_of_a_task_that_is_done: 8 tasks before, none now), which lay in memory until the round ended; and a stored empty text would have been brought as one. Rounds of a repeating job keep theirs apart, with a test that passed from the start.

--- a/crates/sched/src/checkpoints.rs
+++ b/crates/sched/src/checkpoints.rs
@@ -13,6 +13,7 @@
 
 use crate::context::Context;
 use crate::message::{Run, WorkerIx};
+use crate::table::TaskState;
 use crate::{commits, trace};
 
 /// What a task saved.
@@ -30,10 +31,8 @@
 
 /// Returns what a former leader stored of the checkpoint of a step's task.
 pub fn restored(step: &Step, note: &TaskNote) -> Option<Checkpoint> {
-    if !step.checkpoints {
-        return None;
-    }
-    let text = note.checkpoint.as_deref()?.into();
+    let stored = note.checkpoint.as_deref().filter(|text| !text.is_empty());
+    let text = stored.filter(|_| step.checkpoints)?.into();
     Some(Checkpoint { text, run: Run(note.checkpoint_run), worker: None, heard: Instant(0) })
 }
 
@@ -86,9 +85,13 @@
     if !cx.step(key).is_some_and(|step| step.checkpoints) {
         return Some("its step saves none");
     }
+    let task = cx.task(key)?;
+    if task.state == TaskState::Done {
+        return Some("its task is done");
+    }
     // A run that was cut off lists its end late, when a newer one has come further.
-    let known = cx.task(key).and_then(|task| task.checkpoint.as_ref());
-    known.filter(|known| known.run > run).map(|_| "a newer run saved one")
+    let newer = task.checkpoint.as_ref().is_some_and(|known| known.run > run);
+    newer.then_some("a newer run saved one")
 }
 
 /// Tells whether a text says nothing new: it is the task's last, or the run has saved none since its start
--- a/crates/sched/tests/fleet/checkpoints.rs
+++ b/crates/sched/tests/fleet/checkpoints.rs
@@ -7,7 +7,9 @@
 
 use std::env;
 
-use gaplock_jobs::Step;
+use gaplock_jobs::job::Repeat;
+use gaplock_jobs::{Job, Step};
+use gaplock_types::time::Millis;
 
 use crate::world::{assert_kept, job, play, step, Faults, World};
 
@@ -135,6 +137,36 @@
     assert_kept(&world);
 }
 
+#[test]
+fn rounds_of_a_repeating_job_keep_their_checkpoints_apart() {
+    let mut world = World::open(907, 3);
+    world.work_ms = WORK_MS;
+    let repeat = Some(Repeat { times: 4, first_unix_ms: 0, every: Millis(300) });
+    world.submit(Job { repeat, ..job(1, vec![saving(3, &[]), saving(2, &[0])]) });
+    world.run(1_000);
+    world.drain(0, 2_000);
+    world.run(1_500);
+    world.change_leader(200);
+    world.run(12_000);
+    assert!(world.is_completed(1));
+    assert!(world.checkpoints.brought > 0, "no start brought a checkpoint");
+    assert_eq!(world.checkpoints.thrown_away_ms, 0);
+    assert_kept(&world);
+}
+
+#[test]
+fn the_end_of_a_copy_says_nothing_of_a_task_that_is_done() {
+    let mut world = World::open(908, 4);
+    world.work_ms = WORK_MS;
+    world.workers[0].slowness = 8;
+    let after = Step { lasting: true, ..step(1, &[0]) };
+    world.submit(job(1, vec![Step { duplicates: true, ..saving(24, &[]) }, after]));
+    world.run(20_000);
+    assert!(world.starts > 25, "no copy was started");
+    assert_eq!(world.checkpoints_known(1), 0, "a task that is done has a checkpoint");
+    assert_kept(&world);
+}
+
 /// How many random worlds are played unless `CHECKPOINT_SEEDS` says.
 const SEEDS: u64 = 12;
 
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -62,6 +62,13 @@
         suspicions.map(|s| s.crashed.len()).sum()
     }
 
+    /// Returns how many tasks of a job the leader knows a checkpoint of.
+    pub fn checkpoints_known(&self, key: u64) -> usize {
+        let Some(cx) = &self.cx else { return 0 };
+        let steps = cx.jobs[&JobKey(key)].rounds.iter().flat_map(|r| &r.steps);
+        steps.flat_map(|s| &s.tasks).filter(|task| task.checkpoint.is_some()).count()
+    }
+
     /// Returns how many rounds of a job the leader has begun and not finished.
     pub fn rounds_under_way(&self, key: u64) -> usize {
         self.cx.as_ref().map_or(0, |cx| cx.jobs[&JobKey(key)].rounds.len())
