A late end's checkpoint is lost with the leader that acknowledged it: failing test

What callers see: saved work done again after a change of leader. Cause, by reading: the end of a run that was cut off is taken in while a newer run of its task goes on, and is acknowledged by a commit that does not hold its checkpoint, since nothing else of the job changed.

--- a/crates/sched/tests/fleet/checkpoints.rs
+++ b/crates/sched/tests/fleet/checkpoints.rs
@@ -167,6 +167,38 @@
     assert_kept(&world);
 }
 
+/// A run was cut off and a newer one had begun, but saved nothing yet, when the worker was back and listed the
+/// end of the first. Its checkpoint was taken in and its end acknowledged, but its job was not stored, since the
+/// newer run's task did not change; a successor began the task from its start.
+#[test]
+fn a_successor_knows_the_checkpoint_of_an_older_run_that_was_listed_late() {
+    let mut world = World::open(911, 2);
+    world.work_ms = 60_000;
+    world.submit(job(1, vec![saving(1, &[])]));
+    world.run(150);
+    let (first, second) = (world.busy_worker(), 1 - world.busy_worker());
+    world.workers[first].cut = true;
+    // The second run saves nothing for a while.
+    world.workers[second].slowness = 100;
+    while world.running_at(second) == 0 {
+        world.run(1);
+    }
+    world.workers[first].cut = false;
+    while world.checkpoints_known(1) == 0 {
+        world.run(1);
+    }
+    while world.ends_listed(first) > 0 {
+        world.run(1);
+    }
+    world.crash(second);
+    world.unlist(second);
+    world.change_leader(100);
+    world.run(20_000);
+    assert_eq!(world.running_of(1), 1);
+    assert_eq!(world.checkpoints.thrown_away_ms, 0, "saved work was done again");
+    assert_kept(&world);
+}
+
 /// How many random worlds are played unless `CHECKPOINT_SEEDS` says.
 const SEEDS: u64 = 12;
 
