The checkpoint of a late end is stored before the end is acknowledged

What callers see: saved work done again after a change of leader. Ruled out: that the commit delay alone loses it (the end is no longer listed when the leader is lost). Mend: an end that brings a new checkpoint marks its job.

--- a/crates/sched/src/checkpoints.rs
+++ b/crates/sched/src/checkpoints.rs
@@ -48,18 +48,26 @@
     found.max_by_key(|c| (c.run, c.heard)).cloned()
 }
 
-/// Takes in the checkpoint that a worker lists beside a run.
-pub fn take_in(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, listed: Option<&str>) {
-    let Some(text) = listed else { return };
+/// Takes in the checkpoint that a worker lists beside a run, and tells whether its task has a new one.
+pub fn take_in(
+    cx: &mut Context,
+    ix: WorkerIx,
+    key: TaskKey,
+    run: Run,
+    listed: Option<&str>,
+) -> bool {
+    let Some(text) = listed else { return false };
     if let Some(why) = unfit(cx, key, run) {
-        return trace::checkpoint_passed_over(key, run, &cx.worker(ix).info.id, why);
+        trace::checkpoint_passed_over(key, run, &cx.worker(ix).info.id, why);
+        return false;
     }
     if is_known(cx, ix, key, run, text) {
-        return;
+        return false;
     }
     let (text, worker, heard) = (text.into(), Some(ix), cx.now);
-    let Some(task) = cx.task_mut(key) else { return };
+    let Some(task) = cx.task_mut(key) else { return false };
     task.checkpoint = Some(Checkpoint { text, run, worker, heard });
+    true
 }
 
 /// Takes in that a worker refused a start as invalid. If it brought a checkpoint, nothing brings that again: every
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -23,7 +23,7 @@
 /// Frees the room of a run that ended, and decides what becomes of its task.
 fn take_in_end(cx: &mut Context, ix: WorkerIx, end: &End) {
     let was_active = lifecycle::is_active(cx, end.task, ix, end.run);
-    checkpoints::take_in(cx, ix, end.task, end.run, end.checkpoint.as_deref());
+    let saved = checkpoints::take_in(cx, ix, end.task, end.run, end.checkpoint.as_deref());
     let slot = lifecycle::vacate(cx, ix, end.task, end.run);
     if let Some(slot) = slot.filter(|_| end.how == How::Done) {
         speed::observe_end(cx, ix, end.task, &slot);
@@ -33,6 +33,10 @@
     if entry.state.is_final() {
         return;
     }
+    if saved {
+        // The worker forgets the text with the acknowledged end, whether or not a newer run goes on.
+        commits::mark(&mut cx.commits, cx.now, end.task.job);
+    }
     match end.how {
         How::Done => done(cx, ix, end.task, end.run),
         How::Failed => failed(cx, ix, end.task, end.run, was_active),
