A worker that starts again under its id loses its first ends: failing test

What callers see: tasks that run again after their end was taken note of. Cause: a worker may start once more under its old id, with its ends and its clock from the beginning, and names the start in the field born; nothing reads that. Its ends up to the last number of the former life are passed over (ends.rs) and acknowledged (the renewal's last number), the former end of leases stays (worker.rs, granted), and the client keeps the address that it was opened with (actions.rs, Clients::of). The clock is not in the test. No mend: it needs the field in the directory, the account and the commit in flight.

--- a/crates/sched/tests/fleet/leaving.rs
+++ b/crates/sched/tests/fleet/leaving.rs
@@ -90,3 +90,21 @@
     assert_eq!(world.running_at(0), 0);
     assert_kept(&world);
 }
+
+/// Seen in this world: a worker started again under its old id, with the numbers of its ends from 1 on. The
+/// leader passed the first of them over and acknowledged them all the same, by the last number of the worker's
+/// former life, so that tasks were started again after their noted ends. Nothing tells the leader of the new
+/// life, which the worker names in its answers and its entry.
+#[test]
+fn the_ends_of_a_worker_that_starts_again_under_its_id_are_new() {
+    let mut world = World::open(914, 1);
+    world.work_ms = 2_000;
+    world.submit(job(1, vec![step(8, &[])]));
+    world.run(5_000);
+    assert!(world.is_completed(1));
+    world.start_over(0);
+    world.submit(job(2, vec![step(4, &[])]));
+    world.run(20_000);
+    assert_kept(&world);
+    assert!(world.is_completed(2));
+}
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -157,6 +157,12 @@
 }
 
 impl World {
+    /// Starts a worker over under its id: it holds nothing, and its ends and its clock begin afresh.
+    pub fn start_over(&mut self, at: usize) {
+        let info = self.workers[at].info.clone();
+        self.workers[at] = SimWorker { info, ..SimWorker::new("", at) };
+    }
+
     /// Ends the runs whose work or lease is over.
     pub(super) fn step_workers(&mut self) {
         for at in 0..self.workers.len() {
