The soak of processes hands in jobs that save their progress

Cause: no run of processes had a task with a checkpoint, so none could show a start that brings a wrong one.

Change: seeds from 20000 also hand in jobs of three steps, of which two save their progress; seeds from 30000 do so without jobs that crash workers, beside which whole sites wait for trials. Other seeds keep their course. Every third worker refuses a checkpoint that it cannot use. The command takes the faulty time, the number of workers and the daemons' number of threads, so that longer and larger plays need no other code, and prints how many starts resumed and how much listed work starts threw away, which breaks no promise. The daemons no longer inherit the number of threads of the tests' own process. A test of three processes crashes all workers under the second leader and asks that each task resumes.

--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -7,7 +7,9 @@
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::cloud;
 use gaplock_platform_standin::relay::Mode;
-use gaplock_platform_standin::site::{call, connect_as_peer, two_steps, Output, Site, PREFIX};
+use gaplock_platform_standin::site::{
+    call, connect_as_peer, saving, two_steps, Output, Site, PREFIX,
+};
 use rustix::process::Signal;
 use serde_json::json;
 use support::{open_site, open_site_with, wait_for};
@@ -56,6 +58,29 @@
     assert!(site.twice().is_empty());
 }
 
+/// The three tasks of the first step are at work for 6 s, and each loses its worker under the second leader.
+#[test]
+fn saved_work_is_kept_over_a_change_of_leader_and_crashes_of_workers() {
+    let mut site = open_site(3, 4, Duration::from_secs(2));
+    let first = site.leader().expect("there is a leader");
+    let other = (first + 1) % 3;
+    assert_eq!(site.hosts[other].submit(JobKey(1), &saving()), Some(200));
+    wait_for("the first starts", || site.fleet.starts() == 3);
+    site.hosts[first].kill().expect("it runs");
+    wait_for("another leader", || site.leader().is_some_and(|leader| leader != first));
+    let next = site.leader().expect("there is a leader");
+    wait_for("the runs to be found", || site.hosts[next].logged("run_adopted").len() == 3);
+    // Several checkpoints are made and listed meanwhile.
+    std::thread::sleep(Duration::from_millis(1_500));
+    (0..site.fleet.len()).for_each(|worker| site.fleet.crash(worker));
+    wait_for("the next starts", || site.fleet.starts() == 6);
+    assert_eq!(site.fleet.resumed(), 3);
+    wait_for("completion", || shows(&site, other, 1, "completed"));
+    assert!(site.fleet.violations().is_empty(), "{:#?}", site.fleet.violations());
+    let thrown: Vec<_> = site.fleet.thrown_away().into_iter().map(|(_, story)| story).collect();
+    assert!(thrown.is_empty(), "{thrown:#?}");
+}
+
 #[test]
 fn a_leader_that_stops_hands_over_to_a_follower() {
     let mut site = open_site(3, 4, Duration::from_millis(300));
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -46,3 +46,9 @@
 fn crashing_tasks_on_two_workers_take_no_other_job_down() {
     soak(&[8_004]);
 }
+
+/// Jobs that save their progress, beside lost leaders, cut workers, late orders and late writes.
+#[test]
+fn tasks_resume_from_nothing_but_what_they_saved() {
+    soak(&[30_001, 30_004]);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -17,8 +17,8 @@
 pub fn open_site_with(hosts: usize, workers: usize, work: Duration, output: Output) -> Site {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node"));
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let site =
-        site::open(&Plan { program, dir, hosts, workers, work, output }).expect("the site starts");
+    let plan = Plan { program, dir, hosts, workers, work, output, threads: None };
+    let site = site::open(&plan).expect("the site starts");
     for host in &site.hosts {
         wait_for("readiness", || host.is_ready());
     }
--- a/crates/soak/src/bin/processes.rs
+++ b/crates/soak/src/bin/processes.rs
@@ -2,9 +2,10 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use gaplock_settings::{setting, Kind, Setting};
-use gaplock_soak::processes::{run, Report};
+use gaplock_soak::processes::{run_with, Options, Report};
 use gaplock_soak::seeds::{self, Seeds};
 
 const ANY: Kind = Kind::Number { min: 0, max: u64::MAX };
@@ -12,6 +13,16 @@
     setting("seeds", ANY, "N", Some("4"), "How many seeds are run."),
     setting("from", ANY, "S", Some("1"), "The first seed."),
     setting("program", Kind::Text, "PATH", Some("target/release/gaplock-node"), "The daemon."),
+    setting("seconds", ANY, "N", Some("8"), "How long faults and jobs come."),
+    setting("workers", ANY, "N", Some("0"), "How many workers there are; 0: as the seed says."),
+    setting(
+        "node-threads",
+        ANY,
+        "N",
+        Some("0"),
+        "Threads of each daemon; 0: as its library likes.",
+    ),
+    setting("stories", Kind::Switch, "", None, "Tell of each start that threw saved work away."),
     setting("threads", Kind::Number { min: 1, max: 16 }, "N", Some("2"), "Seeds run at once."),
 ];
 
@@ -24,16 +35,37 @@
         count: values.number("seeds"),
         threads: values.number("threads"),
     };
+    let given = |name| Some(values.number(name)).filter(|n| *n > 0);
+    let options = Options {
+        faulty: Duration::from_secs(values.number("seconds")),
+        workers: given("workers").map(|n| n as usize),
+        threads: given("node-threads"),
+    };
     let reports = seeds::run_each(seeds, |seed| {
-        run(program.clone(), seed).unwrap_or_else(|e| Report {
+        run_with(program.clone(), seed, options).unwrap_or_else(|e| Report {
             seed,
             violations: vec![format!("the seed could not be run: {e}")],
             ..Report::default()
         })
     });
+    reports.iter().for_each(|r| tell_of_saved_work(r, values.switch("stories")));
     summarise(&reports)
 }
 
+/// Prints what became of saved work in one seed.
+fn tell_of_saved_work(report: &Report, stories: bool) {
+    let (seed, resumed, thrown) = (report.seed, report.resumed, &report.thrown_away);
+    if resumed == 0 && thrown.is_empty() {
+        return;
+    }
+    let ms: u128 = thrown.iter().map(|(lost, _)| lost.as_millis()).sum();
+    let starts = thrown.len();
+    println!("saved work: seed={seed} resumed={resumed} threw_away={starts} ms={ms}");
+    for (_, story) in thrown.iter().filter(|_| stories) {
+        println!("saved work: seed={seed} {story}");
+    }
+}
+
 fn summarise(reports: &[Report]) -> ExitCode {
     let mut violations = 0;
     for report in reports {
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -4,7 +4,7 @@
 //! silenced or cut one way, workers that crash, answer late or are unwell, and a store that writes
 //! late, loses answers or refuses. They come in series and overlap. What callers and workers see is
 //! checked against the promises of the users' pages: nothing runs twice at one time or again after
-//! its end was acknowledged, a task that crashes its workers is given up and no other one is, what was
+//! its end was acknowledged, or from what its task has not saved, a task that crashes its workers is given up and no other one is, what was
 //! refused never runs, what was cancelled stops, and what was
 //! accepted comes to an end and is shown.
 
@@ -35,6 +35,27 @@
     pub checks: u64,
     /// Broken promises, in words.
     pub violations: Vec<String>,
+    /// Starts that resumed from a checkpoint.
+    pub resumed: u64,
+    /// How much saved work each start threw away that did, with its story; that breaks no promise.
+    pub thrown_away: Vec<(Duration, String)>,
+}
+
+/// What differs from the plays of the tests.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// How long faults and jobs come.
+    pub faulty: Duration,
+    /// How many workers there are, if not as many as the seed says.
+    pub workers: Option<usize>,
+    /// How many threads each daemon has, if not as many as its library likes.
+    pub threads: Option<u64>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { faulty: FAULTY_TIME, workers: None, threads: None }
+    }
 }
 
 /// What a seed plays besides harm to processes and links.
@@ -48,6 +69,8 @@
     many: bool,
     /// Every so many moments one brings a single fault besides.
     single_one_of: u32,
+    /// How long faults and jobs come.
+    faulty: Duration,
 }
 
 impl Play {
@@ -60,7 +83,7 @@
 /// Every so many seeds one has many hosts.
 const MANY_EVERY: u64 = 16;
 
-/// How long faults and jobs come.
+/// How long faults and jobs come where nothing else is said.
 const FAULTY_TIME: Duration = Duration::from_secs(8);
 
 /// How long accepted jobs may take to end once everything is whole again: a lease of 6 s, a change
@@ -80,7 +103,7 @@
 /// Returns what a seed plays: by its remainder nothing more, late orders, late writes, or both.
 /// Where more is played, there are fewer single faults: a leader must live to take a late write for
 /// another.
-fn play(seed: u64, rng: &mut ChaCha8Rng) -> Play {
+fn play(seed: u64, faulty: Duration, rng: &mut ChaCha8Rng) -> Play {
     let kind = seed % 4;
     let single_one_of = if kind == 1 { 1 } else { rng.random_range(2..7) };
     Play {
@@ -88,6 +111,7 @@
         writes: kind == 3 || kind == 0,
         many: seed.is_multiple_of(MANY_EVERY),
         single_one_of,
+        faulty,
     }
 }
 
@@ -96,16 +120,17 @@
 /// # Errors
 /// Returns why the site could not be started or its processes not be handled.
 pub fn run(program: PathBuf, seed: u64) -> io::Result<Report> {
+    run_with(program, seed, Options::default())
+}
+
+/// Runs one seed with what differs from the plays of the tests.
+///
+/// # Errors
+/// Returns why the site could not be started or its processes not be handled.
+pub fn run_with(program: PathBuf, seed: u64, options: Options) -> io::Result<Report> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let play = play(seed, &mut rng);
-    let plan = Plan {
-        program,
-        dir: std::env::temp_dir().join(format!("gaplock-soak-{}-{seed}", std::process::id())),
-        hosts: if play.many { rng.random_range(16..21) } else { rng.random_range(2..6) },
-        workers: rng.random_range(2..9),
-        work: Duration::from_millis(rng.random_range(100..1_500)),
-        output: Output::default(),
-    };
+    let play = play(seed, options.faulty, &mut rng);
+    let plan = plan(program, seed, play, options, &mut rng);
     let mut report = Report { seed, ..Report::default() };
     let site = Mutex::new(site::open(&plan)?);
     faults::prepare(&site.lock().expect(LOCK), seed, play, &mut rng);
@@ -114,7 +139,7 @@
     report.faults = thread::scope(|scope| {
         for caller in 0..callers::COUNT {
             let (site, jobs) = (&site, &jobs);
-            scope.spawn(move || callers::call(site, jobs, caller, seed));
+            scope.spawn(move || callers::call(site, jobs, caller, seed, play.faulty));
         }
         faults::inject(&site, play, &mut rng)
     })?;
@@ -130,6 +155,21 @@
     Ok(report)
 }
 
+/// Draws what a seed's site consists of.
+fn plan(program: PathBuf, seed: u64, play: Play, options: Options, rng: &mut ChaCha8Rng) -> Plan {
+    let hosts = if play.many { rng.random_range(16..21) } else { rng.random_range(2..6) };
+    let workers = rng.random_range(2..9);
+    Plan {
+        program,
+        dir: std::env::temp_dir().join(format!("gaplock-soak-{}-{seed}", std::process::id())),
+        hosts,
+        workers: options.workers.unwrap_or(workers),
+        work: Duration::from_millis(rng.random_range(100..1_500)),
+        output: Output::default(),
+        threads: options.threads,
+    }
+}
+
 /// Lets the judge look at a site that nothing harms, once a host leads it.
 fn watch_calm(site: &Site, play: Play) {
     wait(READY_LIMIT, || site.leader().is_some_and(|leader| site.hosts[leader].is_ready()));
@@ -172,6 +212,8 @@
     }
     report.checks += 1;
     report.violations.extend(site.fleet.violations());
+    report.resumed = site.fleet.resumed();
+    report.thrown_away = site.fleet.thrown_away();
 }
 
 /// Checks that an accepted job comes to its end, or is cancelled, and that its caller is shown that.
--- a/crates/soak/src/processes/callers.rs
+++ b/crates/soak/src/processes/callers.rs
@@ -6,11 +6,11 @@
 
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::caller::Caller;
-use gaplock_platform_standin::site::{crashing, lasting, two_steps, Site};
+use gaplock_platform_standin::site::{crashing, lasting, saving, two_steps, Site};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{FAULTY_TIME, LOCK};
+use super::LOCK;
 
 /// What the callers of one job were told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,14 +43,62 @@
 /// Every so many jobs of theirs one is such a job, beginning with the fourth.
 const CRASHES_EVERY: u64 = 9;
 
+/// Seeds from here on also hand in jobs that save their progress.
+const FIRST_WITH_SAVES: u64 = 20_000;
+
+/// Every so many jobs of theirs one is such a job, beginning with the second.
+const SAVES_EVERY: u64 = 3;
+
+/// Seeds from here on hand in no jobs that crash workers, beside which whole sites wait for trials.
+const FIRST_WITHOUT_CRASHES: u64 = 30_000;
+
 /// Every so many jobs that end by themselves one is cancelled.
 const CANCELLED_EVERY: u32 = 8;
 
 /// Pauses between two jobs of one caller, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 60..450;
 
+/// What a job is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    TwoSteps,
+    Saves,
+    Lasts,
+    Crashes,
+}
+
+/// Returns what a caller's job is by its number.
+fn kind(seed: u64, n: u64) -> Kind {
+    let crashes = (FIRST_WITH_CRASHES..FIRST_WITHOUT_CRASHES).contains(&seed);
+    if crashes && n % CRASHES_EVERY == 4 {
+        return Kind::Crashes;
+    }
+    if n.is_multiple_of(LASTS_EVERY) {
+        return Kind::Lasts;
+    }
+    if seed >= FIRST_WITH_SAVES && n % SAVES_EVERY == 2 {
+        return Kind::Saves;
+    }
+    Kind::TwoSteps
+}
+
+fn body(kind: Kind) -> String {
+    match kind {
+        Kind::TwoSteps => two_steps(),
+        Kind::Saves => saving(),
+        Kind::Lasts => lasting(),
+        Kind::Crashes => crashing(),
+    }
+}
+
 /// Hands in and cancels jobs until the faulty time is over; then cancels what lasts.
-pub(super) fn call(site: &Mutex<Site>, jobs: &Mutex<Vec<(JobKey, Told)>>, caller: u64, seed: u64) {
+pub(super) fn call(
+    site: &Mutex<Site>,
+    jobs: &Mutex<Vec<(JobKey, Told)>>,
+    caller: u64,
+    seed: u64,
+    faulty: Duration,
+) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed ^ u64::MAX);
     rng.set_stream(caller);
     let open = |site: &Site| site.hosts.iter().map(|h| Caller::new(&h.callers)).collect();
@@ -59,27 +107,21 @@
     let began = Instant::now();
     let mut lasting_jobs = Vec::new();
     for n in 1.. {
-        if began.elapsed() >= FAULTY_TIME {
+        if began.elapsed() >= faulty {
             break;
         }
         let key = JobKey(caller * KEYS + n);
-        let lasts = n % LASTS_EVERY == 0;
-        let crashes = seed >= FIRST_WITH_CRASHES && n % CRASHES_EVERY == 4;
-        let body = match (crashes, lasts) {
-            (true, _) => crashing(),
-            (false, true) => lasting(),
-            (false, false) => two_steps(),
-        };
-        let told = submit(&mut hosts, key, &body, &mut rng);
+        let kind = kind(seed, n);
+        let told = submit(&mut hosts, key, &body(kind), &mut rng);
         note(key, told);
-        if crashes {
+        if kind == Kind::Crashes {
             note(key, Told::Crashes);
         }
-        if lasts {
+        if kind == Kind::Lasts {
             note(key, Told::Lasts);
             lasting_jobs.push(key);
         }
-        let one_of = if lasts { 2 } else { CANCELLED_EVERY };
+        let one_of = if kind == Kind::Lasts { 2 } else { CANCELLED_EVERY };
         if told == Told::Accepted && rng.random_range(0..one_of) == 0 {
             note(key, cancel(site, &mut hosts, key, &mut rng));
         }
--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -13,7 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 
-use super::{Play, FAULTY_TIME, LOCK, POLL};
+use super::{Play, LOCK, POLL};
 
 /// How long a process that was told to stop may take, by the sites' settings.
 const STOP_LIMIT: Duration = Duration::from_millis(3_500);
@@ -76,10 +76,12 @@
     }
 }
 
-/// A worker in no trouble; its runs take a time of its own to stop, at most half of what they may.
+/// A worker in no trouble; its runs take a time of its own to stop, at most half of what they may,
+/// and every third refuses checkpoints that it cannot use.
 fn calm_worker(n: usize) -> WorkerTrouble {
     let stop_takes = judge::STOP_LIMIT * (n as u32 % 4) / 6;
-    WorkerTrouble { stop_takes, ..WorkerTrouble::default() }
+    let refuses_checkpoints = n % 3 == 1;
+    WorkerTrouble { stop_takes, refuses_checkpoints, ..WorkerTrouble::default() }
 }
 
 /// Injects faults until the faulty time and the store's trouble are over, then makes everything
@@ -88,11 +90,11 @@
     let began = Instant::now();
     let (mut faults, mut next) = (0, began);
     let mut spells = Spells::default();
-    let faulty = |spells: &Spells| began.elapsed() < FAULTY_TIME || spells.store_troubled();
+    let faulty = |spells: &Spells| began.elapsed() < play.faulty || spells.store_troubled();
     while faulty(&spells) {
         let mut locked = site.lock().expect(LOCK);
         spells.tick(&mut locked)?;
-        if Instant::now() >= next && began.elapsed() < FAULTY_TIME {
+        if Instant::now() >= next && began.elapsed() < play.faulty {
             faults += some_faults(&mut locked, play, &mut spells, rng)?;
             next = Instant::now() + millis(rng, 50..900);
         }
