--- a/crates/soak/src/processes/callers.rs
+++ b/crates/soak/src/processes/callers.rs
@@ -6,7 +6,7 @@
 
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::caller::Caller;
-use gaplock_platform_standin::site::{crashing, lasting, saving, two_steps, Site};
+use gaplock_platform_standin::site::{crashing, gang, lasting, saving, two_steps, Site};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -46,7 +46,7 @@
 /// Seeds from here on also hand in jobs that save their progress.
 const FIRST_WITH_SAVES: u64 = 20_000;
 
-/// Every so many jobs of theirs one is such a job, beginning with the second.
+/// Every so many jobs of theirs one is such a job, beginning with the second; every other one is a gang.
 const SAVES_EVERY: u64 = 3;
 
 /// Seeds from here on hand in no jobs that crash workers, beside which whole sites wait for trials.
@@ -63,6 +63,7 @@
 enum Kind {
     TwoSteps,
     Saves,
+    Gang,
     Lasts,
     Crashes,
 }
@@ -77,7 +78,7 @@
         return Kind::Lasts;
     }
     if seed >= FIRST_WITH_SAVES && n % SAVES_EVERY == 2 {
-        return Kind::Saves;
+        return if n.is_multiple_of(2) { Kind::Saves } else { Kind::Gang };
     }
     Kind::TwoSteps
 }
@@ -86,6 +87,7 @@
     match kind {
         Kind::TwoSteps => two_steps(),
         Kind::Saves => saving(),
+        Kind::Gang => gang(),
         Kind::Lasts => lasting(),
         Kind::Crashes => crashing(),
     }
