The soak's seeds with saved work lose workers more often

Change: in seeds from 20000 a moment in three also crashes a worker, lets one announce that it leaves and die with what runs there, or cuts one off for up to 9 s, so that its leases lapse. Others draw as before.

--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -67,6 +67,8 @@
     writes: bool,
     /// As many hosts as one machine bears.
     many: bool,
+    /// Workers that crash, leave or are cut off more often, so that tasks resume.
+    losses: bool,
     /// Every so many moments one brings a single fault besides.
     single_one_of: u32,
     /// How long faults and jobs come.
@@ -110,6 +112,7 @@
         orders: kind == 2 || kind == 0,
         writes: kind == 3 || kind == 0,
         many: seed.is_multiple_of(MANY_EVERY),
+        losses: seed >= callers::FIRST_WITH_SAVES,
         single_one_of,
         faulty,
     }
--- a/crates/soak/src/processes/callers.rs
+++ b/crates/soak/src/processes/callers.rs
@@ -44,7 +44,7 @@
 const CRASHES_EVERY: u64 = 9;
 
 /// Seeds from here on also hand in jobs that save their progress.
-const FIRST_WITH_SAVES: u64 = 20_000;
+pub(super) const FIRST_WITH_SAVES: u64 = 20_000;
 
 /// Every so many jobs of theirs one is such a job, beginning with the second; every other one is a gang.
 const SAVES_EVERY: u64 = 3;
--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -36,6 +36,12 @@
 /// stored.
 const KILLED_AFTER_MS: std::ops::Range<u64> = 100..1_500;
 
+/// How long a worker is cut off, in milliseconds: its leases lapse in most of it.
+const CUT_MS: std::ops::Range<u64> = 3_000..9_000;
+
+/// How long a worker has left that announces that it leaves, in milliseconds.
+const LEAVING_MS: std::ops::Range<u64> = 500..3_000;
+
 /// A spell of trouble, from its beginning to its end.
 #[derive(Debug, Clone, Copy)]
 struct Spell {
@@ -55,6 +61,8 @@
     Refusals,
     /// The leader is killed.
     Killing,
+    /// Nothing passes on the way to a worker.
+    Cut(usize),
 }
 
 /// All spells that are on or to come.
@@ -120,6 +128,10 @@
         spells.trouble_store(rng);
     }
     let mut faults = (spells.list.len() - before) as u64;
+    if play.losses && rng.random_range(0..3) == 0 {
+        lose_worker(site, spells, rng);
+        faults += 1;
+    }
     if play.only_single() || rng.random_range(0..play.single_one_of) == 0 {
         one_fault(site, rng)?;
         faults += 1;
@@ -159,6 +171,7 @@
             Trouble::Writes(..) if !on(&|t| matches!(t, Trouble::Writes(..))) => {
                 site.store.set_trouble(StoreTrouble::default(), 0);
             }
+            Trouble::Cut(n) if !on(&|t| t == trouble) => site.fleet.set_link(n, Mode::Pass),
             Trouble::Refusals if !on(&|t| t == Trouble::Refusals) => {
                 site.store.set_writes_refused(false);
             }
@@ -168,7 +181,8 @@
 
     /// Tells whether the store is in trouble or will be.
     fn store_troubled(&self) -> bool {
-        self.list.iter().any(|s| !matches!(s.trouble, Trouble::Worker(..)))
+        let of_workers = |t| matches!(t, Trouble::Worker(..) | Trouble::Cut(_));
+        self.list.iter().any(|s| !of_workers(s.trouble))
     }
 
     /// Lets some workers carry orders out late and be unwell.
@@ -210,6 +224,7 @@
         Trouble::Worker(n, trouble) => site.fleet.set_trouble(n, trouble),
         Trouble::Writes(trouble, seed) => site.store.set_trouble(trouble, seed),
         Trouble::Refusals => site.store.set_writes_refused(true),
+        Trouble::Cut(n) => site.fleet.set_link(n, Mode::Silent),
         Trouble::Killing => {
             if let Some(leader) = site.leader() {
                 site.hosts[leader].kill()?;
@@ -283,6 +298,16 @@
     }
 }
 
+/// Crashes a worker, lets it leave, or cuts it off for a while.
+fn lose_worker(site: &Site, spells: &mut Spells, rng: &mut ChaCha8Rng) {
+    let (at, now) = (rng.random_range(0..site.fleet.len()), Instant::now());
+    match rng.random_range(0..3) {
+        0 => site.fleet.crash(at),
+        1 => site.fleet.leave(at, millis(rng, LEAVING_MS)),
+        _ => spells.add(Trouble::Cut(at), now, now + millis(rng, CUT_MS)),
+    }
+}
+
 fn mend(site: &mut Site, rng: &mut ChaCha8Rng) -> io::Result<()> {
     let at = rng.random_range(0..site.hosts.len());
     site.hosts[at].store_link.set(Mode::Pass);
