--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -3,16 +3,16 @@
 //!
 //! This file holds the world's state, what a test does to it, and the passing of time. [`calls`]
 //! carries what the leader sends, [`worker`] carries it out, [`writes`] go to the [`store`], which
-//! keeps what a successor learns, [`evacuations`] are asked for by
-//! the operators, [`hosts`] lie beneath the workers, [`crashes`] take them down,
-//! [`checkpoints`] are what runs save and starts bring, [`checks`] looks for broken
-//! promises, and [`views`] tells a test what came of it all.
+//! keeps what a successor learns, [`evacuations`] are asked for by the operators, the [`directory`] is read late,
+//! [`hosts`] lie beneath the workers, [`crashes`] take them down, [`checkpoints`] are what runs save and starts
+//! bring, [`checks`] looks for broken promises, and [`views`] tells a test what came of it all.
 
 mod builders;
 mod calls;
 mod checkpoints;
 mod checks;
 mod crashes;
+mod directory;
 mod evacuations;
 mod hosts;
 mod log;
@@ -41,6 +41,8 @@
 use checkpoints::Checkpoints;
 pub use checks::{assert_all_end, assert_kept, play};
 use crashes::Crashes;
+use directory::Directory;
+pub use directory::Reading;
 use evacuations::Words;
 use hosts::Hosts;
 pub use hosts::{host_name, OrderFate};
@@ -111,6 +113,8 @@
     pub crashes: Crashes,
     /// What tasks save, and what starts bring.
     pub checkpoints: Checkpoints,
+    /// How the leader reads the directory.
+    pub directory: Directory,
     /// Which failure domains the operators have evacuated.
     words: Words,
     rng: ChaCha8Rng,
@@ -156,6 +160,7 @@
             hosts: Hosts::default(),
             crashes: Crashes::default(),
             checkpoints: Checkpoints::default(),
+            directory: Directory::default(),
             words: Words::default(),
             wave_progress: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -297,6 +302,7 @@
             self.step_workers();
             self.step_hosts();
             self.read_words();
+            self.read_directory();
             while let Some(entry) = self.deliveries.first_entry() {
                 if entry.key().0 > self.now {
                     break;
