Soak of processes and tests: rooms that shrink, suspended hosts, foreign entries

Change: seeds from 7000 to 7999 and from 9000 on (with jobs that crash workers) also play them, from a sequence of their own, so other seeds keep their course; half of these seeds have workers that do not guard their room. Hosts are suspended for 2.1 to 7 s in series of up to three, beside kills and an absent store.

--- /dev/null
+++ b/crates/node/tests/rooms.rs
@@ -0,0 +1,74 @@
+//! Workers whose room shrinks and grows again, and which carry out whatever they are told.
+//!
+//! They tell their room in the directory only. The stand-ins' judge counts what is being stopped, and gives a
+//! leader the time in which it must have read of a room.
+
+mod support;
+
+use std::thread;
+use std::time::Duration;
+
+use gaplock_jobs::JobKey;
+use gaplock_platform_standin::room::KNOWN_WITHIN;
+use gaplock_platform_standin::site::{two_steps, Site};
+use support::{open_site, wait_for};
+
+/// Longer than any of these tests.
+const LONG: Duration = Duration::from_secs(90);
+
+/// Long enough for starts that must not come.
+const SETTLES: Duration = Duration::from_millis(1_500);
+
+/// How many tasks of a job of two steps can start at once.
+const FIRST_TASKS: u64 = 6;
+
+fn open_unguarded(hosts: usize, workers: usize) -> Site {
+    let site = open_site(hosts, workers, LONG);
+    site.leave_room_unguarded();
+    wait_for("the workers to be known", || site.knows_workers());
+    site
+}
+
+fn submit(site: &Site, host: usize, keys: std::ops::Range<u64>) {
+    for key in keys {
+        assert_eq!(site.hosts[host].submit(JobKey(key), &two_steps()), Some(200));
+    }
+}
+
+#[test]
+fn nothing_starts_beyond_a_room_that_shrank_and_what_grew_again_is_used() {
+    let site = open_unguarded(2, 1);
+    submit(&site, 0, 1..2);
+    wait_for("the first starts", || site.fleet.starts() == FIRST_TASKS);
+    site.fleet.set_room(0, 2_000);
+    thread::sleep(KNOWN_WITHIN);
+    submit(&site, 0, 2..5);
+    thread::sleep(SETTLES);
+    assert_eq!(site.fleet.starts(), FIRST_TASKS, "{:?}", site.fleet.violations());
+    assert_eq!(site.fleet.running_at(0), FIRST_TASKS as usize, "runs were stopped");
+    site.fleet.set_room(0, 9_000);
+    wait_for("what fits now", || site.fleet.starts() == 9);
+    thread::sleep(SETTLES);
+    assert_eq!(site.fleet.starts(), 9, "{:?}", site.fleet.violations());
+    site.fleet.set_room(0, 40_000);
+    wait_for("all starts", || site.fleet.starts() == 4 * FIRST_TASKS);
+    assert!(site.fleet.violations().is_empty(), "{:?}", site.fleet.violations());
+}
+
+#[test]
+fn a_successor_keeps_to_a_room_that_shrank_under_its_predecessor() {
+    let mut site = open_unguarded(3, 2);
+    submit(&site, 0, 1..3);
+    wait_for("the first starts", || site.fleet.starts() == 2 * FIRST_TASKS);
+    let first = site.leader().expect("there is a leader");
+    site.fleet.set_room(0, 1_000);
+    site.fleet.set_room(1, 1_000);
+    site.hosts[first].kill().expect("it runs");
+    wait_for("another leader", || site.leader().is_some_and(|leader| leader != first));
+    thread::sleep(KNOWN_WITHIN);
+    submit(&site, (first + 1) % 3, 3..6);
+    thread::sleep(SETTLES);
+    assert_eq!(site.fleet.starts(), 2 * FIRST_TASKS, "{:?}", site.fleet.violations());
+    assert_eq!(site.fleet.running_at(0) + site.fleet.running_at(1), 2 * FIRST_TASKS as usize);
+    assert!(site.fleet.violations().is_empty(), "{:?}", site.fleet.violations());
+}
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -46,3 +46,10 @@
 fn crashing_tasks_on_two_workers_take_no_other_job_down() {
     soak(&[8_004]);
 }
+
+/// Entries of other writers, rooms that shrink and grow, and hosts suspended for longer than their leases, beside
+/// single faults and beside late orders and late writes.
+#[test]
+fn foreign_entries_small_rooms_and_suspended_hosts_break_no_promise() {
+    soak(&[7_001, 7_004]);
+}
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -2,7 +2,8 @@
 //!
 //! Faults come from outside: signals, links to the store and to workers that are delayed, reset,
 //! silenced or cut one way, workers that crash, answer late or are unwell, and a store that writes
-//! late, loses answers or refuses. They come in series and overlap. What callers and workers see is
+//! late, loses answers or refuses. Some seeds also play entries of other writers, rooms that shrink and
+//! grow, and hosts that are suspended for longer than their leases. All come in series and overlap. What callers and workers see is
 //! checked against the promises of the users' pages: nothing runs twice at one time or again after
 //! its end was acknowledged, a task that crashes its workers is given up and no other one is, what was
 //! refused never runs, what was cancelled stops, and what was
@@ -10,6 +11,7 @@
 
 mod callers;
 mod faults;
+mod wider;
 
 use std::path::PathBuf;
 use std::sync::Mutex;
@@ -109,6 +111,7 @@
     let mut report = Report { seed, ..Report::default() };
     let site = Mutex::new(site::open(&plan)?);
     faults::prepare(&site.lock().expect(LOCK), seed, play, &mut rng);
+    let wider = wider::prepare(&site.lock().expect(LOCK), seed);
     wait(READY_LIMIT, || site.lock().expect(LOCK).hosts.iter().any(site::Host::is_ready));
     let jobs: Mutex<Vec<(JobKey, Told)>> = Mutex::default();
     report.faults = thread::scope(|scope| {
@@ -116,7 +119,7 @@
             let (site, jobs) = (&site, &jobs);
             scope.spawn(move || callers::call(site, jobs, caller, seed));
         }
-        faults::inject(&site, play, &mut rng)
+        faults::inject(&site, play, wider, &mut rng)
     })?;
     let jobs = jobs.into_inner().expect(LOCK);
     let site = site.into_inner().expect(LOCK);
--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -13,6 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 
+use super::wider::Wider;
 use super::{Play, FAULTY_TIME, LOCK, POLL};
 
 /// How long a process that was told to stop may take, by the sites' settings.
@@ -84,7 +85,12 @@
 
 /// Injects faults until the faulty time and the store's trouble are over, then makes everything
 /// whole again.
-pub(super) fn inject(site: &Mutex<Site>, play: Play, rng: &mut ChaCha8Rng) -> io::Result<u64> {
+pub(super) fn inject(
+    site: &Mutex<Site>,
+    play: Play,
+    mut wider: Option<Wider>,
+    rng: &mut ChaCha8Rng,
+) -> io::Result<u64> {
     let began = Instant::now();
     let (mut faults, mut next) = (0, began);
     let mut spells = Spells::default();
@@ -96,10 +102,17 @@
             faults += some_faults(&mut locked, play, &mut spells, rng)?;
             next = Instant::now() + millis(rng, 50..900);
         }
+        if let Some(wider) = &mut wider {
+            faults += wider.tick(&mut locked, began.elapsed() < FAULTY_TIME)?;
+        }
         drop(locked);
         thread::sleep(POLL);
     }
-    make_whole(&mut site.lock().expect(LOCK))?;
+    let mut locked = site.lock().expect(LOCK);
+    make_whole(&mut locked)?;
+    if let Some(wider) = &mut wider {
+        wider.end(&mut locked);
+    }
     Ok(faults)
 }
 
@@ -125,7 +138,8 @@
     Ok(faults)
 }
 
-fn millis(rng: &mut ChaCha8Rng, range: std::ops::Range<u64>) -> Duration {
+/// Draws a time.
+pub(super) fn millis(rng: &mut ChaCha8Rng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range))
 }
 
