A claim under no lease is claimed over

Cause: a record at the key of the claim that could not be read was taken for a store without an answer, by every host and for ever: another writer's bytes there lie under no lease and never go away. Shown by a test with processes that failed first (no leader within 20 s).

Ruled out: claiming over whatever cannot be read. A claim under a lease may be of a newer version in the midst of a change of versions, so it is waited for; the lease ends by itself.

Change: an item tells its lease, and what lies at the claim's key without one is nobody's. The same for a record that can be read: no process of ours claims without a lease.

--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -15,7 +15,7 @@
 use gaplock_types::time::{Instant, Millis};
 
 use crate::handover::Invited;
-use crate::leadership::{self, Claim, Right, Standing};
+use crate::leadership::{self, Claim, Holder, Right, Standing};
 use crate::leading;
 use crate::node::{Node, Role};
 use crate::peers::{Heartbeat, HeartbeatAnswer, PeerError};
@@ -58,13 +58,13 @@
 pub async fn run(node: Arc<Node>) {
     while !node.is_stopping() {
         match leadership::current(&node.store).await {
-            Ok(Some((record, revision))) => {
+            Ok(Holder::Host(record, revision)) => {
                 node.store_answered();
                 follow(&node, &record, revision).await;
             }
-            Ok(None) => {
+            Ok(Holder::Nobody(at)) => {
                 node.store_answered();
-                claim(&node, Revision(0)).await;
+                claim(&node, at).await;
             }
             Err(e) => {
                 tracing::debug!(event = "store_silent", error = %e);
@@ -152,12 +152,12 @@
         }
         // The former claim may be gone by now, with its lease or because it was given back.
         match leadership::current(&node.store).await {
-            Ok(None) => seen = Revision(0),
-            Ok(Some((_, revision))) if revision == seen => {}
+            Ok(Holder::Nobody(at)) => seen = at,
+            Ok(Holder::Host(_, revision)) if revision == seen => {}
             // An earlier try was carried out late, under a lease that nobody renews: it is
             // replaced.
-            Ok(Some((record, revision))) if record.is_by_process_of(&me) => seen = revision,
-            Ok(Some(_)) => break,
+            Ok(Holder::Host(record, revision)) if record.is_by_process_of(&me) => seen = revision,
+            Ok(Holder::Host(..)) => break,
             Err(e) => tracing::debug!(event = "store_silent", error = %e),
         }
         task::sleep(INVITED_PAUSE).await;
@@ -278,7 +278,7 @@
 pub async fn confirm(node: &Node, standing: &Standing, revision: Revision) {
     let sent = clock::now();
     match leadership::current(&node.store).await {
-        Ok(Some((_, found))) if found == revision => {
+        Ok(Holder::Host(_, found)) if found == revision => {
             node.store_answered();
             standing.confirm(sent);
         }
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -46,14 +46,34 @@
     pub mark: CommitMark,
 }
 
-/// Reads who leads, with the revision of the claim.
+/// Who holds the leadership.
+#[derive(Debug)]
+pub enum Holder {
+    /// A host, by its claim at this revision.
+    Host(LeaderRecord, Revision),
+    /// Nobody; it is claimed over what lies there at this revision.
+    Nobody(Revision),
+}
+
+/// Reads who leads. What lies under no lease is no claim of ours and would never go away by itself; a claim
+/// under a lease that cannot be read may be of a newer version, and is waited for.
 ///
 /// # Errors
 /// Returns the store's error.
-pub async fn current(store: &Store) -> Result<Option<(LeaderRecord, Revision)>, StoreError> {
-    let Some(item) = store.get(keys::LEADER).await? else { return Ok(None) };
-    let record = serde_json::from_slice(&item.value).map_err(|_| StoreError::Unclear)?;
-    Ok(Some((record, item.revision)))
+pub async fn current(store: &Store) -> Result<Holder, StoreError> {
+    let Some(item) = store.get(keys::LEADER).await? else {
+        return Ok(Holder::Nobody(Revision(0)));
+    };
+    if item.lease.is_none() {
+        tracing::warn!(
+            event = "record_malformed",
+            key = item.key,
+            error = "it lies under no lease"
+        );
+        return Ok(Holder::Nobody(item.revision));
+    }
+    let record = ledger::decode(&item).ok_or(StoreError::Unclear)?;
+    Ok(Holder::Host(record, item.revision))
 }
 
 /// Claims the leadership over the claim at `seen`, or over none where it is the zero revision.
@@ -86,7 +106,7 @@
             // No answer to the look leaves the try as open as it was.
             let found = current(store).await.map_err(|_| StoreError::Unclear)?;
             match found {
-                Some((stored, revision)) if claims::fate(&record, &stored) == Fate::Done => {
+                Holder::Host(stored, revision) if claims::fate(&record, &stored) == Fate::Done => {
                     Ok(Claim { term, revision, lease, mark })
                 }
                 _ => Err(StoreError::Unclear),
--- a/crates/node/tests/entries.rs
+++ b/crates/node/tests/entries.rs
@@ -17,7 +17,7 @@
         "ColdLeftMs": 0, "Sequence": sequence, "Capacity": {"Cpu": cpu, "MemMb": 64, "Gpu": 0},
         "Labels": ["a", "r1"]});
     let value = value.to_string().into_bytes();
-    Item { key: "servers/i-1".into(), value, revision: Revision(sequence) }
+    Item { key: "servers/i-1".into(), value, revision: Revision(sequence), lease: None }
 }
 
 fn removed() -> Change {
