An entry with another address is not that of the worker which it names

Cause: an entry of another writer with a sound form and the address of another worker was believed. A successor called that one, which answers that it is not the incarnation that is meant, and the worker's tasks were started again beside themselves. And a leader that first heard of a worker by a wrong address kept its client for ever.

Ruled out: believing the newer address. Nothing tells which of two is the worker's, an incarnation never changes it, and the refusal at the wrong one passes for proof that nothing runs.

Change: an entry with another address than that of an incarnation which may run something (it has answered, or the roster names it) counts as unreadable. A worker that can run nothing takes the new address, and its client is opened anew.

--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -25,9 +25,15 @@
 use crate::following;
 use crate::node::Node;
 
+/// The client of one worker.
+struct Opened {
+    addr: String,
+    client: Arc<Worker>,
+}
+
 /// The clients of all workers, by their positions.
 pub struct Clients {
-    opened: Vec<Arc<Worker>>,
+    opened: Vec<Opened>,
     /// How many files and connections this process may have open.
     descriptors: usize,
 }
@@ -38,14 +44,24 @@
         Self { opened: Vec::new(), descriptors }
     }
 
-    /// Returns a worker's client.
+    /// Returns a worker's client; a new one where the worker was first heard of by a wrong address.
     fn of(&mut self, cx: &Context, ix: WorkerIx) -> Arc<Worker> {
-        while self.opened.len() <= ix.0 as usize {
-            let info = &cx.workers[self.opened.len()].info;
-            let kept = connections::kept(self.descriptors, cx.workers.len());
-            self.opened.push(Arc::new(worker::open(&info.addr, info.id.clone(), kept)));
+        let at = ix.0 as usize;
+        while self.opened.len() <= at {
+            let opened = self.open_one(cx, self.opened.len());
+            self.opened.push(opened);
+        }
+        if self.opened[at].addr != cx.workers[at].info.addr {
+            self.opened[at] = self.open_one(cx, at);
         }
-        Arc::clone(&self.opened[ix.0 as usize])
+        Arc::clone(&self.opened[at].client)
+    }
+
+    fn open_one(&self, cx: &Context, at: usize) -> Opened {
+        let info = &cx.workers[at].info;
+        let kept = connections::kept(self.descriptors, cx.workers.len());
+        let client = Arc::new(worker::open(&info.addr, info.id.clone(), kept));
+        Opened { addr: info.addr.clone(), client }
     }
 }
 
--- a/crates/sched/src/directory.rs
+++ b/crates/sched/src/directory.rs
@@ -24,6 +24,9 @@
     if !is_pool_named(cx, &info.service) {
         return set_aside(cx, info);
     }
+    if names_another_address(cx, &info) {
+        return unreadable(cx, &info.id);
+    }
     cx.unnamed.remove(&info.id);
     let listing = listing_of(cx, &info);
     let ix = known_or_new(cx, &info, listing);
@@ -47,6 +50,14 @@
     cx.pass_wanted = true;
 }
 
+/// Tells whether an entry names another address than that of an incarnation which may run something. None
+/// changes its address, and what answers at the other one would pass for proof that this one is over.
+fn names_another_address(cx: &Context, info: &WorkerInfo) -> bool {
+    let Some(&ix) = cx.by_id.get(&info.id) else { return false };
+    let worker = cx.worker(ix);
+    worker.info.addr != info.addr && roster::may_run_something(worker)
+}
+
 /// Returns how the directory shows a worker.
 fn listing_of(cx: &Context, info: &WorkerInfo) -> Listing {
     if !info.draining {
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -72,6 +72,12 @@
     }
 }
 
+/// Tells whether a worker may run something, by its answers or by the roster.
+pub fn may_run_something(worker: &Worker) -> bool {
+    let rostered = worker.in_roster || worker.roster_pending;
+    worker.answered.is_some() || rostered || (worker.closed && !worker.forgotten)
+}
+
 /// Opens a worker that may be given tasks, unless it is open.
 pub fn open(cx: &mut Context, ix: WorkerIx) {
     let worker = cx.worker(ix);
--- a/crates/sched/tests/fleet/foreign.rs
+++ b/crates/sched/tests/fleet/foreign.rs
@@ -73,3 +73,19 @@
     assert_eq!(world.running_of(1), 6);
     assert_kept(&world);
 }
+
+#[test]
+fn a_worker_that_runs_something_is_not_listed_at_another_address() {
+    let mut world = World::open(606, 2);
+    world.submit(job(1, vec![lasting(4)]));
+    world.run(1_000);
+    let before = world.running_at(0);
+    world.list_at(0, "10.0.0.99:80");
+    world.submit(job(2, vec![lasting(12)]));
+    world.run(3_000);
+    assert_eq!(world.running_at(0), before, "tasks were started or stopped there");
+    world.list_again(0);
+    world.run(3_000);
+    assert_eq!(world.running_of(2), 12);
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -258,6 +258,13 @@
         self.event(Event::Unreadable(id));
     }
 
+    /// Lists a worker at another address, as another writer may do.
+    pub fn list_at(&mut self, worker: usize, addr: &str) {
+        let mut info = self.workers[worker].info.clone();
+        info.addr = addr.to_string();
+        self.event(Event::Listed(info));
+    }
+
     /// Lists a worker again as it was.
     pub fn list_again(&mut self, worker: usize) {
         let info = self.workers[worker].info.clone();
