A worker whose record cannot be read may run anything

Cause: a successor passed over a record of the roster that it could not read, so the worker counted as one that runs nothing: where it did not answer at once, its tasks were started beside themselves.

Ruled out: waiting for a directory without gaps, which does not name a worker that has lost its way to the store.

Change: such a record stands for a worker that may run anything. Its address comes from the directory; without one it is waited for until its leases are over.

--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -54,6 +54,11 @@
     format!("{PROGRESS}{key}")
 }
 
+/// Returns the worker that a key of the roster names, if it names one.
+pub fn worker_of(key: &str) -> Option<ids::WorkerId> {
+    key.strip_prefix(ROSTER)?.parse().ok()
+}
+
 /// Returns the key of a worker in the roster.
 pub fn roster(id: &ids::WorkerId) -> String {
     format!("{ROSTER}{id}")
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -65,6 +65,22 @@
     }
 }
 
+/// Returns what is known of a worker whose record cannot be read: that it may run anything. The directory
+/// tells its address, if anything does.
+pub fn unknown(id: ids::WorkerId) -> RosterEntry {
+    let info = WorkerInfo {
+        id,
+        addr: String::new(),
+        service: ids::ServiceId(String::new()),
+        domain: ids::DomainId(String::new()),
+        labels: Vec::new(),
+        capacity: sizes::Resources::default(),
+        draining: false,
+        remaining: None,
+    };
+    RosterEntry { info, holds: None }
+}
+
 /// Why a commit is not stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CommitError {
--- a/crates/node/src/reading.rs
+++ b/crates/node/src/reading.rs
@@ -15,6 +15,7 @@
 use gaplock_platform::store::{Item, Listed, Reading, Revision, StoreError};
 use gaplock_remote::clock;
 use gaplock_sched::evacuation::Evacuated;
+use gaplock_sched::message::RosterEntry;
 use gaplock_sched::takeover::Stored;
 use gaplock_types::time::Millis;
 
@@ -158,14 +159,20 @@
     sort_inbox(&inbox.items, &mut stored);
     let read = progress.items.iter().filter_map(ledger::decode::<Progress>);
     stored.progress = read.map(|p| (p.key, p)).collect();
-    let entries = roster.items.iter().filter_map(ledger::decode::<RosterRecord>);
-    stored.roster = entries.map(RosterRecord::entry).collect();
+    stored.roster = roster.items.iter().filter_map(roster_entry).collect();
     stored.learnt = readings.learnt.as_ref().and_then(ledger::decode).unwrap_or_default();
     stored.waves = readings.waves.iter().filter_map(ledger::decode).collect();
     stored.evacuated = readings.evacuated;
     State { stored, inbox: inbox.revision, directory: readings.directory.listed() }
 }
 
+/// Decodes a worker of the roster. One whose record cannot be read may run anything, and is waited for until
+/// its leases are over.
+fn roster_entry(item: &Item) -> Option<RosterEntry> {
+    let record = ledger::decode::<RosterRecord>(item).map(RosterRecord::entry);
+    record.or_else(|| keys::worker_of(&item.key).map(ledger::unknown))
+}
+
 /// Sorts what callers' hosts have stored into jobs and cancellations.
 fn sort_inbox(items: &[Item], stored: &mut Stored) {
     for item in items {
--- a/crates/sched/src/directory.rs
+++ b/crates/sched/src/directory.rs
@@ -51,11 +51,13 @@
 }
 
 /// Tells whether an entry names another address than that of an incarnation which may run something. None
-/// changes its address, and what answers at the other one would pass for proof that this one is over.
+/// changes its address, and what answers at the other one would pass for proof that this one is over. The
+/// address is not known where the roster's record could not be read.
 fn names_another_address(cx: &Context, info: &WorkerInfo) -> bool {
     let Some(&ix) = cx.by_id.get(&info.id) else { return false };
     let worker = cx.worker(ix);
-    worker.info.addr != info.addr && roster::may_run_something(worker)
+    let known = !worker.info.addr.is_empty();
+    known && worker.info.addr != info.addr && roster::may_run_something(worker)
 }
 
 /// Returns how the directory shows a worker.
