--- a/crates/node/src/records.rs
+++ b/crates/node/src/records.rs
@@ -73,10 +73,29 @@
     is_under(item, &keys::job(job.key)).then_some(job)
 }
 
-/// Reads a worker of the roster.
+/// Reads a worker of the roster. One whose record cannot be read may run anything, and is waited for until its
+/// leases are over.
 pub fn roster_entry(item: &Item) -> Option<RosterEntry> {
-    let record: RosterRecord = decode(item)?;
-    is_under(item, &keys::roster(&record.id)).then(|| record.entry())
+    let record: Option<RosterRecord> = decode(item);
+    let record = record.filter(|record| is_under(item, &keys::roster(&record.id)));
+    let entry = record.map(RosterRecord::entry);
+    entry.or_else(|| keys::worker_of(&item.key).map(unknown))
+}
+
+/// Returns what is known of a worker whose record cannot be read: that it may run anything. The directory
+/// tells its address, if anything does.
+fn unknown(id: ids::WorkerId) -> RosterEntry {
+    let info = WorkerInfo {
+        id,
+        addr: String::new(),
+        service: ids::ServiceId(String::new()),
+        domain: ids::DomainId(String::new()),
+        labels: Vec::new(),
+        capacity: sizes::Resources::default(),
+        draining: false,
+        remaining: None,
+    };
+    RosterEntry { info, holds: None }
 }
 
 /// Tells whether a record lies under the key of what it speaks of.
