A policy can be tried in seconds: patterns of load against the scheduler itself

Nothing compared two policies on the same luck with a spread.

Ruled out: the fleet of the scheduler's own tests.

Change: `gaplock-measure patterns` plays ten patterns (three shapes, half and 1.25 of the load, uneven workers, misjudged estimates, failing images, a third of a failure domain lost, four changes of leader), several seeds at one time. A table with the standard error of the mean, JSON Lines (`--out`, `--json`), a comparison seed by seed with an earlier run (`--against`), plots of the first seed (`--svg`, with the library that draws the burn page). The measurements are a library now, so that their tests lie in `tests/`.

The plots were parsed and not looked at: nothing here turns them into a picture.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,46 +1,73 @@
 //! `gaplock-measure NAME`: measures the decisions against plain baselines, in one run.
 //!
-//! Virtual time and seeds: the same command gives the same table. The baselines live here and
-//! nowhere else. `docs/MEASUREMENTS.md` holds the results with their commands.
-
-mod badworker;
-mod draw;
-mod fairness;
-mod leader;
-mod overload;
-mod pairing;
-mod report;
-mod scale;
-mod site;
+//! `docs/MEASUREMENTS.md` holds the results with their commands.
 
 use std::process::ExitCode;
 
-use gaplock_settings::{setting, Kind, Setting};
+use gaplock_measure::patterns::{self, Asked};
+use gaplock_settings::{setting, Kind, Setting, Values};
 
-const ABOUT: &str = "measures pairing, overload, fairness, badworker, scale or leader";
+const ABOUT: &str =
+    "measures pairing, overload, fairness, badworker, scale, leader, or patterns [PATTERN...]";
 const TABLE: &[Setting] = &[
-    setting("seed", Kind::Number { min: 0, max: u64::MAX }, "N", Some("1"), "The seed."),
+    setting("seed", Kind::Number { min: 0, max: u64::MAX }, "N", Some("1"), "The (first) seed."),
     setting("json", Kind::Switch, "", None, "Print JSON besides the table."),
+    setting(
+        "seeds",
+        Kind::Number { min: 1, max: 1_000 },
+        "N",
+        Some("5"),
+        "patterns: how many seeds are played.",
+    ),
+    setting(
+        "threads",
+        Kind::Number { min: 1, max: 256 },
+        "N",
+        Some("4"),
+        "patterns: how many worlds are played at one time.",
+    ),
+    setting("out", Kind::Text, "FILE", Some(""), "patterns: write JSON Lines there."),
+    setting(
+        "against",
+        Kind::Text,
+        "FILE",
+        Some(""),
+        "patterns: compare with the JSON Lines of an earlier run, seed by seed.",
+    ),
+    setting("svg", Kind::Text, "FILE", Some(""), "patterns: draw plots there."),
 ];
 
 fn main() -> ExitCode {
     let values = gaplock_settings::read_or_exit("gaplock-measure", ABOUT, TABLE);
-    let seed = values.number("seed");
     let name = values.free.first().map(String::as_str).unwrap_or_default();
-    let report = match name {
-        "pairing" => pairing::measure(seed),
-        "overload" => overload::measure(seed),
-        "fairness" => fairness::measure(seed),
-        "badworker" => badworker::measure(seed),
-        "scale" => scale::measure(seed),
-        "leader" => leader::measure(seed),
-        other => {
-            eprintln!(
-                "error: `{other}` is none of pairing, overload, fairness, badworker, scale, leader"
-            );
-            return ExitCode::from(2);
-        }
+    if name == "patterns" {
+        return play_patterns(&values);
+    }
+    let Some(report) = gaplock_measure::measure(name, values.number("seed")) else {
+        eprintln!("error: `{name}` is none of {}, patterns", gaplock_measure::NAMES);
+        return ExitCode::from(2);
     };
     report.print(values.switch("json"));
     ExitCode::SUCCESS
 }
+
+fn play_patterns(values: &Values) -> ExitCode {
+    let file = |name| Some(values.text(name)).filter(|text| !text.is_empty()).map(Into::into);
+    let asked = Asked {
+        names: values.free[1..].to_vec(),
+        first_seed: values.number("seed"),
+        seeds: values.number("seeds"),
+        threads: values.number("threads") as usize,
+        json: values.switch("json"),
+        out: file("out"),
+        against: file("against"),
+        svg: file("svg"),
+    };
+    match patterns::play_and_print(&asked) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("error: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/patterns/calls.rs
@@ -0,0 +1,236 @@
+//! Calls between the leader and its workers.
+
+use gaplock_jobs::TaskKey;
+use gaplock_policy::tries::Fate;
+use gaplock_sched::message::{EndSeq, Outcome, Refusal, Run, WorkerClock, WorkerIx};
+use gaplock_sched::{Action, Event};
+use gaplock_types::time::Instant;
+
+use super::worker::{self, Held};
+use super::world::{Happening, World};
+
+/// How long a call takes to its worker, and its answer back, in milliseconds.
+const WAY_MS: u64 = 1;
+
+/// How long a leader waits for an answer, in milliseconds, as in the product.
+const CALL_LIMIT_MS: u64 = 400;
+
+/// How long a stop takes at a worker, in milliseconds.
+const STOP_MS: u64 = 200;
+
+/// What a leader asks of a worker.
+#[derive(Debug, Clone)]
+pub enum Call {
+    /// An account of itself, for leases up to a time, after waiting for an end.
+    Renew { stored: EndSeq, until: Option<WorkerClock>, wait: u64, sent: Instant },
+    /// A run.
+    Start { task: TaskKey, run: Run, until: WorkerClock, saved_ms: u64 },
+    /// The end of a run.
+    Stop { task: TaskKey, run: Run },
+    /// Another pace.
+    Pace { task: TaskKey, run: Run, percent: u32 },
+}
+
+/// Whose call it is and where it goes.
+#[derive(Debug, Clone, Copy)]
+pub struct Trip {
+    at: usize,
+    ix: WorkerIx,
+    term: u64,
+}
+
+impl World {
+    /// Sends what the leader asks for.
+    pub(super) fn act(&mut self, action: Action) {
+        let (ix, call) = match action {
+            Action::Renew { worker, stored, until, wait } => {
+                let sent = Instant(self.now);
+                (worker, Call::Renew { stored, until, wait: wait.0, sent })
+            }
+            Action::Start { worker, task, run, until, checkpoint, .. } => {
+                let saved_ms = checkpoint.and_then(|c| c.parse().ok()).unwrap_or(0);
+                (worker, Call::Start { task, run, until, saved_ms })
+            }
+            Action::Stop { worker, task, run } => (worker, Call::Stop { task, run }),
+            Action::Pace { worker, task, run, percent } => {
+                (worker, Call::Pace { task, run, percent })
+            }
+            // No queue asks for advice, no wave is under way, and no leader is in doubt of its term.
+            Action::Advise { .. }
+            | Action::ListHosts
+            | Action::Upkeep { .. }
+            | Action::ConfirmLeadership => return,
+        };
+        let trip = Trip { at: self.worker_of(ix), ix, term: self.term };
+        self.at(self.now + WAY_MS, Happening::ToWorker(trip, call));
+    }
+
+    /// Finds the worker behind a position in the leader's table.
+    fn worker_of(&mut self, ix: WorkerIx) -> usize {
+        let cx = self.cx.as_ref().expect("only a leader calls");
+        while self.by_ix.len() < cx.workers.len() {
+            let id = &cx.workers[self.by_ix.len()].info.id;
+            self.by_ix.push(self.by_id[id]);
+        }
+        self.by_ix[ix.0 as usize]
+    }
+
+    /// Takes in a call that has arrived.
+    pub(super) fn at_worker(&mut self, trip: Trip, call: Call) {
+        let worker = &mut self.workers[trip.at];
+        if !worker.up {
+            let event = answer(trip.ix, &call, Outcome::Unclear);
+            let limit = self.now + CALL_LIMIT_MS;
+            return self.at(limit, Happening::ToLeader(trip.term, event));
+        }
+        let fenced = trip.term < worker.token;
+        worker.token = worker.token.max(trip.term);
+        let outcome = match fenced {
+            true => Err(Refusal::Fenced),
+            false => self.carry_out(trip, &call),
+        };
+        let is_held = matches!(call, Call::Renew { .. }) && outcome.is_ok();
+        if !is_held {
+            let outcome = match outcome {
+                Ok(()) => Outcome::Done(WorkerClock(self.now)),
+                Err(refusal) => Outcome::Refused(refusal),
+            };
+            self.reply(trip.term, answer(trip.ix, &call, outcome));
+        }
+    }
+
+    fn reply(&mut self, term: u64, event: Event) {
+        self.at(self.now + WAY_MS, Happening::ToLeader(term, event));
+    }
+
+    fn carry_out(&mut self, trip: Trip, call: &Call) -> Result<(), Refusal> {
+        match *call {
+            Call::Renew { stored, until, wait, sent } => {
+                self.renew(trip, stored, until, wait, sent);
+                Ok(())
+            }
+            Call::Start { task, run, until, saved_ms } => {
+                self.grant(trip.at, until);
+                self.start(trip.at, task, run, until, saved_ms)
+            }
+            Call::Stop { task, run } => {
+                self.stop(trip.at, task, run);
+                Ok(())
+            }
+            Call::Pace { task, run, percent } => {
+                self.changed(trip.at, |worker| {
+                    if let Some(r) = worker.running.get_mut(&task).filter(|r| r.run == run) {
+                        r.pace = percent;
+                    }
+                });
+                Ok(())
+            }
+        }
+    }
+
+    fn renew(
+        &mut self,
+        trip: Trip,
+        stored: EndSeq,
+        until: Option<WorkerClock>,
+        wait: u64,
+        sent: Instant,
+    ) {
+        let at = trip.at;
+        self.workers[at].ends.retain(|end| end.seq > stored);
+        if let Some(until) = until {
+            self.grant(at, until);
+        }
+        self.workers[at].held = Some(Held { ix: trip.ix, term: trip.term, sent });
+        if self.workers[at].ends.is_empty() && wait > 0 {
+            return self.at(self.now + wait, Happening::Held(at, sent));
+        }
+        self.answer_held(at);
+    }
+
+    /// Answers a renewal that still waits after all the time that it may.
+    pub(super) fn held_long_enough(&mut self, at: usize, sent: Instant) {
+        if self.workers[at].held.is_some_and(|held| held.sent == sent) {
+            self.answer_held(at);
+        }
+    }
+
+    /// Answers the renewal that waits at a worker, if one does.
+    pub(super) fn answer_held(&mut self, at: usize) {
+        let Some(held) = self.workers[at].held.take() else { return };
+        self.changed(at, |_| {});
+        let account = self.workers[at].account(&self.load, self.now);
+        let (worker, sent, outcome) = (held.ix, held.sent, Outcome::Done(account));
+        self.reply(held.term, Event::Renewed { worker, sent, outcome });
+    }
+
+    /// Leaves the renewal that waits at a worker without an answer, if one does.
+    pub(super) fn leave_held(&mut self, at: usize) {
+        let Some(held) = self.workers[at].held.take() else { return };
+        let (worker, sent, outcome) = (held.ix, held.sent, Outcome::Unclear);
+        let event = Event::Renewed { worker, sent, outcome };
+        self.at(self.now + CALL_LIMIT_MS, Happening::ToLeader(held.term, event));
+    }
+
+    fn start(
+        &mut self,
+        at: usize,
+        task: TaskKey,
+        run: Run,
+        until: WorkerClock,
+        saved_ms: u64,
+    ) -> Result<(), Refusal> {
+        let worker = &self.workers[at];
+        if worker.running.get(&task).is_some_and(|r| r.run == run) {
+            return Ok(());
+        }
+        if until.0 <= self.now {
+            return Err(Refusal::Late);
+        }
+        if worker.is_old(task, run) || worker.running.contains_key(&task) {
+            return Err(Refusal::OldRun);
+        }
+        let step = &self.load.job(task.job).job.steps[usize::from(task.step)];
+        if !worker.free().holds(&worker::takes(step)) {
+            return Err(Refusal::Room);
+        }
+        self.tally.started(&self.load, task, at, self.now);
+        let (load, now) = (self.load.clone(), self.now);
+        self.changed(at, |worker| worker.begin(&load, task, run, saved_ms, now));
+        Ok(())
+    }
+
+    fn stop(&mut self, at: usize, task: TaskKey, run: Run) {
+        let worker = &mut self.workers[at];
+        worker.bar(task, run);
+        let Some(r) = worker.running.get_mut(&task).filter(|r| r.run == run) else { return };
+        if !r.stopping {
+            r.stopping = true;
+            self.at(self.now + STOP_MS, Happening::Stopped(at, task, run));
+        }
+    }
+}
+
+/// Builds the answer to a call.
+fn answer(worker: WorkerIx, call: &Call, outcome: Outcome<WorkerClock>) -> Event {
+    match *call {
+        Call::Start { task, run, .. } => Event::Started { worker, task, run, outcome },
+        Call::Stop { task, run } => Event::Stopped { worker, task, run, outcome },
+        Call::Pace { task, run, percent } => {
+            let fate = match outcome {
+                Outcome::Done(_) => Fate::Done,
+                Outcome::Refused(_) | Outcome::NotSent => Fate::NotDone,
+                Outcome::Unclear => Fate::Unknown,
+            };
+            Event::Paced { worker, task, run, percent, fate }
+        }
+        Call::Renew { sent, .. } => {
+            let outcome = match outcome {
+                Outcome::Refused(refusal) => Outcome::Refused(refusal),
+                // A renewal that is done is answered with an account.
+                Outcome::Done(_) | Outcome::NotSent | Outcome::Unclear => Outcome::Unclear,
+            };
+            Event::Renewed { worker, sent, outcome }
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/patterns/load.rs
@@ -0,0 +1,380 @@
+//! Draws what a pattern asks for: jobs with their true sizes and ends, the workers, and how images
+//! disturb each other. The scheduler is told the jobs; the rest is known to the world and to the bound.
+
+use std::sync::Arc;
+
+use gaplock_jobs::{Job, JobKey, Step};
+use gaplock_types::sizes::Resources;
+use gaplock_types::time::Millis;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+use super::shape::{Pattern, Tasks};
+use crate::draw;
+
+/// When a load begins, by the virtual clock in milliseconds: above 0, so that "never" lies in the past.
+pub const BEGIN_MS: u64 = 10_000;
+
+/// How long the fleet fills up before anything counts.
+pub const WARM_MS: u64 = 8_000;
+
+/// How long jobs are handed in, from the beginning.
+pub const TRAFFIC_MS: u64 = 60_000;
+
+/// How long a world goes on after the last job.
+pub const REST_MS: u64 = 12_000;
+
+/// The wall clock at the virtual time 0, in milliseconds since 1970; any time would do.
+pub const UNIX_BASE: u64 = 1_700_000_000_000;
+
+/// The share of the pairs of images that disturb each other, and how much, as measured
+/// (`docs/MEASUREMENTS.md`, section Disturbance).
+const DISTURBING: f64 = 0.27;
+const FACTORS: std::ops::Range<f64> = 1.2..2.7;
+const FACTORS_ELSE: std::ops::Range<f64> = 0.0..0.1;
+
+/// Where the load of a serving job swings, and how long a swing takes in milliseconds.
+const LOADS: std::ops::Range<f64> = 0.3..0.75;
+const SWING_MS: std::ops::Range<f64> = 10_000.0..30_000.0;
+
+/// The speed of a slow worker.
+const SLOW_SPEED: f64 = 0.25;
+
+/// The mean time for which a lasting job stays, in milliseconds.
+const STAYS_MS: f64 = 70_000.0;
+
+/// What a serving task's tail may be at most, in milliseconds: five times what it is without load.
+const TAIL_TARGET: Millis = Millis(50);
+
+/// The share of batch jobs that save their progress, and of short ones of whose tasks two runs may go on at
+/// one time.
+const SAVE: f64 = 0.85;
+const MAY_COPY: f64 = 0.3;
+
+/// The memory of a worker for each core, and what a task takes for each core that it asks for, in mebibytes.
+/// It bounds how much fills on one worker, since what fills reserves no processors.
+const WORKER_MEM: u32 = 4_096;
+const TASK_MEM: u32 = 2_048;
+
+/// A class of job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Class {
+    /// Its tasks take processors of their own and end soon.
+    Short,
+    /// Its tasks use what others leave and save their progress.
+    Batch,
+    /// Its tasks run until it is cancelled; most of them serve.
+    Lasting,
+}
+
+/// All classes.
+pub const CLASSES: [Class; 3] = [Class::Short, Class::Batch, Class::Lasting];
+
+impl Class {
+    /// Returns its name, which is that of its queue too.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Short => "short",
+            Self::Batch => "batch",
+            Self::Lasting => "lasting",
+        }
+    }
+
+    /// Returns how many times its longest chain of work a job may take, and what it may take on top.
+    pub fn aim(self) -> (f64, u64) {
+        match self {
+            Self::Short => (1.5, 300),
+            Self::Batch => (2.0, 1_000),
+            Self::Lasting => (1.0, 2_500),
+        }
+    }
+}
+
+/// How the load of a lasting job swings.
+#[derive(Debug, Clone, Copy)]
+pub struct Swing {
+    period_ms: f64,
+    phase: f64,
+}
+
+impl Swing {
+    /// Returns the load at a time, as a share of what the job's tasks can bear.
+    pub fn at(&self, now: u64) -> f64 {
+        let turn = now as f64 / self.period_ms * std::f64::consts::TAU + self.phase;
+        LOADS.start + (LOADS.end - LOADS.start) * (1.0 + turn.sin()) / 2.0
+    }
+}
+
+/// A job as it really is.
+#[derive(Debug, Clone)]
+pub struct TrueJob {
+    /// What the scheduler is told.
+    pub job: Arc<Job>,
+    /// Its class.
+    pub class: Class,
+    /// When it is handed in.
+    pub arrives: u64,
+    /// When it is cancelled, if it lasts.
+    pub leaves: u64,
+    /// When it must be done at the latest.
+    pub due: u64,
+    /// How long each task works, by step, in milliseconds.
+    pub work_ms: Vec<Vec<u64>>,
+    /// What it counts against others of its class.
+    pub weight: f64,
+    /// Whether its runs fail.
+    pub fails: bool,
+    /// Which image its tasks are.
+    pub image: usize,
+    /// How its load swings, if it lasts.
+    pub swing: Swing,
+}
+
+impl TrueJob {
+    /// Returns the processor time that it takes if nothing goes wrong, in core seconds.
+    pub fn core_s(&self) -> f64 {
+        let steps = self.job.steps.iter().zip(&self.work_ms);
+        let of = |(step, work): (&Step, &Vec<u64>)| {
+            f64::from(step.demand.cpu.0) * work.iter().sum::<u64>() as f64 / 1e6
+        };
+        steps.map(of).sum()
+    }
+
+    /// Tells whether it counts: it comes after the fleet has filled up, and can be done.
+    pub fn counts(&self) -> bool {
+        let seen = self.class == Class::Lasting || self.arrives >= BEGIN_MS + WARM_MS;
+        seen && !self.fails
+    }
+}
+
+/// A worker as it really is.
+#[derive(Debug, Clone, Copy)]
+pub struct TrueWorker {
+    /// What it holds.
+    pub capacity: Resources,
+    /// Its failure domain.
+    pub domain: usize,
+    /// How fast work goes there, against the usual.
+    pub speed: f64,
+}
+
+/// All that a pattern asks for with one seed.
+#[derive(Debug, Clone)]
+pub struct Load {
+    /// The workers.
+    pub workers: Vec<TrueWorker>,
+    /// The jobs by their time; a job's key is its position.
+    pub jobs: Vec<TrueJob>,
+    /// How much a filling image presses on a serving one, by both.
+    pub factors: Vec<Vec<f64>>,
+}
+
+impl Load {
+    /// Returns a job.
+    pub fn job(&self, key: JobKey) -> &TrueJob {
+        &self.jobs[key.0 as usize]
+    }
+
+    /// Returns the processors of all workers, in cores.
+    pub fn cores(&self) -> f64 {
+        self.workers.iter().map(|w| f64::from(w.capacity.cpu.0) / 1e3).sum()
+    }
+}
+
+/// Draws a pattern's load.
+pub fn draw(pattern: &Pattern, seed: u64) -> Load {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let workers = draw_workers(pattern, &mut rng);
+    let (serving, filling) = pattern.shape.images;
+    let factors = (0..serving).map(|_| (0..filling).map(|_| factor(&mut rng)).collect()).collect();
+    let mut load = Load { workers, jobs: Vec::new(), factors };
+    let mut draft = Draft { pattern, rng, cores: load.cores(), jobs: Vec::new() };
+    draft.lasting_jobs();
+    draft.ending_jobs(Class::Short, pattern.shape.short, &pattern.shape.short_tasks);
+    draft.ending_jobs(Class::Batch, pattern.shape.batch, &pattern.shape.batch_tasks);
+    load.jobs = draft.in_order();
+    load
+}
+
+/// Builds an amount of processors with so much memory for each core.
+fn resources(cpu: u32, mem_each: u32) -> Resources {
+    Resources::new(cpu, cpu * mem_each / 1_000, 0)
+}
+
+fn factor(rng: &mut ChaCha8Rng) -> f64 {
+    let range = if rng.random_bool(DISTURBING) { FACTORS } else { FACTORS_ELSE };
+    rng.random_range(range)
+}
+
+fn draw_workers(pattern: &Pattern, rng: &mut ChaCha8Rng) -> Vec<TrueWorker> {
+    let shape = &pattern.shape;
+    let one = |n: usize| {
+        let size = rng.random_range(0.5..1.5);
+        let slow = n % 12 == 5;
+        let usual = if n % 3 == 2 { 1.5 } else { 1.0 };
+        let (size, speed) = match (pattern.trouble.uneven, slow) {
+            (false, _) => (usual, 1.0),
+            (true, false) => (usual * size, 1.0),
+            (true, true) => (usual * size, SLOW_SPEED),
+        };
+        let cpu = (f64::from(shape.worker_cpu) * size) as u32;
+        let capacity = resources(cpu, WORKER_MEM);
+        TrueWorker { capacity, domain: n * shape.domains / shape.workers, speed }
+    };
+    (0..shape.workers).map(one).collect()
+}
+
+/// A load that is being drawn.
+struct Draft<'a> {
+    pattern: &'a Pattern,
+    rng: ChaCha8Rng,
+    cores: f64,
+    jobs: Vec<TrueJob>,
+}
+
+impl Draft<'_> {
+    /// Adds the lasting jobs: some are there from the beginning, others take the place of those that leave.
+    fn lasting_jobs(&mut self) {
+        let wanted = self.cores * self.pattern.shape.lasting * self.pattern.load;
+        let mut there = 0.0;
+        while there < wanted {
+            let arrives = BEGIN_MS + self.rng.random_range(0..2_000);
+            there += self.add_lasting(arrives);
+        }
+        let (end, mut at) = (BEGIN_MS + TRAFFIC_MS, BEGIN_MS as f64);
+        let mean = there / self.jobs.len().max(1) as f64;
+        loop {
+            at += draw::exponential(&mut self.rng, STAYS_MS * mean / wanted);
+            if at as u64 >= end {
+                break;
+            }
+            self.add_lasting(at as u64);
+        }
+    }
+
+    /// Adds a lasting job and returns the processors that it reserves.
+    fn add_lasting(&mut self, arrives: u64) -> f64 {
+        let tasks = &self.pattern.shape.lasting_tasks;
+        let cpu = self.log_between(tasks.cpu.0, tasks.cpu.1);
+        let count = self.rng.random_range(1..2 * tasks.width);
+        let image = self.rng.random_range(0..self.pattern.shape.images.0);
+        let stays = draw::exponential(&mut self.rng, STAYS_MS).max(4_000.0) as u64;
+        let fails = self.pattern.trouble.failing_images && self.jobs.len() == 3;
+        let step = Step {
+            lasting: true,
+            tail_target: Some(TAIL_TARGET),
+            image: Some(format!("serving-{image}")),
+            may_miss: Some(1),
+            ..self.step(count, cpu, tasks.ms)
+        };
+        let (steps, leaves) = (vec![step], arrives + stays);
+        let swing = Swing {
+            period_ms: self.rng.random_range(SWING_MS),
+            phase: self.rng.random_range(0.0..std::f64::consts::TAU),
+        };
+        let job = self.job(Class::Lasting, arrives, steps);
+        let (work_ms, weight) = (vec![vec![0; count as usize]], f64::from(count));
+        let (class, due) = (Class::Lasting, u64::MAX);
+        let job =
+            TrueJob { job, class, arrives, leaves, due, work_ms, weight, fails, image, swing };
+        self.jobs.push(job);
+        f64::from(count * cpu) / 1e3
+    }
+
+    /// Adds jobs that end, at a rate that takes a share of all processors.
+    fn ending_jobs(&mut self, class: Class, share: f64, tasks: &Tasks) {
+        let (first, end) = (self.jobs.len(), BEGIN_MS + TRAFFIC_MS);
+        let cores = self.cores * share * self.pattern.load;
+        let mut at = BEGIN_MS as f64 + 2_000.0;
+        while (at as u64) < end {
+            self.add_ending(class, at as u64, tasks);
+            // The size that was drawn sets the pause, so that the share is kept for each seed.
+            let last = self.jobs.last().map_or(0.0, TrueJob::core_s);
+            at += draw::exponential(&mut self.rng, last / cores * 1e3);
+        }
+        let added = &mut self.jobs[first..];
+        let mean = added.iter().map(TrueJob::core_s).sum::<f64>() / added.len().max(1) as f64;
+        for job in added {
+            job.weight = (0.3 + 0.7 * job.core_s() / mean).min(4.0);
+        }
+    }
+
+    fn add_ending(&mut self, class: Class, arrives: u64, tasks: &Tasks) {
+        let two_steps = class == Class::Batch || self.rng.random_bool(0.6);
+        let image = self.rng.random_range(0..self.pattern.shape.images.1);
+        let bad = self.rng.random_bool(0.05);
+        let fails = bad && class == Class::Short && self.pattern.trouble.failing_images;
+        let batch = class == Class::Batch;
+        let duplicates = self.rng.random_bool(MAY_COPY) && !batch;
+        let checkpoints = self.rng.random_bool(SAVE) && batch;
+        let (mut steps, mut work_ms) = (Vec::new(), Vec::new());
+        for n in 0..if two_steps { 2 } else { 1 } {
+            let count = self.rng.random_range(1..2 * tasks.width);
+            let cpu = self.log_between(tasks.cpu.0, tasks.cpu.1);
+            let mean = (tasks.ms as f64 * self.rng.random_range(0.5..1.5)) as u64;
+            steps.push(Step {
+                after: if n == 0 { Vec::new() } else { vec![0] },
+                fills: batch,
+                checkpoints,
+                duplicates,
+                image: Some(format!("{}-{image}", class.name())),
+                ..self.step(count, cpu, mean)
+            });
+            work_ms.push(self.works(count, mean));
+        }
+        let chain: u64 = work_ms.iter().filter_map(|w| w.iter().max()).sum();
+        let (stretch, slack) = class.aim();
+        let due = arrives + (chain as f64 * stretch) as u64 + slack;
+        let (leaves, weight) = (u64::MAX, 1.0);
+        let swing = Swing { period_ms: 1.0, phase: 0.0 };
+        let job = self.job(class, arrives, steps);
+        let job =
+            TrueJob { job, class, arrives, leaves, due, work_ms, weight, fails, image, swing };
+        self.jobs.push(job);
+    }
+
+    /// Draws how long each task of a step works.
+    fn works(&mut self, count: u32, mean: u64) -> Vec<u64> {
+        let one = |_| (mean as f64 * self.rng.random_range(0.8..1.2)) as u64;
+        (0..count).map(one).collect()
+    }
+
+    fn step(&mut self, count: u32, cpu: u32, mean_ms: u64) -> Step {
+        let off = match (self.pattern.trouble.misjudged, self.rng.random_bool(0.5)) {
+            (false, _) => 1.0,
+            (true, false) => 0.5,
+            (true, true) => 1.5,
+        };
+        let estimate = Millis((mean_ms as f64 * off) as u64);
+        let demand = resources(cpu, TASK_MEM);
+        Step { count, demand, estimate, ..Step::default() }
+    }
+
+    fn job(&self, class: Class, arrives: u64, steps: Vec<Step>) -> Arc<Job> {
+        Arc::new(Job {
+            key: JobKey(0),
+            queue: class.name().to_string(),
+            spec: String::new(),
+            steps,
+            repeat: None,
+            accepted_unix_ms: UNIX_BASE + arrives,
+        })
+    }
+
+    fn log_between(&mut self, least: u32, most: u32) -> u32 {
+        let log = self.rng.random_range(f64::from(least).ln()..f64::from(most).ln());
+        log.exp() as u32
+    }
+
+    /// Returns the jobs by their time, each with its position as its key.
+    fn in_order(self) -> Vec<TrueJob> {
+        let mut jobs = self.jobs;
+        jobs.sort_by_key(|j| j.arrives);
+        for (at, job) in jobs.iter_mut().enumerate() {
+            Arc::make_mut(&mut job.job).key = JobKey(at as u64);
+        }
+        jobs
+    }
+}
--- /dev/null
+++ b/crates/measure/src/patterns/mod.rs
@@ -0,0 +1,120 @@
+//! Seeded loads on virtual time against the scheduler itself: what a change of its decisions is worth.
+//!
+//! A [`shape::Pattern`] describes a fleet, its load and its trouble; [`load`] draws it from a seed, with the
+//! truth that the scheduler is not told; [`world`] plays it and [`tally`] counts. The same seed gives the
+//! same load whatever the policy, so two policies are compared seed by seed ([`compare`]).
+
+mod calls;
+pub mod compare;
+pub mod lines;
+pub mod load;
+pub mod plots;
+pub mod shape;
+pub mod table;
+pub mod tally;
+mod trouble;
+mod worker;
+mod world;
+
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::{fs, thread};
+
+use gaplock_sched::Settings;
+
+use lines::Line;
+use shape::{Pattern, PATTERNS};
+
+/// What is to be played, and where the results go.
+#[derive(Debug, Clone, Default)]
+pub struct Asked {
+    /// The patterns; all of them where none is named.
+    pub names: Vec<String>,
+    /// The first seed.
+    pub first_seed: u64,
+    /// How many seeds follow each other.
+    pub seeds: u64,
+    /// How many worlds are played at one time.
+    pub threads: usize,
+    /// Whether JSON Lines go to standard output too.
+    pub json: bool,
+    /// Where JSON Lines are written.
+    pub out: Option<PathBuf>,
+    /// The JSON Lines of an earlier run.
+    pub against: Option<PathBuf>,
+    /// Where the plots are written.
+    pub svg: Option<PathBuf>,
+}
+
+/// Plays one pattern with one seed.
+pub fn play(pattern: &Pattern, seed: u64, settings: &Settings) -> Line {
+    let load = Arc::new(load::draw(pattern, seed));
+    let outcome = world::play(pattern, &load, seed, settings);
+    Line { pattern: pattern.name.to_string(), seed, outcome }
+}
+
+/// Plays patterns with all their seeds, some at one time, and returns the results in order.
+pub fn play_all(patterns: &[&Pattern], asked: &Asked, settings: &Settings) -> Vec<Line> {
+    let seeds = asked.first_seed..asked.first_seed + asked.seeds;
+    let pairs = patterns.iter().flat_map(|&p| seeds.clone().map(move |seed| (p, seed)));
+    let pairs: Vec<(&Pattern, u64)> = pairs.collect();
+    let (next, done) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
+    thread::scope(|scope| {
+        for _ in 0..asked.threads.clamp(1, pairs.len().max(1)) {
+            scope.spawn(|| {
+                while let Some((n, (pattern, seed))) = taken(&next, &pairs) {
+                    let line = play(pattern, seed, settings);
+                    done.lock().expect("no player panics").push((n, line));
+                }
+            });
+        }
+    });
+    let mut done = done.into_inner().expect("no player panics");
+    done.sort_by_key(|(n, _)| *n);
+    done.into_iter().map(|(_, line)| line).collect()
+}
+
+fn taken<T: Copy>(next: &AtomicUsize, all: &[T]) -> Option<(usize, T)> {
+    let n = next.fetch_add(1, Ordering::Relaxed);
+    all.get(n).map(|&one| (n, one))
+}
+
+/// Plays what was asked for and prints it.
+///
+/// # Errors
+/// Returns why a pattern is not known, or a file can't be read or written.
+pub fn play_and_print(asked: &Asked) -> Result<(), String> {
+    let patterns = named(&asked.names)?;
+    let before = asked.against.as_deref().map(lines::read).transpose()?;
+    let results = play_all(&patterns, asked, &Settings::default());
+    table::of(&results, asked.first_seed).print(false);
+    if let Some(before) = before {
+        println!();
+        compare::report(&before, &results, asked.first_seed)?.print(false);
+    }
+    let text = lines::write(&results);
+    if asked.json {
+        print!("{text}");
+    }
+    let write = |path: &PathBuf, text: &str| {
+        fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
+    };
+    if let Some(path) = &asked.out {
+        write(path, &text)?;
+    }
+    if let Some(path) = &asked.svg {
+        write(path, &plots::page(&results)?)?;
+    }
+    Ok(())
+}
+
+fn named(names: &[String]) -> Result<Vec<&'static Pattern>, String> {
+    if names.is_empty() {
+        return Ok(PATTERNS.iter().collect());
+    }
+    let known = || PATTERNS.iter().map(|p| p.name).collect::<Vec<_>>().join(", ");
+    let one =
+        |name: &String| shape::find(name).ok_or_else(|| format!("`{name}` is none of {}", known()));
+    names.iter().map(one).collect()
+}
--- /dev/null
+++ b/crates/measure/src/patterns/world.rs
@@ -0,0 +1,378 @@
+//! A fleet on virtual time that does what the scheduler orders, from one event to the next.
+//!
+//! It is leaner than the fleet of the scheduler's own tests: calls arrive or their worker is dead, and
+//! nothing checks promises. What it adds is the truth that a policy does not know: how long tasks work, how
+//! loads swing, and which images disturb each other.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use gaplock_jobs::config::{CallerLimits, Config, Pool, Queue};
+use gaplock_jobs::progress::{JobState, Progress};
+use gaplock_jobs::{Job, JobKey, TaskKey};
+use gaplock_sched::context::Term;
+use gaplock_sched::message::{
+    FencingToken, How, Record, RosterEntry, Run, WorkerClock, WorkerInfo,
+};
+use gaplock_sched::pacing::Learnt;
+use gaplock_sched::takeover::{self, Stored};
+use gaplock_sched::{commits, Context, Event, Settings};
+use gaplock_types::ids;
+use gaplock_types::time::{Instant, Millis};
+
+use super::calls::{Call, Trip};
+use super::load::{Load, BEGIN_MS, CLASSES, REST_MS, TRAFFIC_MS, UNIX_BASE};
+use super::shape::Pattern;
+use super::tally::{Outcome, Tally};
+use super::trouble;
+use super::worker::Worker;
+
+/// The pool that every worker belongs to.
+pub const POOL: &str = "pool";
+
+/// How long a call to the store takes, in milliseconds.
+const STORE_MS: u64 = 4;
+
+/// How often the world is looked at, and rates follow the loads, in milliseconds.
+const LOOK_EVERY_MS: u64 = 250;
+
+/// What happens at a time.
+#[derive(Debug, Clone)]
+pub enum Happening {
+    /// A job is handed in.
+    Arrives(usize),
+    /// A job is cancelled.
+    Leaves(JobKey),
+    /// A call arrives at a worker.
+    ToWorker(Trip, Call),
+    /// An answer arrives; a later leader gets none.
+    ToLeader(u64, Event),
+    /// A renewal has waited long enough, sent at this time.
+    Held(usize, Instant),
+    /// A run's work may be over.
+    Ends(usize, TaskKey, Run),
+    /// A run's stop is over.
+    Stopped(usize, TaskKey, Run),
+    /// A worker's leases may be over.
+    Lease(usize),
+    /// A commit is stored.
+    Stored(u64, Vec<Record>),
+    /// The world is looked at.
+    Look,
+    /// A worker crashes.
+    Crashes(usize),
+    /// The directory drops a worker that has crashed.
+    Unlisted(usize),
+    /// The host of a worker that has crashed has another one.
+    Reborn(usize),
+    /// The leader is lost.
+    LeaderLost,
+    /// Another one takes over.
+    TakesOver,
+}
+
+/// The whole world.
+pub struct World {
+    pub(super) now: u64,
+    pub(super) load: Arc<Load>,
+    pub(super) cx: Option<Context>,
+    pub(super) workers: Vec<Worker>,
+    pub(super) term: u64,
+    pub(super) tally: Tally,
+    /// Workers by the leader's positions.
+    pub(super) by_ix: Vec<usize>,
+    pub(super) by_id: BTreeMap<ids::WorkerId, usize>,
+    settings: Settings,
+    happenings: BTreeMap<(u64, u64), Happening>,
+    serial: u64,
+    jobs: BTreeMap<JobKey, Arc<Job>>,
+    cancelled: BTreeSet<JobKey>,
+    progress: BTreeMap<JobKey, Progress>,
+    roster: BTreeMap<ids::WorkerId, RosterEntry>,
+    learnt: Learnt,
+}
+
+/// Plays a pattern's load under the scheduler with these settings.
+pub fn play(pattern: &Pattern, load: &Arc<Load>, seed: u64, settings: &Settings) -> Outcome {
+    let mut world = World::open(Arc::clone(load), settings.clone());
+    trouble::plan(&mut world, &pattern.trouble, seed);
+    world.run();
+    world.tally.outcome(&world.load)
+}
+
+impl World {
+    fn open(load: Arc<Load>, settings: Settings) -> Self {
+        let mut world = Self {
+            now: BEGIN_MS,
+            tally: Tally::new(&load),
+            cx: None,
+            workers: Vec::new(),
+            term: 0,
+            by_ix: Vec::new(),
+            by_id: BTreeMap::new(),
+            settings,
+            happenings: BTreeMap::new(),
+            serial: 0,
+            jobs: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            roster: BTreeMap::new(),
+            learnt: Learnt::default(),
+            load,
+        };
+        for at in 0..world.load.workers.len() {
+            let truth = world.load.workers[at];
+            let info = WorkerInfo {
+                id: ids::WorkerId(format!("w{at}")),
+                addr: format!("w{at}:1"),
+                service: POOL.into(),
+                domain: ids::DomainId(format!("domain-{}", truth.domain)),
+                labels: vec![format!("rack-{}", at / 8)],
+                capacity: truth.capacity,
+                draining: false,
+                remaining: None,
+            };
+            world.add_worker(Worker::new(info, truth));
+        }
+        let load = Arc::clone(&world.load);
+        for (at, job) in load.jobs.iter().enumerate() {
+            world.at(job.arrives, Happening::Arrives(at));
+            if job.leaves < u64::MAX {
+                world.at(job.leaves, Happening::Leaves(job.job.key));
+            }
+        }
+        world.at(BEGIN_MS + LOOK_EVERY_MS, Happening::Look);
+        world.take_over();
+        world
+    }
+
+    pub(super) fn add_worker(&mut self, worker: Worker) {
+        self.by_id.insert(worker.info.id.clone(), self.workers.len());
+        self.workers.push(worker);
+    }
+
+    /// Lets something happen at a time.
+    pub(super) fn at(&mut self, at: u64, happening: Happening) {
+        self.serial += 1;
+        self.happenings.insert((at.max(self.now), self.serial), happening);
+    }
+
+    fn run(&mut self) {
+        let end = BEGIN_MS + TRAFFIC_MS + REST_MS;
+        while self.now < end {
+            let next = self.happenings.first_key_value().map_or(u64::MAX, |(key, _)| key.0);
+            let wake = self.cx.as_ref().map_or(u64::MAX, |cx| cx.next_wake().0.max(self.now + 1));
+            self.now = next.min(wake);
+            if next <= wake {
+                if let Some((_, happening)) = self.happenings.pop_first() {
+                    self.happens(happening);
+                }
+            } else {
+                self.event(Event::Tick);
+            }
+        }
+    }
+
+    fn happens(&mut self, happening: Happening) {
+        match happening {
+            Happening::Arrives(at) => self.arrives(at),
+            Happening::Leaves(key) => {
+                self.cancelled.insert(key);
+                self.event(Event::Cancel(key));
+            }
+            Happening::ToWorker(trip, call) => self.at_worker(trip, call),
+            Happening::ToLeader(term, event) if term == self.term => self.event(event),
+            Happening::ToLeader(..) => {}
+            Happening::Held(at, sent) => self.held_long_enough(at, sent),
+            Happening::Ends(at, task, run) => self.may_end(at, task, run),
+            Happening::Stopped(at, task, run) => {
+                if self.workers[at].running.get(&task).is_some_and(|r| r.run == run) {
+                    self.end(at, task, How::Stopped);
+                }
+            }
+            Happening::Lease(at) => self.check_lease(at),
+            Happening::Stored(term, records) => {
+                self.store(records);
+                if term == self.term {
+                    self.event(Event::Committed);
+                }
+            }
+            Happening::Look => self.look(),
+            Happening::Crashes(at) => self.crash(at),
+            Happening::Unlisted(at) => {
+                self.event(Event::Unlisted(self.workers[at].info.id.clone()));
+            }
+            Happening::Reborn(at) => self.reborn(at),
+            Happening::LeaderLost => self.cx = None,
+            Happening::TakesOver => self.take_over(),
+        }
+    }
+
+    /// Tells the leader of something, and carries out what it orders then.
+    pub(super) fn event(&mut self, event: Event) {
+        let now = Instant(self.now);
+        let Some(cx) = &mut self.cx else { return };
+        cx.handle(now, UNIX_BASE + self.now, event);
+        let actions = cx.take_actions();
+        if let Some(records) = commits::take(cx, now) {
+            let stored = Happening::Stored(self.term, records);
+            self.at(self.now + STORE_MS, stored);
+        }
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn arrives(&mut self, at: usize) {
+        let job = Arc::clone(&self.load.jobs[at].job);
+        self.jobs.insert(job.key, Arc::clone(&job));
+        self.event(Event::Job(job));
+    }
+
+    /// Takes over as the next leader, which knows only the store.
+    fn take_over(&mut self) {
+        self.term += 1;
+        self.by_ix.clear();
+        let term = Term { number: self.term, token: FencingToken(self.term * 10) };
+        let (now, unix) = (Instant(self.now), UNIX_BASE + self.now);
+        let mut cx = Context::open(self.settings.clone(), term, now, unix);
+        cx.handle(now, unix, Event::Config(config()));
+        let stored = Stored {
+            jobs: self.jobs.values().cloned().collect(),
+            progress: self.progress.clone(),
+            cancelled: self.cancelled.iter().copied().collect(),
+            roster: self.roster.values().cloned().collect(),
+            learnt: self.learnt.clone(),
+            ..Stored::default()
+        };
+        takeover::restore(&mut cx, stored);
+        for worker in self.workers.iter().filter(|w| w.up) {
+            cx.handle(now, unix, Event::Listed(worker.info.clone()));
+        }
+        self.cx = Some(cx);
+        self.event(Event::Tick);
+    }
+
+    fn store(&mut self, records: Vec<Record>) {
+        for record in records {
+            match record {
+                Record::Progress(progress) => {
+                    if progress.state == JobState::Completed {
+                        self.tally.completed(progress.key, self.now);
+                    }
+                    self.progress.insert(progress.key, progress);
+                }
+                Record::Forget(key) => {
+                    self.progress.remove(&key);
+                    self.jobs.remove(&key);
+                }
+                Record::Worker(entry) => {
+                    self.roster.insert(entry.info.id.clone(), entry);
+                }
+                Record::ForgetWorker(id) => {
+                    self.roster.remove(&id);
+                }
+                Record::Learnt(learnt) => self.learnt = learnt,
+                Record::Wave(_) => {}
+            }
+        }
+    }
+
+    /// Looks at the whole fleet, and lets the rates of what fills follow the loads.
+    fn look(&mut self) {
+        for at in 0..self.workers.len() {
+            self.changed(at, |_| {});
+        }
+        self.tally.look(&self.load, &self.workers, self.now, LOOK_EVERY_MS);
+        self.at(self.now + LOOK_EVERY_MS, Happening::Look);
+    }
+
+    /// Changes what a worker runs; all its rates may differ then.
+    pub(super) fn changed(&mut self, at: usize, change: impl FnOnce(&mut Worker)) {
+        let (now, worker) = (self.now, &mut self.workers[at]);
+        worker.settle(now);
+        change(worker);
+        for (ends_at, task) in worker.set_rates(&self.load, now) {
+            let run = self.workers[at].running[&task].run;
+            self.at(ends_at, Happening::Ends(at, task, run));
+        }
+    }
+
+    /// Ends a run whose time is over, unless its rate has changed since that was expected.
+    fn may_end(&mut self, at: usize, task: TaskKey, run: Run) {
+        let worker = &self.workers[at];
+        let due = worker.running.get(&task).is_some_and(|r| r.run == run && r.ends_at == self.now);
+        if due {
+            self.end(at, task, worker.how_it_ends(task));
+        }
+    }
+
+    /// Ends a run, and lets a waiting renewal tell of it.
+    pub(super) fn end(&mut self, at: usize, task: TaskKey, how: How) {
+        let mut ended = None;
+        self.changed(at, |worker| ended = worker.end(task, how));
+        let Some(running) = ended else { return };
+        self.tally.ended(&self.load, (task, at), how, &running, self.now);
+        self.answer_held(at);
+    }
+
+    fn check_lease(&mut self, at: usize) {
+        let worker = &self.workers[at];
+        if worker.lease_until > self.now {
+            let until = worker.lease_until;
+            return self.at(until, Happening::Lease(at));
+        }
+        for task in worker.running.keys().copied().collect::<Vec<_>>() {
+            self.end(at, task, How::Lapsed);
+        }
+    }
+
+    /// Renews a worker's leases.
+    pub(super) fn grant(&mut self, at: usize, until: WorkerClock) {
+        let most = self.now + self.settings.lease_max.0;
+        let worker = &mut self.workers[at];
+        let ran_out = worker.lease_until <= self.now;
+        worker.lease_until = worker.lease_until.max(until.0.min(most));
+        if ran_out {
+            let until = worker.lease_until;
+            self.at(until, Happening::Lease(at));
+        }
+    }
+
+    fn crash(&mut self, at: usize) {
+        self.changed(at, |_| {});
+        self.workers[at].up = false;
+        for running in std::mem::take(&mut self.workers[at].running).into_values() {
+            self.tally.crashed(&running);
+        }
+        self.leave_held(at);
+    }
+
+    fn reborn(&mut self, at: usize) {
+        let dead = &self.workers[at];
+        let mut info = dead.info.clone();
+        info.id = ids::WorkerId(format!("{}+", info.id));
+        let worker = Worker::new(info.clone(), dead.truth);
+        self.add_worker(worker);
+        self.event(Event::Listed(info));
+    }
+}
+
+/// Builds the configuration: one queue for each class, all in one pool.
+fn config() -> Arc<Config> {
+    let queue = |class: super::load::Class| Queue {
+        name: class.name().into(),
+        host: "h".into(),
+        prefix: format!("/{}/", class.name()),
+        service: POOL.into(),
+        priority: 0,
+        max_attempts: 3,
+        stretch: class.aim().0,
+        slack: Millis(class.aim().1),
+        advice: None,
+    };
+    let queues = CLASSES.into_iter().map(queue).collect();
+    let pool = Pool { service: POOL.into(), guards_capacity: true, headroom: false };
+    let limits = CallerLimits { body_bytes: 1 << 18, header: Millis(3_000), idle: Millis(15_000) };
+    Arc::new(Config { version: 1, queues, pools: vec![pool], limits })
+}
--- /dev/null
+++ b/crates/measure/tests/patterns.rs
@@ -0,0 +1,122 @@
+//! The patterns: the same seed gives the same result, and what is worse shows as worse.
+
+use gaplock_measure::patterns::shape::{self, Pattern, Shape, Trouble};
+use gaplock_measure::patterns::{self, compare, lines, Asked};
+use gaplock_sched::Settings;
+use gaplock_types::time::Millis;
+
+/// How many seeds each comparison plays.
+const SEEDS: u64 = 4;
+
+/// A known pattern on a quarter of its workers, so that tests without optimisation stay short.
+fn quarter(name: &str) -> Pattern {
+    let pattern = shape::find(name).expect("the pattern is known");
+    let workers = pattern.shape.workers / 4;
+    Pattern { shape: Shape { workers, ..pattern.shape }, ..*pattern }
+}
+
+fn play(pattern: &Pattern, settings: &Settings) -> Vec<lines::Line> {
+    let asked = Asked { first_seed: 1, seeds: SEEDS, threads: 2, ..Asked::default() };
+    patterns::play_all(&[pattern], &asked, settings)
+}
+
+fn worth(lines: &[lines::Line]) -> f64 {
+    lines.iter().map(|l| l.outcome.worth.mean).sum::<f64>() / lines.len() as f64
+}
+
+#[test]
+fn the_same_seed_gives_the_same_result() {
+    for name in ["leader-changes", "domain-lost"] {
+        let pattern = quarter(name);
+        let first = patterns::play(&pattern, 7, &Settings::default());
+        assert_eq!(patterns::play(&pattern, 7, &Settings::default()), first);
+        assert_ne!(patterns::play(&pattern, 8, &Settings::default()).outcome, first.outcome);
+    }
+}
+
+#[test]
+fn results_come_in_order_however_many_are_played_at_one_time() {
+    let pattern = quarter("half-load");
+    let one = Asked { first_seed: 3, seeds: 3, threads: 1, ..Asked::default() };
+    let alone = patterns::play_all(&[&pattern], &one, &Settings::default());
+    let many = Asked { threads: 3, ..one };
+    assert_eq!(patterns::play_all(&[&pattern], &many, &Settings::default()), alone);
+    assert_eq!(alone.iter().map(|l| l.seed).collect::<Vec<_>>(), [3, 4, 5]);
+}
+
+#[test]
+fn half_the_load_earns_nearly_all() {
+    let lines = play(&quarter("half-load"), &Settings::default());
+    assert!(worth(&lines) > 0.98, "{}", worth(&lines));
+}
+
+/// Half of the load, with images whose runs all fail.
+fn with_failing_images() -> Pattern {
+    let trouble = Trouble { failing_images: true, ..Trouble::default() };
+    Pattern { trouble, ..quarter("half-load") }
+}
+
+/// A leader that gives a worker nothing for long after each failure punishes workers for images.
+#[test]
+fn a_worse_policy_shows_as_worse() {
+    let pattern = with_failing_images();
+    let ours = play(&pattern, &Settings::default());
+    let worse = Settings { worker_failures: 1, quarantine: Millis(30_000), ..Settings::default() };
+    let theirs = play(&pattern, &worse);
+    let (mean, error, pairs) =
+        compare::difference(pattern.name, &ours, &theirs, |l| l.outcome.worth.mean);
+    assert_eq!(pairs, SEEDS as usize);
+    assert!(mean < -0.1 && mean < -2.0 * error, "{mean} with a standard error of {error}");
+}
+
+#[test]
+fn trouble_costs_worth() {
+    let calm = worth(&play(&quarter("small"), &Settings::default()));
+    for name in ["uneven", "domain-lost", "leader-changes"] {
+        let troubled = worth(&play(&quarter(name), &Settings::default()));
+        assert!(troubled < calm, "{name}: {troubled}, without trouble {calm}");
+    }
+}
+
+/// Where what fails is hardly tried again, the others earn all that they are owed, and that is all there is.
+#[test]
+fn images_that_fail_are_owed_nothing() {
+    let seldom = Settings {
+        retry_pause: Millis(20_000),
+        retry_pause_max: Millis(40_000),
+        ..Settings::default()
+    };
+    let lines = play(&with_failing_images(), &seldom);
+    assert!(worth(&lines) > 0.98, "{}", worth(&lines));
+}
+
+#[test]
+fn a_run_differs_in_nothing_from_its_own_lines() {
+    let now = play(&quarter("small"), &Settings::default());
+    let before = lines::parse(&lines::write(&now)).expect("own lines can be read");
+    let report = compare::report(&before, &now, 1).expect("the seeds are the same");
+    let figures = &report.rows[0][2..];
+    assert!(figures.iter().all(|f| f == "+0.0000" || f == "0.0000"), "{figures:?}");
+}
+
+#[test]
+fn other_seeds_are_not_compared() {
+    let now = vec![patterns::play(&quarter("half-load"), 1, &Settings::default())];
+    let before = vec![lines::Line { seed: 2, ..now[0].clone() }];
+    assert!(compare::report(&before, &now, 1).is_err());
+}
+
+#[test]
+fn a_line_that_cannot_be_read_is_named() {
+    let now = vec![patterns::play(&quarter("half-load"), 1, &Settings::default())];
+    let text = lines::write(&now) + "{\"pattern\":1}\n";
+    let why = lines::parse(&text).expect_err("the second line is wrong");
+    assert!(why.starts_with("line 2: "), "{why}");
+}
+
+#[test]
+fn an_unknown_pattern_is_refused() {
+    let asked = Asked { names: vec!["none".into()], seeds: 1, threads: 1, ..Asked::default() };
+    let why = patterns::play_and_print(&asked).expect_err("there is no such pattern");
+    assert!(why.contains("leader-changes"), "{why}");
+}
