Patterns: what a load could earn at best, as a clairvoyant packing of the same jobs

The table and the JSON Lines carry what is possible, the table the share of it that was earned.

It is a packing and not proven to be the best.

--- a/crates/measure/src/patterns/lines.rs
+++ b/crates/measure/src/patterns/lines.rs
@@ -14,6 +14,8 @@
     pub pattern: String,
     /// The seed.
     pub seed: u64,
+    /// What its load could earn at best.
+    pub possible: f64,
     /// What came of it.
     #[serde(flatten)]
     pub outcome: Outcome,
--- a/crates/measure/src/patterns/mod.rs
+++ b/crates/measure/src/patterns/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! A [`shape::Pattern`] describes a fleet, its load and its trouble; [`load`] draws it from a seed, with the
 //! truth that the scheduler is not told; [`world`] plays it and [`tally`] counts. The same seed gives the
-//! same load whatever the policy, so two policies are compared seed by seed ([`compare`]).
+//! same load whatever the policy, so two policies are compared seed by seed ([`compare`]), and what they earn is
+//! held against what the load could earn at best ([`bound`]).
 
+pub mod bound;
 mod calls;
 pub mod compare;
 pub mod lines;
@@ -51,7 +53,8 @@
 pub fn play(pattern: &Pattern, seed: u64, settings: &Settings) -> Line {
     let load = Arc::new(load::draw(pattern, seed));
     let outcome = world::play(pattern, &load, seed, settings);
-    Line { pattern: pattern.name.to_string(), seed, outcome }
+    let possible = bound::of(&load);
+    Line { pattern: pattern.name.to_string(), seed, possible, outcome }
 }
 
 /// Plays patterns with all their seeds, some at one time, and returns the results in order.
--- a/crates/measure/src/patterns/table.rs
+++ b/crates/measure/src/patterns/table.rs
@@ -4,10 +4,12 @@
 use super::load::Class;
 use crate::report::Report;
 
-const HEADINGS: [&str; 15] = [
+const HEADINGS: [&str; 17] = [
     "pattern",
     "worth",
     "se",
+    "possible",
+    "of it",
     "short",
     "batch",
     "lasting",
@@ -63,6 +65,8 @@
         name.to_string(),
         format!("{worth:.3}"),
         format!("{error:.3}"),
+        format!("{:.3}", mean(&|l| l.possible)),
+        format!("{:.3}", mean(&|l| l.outcome.worth.mean / l.possible)),
         format!("{:.3}", mean(&|l| l.outcome.worth.short)),
         format!("{:.3}", mean(&|l| l.outcome.worth.batch)),
         format!("{:.3}", mean(&|l| l.outcome.worth.lasting)),
--- a/crates/measure/src/patterns/tally.rs
+++ b/crates/measure/src/patterns/tally.rs
@@ -134,6 +134,14 @@
     (BEGIN_MS + WARM_MS..BEGIN_MS + TRAFFIC_MS).contains(&now)
 }
 
+/// How often the fleet is looked at, in milliseconds.
+pub const LOOK_EVERY_MS: u64 = 250;
+
+/// Tells whether it is time for a look that counts.
+pub fn is_look_due(now: u64) -> bool {
+    is_looked_at(now) && now.is_multiple_of(LOOK_EVERY_MS)
+}
+
 /// Tells whether a lasting job's tasks are owed at this time.
 pub fn is_owed(job: &TrueJob, now: u64) -> bool {
     let from = job.arrives + Class::Lasting.aim().1;
@@ -245,11 +253,11 @@
     }
 
     /// Looks at what runs and what is free.
-    pub fn look(&mut self, load: &Load, workers: &[Worker], now: u64, every_ms: u64) {
+    pub fn look(&mut self, load: &Load, workers: &[Worker], now: u64) {
         if !is_looked_at(now) {
             return;
         }
-        let span = every_ms as f64 / 1e3;
+        let span = LOOK_EVERY_MS as f64 / 1e3;
         let owed = load.jobs.iter().take_while(|j| j.arrives <= now).filter(|j| is_owed(j, now));
         self.owed_at_work += owed.map(|j| j.weight * span).sum::<f64>();
         for worker in workers.iter().filter(|w| w.up) {
--- a/crates/measure/src/patterns/world.rs
+++ b/crates/measure/src/patterns/world.rs
@@ -23,7 +23,7 @@
 use super::calls::{Call, Trip};
 use super::load::{Load, BEGIN_MS, CLASSES, REST_MS, TRAFFIC_MS, UNIX_BASE};
 use super::shape::Pattern;
-use super::tally::{Outcome, Tally};
+use super::tally::{Outcome, Tally, LOOK_EVERY_MS};
 use super::trouble;
 use super::worker::Worker;
 
@@ -33,9 +33,6 @@
 /// How long a call to the store takes, in milliseconds.
 const STORE_MS: u64 = 4;
 
-/// How often the world is looked at, and rates follow the loads, in milliseconds.
-const LOOK_EVERY_MS: u64 = 250;
-
 /// What happens at a time.
 #[derive(Debug, Clone)]
 pub enum Happening {
@@ -283,7 +280,7 @@
         for at in 0..self.workers.len() {
             self.changed(at, |_| {});
         }
-        self.tally.look(&self.load, &self.workers, self.now, LOOK_EVERY_MS);
+        self.tally.look(&self.load, &self.workers, self.now);
         self.at(self.now + LOOK_EVERY_MS, Happening::Look);
     }
 
--- a/crates/measure/tests/patterns.rs
+++ b/crates/measure/tests/patterns.rs
@@ -1,7 +1,7 @@
 //! The patterns: the same seed gives the same result, and what is worse shows as worse.
 
 use gaplock_measure::patterns::shape::{self, Pattern, Shape, Trouble};
-use gaplock_measure::patterns::{self, compare, lines, Asked};
+use gaplock_measure::patterns::{self, bound, compare, lines, load, Asked};
 use gaplock_sched::Settings;
 use gaplock_types::time::Millis;
 
@@ -90,6 +90,29 @@
     assert!(worth(&lines) > 0.98, "{}", worth(&lines));
 }
 
+/// The clairvoyant packing is held against this scheduler and against a worse one.
+#[test]
+fn no_policy_gets_more_than_what_is_possible() {
+    let worse = Settings { worker_failures: 1, starts_under_way_most: 1, ..Settings::default() };
+    for pattern in ["small", "more-load", "uneven"].map(quarter) {
+        for settings in [Settings::default(), worse.clone()] {
+            for line in play(&pattern, &settings) {
+                let (got, possible) = (line.outcome.worth.mean, line.possible);
+                assert!(got <= possible, "{}, seed {}: {got}", line.pattern, line.seed);
+            }
+        }
+    }
+}
+
+#[test]
+fn less_is_possible_where_the_load_is_too_much() {
+    let half = bound::of(&load::draw(&quarter("half-load"), 1));
+    assert!(half > 0.99, "{half}");
+    let pattern = Pattern { load: 2.0, ..quarter("small") };
+    let twice = bound::of(&load::draw(&pattern, 1));
+    assert!(twice < 0.8, "{twice}");
+}
+
 #[test]
 fn a_run_differs_in_nothing_from_its_own_lines() {
     let now = play(&quarter("small"), &Settings::default());
