Patterns: where the worth of a load goes, by cause

Cause: the share of what is possible that a policy missed was one figure, and did not say whether trouble, images that disturb each other, or the policy itself took it.

Ruled out: a part for the pieces of the room, from a packing onto one worker as large as the fleet: the packing keeps whole workers for short tasks, so the two would not be alike. It stays within "no room" and "policy".

Change: `--losses` plays each load again without its trouble, then without disturbance, and prints the differences with their standard errors.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -26,6 +26,7 @@
         Some("4"),
         "patterns: how many worlds are played at one time.",
     ),
+    setting("losses", Kind::Switch, "", None, "patterns: find where the worth goes."),
     setting("out", Kind::Text, "FILE", Some(""), "patterns: write JSON Lines there."),
     setting(
         "against",
@@ -58,6 +59,7 @@
         first_seed: values.number("seed"),
         seeds: values.number("seeds"),
         threads: values.number("threads") as usize,
+        losses: values.switch("losses"),
         json: values.switch("json"),
         out: file("out"),
         against: file("against"),
--- a/crates/measure/src/patterns/load.rs
+++ b/crates/measure/src/patterns/load.rs
@@ -34,6 +34,9 @@
 const FACTORS: std::ops::Range<f64> = 1.2..2.7;
 const FACTORS_ELSE: std::ops::Range<f64> = 0.0..0.1;
 
+/// How much more a whole worker's worth of filling beyond what crowds it presses on all that serves there.
+const CROWDING: f64 = 1.5;
+
 /// Where the load of a serving job swings, and how long a swing takes in milliseconds.
 const LOADS: std::ops::Range<f64> = 0.3..0.75;
 const SWING_MS: std::ops::Range<f64> = 10_000.0..30_000.0;
@@ -169,6 +172,8 @@
     pub jobs: Vec<TrueJob>,
     /// How much a filling image presses on a serving one, by both.
     pub factors: Vec<Vec<f64>>,
+    /// How much all of them press on all beyond the share that crowds a worker.
+    pub crowding: f64,
 }
 
 impl Load {
@@ -177,6 +182,12 @@
         &self.jobs[key.0 as usize]
     }
 
+    /// Takes out that images disturb each other.
+    pub fn without_disturbance(mut self) -> Self {
+        self.factors.iter_mut().flatten().for_each(|factor| *factor = 0.0);
+        Self { crowding: 0.0, ..self }
+    }
+
     /// Returns the processors of all workers, in cores.
     pub fn cores(&self) -> f64 {
         self.workers.iter().map(|w| f64::from(w.capacity.cpu.0) / 1e3).sum()
@@ -189,7 +200,7 @@
     let workers = draw_workers(pattern, &mut rng);
     let (serving, filling) = pattern.shape.images;
     let factors = (0..serving).map(|_| (0..filling).map(|_| factor(&mut rng)).collect()).collect();
-    let mut load = Load { workers, jobs: Vec::new(), factors };
+    let mut load = Load { workers, jobs: Vec::new(), factors, crowding: CROWDING };
     let mut draft = Draft { pattern, rng, cores: load.cores(), jobs: Vec::new() };
     draft.lasting_jobs();
     draft.ending_jobs(Class::Short, pattern.shape.short, &pattern.shape.short_tasks);
--- a/crates/measure/src/patterns/mod.rs
+++ b/crates/measure/src/patterns/mod.rs
@@ -10,6 +10,7 @@
 pub mod compare;
 pub mod lines;
 pub mod load;
+pub mod losses;
 pub mod plots;
 pub mod shape;
 pub mod table;
@@ -39,6 +40,8 @@
     pub seeds: u64,
     /// How many worlds are played at one time.
     pub threads: usize,
+    /// Whether the patterns are played again to find where their worth goes.
+    pub losses: bool,
     /// Whether JSON Lines go to standard output too.
     pub json: bool,
     /// Where JSON Lines are written.
@@ -62,25 +65,28 @@
     let seeds = asked.first_seed..asked.first_seed + asked.seeds;
     let pairs = patterns.iter().flat_map(|&p| seeds.clone().map(move |seed| (p, seed)));
     let pairs: Vec<(&Pattern, u64)> = pairs.collect();
+    at_one_time(pairs.len(), asked.threads, |n| play(pairs[n].0, pairs[n].1, settings))
+}
+
+/// Does so many things, some at one time, and returns what came of them in order.
+fn at_one_time<T: Send>(count: usize, threads: usize, f: impl Fn(usize) -> T + Sync) -> Vec<T> {
     let (next, done) = (AtomicUsize::new(0), Mutex::new(Vec::new()));
+    let work = || loop {
+        let n = next.fetch_add(1, Ordering::Relaxed);
+        if n >= count {
+            break;
+        }
+        let result = f(n);
+        done.lock().expect("a panic ends all").push((n, result));
+    };
     thread::scope(|scope| {
-        for _ in 0..asked.threads.clamp(1, pairs.len().max(1)) {
-            scope.spawn(|| {
-                while let Some((n, (pattern, seed))) = taken(&next, &pairs) {
-                    let line = play(pattern, seed, settings);
-                    done.lock().expect("no player panics").push((n, line));
-                }
-            });
+        for _ in 0..threads.clamp(1, count.max(1)) {
+            scope.spawn(work);
         }
     });
-    let mut done = done.into_inner().expect("no player panics");
+    let mut done = done.into_inner().expect("a panic ends all");
     done.sort_by_key(|(n, _)| *n);
-    done.into_iter().map(|(_, line)| line).collect()
-}
-
-fn taken<T: Copy>(next: &AtomicUsize, all: &[T]) -> Option<(usize, T)> {
-    let n = next.fetch_add(1, Ordering::Relaxed);
-    all.get(n).map(|&one| (n, one))
+    done.into_iter().map(|(_, result)| result).collect()
 }
 
 /// Plays what was asked for and prints it.
@@ -92,6 +98,10 @@
     let before = asked.against.as_deref().map(lines::read).transpose()?;
     let results = play_all(&patterns, asked, &Settings::default());
     table::of(&results, asked.first_seed).print(false);
+    if asked.losses {
+        println!();
+        losses::report(&patterns, &results, asked).print(false);
+    }
     if let Some(before) = before {
         println!();
         compare::report(&before, &results, asked.first_seed)?.print(false);
--- a/crates/measure/tests/patterns.rs
+++ b/crates/measure/tests/patterns.rs
@@ -1,7 +1,7 @@
 //! The patterns: the same seed gives the same result, and what is worse shows as worse.
 
 use gaplock_measure::patterns::shape::{self, Pattern, Shape, Trouble};
-use gaplock_measure::patterns::{self, bound, compare, lines, load, Asked};
+use gaplock_measure::patterns::{self, bound, compare, lines, load, losses, Asked};
 use gaplock_sched::Settings;
 use gaplock_types::time::Millis;
 
@@ -104,6 +104,17 @@
     }
 }
 
+#[test]
+fn the_losses_and_the_worth_add_up() {
+    let pattern = quarter("leader-changes");
+    let line = patterns::play(&pattern, 3, &Settings::default());
+    let l = losses::of(&pattern, &line, &Settings::default());
+    let sum = l.no_room + l.trouble + l.disturbance + l.policy + line.outcome.worth.mean;
+    assert!((sum - 1.0).abs() < 1e-9, "{sum}");
+    assert!(l.trouble > 0.0, "{l:?}");
+    assert!(l.policy >= 0.0, "{l:?}");
+}
+
 #[test]
 fn less_is_possible_where_the_load_is_too_much() {
     let half = bound::of(&load::draw(&quarter("half-load"), 1));
