Patterns: a fuller pool in which most filling images press on most of what serves

Change: `pressed`: 0.88 of the processors reserved by lasting tasks, three of four pairs of images disturb. The share of such pairs belongs to the shape.

--- a/crates/measure/src/patterns/load.rs
+++ b/crates/measure/src/patterns/load.rs
@@ -28,9 +28,8 @@
 /// The wall clock at the virtual time 0, in milliseconds since 1970; any time would do.
 pub const UNIX_BASE: u64 = 1_700_000_000_000;
 
-/// The share of the pairs of images that disturb each other, and how much, as measured
+/// How much a filling image that presses on a serving one does so, and any other, as measured
 /// (`docs/MEASUREMENTS.md`, section Disturbance).
-const DISTURBING: f64 = 0.27;
 const FACTORS: std::ops::Range<f64> = 1.2..2.7;
 const FACTORS_ELSE: std::ops::Range<f64> = 0.0..0.1;
 
@@ -199,7 +198,8 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let workers = draw_workers(pattern, &mut rng);
     let (serving, filling) = pattern.shape.images;
-    let factors = (0..serving).map(|_| (0..filling).map(|_| factor(&mut rng)).collect()).collect();
+    let mut row = |_| (0..filling).map(|_| factor(&mut rng, pattern.shape.pressing)).collect();
+    let factors = (0..serving).map(&mut row).collect();
     let mut load = Load { workers, jobs: Vec::new(), factors, crowding: CROWDING };
     let mut draft = Draft { pattern, rng, cores: load.cores(), jobs: Vec::new() };
     draft.lasting_jobs();
@@ -214,8 +214,8 @@
     Resources::new(cpu, cpu * mem_each / 1_000, 0)
 }
 
-fn factor(rng: &mut ChaCha8Rng) -> f64 {
-    let range = if rng.random_bool(DISTURBING) { FACTORS } else { FACTORS_ELSE };
+fn factor(rng: &mut ChaCha8Rng, pressing: f64) -> f64 {
+    let range = if rng.random_bool(pressing) { FACTORS } else { FACTORS_ELSE };
     rng.random_range(range)
 }
 
--- a/crates/measure/src/patterns/shape.rs
+++ b/crates/measure/src/patterns/shape.rs
@@ -23,6 +23,8 @@
     pub lasting_tasks: Tasks,
     /// How many images serve, and how many fill.
     pub images: (usize, usize),
+    /// The share of the pairs of a serving and a filling image that disturb each other.
+    pub pressing: f64,
 }
 
 /// What the tasks of a class of job are like.
@@ -77,6 +79,7 @@
     batch_tasks: Tasks { width: 8, ms: 2_200, cpu: (1_200, 2_700) },
     lasting_tasks: Tasks { width: 6, ms: 500, cpu: (2_000, 5_000) },
     images: (5, 9),
+    pressing: 0.27,
 };
 
 /// More workers, wider steps, and short tasks that ask for more of a worker.
@@ -101,6 +104,9 @@
     ..SMALL
 };
 
+/// A full pool in which most filling images press on most of what serves.
+const PRESSED: Shape = Shape { lasting: 0.88, pressing: 0.75, ..SMALL };
+
 const CALM: Trouble = Trouble {
     uneven: false,
     misjudged: false,
@@ -124,6 +130,7 @@
     calm("large", LARGE, 1.0),
     calm("half-load", SMALL, 0.5),
     calm("more-load", SMALL, 1.25),
+    calm("pressed", PRESSED, 1.0),
     troubled("uneven", Trouble { uneven: true, ..CALM }),
     troubled("misjudged", Trouble { misjudged: true, ..CALM }),
     troubled("failing-images", Trouble { failing_images: true, ..CALM }),
