The directory is read on a thread of its own

Cause: on Kyushu with 3,000 workers, whose leader has a quarter of a core, the view of the directory was 1.2 to 1.4 s behind for five seconds from the survey on (directory_behind), and starts waited for it half of the time. One thread carries all calls; a full answer of the watch comes in many parts, and by reading the code each waits there behind thousands of calls to workers (the wait of a part was not measured by itself).

Ruled out: the store and the link (14 pages of 2.6 MB were read in 0.16 s just before), the claim's own calls (they have had a thread of their own for the same reason).

Change: the directory's feed has a thread of its own, in a module of its own; what the claim's thread and this one share is threads.rs.

Test: a reading that has its own thread ends while the only other thread stands still; as a task it does not (by trial).

--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -2,45 +2,30 @@
 //! of workers, the operators' evacuations, and their waves of upkeep.
 //!
 //! Each feed is a task that watches a prefix; where a watch starts too late to be complete, the
-//! prefix is listed anew. Feeds live for one leadership and are ended by `leading`.
+//! prefix is listed anew. Feeds live for one leadership and are ended by `leading`; that of the directory ends
+//! by itself.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_std::task::{self, JoinHandle};
 use gaplock_jobs::{Job, JobKey};
-use gaplock_platform::directory;
 use gaplock_platform::store::{Change, Item, Revision, StoreError};
 use gaplock_platform::waves;
-use gaplock_remote::clock;
-use gaplock_sched::freshness::DirectoryRead;
 use gaplock_sched::Event;
 
 use crate::engine::Engine;
 use crate::entries::Entries;
-use crate::evacuations;
-use crate::keys;
 use crate::node::Node;
+use crate::{directory, evacuations, keys};
 
 /// How long a watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
 
-/// How long a watch of the directory waits: one whose connection has fallen silent shows that only by its end, and
-/// what workers say meanwhile is not heard.
-const DIRECTORY_WAIT: Duration = Duration::from_millis(500);
-
 /// The pause after a watch of the inbox has answered: followers announce what they store, so the
 /// watch only has to find what was not announced.
 const INBOX_PAUSE: Duration = Duration::from_millis(250);
 
-/// The pause after a watch of the directory has answered, so that one call brings many changes.
-const DIRECTORY_PAUSE: Duration = Duration::from_millis(100);
-
-/// From how many changes in an answer on more are waiting: the store gives some 500 at a time. A pause then
-/// puts the feed behind for good where workers write faster than it reads: on 3,000 workers it was 7 s old
-/// after 24 s, and tasks went to workers that were leaving.
-const MORE_WAIT_FROM: usize = 400;
-
 /// The pause before a failed call to the store is made again.
 pub const STORE_PAUSE: Duration = Duration::from_millis(150);
 
@@ -57,11 +42,9 @@
 /// Starts the feeds of a leadership. Evacuations are read only where the installation bounds them, waves
 /// where it has duties.
 pub fn open(node: &Arc<Node>, engine: &Arc<Engine>, seen: Seen) -> Vec<JoinHandle<()>> {
-    let (inbox, directory) = (Arc::clone(node), Arc::clone(node));
-    let mut feeds = vec![
-        task::spawn(feed_inbox(inbox, Arc::clone(engine), seen.inbox)),
-        task::spawn(feed_directory(directory, Arc::clone(engine), seen.directory, seen.entries)),
-    ];
+    directory::spawn(node, engine, seen.directory, seen.entries);
+    let inbox = feed_inbox(Arc::clone(node), Arc::clone(engine), seen.inbox);
+    let mut feeds = vec![task::spawn(inbox)];
     if let Some(bound) = node.installation.bounds.evacuate {
         let feed = evacuations::feed(Arc::clone(node), Arc::clone(engine), bound);
         feeds.push(task::spawn(feed));
@@ -130,65 +113,6 @@
     }
 }
 
-/// Tells the engine which workers come, change and go.
-async fn feed_directory(
-    node: Arc<Node>,
-    engine: Arc<Engine>,
-    from: Revision,
-    mut entries: Entries,
-) {
-    let mut from = from;
-    let mut away = false;
-    loop {
-        let sent = clock::now();
-        match node.store.watch(directory::PREFIX, from, DIRECTORY_WAIT).await {
-            Ok(watched) => {
-                node.store_answered();
-                back(&engine, &mut away);
-                from = watched.revision;
-                for change in &watched.changes {
-                    if let Some(event) = entries.changed(change) {
-                        engine.send(event);
-                    }
-                }
-                let whole = watched.changes.len() < MORE_WAIT_FROM;
-                let read = DirectoryRead { sent, revision: from.0, whole };
-                engine.send(Event::DirectoryRead(read));
-                if whole {
-                    task::sleep(DIRECTORY_PAUSE).await;
-                }
-            }
-            Err(StoreError::Gone) => match node.store.list(directory::PREFIX).await {
-                Ok(listed) => {
-                    back(&engine, &mut away);
-                    from = listed.revision;
-                    let events = entries.listed(&listed.items);
-                    events.into_iter().for_each(|event| engine.send(event));
-                    let read = DirectoryRead { sent, revision: from.0, whole: true };
-                    engine.send(Event::DirectoryRead(read));
-                }
-                Err(e) => {
-                    tracing::debug!(event = "store_silent", error = %e);
-                    away = true;
-                    task::sleep(STORE_PAUSE).await;
-                }
-            },
-            Err(e) => {
-                tracing::debug!(event = "watch_cut", error = %e);
-                away = true;
-                task::sleep(STORE_PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Tells the engine, once, that the directory can be read again.
-fn back(engine: &Engine, away: &mut bool) {
-    if std::mem::take(away) {
-        engine.send(Event::DirectoryBack);
-    }
-}
-
 /// Tells the engine of waves of upkeep: those that are there, then each that is asked for.
 async fn feed_waves(node: Arc<Node>, engine: Arc<Engine>) {
     let mut from = None;
--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -5,7 +5,6 @@
 //! come after the lease's end (`docs/CAPACITY.md`).
 
 use std::sync::Arc;
-use std::thread;
 
 use async_std::task;
 use gaplock_platform::store::StoreError;
@@ -13,25 +12,17 @@
 use gaplock_remote::clock;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::following;
 use crate::leadership::{self, Claim, Right, Standing};
 use crate::node::Node;
+use crate::{following, threads};
 
 /// The thread's name.
 const THREAD: &str = "leadership";
 
-/// The thread's stack: twice the usual one, since this thread's executor also takes on other tasks, whose
-/// states are large without optimisation. Only what is used is paid for.
-const STACK_BYTES: usize = 4 << 20;
-
 /// Begins to keep a claim that was sent at `sent`; ends by itself once the standing is lost.
 pub fn spawn(node: &Arc<Node>, standing: &Arc<Standing>, claim: Claim, sent: Instant) {
     let (node, kept) = (Arc::clone(node), Arc::clone(standing));
-    let begun = thread::Builder::new()
-        .name(THREAD.to_string())
-        .stack_size(STACK_BYTES)
-        .spawn(move || task::block_on(keep(node, kept, claim, sent)));
-    if let Err(e) = begun {
+    if let Err(e) = threads::spawn(THREAD, keep(node, kept, claim, sent)) {
         tracing::warn!(event = "leadership_lost", why = "no thread to keep it", error = %e);
         standing.lose();
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 mod callers;
+mod directory;
 mod engine;
 mod entries;
 mod evacuations;
@@ -21,6 +22,7 @@
 mod reloading;
 mod serving;
 mod settings;
+mod threads;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
