--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -2,6 +2,7 @@
 
 mod actions;
 mod callers;
+mod directory;
 mod engine;
 mod entries;
 mod evacuations;
@@ -22,6 +23,7 @@
 mod reloading;
 mod serving;
 mod settings;
+mod threads;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
