Test: orders that arrive after the leases of a suspended leader

Change: the way to one of two workers is silent from before the starts; the leader is suspended and wakes once the tasks run elsewhere, and what was under way arrives then.

--- a/crates/node/tests/suspended.rs
+++ b/crates/node/tests/suspended.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use gaplock_jobs::JobKey;
+use gaplock_platform_standin::relay::Mode;
 use gaplock_platform_standin::site::{two_steps, Site};
 use rustix::process::Signal;
 use support::{open_site, wait_for};
@@ -89,3 +90,22 @@
     wait_for_all(&site, first, 1..3);
     assert_kept(&site);
 }
+
+/// What was on its way to a worker that no successor could ask arrives seconds later, by when the tasks run
+/// elsewhere and the suspended leader is awake again.
+#[test]
+fn orders_that_arrive_after_the_leases_of_a_suspended_leader_start_nothing_twice() {
+    let mut site = open_site(2, 2, Duration::from_secs(60));
+    wait_for("the workers to be known", || site.knows_workers());
+    let first = site.leader().expect("there is a leader");
+    site.fleet.set_link(0, Mode::Silent);
+    suspend_amid_starts(&mut site, 1 - first, 1..4, 60);
+    wait_for("another leader", || site.leader() == Some(1 - first));
+    wait_for("starts at the other worker", || site.fleet.running_at(1) == 16);
+    site.hosts[first].signal(Signal::CONT);
+    site.fleet.set_link(0, Mode::Pass);
+    wait_for("all starts", || site.fleet.running_at(0) + site.fleet.running_at(1) == 18);
+    thread::sleep(SUSPENDED);
+    assert_eq!(site.fleet.running_at(0) + site.fleet.running_at(1), 18);
+    assert_kept(&site);
+}
