Soak of processes: rooms stay small for longer than a leader has to hear of it

Cause: the judge of rooms could not see what it is there for.

Change: rooms are small for 2.5 to 8 s, at about half of the workers at once; the end of one spell leaves another of its kind at the same place alone.

--- a/crates/soak/src/processes/wider.rs
+++ b/crates/soak/src/processes/wider.rs
@@ -25,11 +25,14 @@
 /// Pauses between two such faults, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 150..1_000;
 
-/// How long an entry stands or a room is small, in milliseconds.
+/// How long an entry stands, in milliseconds.
 const STANDS_MS: std::ops::Range<u64> = 200..5_000;
 
+/// How long a room is small, in milliseconds: mostly longer than a leader has to hear of it.
+const SMALL_MS: std::ops::Range<u64> = 2_500..8_000;
+
 /// Rooms that workers shrink to, in thousandths of a core; their whole room is 16,000.
-const ROOMS: [u32; 4] = [0, 1_000, 3_000, 8_000];
+const ROOMS: [u32; 4] = [0, 1_000, 1_000, 4_000];
 const WHOLE_ROOM: u32 = 16_000;
 
 /// How long a host is suspended, in milliseconds: from just over a leader's lease in the store to over the
@@ -66,6 +69,19 @@
     StoreAway,
 }
 
+impl What {
+    /// Tells whether both are of one kind at one place.
+    fn is_like(self, other: What) -> bool {
+        match (self, other) {
+            (Self::Entry(a, _), Self::Entry(b, _)) => a == b,
+            (Self::Room(a, _), Self::Room(b, _)) => a == b,
+            (Self::Suspended(a), Self::Suspended(b)) => a == b,
+            (Self::StoreAway, Self::StoreAway) => true,
+            _ => false,
+        }
+    }
+}
+
 /// All that is on or to come.
 #[derive(Debug)]
 pub(super) struct Wider {
@@ -118,7 +134,9 @@
     fn end_due(&mut self, site: &mut Site, now: Instant) {
         let over: Vec<Spell> = self.spells.iter().filter(|s| s.over <= now).copied().collect();
         self.spells.retain(|s| s.over > now);
-        for spell in over.iter().filter(|s| s.begun) {
+        // One that ends leaves another of its kind at the same place alone.
+        let on = |what: What| self.spells.iter().any(|s| s.begun && s.what.is_like(what));
+        for spell in over.iter().filter(|s| s.begun && !on(s.what)) {
             match spell.what {
                 What::Entry(worker, _) => site.fleet.enter_again(worker),
                 What::Room(worker, _) => site.fleet.set_room(worker, WHOLE_ROOM),
@@ -130,17 +148,14 @@
 
     fn add(&mut self, site: &mut Site, now: Instant) -> io::Result<u64> {
         let worker = self.rng.random_range(0..site.fleet.len());
-        let over = now + millis(&mut self.rng, STANDS_MS);
         match self.rng.random_range(0..10) {
             0..3 => {
                 let entry =
                     self.rng.random_range(0..foreign::entries(&site.fleet.entry(worker)).len());
+                let over = now + millis(&mut self.rng, STANDS_MS);
                 self.on(What::Entry(worker, entry), now, over);
             }
-            3..6 => {
-                let room = *ROOMS.choose(&mut self.rng).unwrap_or(&WHOLE_ROOM);
-                self.on(What::Room(worker, room), now, over);
-            }
+            3..6 => self.shrink(site, now),
             6..8 => self.write_key(site, worker),
             _ => return self.suspend(site, now),
         }
@@ -151,6 +166,17 @@
         self.spells.push(Spell { what, from, over, begun: false });
     }
 
+    /// Lets about half of the workers have a small room.
+    fn shrink(&mut self, site: &Site, now: Instant) {
+        for worker in 0..site.fleet.len() {
+            let room = *ROOMS.choose(&mut self.rng).unwrap_or(&WHOLE_ROOM);
+            let over = now + millis(&mut self.rng, SMALL_MS);
+            if self.rng.random_range(0..2) == 0 {
+                self.on(What::Room(worker, room), now, over);
+            }
+        }
+    }
+
     /// Writes a key that is nobody's.
     fn write_key(&mut self, site: &Site, worker: usize) {
         let mut keys = foreign::own_keys();
