A gang's members are on two workers at least in the tests of processes

Cause: the members of the soak's gangs were all placed on one worker, which lists them in one account, so what was listed for them never differed.

A test of two processes crashes a worker under a gang and asks that all members resume from one checkpoint.

--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -8,7 +8,7 @@
 use gaplock_platform_standin::cloud;
 use gaplock_platform_standin::relay::Mode;
 use gaplock_platform_standin::site::{
-    call, connect_as_peer, saving, two_steps, Output, Site, PREFIX,
+    call, connect_as_peer, gang, saving, two_steps, Output, Site, PREFIX,
 };
 use rustix::process::Signal;
 use serde_json::json;
@@ -81,6 +81,25 @@
     assert!(thrown.is_empty(), "{thrown:#?}");
 }
 
+/// The members are on two workers or more, and what each of these has listed last was made at a time of its own.
+#[test]
+fn a_gang_that_loses_a_worker_resumes_from_one_checkpoint() {
+    let site = open_site(2, 4, Duration::from_secs(2));
+    assert_eq!(site.hosts[0].submit(JobKey(1), &gang()), Some(200));
+    wait_for("the first starts", || site.fleet.starts() == 3);
+    std::thread::sleep(Duration::from_millis(1_500));
+    for worker in 0..site.fleet.len() {
+        site.fleet.crash(worker);
+        std::thread::sleep(Duration::from_millis(500));
+        if site.fleet.starts() > 3 {
+            break;
+        }
+    }
+    wait_for("completion", || shows(&site, 1, 1, "completed"));
+    assert!(site.fleet.resumed() >= 3, "{} starts resumed", site.fleet.resumed());
+    assert!(site.fleet.violations().is_empty(), "{:#?}", site.fleet.violations());
+}
+
 #[test]
 fn a_leader_that_stops_hands_over_to_a_follower() {
     let mut site = open_site(3, 4, Duration::from_millis(300));
