--- a/crates/sched/tests/fleet/checkpoints.rs
+++ b/crates/sched/tests/fleet/checkpoints.rs
@@ -137,6 +137,25 @@
     assert_kept(&world);
 }
 
+#[test]
+fn a_successor_knows_the_checkpoints_of_tasks_that_wait_since_their_worker_was_cut_off() {
+    let mut world = World::open(915, 2);
+    world.work_ms = 20_000;
+    world.submit(job(1, vec![saving(16, &[])]));
+    world.run(1_500);
+    world.workers[0].cut = true;
+    // The other worker is full, so that the tasks wait.
+    world.run(9_000);
+    world.crash(0);
+    world.unlist(0);
+    world.change_leader(100);
+    world.run(50_000);
+    assert!(world.is_completed(1));
+    assert!(world.checkpoints.brought > 0, "no start brought a checkpoint");
+    assert_eq!(world.checkpoints.thrown_away_ms, 0, "saved work was done again");
+    assert_kept(&world);
+}
+
 #[test]
 fn rounds_of_a_repeating_job_keep_their_checkpoints_apart() {
     let mut world = World::open(907, 3);
