--- a/crates/sched/src/account.rs
+++ b/crates/sched/src/account.rs
@@ -3,10 +3,10 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::Instant;
 
-use crate::context::Context;
 use crate::lifecycle::Occupant;
 use crate::message::{Account, Action, Run, RunningTask, WorkerIx};
 use crate::proof::Proof;
+use crate::state::State as Context;
 use crate::table::TaskState;
 use crate::worker::{Phase, Slot};
 use crate::{ends, lifecycle, speed, trace};
--- a/crates/sched/src/availability.rs
+++ b/crates/sched/src/availability.rs
@@ -3,13 +3,13 @@
 use gaplock_jobs::TaskKey;
 
 use crate::account::AT_WORK_PERCENT;
-use crate::context::Context;
+use crate::state::State;
 use crate::table::{Task, TaskState};
 use crate::worker::Phase;
 
 /// Tells whether a task may be stopped without more of its step being away than its caller allows.
 /// A step that names no bound sets none.
-pub fn may_take(cx: &Context, key: TaskKey) -> bool {
+pub fn may_take(cx: &State, key: TaskKey) -> bool {
     let Some(most) = cx.step(key).and_then(|step| step.may_miss) else { return true };
     let Some(round) = cx.jobs.get(&key.job).and_then(|e| e.round(key.round)) else { return true };
     let Some(step) = round.steps.get(usize::from(key.step)) else { return true };
@@ -20,7 +20,7 @@
 }
 
 /// Tells whether a task is known to be at work.
-fn is_at_work(cx: &Context, key: TaskKey, task: &Task) -> bool {
+fn is_at_work(cx: &State, key: TaskKey, task: &Task) -> bool {
     let TaskState::Active { worker, run } = task.state else { return false };
     let slot = cx.worker(worker).slots.get(&key).filter(|slot| slot.run == run);
     slot.is_some_and(|s| s.phase == Phase::Running && s.percent >= AT_WORK_PERCENT)
--- a/crates/sched/src/choices.rs
+++ b/crates/sched/src/choices.rs
@@ -9,9 +9,9 @@
 
 use gaplock_types::time::Millis;
 
-use crate::context::Context;
 use crate::message::WorkerIx;
 use crate::placement::{self, Wanted};
+use crate::state::State;
 
 /// A worker and how good a place it is.
 #[derive(Debug, Clone, Copy)]
@@ -61,7 +61,7 @@
 
 impl Choices {
     /// Finds the best worker for a task, and holds it to take the task.
-    pub fn take(&mut self, cx: &Context, wanted: &Wanted<'_>) -> Option<WorkerIx> {
+    pub fn take(&mut self, cx: &State, wanted: &Wanted<'_>) -> Option<WorkerIx> {
         self.bring_up_to_date(cx, wanted);
         let mut unfit: Vec<Choice> = Vec::new();
         let found = loop {
@@ -78,7 +78,7 @@
     }
 
     /// Works the order out anew, or only the place of the worker that took the last task.
-    fn bring_up_to_date(&mut self, cx: &Context, wanted: &Wanted<'_>) {
+    fn bring_up_to_date(&mut self, cx: &State, wanted: &Wanted<'_>) {
         let asked = Some(Asked { avoid: wanted.avoid, waited: wanted.waited, again: wanted.again });
         let all = 0..cx.workers.len() as u32;
         if self.asked != asked {
@@ -92,7 +92,7 @@
 }
 
 /// Returns a worker as a choice, if the task could start there now.
-fn choice(cx: &Context, worker: WorkerIx, wanted: &Wanted<'_>) -> Option<Choice> {
+fn choice(cx: &State, worker: WorkerIx, wanted: &Wanted<'_>) -> Option<Choice> {
     let score = placement::value(cx, worker, wanted)?;
     Some(Choice { score, worker })
 }
--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/commits.rs
@@ -12,8 +12,8 @@
 use gaplock_types::ids;
 use gaplock_types::time::Instant;
 
-use crate::context::Context;
 use crate::message::{EndSeq, Record, RosterEntry, WorkerIx};
+use crate::state::State as Context;
 use crate::table::{Entry, StepState, Task, TaskState};
 use crate::{crashes, trace, upkeep};
 
--- a/crates/sched/src/crashes/evidence.rs
+++ b/crates/sched/src/crashes/evidence.rs
@@ -6,8 +6,8 @@
 
 use super::suspicion::Saved;
 use super::trials::Trial;
-use crate::context::Context;
 use crate::message::WorkerIx;
+use crate::state::State;
 use crate::table::TaskState;
 use crate::worker::{Listing, Slot, Worker};
 use crate::{commits, trace};
@@ -56,7 +56,7 @@
 }
 
 /// Takes in that all runs at a worker are being given up; `gone` if its incarnation is certainly over.
-pub fn worker_lost(cx: &mut Context, ix: WorkerIx, gone: bool) {
+pub fn worker_lost(cx: &mut State, ix: WorkerIx, gone: bool) {
     let worker = cx.worker(ix);
     let Some(loss) = loss_of(worker, gone).filter(|_| !worker.slots.is_empty()) else { return };
     let (id, addr) = (worker.info.id.clone(), worker.info.addr.clone());
@@ -109,7 +109,7 @@
 const LATELY: Millis = Millis(10_000);
 
 /// Tells whether so many workers have fallen silent or were lost lately that one cause is likely.
-pub(super) fn are_many_lost(cx: &Context) -> bool {
+pub(super) fn are_many_lost(cx: &State) -> bool {
     let lately = |w: &Worker| w.clock.is_some_and(|(heard, _)| cx.now.since(heard) < LATELY);
     let silent = cx.workers.iter().filter(|w| !w.gone && !w.answers() && lately(w)).count();
     let lost = cx.crashes.lost_at.values().filter(|at| cx.now.since(**at) < AT_ONE_TIME).count();
@@ -154,7 +154,7 @@
 }
 
 /// Counts a lost worker against a task.
-pub(super) fn suspect(cx: &mut Context, key: TaskKey, evidence: &Evidence<'_>) {
+pub(super) fn suspect(cx: &mut State, key: TaskKey, evidence: &Evidence<'_>) {
     let (now, worker, loss) = (cx.now, evidence.worker, evidence.loss);
     let is_gang = cx.step(key).is_some_and(|step| step.gang);
     let live = cx.jobs.get(&key.job).is_some_and(|entry| !entry.state.is_final());
@@ -185,7 +185,7 @@
 }
 
 /// Notes that a worker may have crashed under a task; whether the task may still start.
-pub(super) fn doubt(cx: &mut Context, key: TaskKey, worker: &ids::WorkerId) -> bool {
+pub(super) fn doubt(cx: &mut State, key: TaskKey, worker: &ids::WorkerId) -> bool {
     let live = cx.jobs.get(&key.job).is_some_and(|entry| !entry.state.is_final());
     let Some(task) = cx.task_mut(key).filter(|t| live && t.state != TaskState::Done) else {
         return false;
@@ -199,7 +199,7 @@
 }
 
 /// Holds a task back until what is known of it is stored, and lets it be tried alone.
-pub(super) fn hold_until_saved(cx: &mut Context, key: TaskKey) {
+pub(super) fn hold_until_saved(cx: &mut State, key: TaskKey) {
     let now = cx.now;
     let is_gang = cx.step(key).is_some_and(|step| step.gang);
     let Some(suspicion) = cx.task_mut(key).and_then(|t| t.suspicion.as_mut()) else { return };
--- a/crates/sched/src/crashes/inherited.rs
+++ b/crates/sched/src/crashes/inherited.rs
@@ -8,8 +8,8 @@
 use super::evidence::{doubt, has_left, hold_until_saved, suspect, Evidence, Loss, AT_START};
 use super::Suspicion;
 use crate::commits;
-use crate::context::Context;
 use crate::message::WorkerIx;
+use crate::state::State;
 use crate::table::TaskState;
 
 /// How many tasks may be held back for the loss of a worker of which nobody knows what it ran. Where more
@@ -30,7 +30,7 @@
 }
 
 /// Finds the suspects of a job that was restored.
-pub fn find_suspects(cx: &mut Context, job: JobKey) {
+pub fn find_suspects(cx: &mut State, job: JobKey) {
     let Some(entry) = cx.jobs.get_mut(&job) else { return };
     let gangs: Vec<bool> = entry.job.steps.iter().map(|step| step.gang).collect();
     for (key, task) in entry.keyed_tasks_mut() {
@@ -43,7 +43,7 @@
 }
 
 /// Counts a worker that a successor could not find against the tasks that it is known to have held.
-pub fn holder_lost(cx: &mut Context, ix: WorkerIx, held: &[TaskKey], gone: bool) {
+pub fn holder_lost(cx: &mut State, ix: WorkerIx, held: &[TaskKey], gone: bool) {
     if has_left(cx.worker(ix)) {
         return;
     }
@@ -66,7 +66,7 @@
 /// Takes in that a successor has found workers gone that may have run any task, and these tasks at no
 /// other one: each of them may have been there, or may have waited. A suspect of which that has been
 /// supposed once is counted the second time, so that no more than one crash is forgotten.
-pub fn any_lost(cx: &mut Context, lost: &[WorkerIx], unfound: &FxHashSet<TaskKey>) {
+pub fn any_lost(cx: &mut State, lost: &[WorkerIx], unfound: &FxHashSet<TaskKey>) {
     let crashed = lost.iter().find(|&&ix| !has_left(cx.worker(ix)));
     let Some(&ix) = crashed else { return };
     let id = cx.worker(ix).info.id.clone();
--- a/crates/sched/src/crashes/suspicion.rs
+++ b/crates/sched/src/crashes/suspicion.rs
@@ -7,7 +7,7 @@
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
 
-use crate::context::Context;
+use crate::state::State;
 use crate::table::Task;
 
 /// How many workers may crash under a task before its job fails, whatever else is known. Users bear five
@@ -153,18 +153,18 @@
 }
 
 /// Takes in that the progress of these jobs is being stored.
-pub fn being_saved(cx: &mut Context, jobs: &BTreeSet<JobKey>) {
+pub fn being_saved(cx: &mut State, jobs: &BTreeSet<JobKey>) {
     let of_jobs = |key: &TaskKey| jobs.contains(&key.job);
     change_saved(cx, of_jobs, Saved::No, Saved::InFlight);
 }
 
 /// Takes in that the commit in flight is stored or, unless `stored`, certainly is not.
-pub fn commit_ended(cx: &mut Context, stored: bool) {
+pub fn commit_ended(cx: &mut State, stored: bool) {
     let now_saved = if stored { Saved::Yes } else { Saved::No };
     change_saved(cx, |_| true, Saved::InFlight, now_saved);
 }
 
-fn change_saved(cx: &mut Context, of: impl Fn(&TaskKey) -> bool, from: Saved, to: Saved) {
+fn change_saved(cx: &mut State, of: impl Fn(&TaskKey) -> bool, from: Saved, to: Saved) {
     let suspects: Vec<TaskKey> = cx.crashes.suspects.iter().copied().filter(of).collect();
     for key in suspects {
         let suspicion = cx.task_mut(key).and_then(|t| t.suspicion.as_mut());
--- a/crates/sched/src/crashes/trials.rs
+++ b/crates/sched/src/crashes/trials.rs
@@ -12,8 +12,8 @@
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::context::Context;
 use crate::message::WorkerIx;
+use crate::state::State;
 use crate::table::TaskState;
 use crate::worker::Worker;
 use crate::{dispatch, placement};
@@ -54,7 +54,7 @@
 const KEPT_SHARE: usize = 2;
 
 /// Ends the oldest trials of pools of which trials keep too large a part.
-pub fn leave_room(cx: &mut Context) {
+pub fn leave_room(cx: &mut State) {
     let now = cx.now;
     let is_kept = |w: &Worker| w.trial.is_some_and(|trial| trial.until > now);
     let pools: BTreeSet<ids::ServiceId> =
@@ -91,7 +91,7 @@
 
 /// Starts suspects alone on empty workers, those with most losses first. The others start like any task
 /// from now on, at once or after some patience.
-pub fn start(cx: &mut Context) {
+pub fn start(cx: &mut State) {
     if !cx.crashes.may_wait {
         return;
     }
@@ -117,7 +117,7 @@
 }
 
 /// Lists the suspects that may start and wait for an empty worker, in the order in which they are tried.
-fn waiting(cx: &mut Context) -> Vec<Waiting> {
+fn waiting(cx: &mut State) -> Vec<Waiting> {
     let now = cx.now;
     let mut any = false;
     let mut found: Vec<Waiting> = Vec::new();
@@ -136,7 +136,7 @@
 }
 
 /// Lists the workers on which nothing runs.
-fn empty_workers(cx: &Context) -> Vec<WorkerIx> {
+fn empty_workers(cx: &State) -> Vec<WorkerIx> {
     let all = cx.workers.iter().enumerate();
     let empty = all.filter(|(_, w)| w.slots.is_empty() && w.takes_tasks(cx.now));
     empty.map(|(at, _)| WorkerIx(at as u32)).collect()
@@ -145,7 +145,7 @@
 /// Starts a task on the empty worker that tells most: one whose address has not lost a worker lately, and
 /// that answered last. The loss of a worker that crashes anyway, or is dead already, would speak against an
 /// innocent task.
-fn start_alone(cx: &mut Context, key: TaskKey, empty: &mut Vec<WorkerIx>) -> bool {
+fn start_alone(cx: &mut State, key: TaskKey, empty: &mut Vec<WorkerIx>) -> bool {
     let Some(job) = cx.jobs.get(&key.job).map(|entry| entry.job.clone()) else { return false };
     let Some(service) = dispatch::service_of(cx, &job) else { return false };
     let Some(wanted) = dispatch::wanted(cx, &job, &service, key) else { return false };
@@ -164,7 +164,7 @@
 }
 
 /// Lets a suspect start where any task would.
-fn start_like_others(cx: &mut Context, key: TaskKey) {
+fn start_like_others(cx: &mut State, key: TaskKey) {
     let suspicion = cx.task_mut(key).and_then(|t| t.suspicion.as_mut());
     if let Some(suspicion) = suspicion {
         suspicion.ordinary = true;
@@ -172,7 +172,7 @@
 }
 
 /// Keeps a worker for a suspect that starts there, unless it has a single loss and others run there.
-pub fn placed(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+pub fn placed(cx: &mut State, ix: WorkerIx, key: TaskKey) {
     let now = cx.now;
     let is_free = cx.worker(ix).trial.is_none_or(|trial| trial.until <= now);
     if losses(cx, key) > 1 && is_free {
@@ -181,12 +181,12 @@
 }
 
 /// Keeps a worker for a task for as long as its losses call for.
-fn keep(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+fn keep(cx: &mut State, ix: WorkerIx, key: TaskKey) {
     let losses = losses(cx, key) as u64;
     let until = cx.now + Millis(ALONE_FOR.0 * losses * losses);
     cx.worker_mut(ix).trial = Some(Trial { task: key, began: cx.now, until });
 }
 
-fn losses(cx: &Context, key: TaskKey) -> usize {
+fn losses(cx: &State, key: TaskKey) -> usize {
     cx.task(key).and_then(|t| t.suspicion.as_ref()).map_or(0, |s| s.losses())
 }
--- a/crates/sched/src/crashes/verdict.rs
+++ b/crates/sched/src/crashes/verdict.rs
@@ -7,8 +7,8 @@
 
 use super::evidence::{has_left, lived, CLEARED_AFTER};
 use super::suspicion::Saved;
-use crate::context::Context;
 use crate::message::WorkerIx;
+use crate::state::State;
 use crate::table::TaskState;
 use crate::worker::Worker;
 use crate::{commits, lifecycle, trace};
@@ -22,26 +22,26 @@
 const SILENT_FOR: Millis = Millis(600_000);
 
 /// Takes in that a worker's incarnation is over of which nothing was known but its silence.
-pub fn worker_gone(cx: &mut Context, ix: WorkerIx) {
+pub fn worker_gone(cx: &mut State, ix: WorkerIx) {
     if !has_left(cx.worker(ix)) {
         resolve(cx, ix, true);
     }
 }
 
 /// Takes in that a worker answers: it did not crash.
-pub fn worker_answers(cx: &mut Context, ix: WorkerIx) {
+pub fn worker_answers(cx: &mut State, ix: WorkerIx) {
     resolve(cx, ix, false);
 }
 
 /// Settles the losses of a worker, one way or the other, for all tasks that it ran.
-fn resolve(cx: &mut Context, ix: WorkerIx, crashed: bool) {
+fn resolve(cx: &mut State, ix: WorkerIx, crashed: bool) {
     let id = cx.worker(ix).info.id.clone();
     for key in cx.crashes.by_worker.get(&id).cloned().unwrap_or_default() {
         resolve_for(cx, key, &id, crashed);
     }
 }
 
-fn resolve_for(cx: &mut Context, key: TaskKey, worker: &ids::WorkerId, crashed: bool) {
+fn resolve_for(cx: &mut State, key: TaskKey, worker: &ids::WorkerId, crashed: bool) {
     let now = cx.now;
     let Some(suspicion) = cx.task_mut(key).and_then(|t| t.suspicion.as_mut()) else { return };
     let stored = suspicion.to_store();
@@ -60,7 +60,7 @@
 }
 
 /// Drops all suspicion of a task.
-fn clear(cx: &mut Context, key: TaskKey) {
+fn clear(cx: &mut State, key: TaskKey) {
     cx.crashes.suspects.remove(&key);
     if let Some(task) = cx.task_mut(key) {
         task.suspicion = None;
@@ -73,7 +73,7 @@
 
 /// Does what time alone calls for: judges silent workers, clears tasks that have been at work for long,
 /// and fails the jobs of those that have crashed too many workers.
-pub fn check(cx: &mut Context) {
+pub fn check(cx: &mut State) {
     if cx.now.since(cx.crashes.checked) < CHECK_EVERY {
         return;
     }
@@ -101,7 +101,7 @@
 }
 
 /// Decides about workers that have been silent for so long that the directory tells what became of them.
-fn judge_silent(cx: &mut Context, key: TaskKey) {
+fn judge_silent(cx: &mut State, key: TaskKey) {
     let now = cx.now;
     let Some(suspicion) = cx.task(key).and_then(|t| t.suspicion.as_ref()) else { return };
     let mut crashed: Vec<ids::WorkerId> = Vec::new();
@@ -124,7 +124,7 @@
 }
 
 /// Tells whether a task's run has been at work for so long that it speaks for the task.
-fn has_been_at_work(cx: &Context, key: TaskKey) -> bool {
+fn has_been_at_work(cx: &State, key: TaskKey) -> bool {
     let Some(TaskState::Active { worker, .. }) = cx.task(key).map(|t| t.state) else {
         return false;
     };
--- a/crates/sched/src/directory.rs
+++ b/crates/sched/src/directory.rs
@@ -7,8 +7,8 @@
 
 use gaplock_types::ids;
 
-use crate::context::Context;
 use crate::message::{WorkerInfo, WorkerIx};
+use crate::state::State as Context;
 use crate::worker::{Listing, Worker};
 use crate::{evacuation, roster, trace, upkeep};
 
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -9,11 +9,11 @@
 use gaplock_types::{ids, sizes};
 
 use crate::choices::Choices;
-use crate::context::Context;
 use crate::crashes::{self, trials};
 use crate::lifecycle::Occupant;
 use crate::message::{Run, WorkerIx};
 use crate::placement::{self, Wanted};
+use crate::state::State;
 use crate::table::{self, ReadyStep, Task, TaskState};
 use crate::worker::Phase;
 use crate::{gangs, lifecycle, orders, pacing, permits, room, trace};
@@ -98,7 +98,7 @@
 }
 
 /// Goes once over all ready steps.
-pub fn pass(cx: &mut Context) {
+pub fn pass(cx: &mut State) {
     if cx.config.is_none() {
         return;
     }
@@ -118,7 +118,7 @@
 }
 
 /// Tells whether a lasting step has tasks that go before all others; few steps do.
-fn is_missed(cx: &Context, ready: ReadyStep) -> bool {
+fn is_missed(cx: &State, ready: ReadyStep) -> bool {
     let Some(entry) = cx.jobs.get(&ready.job) else { return false };
     let step = &entry.job.steps[usize::from(ready.step)];
     let Some(round) = entry.round(ready.round).filter(|_| step.lasting) else { return false };
@@ -128,7 +128,7 @@
 }
 
 /// Returns the most free processors, and the most in all, of any worker that takes tasks.
-fn most_processors(cx: &Context) -> (sizes::MilliCores, sizes::MilliCores) {
+fn most_processors(cx: &State) -> (sizes::MilliCores, sizes::MilliCores) {
     let taking = || cx.workers.iter().filter(|w| w.takes_tasks(cx.now));
     let free = taking().map(|w| w.info.capacity.minus(&w.used).cpu).max();
     let largest = taking().map(|w| w.info.capacity.cpu).max();
@@ -136,7 +136,7 @@
 }
 
 /// Starts what it can of one step, unless a demand like it found no room in this pass.
-fn start_step(cx: &mut Context, ready: ReadyStep, pass: &mut Pass) {
+fn start_step(cx: &mut State, ready: ReadyStep, pass: &mut Pass) {
     let Some(entry) = cx.jobs.get(&ready.job) else { return };
     let job = entry.job.clone();
     let Some(service) = service_of(cx, &job) else { return };
@@ -170,7 +170,7 @@
 
 /// Takes in that a step found no room. A short one speaks for scarcity, unless no worker could ever
 /// hold it.
-fn note_scarcity(cx: &mut Context, pool: &ids::ServiceId, step: &Step, pass: &Pass) {
+fn note_scarcity(cx: &mut State, pool: &ids::ServiceId, step: &Step, pass: &Pass) {
     if room::is_short(step) && step.demand.cpu <= pass.largest {
         room::short_waits(cx, pool);
     }
@@ -179,7 +179,7 @@
 /// Returns a step's pending tasks in the order in which they are tried. Of lasting ones those come
 /// first that were at work before, by their wait: they may take room that new ones may not, and a
 /// step is given up at the first task that finds none.
-fn in_order(cx: &Context, ready: ReadyStep, step: &Step, pending: &BTreeSet<u32>) -> Vec<u32> {
+fn in_order(cx: &State, ready: ReadyStep, step: &Step, pending: &BTreeSet<u32>) -> Vec<u32> {
     let mut order: Vec<u32> = pending.iter().copied().collect();
     if step.lasting {
         let key = |&index: &u32| task_of(ready, index);
@@ -195,20 +195,20 @@
 
 /// Finds the first task of a step that may start, if there is one. Tasks of one step begin to wait
 /// together, but for those that start again.
-fn first_that_may_start(cx: &Context, ready: ReadyStep, pending: &[u32]) -> Option<First> {
+fn first_that_may_start(cx: &State, ready: ReadyStep, pending: &[u32]) -> Option<First> {
     let mut tasks = pending.iter().map(|&index| task_of(ready, index));
     let task = tasks.find(|&task| may_start(cx, task))?;
     cx.task(task).map(|t| first_of(cx, t))
 }
 
 /// Says what decides of a task that is tried first.
-fn first_of(cx: &Context, task: &Task) -> First {
+fn first_of(cx: &State, task: &Task) -> First {
     First { waited: cx.now.since(task.since), again: task.may_have_run }
 }
 
 /// Logs why the first task of a step that may start finds no worker.
 fn explain_first(
-    cx: &mut Context,
+    cx: &mut State,
     job: &Job,
     service: &ids::ServiceId,
     ready: ReadyStep,
@@ -222,7 +222,7 @@
 
 /// Starts pending tasks of a step one by one; returns the first that finds no worker.
 fn start_tasks(
-    cx: &mut Context,
+    cx: &mut State,
     job: &Job,
     service: &ids::ServiceId,
     ready: ReadyStep,
@@ -249,33 +249,33 @@
 }
 
 /// Starts a task at a worker.
-pub fn start_at(cx: &mut Context, ix: WorkerIx, task: TaskKey) {
+pub fn start_at(cx: &mut State, ix: WorkerIx, task: TaskKey) {
     let run = next_run(cx, task);
     reserve(cx, ix, task, run);
     orders::send_start(cx, ix, task, run);
 }
 
 /// Returns the pool of workers that runs a job.
-pub fn service_of(cx: &Context, job: &Job) -> Option<ids::ServiceId> {
+pub fn service_of(cx: &State, job: &Job) -> Option<ids::ServiceId> {
     let config = cx.config.as_ref()?;
     config.queue(&job.queue).map(|q| q.service.clone())
 }
 
 /// Returns what the job's queue says of asking another service where steps may run.
-pub fn advice_of<'a>(cx: &'a Context, job: &Job) -> Option<&'a Advice> {
+pub fn advice_of<'a>(cx: &'a State, job: &Job) -> Option<&'a Advice> {
     cx.config.as_ref()?.queue(&job.queue)?.advice.as_ref()
 }
 
 /// Tells whether a task is pending, its pause over, and nothing speaks against starting it beside
 /// others.
-pub fn may_start(cx: &Context, task: TaskKey) -> bool {
+pub fn may_start(cx: &State, task: TaskKey) -> bool {
     let due = |t: &&Task| t.state == TaskState::Pending && t.not_before <= cx.now;
     cx.task(task).filter(due).is_some_and(crashes::may_start)
 }
 
 /// Says what a task asks of a worker.
 pub fn wanted<'a>(
-    cx: &'a Context,
+    cx: &'a State,
     job: &'a Job,
     service: &'a ids::ServiceId,
     task: TaskKey,
@@ -292,7 +292,7 @@
 const EXPLAIN_EVERY: Millis = Millis(2_000);
 
 /// Logs why a task finds no worker, once it has waited for a while.
-fn explain(cx: &mut Context, job: &Job, service: &ids::ServiceId, task: TaskKey, pending: usize) {
+fn explain(cx: &mut State, job: &Job, service: &ids::ServiceId, task: TaskKey, pending: usize) {
     let now = cx.now;
     let Some(waited) = cx.task(task).map(|t| now.since(t.since)) else { return };
     let round = cx.jobs.get_mut(&task.job).and_then(|e| e.round_mut(task.round));
@@ -307,7 +307,7 @@
 }
 
 /// Counts another start of a task and returns its run.
-fn next_run(cx: &mut Context, task: TaskKey) -> Run {
+fn next_run(cx: &mut State, task: TaskKey) -> Run {
     let found = cx.task_mut(task);
     let starts = found.map_or(1, |t| {
         t.starts += 1;
@@ -317,7 +317,7 @@
 }
 
 /// Takes the room for a run and holds the task to be there from now on.
-pub fn reserve(cx: &mut Context, ix: WorkerIx, task: TaskKey, run: Run) {
+pub fn reserve(cx: &mut State, ix: WorkerIx, task: TaskKey, run: Run) {
     let now = cx.now;
     lifecycle::leave_pending(cx, task);
     let (phase, percent, reading) = (Phase::Starting, 0, None);
--- a/crates/sched/src/doubts.rs
+++ b/crates/sched/src/doubts.rs
@@ -9,8 +9,8 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::Instant;
 
-use crate::context::Context;
 use crate::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
+use crate::state::State;
 use crate::trace;
 use crate::worker::{Slot, Worker};
 
@@ -33,7 +33,7 @@
 }
 
 /// Sends the stops that are due to a worker that answers.
-pub fn settle(cx: &mut Context, ix: WorkerIx) {
+pub fn settle(cx: &mut State, ix: WorkerIx) {
     let (now, retry) = (cx.now, cx.settings.stop_retry);
     let worker = cx.worker_mut(ix);
     if !worker.answers() {
@@ -55,7 +55,7 @@
 
 /// Takes in what became of a stop, which may be one for a run in doubt.
 pub fn stopped(
-    cx: &mut Context,
+    cx: &mut State,
     ix: WorkerIx,
     key: TaskKey,
     run: Run,
--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/drain.rs
@@ -7,8 +7,8 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::context::Context;
 use crate::message::{Run, WorkerIx};
+use crate::state::State;
 use crate::worker::{Listing, Phase, Worker};
 use crate::{availability, lifecycle};
 
@@ -30,7 +30,7 @@
 }
 
 /// Stops what must leave a departing worker.
-pub fn check(cx: &mut Context) {
+pub fn check(cx: &mut State) {
     for ix in cx.worker_ixs() {
         let worker = cx.worker(ix);
         if worker.slots.is_empty() || worker.missed > 0 {
@@ -46,7 +46,7 @@
 }
 
 /// Tells whether and how a worker is leaving.
-fn departure(cx: &Context, worker: &Worker) -> Option<Departure> {
+fn departure(cx: &State, worker: &Worker) -> Option<Departure> {
     let before = cx.settings.stop_limit.0 + LAST_STOPS_MARGIN.0;
     let last_call = |from: Instant, stays: Millis| from + Millis(stays.0.saturating_sub(before));
     match worker.listing {
@@ -69,7 +69,7 @@
 
 /// Lists the runs that must leave a departing worker now. A worker that said nothing may stay, so
 /// there only what loses little by it leaves early.
-fn to_stop(cx: &Context, ix: WorkerIx, departure: Departure) -> Vec<(TaskKey, Run)> {
+fn to_stop(cx: &State, ix: WorkerIx, departure: Departure) -> Vec<(TaskKey, Run)> {
     let worker = cx.worker(ix);
     let running = worker.slots.iter().filter(|(_, slot)| slot.phase == Phase::Running);
     let last_call = cx.now >= departure.last_call;
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/ends.rs
@@ -4,8 +4,8 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::Millis;
 
-use crate::context::Context;
 use crate::message::{End, How, Run, WorkerIx};
+use crate::state::State as Context;
 use crate::table::TaskState;
 use crate::{commits, lifecycle, speed, trace};
 
--- a/crates/sched/src/evacuation.rs
+++ b/crates/sched/src/evacuation.rs
@@ -11,8 +11,8 @@
 
 use gaplock_types::ids;
 
-use crate::context::Context;
 use crate::message::WorkerIx;
+use crate::state::State;
 use crate::trace;
 
 /// The operators' word on which failure domains are evacuated, as it lay in the store at one revision.
@@ -25,7 +25,7 @@
 }
 
 /// Takes in what the store says; an older reading changes nothing.
-pub fn read(cx: &mut Context, evacuated: Evacuated) {
+pub fn read(cx: &mut State, evacuated: Evacuated) {
     if evacuated.revision < cx.evacuated.revision {
         return;
     }
@@ -46,13 +46,13 @@
 }
 
 /// Marks a worker by the domain that it says it is in.
-pub fn mark(cx: &mut Context, ix: WorkerIx) {
+pub fn mark(cx: &mut State, ix: WorkerIx) {
     let evacuated = cx.evacuated.domains.contains(&cx.worker(ix).info.domain);
     cx.worker_mut(ix).evacuated = evacuated;
 }
 
 /// Counts the runs at the workers of a domain.
-pub fn running_in(cx: &Context, domain: &ids::DomainId) -> usize {
+pub fn running_in(cx: &State, domain: &ids::DomainId) -> usize {
     let there = cx.workers.iter().filter(|w| !w.gone && w.info.domain == *domain);
     there.map(|w| w.slots.len()).sum()
 }
--- a/crates/sched/src/gangs.rs
+++ b/crates/sched/src/gangs.rs
@@ -9,10 +9,10 @@
 use gaplock_jobs::{Job, TaskKey};
 use gaplock_types::ids;
 
-use crate::context::Context;
 use crate::message::{Run, WorkerIx};
 use crate::placement::{self, Wanted};
 use crate::proof::Proof;
+use crate::state::State as Context;
 use crate::table::ReadyStep;
 use crate::{dispatch, lifecycle, orders, permits};
 
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/intake.rs
@@ -7,13 +7,13 @@
 use gaplock_jobs::{config, Job, JobKey};
 use gaplock_types::time::{Instant, Millis};
 
-use crate::context::Context;
 use crate::message::Record;
+use crate::state::State;
 use crate::table::{Entry, Round};
 use crate::{commits, directory, lifecycle, permits, takeover, trace};
 
 /// Takes a version of the configuration into force; an older one is ignored.
-pub fn config(cx: &mut Context, config: Arc<config::Config>) {
+pub fn config(cx: &mut State, config: Arc<config::Config>) {
     if cx.config.as_ref().is_some_and(|c| c.version >= config.version) {
         return;
     }
@@ -36,7 +36,7 @@
 const ALLOWED_MOST: Millis = Millis(315_360_000_000);
 
 /// Builds the entry of a job that nothing is known to have happened to.
-pub fn entry(cx: &Context, job: Arc<Job>) -> Entry {
+pub fn entry(cx: &State, job: Arc<Job>) -> Entry {
     let queue = cx.config.as_ref().and_then(|c| c.queue(&job.queue));
     let chain = longest_chain(&job);
     let stretch = queue.map_or(1.0, |q| q.stretch);
@@ -68,7 +68,7 @@
 }
 
 /// Takes in a stored job; one that is known already changes nothing.
-pub fn job(cx: &mut Context, job: Arc<Job>) {
+pub fn job(cx: &mut State, job: Arc<Job>) {
     let key = job.key;
     if cx.jobs.contains_key(&key) {
         return;
@@ -80,7 +80,7 @@
 }
 
 /// Begins the rounds of a job that are due.
-fn begin_rounds(cx: &mut Context, key: JobKey) {
+fn begin_rounds(cx: &mut State, key: JobKey) {
     loop {
         let unix_ms = cx.unix_ms;
         let Some(entry) = cx.jobs.get_mut(&key) else { return };
@@ -102,7 +102,7 @@
 }
 
 /// Begins every round that has fallen due.
-pub fn begin_due_rounds(cx: &mut Context) {
+pub fn begin_due_rounds(cx: &mut State) {
     if takeover::is_all_in_doubt(cx) {
         return;
     }
@@ -115,12 +115,12 @@
 }
 
 /// Takes in a stored cancellation.
-pub fn cancel(cx: &mut Context, key: JobKey) {
+pub fn cancel(cx: &mut State, key: JobKey) {
     lifecycle::end_job(cx, key, JobState::Cancelled);
 }
 
 /// Drops jobs whose final state has been kept for long enough.
-pub fn forget_finished(cx: &mut Context) {
+pub fn forget_finished(cx: &mut State) {
     let keep = cx.settings.keep_finished.0;
     let unix_ms = cx.unix_ms;
     let old =
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/leases.rs
@@ -5,15 +5,15 @@
 
 use gaplock_jobs::TaskKey;
 
-use crate::context::Context;
 use crate::message::{Run, WorkerClock, WorkerIx};
 use crate::proof::Proof;
+use crate::state::State;
 use crate::worker::Slot;
 use crate::{crashes, doubts, lifecycle, roster, takeover, trace};
 
 /// Gives up the runs of workers that are silent or refuse stops once their leases are certainly
 /// over, and workers that are neither listed nor answering.
-pub fn check(cx: &mut Context) {
+pub fn check(cx: &mut State) {
     let now = cx.now;
     let (drift, lease) = (cx.settings.drift_per_mille, cx.settings.lease());
     for ix in cx.worker_ixs() {
@@ -41,7 +41,7 @@
 }
 
 /// Remembers the runs at a worker that may still begin there once it gets leases again.
-fn keep_doubts(cx: &mut Context, ix: WorkerIx) {
+fn keep_doubts(cx: &mut State, ix: WorkerIx) {
     let worker = cx.worker_mut(ix);
     let slots: Vec<(TaskKey, Slot)> = worker.slots.iter().map(|(k, s)| (*k, s.clone())).collect();
     for (key, slot) in &slots {
@@ -50,7 +50,7 @@
 }
 
 /// Gives up every run at a worker.
-fn free_all(cx: &mut Context, ix: WorkerIx, proof: Proof) {
+fn free_all(cx: &mut State, ix: WorkerIx, proof: Proof) {
     let slots: Vec<(TaskKey, Run)> =
         cx.worker(ix).slots.iter().map(|(key, slot)| (*key, slot.run)).collect();
     if !slots.is_empty() {
@@ -62,7 +62,7 @@
 }
 
 /// Forgets a worker whose incarnation certainly runs nothing any more.
-pub fn give_up(cx: &mut Context, ix: WorkerIx) {
+pub fn give_up(cx: &mut State, ix: WorkerIx) {
     crashes::worker_lost(cx, ix, true);
     crashes::worker_gone(cx, ix);
     free_all(cx, ix, Proof::WorkerGone);
@@ -83,7 +83,7 @@
 
 /// Returns the end of a lease at a worker that begins now, and remembers it as granted; none while
 /// the worker's leases are left to end.
-pub fn grant(cx: &mut Context, ix: WorkerIx) -> Option<WorkerClock> {
+pub fn grant(cx: &mut State, ix: WorkerIx) -> Option<WorkerClock> {
     let (now, lease) = (cx.now, cx.settings.lease());
     let worker = cx.worker_mut(ix);
     if worker.is_left_to_lapse() {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod searches;
 pub mod settings;
 pub mod speed;
+pub mod state;
 pub mod stragglers;
 pub mod table;
 pub mod takeover;
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -7,10 +7,10 @@
 use gaplock_policy::tries::Tries;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::context::Context;
 use crate::message::{Action, Run, WorkerIx};
 use crate::pacing::{self, GivenPaces, FULL_PACE};
 use crate::proof::Proof;
+use crate::state::State as Context;
 use crate::table::{self, Entry, ReadyStep, Round, Task, TaskState};
 use crate::worker::{Part, Phase, Slot};
 use crate::{commits, room, trace};
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -10,11 +10,11 @@
 use gaplock_policy::tries::Fate;
 use gaplock_types::time::Millis;
 
-use crate::context::Context;
 use crate::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
 use crate::permits::StepKey;
 use crate::proof::Proof;
 use crate::speed::Mark;
+use crate::state::State as Context;
 use crate::worker::Phase;
 use crate::{doubts, leases, lifecycle, pacing, permits, trace};
 
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -14,8 +14,8 @@
 
 use gaplock_types::time::Millis;
 
-use crate::context::Context;
 use crate::message::WorkerIx;
+use crate::state::State;
 use crate::trace;
 
 pub use filling::part_of;
@@ -44,7 +44,7 @@
 const LEAST_PUSH: f64 = 0.02;
 
 /// Takes in a worker's fresh readings: learns from them, then sets the paces that they ask for.
-pub fn observe(cx: &mut Context, ix: WorkerIx) {
+pub fn observe(cx: &mut State, ix: WorkerIx) {
     readings::learn(cx, ix);
     refresh(cx, ix);
     paces::watch_targets(cx, ix);
--- a/crates/sched/src/pacing/filling.rs
+++ b/crates/sched/src/pacing/filling.rs
@@ -5,12 +5,12 @@
 
 use super::model::{Column, Served};
 use super::{FULL_PACE, SETTLE};
-use crate::context::Context;
 use crate::message::Run;
+use crate::state::State;
 use crate::worker::{Part, Phase, Slot, Worker};
 
 /// Returns what a step's tasks are to each other on a worker.
-pub fn part_of(cx: &mut Context, step: &Step) -> Part {
+pub fn part_of(cx: &mut State, step: &Step) -> Part {
     let image = step.image.as_deref().unwrap_or_default();
     if step.fills {
         return Part::Filling(cx.pacing.column(image));
--- a/crates/sched/src/pacing/moving.rs
+++ b/crates/sched/src/pacing/moving.rs
@@ -5,9 +5,9 @@
 use rustc_hash::FxHashSet;
 
 use super::model::Column;
-use crate::context::Context;
 use crate::message::{Run, WorkerIx};
 use crate::searches::{self, Searches};
+use crate::state::State;
 use crate::worker::{Part, Phase, Slot};
 use crate::{lifecycle, placement};
 
@@ -28,7 +28,7 @@
 
 /// Moves filling tasks that have been slowed down for long to a worker where they disturb nobody. Returns
 /// how many searches that took.
-pub fn check(cx: &mut Context) -> usize {
+pub fn check(cx: &mut State) -> usize {
     let searches = searches::open(cx.workers.len());
     let mut search = Search { searches, taken: FxHashSet::default(), without: Vec::new() };
     for ix in searches::in_turn(cx.worker_ixs(), cx.places_from.0) {
@@ -46,7 +46,7 @@
 }
 
 /// Lists the filling tasks at a worker that have been slowed down for long, with what they press with.
-fn stuck(cx: &Context, ix: WorkerIx) -> Vec<(TaskKey, Run, Column, u32)> {
+fn stuck(cx: &State, ix: WorkerIx) -> Vec<(TaskKey, Run, Column, u32)> {
     let now = cx.now;
     let slow = |slot: &Slot| {
         slot.phase == Phase::Running
@@ -64,7 +64,7 @@
     /// Tells whether a task that can resume elsewhere would find another worker at once.
     fn finds_better_place(
         &mut self,
-        cx: &Context,
+        cx: &State,
         here: WorkerIx,
         key: TaskKey,
         pressing: (Column, u32),
--- a/crates/sched/src/pacing/paces.rs
+++ b/crates/sched/src/pacing/paces.rs
@@ -9,8 +9,8 @@
 use super::model::{Model, Row};
 use super::placing;
 use super::{FULL_PACE, LEAST_PUSH};
-use crate::context::Context;
 use crate::message::{Action, Run, WorkerIx};
+use crate::state::State;
 use crate::trace;
 use crate::worker::{Part, Phase, Worker};
 
@@ -23,7 +23,7 @@
 const GUARDED_AHEAD_S: f64 = 0.5;
 
 /// Lowers the pace of what disturbs a serving task too much, and raises it again.
-pub fn set_paces(cx: &mut Context, ix: WorkerIx) {
+pub fn set_paces(cx: &mut State, ix: WorkerIx) {
     let now = cx.now;
     let worker = cx.worker(ix);
     let mut tasks = filling::filling_tasks(worker, now);
@@ -77,7 +77,7 @@
 
 /// Halts fillers beside a serving task that stays over its target: first what may press on it by
 /// the model, then, whatever the model says, everything.
-fn halt(cx: &Context, worker: &Worker, filling: &mut [FillingTask]) {
+fn halt(cx: &State, worker: &Worker, filling: &mut [FillingTask]) {
     let suspected_after = part_of(cx.settings.tail_excess, HALT_SUSPECTED_AFTER);
     let all_after = part_of(cx.settings.tail_excess, HALT_ALL_AFTER);
     for slot in worker.slots.values() {
@@ -111,7 +111,7 @@
 
 /// Notes since when each serving task's readings have been over its target. Where the excess has
 /// outlasted both stages of halting, its cause lies elsewhere and the time begins anew.
-pub(super) fn watch_targets(cx: &mut Context, ix: WorkerIx) {
+pub(super) fn watch_targets(cx: &mut State, ix: WorkerIx) {
     let now = cx.now;
     let halt_over = part_of(cx.settings.tail_excess, HALT_OVER);
     for slot in cx.worker_mut(ix).slots.values_mut() {
@@ -146,7 +146,7 @@
 /// Orders a task's pace, unless the change is not worth a call or an order is on its way. The pace
 /// of a run in doubt is ordered though it was confirmed before: an older order may have undone it
 /// since.
-fn order_pace(cx: &mut Context, ix: WorkerIx, wanted: &FillingTask) {
+fn order_pace(cx: &mut State, ix: WorkerIx, wanted: &FillingTask) {
     let now = cx.now;
     let again_after = part_of(cx.settings.tail_excess, AGAIN_AFTER);
     let worker = cx.worker_mut(ix);
@@ -173,7 +173,7 @@
 }
 
 /// Takes in what became of an order of pace.
-pub fn paced(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, percent: u32, fate: Fate) {
+pub fn paced(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run, percent: u32, fate: Fate) {
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key).filter(|s| s.run == run) else {
         return;
     };
--- a/crates/sched/src/pacing/placing.rs
+++ b/crates/sched/src/pacing/placing.rs
@@ -12,8 +12,8 @@
 use super::filling::{self, FillingTask};
 use super::model::Row;
 use super::{CROWDED_SHARE, LEAST_PUSH};
-use crate::context::Context;
 use crate::message::WorkerIx;
+use crate::state::State;
 use crate::worker::{Part, Worker};
 
 /// Part of its target that a serving task's expected tail may reach when a task is placed beside
@@ -30,7 +30,7 @@
 
 /// Recomputes how much more pressure the serving tasks on a worker bear, by their image. What is slowed
 /// down counts with its full pace, to which it is to come back before others join it.
-pub fn refresh(cx: &mut Context, ix: WorkerIx) {
+pub fn refresh(cx: &mut State, ix: WorkerIx) {
     let now = cx.now;
     let worker = cx.worker(ix);
     let tasks = filling::filling_tasks(worker, now);
@@ -61,7 +61,7 @@
 
 /// Returns the share of a worker's processors that more filling tasks may use: what serving tasks
 /// at their expected load, short tasks and filling tasks leave.
-fn spare_filling(cx: &Context, worker: &Worker) -> f64 {
+fn spare_filling(cx: &State, worker: &Worker) -> f64 {
     let cores = f64::from(worker.info.capacity.cpu.0.max(1));
     let mut busy = 0.0;
     for (key, slot) in &worker.slots {
@@ -80,7 +80,7 @@
 
 /// Returns how much placing a step's task on a worker would disturb, against one worker of free
 /// room, or nothing where it must not be placed there yet.
-pub fn placement_cost(cx: &Context, worker: &Worker, step: &Step, waited: Millis) -> Option<f64> {
+pub fn placement_cost(cx: &State, worker: &Worker, step: &Step, waited: Millis) -> Option<f64> {
     if step.fills {
         return filling_cost(cx, worker, step, waited);
     }
@@ -117,7 +117,7 @@
 const PRESSURE_COST: f64 = 6.0;
 
 /// Returns what placing a filling task costs by its push on what serves there.
-fn filling_cost(cx: &Context, worker: &Worker, step: &Step, waited: Millis) -> Option<f64> {
+fn filling_cost(cx: &State, worker: &Worker, step: &Step, waited: Millis) -> Option<f64> {
     let image = step.image.as_deref().unwrap_or_default();
     let column = cx.pacing.known_column(image);
     let share = f64::from(step.demand.cpu.0) / f64::from(worker.info.capacity.cpu.0.max(1));
@@ -152,7 +152,7 @@
 
 /// Returns what placing a serving task costs by the push of what fills there; negative beside
 /// tasks of its own image.
-fn serving_cost(cx: &Context, worker: &Worker, step: &Step) -> f64 {
+fn serving_cost(cx: &State, worker: &Worker, step: &Step) -> f64 {
     let image = step.image.as_deref().unwrap_or_default();
     let row = cx.pacing.known_row(image);
     let cores = f64::from(worker.info.capacity.cpu.0.max(1));
--- a/crates/sched/src/pacing/readings.rs
+++ b/crates/sched/src/pacing/readings.rs
@@ -6,14 +6,14 @@
 use super::model::{Column, Served};
 use super::{CROWDED_SHARE, SETTLE};
 use crate::commits;
-use crate::context::Context;
 use crate::message::{Record, WorkerIx};
+use crate::state::State;
 use crate::worker::Part;
 
 /// Takes in readings. All tasks of a lasting job carry the same load, which swings within seconds,
 /// so how far readings lie above the model is remembered by job and not by task. On a slow worker
 /// tails are long whatever fills beside them, so nothing is learnt there.
-pub(super) fn learn(cx: &mut Context, ix: WorkerIx) {
+pub(super) fn learn(cx: &mut State, ix: WorkerIx) {
     let now = cx.now;
     let worker = cx.worker(ix);
     if now.since(worker.filling_ended) < SETTLE {
@@ -52,7 +52,7 @@
 
 /// Takes in what serving tasks that nothing fills beside tell of their worker: the tasks of one
 /// job carry one load, so one with a much longer tail is on a slow worker.
-fn judge_speed(cx: &mut Context, ix: WorkerIx, tails: &[(Served, f64)]) {
+fn judge_speed(cx: &mut State, ix: WorkerIx, tails: &[(Served, f64)]) {
     let now = cx.now;
     for (served, tail_ms) in tails {
         let load = cx.pacing.load(served.job, now, 0.0);
@@ -66,7 +66,7 @@
 const KEEP_LEARNT_EVERY: Millis = Millis(4_000);
 
 /// Stores what was learnt now and then.
-pub fn keep_learnt(cx: &mut Context) {
+pub fn keep_learnt(cx: &mut State) {
     if cx.now.since(cx.learnt_kept) < KEEP_LEARNT_EVERY {
         return;
     }
--- a/crates/sched/src/permits.rs
+++ b/crates/sched/src/permits.rs
@@ -11,8 +11,8 @@
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use crate::context::Context;
 use crate::message::{Action, Permit, WorkerIx};
+use crate::state::State;
 use crate::table::ReadyStep;
 use crate::trace;
 
@@ -74,18 +74,18 @@
 const FAILED_PAUSE: Millis = Millis(200);
 
 /// Tells whether a step may run on a worker now; always, where its queue asks nobody.
-pub fn allows(cx: &Context, advice: Option<&Advice>, step: StepKey, ix: WorkerIx) -> bool {
+pub fn allows(cx: &State, advice: Option<&Advice>, step: StepKey, ix: WorkerIx) -> bool {
     advice.is_none() || ticket(cx, step, ix).is_some()
 }
 
 /// Returns the ticket for a step on a worker, if one holds.
-pub fn ticket(cx: &Context, step: StepKey, ix: WorkerIx) -> Option<String> {
+pub fn ticket(cx: &State, step: StepKey, ix: WorkerIx) -> Option<String> {
     let (ticket, until) = cx.permits.steps.get(&step)?.tickets.get(&ix)?;
     (*until > cx.now).then(|| ticket.clone())
 }
 
 /// Asks for workers on which a step may run, unless an answer is awaited already.
-pub fn ask(cx: &mut Context, ready: ReadyStep, pending: usize) {
+pub fn ask(cx: &mut State, ready: ReadyStep, pending: usize) {
     let step = StepKey::of_ready(ready);
     let now = cx.now;
     let known = cx.permits.steps.entry(step).or_default();
@@ -104,7 +104,7 @@
 }
 
 /// Returns the workers with most room that are not known to be denied and have no ticket.
-fn candidates(cx: &Context, step: StepKey, pending: usize) -> Vec<WorkerIx> {
+fn candidates(cx: &State, step: StepKey, pending: usize) -> Vec<WorkerIx> {
     let known = cx.permits.steps.get(&step);
     let fresh = |ix: &WorkerIx| {
         let denied = known.is_some_and(|k| k.denied.contains(ix));
@@ -122,7 +122,7 @@
 
 /// Takes in an answer, or that none came.
 pub fn advised(
-    cx: &mut Context,
+    cx: &mut State,
     step: StepKey,
     asked: &[WorkerIx],
     sent: Instant,
@@ -148,13 +148,13 @@
 }
 
 /// Forgets a ticket that a worker did not take.
-pub fn refused(cx: &mut Context, step: StepKey, ix: WorkerIx) {
+pub fn refused(cx: &mut State, step: StepKey, ix: WorkerIx) {
     if let Some(known) = cx.permits.steps.get_mut(&step) {
         known.tickets.remove(&ix);
     }
 }
 
 /// Forgets everything about a job.
-pub fn forget(cx: &mut Context, job: JobKey) {
+pub fn forget(cx: &mut State, job: JobKey) {
     cx.permits.steps.retain(|step, _| step.job != job);
 }
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -6,12 +6,12 @@
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 
-use crate::context::Context;
 use crate::crashes::trials;
 use crate::message::WorkerIx;
 use crate::pacing;
 use crate::permits::{self, StepKey};
 use crate::room;
+use crate::state::State;
 use crate::table;
 use crate::worker::{Part, Worker};
 
@@ -117,7 +117,7 @@
 }
 
 /// Counts why no worker gets a task.
-pub fn explain(cx: &Context, wanted: &Wanted<'_>) -> UnfitCounts {
+pub fn explain(cx: &State, wanted: &Wanted<'_>) -> UnfitCounts {
     let mut counts = UnfitCounts::default();
     for (at, worker) in cx.workers.iter().enumerate() {
         let unfit = match fits(cx, WorkerIx(at as u32), wanted) {
@@ -148,7 +148,7 @@
 }
 
 /// Finds the best worker that has room, if any.
-pub fn choose(cx: &Context, wanted: &Wanted<'_>) -> Option<WorkerIx> {
+pub fn choose(cx: &State, wanted: &Wanted<'_>) -> Option<WorkerIx> {
     let mut best: Option<(f64, WorkerIx)> = None;
     for ix in (0..cx.workers.len() as u32).map(WorkerIx) {
         let Some(score) = value(cx, ix, wanted) else { continue };
@@ -160,13 +160,13 @@
 }
 
 /// Returns how good a place a worker is for a task, or nothing where it cannot start there now.
-pub fn value(cx: &Context, ix: WorkerIx, wanted: &Wanted<'_>) -> Option<f64> {
+pub fn value(cx: &State, ix: WorkerIx, wanted: &Wanted<'_>) -> Option<f64> {
     fits(cx, ix, wanted).ok()?;
     score(cx, ix, cx.worker(ix), wanted)
 }
 
 /// Finds a worker that is not `here` on which a task that runs there could start at once.
-pub fn elsewhere(cx: &Context, here: WorkerIx, key: TaskKey) -> Option<WorkerIx> {
+pub fn elsewhere(cx: &State, here: WorkerIx, key: TaskKey) -> Option<WorkerIx> {
     let entry = cx.jobs.get(&key.job)?;
     let step = entry.step(key)?;
     let queue = cx.config.as_ref()?.queue(&entry.job.queue)?;
@@ -177,7 +177,7 @@
 }
 
 /// Checks whether a worker may and can run the task.
-pub fn fits(cx: &Context, ix: WorkerIx, wanted: &Wanted<'_>) -> Result<(), Unfit> {
+pub fn fits(cx: &State, ix: WorkerIx, wanted: &Wanted<'_>) -> Result<(), Unfit> {
     let worker = cx.worker(ix);
     let takes = table::takes(wanted.step);
     if worker.gone || worker.info.service != *wanted.service {
@@ -252,7 +252,7 @@
 
 /// Returns how good a place a worker is for the task, in whole workers, or nothing
 /// where the task would disturb too much yet.
-fn score(cx: &Context, ix: WorkerIx, worker: &Worker, wanted: &Wanted<'_>) -> Option<f64> {
+fn score(cx: &State, ix: WorkerIx, worker: &Worker, wanted: &Wanted<'_>) -> Option<f64> {
     let mut score =
         if wanted.step.fills { spread(worker) } else { room::tightness(worker, wanted.step) };
     let in_rack = |rack: &String| worker.info.labels.contains(rack);
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -3,14 +3,14 @@
 
 use gaplock_types::time::{Instant, Millis};
 
-use crate::context::Context;
 use crate::crashes::{self, trials};
 use crate::message::{Account, Action, Outcome, Refusal, WorkerIx};
+use crate::state::State;
 use crate::worker::Renewal;
 use crate::{account, commits, doubts, leases, pacing, roster, takeover, trace};
 
 /// Sends every renewal that is due.
-pub fn send_due(cx: &mut Context) {
+pub fn send_due(cx: &mut State) {
     let now = cx.now;
     for ix in 0..cx.workers.len() {
         let worker = &cx.workers[ix];
@@ -22,7 +22,7 @@
 }
 
 /// Sends one renewal; it waits at the worker for an end where nothing is more pressing.
-fn send(cx: &mut Context, ix: WorkerIx) {
+fn send(cx: &mut State, ix: WorkerIx) {
     // A worker that does not answer is only asked: a grant that may have arrived would put off the
     // time from which its tasks are certainly over.
     let until = if cx.worker(ix).missed == 0 { leases::grant(cx, ix) } else { None };
@@ -59,7 +59,7 @@
 /// Returns the wait of a worker's renewal, or the time until an idle worker's next one. The first ones
 /// after a takeover differ from worker to worker, from a quarter of the wait on, since all workers were asked at one time and would answer
 /// at one time ever after.
-fn spread(cx: &Context, ix: WorkerIx, wait: Millis) -> Millis {
+fn spread(cx: &State, ix: WorkerIx, wait: Millis) -> Millis {
     let recent = cx.worker(ix).answered.is_some_and(|at| cx.now.since(at) < wait);
     if !recent {
         return wait;
@@ -74,7 +74,7 @@
 const SHARED_WAIT: Millis = Millis(350);
 
 /// Takes in what became of a renewal.
-pub fn renewed(cx: &mut Context, ix: WorkerIx, sent: Instant, outcome: Outcome<Account>) {
+pub fn renewed(cx: &mut State, ix: WorkerIx, sent: Instant, outcome: Outcome<Account>) {
     // What an incarnation said before it was known to be over speaks of runs that are over too; nobody
     // would look for their ends. One that is listed again is asked anew.
     if cx.worker(ix).gone {
@@ -103,7 +103,7 @@
 const MISSED_PAUSES: u64 = 4;
 
 /// Takes in that a renewal got no account, and puts off the next one.
-fn missed(cx: &mut Context, ix: WorkerIx) {
+fn missed(cx: &mut State, ix: WorkerIx) {
     let (now, retry) = (cx.now, cx.settings.renew_retry);
     let worker = cx.worker_mut(ix);
     worker.missed += 1;
@@ -119,7 +119,7 @@
 const REFUSED_RETRY: Millis = Millis(50);
 
 /// Takes in that the last renewal was refused, by a worker that is unwell but answers.
-fn refused(cx: &mut Context, ix: WorkerIx) {
+fn refused(cx: &mut State, ix: WorkerIx) {
     let now = cx.now;
     let worker = cx.worker_mut(ix);
     worker.refuses = true;
@@ -129,7 +129,7 @@
 }
 
 /// Takes in a worker's account.
-fn answered(cx: &mut Context, ix: WorkerIx, sent: Instant, account: Account) {
+fn answered(cx: &mut State, ix: WorkerIx, sent: Instant, account: Account) {
     let now = cx.now;
     if cx.worker(ix).missed > 0 {
         trace::worker_back(&cx.worker(ix).info.id, cx.worker(ix).missed);
@@ -152,7 +152,7 @@
 }
 
 /// Sets when the next renewal is due: at once where something runs, since it waits at the worker.
-fn schedule_next(cx: &mut Context, ix: WorkerIx) {
+fn schedule_next(cx: &mut State, ix: WorkerIx) {
     let now = cx.now;
     let poll = wait_for(cx.settings.poll_every, cx.workers.len());
     let idle = spread(cx, ix, cx.settings.idle_renew_every);
--- a/crates/sched/src/room.rs
+++ b/crates/sched/src/room.rs
@@ -22,8 +22,8 @@
 use gaplock_types::sizes::MilliCores;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::context::Context;
 use crate::message::WorkerIx;
+use crate::state::State;
 use crate::worker::Worker;
 
 /// How long a worker stays kept after a short task has begun or ended there: somewhat longer than a
@@ -52,7 +52,7 @@
 }
 
 /// Adds up what is free.
-pub fn free(cx: &Context) -> Free {
+pub fn free(cx: &State) -> Free {
     let taking = cx.workers.iter().filter(|w| w.takes_tasks(cx.now));
     let free = taking.map(|w| w.info.capacity.minus(&w.used).cpu);
     free.fold(Free::default(), |sum, cpu| Free {
@@ -75,7 +75,7 @@
 }
 
 /// Tells whether a worker's room is kept for short tasks.
-pub fn is_kept(cx: &Context, worker: &Worker) -> bool {
+pub fn is_kept(cx: &State, worker: &Worker) -> bool {
     let within = |at: &Instant, span| cx.now.since(*at) < span;
     worker.short_changed.is_some_and(|at| within(&at, KEPT_FOR))
         && cx.short_waited.get(&worker.info.service).is_some_and(|at| within(at, SCARCE_FOR))
@@ -94,7 +94,7 @@
 }
 
 /// Takes in that a short task has found no room in its pool.
-pub fn short_waits(cx: &mut Context, pool: &ids::ServiceId) {
+pub fn short_waits(cx: &mut State, pool: &ids::ServiceId) {
     let now = cx.now;
     match cx.short_waited.get_mut(pool) {
         Some(at) => *at = now,
@@ -105,7 +105,7 @@
 }
 
 /// Takes in that a run of a step has begun or ended at a worker.
-pub fn changed(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+pub fn changed(cx: &mut State, ix: WorkerIx, key: TaskKey) {
     let now = cx.now;
     if cx.step(key).is_some_and(is_short) {
         cx.worker_mut(ix).short_changed = Some(now);
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -7,8 +7,8 @@
 
 use gaplock_jobs::TaskKey;
 
-use crate::context::Context;
 use crate::message::{Record, RosterEntry, WorkerIx};
+use crate::state::State;
 use crate::worker::{Listing, Worker};
 use crate::{commits, crashes, trace};
 
@@ -17,7 +17,7 @@
 const CLOSED_AFTER_MISSED: u32 = 2;
 
 /// Closes the workers that are silent, and those that are leaving and run nothing any more.
-pub fn check(cx: &mut Context) {
+pub fn check(cx: &mut State) {
     for ix in cx.worker_ixs() {
         if should_close(cx.worker(ix)) {
             close(cx, ix);
@@ -37,7 +37,7 @@
 
 /// Gives a worker no tasks from now on and stores what may still run there, or takes it off the roster
 /// where that is nothing: a successor then need not wait for it.
-fn close(cx: &mut Context, ix: WorkerIx) {
+fn close(cx: &mut State, ix: WorkerIx) {
     let worker = cx.worker_mut(ix);
     worker.in_roster = false;
     worker.roster_pending = false;
@@ -55,7 +55,7 @@
 }
 
 /// Takes a worker off the roster that certainly runs nothing any more.
-pub fn forget(cx: &mut Context, ix: WorkerIx) {
+pub fn forget(cx: &mut State, ix: WorkerIx) {
     let worker = cx.worker_mut(ix);
     if worker.forgotten {
         return;
@@ -66,14 +66,14 @@
 }
 
 /// Takes a closed worker off the roster once the leases of all that it may have run are over.
-pub fn lapsed(cx: &mut Context, ix: WorkerIx) {
+pub fn lapsed(cx: &mut State, ix: WorkerIx) {
     if cx.worker(ix).closed && !cx.worker(ix).forgotten {
         close(cx, ix);
     }
 }
 
 /// Opens a worker that may be given tasks, unless it is open.
-pub fn open(cx: &mut Context, ix: WorkerIx) {
+pub fn open(cx: &mut State, ix: WorkerIx) {
     let worker = cx.worker(ix);
     let able = worker.listing == Listing::Ready && worker.missed == 0 && worker.answered.is_some();
     if able && !worker.gone && !worker.in_roster && !worker.roster_pending {
--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/speed.rs
@@ -7,9 +7,9 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::context::Context;
 use crate::message::WorkerIx;
 use crate::pacing::FULL_PACE;
+use crate::state::State;
 use crate::worker::{Part, Phase, Slot};
 
 /// A run's progress at one time.
@@ -123,7 +123,7 @@
 const READ_USE_LEAST: f64 = 0.8;
 
 /// Takes in a run's progress from its worker's account.
-pub fn observe(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+pub fn observe(cx: &mut State, ix: WorkerIx, key: TaskKey) {
     // A lasting task comes along only while it starts.
     if cx.step(key).is_some_and(|step| step.lasting) {
         return;
@@ -136,7 +136,7 @@
 }
 
 /// Takes in that a run has done its work.
-pub fn observe_end(cx: &mut Context, ix: WorkerIx, key: TaskKey, slot: &Slot) {
+pub fn observe_end(cx: &mut State, ix: WorkerIx, key: TaskKey, slot: &Slot) {
     let Some(mark) = slot.mark else { return };
     let span = cx.now.since(mark.at);
     let left = WHOLE_PERCENT.saturating_sub(mark.percent);
@@ -148,7 +148,7 @@
 }
 
 /// Keeps a run's rate for its step, and holds its worker against the other tasks' rates.
-fn note(cx: &mut Context, ix: WorkerIx, key: TaskKey, rate: f64, typical: Option<f64>) {
+fn note(cx: &mut State, ix: WorkerIx, key: TaskKey, rate: f64, typical: Option<f64>) {
     let now = cx.now;
     if let Some(step) = cx.step_state_mut(key) {
         step.rates.note(key.index, rate);
--- a/crates/sched/src/stragglers.rs
+++ b/crates/sched/src/stragglers.rs
@@ -7,8 +7,8 @@
 use gaplock_jobs::{Step, TaskKey};
 use gaplock_types::time::Millis;
 
-use crate::context::Context;
 use crate::message::{Run, WorkerIx};
+use crate::state::State;
 use crate::table::TaskState;
 use crate::worker::{Part, Phase, Slot};
 use crate::{availability, lifecycle, placement, searches, speed, trace};
@@ -32,7 +32,7 @@
 
 /// Starts tasks again elsewhere that would take much longer on their slow worker. Returns how many searches
 /// that took.
-pub fn check(cx: &mut Context) -> usize {
+pub fn check(cx: &mut State) -> usize {
     let mut searches = searches::open(cx.workers.len());
     for ix in searches::in_turn(cx.worker_ixs(), cx.places_from.1) {
         let worker = cx.worker(ix);
@@ -56,7 +56,7 @@
 }
 
 /// Tells whether a run is better off elsewhere.
-fn is_straggler(cx: &Context, ix: WorkerIx, key: TaskKey, slot: &Slot) -> bool {
+fn is_straggler(cx: &State, ix: WorkerIx, key: TaskKey, slot: &Slot) -> bool {
     // A copy of a task that crashes its workers would take two of them down.
     if cx.task(key).is_some_and(|task| task.suspicion.is_some()) {
         return false;
@@ -74,7 +74,7 @@
 }
 
 /// Tells whether a run would be done much sooner elsewhere, its stop included.
-fn is_late(cx: &Context, ix: WorkerIx, key: TaskKey, slot: &Slot) -> bool {
+fn is_late(cx: &State, ix: WorkerIx, key: TaskKey, slot: &Slot) -> bool {
     let Some(step) = cx.step(key) else { return false };
     let typical = cx.step_state(key).and_then(|state| state.rates.typical());
     let Some(typical) = typical.filter(|_| !step.gang && !step.lasting) else { return false };
@@ -87,7 +87,7 @@
 }
 
 /// Returns what a second start costs in time besides the task's work.
-fn overhead(cx: &Context, step: &Step) -> Millis {
+fn overhead(cx: &State, step: &Step) -> Millis {
     if step.duplicates {
         return COPY_TAKES;
     }
@@ -95,7 +95,7 @@
 }
 
 /// Starts a task again: beside its slow run where copies are allowed, after its stop elsewhere.
-fn start_again(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
+fn start_again(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run) {
     let copies = cx.step(key).is_some_and(|step| step.duplicates);
     if !copies {
         return lifecycle::order_stop(cx, ix, key, run, "its worker is slow");
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/takeover.rs
@@ -12,10 +12,10 @@
 use gaplock_types::time::Instant;
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use crate::context::Context;
 use crate::evacuation::{self, Evacuated};
 use crate::message::{RosterEntry, Run, WaveProgress, WorkerIx};
 use crate::pacing::Learnt;
+use crate::state::State as Context;
 use crate::table::{Entry, Round, StepState, TaskState};
 use crate::worker::Listing;
 use crate::{crashes, directory, intake, leases, lifecycle, roster, trace, upkeep};
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -11,13 +11,13 @@
 use gaplock_types::time::{Instant, Millis};
 use tracing::{debug, info, warn};
 
-use crate::context::Context;
 use crate::crashes::Loss;
 use crate::message::{
     End, Outcome, Run, UpkeepAnswer, WaveNumber, WaveRequest, WorkerClock, WorkerInfo, WorkerIx,
 };
 use crate::placement::UnfitCounts;
 use crate::proof::Proof;
+use crate::state::State;
 use crate::table::Entry;
 use crate::worker::{Listing, Slot, Worker};
 
@@ -271,7 +271,7 @@
 }
 
 /// Writes down what runs on a worker, with its readings and what the model makes of them.
-pub fn readings(cx: &Context, ix: WorkerIx) {
+pub fn readings(cx: &State, ix: WorkerIx) {
     let worker = cx.worker(ix);
     for (task, slot) in &worker.slots {
         let reading = slot.reading.unwrap_or(0);
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -18,11 +18,11 @@
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
 
-use crate::context::Context;
 use crate::message::{
     Action, HostInfo, HostState, Record, UpkeepAnswer, WaveNumber, WaveProgress, WaveRequest,
     WorkerIx,
 };
+use crate::state::State;
 use crate::{commits, trace};
 
 /// Everything known of waves and of the hosts that they name.
@@ -108,21 +108,21 @@
 const ONE_HOST: Millis = Millis(5_000);
 
 /// Takes over what a former leader stored of waves.
-pub fn restore(cx: &mut Context, waves: Vec<WaveProgress>) {
+pub fn restore(cx: &mut State, waves: Vec<WaveProgress>) {
     cx.upkeep.stored = waves.into_iter().map(|w| (w.number, w)).collect();
 }
 
 /// Tells whether the host of a worker that was just heard of may go down by an order of a former
 /// leader. Such a worker gets no tasks, also before the first list of the hosts and before the wave
 /// is heard of.
-pub fn is_expected_down(cx: &Context, id: &ids::WorkerId) -> bool {
+pub fn is_expected_down(cx: &State, id: &ids::WorkerId) -> bool {
     let known = cx.upkeep.waves.values().map(|w| &w.progress);
     let mut open = cx.upkeep.stored.values().chain(known).filter(|w| !w.completed);
     open.any(|w| w.ordered.values().flatten().any(|worker| worker == id))
 }
 
 /// Takes in a wave that the operators ask for; one that is known already changes nothing.
-pub fn asked(cx: &mut Context, request: WaveRequest) {
+pub fn asked(cx: &mut State, request: WaveRequest) {
     let number = request.number;
     if cx.upkeep.waves.contains_key(&number) {
         return;
@@ -155,7 +155,7 @@
 }
 
 /// Takes in that a wave's progress is stored.
-pub fn stored(cx: &mut Context, progress: &WaveProgress) {
+pub fn stored(cx: &mut State, progress: &WaveProgress) {
     if let Some(wave) = cx.upkeep.waves.get_mut(&progress.number) {
         wave.told = true;
         wave.ordered.clone_from(&progress.ordered);
@@ -163,7 +163,7 @@
 }
 
 /// Takes in a list of all hosts that was asked for at `sent`, or that none came.
-pub fn listed(cx: &mut Context, sent: Instant, hosts: Option<Vec<HostInfo>>) {
+pub fn listed(cx: &mut State, sent: Instant, hosts: Option<Vec<HostInfo>>) {
     cx.upkeep.list_due = Some(cx.now + LIST_EVERY);
     let Some(hosts) = hosts else { return };
     cx.upkeep.hosts = hosts.into_iter().map(|h| (h.id.clone(), h)).collect();
@@ -197,7 +197,7 @@
 }
 
 /// Takes in what became of an order that a host goes down.
-pub fn answered(cx: &mut Context, number: WaveNumber, host: &ids::HostId, answer: UpkeepAnswer) {
+pub fn answered(cx: &mut State, number: WaveNumber, host: &ids::HostId, answer: UpkeepAnswer) {
     let now = cx.now;
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
     let Some(down) = wave.down.get_mut(host) else { return };
@@ -223,7 +223,7 @@
 }
 
 /// Notes that the upkeep of a host has begun.
-fn begun(cx: &mut Context, number: WaveNumber, host: &ids::HostId) {
+fn begun(cx: &mut State, number: WaveNumber, host: &ids::HostId) {
     let now = cx.now;
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
     if let Some(down) = wave.down.get_mut(host) {
@@ -238,7 +238,7 @@
 }
 
 /// Leaves a host out that is not of the wave and that no order can take down.
-fn leave_out(cx: &mut Context, number: WaveNumber, host: &ids::HostId) {
+fn leave_out(cx: &mut State, number: WaveNumber, host: &ids::HostId) {
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
     wave.left_out.insert(host.clone());
     wave.down.remove(host);
@@ -249,7 +249,7 @@
 }
 
 /// Brings every wave on.
-pub fn check(cx: &mut Context) {
+pub fn check(cx: &mut State) {
     let active = |w: &&Wave| w.told && !w.progress.completed;
     let numbers: Vec<WaveNumber> =
         cx.upkeep.waves.values().filter(active).map(|w| w.request.number).collect();
@@ -272,7 +272,7 @@
 }
 
 /// Gives orders again that were not carried out, or may not have been.
-fn order_again(cx: &mut Context, number: WaveNumber) {
+fn order_again(cx: &mut State, number: WaveNumber) {
     let now = cx.now;
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
     for (host, down) in &mut wave.down {
@@ -285,7 +285,7 @@
 }
 
 /// Orders hosts down that are empty, or empty enough, once that is stored.
-fn order_emptied(cx: &mut Context, number: WaveNumber) {
+fn order_emptied(cx: &mut State, number: WaveNumber) {
     let Some(wave) = cx.upkeep.waves.get(&number) else { return };
     let late = is_late(wave, cx.now);
     let ready = |host: &ids::HostId, since: Instant| match worker_on(cx, host) {
@@ -318,7 +318,7 @@
 
 /// Tells whether a worker's host may go down: nothing lasting runs there, and nothing else, unless
 /// that has been waited for long enough.
-fn is_empty_enough(cx: &Context, ix: WorkerIx, waited: bool) -> bool {
+fn is_empty_enough(cx: &State, ix: WorkerIx, waited: bool) -> bool {
     let mut running = cx.worker(ix).slots.keys();
     let lasting = |key: &TaskKey| cx.step(*key).is_some_and(|s| s.lasting);
     running.all(|key| waited && !lasting(key))
@@ -338,7 +338,7 @@
 }
 
 /// Begins to empty as many hosts as may go down next, those with fewest tasks first.
-fn empty_next(cx: &mut Context, number: WaveNumber) {
+fn empty_next(cx: &mut State, number: WaveNumber) {
     let Some(wave) = cx.upkeep.waves.get(&number) else { return };
     let away = |h: &&ids::HostId| {
         let up = cx.upkeep.hosts.get(*h).is_some_and(|host| host.state == HostState::Up);
@@ -360,7 +360,7 @@
 }
 
 /// Reports a wave as completed once the upkeep of every host that stays has begun.
-fn complete(cx: &mut Context, number: WaveNumber) {
+fn complete(cx: &mut State, number: WaveNumber) {
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
     if left(wave).next().is_some() {
         return;
@@ -372,13 +372,13 @@
 }
 
 /// Finds the worker on a host.
-fn worker_on(cx: &Context, host: &ids::HostId) -> Option<WorkerIx> {
+fn worker_on(cx: &State, host: &ids::HostId) -> Option<WorkerIx> {
     let id = cx.upkeep.hosts.get(host)?.worker.as_ref()?;
     cx.by_id.get(id).copied().filter(|ix| !cx.worker(*ix).gone)
 }
 
 /// Begins or ends the emptying of the worker on a host, if there is one.
-fn set_emptying(cx: &mut Context, host: &ids::HostId, emptying: bool) {
+fn set_emptying(cx: &mut State, host: &ids::HostId, emptying: bool) {
     if let Some(ix) = worker_on(cx, host) {
         cx.worker_mut(ix).emptying = emptying;
     }
