The scheduler's plain words and data stand below what changes them

Cause: the interface named decisions (the learnt pairs, the operators' word, names of steps), and the state named the modules that change it, since each of these kept its data beside its functions.

Ruled out: one file for all data, which would grow with each policy.

Change: learnt pairs, evacuated domains and names of steps lie in message/; the model, given paces, rates, doubts, trials, suspicions, permits and waves lie in state/, one module each. Constants and functions moved with the data that they bound; fields that siblings read are visible in the crate. Paths that other crates use are passed on. No behaviour changes.

--- a/crates/sched/src/crashes.rs
+++ b/crates/sched/src/crashes.rs
@@ -9,15 +9,15 @@
 //! What looks like a crash and is none is not counted, or taken back: a worker that leaves, leases that
 //! were left to end, a worker that answers again. Many workers lost at one time raise a doubt only
 //! (`docs/PLATFORM.md`, section Crashing tasks). `evidence` says against whom a loss speaks,
-//! `suspicion` keeps it, `verdict` ends it, `inherited` finds what predecessors saw.
+//! `state/suspicion.rs` keeps it, `verdict` ends it, `inherited` finds what predecessors saw.
 
 mod evidence;
 mod inherited;
-mod suspicion;
+mod saved;
 pub mod trials;
 mod verdict;
 
 pub use evidence::{has_left, worker_lost, Loss};
 pub use inherited::{any_lost, find_suspects, holder_lost, restored};
-pub use suspicion::{being_saved, commit_ended, may_start, Crashes, Suspicion};
+pub use saved::{being_saved, commit_ended, may_start};
 pub use verdict::{check, worker_answers, worker_gone};
--- a/crates/sched/src/crashes/evidence.rs
+++ b/crates/sched/src/crashes/evidence.rs
@@ -4,16 +4,16 @@
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
-use super::suspicion::Saved;
-use super::trials::Trial;
 use crate::message::WorkerIx;
+use crate::state::suspicion::Saved;
+use crate::state::trial::Trial;
 use crate::state::State;
 use crate::table::TaskState;
 use crate::worker::{Listing, Slot, Worker};
 use crate::{commits, trace};
 
 /// How long after a start a crash still counts as following it at once: above the time between two
-/// answers of a worker on which a task is tried ([`trials::WAIT`]).
+/// answers of a worker on which a task is tried ([`super::trials::WAIT`]).
 pub(super) const AT_START: Millis = Millis(400);
 
 /// How long a run must have been at work to speak for its task: longer than anything that goes wrong
--- a/crates/sched/src/crashes/inherited.rs
+++ b/crates/sched/src/crashes/inherited.rs
@@ -6,9 +6,9 @@
 use rustc_hash::FxHashSet;
 
 use super::evidence::{doubt, has_left, hold_until_saved, suspect, Evidence, Loss, AT_START};
-use super::Suspicion;
 use crate::commits;
 use crate::message::WorkerIx;
+use crate::state::suspicion::Suspicion;
 use crate::state::State;
 use crate::table::TaskState;
 
--- a/crates/sched/src/crashes/trials.rs
+++ b/crates/sched/src/crashes/trials.rs
@@ -10,9 +10,10 @@
 
 use gaplock_jobs::TaskKey;
 use gaplock_types::ids;
-use gaplock_types::time::{Instant, Millis};
+use gaplock_types::time::Millis;
 
 use crate::message::WorkerIx;
+use crate::state::trial::Trial;
 use crate::state::State;
 use crate::table::TaskState;
 use crate::worker::Worker;
@@ -37,17 +38,6 @@
 /// tells a crash at the start from a later one.
 pub const WAIT: Millis = Millis(250);
 
-/// A worker that one task has to itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Trial {
-    /// The task.
-    pub task: TaskKey,
-    /// When it began.
-    pub began: Instant,
-    /// When others may start there again, if the task still runs.
-    pub until: Instant,
-}
-
 /// The part of a pool's workers, as a divisor, that trials may keep for longer than [`ALONE_FOR`]: the rest
 /// is left to all other tasks. Suspects need not be culprits, and on a pool of two workers two innocent
 /// ones kept all others waiting for 9 s.
@@ -75,11 +65,6 @@
     }
 }
 
-/// Tells whether a worker is kept for another job's suspect.
-pub fn is_kept_from(worker: &Worker, task: TaskKey, now: Instant) -> bool {
-    worker.trial.is_some_and(|trial| trial.until > now && trial.task.job != task.job)
-}
-
 /// A suspect that waits for an empty worker.
 #[derive(Debug, Clone, Copy)]
 struct Waiting {
--- a/crates/sched/src/crashes/verdict.rs
+++ b/crates/sched/src/crashes/verdict.rs
@@ -6,8 +6,8 @@
 use gaplock_types::time::Millis;
 
 use super::evidence::{has_left, lived, CLEARED_AFTER};
-use super::suspicion::Saved;
 use crate::message::WorkerIx;
+use crate::state::suspicion::Saved;
 use crate::state::State;
 use crate::table::TaskState;
 use crate::worker::Worker;
--- a/crates/sched/src/directory.rs
+++ b/crates/sched/src/directory.rs
@@ -3,8 +3,6 @@
 //! Others than workers may write there. An entry that cannot be read, or whose pool no configuration
 //! names, names no worker that gets tasks; what runs at a worker that was sound before goes on.
 
-use std::collections::BTreeMap;
-
 use gaplock_types::ids;
 
 use crate::message::{WorkerInfo, WorkerIx};
@@ -12,8 +10,7 @@
 use crate::worker::{Listing, Worker};
 use crate::{evacuation, roster, trace, upkeep};
 
-/// Sound entries whose pool the configuration does not name; a later one may.
-pub type Unnamed = BTreeMap<ids::WorkerId, WorkerInfo>;
+pub use crate::state::Unnamed;
 
 /// How many such entries are kept. Workers of a pool that nobody uses are few; another writer's entries
 /// may be any number.
--- a/crates/sched/src/doubts.rs
+++ b/crates/sched/src/doubts.rs
@@ -7,22 +7,13 @@
 //! to refuse all such runs for ever. A later leader's token bars them without that.
 
 use gaplock_jobs::TaskKey;
-use gaplock_types::time::Instant;
 
 use crate::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
+use crate::state::doubt::Doubt;
 use crate::state::State;
 use crate::trace;
 use crate::worker::{Slot, Worker};
 
-/// A run that was given up and may still begin.
-#[derive(Debug, Clone, Copy)]
-pub struct Doubt {
-    /// The run.
-    pub run: Run,
-    /// When its stop was last sent; unset before.
-    asked: Option<Instant>,
-}
-
 /// Keeps a run in doubt that is being given up, unless its worker has confirmed the run or its
 /// stop: what has begun there never begins again.
 pub fn keep(worker: &mut Worker, key: TaskKey, slot: &Slot) {
--- a/crates/sched/src/evacuation.rs
+++ b/crates/sched/src/evacuation.rs
@@ -7,22 +7,13 @@
 //! What else follows from a worker that gets nothing (room, largest worker, trials, permits) goes by
 //! [`crate::worker::Worker::takes_tasks`]; `docs/PLATFORM.md` (section Evacuations) has the rest.
 
-use std::collections::BTreeSet;
-
 use gaplock_types::ids;
 
 use crate::message::WorkerIx;
 use crate::state::State;
 use crate::trace;
 
-/// The operators' word on which failure domains are evacuated, as it lay in the store at one revision.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Evacuated {
-    /// The store's revision at which it was read.
-    pub revision: u64,
-    /// All evacuated domains.
-    pub domains: BTreeSet<ids::DomainId>,
-}
+pub use crate::message::Evacuated;
 
 /// Takes in what the store says; an older reading changes nothing.
 pub fn read(cx: &mut State, evacuated: Evacuated) {
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/message.rs
@@ -1,6 +1,9 @@
 //! What the scheduler is told and what it asks for.
 
+mod evacuated;
 mod hosts;
+mod learnt;
+mod steps;
 
 use std::sync::Arc;
 
@@ -9,12 +12,12 @@
 use gaplock_types::time::{Instant, Millis};
 use gaplock_types::{ids, sizes};
 
-use crate::evacuation::Evacuated;
-use crate::pacing::Learnt;
-use crate::permits::StepKey;
 use crate::settings::Settings;
 
+pub use evacuated::Evacuated;
 pub use hosts::{HostInfo, HostState, UpkeepAnswer, WaveNumber, WaveProgress, WaveRequest};
+pub use learnt::{Learnt, LearntFactor, LearntImage};
+pub use steps::StepKey;
 
 /// A run of a task: rises with every start, over all leaders.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
--- /dev/null
+++ b/crates/sched/src/message/learnt.rs
@@ -0,0 +1,30 @@
+//! What was learnt of how images disturb each other, in the form in which it outlives a leader.
+
+/// What was learnt of one serving image, in the form in which it outlives a leader.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct LearntImage {
+    /// The serving image.
+    pub image: String,
+    /// Its lowest tail in milliseconds.
+    pub lowest_ms: f64,
+    /// The pressure that filling images put on it.
+    pub factors: Vec<LearntFactor>,
+}
+
+/// What was learnt of one pair of images.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct LearntFactor {
+    /// The filling image.
+    pub image: String,
+    /// Its factor.
+    pub factor: f64,
+    /// How uncertain the factor is, as a variance.
+    pub variance: f64,
+}
+
+/// What was learnt of all images.
+#[derive(Debug, Clone, PartialEq, Default, serde::Serialize, serde::Deserialize)]
+pub struct Learnt {
+    /// The serving images.
+    pub images: Vec<LearntImage>,
+}
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -10,10 +10,9 @@
 use gaplock_policy::tries::Fate;
 use gaplock_types::time::Millis;
 
-use crate::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
-use crate::permits::StepKey;
+use crate::message::{Action, Outcome, Refusal, Run, StepKey, WorkerClock, WorkerIx};
 use crate::proof::Proof;
-use crate::speed::Mark;
+use crate::state::rates::Mark;
 use crate::state::State as Context;
 use crate::worker::Phase;
 use crate::{doubts, leases, lifecycle, pacing, permits, trace};
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/pacing.rs
@@ -1,12 +1,10 @@
 //! How filling tasks disturb serving ones on the same worker, and what is done about it.
 //!
-//! `model` says what pairs of images do to each other. Placement keeps apart what cannot live
+//! The model (`state/model.rs`) says what pairs of images do to each other. Placement keeps apart what cannot live
 //! together (`placing`), the pace of what presses is lowered only as far as the serving tasks
 //! need (`paces`), and what stays slow for long is moved (`moving`).
 
 mod filling;
-mod given;
-mod model;
 mod moving;
 mod paces;
 mod placing;
@@ -18,20 +16,16 @@
 use crate::state::State;
 use crate::trace;
 
+pub use crate::message::{Learnt, LearntFactor, LearntImage};
+pub use crate::state::model::{Column, Model, Row, Served};
+pub use crate::state::paces::{GivenPaces, FULL_PACE};
+
 pub use filling::part_of;
-pub use given::GivenPaces;
-pub use model::{Column, Learnt, LearntFactor, LearntImage, Model, Row, Served};
 pub use moving::check;
 pub use paces::{paced, set_paces};
 pub use placing::{is_impatient, placement_cost, refresh};
 pub use readings::keep_learnt;
 
-/// What is known of how tasks disturb each other.
-pub type Pacing = Model;
-
-/// The pace at which every run begins, in percent of full speed.
-pub const FULL_PACE: u32 = 100;
-
 /// Readings cover the last half second; a worker on which a filling task has ended within this
 /// time shows what that task did, but no longer the task.
 const SETTLE: Millis = Millis(650);
@@ -40,9 +34,6 @@
 /// there, because the processors are used up; as measured. Readings beyond it teach nothing of pairs.
 const CROWDED_SHARE: f64 = 0.6;
 
-/// A filling task whose push on a serving image is less than this is left alone.
-const LEAST_PUSH: f64 = 0.02;
-
 /// Takes in a worker's fresh readings: learns from them, then sets the paces that they ask for.
 pub fn observe(cx: &mut State, ix: WorkerIx) {
     readings::learn(cx, ix);
--- a/crates/sched/src/pacing/filling.rs
+++ b/crates/sched/src/pacing/filling.rs
@@ -3,9 +3,10 @@
 use gaplock_jobs::{Step, TaskKey};
 use gaplock_types::time::Instant;
 
-use super::model::{Column, Served};
-use super::{FULL_PACE, SETTLE};
+use super::SETTLE;
 use crate::message::Run;
+use crate::state::model::{Column, Served};
+use crate::state::paces::FULL_PACE;
 use crate::state::State;
 use crate::worker::{Part, Phase, Slot, Worker};
 
--- a/crates/sched/src/pacing/moving.rs
+++ b/crates/sched/src/pacing/moving.rs
@@ -4,9 +4,9 @@
 use gaplock_types::time::Millis;
 use rustc_hash::FxHashSet;
 
-use super::model::Column;
 use crate::message::{Run, WorkerIx};
 use crate::searches::{self, Searches};
+use crate::state::model::Column;
 use crate::state::State;
 use crate::worker::{Part, Phase, Slot};
 use crate::{lifecycle, placement};
--- a/crates/sched/src/pacing/paces.rs
+++ b/crates/sched/src/pacing/paces.rs
@@ -6,10 +6,10 @@
 use gaplock_types::time::Millis;
 
 use super::filling::{self, FillingTask};
-use super::model::{Model, Row};
 use super::placing;
-use super::{FULL_PACE, LEAST_PUSH};
 use crate::message::{Action, Run, WorkerIx};
+use crate::state::model::{Model, Row, LEAST_PUSH};
+use crate::state::paces::FULL_PACE;
 use crate::state::State;
 use crate::trace;
 use crate::worker::{Part, Phase, Worker};
--- a/crates/sched/src/pacing/placing.rs
+++ b/crates/sched/src/pacing/placing.rs
@@ -10,9 +10,9 @@
 use gaplock_types::time::Millis;
 
 use super::filling::{self, FillingTask};
-use super::model::Row;
-use super::{CROWDED_SHARE, LEAST_PUSH};
+use super::CROWDED_SHARE;
 use crate::message::WorkerIx;
+use crate::state::model::{Row, LEAST_PUSH};
 use crate::state::State;
 use crate::worker::{Part, Worker};
 
--- a/crates/sched/src/pacing/readings.rs
+++ b/crates/sched/src/pacing/readings.rs
@@ -3,10 +3,10 @@
 use gaplock_types::time::Millis;
 
 use super::filling;
-use super::model::{Column, Served};
 use super::{CROWDED_SHARE, SETTLE};
 use crate::commits;
 use crate::message::{Record, WorkerIx};
+use crate::state::model::{Column, Served};
 use crate::state::State;
 use crate::worker::Part;
 
--- a/crates/sched/src/permits.rs
+++ b/crates/sched/src/permits.rs
@@ -6,54 +6,15 @@
 
 use std::cmp::Reverse;
 
-use gaplock_jobs::config::Advice;
-use gaplock_jobs::{JobKey, TaskKey};
+use gaplock_jobs::JobKey;
 use gaplock_types::time::{Instant, Millis};
-use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::message::{Action, Permit, WorkerIx};
 use crate::state::State;
 use crate::table::ReadyStep;
 use crate::trace;
 
-/// A step in one round.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct StepKey {
-    /// The job.
-    pub job: JobKey,
-    /// The round.
-    pub round: u32,
-    /// The step.
-    pub step: u16,
-}
-
-impl StepKey {
-    /// Returns the step that a task belongs to.
-    pub fn of(task: TaskKey) -> Self {
-        Self { job: task.job, round: task.round, step: task.step }
-    }
-
-    /// Returns the step that has pending tasks.
-    fn of_ready(ready: ReadyStep) -> Self {
-        Self { job: ready.job, round: ready.round, step: ready.step }
-    }
-}
-
-/// What is known of one step's permissions.
-#[derive(Debug, Default)]
-struct Known {
-    tickets: FxHashMap<WorkerIx, (String, Instant)>,
-    denied: FxHashSet<WorkerIx>,
-    asking: bool,
-    not_before: Instant,
-}
-
-/// All permissions, and how many calls are under way.
-#[derive(Debug, Default)]
-pub struct Permits {
-    steps: FxHashMap<StepKey, Known>,
-    under_way: usize,
-}
+pub use crate::message::StepKey;
 
 /// The most calls under way: the service takes them in turn, so more would only wait there.
 const MOST_CALLS: usize = 4;
@@ -73,20 +34,14 @@
 /// The pause after a call that failed, so that a service in trouble is not asked at every pass.
 const FAILED_PAUSE: Millis = Millis(200);
 
-/// Tells whether a step may run on a worker now; always, where its queue asks nobody.
-pub fn allows(cx: &State, advice: Option<&Advice>, step: StepKey, ix: WorkerIx) -> bool {
-    advice.is_none() || ticket(cx, step, ix).is_some()
-}
-
 /// Returns the ticket for a step on a worker, if one holds.
 pub fn ticket(cx: &State, step: StepKey, ix: WorkerIx) -> Option<String> {
-    let (ticket, until) = cx.permits.steps.get(&step)?.tickets.get(&ix)?;
-    (*until > cx.now).then(|| ticket.clone())
+    cx.permits.ticket(step, ix, cx.now)
 }
 
 /// Asks for workers on which a step may run, unless an answer is awaited already.
 pub fn ask(cx: &mut State, ready: ReadyStep, pending: usize) {
-    let step = StepKey::of_ready(ready);
+    let step = StepKey { job: ready.job, round: ready.round, step: ready.step };
     let now = cx.now;
     let known = cx.permits.steps.entry(step).or_default();
     if known.asking || known.not_before > now || cx.permits.under_way >= MOST_CALLS {
@@ -108,7 +63,9 @@
     let known = cx.permits.steps.get(&step);
     let fresh = |ix: &WorkerIx| {
         let denied = known.is_some_and(|k| k.denied.contains(ix));
-        !denied && ticket(cx, step, *ix).is_none() && cx.worker(*ix).takes_tasks(cx.now)
+        !denied
+            && cx.permits.ticket(step, *ix, cx.now).is_none()
+            && cx.worker(*ix).takes_tasks(cx.now)
     };
     let mut found: Vec<WorkerIx> = cx.worker_ixs().into_iter().filter(fresh).collect();
     let free = |ix: &WorkerIx| {
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/placement.rs
@@ -6,10 +6,8 @@
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 
-use crate::crashes::trials;
-use crate::message::WorkerIx;
+use crate::message::{StepKey, WorkerIx};
 use crate::pacing;
-use crate::permits::{self, StepKey};
 use crate::room;
 use crate::state::State;
 use crate::table;
@@ -189,7 +187,7 @@
     if !worker.takes_tasks(cx.now) || cx.has_most_starts_at(ix) {
         return Err(Unfit::NotTaking);
     }
-    if trials::is_kept_from(worker, wanted.task, cx.now) {
+    if worker.trial.is_some_and(|trial| trial.keeps_out(wanted.task, cx.now)) {
         return Err(Unfit::NotTaking);
     }
     let taken = worker.used.plus(&takes);
@@ -200,7 +198,8 @@
     if !step.lasting && wanted.waited < SLOW_AVOIDED_FOR && worker.speed.is_slow(cx.now) {
         return Err(Unfit::Slow);
     }
-    if !permits::allows(cx, wanted.advice, StepKey::of(wanted.task), ix) {
+    let ticket = || cx.permits.ticket(StepKey::of(wanted.task), ix, cx.now);
+    if wanted.advice.is_some() && ticket().is_none() {
         return Err(Unfit::NotPermitted);
     }
     let rack = wanted.only_rack.map(String::as_str);
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -1,6 +1,15 @@
-//! All that one leader knows.
-
-use std::collections::BTreeSet;
+//! All that one leader knows, as plain data.
+
+pub mod doubt;
+pub mod model;
+pub mod paces;
+pub mod permits;
+pub mod rates;
+pub mod suspicion;
+pub mod trial;
+pub mod upkeep;
+
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use gaplock_jobs::{config, JobKey, Step, TaskKey};
@@ -9,18 +18,20 @@
 use rustc_hash::FxHashMap;
 
 use crate::commits::Commits;
-use crate::crashes::Crashes;
-use crate::directory::Unnamed;
-use crate::evacuation::Evacuated;
-use crate::message::{Action, FencingToken, Run, WorkerIx};
-use crate::pacing::Pacing;
-use crate::permits::Permits;
+use crate::message::{Action, Evacuated, FencingToken, Run, WorkerInfo, WorkerIx};
 use crate::settings::Settings;
 use crate::table::{Entry, ReadyStep, StepState, Task};
 use crate::takeover::Survey;
-use crate::upkeep::Upkeep;
 use crate::worker::Worker;
 
+use model::Model;
+use permits::Permits;
+use suspicion::Crashes;
+use upkeep::Upkeep;
+
+/// Sound entries whose pool the configuration does not name; a later one may.
+pub type Unnamed = BTreeMap<ids::WorkerId, WorkerInfo>;
+
 /// A leadership: its rising number and the token that fences every earlier one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Term {
@@ -72,7 +83,7 @@
     /// What is to be stored.
     pub commits: Commits,
     /// What is known of how tasks disturb each other.
-    pub pacing: Pacing,
+    pub pacing: Model,
     /// Where steps may run whose queue asks another service.
     pub permits: Permits,
     /// Tasks under which workers were lost.
@@ -117,7 +128,7 @@
             ready: BTreeSet::new(),
             survey: None,
             commits: Commits::default(),
-            pacing: Pacing::default(),
+            pacing: Model::default(),
             permits: Permits::default(),
             crashes: Crashes::default(),
             upkeep: Upkeep::default(),
--- /dev/null
+++ b/crates/sched/src/state/doubt.rs
@@ -0,0 +1,14 @@
+//! Runs that may still begin.
+
+use gaplock_types::time::Instant;
+
+use crate::message::Run;
+
+/// A run that was given up and may still begin.
+#[derive(Debug, Clone, Copy)]
+pub struct Doubt {
+    /// The run.
+    pub run: Run,
+    /// When its stop was last sent; unset before.
+    pub(crate) asked: Option<Instant>,
+}
--- a/crates/sched/src/pacing/model.rs
+++ b/crates/sched/src/state/model.rs
@@ -10,7 +10,7 @@
 use gaplock_types::time::Instant;
 use rustc_hash::FxHashMap;
 
-use super::LEAST_PUSH;
+use crate::message::{Learnt, LearntFactor, LearntImage};
 
 /// A serving image by its position.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -20,6 +20,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Column(pub u16);
 
+/// A filling task whose push on a serving image is less than this is left alone.
+pub const LEAST_PUSH: f64 = 0.02;
+
 /// The most filling images that are told apart; further ones share the last column.
 const MOST_COLUMNS: usize = 48;
 
@@ -160,35 +163,6 @@
     pub target_ms: f64,
 }
 
-/// What was learnt of one serving image, in the form in which it outlives a leader.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
-pub struct LearntImage {
-    /// The serving image.
-    pub image: String,
-    /// Its lowest tail in milliseconds.
-    pub lowest_ms: f64,
-    /// The pressure that filling images put on it.
-    pub factors: Vec<LearntFactor>,
-}
-
-/// What was learnt of one pair of images.
-#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
-pub struct LearntFactor {
-    /// The filling image.
-    pub image: String,
-    /// Its factor.
-    pub factor: f64,
-    /// How uncertain the factor is, as a variance.
-    pub variance: f64,
-}
-
-/// What was learnt of all images.
-#[derive(Debug, Clone, PartialEq, Default, serde::Serialize, serde::Deserialize)]
-pub struct Learnt {
-    /// The serving images.
-    pub images: Vec<LearntImage>,
-}
-
 /// The least variance that a factor keeps over a change of leader: it may have shifted meanwhile.
 const CARRIED_VARIANCE: f64 = 0.1;
 
--- a/crates/sched/src/pacing/given.rs
+++ b/crates/sched/src/state/paces.rs
@@ -8,7 +8,8 @@
 use gaplock_policy::tries::{Fate, Tries};
 use gaplock_types::time::{Instant, Millis};
 
-use super::FULL_PACE;
+/// The pace at which every run begins, in percent of full speed.
+pub const FULL_PACE: u32 = 100;
 
 /// The orders of pace that a run was given.
 #[derive(Debug, Clone, Copy, Default)]
--- /dev/null
+++ b/crates/sched/src/state/permits.rs
@@ -0,0 +1,30 @@
+//! Permissions to run steps on workers.
+
+use gaplock_types::time::Instant;
+use rustc_hash::{FxHashMap, FxHashSet};
+
+use crate::message::{StepKey, WorkerIx};
+
+/// What is known of one step's permissions.
+#[derive(Debug, Default)]
+pub(crate) struct Known {
+    pub(crate) tickets: FxHashMap<WorkerIx, (String, Instant)>,
+    pub(crate) denied: FxHashSet<WorkerIx>,
+    pub(crate) asking: bool,
+    pub(crate) not_before: Instant,
+}
+
+/// All permissions, and how many calls are under way.
+#[derive(Debug, Default)]
+pub struct Permits {
+    pub(crate) steps: FxHashMap<StepKey, Known>,
+    pub(crate) under_way: usize,
+}
+
+impl Permits {
+    /// Returns the ticket for a step on a worker, if one holds.
+    pub fn ticket(&self, step: StepKey, ix: WorkerIx, now: Instant) -> Option<String> {
+        let (ticket, until) = self.steps.get(&step)?.tickets.get(&ix)?;
+        (*until > now).then(|| ticket.clone())
+    }
+}
--- a/crates/sched/src/crashes/suspicion.rs
+++ b/crates/sched/src/state/suspicion.rs
@@ -1,15 +1,12 @@
-//! What is known of suspects, and whether it is stored.
+//! What speaks against tasks that may crash their workers.
 
 use std::collections::BTreeSet;
 
-use gaplock_jobs::{JobKey, TaskKey};
+use gaplock_jobs::TaskKey;
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
 
-use crate::state::State;
-use crate::table::Task;
-
 /// How many workers may crash under a task before its job fails, whatever else is known. Users bear five
 /// starts of a task that crashes its workers; one of them may be forgotten with its leader.
 pub const MOST_CRASHES: usize = 4;
@@ -29,7 +26,7 @@
 
 /// Whether what is known of a suspect is stored.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub(super) enum Saved {
+pub(crate) enum Saved {
     /// It is not.
     No,
     /// It is in the commit in flight.
@@ -47,54 +44,54 @@
     /// One more that may have crashed under it, at a change of leader or together with many others.
     pub perhaps: Option<ids::WorkerId>,
     /// Workers under it that were silent past all leases while the directory listed them, and since when.
-    pub(super) silent: Vec<(ids::WorkerId, Instant)>,
-    pub(super) saved: Saved,
+    pub(crate) silent: Vec<(ids::WorkerId, Instant)>,
+    pub(crate) saved: Saved,
     /// How long its last lost run was known to have been at work.
-    pub(super) lived: Millis,
+    pub(crate) lived: Millis,
     /// Whether each crash followed a start at once, as far as is known.
-    pub(super) at_start: bool,
+    pub(crate) at_start: bool,
     /// Whether the last crash took a worker that the task had to itself.
-    pub(super) alone: bool,
+    pub(crate) alone: bool,
     /// Whether it starts like any other task, because it cannot be tried alone.
-    pub(super) ordinary: bool,
+    pub(crate) ordinary: bool,
 }
 
 impl Suspicion {
     /// Returns how many workers were lost under the task, for all that is known.
-    pub(super) fn level(&self) -> usize {
+    pub(crate) fn level(&self) -> usize {
         self.crashed.len() + self.silent.len() + usize::from(self.perhaps.is_some())
     }
 
     /// Returns how many losses the task is tried for; one that is only possible adds nothing to others.
-    pub(super) fn losses(&self) -> usize {
+    pub(crate) fn losses(&self) -> usize {
         (self.crashed.len() + self.silent.len()).max(1)
     }
 
     /// Returns what a successor must know: how many workers crashed, and whether one more may have.
-    pub(super) fn to_store(&self) -> (usize, bool) {
+    pub(crate) fn to_store(&self) -> (usize, bool) {
         (self.crashed.len(), self.perhaps.is_some())
     }
 
     /// Tells whether the task is held to crash its workers.
-    pub(super) fn is_proven(&self) -> bool {
+    pub(crate) fn is_proven(&self) -> bool {
         let at_start = self.at_start && self.alone && self.crashed.len() >= CRASHES_AT_START;
         at_start || self.crashed.len() >= MOST_CRASHES
     }
 
-    pub(super) fn names(&self, worker: &ids::WorkerId) -> bool {
+    pub(crate) fn names(&self, worker: &ids::WorkerId) -> bool {
         self.crashed.contains(worker) || self.silent.iter().any(|(id, _)| id == worker)
     }
 
     /// Tells whether the task may start. With as many losses as a task may have it waits until it is
     /// known which of them were crashes.
-    pub(super) fn may_start(&self) -> bool {
+    pub(crate) fn may_start(&self) -> bool {
         let undecided = self.crashed.len() + self.silent.len() >= MOST_CRASHES;
         self.saved == Saved::Yes && !undecided && !self.is_proven()
     }
 
     /// Takes in that the directory or the worker itself tells of a silent one; whether that changed
     /// anything.
-    pub(super) fn resolve(&mut self, worker: &ids::WorkerId, crashed: bool) -> bool {
+    pub(crate) fn resolve(&mut self, worker: &ids::WorkerId, crashed: bool) -> bool {
         let was_silent = self.silent.iter().any(|(id, _)| id == worker);
         self.silent.retain(|(id, _)| id != worker);
         if crashed {
@@ -114,24 +111,24 @@
     /// All tasks with a suspicion.
     pub suspects: BTreeSet<TaskKey>,
     /// The suspects that a lost worker speaks or spoke against.
-    pub(super) by_worker: FxHashMap<ids::WorkerId, Vec<TaskKey>>,
+    pub(crate) by_worker: FxHashMap<ids::WorkerId, Vec<TaskKey>>,
     /// When a worker at an address last crashed.
-    pub(super) lost_at: FxHashMap<String, Instant>,
+    pub(crate) lost_at: FxHashMap<String, Instant>,
     /// Set when a suspect may wait to be tried alone.
-    pub(super) may_wait: bool,
-    pub(super) checked: Instant,
+    pub(crate) may_wait: bool,
+    pub(crate) checked: Instant,
 }
 
 impl Crashes {
     /// Adds a suspect and the worker that speaks against it.
-    pub(super) fn add(&mut self, key: TaskKey, worker: &ids::WorkerId) {
+    pub(crate) fn add(&mut self, key: TaskKey, worker: &ids::WorkerId) {
         self.suspects.insert(key);
         self.by_worker.entry(worker.clone()).or_default().push(key);
         self.note_waiting();
     }
 
     /// Drops workers that speak against no suspect any more, and addresses that lost none for long.
-    pub(super) fn forget_old(&mut self, now: Instant) {
+    pub(crate) fn forget_old(&mut self, now: Instant) {
         if self.by_worker.len() > self.suspects.len() * WORKERS_PER_SUSPECT {
             let suspects = &self.suspects;
             self.by_worker.retain(|_, keys| keys.iter().any(|key| suspects.contains(key)));
@@ -146,30 +143,3 @@
         self.may_wait = true;
     }
 }
-
-/// Tells whether a pending task may start like any other one.
-pub fn may_start(task: &Task) -> bool {
-    task.suspicion.as_ref().is_none_or(|s| s.ordinary && s.may_start())
-}
-
-/// Takes in that the progress of these jobs is being stored.
-pub fn being_saved(cx: &mut State, jobs: &BTreeSet<JobKey>) {
-    let of_jobs = |key: &TaskKey| jobs.contains(&key.job);
-    change_saved(cx, of_jobs, Saved::No, Saved::InFlight);
-}
-
-/// Takes in that the commit in flight is stored or, unless `stored`, certainly is not.
-pub fn commit_ended(cx: &mut State, stored: bool) {
-    let now_saved = if stored { Saved::Yes } else { Saved::No };
-    change_saved(cx, |_| true, Saved::InFlight, now_saved);
-}
-
-fn change_saved(cx: &mut State, of: impl Fn(&TaskKey) -> bool, from: Saved, to: Saved) {
-    let suspects: Vec<TaskKey> = cx.crashes.suspects.iter().copied().filter(of).collect();
-    for key in suspects {
-        let suspicion = cx.task_mut(key).and_then(|t| t.suspicion.as_mut());
-        if let Some(suspicion) = suspicion.filter(|s| s.saved == from) {
-            suspicion.saved = to;
-        }
-    }
-}
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -9,9 +9,9 @@
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Instant;
 
-use crate::crashes::Suspicion;
 use crate::message::{Run, WorkerIx};
-use crate::speed::StepRates;
+use crate::state::rates::StepRates;
+use crate::state::suspicion::Suspicion;
 
 /// Where a task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/upkeep.rs
@@ -13,82 +13,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use gaplock_jobs::TaskKey;
-use gaplock_policy::tries::{Fate, Tries};
+use gaplock_policy::tries::Fate;
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
-use rustc_hash::FxHashMap;
 
 use crate::message::{
     Action, HostInfo, HostState, Record, UpkeepAnswer, WaveNumber, WaveProgress, WaveRequest,
     WorkerIx,
 };
+use crate::state::upkeep::{Down, Wave};
 use crate::state::State;
 use crate::{commits, trace};
 
-/// Everything known of waves and of the hosts that they name.
-#[derive(Debug, Default)]
-pub struct Upkeep {
-    waves: BTreeMap<WaveNumber, Wave>,
-    /// What a former leader stored of waves that have not been heard of again yet.
-    stored: BTreeMap<WaveNumber, WaveProgress>,
-    hosts: FxHashMap<ids::HostId, HostInfo>,
-    /// When the list of hosts in hand was asked for.
-    listed: Option<Instant>,
-    /// When the list is wanted next; unset while a call is under way.
-    list_due: Option<Instant>,
-}
-
-/// One wave.
-#[derive(Debug)]
-struct Wave {
-    request: WaveRequest,
-    /// When it must be over.
-    until: Instant,
-    progress: WaveProgress,
-    /// Whether the operators have been told of the wave; nothing goes down before.
-    told: bool,
-    /// Hosts that are not of the wave after all.
-    left_out: BTreeSet<ids::HostId>,
-    /// Hosts that are being emptied, and since when.
-    emptying: BTreeMap<ids::HostId, Instant>,
-    /// Hosts that are stored as ordered, with their workers; none else is ordered down.
-    ordered: BTreeMap<ids::HostId, Option<ids::WorkerId>>,
-    /// Hosts that a former leader may have ordered down.
-    inherited: BTreeSet<ids::HostId>,
-    /// Hosts that were ordered down and may be down, or may go down yet.
-    down: BTreeMap<ids::HostId, Down>,
-}
-
-/// A host that was ordered down.
-#[derive(Debug, Default)]
-struct Down {
-    /// The tries of its order, with one for those of former leaders.
-    tries: Tries,
-    /// When its order is to be given again.
-    again: Option<Instant>,
-    /// When the platform was heard to say that its upkeep has begun.
-    begun: Option<Instant>,
-}
-
-impl Down {
-    /// Builds the state of a host before its first order; orders of former leaders may be open.
-    fn new(inherited: bool) -> Self {
-        let mut down = Self::default();
-        if inherited {
-            down.tries.send();
-            down.tries.settle(Fate::Unknown);
-        }
-        down
-    }
-
-    /// Takes in what became of the last order, to be given again after `pause` unless that is proof
-    /// enough; returns what became of the host.
-    fn settle(&mut self, last: Fate, again: Instant) -> Fate {
-        self.again = Some(again);
-        self.tries.settle(last)
-    }
-}
-
 /// How often the hosts are listed while a wave is under way: a host is away for about 2 s, and all
 /// hosts together may ask 60 times a second.
 const LIST_EVERY: Millis = Millis(500);
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -8,11 +8,12 @@
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
 
-use crate::crashes::trials::Trial;
-use crate::doubts::Doubt;
 use crate::message::{EndSeq, Run, WorkerClock, WorkerInfo};
-use crate::pacing::{Column, GivenPaces, Row};
-use crate::speed::{Mark, Speed};
+use crate::state::doubt::Doubt;
+use crate::state::model::{Column, Row};
+use crate::state::paces::GivenPaces;
+use crate::state::rates::{Mark, Speed};
+use crate::state::trial::Trial;
 
 /// What the leader believes of a run at a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
