The scheduler's decisions stand in functions that change nothing

Cause: modules that decide also changed state and named each other in circles: placement named the trials, which start tasks; dispatch, gangs and trials named each other; the pacing of tasks named what moves them.

Ruled out: returning all orders of a check at once where each order changes the answer to the next question (a stop makes more of its step away): there the change asks the decision one by one.

Change: decisions/ has what reads: losses, availability, filling tasks, paces, disturbance, room, placement, choices, what tasks ask for, who is leaving, who is slow. What begins a start is one module below gangs, trials and dispatch; workers kept for suspects are one below that. Trials and moves stand above what starts and stops. No behaviour changes.

--- a/crates/sched/src/account.rs
+++ b/crates/sched/src/account.rs
@@ -8,7 +8,7 @@
 use crate::proof::Proof;
 use crate::state::State as Context;
 use crate::table::TaskState;
-use crate::worker::{Phase, Slot};
+use crate::worker::{Phase, Slot, AT_WORK_PERCENT};
 use crate::{ends, lifecycle, speed, trace};
 
 /// Takes in the account that answers a renewal which was sent at `sent`.
@@ -45,9 +45,6 @@
     }
 }
 
-/// The percentage at which a lasting task is at work.
-pub const AT_WORK_PERCENT: u32 = 100;
-
 /// Decides about a run that this leader did not start, or has given up: kept if the task is free,
 /// stopped otherwise.
 fn take_in_unknown(cx: &mut Context, ix: WorkerIx, row: &RunningTask) {
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -8,8 +8,8 @@
 use crate::settings::Settings;
 use crate::state::State;
 use crate::{
-    commits, crashes, directory, dispatch, drain, evacuation, intake, leases, orders, pacing,
-    permits, renewals, roster, stragglers, takeover, upkeep,
+    commits, crashes, directory, dispatch, drain, evacuation, intake, leases, moving, orders,
+    pacing, permits, renewals, roster, stragglers, takeover, upkeep,
 };
 
 pub use crate::state::Term;
@@ -162,7 +162,7 @@
             return;
         }
         self.last_rearranged = self.now;
-        self.places_searched = pacing::check(self) + stragglers::check(self);
+        self.places_searched = moving::check(self) + stragglers::check(self);
     }
 
     /// Returns the least time between two passes.
--- a/crates/sched/src/crashes.rs
+++ b/crates/sched/src/crashes.rs
@@ -3,21 +3,21 @@
 //! A run that goes with its worker leaves no listed end: only the loss of the worker tells of it. So
 //! each worker that is lost without having left counts against the tasks that ran there. From then
 //! on a task is a suspect. It starts again only once the count is stored, so that no successor forgets
-//! it, and alone on a worker where one is free ([`trials`]), so that a further crash takes nothing else
+//! it, and alone on a worker where one is free (`trials.rs`), so that a further crash takes nothing else
 //! down and speaks against it alone. After three or four workers its job fails.
 //!
 //! What looks like a crash and is none is not counted, or taken back: a worker that leaves, leases that
 //! were left to end, a worker that answers again. Many workers lost at one time raise a doubt only
-//! (`docs/PLATFORM.md`, section Crashing tasks). `evidence` says against whom a loss speaks,
-//! `state/suspicion.rs` keeps it, `verdict` ends it, `inherited` finds what predecessors saw.
+//! (`docs/PLATFORM.md`, section Crashing tasks). `decisions/losses.rs` says against whom a loss
+//! speaks, `evidence` counts it, `state/suspicion.rs` keeps it, `verdict` ends it, `inherited` finds what predecessors saw.
 
 mod evidence;
 mod inherited;
+pub mod kept;
 mod saved;
-pub mod trials;
 mod verdict;
 
-pub use evidence::{has_left, worker_lost, Loss};
+pub use evidence::worker_lost;
 pub use inherited::{any_lost, find_suspects, holder_lost, restored};
-pub use saved::{being_saved, commit_ended, may_start};
+pub use saved::{being_saved, commit_ended};
 pub use verdict::{check, worker_answers, worker_gone};
--- a/crates/sched/src/crashes/inherited.rs
+++ b/crates/sched/src/crashes/inherited.rs
@@ -5,8 +5,9 @@
 use gaplock_types::ids;
 use rustc_hash::FxHashSet;
 
-use super::evidence::{doubt, has_left, hold_until_saved, suspect, Evidence, Loss, AT_START};
+use super::evidence::{doubt, hold_until_saved, suspect, Evidence};
 use crate::commits;
+use crate::decisions::losses::{has_left, Loss, AT_START};
 use crate::message::WorkerIx;
 use crate::state::suspicion::Suspicion;
 use crate::state::State;
--- /dev/null
+++ b/crates/sched/src/crashes/kept.rs
@@ -0,0 +1,33 @@
+//! Workers that are kept for suspects.
+
+use gaplock_jobs::TaskKey;
+use gaplock_types::time::Millis;
+
+use crate::message::WorkerIx;
+use crate::state::trial::Trial;
+use crate::state::State;
+
+/// How long a suspect keeps a worker to itself, by the square of the workers lost under it: after one,
+/// which is most often chance, as long as a start takes to go wrong; after two, longer than what short
+/// tasks work.
+pub const ALONE_FOR: Millis = Millis(1_000);
+
+/// Keeps a worker for a suspect that starts there, unless it has a single loss and others run there.
+pub fn placed(cx: &mut State, ix: WorkerIx, key: TaskKey) {
+    let now = cx.now;
+    let is_free = cx.worker(ix).trial.is_none_or(|trial| trial.until <= now);
+    if losses(cx, key) > 1 && is_free {
+        keep(cx, ix, key);
+    }
+}
+
+/// Keeps a worker for a task for as long as its losses call for.
+pub fn keep(cx: &mut State, ix: WorkerIx, key: TaskKey) {
+    let losses = losses(cx, key) as u64;
+    let until = cx.now + Millis(ALONE_FOR.0 * losses * losses);
+    cx.worker_mut(ix).trial = Some(Trial { task: key, began: cx.now, until });
+}
+
+fn losses(cx: &State, key: TaskKey) -> usize {
+    cx.task(key).and_then(|t| t.suspicion.as_ref()).map_or(0, |s| s.losses())
+}
--- a/crates/sched/src/crashes/saved.rs
+++ b/crates/sched/src/crashes/saved.rs
@@ -6,12 +6,6 @@
 
 use crate::state::suspicion::Saved;
 use crate::state::State;
-use crate::table::Task;
-
-/// Tells whether a pending task may start like any other one.
-pub fn may_start(task: &Task) -> bool {
-    task.suspicion.as_ref().is_none_or(|s| s.ordinary && s.may_start())
-}
 
 /// Takes in that the progress of these jobs is being stored.
 pub fn being_saved(cx: &mut State, jobs: &BTreeSet<JobKey>) {
--- a/crates/sched/src/crashes/verdict.rs
+++ b/crates/sched/src/crashes/verdict.rs
@@ -5,7 +5,7 @@
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
 
-use super::evidence::{has_left, lived, CLEARED_AFTER};
+use crate::decisions::losses::{has_left, lived, CLEARED_AFTER};
 use crate::message::WorkerIx;
 use crate::state::suspicion::Saved;
 use crate::state::State;
--- /dev/null
+++ b/crates/sched/src/decisions.rs
@@ -0,0 +1,13 @@
+//! Functions that read the state and return an answer; they change nothing.
+
+pub mod asks;
+pub mod availability;
+pub mod choices;
+pub mod disturbance;
+pub mod filling;
+pub mod leaving;
+pub mod losses;
+pub mod paces;
+pub mod placement;
+pub mod room;
+pub mod slowness;
--- /dev/null
+++ b/crates/sched/src/decisions/asks.rs
@@ -0,0 +1,62 @@
+//! What pending tasks ask of a worker, and whether they may start.
+
+use gaplock_jobs::config::Advice;
+use gaplock_jobs::{Job, TaskKey};
+use gaplock_types::ids;
+use gaplock_types::time::Millis;
+
+use crate::decisions::placement::Wanted;
+use crate::state::State;
+use crate::table::{Task, TaskState};
+
+/// The task of a step that is tried first.
+#[derive(Debug, Clone, Copy)]
+pub struct First {
+    /// How long it has waited.
+    pub waited: Millis,
+    /// Whether it may have been at work before.
+    pub again: bool,
+}
+
+/// Says what decides of a task that is tried first.
+pub fn first_of(cx: &State, task: &Task) -> First {
+    First { waited: cx.now.since(task.since), again: task.may_have_run }
+}
+
+/// Returns the pool of workers that runs a job.
+pub fn service_of(cx: &State, job: &Job) -> Option<ids::ServiceId> {
+    let config = cx.config.as_ref()?;
+    config.queue(&job.queue).map(|q| q.service.clone())
+}
+
+/// Returns what the job's queue says of asking another service where steps may run.
+pub fn advice_of<'a>(cx: &'a State, job: &Job) -> Option<&'a Advice> {
+    cx.config.as_ref()?.queue(&job.queue)?.advice.as_ref()
+}
+
+/// Tells whether a task is pending, its pause over, and nothing speaks against starting it beside
+/// others.
+pub fn may_start(cx: &State, task: TaskKey) -> bool {
+    let due = |t: &&Task| t.state == TaskState::Pending && t.not_before <= cx.now;
+    cx.task(task).filter(due).is_some_and(may_start_like_others)
+}
+
+/// Says what a task asks of a worker.
+pub fn wanted<'a>(
+    cx: &'a State,
+    job: &'a Job,
+    service: &'a ids::ServiceId,
+    task: TaskKey,
+) -> Option<Wanted<'a>> {
+    let step = &job.steps[usize::from(task.step)];
+    let found = cx.task(task)?;
+    let First { waited, again } = first_of(cx, found);
+    let avoid = found.failed_on;
+    let (advice, only_rack) = (advice_of(cx, job), None);
+    Some(Wanted { service, step, task, avoid, waited, again, only_rack, advice })
+}
+
+/// Tells whether a pending task may start like any other one.
+fn may_start_like_others(task: &Task) -> bool {
+    task.suspicion.as_ref().is_none_or(|s| s.ordinary && s.may_start())
+}
--- a/crates/sched/src/choices.rs
+++ b/crates/sched/src/decisions/choices.rs
@@ -9,8 +9,8 @@
 
 use gaplock_types::time::Millis;
 
+use crate::decisions::placement::{self, Wanted};
 use crate::message::WorkerIx;
-use crate::placement::{self, Wanted};
 use crate::state::State;
 
 /// A worker and how good a place it is.
--- a/crates/sched/src/pacing/placing.rs
+++ b/crates/sched/src/decisions/disturbance.rs
@@ -1,5 +1,4 @@
-//! What a placement would disturb: the room that serving tasks leave for filling ones, and the cost
-//! that the choice of a worker counts.
+//! What a placement would disturb: the cost that the choice of a worker counts.
 //!
 //! The pattern: a pool near its capacity in which some filling images press on most of what serves and
 //! others on little. Spread evenly, those that press on little take the workers that alone bear the others,
@@ -9,74 +8,18 @@
 use gaplock_jobs::Step;
 use gaplock_types::time::Millis;
 
-use super::filling::{self, FillingTask};
-use super::CROWDED_SHARE;
-use crate::message::WorkerIx;
-use crate::state::model::{Row, LEAST_PUSH};
+use crate::state::model::LEAST_PUSH;
 use crate::state::State;
 use crate::worker::{Part, Worker};
 
-/// Part of its target that a serving task's expected tail may reach when a task is placed beside
-/// it: lower than for what already runs, so that what was just placed is not slowed down at once.
-const PLACED_SHARE: f64 = 0.95;
-
-/// How far ahead the load is looked at when a task is placed, in seconds: most of a filling task's
-/// time on the users' sites.
-const PLACED_AHEAD_S: f64 = 1.0;
-
-/// The share of a worker's processors that a filling task takes in the mean, by which workers are compared:
-/// about two of sixteen to twenty-four cores on the users' sites.
-const TYPICAL_SHARE: f64 = 0.1;
-
-/// Recomputes how much more pressure the serving tasks on a worker bear, by their image. What is slowed
-/// down counts with its full pace, to which it is to come back before others join it.
-pub fn refresh(cx: &mut State, ix: WorkerIx) {
-    let now = cx.now;
-    let worker = cx.worker(ix);
-    let tasks = filling::filling_tasks(worker, now);
-    let mut spare: Vec<(Row, f64)> = Vec::new();
-    for (key, slot) in &worker.slots {
-        let Some(served) = filling::served(*key, slot) else { continue };
-        let pressure = cx.pacing.pressure(served.row, tasks.iter().map(FillingTask::unpaced));
-        let bearable = cx.pacing.bearable(&served, PLACED_SHARE, now, PLACED_AHEAD_S);
-        let left = bearable - pressure;
-        match spare.iter_mut().find(|(row, _)| *row == served.row) {
-            Some((_, known)) => *known = known.min(left),
-            None => spare.push((served.row, left)),
-        }
-    }
-    let left = spare_filling(cx, worker);
-    let openness =
-        if left < TYPICAL_SHARE { 0.0 } else { cx.pacing.openness(&spare, TYPICAL_SHARE) };
-    let worker = cx.worker_mut(ix);
-    worker.openness = openness;
-    worker.spare_pressure = spare;
-    worker.spare_filling = left;
-}
+/// The share of a worker's processors from which filling tasks of any image disturb what is served
+/// there, because the processors are used up; as measured. Readings beyond it teach nothing of pairs.
+pub const CROWDED_SHARE: f64 = 0.6;
 
 /// The share of a worker's processors that filling tasks may use: a tenth is left for the swing of what
 /// serves within the half second that a reading is old. At 0.6, from where on the processors' use itself is
 /// felt, full pools serve 0.04 less; 0.75 is half way, 1.2 no better (`docs/design/shifted-work.md`).
-const FILLED_SHARE: f64 = 0.9;
-
-/// Returns the share of a worker's processors that more filling tasks may use: what serving tasks
-/// at their expected load, short tasks and filling tasks leave.
-fn spare_filling(cx: &State, worker: &Worker) -> f64 {
-    let cores = f64::from(worker.info.capacity.cpu.0.max(1));
-    let mut busy = 0.0;
-    for (key, slot) in &worker.slots {
-        let takes = f64::from(slot.takes.cpu.0);
-        busy += match slot.part {
-            Part::Serving { .. } => takes * cx.pacing.load(key.job, cx.now, PLACED_AHEAD_S),
-            Part::Plain => takes,
-            Part::Filling(_) => 0.0,
-        };
-    }
-    let tasks = filling::filling_tasks(worker, cx.now);
-    let used: f64 = tasks.iter().map(|f| f.share).sum();
-    let left = 1.0 - busy / cores;
-    left.min(FILLED_SHARE) - used
-}
+pub const FILLED_SHARE: f64 = 0.9;
 
 /// Returns how much placing a step's task on a worker would disturb, against one worker of free
 /// room, or nothing where it must not be placed there yet.
--- a/crates/sched/src/pacing/filling.rs
+++ b/crates/sched/src/decisions/filling.rs
@@ -1,29 +1,19 @@
 //! The tasks that disturb each other on a worker: those that serve, and those that fill.
 
-use gaplock_jobs::{Step, TaskKey};
-use gaplock_types::time::Instant;
+use gaplock_jobs::TaskKey;
+use gaplock_types::time::{Instant, Millis};
 
-use super::SETTLE;
 use crate::message::Run;
 use crate::state::model::{Column, Served};
 use crate::state::paces::FULL_PACE;
-use crate::state::State;
 use crate::worker::{Part, Phase, Slot, Worker};
 
-/// Returns what a step's tasks are to each other on a worker.
-pub fn part_of(cx: &mut State, step: &Step) -> Part {
-    let image = step.image.as_deref().unwrap_or_default();
-    if step.fills {
-        return Part::Filling(cx.pacing.column(image));
-    }
-    match step.tail_target {
-        Some(target) => Part::Serving { row: cx.pacing.row(image), target_ms: target.0 as u32 },
-        None => Part::Plain,
-    }
-}
+/// Readings cover the last half second; a worker on which a filling task has ended within this
+/// time shows what that task did, but no longer the task.
+pub const SETTLE: Millis = Millis(650);
 
 /// Returns what the model needs of a serving task, and nothing for any other.
-pub(super) fn served(key: TaskKey, slot: &Slot) -> Option<Served> {
+pub fn served(key: TaskKey, slot: &Slot) -> Option<Served> {
     match slot.part {
         Part::Serving { row, target_ms } => {
             Some(Served { job: key.job, row, target_ms: f64::from(target_ms.max(1)) })
@@ -34,9 +24,12 @@
 
 /// A filling task at a worker.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct FillingTask {
+pub struct FillingTask {
+    /// The task.
     pub key: TaskKey,
+    /// The run.
     pub run: Run,
+    /// Its image.
     pub column: Column,
     /// Share of the worker's processors at full pace.
     pub share: f64,
@@ -66,7 +59,7 @@
 }
 
 /// Lists the filling tasks on a worker that are not being stopped.
-pub(super) fn filling_tasks(worker: &Worker, now: Instant) -> Vec<FillingTask> {
+pub fn filling_tasks(worker: &Worker, now: Instant) -> Vec<FillingTask> {
     let running = worker.slots.iter().filter(|(_, slot)| slot.phase != Phase::Stopping);
     let filling = running.filter_map(|(key, slot)| match slot.part {
         Part::Filling(column) => Some(FillingTask {
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/decisions/placement.rs
@@ -6,9 +6,9 @@
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 
+use crate::decisions::disturbance;
+use crate::decisions::room;
 use crate::message::{StepKey, WorkerIx};
-use crate::pacing;
-use crate::room;
 use crate::state::State;
 use crate::table;
 use crate::worker::{Part, Worker};
@@ -267,6 +267,6 @@
     if worker.speed.is_slow(cx.now) {
         score -= SLOW_COST;
     }
-    let disturbed = pacing::placement_cost(cx, worker, wanted.step, wanted.waited)?;
+    let disturbed = disturbance::placement_cost(cx, worker, wanted.step, wanted.waited)?;
     Some(score - disturbed)
 }
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/dispatch.rs
@@ -2,21 +2,17 @@
 
 use std::collections::BTreeSet;
 
-use gaplock_jobs::config::Advice;
 use gaplock_jobs::{Job, Step, TaskKey};
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 use gaplock_types::{ids, sizes};
 
-use crate::choices::Choices;
-use crate::crashes::{self, trials};
-use crate::lifecycle::Occupant;
-use crate::message::{Run, WorkerIx};
-use crate::placement::{self, Wanted};
+use crate::decisions::asks::{advice_of, first_of, may_start, service_of, wanted, First};
+use crate::decisions::choices::Choices;
+use crate::decisions::{disturbance, placement, room};
 use crate::state::State;
-use crate::table::{self, ReadyStep, Task, TaskState};
-use crate::worker::Phase;
-use crate::{gangs, lifecycle, orders, pacing, permits, room, trace};
+use crate::table::{self, ReadyStep};
+use crate::{gangs, pacing, permits, starts, trace, trials};
 
 /// A demand for which no worker had room in this pass; a demand at least as large with the same
 /// restrictions need not be tried.
@@ -46,7 +42,7 @@
         let filling = step.fills.then(|| BlockedFilling {
             image: step.image.clone(),
             demand: step.demand.cpu,
-            impatient: pacing::is_impatient(first.waited),
+            impatient: disturbance::is_impatient(first.waited),
         });
         let lasting = step.lasting.then(|| room::may_take_kept(first.waited, first.again));
         Self { service, label: step.label.clone(), takes: table::takes(step), filling, lasting }
@@ -76,15 +72,6 @@
     }
 }
 
-/// The task of a step that is tried first.
-#[derive(Debug, Clone, Copy)]
-struct First {
-    /// How long it has waited.
-    waited: Millis,
-    /// Whether it may have been at work before.
-    again: bool,
-}
-
 /// What one pass knows, so that it need not go over all workers for each step.
 #[derive(Debug)]
 struct Pass {
@@ -201,11 +188,6 @@
     cx.task(task).map(|t| first_of(cx, t))
 }
 
-/// Says what decides of a task that is tried first.
-fn first_of(cx: &State, task: &Task) -> First {
-    First { waited: cx.now.since(task.since), again: task.may_have_run }
-}
-
 /// Logs why the first task of a step that may start finds no worker.
 fn explain_first(
     cx: &mut State,
@@ -243,51 +225,11 @@
         let chosen = choices.take(cx, &wanted);
         debug_assert_eq!(chosen, placement::choose(cx, &wanted), "the kept order is another one");
         let Some(ix) = chosen else { return Some(task) };
-        start_at(cx, ix, task);
+        starts::start_at(cx, ix, task);
     }
     None
 }
 
-/// Starts a task at a worker.
-pub fn start_at(cx: &mut State, ix: WorkerIx, task: TaskKey) {
-    let run = next_run(cx, task);
-    reserve(cx, ix, task, run);
-    orders::send_start(cx, ix, task, run);
-}
-
-/// Returns the pool of workers that runs a job.
-pub fn service_of(cx: &State, job: &Job) -> Option<ids::ServiceId> {
-    let config = cx.config.as_ref()?;
-    config.queue(&job.queue).map(|q| q.service.clone())
-}
-
-/// Returns what the job's queue says of asking another service where steps may run.
-pub fn advice_of<'a>(cx: &'a State, job: &Job) -> Option<&'a Advice> {
-    cx.config.as_ref()?.queue(&job.queue)?.advice.as_ref()
-}
-
-/// Tells whether a task is pending, its pause over, and nothing speaks against starting it beside
-/// others.
-pub fn may_start(cx: &State, task: TaskKey) -> bool {
-    let due = |t: &&Task| t.state == TaskState::Pending && t.not_before <= cx.now;
-    cx.task(task).filter(due).is_some_and(crashes::may_start)
-}
-
-/// Says what a task asks of a worker.
-pub fn wanted<'a>(
-    cx: &'a State,
-    job: &'a Job,
-    service: &'a ids::ServiceId,
-    task: TaskKey,
-) -> Option<Wanted<'a>> {
-    let step = &job.steps[usize::from(task.step)];
-    let found = cx.task(task)?;
-    let First { waited, again } = first_of(cx, found);
-    let avoid = found.failed_on;
-    let (advice, only_rack) = (advice_of(cx, job), None);
-    Some(Wanted { service, step, task, avoid, waited, again, only_rack, advice })
-}
-
 /// How often the log says why a step waits.
 const EXPLAIN_EVERY: Millis = Millis(2_000);
 
@@ -305,28 +247,3 @@
     let counts = placement::explain(cx, &wanted);
     trace::step_waits(task, pending, waited, &wanted.step.demand, &counts);
 }
-
-/// Counts another start of a task and returns its run.
-fn next_run(cx: &mut State, task: TaskKey) -> Run {
-    let found = cx.task_mut(task);
-    let starts = found.map_or(1, |t| {
-        t.starts += 1;
-        t.starts
-    });
-    cx.run_number(starts)
-}
-
-/// Takes the room for a run and holds the task to be there from now on.
-pub fn reserve(cx: &mut State, ix: WorkerIx, task: TaskKey, run: Run) {
-    let now = cx.now;
-    lifecycle::leave_pending(cx, task);
-    let (phase, percent, reading) = (Phase::Starting, 0, None);
-    lifecycle::occupy(cx, ix, task, Occupant { run, phase, percent, reading });
-    let worker = cx.worker(ix).info.id.clone();
-    if let Some(t) = cx.task_mut(task) {
-        t.state = TaskState::Active { worker: ix, run };
-        t.may_have_run = true;
-        trace::start_ordered(task, run, &worker, now.since(t.since));
-    }
-    trials::placed(cx, ix, task);
-}
--- a/crates/sched/src/gangs.rs
+++ b/crates/sched/src/gangs.rs
@@ -9,12 +9,13 @@
 use gaplock_jobs::{Job, TaskKey};
 use gaplock_types::ids;
 
+use crate::decisions::asks;
+use crate::decisions::placement::{self, Wanted};
 use crate::message::{Run, WorkerIx};
-use crate::placement::{self, Wanted};
 use crate::proof::Proof;
 use crate::state::State as Context;
 use crate::table::ReadyStep;
-use crate::{dispatch, lifecycle, orders, permits};
+use crate::{lifecycle, orders, permits, starts};
 
 /// Starts all members of a gang under one run number, or none of them.
 pub fn start(
@@ -30,12 +31,12 @@
     }
     let key = |&index| TaskKey { job: ready.job, round: ready.round, step: ready.step, index };
     let members: Vec<TaskKey> = pending.iter().map(key).collect();
-    if members.iter().any(|&task| !dispatch::may_start(cx, task)) {
+    if members.iter().any(|&task| !asks::may_start(cx, task)) {
         return;
     }
     let starts = next_starts(cx, &members);
     let Some(placed) = place_together(cx, job, service, &members, starts, step.same_rack) else {
-        if dispatch::advice_of(cx, job).is_some() {
+        if asks::advice_of(cx, job).is_some() {
             permits::ask(cx, ready, pending.len());
         }
         return;
@@ -95,14 +96,13 @@
     let run = cx.run_number(starts);
     let mut placed: Vec<(TaskKey, WorkerIx)> = Vec::new();
     for &task in members {
-        let wanted =
-            dispatch::wanted(cx, job, service, task).map(|w| Wanted { only_rack: rack, ..w });
+        let wanted = asks::wanted(cx, job, service, task).map(|w| Wanted { only_rack: rack, ..w });
         let Some(ix) = wanted.and_then(|w| placement::choose(cx, &w)) else {
             undo(cx, &placed, run);
             return None;
         };
         set_starts(cx, task, starts);
-        dispatch::reserve(cx, ix, task, run);
+        starts::reserve(cx, ix, task, run);
         placed.push((task, ix));
     }
     Some(placed)
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -6,12 +6,11 @@
 //! learns what runs from the workers themselves.
 
 pub mod account;
-pub mod availability;
-pub mod choices;
 pub mod claims;
 pub mod commits;
 pub mod context;
 pub mod crashes;
+pub mod decisions;
 pub mod directory;
 pub mod dispatch;
 pub mod doubts;
@@ -23,26 +22,28 @@
 pub mod leases;
 pub mod lifecycle;
 pub mod message;
+pub mod moving;
 pub mod orders;
 pub mod pacing;
 pub mod permits;
-pub mod placement;
 pub mod proof;
 pub mod renewals;
-pub mod room;
 pub mod roster;
 pub mod searches;
 pub mod settings;
 pub mod speed;
+pub mod starts;
 pub mod state;
 pub mod stragglers;
 pub mod table;
 pub mod takeover;
 pub mod trace;
+pub mod trials;
 pub mod upkeep;
 pub mod worker;
 pub mod writing;
 
 pub use context::Context;
+pub use decisions::{availability, choices, placement, room};
 pub use message::{Action, Event};
 pub use settings::Settings;
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -7,13 +7,14 @@
 use gaplock_policy::tries::Tries;
 use gaplock_types::time::{Instant, Millis};
 
+use crate::decisions::room;
 use crate::message::{Action, Run, WorkerIx};
 use crate::pacing::{self, GivenPaces, FULL_PACE};
 use crate::proof::Proof;
 use crate::state::State as Context;
 use crate::table::{self, Entry, ReadyStep, Round, Task, TaskState};
 use crate::worker::{Part, Phase, Slot};
-use crate::{commits, room, trace};
+use crate::{commits, trace};
 
 /// How much later than its objective a lasting step is served: room that comes free goes to work
 /// that ends soon, whose caller waits for it, as long as there is any.
--- a/crates/sched/src/pacing/paces.rs
+++ b/crates/sched/src/pacing/paces.rs
@@ -3,103 +3,23 @@
 
 use gaplock_jobs::TaskKey;
 use gaplock_policy::tries::Fate;
-use gaplock_types::time::Millis;
 
-use super::filling::{self, FillingTask};
-use super::placing;
+use super::spare;
+use crate::decisions::filling::FillingTask;
+use crate::decisions::paces::{self, part_of};
 use crate::message::{Action, Run, WorkerIx};
-use crate::state::model::{Model, Row, LEAST_PUSH};
 use crate::state::paces::FULL_PACE;
 use crate::state::State;
 use crate::trace;
-use crate::worker::{Part, Phase, Worker};
-
-/// Part of its target that a serving task's expected tail may reach beside what already runs:
-/// readings are rough and up to a second old.
-const GUARDED_SHARE: f64 = 1.0;
-
-/// How far ahead the load is looked at for what already runs, in seconds: until the next reading
-/// and the next change of pace.
-const GUARDED_AHEAD_S: f64 = 0.5;
+use crate::worker::{Part, Phase};
 
 /// Lowers the pace of what disturbs a serving task too much, and raises it again.
 pub fn set_paces(cx: &mut State, ix: WorkerIx) {
-    let now = cx.now;
-    let worker = cx.worker(ix);
-    let mut tasks = filling::filling_tasks(worker, now);
-    if tasks.is_empty() {
-        return;
-    }
-    for task in &mut tasks {
-        task.pace = FULL_PACE;
-    }
-    for (key, slot) in &worker.slots {
-        let Some(served) = filling::served(*key, slot) else { continue };
-        let bearable = cx.pacing.bearable(&served, GUARDED_SHARE, now, GUARDED_AHEAD_S);
-        relieve(&cx.pacing, served.row, bearable, &mut tasks);
-    }
-    halt(cx, cx.worker(ix), &mut tasks);
-    for task in tasks {
+    for task in paces::wanted(cx, cx.worker(ix)) {
         order_pace(cx, ix, &task);
     }
 }
 
-/// Lowers paces until the pressure on a serving image is bearable, beginning with what presses
-/// most. A run in doubt is held to press with the worst of the paces that may be in force, so
-/// others beside it are lowered for what it may press with.
-fn relieve(model: &Model, row: Row, bearable: f64, filling: &mut [FillingTask]) {
-    let push = |f: &FillingTask| model.factor(row, Some(f.column)) * f.share;
-    filling.sort_by(|a, b| push(b).total_cmp(&push(a)));
-    let mut excess = model.pressure(row, filling.iter().map(FillingTask::paced)) - bearable;
-    for task in filling {
-        let full = push(task);
-        if excess <= 0.0 || full < LEAST_PUSH {
-            return;
-        }
-        let pressing = full * f64::from(task.worst()) / 100.0;
-        let left = (pressing - excess).max(0.0);
-        task.pace = task.pace.min((left / full * 100.0) as u32);
-        // What an order without an answer may bring back is not relieved by another order.
-        let stays = full * f64::from(task.worst()) / 100.0;
-        excess -= pressing - stays.max(left);
-    }
-}
-
-/// The part of the allowed excess after which what the model suspects is halted. A reading is up to
-/// 1.5 s old, and the users' sites allow 4 s.
-const HALT_SUSPECTED_AFTER: f64 = 0.3;
-
-/// The part of the allowed excess after which everything that fills is halted.
-const HALT_ALL_AFTER: f64 = 0.475;
-
-/// A filling task whose push on a serving image is less than this is not suspected.
-const SUSPECTED_PUSH: f64 = 0.01;
-
-/// Halts fillers beside a serving task that stays over its target: first what may press on it by
-/// the model, then, whatever the model says, everything.
-fn halt(cx: &State, worker: &Worker, filling: &mut [FillingTask]) {
-    let suspected_after = part_of(cx.settings.tail_excess, HALT_SUSPECTED_AFTER);
-    let all_after = part_of(cx.settings.tail_excess, HALT_ALL_AFTER);
-    for slot in worker.slots.values() {
-        let (Part::Serving { row, .. }, Some(since)) = (slot.part, slot.over_since) else {
-            continue;
-        };
-        let lasted = cx.now.since(since);
-        for task in filling.iter_mut() {
-            let push = cx.pacing.factor(row, Some(task.column)) * task.share;
-            let suspected = lasted >= suspected_after && push >= SUSPECTED_PUSH;
-            if suspected || lasted >= all_after {
-                task.pace = 0;
-            }
-        }
-    }
-}
-
-/// Returns a part of a span of time.
-fn part_of(span: Millis, part: f64) -> Millis {
-    Millis((span.0 as f64 * part) as u64)
-}
-
 /// The share of its target from which a reading counts as over it; readings are rough.
 const OVER_SHARE: f64 = 0.97;
 
@@ -185,5 +105,5 @@
         slot.pace = percent;
         slot.mark = None;
     }
-    placing::refresh(cx, ix);
+    spare::refresh(cx, ix);
 }
--- /dev/null
+++ b/crates/sched/src/pacing/parts.rs
@@ -0,0 +1,18 @@
+//! What tasks are to each other on a worker.
+
+use gaplock_jobs::Step;
+
+use crate::state::State;
+use crate::worker::Part;
+
+/// Returns what a step's tasks are to each other on a worker.
+pub fn part_of(cx: &mut State, step: &Step) -> Part {
+    let image = step.image.as_deref().unwrap_or_default();
+    if step.fills {
+        return Part::Filling(cx.pacing.column(image));
+    }
+    match step.tail_target {
+        Some(target) => Part::Serving { row: cx.pacing.row(image), target_ms: target.0 as u32 },
+        None => Part::Plain,
+    }
+}
--- a/crates/sched/src/pacing/readings.rs
+++ b/crates/sched/src/pacing/readings.rs
@@ -2,9 +2,9 @@
 
 use gaplock_types::time::Millis;
 
-use super::filling;
-use super::{CROWDED_SHARE, SETTLE};
 use crate::commits;
+use crate::decisions::disturbance::CROWDED_SHARE;
+use crate::decisions::filling::{self, SETTLE};
 use crate::message::{Record, WorkerIx};
 use crate::state::model::{Column, Served};
 use crate::state::State;
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/renewals.rs
@@ -3,11 +3,10 @@
 
 use gaplock_types::time::{Instant, Millis};
 
-use crate::crashes::{self, trials};
 use crate::message::{Account, Action, Outcome, Refusal, WorkerIx};
 use crate::state::State;
 use crate::worker::Renewal;
-use crate::{account, commits, doubts, leases, pacing, roster, takeover, trace};
+use crate::{account, commits, crashes, doubts, leases, pacing, roster, takeover, trace, trials};
 
 /// Sends every renewal that is due.
 pub fn send_due(cx: &mut State) {
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/roster.rs
@@ -7,10 +7,11 @@
 
 use gaplock_jobs::TaskKey;
 
+use crate::decisions::losses;
 use crate::message::{Record, RosterEntry, WorkerIx};
 use crate::state::State;
 use crate::worker::{Listing, Worker};
-use crate::{commits, crashes, trace};
+use crate::{commits, trace};
 
 /// After how many renewals without an answer a worker is closed: a single answer is lost now and then,
 /// and each change is a write.
@@ -43,7 +44,7 @@
     worker.roster_pending = false;
     worker.closed = true;
     let mut info = worker.info.clone();
-    info.draining = crashes::has_left(worker);
+    info.draining = losses::has_left(worker);
     let holds: Vec<TaskKey> = worker.slots.keys().copied().collect();
     worker.forgotten = holds.is_empty();
     trace::worker_closed(&info.id, holds.len());
--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/speed.rs
@@ -9,13 +9,10 @@
 
 use crate::message::WorkerIx;
 use crate::state::paces::FULL_PACE;
-use crate::state::rates::Mark;
+use crate::state::rates::{Mark, WHOLE_PERCENT};
 use crate::state::State;
 use crate::worker::{Part, Phase, Slot};
 
-/// The progress of a run that has done its work, in percent.
-pub const WHOLE_PERCENT: u32 = 100;
-
 /// The shortest time over which a rate is read.
 const READ_OVER: Millis = Millis(300);
 
--- /dev/null
+++ b/crates/sched/src/starts.rs
@@ -0,0 +1,43 @@
+//! Begins a start: takes the room for its run and holds the task to be there.
+
+use gaplock_jobs::TaskKey;
+
+use crate::crashes::kept;
+use crate::lifecycle::Occupant;
+use crate::message::{Run, WorkerIx};
+use crate::state::State;
+use crate::table::TaskState;
+use crate::worker::Phase;
+use crate::{lifecycle, orders, trace};
+
+/// Starts a task at a worker.
+pub fn start_at(cx: &mut State, ix: WorkerIx, task: TaskKey) {
+    let run = next_run(cx, task);
+    reserve(cx, ix, task, run);
+    orders::send_start(cx, ix, task, run);
+}
+
+/// Counts another start of a task and returns its run.
+fn next_run(cx: &mut State, task: TaskKey) -> Run {
+    let found = cx.task_mut(task);
+    let starts = found.map_or(1, |t| {
+        t.starts += 1;
+        t.starts
+    });
+    cx.run_number(starts)
+}
+
+/// Takes the room for a run and holds the task to be there from now on.
+pub fn reserve(cx: &mut State, ix: WorkerIx, task: TaskKey, run: Run) {
+    let now = cx.now;
+    lifecycle::leave_pending(cx, task);
+    let (phase, percent, reading) = (Phase::Starting, 0, None);
+    lifecycle::occupy(cx, ix, task, Occupant { run, phase, percent, reading });
+    let worker = cx.worker(ix).info.id.clone();
+    if let Some(t) = cx.task_mut(task) {
+        t.state = TaskState::Active { worker: ix, run };
+        t.may_have_run = true;
+        trace::start_ordered(task, run, &worker, now.since(t.since));
+    }
+    kept::placed(cx, ix, task);
+}
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -20,7 +20,7 @@
 use crate::commits::Commits;
 use crate::message::{Action, Evacuated, FencingToken, Run, WorkerInfo, WorkerIx};
 use crate::settings::Settings;
-use crate::table::{Entry, ReadyStep, StepState, Task};
+use crate::table::{Entry, ReadyStep, StepState, Task, TaskState};
 use crate::takeover::Survey;
 use crate::worker::Worker;
 
@@ -170,6 +170,12 @@
         self.jobs.get_mut(&key.job)?.task_mut(key)
     }
 
+    /// Tells whether a task is held to be at a worker under a run.
+    pub fn is_active(&self, key: TaskKey, worker: WorkerIx, run: Run) -> bool {
+        let state = self.task(key).map(|t| t.state);
+        state == Some(TaskState::Active { worker, run })
+    }
+
     /// Finds the description of a task's step.
     pub fn step(&self, key: TaskKey) -> Option<&Step> {
         self.jobs.get(&key.job)?.step(key)
--- a/crates/sched/src/state/rates.rs
+++ b/crates/sched/src/state/rates.rs
@@ -2,6 +2,9 @@
 
 use gaplock_types::time::{Instant, Millis};
 
+/// The progress of a run that has done its work, in percent.
+pub const WHOLE_PERCENT: u32 = 100;
+
 /// A run's progress at one time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Mark {
--- a/crates/sched/src/stragglers.rs
+++ b/crates/sched/src/stragglers.rs
@@ -4,31 +4,14 @@
 //! Where the step allows copies, the slow run goes on and whichever ends first counts. Elsewhere it
 //! is stopped first, since two runs of one task must never overlap.
 
-use gaplock_jobs::{Step, TaskKey};
+use gaplock_jobs::TaskKey;
 use gaplock_types::time::Millis;
 
+use crate::decisions::{placement, slowness};
 use crate::message::{Run, WorkerIx};
 use crate::state::State;
 use crate::table::TaskState;
-use crate::worker::{Part, Phase, Slot};
-use crate::{availability, lifecycle, placement, searches, speed, trace};
-
-/// What a copy costs in time besides its work: the order and the wait for its end to be seen.
-const COPY_TAKES: Millis = Millis(100);
-
-/// What a restart costs in time besides its work and the stop: orders, and loading a checkpoint.
-const RESTART_TAKES: Millis = Millis(400);
-
-/// How much sooner a task must be done elsewhere, as a factor on the time that it takes there:
-/// readings are rough, and what was done here is thrown away.
-const WORTH_IT: f64 = 1.3;
-
-/// The lowest relative speed that is reckoned with: a standstill counts as very slow, not as endless.
-const SLOWEST: f64 = 0.02;
-
-/// How long a serving task on a slow worker stays over its target before it moves: as long as its
-/// way to another worker takes.
-const OVER_BEFORE_MOVE: Millis = Millis(800);
+use crate::{lifecycle, searches, trace};
 
 /// Starts tasks again elsewhere that would take much longer on their slow worker. Returns how many searches
 /// that took.
@@ -39,7 +22,8 @@
         if worker.missed > 0 || !worker.speed.is_slow(cx.now) {
             continue;
         }
-        let slow = worker.slots.iter().filter(|(key, slot)| is_straggler(cx, ix, **key, slot));
+        let slow =
+            worker.slots.iter().filter(|(key, slot)| slowness::is_straggler(cx, ix, **key, slot));
         let slow: Vec<(TaskKey, Run)> = slow.map(|(key, slot)| (*key, slot.run)).collect();
         for (key, run) in slow {
             if searches.is_over() {
@@ -55,45 +39,6 @@
     searches.made()
 }
 
-/// Tells whether a run is better off elsewhere.
-fn is_straggler(cx: &State, ix: WorkerIx, key: TaskKey, slot: &Slot) -> bool {
-    // A copy of a task that crashes its workers would take two of them down.
-    if cx.task(key).is_some_and(|task| task.suspicion.is_some()) {
-        return false;
-    }
-    if slot.phase != Phase::Running || !lifecycle::is_active(cx, key, ix, slot.run) {
-        return false;
-    }
-    match slot.part {
-        Part::Serving { .. } => {
-            let over = slot.over_since.is_some_and(|at| cx.now.since(at) >= OVER_BEFORE_MOVE);
-            over && availability::may_take(cx, key)
-        }
-        Part::Plain | Part::Filling(_) => is_late(cx, ix, key, slot),
-    }
-}
-
-/// Tells whether a run would be done much sooner elsewhere, its stop included.
-fn is_late(cx: &State, ix: WorkerIx, key: TaskKey, slot: &Slot) -> bool {
-    let Some(step) = cx.step(key) else { return false };
-    let typical = cx.step_state(key).and_then(|state| state.rates.typical());
-    let Some(typical) = typical.filter(|_| !step.gang && !step.lasting) else { return false };
-    let left =
-        |percent: u32, rate: f64| f64::from(speed::WHOLE_PERCENT.saturating_sub(percent)) / rate;
-    let here = left(slot.percent, typical * cx.worker(ix).speed.relative(cx.now).max(SLOWEST));
-    let kept = if step.checkpoints { slot.percent } else { 0 };
-    let there = left(kept, typical) + overhead(cx, step).0 as f64 / 1_000.0;
-    here > there * WORTH_IT
-}
-
-/// Returns what a second start costs in time besides the task's work.
-fn overhead(cx: &State, step: &Step) -> Millis {
-    if step.duplicates {
-        return COPY_TAKES;
-    }
-    Millis(cx.settings.stop_limit.0 + RESTART_TAKES.0)
-}
-
 /// Starts a task again: beside its slow run where copies are allowed, after its stop elsewhere.
 fn start_again(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run) {
     let copies = cx.step(key).is_some_and(|step| step.duplicates);
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -11,11 +11,11 @@
 use gaplock_types::time::{Instant, Millis};
 use tracing::{debug, info, warn};
 
-use crate::crashes::Loss;
+use crate::decisions::losses::Loss;
+use crate::decisions::placement::UnfitCounts;
 use crate::message::{
     End, Outcome, Run, UpkeepAnswer, WaveNumber, WaveRequest, WorkerClock, WorkerInfo, WorkerIx,
 };
-use crate::placement::UnfitCounts;
 use crate::proof::Proof;
 use crate::state::State;
 use crate::table::Entry;
--- a/crates/sched/src/crashes/trials.rs
+++ b/crates/sched/src/trials.rs
@@ -12,19 +12,16 @@
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
 
+use crate::decisions::losses::are_many_lost;
+use crate::decisions::{asks, placement};
 use crate::message::WorkerIx;
+use crate::starts;
 use crate::state::trial::Trial;
 use crate::state::State;
 use crate::table::TaskState;
 use crate::worker::Worker;
-use crate::{dispatch, placement};
 
-use super::evidence::are_many_lost;
-
-/// How long a suspect keeps a worker to itself, by the square of the workers lost under it: after one,
-/// which is most often chance, as long as a start takes to go wrong; after two, longer than what short
-/// tasks work.
-const ALONE_FOR: Millis = Millis(1_000);
+use crate::crashes::kept::{keep, ALONE_FOR};
 
 /// The part of all workers, as a divisor, that tasks with a single loss may keep to themselves; none while
 /// many workers are lost, when there are hundreds of such tasks, nearly all innocent, and room is scarce.
@@ -132,8 +129,8 @@
 /// innocent task.
 fn start_alone(cx: &mut State, key: TaskKey, empty: &mut Vec<WorkerIx>) -> bool {
     let Some(job) = cx.jobs.get(&key.job).map(|entry| entry.job.clone()) else { return false };
-    let Some(service) = dispatch::service_of(cx, &job) else { return false };
-    let Some(wanted) = dispatch::wanted(cx, &job, &service, key) else { return false };
+    let Some(service) = asks::service_of(cx, &job) else { return false };
+    let Some(wanted) = asks::wanted(cx, &job, &service, key) else { return false };
     let rank = |ix: WorkerIx| {
         let worker = cx.worker(ix);
         let heard = worker.clock.map(|(heard, _)| heard);
@@ -143,7 +140,7 @@
         empty.iter().enumerate().filter(|(_, ix)| placement::value(cx, **ix, &wanted).is_some());
     let Some((at, &ix)) = fit.min_by_key(|(_, ix)| rank(**ix)) else { return false };
     empty.swap_remove(at);
-    dispatch::start_at(cx, ix, key);
+    starts::start_at(cx, ix, key);
     keep(cx, ix, key);
     true
 }
@@ -155,23 +152,3 @@
         suspicion.ordinary = true;
     }
 }
-
-/// Keeps a worker for a suspect that starts there, unless it has a single loss and others run there.
-pub fn placed(cx: &mut State, ix: WorkerIx, key: TaskKey) {
-    let now = cx.now;
-    let is_free = cx.worker(ix).trial.is_none_or(|trial| trial.until <= now);
-    if losses(cx, key) > 1 && is_free {
-        keep(cx, ix, key);
-    }
-}
-
-/// Keeps a worker for a task for as long as its losses call for.
-fn keep(cx: &mut State, ix: WorkerIx, key: TaskKey) {
-    let losses = losses(cx, key) as u64;
-    let until = cx.now + Millis(ALONE_FOR.0 * losses * losses);
-    cx.worker_mut(ix).trial = Some(Trial { task: key, began: cx.now, until });
-}
-
-fn losses(cx: &State, key: TaskKey) -> usize {
-    cx.task(key).and_then(|t| t.suspicion.as_ref()).map_or(0, |s| s.losses())
-}
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -15,6 +15,9 @@
 use crate::state::rates::{Mark, Speed};
 use crate::state::trial::Trial;
 
+/// The percentage at which a lasting task is at work.
+pub const AT_WORK_PERCENT: u32 = 100;
+
 /// What the leader believes of a run at a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
