--- a/crates/sched/src/account.rs
+++ b/crates/sched/src/account.rs
@@ -9,7 +9,7 @@
 use crate::state::State as Context;
 use crate::table::TaskState;
 use crate::worker::{Phase, Slot, AT_WORK_PERCENT};
-use crate::{ends, lifecycle, speed, trace};
+use crate::{checkpoints, ends, lifecycle, speed, trace};
 
 /// Takes in the account that answers a renewal which was sent at `sent`.
 pub fn take_in(cx: &mut Context, ix: WorkerIx, sent: Instant, account: &Account) {
@@ -36,10 +36,8 @@
     slot.percent = row.percent;
     slot.reading = row.reading;
     speed::observe(cx, ix, row.task);
+    checkpoints::take_in(cx, ix, row.task, row.run, row.checkpoint.as_deref());
     let Some(task) = cx.task_mut(row.task) else { return };
-    if row.checkpoint.is_some() {
-        task.checkpoint.clone_from(&row.checkpoint);
-    }
     if row.percent >= AT_WORK_PERCENT {
         task.failed_in_row = 0;
     }
@@ -70,9 +68,7 @@
     occupy_found(cx, ix, row);
     let Some(task) = cx.task_mut(key) else { return };
     task.state = TaskState::Active { worker: ix, run: row.run };
-    if row.checkpoint.is_some() {
-        task.checkpoint.clone_from(&row.checkpoint);
-    }
+    checkpoints::take_in(cx, ix, key, row.run, row.checkpoint.as_deref());
     trace::run_adopted(key, row.run, &cx.worker(ix).info.id);
 }
 
@@ -82,8 +78,8 @@
         lifecycle::vacate(cx, ix, row.task, old);
     }
     let (run, phase) = (row.run, Phase::Running);
-    let (percent, reading) = (row.percent, row.reading);
-    lifecycle::occupy(cx, ix, row.task, Occupant { run, phase, percent, reading });
+    let (percent, reading, resumes_from) = (row.percent, row.reading, None);
+    lifecycle::occupy(cx, ix, row.task, Occupant { run, resumes_from, phase, percent, reading });
 }
 
 /// Stops a run that must not go on; its room stays taken as long as its job is known.
--- a/crates/sched/src/gangs.rs
+++ b/crates/sched/src/gangs.rs
@@ -15,7 +15,7 @@
 use crate::proof::Proof;
 use crate::state::State as Context;
 use crate::table::ReadyStep;
-use crate::{lifecycle, orders, permits, starts};
+use crate::{checkpoints, lifecycle, orders, permits, starts};
 
 /// Starts all members of a gang under one run number, or none of them.
 pub fn start(
@@ -94,6 +94,7 @@
     rack: Option<&String>,
 ) -> Option<Vec<(TaskKey, WorkerIx)>> {
     let run = cx.run_number(starts);
+    let checkpoint = checkpoints::of_gang(cx, members);
     let mut placed: Vec<(TaskKey, WorkerIx)> = Vec::new();
     for &task in members {
         let wanted = asks::wanted(cx, job, service, task).map(|w| Wanted { only_rack: rack, ..w });
@@ -102,7 +103,7 @@
             return None;
         };
         set_starts(cx, task, starts);
-        starts::reserve(cx, ix, task, run);
+        starts::reserve(cx, ix, (task, run), checkpoint.clone());
         placed.push((task, ix));
     }
     Some(placed)
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/lifecycle.rs
@@ -11,6 +11,7 @@
 use crate::message::{Action, Run, WorkerIx};
 use crate::pacing::{self, GivenPaces, FULL_PACE};
 use crate::proof::Proof;
+use crate::state::checkpoint::Checkpoint;
 use crate::state::State as Context;
 use crate::table::{self, Entry, ReadyStep, Round, Task, TaskState};
 use crate::worker::{Part, Phase, Slot};
@@ -40,11 +41,16 @@
     task.not_before = now + pause;
     task.since = now;
     let is_suspect = task.suspicion.is_some();
+    let is_saved = task.checkpoint.is_some();
     if let Some(round) = entry.round_mut(key.round) {
         round.steps[usize::from(key.step)].pending.insert(key.index);
     }
     cx.ready.insert(ready);
     cx.pass_wanted = true;
+    if is_saved {
+        // No worker keeps the checkpoint once the end of its run is acknowledged.
+        commits::mark(&mut cx.commits, now, key.job);
+    }
     if is_suspect {
         cx.crashes.note_waiting();
     }
@@ -63,10 +69,12 @@
 }
 
 /// What is known of a run when it is put on a worker.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Occupant {
     /// The run.
     pub run: Run,
+    /// What its start brings.
+    pub resumes_from: Option<Checkpoint>,
     /// How far its order has come.
     pub phase: Phase,
     /// How far the run has come in percent.
@@ -107,6 +115,7 @@
         stopping_since: now,
         barred: None,
         confirmed: (!started).then_some(now),
+        resumes_from: occupant.resumes_from,
         tries: Tries::default(),
         pace: FULL_PACE,
         pacing: false,
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/orders.rs
@@ -14,8 +14,9 @@
 use crate::proof::Proof;
 use crate::state::rates::Mark;
 use crate::state::State as Context;
+use crate::table::TaskState;
 use crate::worker::Phase;
-use crate::{doubts, leases, lifecycle, pacing, permits, trace};
+use crate::{checkpoints, doubts, leases, lifecycle, pacing, permits, trace};
 
 /// Takes in what became of the last try of a start.
 pub fn started(
@@ -46,7 +47,13 @@
         }
         Outcome::Refused(refusal) => {
             spare_after(cx, ix, key, refusal);
+            if refusal == Refusal::Invalid {
+                checkpoints::refused(cx, ix, key);
+            }
             not_done(cx, ix, key, run, fate, Proof::Refused);
+            if refusal == Refusal::Invalid {
+                put_off_invalid(cx, key);
+            }
         }
         Outcome::NotSent => {
             spare(cx, ix, cx.settings.renew_retry);
@@ -72,15 +79,17 @@
 /// Takes in that a run is at its worker.
 fn confirmed(cx: &mut Context, ix: WorkerIx, key: TaskKey, clock: WorkerClock) {
     let now = cx.now;
-    let resumes = cx.task(key).is_some_and(|t| t.checkpoint.is_some());
     let worker = cx.worker_mut(ix);
     worker.read_clock(now, clock);
     let Some(slot) = worker.slots.get_mut(&key) else { return };
     slot.phase = Phase::Running;
     slot.confirmed = Some(now);
-    if !resumes {
+    if slot.resumes_from.is_none() {
         slot.mark = Some(Mark { at: now, percent: 0 });
     }
+    if let Some(task) = cx.task_mut(key) {
+        task.invalid_in_row = 0;
+    }
     pacing::set_paces(cx, ix);
 }
 
@@ -95,6 +104,18 @@
     }
 }
 
+/// Lets a task pause whose start was refused as invalid: the next worker most likely refuses it, too.
+fn put_off_invalid(cx: &mut Context, key: TaskKey) {
+    let Some(task) = cx.task_mut(key) else { return };
+    task.invalid_in_row += 1;
+    let in_row = task.invalid_in_row;
+    let until = cx.now + lifecycle::pause_after(cx, in_row);
+    let task = cx.task_mut(key).filter(|task| task.state == TaskState::Pending);
+    if let Some(task) = task {
+        task.not_before = until;
+    }
+}
+
 /// Spares a worker that refused a start, where and for as long as that helps.
 fn spare_after(cx: &mut Context, ix: WorkerIx, key: TaskKey, refusal: Refusal) {
     let (retry, full) = (cx.settings.renew_retry, cx.settings.full_pause);
@@ -147,12 +168,15 @@
 pub fn send_start(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
     let Some(entry) = cx.jobs.get(&key.job) else { return };
     let job = entry.job.clone();
-    let checkpoint = entry.task(key).and_then(|t| t.checkpoint.clone());
     let Some(until) = leases::grant(cx, ix) else { return };
     let ticket = permits::ticket(cx, StepKey::of(key), ix);
-    if let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) {
-        slot.tries.send();
+    let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
+    slot.tries.send();
+    let (attempt, resumes_from) = (slot.tries.sent(), slot.resumes_from.clone());
+    if let Some(checkpoint) = &resumes_from {
+        trace::start_resumes(cx, (key, run), ix, attempt, checkpoint);
     }
+    let checkpoint = resumes_from.map(|checkpoint| checkpoint.text);
     let start = Action::Start { worker: ix, task: key, run, job, until, checkpoint, ticket };
     cx.starts_under_way += 1;
     cx.worker_mut(ix).starts_under_way += 1;
--- a/crates/sched/src/starts.rs
+++ b/crates/sched/src/starts.rs
@@ -5,15 +5,17 @@
 use crate::crashes::kept;
 use crate::lifecycle::Occupant;
 use crate::message::{Run, WorkerIx};
+use crate::state::checkpoint::Checkpoint;
 use crate::state::State;
 use crate::table::TaskState;
 use crate::worker::Phase;
-use crate::{lifecycle, orders, trace};
+use crate::{checkpoints, lifecycle, orders, trace};
 
 /// Starts a task at a worker.
 pub fn start_at(cx: &mut State, ix: WorkerIx, task: TaskKey) {
     let run = next_run(cx, task);
-    reserve(cx, ix, task, run);
+    let checkpoint = checkpoints::of_task(cx, task);
+    reserve(cx, ix, (task, run), checkpoint);
     orders::send_start(cx, ix, task, run);
 }
 
@@ -27,12 +29,17 @@
     cx.run_number(starts)
 }
 
-/// Takes the room for a run and holds the task to be there from now on.
-pub fn reserve(cx: &mut State, ix: WorkerIx, task: TaskKey, run: Run) {
+/// Takes the room for a run, says what its start brings, and holds the task to be there from now on.
+pub fn reserve(
+    cx: &mut State,
+    ix: WorkerIx,
+    (task, run): (TaskKey, Run),
+    resumes_from: Option<Checkpoint>,
+) {
     let now = cx.now;
     lifecycle::leave_pending(cx, task);
     let (phase, percent, reading) = (Phase::Starting, 0, None);
-    lifecycle::occupy(cx, ix, task, Occupant { run, phase, percent, reading });
+    lifecycle::occupy(cx, ix, task, Occupant { run, resumes_from, phase, percent, reading });
     let worker = cx.worker(ix).info.id.clone();
     if let Some(t) = cx.task_mut(task) {
         t.state = TaskState::Active { worker: ix, run };
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -1,5 +1,6 @@
 //! All that one leader knows, as plain data.
 
+pub mod checkpoint;
 pub mod doubt;
 pub mod model;
 pub mod paces;
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/table.rs
@@ -10,6 +10,7 @@
 use gaplock_types::time::Instant;
 
 use crate::message::{Run, WorkerIx};
+use crate::state::checkpoint::Checkpoint;
 use crate::state::rates::StepRates;
 use crate::state::suspicion::Suspicion;
 
@@ -46,10 +47,12 @@
     pub counted_runs: Vec<Run>,
     /// Failures since the task last worked, for the pause before the next start.
     pub failed_in_row: u32,
+    /// Starts in a row that were refused as invalid, for the pause before the next one.
+    pub invalid_in_row: u32,
     /// No start before this time.
     pub not_before: Instant,
     /// Where the next run resumes.
-    pub checkpoint: Option<String>,
+    pub checkpoint: Option<Checkpoint>,
     /// The worker on which the last run failed; the next run avoids it.
     pub failed_on: Option<WorkerIx>,
     /// When the task became pending, for the log.
@@ -71,6 +74,7 @@
             failed: 0,
             counted_runs: Vec::new(),
             failed_in_row: 0,
+            invalid_in_row: 0,
             not_before: Instant(0),
             checkpoint: None,
             failed_on: None,
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/trace.rs
@@ -17,6 +17,7 @@
     End, Outcome, Run, UpkeepAnswer, WaveNumber, WaveRequest, WorkerClock, WorkerInfo, WorkerIx,
 };
 use crate::proof::Proof;
+use crate::state::checkpoint::Checkpoint;
 use crate::state::State;
 use crate::table::Entry;
 use crate::worker::{Listing, Slot, Worker};
@@ -38,6 +39,46 @@
     info!(event = "start_ordered", %task, run = run.0, %worker, waited_ms = waited.0);
 }
 
+/// A try of a start brings a checkpoint: by which run and worker it was saved, and its first signs.
+pub fn start_resumes(
+    cx: &State,
+    (task, run): (TaskKey, Run),
+    ix: WorkerIx,
+    attempt: u32,
+    checkpoint: &Checkpoint,
+) {
+    let worker = &cx.worker(ix).info.id;
+    let (saved_at, text) = (saved_at(cx, checkpoint), shown(checkpoint));
+    info!(event = "start_resumes", %task, run = run.0, %worker, attempt, saved_by = checkpoint.run.0,
+        saved_at, text);
+}
+
+/// A worker lists a text as the checkpoint of a run that is not taken for one, and why (debug: a list repeats
+/// it).
+pub fn checkpoint_passed_over(task: TaskKey, run: Run, worker: &ids::WorkerId, why: &'static str) {
+    debug!(event = "checkpoint_passed_over", %task, run = run.0, %worker, why);
+}
+
+/// A worker refused a start as invalid that brought a checkpoint, which nothing brings again.
+pub fn checkpoint_refused(cx: &State, task: TaskKey, ix: WorkerIx, checkpoint: &Checkpoint) {
+    let worker = &cx.worker(ix).info.id;
+    let (saved_at, text) = (saved_at(cx, checkpoint), shown(checkpoint));
+    warn!(event = "checkpoint_refused", %task, %worker, saved_by = checkpoint.run.0, saved_at, text);
+}
+
+/// Returns the worker that listed a checkpoint to this leader.
+fn saved_at<'a>(cx: &'a State, checkpoint: &Checkpoint) -> Option<&'a str> {
+    checkpoint.worker.map(|ix| cx.worker(ix).info.id.as_str())
+}
+
+/// Returns a checkpoint's first signs.
+fn shown(checkpoint: &Checkpoint) -> String {
+    checkpoint.text.chars().take(CHECKPOINT_SHOWN).collect()
+}
+
+/// How many signs of a checkpoint a log line shows; the workers' own have sixteen.
+const CHECKPOINT_SHOWN: usize = 32;
+
 /// A start was not simply carried out: which try that speaks of, and how many earlier ones are
 /// open.
 pub fn start_answered(
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/worker.rs
@@ -9,6 +9,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::message::{EndSeq, Run, WorkerClock, WorkerInfo};
+use crate::state::checkpoint::Checkpoint;
 use crate::state::doubt::Doubt;
 use crate::state::model::{Column, Row};
 use crate::state::paces::GivenPaces;
@@ -56,6 +57,8 @@
     pub confirmed: Option<Instant>,
     /// When the worker confirmed a stop, after which it refuses the run for ever; unset before.
     pub barred: Option<Instant>,
+    /// What every try of its start brings; unset also for a run that a former leader started.
+    pub resumes_from: Option<Checkpoint>,
     /// The tries of its start.
     pub tries: Tries,
     /// The share of full speed in percent that was last put in force.
--- a/crates/sched/tests/floors/table.rs
+++ b/crates/sched/tests/floors/table.rs
@@ -21,6 +21,7 @@
     (
         "state",
         &[
+            "state::checkpoint",
             "state::model",
             "state::paces",
             "state::rates",
@@ -63,6 +64,7 @@
             "crashes::kept",
             "commits",
             "upkeep",
+            "checkpoints",
             "pacing::parts",
             "pacing::spare",
             "pacing::paces",
