The order in which the scheduler's rounds follow each other is said in one place

Cause: handle and settle held events, checks, renewals and starts in two long functions, and nothing said why the checks stand in that order; four weights of placement named their unit only by halves.

Ruled out: turning the weights into settings.

Change: Context hands an event to the module that takes it in, then keeps house, renews and starts, in functions of their own, with the reason of the order. Weights of placement say their unit and bound. No behaviour changes.

--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -76,10 +76,19 @@
         }
     }
 
-    /// Takes in what happened at `now`; actions gather in [`Context::actions`].
+    /// Takes in what happened at `now`, then does what time alone calls for. Actions gather in
+    /// [`State::actions`].
     pub fn handle(&mut self, now: Instant, unix_ms: u64, event: Event) {
         self.now = now;
         self.unix_ms = unix_ms;
+        self.take_in(event);
+        self.keep_house();
+        self.renew();
+        self.start();
+    }
+
+    /// Hands an event to the one module that takes it in.
+    fn take_in(&mut self, event: Event) {
         match event {
             Event::Tick => {}
             Event::Settings(settings) => self.settings = *settings,
@@ -89,7 +98,7 @@
             Event::Listed(info) => directory::listed(self, info),
             Event::Unreadable(id) => directory::unreadable(self, &id),
             Event::Unlisted(id) => directory::unlisted(self, &id),
-            Event::DirectoryBack => self.directory_back = now,
+            Event::DirectoryBack => self.directory_back = self.now,
             Event::Evacuated(evacuated) => evacuation::read(self, evacuated),
             Event::Renewed { worker, sent, outcome } => {
                 renewals::renewed(self, worker, sent, outcome);
@@ -115,31 +124,41 @@
             Event::Committed => commits::committed(self),
             Event::CommitFailed => commits::failed(self),
         }
-        self.settle();
     }
 
-    /// Does what time alone calls for, then starts what can start.
-    fn settle(&mut self) {
-        if self.now.since(self.last_housekeeping) >= HOUSEKEEPING_EVERY {
-            self.last_housekeeping = self.now;
-            takeover::check_survey(self);
-            intake::begin_due_rounds(self);
-            gone::check(self);
-            roster::check(self);
-            orders::check(self);
-            crashes::check(self);
-            upkeep::check(self);
-            drain::check(self);
-            self.rearrange();
-            pacing::keep_learnt(self);
-            intake::forget_finished(self);
-            self.pass_wanted |= !self.ready.is_empty();
+    /// Checks bounds of time now and then. What is over comes first, since it frees tasks and room; then what
+    /// it proves of the tasks that ran there; then what has to leave its worker, by need and by wish; then what
+    /// is kept or forgotten.
+    fn keep_house(&mut self) {
+        if self.now.since(self.last_housekeeping) < HOUSEKEEPING_EVERY {
+            return;
         }
+        self.last_housekeeping = self.now;
+        takeover::check_survey(self);
+        intake::begin_due_rounds(self);
+        gone::check(self);
+        roster::check(self);
+        orders::check(self);
+        crashes::check(self);
+        upkeep::check(self);
+        drain::check(self);
+        self.rearrange();
+        pacing::keep_learnt(self);
+        intake::forget_finished(self);
+        self.pass_wanted |= !self.ready.is_empty();
+    }
+
+    /// Sends the renewals that are due.
+    fn renew(&mut self) {
         self.renewals_left = self.now.since(self.last_renewals) < RENEWALS_EVERY;
         if !self.renewals_left {
             self.last_renewals = self.now;
             renewals::send_due(self);
         }
+    }
+
+    /// Starts what can start, last of all: with what has come free by now.
+    fn start(&mut self) {
         if self.pass_wanted && self.now.since(self.last_pass) >= self.pass_every() {
             self.last_pass = self.now;
             self.pass_wanted = false;
--- a/crates/sched/src/decisions/placement.rs
+++ b/crates/sched/src/decisions/placement.rs
@@ -34,10 +34,13 @@
     pub advice: Option<&'a Advice>,
 }
 
-/// Worth of running in the rack that holds the data, against one whole worker.
+/// Worth of running in the rack that holds the data, in whole workers of free room: above any fit (1) and
+/// [`TOGETHER_COST`] in sum, so that the data decides among sound workers, and below [`SLOW_COST`] less a
+/// fit, so that no slow one is taken for it. That order gave the figure; it is not measured apart.
 const RACK_WORTH: f64 = 4.0;
 
-/// Cost of the worker on which the task failed last, against one whole worker.
+/// Cost of the worker on which the task failed last, in whole workers of free room: above
+/// [`RACK_WORTH`] and [`SLOW_COST`], since a start on any other worker tells more. That order gave the figure.
 const FAILED_HERE_COST: f64 = 8.0;
 
 /// Why a worker does not get a task.
@@ -225,15 +228,16 @@
 /// How long a task waits for a worker that is not slow: about what a short task loses on a slow one.
 const SLOW_AVOIDED_FOR: Millis = Millis(1_000);
 
-/// Cost of a slow worker, against one whole worker.
+/// Cost of a slow worker, in whole workers of free room: above [`RACK_WORTH`] and any fit (1) in sum, so that
+/// neither makes up for it. That order gave the figure; it is not measured apart.
 const SLOW_COST: f64 = 6.0;
 
 /// The part of a lasting step's tasks, as a divisor, that one worker takes before its other tasks go
 /// elsewhere: they all go down with it, and leave it one by one where few of them may be missed.
 const TOGETHER_SHARE: u32 = 3;
 
-/// Cost of that part being there already, against one whole worker: more than any fit is worth, less
-/// than what gathering an image is.
+/// Cost of that part being there already, in whole workers of free room: more than any fit is worth (1), less
+/// than what gathering an image is (3).
 const TOGETHER_COST: f64 = 1.5;
 
 /// Counts the tasks of the same step and round at a worker.
