--- /dev/null
+++ b/crates/sched/src/changes.rs
@@ -0,0 +1,31 @@
+//! Functions that change the state, write their log lines and ask for what is to be done.
+
+pub mod account;
+pub mod checkpoints;
+pub mod commits;
+pub mod crashes;
+pub mod directory;
+pub mod dispatch;
+pub mod doubts;
+pub mod drain;
+pub mod ends;
+pub mod evacuation;
+pub mod gangs;
+pub mod gone;
+pub mod intake;
+pub mod leases;
+pub mod lifecycle;
+pub mod moving;
+pub mod orders;
+pub mod pacing;
+pub mod permits;
+pub mod renewals;
+pub mod roster;
+pub mod scarcity;
+pub mod speed;
+pub mod starts;
+pub mod stragglers;
+pub mod takeover;
+pub mod trace;
+pub mod trials;
+pub mod upkeep;
--- a/crates/sched/src/account.rs
+++ b/crates/sched/src/changes/account.rs
@@ -3,16 +3,16 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::Instant;
 
-use crate::lifecycle::Occupant;
-use crate::message::{Account, Action, Run, RunningTask, WorkerIx};
-use crate::proof::Proof;
-use crate::state::State as Context;
-use crate::table::TaskState;
-use crate::worker::{Phase, Slot, AT_WORK_PERCENT};
-use crate::{checkpoints, ends, lifecycle, speed, trace};
+use crate::changes::lifecycle::Occupant;
+use crate::changes::{checkpoints, ends, lifecycle, speed, trace};
+use crate::interface::message::{Account, Action, Run, RunningTask, WorkerIx};
+use crate::interface::proof::Proof;
+use crate::state::table::TaskState;
+use crate::state::worker::{Phase, Slot, AT_WORK_PERCENT};
+use crate::state::State;
 
 /// Takes in the account that answers a renewal which was sent at `sent`.
-pub fn take_in(cx: &mut Context, ix: WorkerIx, sent: Instant, account: &Account) {
+pub fn take_in(cx: &mut State, ix: WorkerIx, sent: Instant, account: &Account) {
     ends::take_in(cx, ix, &account.ends);
     for row in &account.running {
         take_in_running(cx, ix, row);
@@ -21,7 +21,7 @@
 }
 
 /// Takes in one line of a worker's list of running tasks.
-fn take_in_running(cx: &mut Context, ix: WorkerIx, row: &RunningTask) {
+fn take_in_running(cx: &mut State, ix: WorkerIx, row: &RunningTask) {
     let now = cx.now;
     let known = cx.worker(ix).slots.get(&row.task).map(|slot| slot.run);
     if known != Some(row.run) {
@@ -45,7 +45,7 @@
 
 /// Decides about a run that this leader did not start, or has given up: kept if the task is free,
 /// stopped otherwise.
-fn take_in_unknown(cx: &mut Context, ix: WorkerIx, row: &RunningTask) {
+fn take_in_unknown(cx: &mut State, ix: WorkerIx, row: &RunningTask) {
     let key = row.task;
     let Some(entry) = cx.jobs.get(&key.job) else {
         return stop_stray(cx, ix, row, "its job is not known");
@@ -63,7 +63,7 @@
 }
 
 /// Keeps a run that a former leader started.
-fn adopt(cx: &mut Context, ix: WorkerIx, row: &RunningTask) {
+fn adopt(cx: &mut State, ix: WorkerIx, row: &RunningTask) {
     let key = row.task;
     occupy_found(cx, ix, row);
     let Some(task) = cx.task_mut(key) else { return };
@@ -73,7 +73,7 @@
 }
 
 /// Puts a listed run on its worker in place of whatever run of the task was held to be there.
-fn occupy_found(cx: &mut Context, ix: WorkerIx, row: &RunningTask) {
+fn occupy_found(cx: &mut State, ix: WorkerIx, row: &RunningTask) {
     if let Some(old) = cx.worker(ix).slots.get(&row.task).map(|slot| slot.run) {
         lifecycle::vacate(cx, ix, row.task, old);
     }
@@ -83,7 +83,7 @@
 }
 
 /// Stops a run that must not go on; its room stays taken as long as its job is known.
-fn stop_stray(cx: &mut Context, ix: WorkerIx, row: &RunningTask, why: &'static str) {
+fn stop_stray(cx: &mut State, ix: WorkerIx, row: &RunningTask, why: &'static str) {
     let held = cx.worker(ix).slots.get(&row.task).map(|s| s.run);
     if held == Some(row.run) {
         return;
@@ -100,7 +100,7 @@
 
 /// Gives up runs that the worker had confirmed before this renewal was sent, but neither lists as
 /// running nor as ended.
-fn forget_missing(cx: &mut Context, ix: WorkerIx, sent: Instant, account: &Account) {
+fn forget_missing(cx: &mut State, ix: WorkerIx, sent: Instant, account: &Account) {
     if account.ends.len() >= MOST_ENDS_LISTED {
         return;
     }
--- a/crates/sched/src/checkpoints.rs
+++ b/crates/sched/src/changes/checkpoints.rs
@@ -9,11 +9,11 @@
 use gaplock_jobs::{Step, TaskKey};
 use gaplock_types::time::Instant;
 
-use crate::message::{Run, WorkerIx};
+use crate::changes::{commits, trace};
+use crate::interface::message::{Run, WorkerIx};
 use crate::state::checkpoint::Checkpoint;
-use crate::state::State as Context;
-use crate::table::TaskState;
-use crate::{commits, trace};
+use crate::state::table::TaskState;
+use crate::state::State;
 
 /// Returns what a former leader stored of the checkpoint of a step's task.
 pub fn restored(step: &Step, note: &TaskNote) -> Option<Checkpoint> {
@@ -23,19 +23,19 @@
 }
 
 /// Returns what the next start of a task brings.
-pub fn of_task(cx: &Context, key: TaskKey) -> Option<Checkpoint> {
+pub fn of_task(cx: &State, key: TaskKey) -> Option<Checkpoint> {
     cx.task(key)?.checkpoint.clone()
 }
 
 /// Returns what the next starts of a gang bring: any member's checkpoint serves for all, and all must bring
 /// the same. The one of the newest run loses least, and of that run the one heard of last.
-pub fn of_gang(cx: &Context, members: &[TaskKey]) -> Option<Checkpoint> {
+pub fn of_gang(cx: &State, members: &[TaskKey]) -> Option<Checkpoint> {
     let found = members.iter().filter_map(|&key| cx.task(key)?.checkpoint.as_ref());
     found.max_by_key(|c| (c.run, c.heard)).cloned()
 }
 
 /// Takes in the checkpoint that a worker lists beside a run.
-pub fn take_in(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, listed: Option<&str>) {
+pub fn take_in(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run, listed: Option<&str>) {
     let Some(text) = listed else { return };
     if let Some(why) = unfit(cx, key, run) {
         return trace::checkpoint_passed_over(key, run, &cx.worker(ix).info.id, why);
@@ -50,7 +50,7 @@
 
 /// Takes in that a worker refused a start as invalid. If it brought a checkpoint, nothing brings that again: every
 /// worker would refuse it as this one did, and a text that is not the task's must not go out a second time.
-pub fn refused(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+pub fn refused(cx: &mut State, ix: WorkerIx, key: TaskKey) {
     let slot = cx.worker(ix).slots.get(&key);
     let Some(brought) = slot.and_then(|slot| slot.resumes_from.clone()) else { return };
     let Some(step) = cx.step(key) else { return };
@@ -66,7 +66,7 @@
 }
 
 /// Says why nothing that a run lists is taken for its task's checkpoint.
-fn unfit(cx: &Context, key: TaskKey, run: Run) -> Option<&'static str> {
+fn unfit(cx: &State, key: TaskKey, run: Run) -> Option<&'static str> {
     // Only the caller says which steps save progress; a worker may list a text beside anything.
     if !cx.step(key).is_some_and(|step| step.checkpoints) {
         return Some("its step saves none");
@@ -82,7 +82,7 @@
 
 /// Tells whether a text says nothing new: it is the task's last, or the run has saved none since its start
 /// brought it.
-fn is_known(cx: &Context, ix: WorkerIx, key: TaskKey, run: Run, text: &str) -> bool {
+fn is_known(cx: &State, ix: WorkerIx, key: TaskKey, run: Run, text: &str) -> bool {
     let slot = cx.worker(ix).slots.get(&key).filter(|slot| slot.run == run);
     let brought = slot.and_then(|slot| slot.resumes_from.as_ref());
     let last = cx.task(key).and_then(|task| task.checkpoint.as_ref());
--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/changes/commits.rs
@@ -11,13 +11,13 @@
 use gaplock_types::ids;
 use gaplock_types::time::Instant;
 
-use crate::crashes::saved;
-use crate::message::{EndSeq, Record, RosterEntry, WorkerIx};
+use crate::changes::crashes::saved;
+use crate::changes::trace;
+use crate::interface::message::{EndSeq, Record, RosterEntry, WorkerIx};
 use crate::state::checkpoint::Checkpoint;
 use crate::state::commits::{Commits, Covered};
-use crate::state::State as Context;
-use crate::table::{Entry, StepState, Task, TaskState};
-use crate::trace;
+use crate::state::table::{Entry, StepState, Task, TaskState};
+use crate::state::State;
 
 /// Marks a job's progress as changed.
 pub fn mark(commits: &mut Commits, now: Instant, job: JobKey) {
@@ -33,7 +33,7 @@
 
 /// Adds a record that is not a job's progress. It takes the place of an earlier one on the same
 /// worker, since one commit must not write a key twice.
-pub fn add(cx: &mut Context, record: Record) {
+pub fn add(cx: &mut State, record: Record) {
     push(&mut cx.commits.other, record);
     cx.commits.since.get_or_insert(cx.now);
 }
@@ -60,7 +60,7 @@
 }
 
 /// Adds a worker to the stored roster; it gets tasks once that is stored.
-pub fn add_worker(cx: &mut Context, ix: WorkerIx) {
+pub fn add_worker(cx: &mut State, ix: WorkerIx) {
     let worker = cx.worker_mut(ix);
     worker.roster_pending = true;
     worker.closed = false;
@@ -71,13 +71,13 @@
 }
 
 /// Makes sure that ends which changed no job's progress are acknowledged too.
-pub fn note_ends(cx: &mut Context) {
+pub fn note_ends(cx: &mut State) {
     cx.commits.since.get_or_insert(cx.now);
 }
 
 /// Returns the records of the next commit, if one is due and none is in flight. The driver must
 /// answer with [`crate::Event::Committed`] or [`crate::Event::CommitFailed`].
-pub fn take(cx: &mut Context, now: Instant) -> Option<Vec<Record>> {
+pub fn take(cx: &mut State, now: Instant) -> Option<Vec<Record>> {
     let since = cx.commits.since?;
     let due = cx.commits.urgent || now.since(since) >= cx.settings.commit_delay;
     if cx.commits.in_flight.is_some() || !due {
@@ -99,14 +99,14 @@
 }
 
 /// Lists the last end of each worker whose ends are not all stored.
-fn uncommitted_ends(cx: &Context) -> Vec<(WorkerIx, EndSeq)> {
+fn uncommitted_ends(cx: &State) -> Vec<(WorkerIx, EndSeq)> {
     let workers = cx.workers.iter().enumerate();
     let unstored = workers.filter(|(_, w)| w.noted > w.stored);
     unstored.map(|(at, w)| (WorkerIx(at as u32), w.noted)).collect()
 }
 
 /// Finds the workers that these records add to the stored roster.
-fn roster_of(cx: &Context, records: &[Record]) -> Vec<WorkerIx> {
+fn roster_of(cx: &State, records: &[Record]) -> Vec<WorkerIx> {
     let ids = records.iter().filter_map(|r| match r {
         Record::Worker(entry) if entry.holds.is_none() => Some(&entry.info.id),
         _ => None,
@@ -115,7 +115,7 @@
 }
 
 /// Takes in that the commit in flight is stored.
-pub fn committed(cx: &mut Context) {
+pub fn committed(cx: &mut State) {
     let Some(covered) = cx.commits.in_flight.take() else { return };
     let now = cx.now;
     saved::commit_ended(cx, true);
@@ -143,7 +143,7 @@
 }
 
 /// Takes in that the commit in flight is not stored: all of it is due again.
-pub fn failed(cx: &mut Context) {
+pub fn failed(cx: &mut State) {
     let Some(covered) = cx.commits.in_flight.take() else { return };
     trace::commit_failed(covered.jobs.len(), covered.other.len());
     saved::commit_ended(cx, false);
--- a/crates/sched/src/crashes.rs
+++ b/crates/sched/src/changes/crashes.rs
@@ -8,8 +8,9 @@
 //!
 //! What looks like a crash and is none is not counted, or taken back: a worker that leaves, leases that
 //! were left to end, a worker that answers again. Many workers lost at one time raise a doubt only
-//! (`docs/PLATFORM.md`, section Crashing tasks). `decisions/losses.rs` says against whom a loss
-//! speaks, `evidence` counts it, `state/suspicion.rs` keeps it, `verdict` ends it, `inherited` finds what predecessors saw.
+//! (`docs/PLATFORM.md`, section Crashing tasks). `decisions/losses.rs` says against whom a loss speaks,
+//! `evidence` counts it, `state/suspicion.rs` keeps it, `verdict` ends it, `inherited` finds what
+//! predecessors saw.
 
 mod evidence;
 mod inherited;
--- a/crates/sched/src/crashes/evidence.rs
+++ b/crates/sched/src/changes/crashes/evidence.rs
@@ -4,12 +4,12 @@
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
 
+use crate::changes::{commits, trace};
 use crate::decisions::losses::{self, Blamed, Loss, AT_START};
-use crate::message::WorkerIx;
+use crate::interface::message::WorkerIx;
 use crate::state::suspicion::Saved;
+use crate::state::table::TaskState;
 use crate::state::State;
-use crate::table::TaskState;
-use crate::{commits, trace};
 
 /// A worker's loss, as it speaks against one of the tasks that ran there.
 #[derive(Debug, Clone)]
--- a/crates/sched/src/crashes/inherited.rs
+++ b/crates/sched/src/changes/crashes/inherited.rs
@@ -6,12 +6,12 @@
 use rustc_hash::FxHashSet;
 
 use super::evidence::{doubt, hold_until_saved, suspect, Evidence};
-use crate::commits;
+use crate::changes::commits;
 use crate::decisions::losses::{has_left, Loss, AT_START};
-use crate::message::WorkerIx;
+use crate::interface::message::WorkerIx;
 use crate::state::suspicion::Suspicion;
+use crate::state::table::TaskState;
 use crate::state::State;
-use crate::table::TaskState;
 
 /// How many tasks may be held back for the loss of a worker of which nobody knows what it ran. Where more
 /// could have been there, nothing waits for the doubt to be stored.
--- a/crates/sched/src/crashes/kept.rs
+++ b/crates/sched/src/changes/crashes/kept.rs
@@ -3,7 +3,7 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::Millis;
 
-use crate::message::WorkerIx;
+use crate::interface::message::WorkerIx;
 use crate::state::trial::Trial;
 use crate::state::State;
 
--- a/crates/sched/src/crashes/verdict.rs
+++ b/crates/sched/src/changes/crashes/verdict.rs
@@ -5,13 +5,13 @@
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
 
+use crate::changes::{commits, lifecycle, trace};
 use crate::decisions::losses::{has_left, lived, CLEARED_AFTER};
-use crate::message::WorkerIx;
+use crate::interface::message::WorkerIx;
 use crate::state::suspicion::Saved;
+use crate::state::table::TaskState;
+use crate::state::worker::Worker;
 use crate::state::State;
-use crate::table::TaskState;
-use crate::worker::Worker;
-use crate::{commits, lifecycle, trace};
 
 /// How long the directory may go on listing a silent worker that has crashed: its entry lapses after
 /// three heartbeats, and a change takes half a second to reach us.
--- a/crates/sched/src/directory.rs
+++ b/crates/sched/src/changes/directory.rs
@@ -5,10 +5,10 @@
 
 use gaplock_types::ids;
 
-use crate::message::{WorkerInfo, WorkerIx};
+use crate::changes::{evacuation, roster, trace, upkeep};
+use crate::interface::message::{WorkerInfo, WorkerIx};
+use crate::state::worker::{Listing, Worker};
 use crate::state::State as Context;
-use crate::worker::{Listing, Worker};
-use crate::{evacuation, roster, trace, upkeep};
 
 pub use crate::state::Unnamed;
 
@@ -102,7 +102,7 @@
 }
 
 /// Takes in that the directory no longer lists a worker. It may live on, so nothing of it is
-/// given up here; see [`crate::gone::check`].
+/// given up here; see [`crate::changes::gone::check`].
 pub fn unlisted(cx: &mut Context, id: &ids::WorkerId) {
     cx.unnamed.remove(id);
     let Some(&ix) = cx.by_id.get(id) else { return };
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -7,12 +7,12 @@
 use gaplock_types::time::Millis;
 use gaplock_types::{ids, sizes};
 
+use crate::changes::{gangs, pacing, permits, scarcity, starts, trace, trials};
 use crate::decisions::asks::{advice_of, first_of, may_start, service_of, wanted, First};
 use crate::decisions::choices::Choices;
 use crate::decisions::{disturbance, placement, room};
+use crate::state::table::{self, ReadyStep};
 use crate::state::State;
-use crate::table::{self, ReadyStep};
-use crate::{gangs, pacing, permits, scarcity, starts, trace, trials};
 
 /// A demand for which no worker had room in this pass; a demand at least as large with the same
 /// restrictions need not be tried.
--- a/crates/sched/src/doubts.rs
+++ b/crates/sched/src/changes/doubts.rs
@@ -8,11 +8,11 @@
 
 use gaplock_jobs::TaskKey;
 
-use crate::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
+use crate::changes::trace;
+use crate::interface::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
 use crate::state::doubt::Doubt;
+use crate::state::worker::{Slot, Worker};
 use crate::state::State;
-use crate::trace;
-use crate::worker::{Slot, Worker};
 
 /// Keeps a run in doubt that is being given up, unless its worker has confirmed the run or its
 /// stop: what has begun there never begins again.
--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/changes/drain.rs
@@ -4,8 +4,8 @@
 //! for a while. The second looks the same as an entry that lapsed while the store was away, which
 //! comes back soon, so after an outage such a worker is given time to come back.
 
+use crate::changes::lifecycle;
 use crate::decisions::{availability, leaving};
-use crate::lifecycle;
 use crate::state::State;
 
 /// Stops what must leave a departing worker.
--- a/crates/sched/src/ends.rs
+++ b/crates/sched/src/changes/ends.rs
@@ -4,13 +4,13 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::Millis;
 
-use crate::message::{End, How, Run, WorkerIx};
-use crate::state::State as Context;
-use crate::table::TaskState;
-use crate::{checkpoints, commits, lifecycle, speed, trace};
+use crate::changes::{checkpoints, commits, lifecycle, speed, trace};
+use crate::interface::message::{End, How, Run, WorkerIx};
+use crate::state::table::TaskState;
+use crate::state::State;
 
 /// Takes in the ends of a worker that are new.
-pub fn take_in(cx: &mut Context, ix: WorkerIx, ends: &[End]) {
+pub fn take_in(cx: &mut State, ix: WorkerIx, ends: &[End]) {
     for end in ends {
         if end.seq <= cx.worker(ix).noted {
             continue;
@@ -21,7 +21,7 @@
 }
 
 /// Frees the room of a run that ended, and decides what becomes of its task.
-fn take_in_end(cx: &mut Context, ix: WorkerIx, end: &End) {
+fn take_in_end(cx: &mut State, ix: WorkerIx, end: &End) {
     let was_active = cx.is_active(end.task, ix, end.run);
     checkpoints::take_in(cx, ix, end.task, end.run, end.checkpoint.as_deref());
     let slot = lifecycle::vacate(cx, ix, end.task, end.run);
@@ -45,7 +45,7 @@
 }
 
 /// Marks a task done, its whole gang with it, and stops another run of it.
-fn done(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
+fn done(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run) {
     let worker = cx.worker_mut(ix);
     worker.failures = 0;
     worker.quarantines = 0;
@@ -68,7 +68,7 @@
 }
 
 /// Stops other runs of the task that go on elsewhere.
-fn stop_other_runs(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
+fn stop_other_runs(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run) {
     let Some(task) = cx.task(key) else { return };
     let active = match task.state {
         TaskState::Active { worker, run } => Some((worker, run)),
@@ -82,7 +82,7 @@
 }
 
 /// Counts a failure once, over all leaders, and ends the job or starts the task again.
-fn failed(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, was_active: bool) {
+fn failed(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run, was_active: bool) {
     let Some(entry) = cx.jobs.get_mut(&key.job) else { return };
     let (lasting, most) = (entry.step(key).is_some_and(|s| s.lasting), entry.max_attempts);
     let Some(task) = entry.task_mut(key) else { return };
@@ -121,7 +121,7 @@
 const MOST_DOUBLINGS: u32 = 3;
 
 /// Counts a failure against the worker, which gets no new tasks for a while after several.
-fn blame_worker(cx: &mut Context, ix: WorkerIx) {
+fn blame_worker(cx: &mut State, ix: WorkerIx) {
     let (now, limit, quarantine) = (cx.now, cx.settings.worker_failures, cx.settings.quarantine);
     let worker = cx.worker_mut(ix);
     worker.failures += 1;
--- a/crates/sched/src/evacuation.rs
+++ b/crates/sched/src/changes/evacuation.rs
@@ -5,15 +5,15 @@
 //! lies in the store, so it outlives every leader; a successor reads it before its first start.
 //!
 //! What else follows from a worker that gets nothing (room, largest worker, trials, permits) goes by
-//! [`crate::worker::Worker::takes_tasks`]; `docs/PLATFORM.md` (section Evacuations) has the rest.
+//! [`crate::state::worker::Worker::takes_tasks`]; `docs/PLATFORM.md` (section Evacuations) has the rest.
 
 use gaplock_types::ids;
 
-use crate::message::WorkerIx;
+use crate::changes::trace;
+use crate::interface::message::WorkerIx;
 use crate::state::State;
-use crate::trace;
 
-pub use crate::message::Evacuated;
+pub use crate::interface::message::Evacuated;
 
 /// Takes in what the store says; an older reading changes nothing.
 pub fn read(cx: &mut State, evacuated: Evacuated) {
--- a/crates/sched/src/gangs.rs
+++ b/crates/sched/src/changes/gangs.rs
@@ -9,17 +9,17 @@
 use gaplock_jobs::{Job, TaskKey};
 use gaplock_types::ids;
 
+use crate::changes::{checkpoints, lifecycle, orders, permits, starts};
 use crate::decisions::asks;
 use crate::decisions::placement::{self, Wanted};
-use crate::message::{Run, WorkerIx};
-use crate::proof::Proof;
-use crate::state::State as Context;
-use crate::table::ReadyStep;
-use crate::{checkpoints, lifecycle, orders, permits, starts};
+use crate::interface::message::{Run, WorkerIx};
+use crate::interface::proof::Proof;
+use crate::state::table::ReadyStep;
+use crate::state::State;
 
 /// Starts all members of a gang under one run number, or none of them.
 pub fn start(
-    cx: &mut Context,
+    cx: &mut State,
     job: &Job,
     service: &ids::ServiceId,
     ready: ReadyStep,
@@ -48,14 +48,14 @@
 }
 
 /// Returns how often the gang will have been started, counted by the member started most often.
-fn next_starts(cx: &Context, members: &[TaskKey]) -> u32 {
+fn next_starts(cx: &State, members: &[TaskKey]) -> u32 {
     let starts = members.iter().filter_map(|&task| cx.task(task)).map(|t| t.starts);
     starts.max().unwrap_or(0) + 1
 }
 
 /// Takes the room for all members, in one rack if that is wanted and any has room, or for none.
 fn place_together(
-    cx: &mut Context,
+    cx: &mut State,
     job: &Job,
     service: &ids::ServiceId,
     members: &[TaskKey],
@@ -71,7 +71,7 @@
 const RACKS_TRIED: usize = 4;
 
 /// Lists the racks of a pool with most free processors.
-fn racks_by_room(cx: &Context, service: &ids::ServiceId) -> Vec<String> {
+fn racks_by_room(cx: &State, service: &ids::ServiceId) -> Vec<String> {
     let mut racks: BTreeMap<&str, u64> = BTreeMap::new();
     let pool = cx.workers.iter().filter(|w| w.info.service == *service && w.takes_tasks(cx.now));
     for worker in pool {
@@ -86,7 +86,7 @@
 
 /// Takes the room for all members of a gang, in one rack where that is asked for, or for none.
 fn place(
-    cx: &mut Context,
+    cx: &mut State,
     job: &Job,
     service: &ids::ServiceId,
     members: &[TaskKey],
@@ -110,14 +110,14 @@
 }
 
 /// Frees the room of the members placed so far; nothing of them was sent.
-fn undo(cx: &mut Context, placed: &[(TaskKey, WorkerIx)], run: Run) {
+fn undo(cx: &mut State, placed: &[(TaskKey, WorkerIx)], run: Run) {
     for &(task, ix) in placed {
         lifecycle::requeue(cx, ix, task, run, Proof::NeverSent);
     }
 }
 
 /// Sets how often a task was started; all members of a gang count alike.
-fn set_starts(cx: &mut Context, task: TaskKey, starts: u32) {
+fn set_starts(cx: &mut State, task: TaskKey, starts: u32) {
     if let Some(t) = cx.task_mut(task) {
         t.starts = starts;
     }
--- a/crates/sched/src/gone.rs
+++ b/crates/sched/src/changes/gone.rs
@@ -1,8 +1,8 @@
 //! Workers that are given up, and the survey that may have waited for them.
 
-use crate::message::WorkerIx;
+use crate::changes::{crashes, leases, roster, takeover, trace};
+use crate::interface::message::WorkerIx;
 use crate::state::State;
-use crate::{crashes, leases, roster, takeover, trace};
 
 /// Gives up the runs of workers that are silent or refuse stops once their leases are certainly
 /// over, and workers that are neither listed nor answering.
--- a/crates/sched/src/intake.rs
+++ b/crates/sched/src/changes/intake.rs
@@ -7,11 +7,11 @@
 use gaplock_jobs::{config, Job, JobKey};
 use gaplock_types::time::{Instant, Millis};
 
-use crate::message::Record;
+use crate::changes::{commits, directory, lifecycle, permits, trace};
+use crate::interface::message::Record;
 use crate::state::survey::Survey;
+use crate::state::table::{Entry, Round};
 use crate::state::State;
-use crate::table::{Entry, Round};
-use crate::{commits, directory, lifecycle, permits, trace};
 
 /// Takes a version of the configuration into force; an older one is ignored.
 pub fn config(cx: &mut State, config: Arc<config::Config>) {
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/changes/leases.rs
@@ -5,11 +5,11 @@
 
 use gaplock_jobs::TaskKey;
 
-use crate::message::{Run, WorkerClock, WorkerIx};
-use crate::proof::Proof;
+use crate::changes::{crashes, doubts, lifecycle, roster, trace};
+use crate::interface::message::{Run, WorkerClock, WorkerIx};
+use crate::interface::proof::Proof;
+use crate::state::worker::Slot;
 use crate::state::State;
-use crate::worker::Slot;
-use crate::{crashes, doubts, lifecycle, roster, trace};
 
 /// Gives up every run at a worker whose leases are certainly over.
 pub fn lapse(cx: &mut State, ix: WorkerIx) {
--- a/crates/sched/src/lifecycle.rs
+++ b/crates/sched/src/changes/lifecycle.rs
@@ -7,14 +7,14 @@
 use gaplock_policy::tries::Tries;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::message::{Action, Run, WorkerIx};
-use crate::pacing::{self, GivenPaces, FULL_PACE};
-use crate::proof::Proof;
+use crate::changes::pacing::{self, GivenPaces, FULL_PACE};
+use crate::changes::{commits, scarcity, trace};
+use crate::interface::message::{Action, Run, WorkerIx};
+use crate::interface::proof::Proof;
 use crate::state::checkpoint::Checkpoint;
-use crate::state::State as Context;
-use crate::table::{self, Entry, ReadyStep, Round, Task, TaskState};
-use crate::worker::{Part, Phase, Slot};
-use crate::{commits, scarcity, trace};
+use crate::state::table::{self, Entry, ReadyStep, Round, Task, TaskState};
+use crate::state::worker::{Part, Phase, Slot};
+use crate::state::State;
 
 /// How much later than its objective a lasting step is served: room that comes free goes to work
 /// that ends soon, whose caller waits for it, as long as there is any.
@@ -28,7 +28,7 @@
 }
 
 /// Makes a task wait for a worker, after `pause`.
-pub fn make_pending(cx: &mut Context, key: TaskKey, pause: Millis) {
+pub fn make_pending(cx: &mut State, key: TaskKey, pause: Millis) {
     let now = cx.now;
     let Some(entry) = cx.jobs.get_mut(&key.job) else { return };
     if entry.state.is_final() {
@@ -56,7 +56,7 @@
 }
 
 /// Takes a task out of the pending ones, because it is being started or was found running.
-pub fn leave_pending(cx: &mut Context, key: TaskKey) {
+pub fn leave_pending(cx: &mut State, key: TaskKey) {
     let Some(entry) = cx.jobs.get_mut(&key.job) else { return };
     let ready = ready_step(entry, key.round, key.step);
     let Some(round) = entry.round_mut(key.round) else { return };
@@ -83,7 +83,7 @@
 }
 
 /// Records that a run is at a worker.
-pub fn occupy(cx: &mut Context, worker: WorkerIx, key: TaskKey, occupant: Occupant) {
+pub fn occupy(cx: &mut State, worker: WorkerIx, key: TaskKey, occupant: Occupant) {
     let now = cx.now;
     let Some(entry) = cx.jobs.get_mut(&key.job) else { return };
     if entry.state == JobState::Queued {
@@ -128,7 +128,7 @@
 }
 
 /// Records that a run is no longer at a worker.
-pub fn vacate(cx: &mut Context, worker: WorkerIx, key: TaskKey, run: Run) -> Option<Slot> {
+pub fn vacate(cx: &mut State, worker: WorkerIx, key: TaskKey, run: Run) -> Option<Slot> {
     cx.pass_wanted = true;
     let slot = cx.worker_mut(worker).vacate(key, run)?;
     if let Some(task) = cx.task_mut(key).filter(|t| t.slow_run == Some((worker, run))) {
@@ -145,7 +145,7 @@
 
 /// Takes a run off a worker by a proof that it is not there, and makes its task pending again if
 /// that was held to be there.
-pub fn requeue(cx: &mut Context, worker: WorkerIx, key: TaskKey, run: Run, proof: Proof) {
+pub fn requeue(cx: &mut State, worker: WorkerIx, key: TaskKey, run: Run, proof: Proof) {
     let was_active = cx.is_active(key, worker, run);
     let slot = vacate(cx, worker, key, run);
     let released = slot.as_ref().map(|slot| (slot, cx.now));
@@ -159,7 +159,7 @@
 const MOST_DOUBLINGS: u32 = 8;
 
 /// Returns the pause before the next start of a task that failed `in_row` times in a row.
-pub fn pause_after(cx: &Context, in_row: u32) -> Millis {
+pub fn pause_after(cx: &State, in_row: u32) -> Millis {
     doubled(cx.settings.retry_pause, in_row, cx.settings.retry_pause_max)
 }
 
@@ -170,7 +170,7 @@
 }
 
 /// Marks a task done and begins what waited for it.
-pub fn finish_task(cx: &mut Context, key: TaskKey) {
+pub fn finish_task(cx: &mut State, key: TaskKey) {
     leave_pending(cx, key);
     let Some(entry) = cx.jobs.get_mut(&key.job) else { return };
     let Some(task) = entry.task_mut(key) else { return };
@@ -193,7 +193,7 @@
     }
 }
 
-fn finish_round(cx: &mut Context, job: JobKey, number: u32) {
+fn finish_round(cx: &mut State, job: JobKey, number: u32) {
     let Some(entry) = cx.jobs.get_mut(&job) else { return };
     entry.rounds.retain(|r| r.number != number);
     entry.finished.insert(number);
@@ -203,7 +203,7 @@
 }
 
 /// Makes every waiting task pending whose earlier steps are done.
-pub fn begin_steps(cx: &mut Context, job: JobKey, number: u32) {
+pub fn begin_steps(cx: &mut State, job: JobKey, number: u32) {
     let Some(entry) = cx.jobs.get(&job) else { return };
     let Some(round) = entry.round(number) else { return };
     let begin: Vec<TaskKey> = waiting_tasks(entry, round);
@@ -227,7 +227,7 @@
 }
 
 /// Puts a job into a final state and stops whatever of it still runs.
-pub fn end_job(cx: &mut Context, job: JobKey, state: JobState) {
+pub fn end_job(cx: &mut State, job: JobKey, state: JobState) {
     let unix_ms = cx.unix_ms;
     let Some(entry) = cx.jobs.get_mut(&job) else { return };
     if entry.state.is_final() {
@@ -257,7 +257,7 @@
 }
 
 /// Orders a run to be stopped; its room stays taken until its end is seen.
-pub fn order_stop(cx: &mut Context, worker: WorkerIx, key: TaskKey, run: Run, why: &'static str) {
+pub fn order_stop(cx: &mut State, worker: WorkerIx, key: TaskKey, run: Run, why: &'static str) {
     let (now, retry) = (cx.now, cx.settings.stop_retry);
     let w = cx.worker_mut(worker);
     let Some(slot) = w.slots.get_mut(&key) else { return };
--- a/crates/sched/src/moving.rs
+++ b/crates/sched/src/changes/moving.rs
@@ -4,13 +4,13 @@
 use gaplock_types::time::Millis;
 use rustc_hash::FxHashSet;
 
+use crate::changes::lifecycle;
 use crate::decisions::placement;
-use crate::lifecycle;
-use crate::message::{Run, WorkerIx};
-use crate::searches::{self, Searches};
+use crate::interface::message::{Run, WorkerIx};
+use crate::interface::searches::{self, Searches};
 use crate::state::model::Column;
+use crate::state::worker::{Part, Phase, Slot};
 use crate::state::State;
-use crate::worker::{Part, Phase, Slot};
 
 /// How long a filling task is slowed down before it is moved.
 const MOVE_AFTER: Millis = Millis(1_200);
--- a/crates/sched/src/orders.rs
+++ b/crates/sched/src/changes/orders.rs
@@ -10,17 +10,17 @@
 use gaplock_policy::tries::Fate;
 use gaplock_types::time::Millis;
 
-use crate::message::{Action, Outcome, Refusal, Run, StepKey, WorkerClock, WorkerIx};
-use crate::proof::Proof;
+use crate::changes::{checkpoints, doubts, gone, leases, lifecycle, pacing, permits, trace};
+use crate::interface::message::{Action, Outcome, Refusal, Run, StepKey, WorkerClock, WorkerIx};
+use crate::interface::proof::Proof;
 use crate::state::rates::Mark;
-use crate::state::State as Context;
-use crate::table::TaskState;
-use crate::worker::Phase;
-use crate::{checkpoints, doubts, gone, leases, lifecycle, pacing, permits, trace};
+use crate::state::table::TaskState;
+use crate::state::worker::Phase;
+use crate::state::State;
 
 /// Takes in what became of the last try of a start.
 pub fn started(
-    cx: &mut Context,
+    cx: &mut State,
     ix: WorkerIx,
     key: TaskKey,
     run: Run,
@@ -64,20 +64,14 @@
 }
 
 /// Logs a start that was not simply carried out, with the try that the answer belongs to.
-fn trace_answer(
-    cx: &Context,
-    ix: WorkerIx,
-    key: TaskKey,
-    run: Run,
-    outcome: &Outcome<WorkerClock>,
-) {
+fn trace_answer(cx: &State, ix: WorkerIx, key: TaskKey, run: Run, outcome: &Outcome<WorkerClock>) {
     let worker = cx.worker(ix);
     let tries = worker.slots.get(&key).filter(|s| s.run == run).map(|s| s.tries);
     trace::start_answered(key, run, &worker.info.id, tries.unwrap_or_default(), outcome);
 }
 
 /// Takes in that a run is at its worker.
-fn confirmed(cx: &mut Context, ix: WorkerIx, key: TaskKey, clock: WorkerClock) {
+fn confirmed(cx: &mut State, ix: WorkerIx, key: TaskKey, clock: WorkerClock) {
     let now = cx.now;
     let worker = cx.worker_mut(ix);
     worker.read_clock(now, clock);
@@ -95,7 +89,7 @@
 
 /// Frees a task whose start was certainly not carried out, or withdraws the start while a try of it
 /// is open: that one may be carried out when the task has long ended elsewhere.
-fn not_done(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run, fate: Fate, proof: Proof) {
+fn not_done(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run, fate: Fate, proof: Proof) {
     match fate {
         Fate::NotDone => lifecycle::requeue(cx, ix, key, run, proof),
         Fate::Done | Fate::Unknown => {
@@ -105,7 +99,7 @@
 }
 
 /// Lets a task pause whose start was refused as invalid: the next worker most likely refuses it, too.
-fn put_off_invalid(cx: &mut Context, key: TaskKey) {
+fn put_off_invalid(cx: &mut State, key: TaskKey) {
     let Some(task) = cx.task_mut(key) else { return };
     task.invalid_in_row += 1;
     let in_row = task.invalid_in_row;
@@ -117,7 +111,7 @@
 }
 
 /// Spares a worker that refused a start, where and for as long as that helps.
-fn spare_after(cx: &mut Context, ix: WorkerIx, key: TaskKey, refusal: Refusal) {
+fn spare_after(cx: &mut State, ix: WorkerIx, key: TaskKey, refusal: Refusal) {
     let (retry, full) = (cx.settings.renew_retry, cx.settings.full_pause);
     match refusal {
         Refusal::Fenced => {
@@ -132,14 +126,14 @@
 }
 
 /// Gives a worker no tasks for a while.
-fn spare(cx: &mut Context, ix: WorkerIx, pause: Millis) {
+fn spare(cx: &mut State, ix: WorkerIx, pause: Millis) {
     let now = cx.now;
     cx.worker_mut(ix).avoid_until = now + pause;
 }
 
 /// Sends a start without an answer again, or withdraws it once it was tried often enough or nothing is to
 /// go to its worker any more.
-fn unclear(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
+fn unclear(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run) {
     let now = cx.now;
     let most = cx.settings.start_tries;
     suspect(cx, ix);
@@ -158,14 +152,14 @@
 
 /// Spares a worker for a while that left a start unanswered, so that one silent worker does not
 /// take up the starts that may be under way.
-fn suspect(cx: &mut Context, ix: WorkerIx) {
+fn suspect(cx: &mut State, ix: WorkerIx) {
     let (now, pause) = (cx.now, cx.settings.renew_retry);
     let worker = cx.worker_mut(ix);
     worker.avoid_until = worker.avoid_until.max(now + pause);
 }
 
 /// Sends the start of a run that has its slot.
-pub fn send_start(cx: &mut Context, ix: WorkerIx, key: TaskKey, run: Run) {
+pub fn send_start(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run) {
     let Some(entry) = cx.jobs.get(&key.job) else { return };
     let job = entry.job.clone();
     let Some(until) = leases::grant(cx, ix) else { return };
@@ -190,7 +184,7 @@
 const REFUSED_RETRY: Millis = Millis(50);
 
 /// Sets when a stop that was refused is sent again.
-fn put_off_stop(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+fn put_off_stop(cx: &mut State, ix: WorkerIx, key: TaskKey) {
     let (now, most) = (cx.now, cx.settings.stop_retry);
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
     slot.stop_refusals += 1;
@@ -201,7 +195,7 @@
 
 /// Takes in what became of a stop.
 pub fn stopped(
-    cx: &mut Context,
+    cx: &mut State,
     ix: WorkerIx,
     key: TaskKey,
     run: Run,
@@ -231,7 +225,7 @@
 }
 
 /// Sends stops again whose run is still there.
-pub fn check(cx: &mut Context) {
+pub fn check(cx: &mut State) {
     let (now, retry) = (cx.now, cx.settings.stop_retry);
     for ix in cx.worker_ixs() {
         doubts::settle(cx, ix);
--- a/crates/sched/src/pacing.rs
+++ b/crates/sched/src/changes/pacing.rs
@@ -9,11 +9,11 @@
 mod readings;
 mod spare;
 
-use crate::message::WorkerIx;
+use crate::changes::trace;
+use crate::interface::message::WorkerIx;
 use crate::state::State;
-use crate::trace;
 
-pub use crate::message::{Learnt, LearntFactor, LearntImage};
+pub use crate::interface::message::{Learnt, LearntFactor, LearntImage};
 pub use crate::state::model::{Column, Model, Row, Served};
 pub use crate::state::paces::{GivenPaces, FULL_PACE};
 
--- a/crates/sched/src/pacing/paces.rs
+++ b/crates/sched/src/changes/pacing/paces.rs
@@ -5,13 +5,13 @@
 use gaplock_policy::tries::Fate;
 
 use super::spare;
+use crate::changes::trace;
 use crate::decisions::filling::FillingTask;
 use crate::decisions::paces::{self, part_of};
-use crate::message::{Action, Run, WorkerIx};
+use crate::interface::message::{Action, Run, WorkerIx};
 use crate::state::paces::FULL_PACE;
+use crate::state::worker::{Part, Phase};
 use crate::state::State;
-use crate::trace;
-use crate::worker::{Part, Phase};
 
 /// Lowers the pace of what disturbs a serving task too much, and raises it again.
 pub fn set_paces(cx: &mut State, ix: WorkerIx) {
--- a/crates/sched/src/pacing/parts.rs
+++ b/crates/sched/src/changes/pacing/parts.rs
@@ -2,8 +2,8 @@
 
 use gaplock_jobs::Step;
 
+use crate::state::worker::Part;
 use crate::state::State;
-use crate::worker::Part;
 
 /// Returns what a step's tasks are to each other on a worker.
 pub fn part_of(cx: &mut State, step: &Step) -> Part {
--- a/crates/sched/src/pacing/readings.rs
+++ b/crates/sched/src/changes/pacing/readings.rs
@@ -2,13 +2,13 @@
 
 use gaplock_types::time::Millis;
 
-use crate::commits;
+use crate::changes::commits;
 use crate::decisions::disturbance::CROWDED_SHARE;
 use crate::decisions::filling::{self, SETTLE};
-use crate::message::{Record, WorkerIx};
+use crate::interface::message::{Record, WorkerIx};
 use crate::state::model::{Column, Served};
+use crate::state::worker::Part;
 use crate::state::State;
-use crate::worker::Part;
 
 /// Takes in readings. All tasks of a lasting job carry the same load, which swings within seconds,
 /// so how far readings lie above the model is remembered by job and not by task. On a slow worker
--- a/crates/sched/src/pacing/spare.rs
+++ b/crates/sched/src/changes/pacing/spare.rs
@@ -2,10 +2,10 @@
 
 use crate::decisions::disturbance::FILLED_SHARE;
 use crate::decisions::filling::{self, FillingTask};
-use crate::message::WorkerIx;
+use crate::interface::message::WorkerIx;
 use crate::state::model::Row;
+use crate::state::worker::{Part, Worker};
 use crate::state::State;
-use crate::worker::{Part, Worker};
 
 /// Part of its target that a serving task's expected tail may reach when a task is placed beside
 /// it: lower than for what already runs, so that what was just placed is not slowed down at once.
--- a/crates/sched/src/permits.rs
+++ b/crates/sched/src/changes/permits.rs
@@ -9,12 +9,12 @@
 use gaplock_jobs::JobKey;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::message::{Action, Permit, WorkerIx};
+use crate::changes::trace;
+use crate::interface::message::{Action, Permit, WorkerIx};
+use crate::state::table::ReadyStep;
 use crate::state::State;
-use crate::table::ReadyStep;
-use crate::trace;
 
-pub use crate::message::StepKey;
+pub use crate::interface::message::StepKey;
 
 /// The most calls under way: the service takes them in turn, so more would only wait there.
 const MOST_CALLS: usize = 4;
--- a/crates/sched/src/renewals.rs
+++ b/crates/sched/src/changes/renewals.rs
@@ -3,12 +3,12 @@
 
 use gaplock_types::time::{Instant, Millis};
 
-use crate::message::{Account, Action, Outcome, Refusal, WorkerIx};
-use crate::state::State;
-use crate::worker::Renewal;
-use crate::{
+use crate::changes::{
     account, commits, crashes, doubts, gone, leases, pacing, roster, takeover, trace, trials,
 };
+use crate::interface::message::{Account, Action, Outcome, Refusal, WorkerIx};
+use crate::state::worker::Renewal;
+use crate::state::State;
 
 /// Sends every renewal that is due.
 pub fn send_due(cx: &mut State) {
--- a/crates/sched/src/roster.rs
+++ b/crates/sched/src/changes/roster.rs
@@ -7,11 +7,11 @@
 
 use gaplock_jobs::TaskKey;
 
+use crate::changes::{commits, trace};
 use crate::decisions::losses;
-use crate::message::{Record, RosterEntry, WorkerIx};
+use crate::interface::message::{Record, RosterEntry, WorkerIx};
+use crate::state::worker::{Listing, Worker};
 use crate::state::State;
-use crate::worker::{Listing, Worker};
-use crate::{commits, trace};
 
 /// After how many renewals without an answer a worker is closed: a single answer is lost now and then,
 /// and each change is a write.
--- a/crates/sched/src/scarcity.rs
+++ b/crates/sched/src/changes/scarcity.rs
@@ -4,7 +4,7 @@
 use gaplock_types::ids;
 
 use crate::decisions::room;
-use crate::message::WorkerIx;
+use crate::interface::message::WorkerIx;
 use crate::state::State;
 
 /// Takes in that a short task has found no room in its pool.
--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/changes/speed.rs
@@ -7,11 +7,11 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::message::WorkerIx;
+use crate::interface::message::WorkerIx;
 use crate::state::paces::FULL_PACE;
 use crate::state::rates::{Mark, WHOLE_PERCENT};
+use crate::state::worker::{Part, Phase, Slot};
 use crate::state::State;
-use crate::worker::{Part, Phase, Slot};
 
 /// The shortest time over which a rate is read.
 const READ_OVER: Millis = Millis(300);
--- a/crates/sched/src/starts.rs
+++ b/crates/sched/src/changes/starts.rs
@@ -2,14 +2,14 @@
 
 use gaplock_jobs::TaskKey;
 
-use crate::crashes::kept;
-use crate::lifecycle::Occupant;
-use crate::message::{Run, WorkerIx};
+use crate::changes::crashes::kept;
+use crate::changes::lifecycle::Occupant;
+use crate::changes::{checkpoints, lifecycle, orders, trace};
+use crate::interface::message::{Run, WorkerIx};
 use crate::state::checkpoint::Checkpoint;
+use crate::state::table::TaskState;
+use crate::state::worker::Phase;
 use crate::state::State;
-use crate::table::TaskState;
-use crate::worker::Phase;
-use crate::{checkpoints, lifecycle, orders, trace};
 
 /// Starts a task at a worker.
 pub fn start_at(cx: &mut State, ix: WorkerIx, task: TaskKey) {
--- a/crates/sched/src/stragglers.rs
+++ b/crates/sched/src/changes/stragglers.rs
@@ -7,11 +7,12 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::Millis;
 
+use crate::changes::{lifecycle, trace};
 use crate::decisions::{placement, slowness};
-use crate::message::{Run, WorkerIx};
+use crate::interface::message::{Run, WorkerIx};
+use crate::interface::searches;
+use crate::state::table::TaskState;
 use crate::state::State;
-use crate::table::TaskState;
-use crate::{lifecycle, searches, trace};
 
 /// Starts tasks again elsewhere that would take much longer on their slow worker. Returns how many searches
 /// that took.
--- a/crates/sched/src/takeover.rs
+++ b/crates/sched/src/changes/takeover.rs
@@ -11,14 +11,16 @@
 use gaplock_jobs::{Job, JobKey, Step, TaskKey};
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use crate::evacuation::{self, Evacuated};
-use crate::message::{RosterEntry, Run, WaveProgress, WorkerIx};
-use crate::pacing::Learnt;
+use crate::changes::evacuation::{self, Evacuated};
+use crate::changes::pacing::Learnt;
+use crate::changes::{
+    checkpoints, crashes, directory, intake, leases, lifecycle, roster, trace, upkeep,
+};
+use crate::interface::message::{RosterEntry, Run, WaveProgress, WorkerIx};
 use crate::state::survey::Survey;
-use crate::state::State as Context;
-use crate::table::{Entry, Round, StepState, TaskState};
-use crate::worker::Listing;
-use crate::{checkpoints, crashes, directory, intake, leases, lifecycle, roster, trace, upkeep};
+use crate::state::table::{Entry, Round, StepState, TaskState};
+use crate::state::worker::Listing;
+use crate::state::State;
 
 /// What a former leader left in the store.
 #[derive(Debug, Default)]
@@ -40,7 +42,7 @@
 }
 
 /// Fills a new leader's state from the store and begins the survey.
-pub fn restore(cx: &mut Context, stored: Stored) {
+pub fn restore(cx: &mut State, stored: Stored) {
     let Stored { jobs, mut progress, cancelled, roster, learnt, waves, evacuated } = stored;
     evacuation::read(cx, evacuated);
     cx.pacing.restore(&learnt);
@@ -79,7 +81,7 @@
 }
 
 /// Builds the entry of a job from its stored progress, if any was stored.
-fn restored(cx: &Context, job: Arc<Job>, progress: Option<Progress>) -> Entry {
+fn restored(cx: &State, job: Arc<Job>, progress: Option<Progress>) -> Entry {
     let mut entry = intake::entry(cx, job);
     let Some(progress) = progress else {
         return with_unknown_first_rounds(entry, cx.unix_ms);
@@ -147,7 +149,7 @@
 }
 
 /// Takes in that a worker has answered, or certainly runs nothing.
-pub fn answered(cx: &mut Context, ix: WorkerIx) {
+pub fn answered(cx: &mut State, ix: WorkerIx) {
     let gone = cx.worker(ix).gone;
     let Some(survey) = &mut cx.survey else { return };
     if survey.waiting.remove(&ix) && gone {
@@ -168,7 +170,7 @@
 
 /// Settles what is no longer in doubt, and ends the survey once every worker has answered or its leases
 /// are over.
-pub fn check_survey(cx: &mut Context) {
+pub fn check_survey(cx: &mut State) {
     let Some(survey) = &cx.survey else { return };
     let late = cx.now >= survey.until;
     if !survey.waiting.is_empty() && !late {
@@ -185,7 +187,7 @@
 }
 
 /// Ends the survey: nothing is in doubt any more.
-fn end_survey(cx: &mut Context) {
+fn end_survey(cx: &mut State) {
     let Some(mut survey) = cx.survey.take() else { return };
     for ix in survey.waiting {
         if cx.worker(ix).is_absent() {
@@ -204,7 +206,7 @@
 }
 
 /// Decides about the tasks that are no longer in doubt once the open workers are through.
-fn settle_all(cx: &mut Context) {
+fn settle_all(cx: &mut State) {
     let (held, lost) = held(cx);
     settle(cx, &held, &lost);
 }
@@ -212,7 +214,7 @@
 /// Decides about every task that was in doubt, but for those that a closed worker may hold which has
 /// not answered: none of the others runs anywhere, and some may have gone with the workers that are
 /// lost.
-fn settle(cx: &mut Context, held: &FxHashSet<TaskKey>, lost: &[WorkerIx]) {
+fn settle(cx: &mut State, held: &FxHashSet<TaskKey>, lost: &[WorkerIx]) {
     if !lost.is_empty() {
         let unfound = unfound(cx, held);
         crashes::any_lost(cx, lost, &unfound);
@@ -239,7 +241,7 @@
 
 /// Notes that the open workers are through, and returns the tasks that closed workers may hold and the
 /// open workers that are gone.
-fn held(cx: &mut Context) -> (FxHashSet<TaskKey>, Vec<WorkerIx>) {
+fn held(cx: &mut State) -> (FxHashSet<TaskKey>, Vec<WorkerIx>) {
     let Some(survey) = &mut cx.survey else { return Default::default() };
     survey.settled = true;
     let held = survey.closed.values().flatten().copied().collect();
@@ -247,7 +249,7 @@
 }
 
 /// Lists the tasks that may have run and were found nowhere.
-fn unfound(cx: &mut Context, held: &FxHashSet<TaskKey>) -> FxHashSet<TaskKey> {
+fn unfound(cx: &mut State, held: &FxHashSet<TaskKey>) -> FxHashSet<TaskKey> {
     let mut found = FxHashSet::default();
     // What a former leader started last may not be stored as begun.
     for entry in cx.jobs.values_mut().filter(|e| !e.state.is_final()) {
@@ -259,7 +261,7 @@
 
 /// Ends a job all of whose tasks turned out to be done, which [`lifecycle::finish_task`] does not
 /// see where the last end was stored without the job's.
-fn finish_if_done(cx: &mut Context, key: JobKey) {
+fn finish_if_done(cx: &mut State, key: JobKey) {
     let Some(entry) = cx.jobs.get_mut(&key) else { return };
     let done: Vec<u32> = entry.rounds.iter().filter(|r| r.is_done()).map(|r| r.number).collect();
     entry.rounds.retain(|r| !done.contains(&r.number));
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/changes/trace.rs
@@ -13,14 +13,14 @@
 
 use crate::decisions::losses::Loss;
 use crate::decisions::placement::UnfitCounts;
-use crate::message::{
+use crate::interface::message::{
     End, Outcome, Run, UpkeepAnswer, WaveNumber, WaveRequest, WorkerClock, WorkerInfo, WorkerIx,
 };
-use crate::proof::Proof;
+use crate::interface::proof::Proof;
 use crate::state::checkpoint::Checkpoint;
+use crate::state::table::Entry;
+use crate::state::worker::{Listing, Slot, Worker};
 use crate::state::State;
-use crate::table::Entry;
-use crate::worker::{Listing, Slot, Worker};
 
 /// The leader has heard of a job.
 pub fn job_known(entry: &Entry) {
--- a/crates/sched/src/trials.rs
+++ b/crates/sched/src/changes/trials.rs
@@ -12,16 +12,16 @@
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
 
+use crate::changes::starts;
 use crate::decisions::losses::are_many_lost;
 use crate::decisions::{asks, placement};
-use crate::message::WorkerIx;
-use crate::starts;
+use crate::interface::message::WorkerIx;
+use crate::state::table::TaskState;
 use crate::state::trial::Trial;
+use crate::state::worker::Worker;
 use crate::state::State;
-use crate::table::TaskState;
-use crate::worker::Worker;
 
-use crate::crashes::kept::{keep, ALONE_FOR};
+use crate::changes::crashes::kept::{keep, ALONE_FOR};
 
 /// The part of all workers, as a divisor, that tasks with a single loss may keep to themselves; none while
 /// many workers are lost, when there are hundreds of such tasks, nearly all innocent, and room is scarce.
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/changes/upkeep.rs
@@ -17,13 +17,13 @@
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::message::{
+use crate::changes::{commits, trace};
+use crate::interface::message::{
     Action, HostInfo, HostState, Record, UpkeepAnswer, WaveNumber, WaveProgress, WaveRequest,
     WorkerIx,
 };
 use crate::state::upkeep::{Down, Wave};
 use crate::state::State;
-use crate::{commits, trace};
 
 /// How often the hosts are listed while a wave is under way: a host is away for about 2 s, and all
 /// hosts together may ask 60 times a second.
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -4,13 +4,13 @@
 
 use gaplock_types::time::{Instant, Millis};
 
-use crate::message::{Action, Event, WorkerIx};
-use crate::settings::Settings;
-use crate::state::State;
-use crate::{
+use crate::changes::{
     commits, crashes, directory, dispatch, drain, evacuation, gone, intake, moving, orders, pacing,
     permits, renewals, roster, stragglers, takeover, upkeep,
 };
+use crate::interface::message::{Action, Event, WorkerIx};
+use crate::interface::settings::Settings;
+use crate::state::State;
 
 pub use crate::state::Term;
 
--- a/crates/sched/src/decisions/asks.rs
+++ b/crates/sched/src/decisions/asks.rs
@@ -6,8 +6,8 @@
 use gaplock_types::time::Millis;
 
 use crate::decisions::placement::Wanted;
+use crate::state::table::{Task, TaskState};
 use crate::state::State;
-use crate::table::{Task, TaskState};
 
 /// The task of a step that is tried first.
 #[derive(Debug, Clone, Copy)]
--- a/crates/sched/src/decisions/availability.rs
+++ b/crates/sched/src/decisions/availability.rs
@@ -2,9 +2,9 @@
 
 use gaplock_jobs::TaskKey;
 
+use crate::state::table::{Task, TaskState};
+use crate::state::worker::{Phase, AT_WORK_PERCENT};
 use crate::state::State;
-use crate::table::{Task, TaskState};
-use crate::worker::{Phase, AT_WORK_PERCENT};
 
 /// Tells whether a task may be stopped without more of its step being away than its caller allows.
 /// A step that names no bound sets none.
--- a/crates/sched/src/decisions/choices.rs
+++ b/crates/sched/src/decisions/choices.rs
@@ -10,7 +10,7 @@
 use gaplock_types::time::Millis;
 
 use crate::decisions::placement::{self, Wanted};
-use crate::message::WorkerIx;
+use crate::interface::message::WorkerIx;
 use crate::state::State;
 
 /// A worker and how good a place it is.
--- a/crates/sched/src/decisions/disturbance.rs
+++ b/crates/sched/src/decisions/disturbance.rs
@@ -9,8 +9,8 @@
 use gaplock_types::time::Millis;
 
 use crate::state::model::LEAST_PUSH;
+use crate::state::worker::{Part, Worker};
 use crate::state::State;
-use crate::worker::{Part, Worker};
 
 /// The share of a worker's processors from which filling tasks of any image disturb what is served
 /// there, because the processors are used up; as measured. Readings beyond it teach nothing of pairs.
--- a/crates/sched/src/decisions/filling.rs
+++ b/crates/sched/src/decisions/filling.rs
@@ -3,10 +3,10 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::message::Run;
+use crate::interface::message::Run;
 use crate::state::model::{Column, Served};
 use crate::state::paces::FULL_PACE;
-use crate::worker::{Part, Phase, Slot, Worker};
+use crate::state::worker::{Part, Phase, Slot, Worker};
 
 /// Readings cover the last half second; a worker on which a filling task has ended within this
 /// time shows what that task did, but no longer the task.
--- a/crates/sched/src/decisions/leaving.rs
+++ b/crates/sched/src/decisions/leaving.rs
@@ -3,9 +3,9 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::message::{Run, WorkerIx};
+use crate::interface::message::{Run, WorkerIx};
+use crate::state::worker::{Listing, Phase, Worker};
 use crate::state::State;
-use crate::worker::{Listing, Phase, Worker};
 
 /// How long before the least remaining time runs out the last stops go out, beyond the time that
 /// a stop takes: a round trip, the wait for a renewal and a margin.
--- a/crates/sched/src/decisions/losses.rs
+++ b/crates/sched/src/decisions/losses.rs
@@ -4,11 +4,11 @@
 use gaplock_types::time::{Instant, Millis};
 
 use crate::state::trial::Trial;
+use crate::state::worker::{Listing, Slot, Worker};
 use crate::state::State;
-use crate::worker::{Listing, Slot, Worker};
 
 /// How long after a start a crash still counts as following it at once: above the time between two
-/// answers of a worker on which a task is tried (`crashes/trials.rs`).
+/// answers of a worker on which a task is tried (`changes/trials.rs`).
 pub const AT_START: Millis = Millis(400);
 
 /// How long a run must have been at work to speak for its task: longer than anything that goes wrong
--- a/crates/sched/src/decisions/paces.rs
+++ b/crates/sched/src/decisions/paces.rs
@@ -5,8 +5,8 @@
 use crate::decisions::filling::{self, FillingTask};
 use crate::state::model::{Model, Row, LEAST_PUSH};
 use crate::state::paces::FULL_PACE;
+use crate::state::worker::{Part, Worker};
 use crate::state::State;
-use crate::worker::{Part, Worker};
 
 /// Part of its target that a serving task's expected tail may reach beside what already runs:
 /// readings are rough and up to a second old.
--- a/crates/sched/src/decisions/placement.rs
+++ b/crates/sched/src/decisions/placement.rs
@@ -8,10 +8,10 @@
 
 use crate::decisions::disturbance;
 use crate::decisions::room;
-use crate::message::{StepKey, WorkerIx};
+use crate::interface::message::{StepKey, WorkerIx};
+use crate::state::table;
+use crate::state::worker::{Part, Worker};
 use crate::state::State;
-use crate::table;
-use crate::worker::{Part, Worker};
 
 /// What is asked of a worker.
 #[derive(Debug, Clone, Copy)]
--- a/crates/sched/src/decisions/room.rs
+++ b/crates/sched/src/decisions/room.rs
@@ -21,8 +21,8 @@
 use gaplock_types::sizes::MilliCores;
 use gaplock_types::time::{Instant, Millis};
 
+use crate::state::worker::Worker;
 use crate::state::State;
-use crate::worker::Worker;
 
 /// How long a worker stays kept after a short task has begun or ended there: somewhat longer than a
 /// short task of the users works, and below the 3 s for which a lasting task may wait beside room.
--- a/crates/sched/src/decisions/slowness.rs
+++ b/crates/sched/src/decisions/slowness.rs
@@ -4,10 +4,10 @@
 use gaplock_types::time::Millis;
 
 use crate::decisions::availability;
-use crate::message::WorkerIx;
+use crate::interface::message::WorkerIx;
 use crate::state::rates::WHOLE_PERCENT;
+use crate::state::worker::{Part, Phase, Slot};
 use crate::state::State;
-use crate::worker::{Part, Phase, Slot};
 
 /// What a copy costs in time besides its work: the order and the wait for its end to be seen.
 const COPY_TAKES: Millis = Millis(100);
--- /dev/null
+++ b/crates/sched/src/interface.rs
@@ -0,0 +1,8 @@
+//! What the driver shares with the scheduler: events, actions, records, settings, and what is stored.
+
+pub mod claims;
+pub mod message;
+pub mod proof;
+pub mod searches;
+pub mod settings;
+pub mod writing;
--- a/crates/sched/src/message.rs
+++ b/crates/sched/src/interface/message.rs
@@ -12,7 +12,7 @@
 use gaplock_types::time::{Instant, Millis};
 use gaplock_types::{ids, sizes};
 
-use crate::settings::Settings;
+use crate::interface::settings::Settings;
 
 pub use evacuated::Evacuated;
 pub use hosts::{HostInfo, HostState, UpkeepAnswer, WaveNumber, WaveProgress, WaveRequest};
--- a/crates/sched/src/searches.rs
+++ b/crates/sched/src/interface/searches.rs
@@ -5,7 +5,7 @@
 //! fifteen stops a second and took no news of the directory in. So a check makes a few searches, and the
 //! next one begins with the worker at which it ended.
 
-use crate::message::WorkerIx;
+use crate::interface::message::WorkerIx;
 
 /// The looks at a worker that one check may take: some 0.15 us each, 3 ms of a processor five times a second.
 const LOOKS_MOST: usize = 20_000;
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -9,8 +9,10 @@
 pub mod rates;
 pub mod survey;
 pub mod suspicion;
+pub mod table;
 pub mod trial;
 pub mod upkeep;
+pub mod worker;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -20,17 +22,17 @@
 use gaplock_types::time::Instant;
 use rustc_hash::FxHashMap;
 
-use crate::message::{Action, Evacuated, FencingToken, Run, WorkerInfo, WorkerIx};
-use crate::settings::Settings;
-use crate::table::{Entry, ReadyStep, StepState, Task, TaskState};
-use crate::worker::Worker;
+use crate::interface::message::{Action, Evacuated, FencingToken, Run, WorkerInfo, WorkerIx};
+use crate::interface::settings::Settings;
 
 use commits::Commits;
 use model::Model;
 use permits::Permits;
 use survey::Survey;
 use suspicion::Crashes;
+use table::{Entry, ReadyStep, StepState, Task, TaskState};
 use upkeep::Upkeep;
+use worker::Worker;
 
 /// Sound entries whose pool the configuration does not name; a later one may.
 pub type Unnamed = BTreeMap<ids::WorkerId, WorkerInfo>;
@@ -115,7 +117,7 @@
 }
 
 impl State {
-    /// Builds the state of a leader that knows nothing yet; [`crate::takeover::restore`] fills it.
+    /// Builds the state of a leader that knows nothing yet; [`crate::changes::takeover::restore`] fills it.
     pub fn open(settings: Settings, term: Term, now: Instant, unix_ms: u64) -> Self {
         Self {
             settings,
--- a/crates/sched/src/state/checkpoint.rs
+++ b/crates/sched/src/state/checkpoint.rs
@@ -4,7 +4,7 @@
 
 use gaplock_types::time::Instant;
 
-use crate::message::{Run, WorkerIx};
+use crate::interface::message::{Run, WorkerIx};
 
 /// What a task saved.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/sched/src/state/commits.rs
+++ b/crates/sched/src/state/commits.rs
@@ -6,7 +6,7 @@
 use gaplock_jobs::JobKey;
 use gaplock_types::time::Instant;
 
-use crate::message::{EndSeq, Record, WorkerIx};
+use crate::interface::message::{EndSeq, Record, WorkerIx};
 
 /// What waits to be stored, and what is being stored.
 #[derive(Debug, Default)]
--- a/crates/sched/src/state/doubt.rs
+++ b/crates/sched/src/state/doubt.rs
@@ -2,7 +2,7 @@
 
 use gaplock_types::time::Instant;
 
-use crate::message::Run;
+use crate::interface::message::Run;
 
 /// A run that was given up and may still begin.
 #[derive(Debug, Clone, Copy)]
--- a/crates/sched/src/state/model.rs
+++ b/crates/sched/src/state/model.rs
@@ -10,7 +10,7 @@
 use gaplock_types::time::Instant;
 use rustc_hash::FxHashMap;
 
-use crate::message::{Learnt, LearntFactor, LearntImage};
+use crate::interface::message::{Learnt, LearntFactor, LearntImage};
 
 /// A serving image by its position.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/sched/src/state/permits.rs
+++ b/crates/sched/src/state/permits.rs
@@ -3,7 +3,7 @@
 use gaplock_types::time::Instant;
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use crate::message::{StepKey, WorkerIx};
+use crate::interface::message::{StepKey, WorkerIx};
 
 /// What is known of one step's permissions.
 #[derive(Debug, Default)]
--- a/crates/sched/src/state/survey.rs
+++ b/crates/sched/src/state/survey.rs
@@ -4,7 +4,7 @@
 use gaplock_types::time::Instant;
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use crate::message::WorkerIx;
+use crate::interface::message::WorkerIx;
 
 /// The search for runs of former leaders.
 #[derive(Debug)]
--- a/crates/sched/src/table.rs
+++ b/crates/sched/src/state/table.rs
@@ -9,7 +9,7 @@
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Instant;
 
-use crate::message::{Run, WorkerIx};
+use crate::interface::message::{Run, WorkerIx};
 use crate::state::checkpoint::Checkpoint;
 use crate::state::rates::StepRates;
 use crate::state::suspicion::Suspicion;
--- a/crates/sched/src/state/upkeep.rs
+++ b/crates/sched/src/state/upkeep.rs
@@ -7,7 +7,7 @@
 use gaplock_types::time::Instant;
 use rustc_hash::FxHashMap;
 
-use crate::message::{HostInfo, WaveNumber, WaveProgress, WaveRequest};
+use crate::interface::message::{HostInfo, WaveNumber, WaveProgress, WaveRequest};
 
 /// Everything known of waves and of the hosts that they name.
 #[derive(Debug, Default)]
--- a/crates/sched/src/worker.rs
+++ b/crates/sched/src/state/worker.rs
@@ -8,7 +8,7 @@
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
 
-use crate::message::{EndSeq, Run, WorkerClock, WorkerInfo};
+use crate::interface::message::{EndSeq, Run, WorkerClock, WorkerInfo};
 use crate::state::checkpoint::Checkpoint;
 use crate::state::doubt::Doubt;
 use crate::state::model::{Column, Row};
--- a/crates/sched/tests/floors/main.rs
+++ b/crates/sched/tests/floors/main.rs
@@ -47,6 +47,14 @@
     assert_eq!(once, modules(&sources()), "modules of tests/floors/table.rs, and of src");
 }
 
+#[test]
+fn folders_show_the_floors() {
+    for (floor, modules) in table::FLOORS {
+        let within = |module: &&str| module.split("::").next() == Some(floor);
+        assert!(modules.iter().all(within), "a module of {floor} lies elsewhere");
+    }
+}
+
 #[test]
 fn imports_go_down() {
     let found = upward(&sources());
