--- a/crates/sched/src/changes.rs
+++ b/crates/sched/src/changes.rs
@@ -10,6 +10,7 @@
 pub mod drain;
 pub mod ends;
 pub mod evacuation;
+pub mod freshness;
 pub mod gangs;
 pub mod gone;
 pub mod intake;
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -5,8 +5,8 @@
 use gaplock_types::time::{Instant, Millis};
 
 use crate::changes::{
-    commits, crashes, directory, dispatch, drain, evacuation, gone, intake, moving, orders, pacing,
-    permits, renewals, roster, stragglers, takeover, upkeep,
+    commits, crashes, directory, dispatch, drain, evacuation, freshness, gone, intake, moving,
+    orders, pacing, permits, renewals, roster, stragglers, takeover, upkeep,
 };
 use crate::interface::message::{Action, Event, WorkerIx};
 use crate::interface::settings::Settings;
@@ -99,6 +99,8 @@
             Event::Unreadable(id) => directory::unreadable(self, &id),
             Event::Unlisted(id) => directory::unlisted(self, &id),
             Event::DirectoryBack => self.directory_back = self.now,
+            Event::DirectoryRead(read) => freshness::read(self, read),
+            Event::StoreAt(mark) => freshness::marked(self, mark),
             Event::Evacuated(evacuated) => evacuation::read(self, evacuated),
             Event::Renewed { worker, sent, outcome } => {
                 renewals::renewed(self, worker, sent, outcome);
@@ -135,6 +137,7 @@
         }
         self.last_housekeeping = self.now;
         takeover::check_survey(self);
+        freshness::check(self);
         intake::begin_due_rounds(self);
         gone::check(self);
         roster::check(self);
@@ -162,7 +165,9 @@
         if self.pass_wanted && self.now.since(self.last_pass) >= self.pass_every() {
             self.last_pass = self.now;
             self.pass_wanted = false;
-            dispatch::pass(self);
+            if !self.freshness.is_behind() {
+                dispatch::pass(self);
+            }
         }
     }
 
--- a/crates/sched/src/interface/message.rs
+++ b/crates/sched/src/interface/message.rs
@@ -3,6 +3,7 @@
 mod evacuated;
 mod hosts;
 mod learnt;
+mod readings;
 mod steps;
 
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 pub use evacuated::Evacuated;
 pub use hosts::{HostInfo, HostState, UpkeepAnswer, WaveNumber, WaveProgress, WaveRequest};
 pub use learnt::{Learnt, LearntFactor, LearntImage};
+pub use readings::{DirectoryRead, StoreMark};
 pub use steps::StepKey;
 
 /// A run of a task: rises with every start, over all leaders.
@@ -210,6 +212,10 @@
     Unlisted(ids::WorkerId),
     /// The directory can be read again after it could not be; entries may have lapsed meanwhile.
     DirectoryBack,
+    /// The directory was read; the events of what had changed came before.
+    DirectoryRead(DirectoryRead),
+    /// The store was at a revision at a time.
+    StoreAt(StoreMark),
     /// The operators' word on evacuated failure domains was read.
     Evacuated(Evacuated),
     /// A renewal was answered or not.
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod interface;
 pub mod state;
 
-pub use changes::{commits, evacuation, pacing, permits, renewals, takeover};
+pub use changes::{commits, evacuation, freshness, pacing, permits, renewals, takeover};
 pub use context::Context;
 pub use decisions::room;
 pub use interface::message::{Action, Event};
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -3,6 +3,7 @@
 pub mod checkpoint;
 pub mod commits;
 pub mod doubt;
+pub mod freshness;
 pub mod model;
 pub mod paces;
 pub mod permits;
@@ -26,6 +27,7 @@
 use crate::interface::settings::Settings;
 
 use commits::Commits;
+use freshness::Freshness;
 use model::Model;
 use permits::Permits;
 use survey::Survey;
@@ -81,6 +83,8 @@
     pub unnamed: Unnamed,
     /// The failure domains to whose workers nothing new goes.
     pub evacuated: Evacuated,
+    /// How old the view of the directory is.
+    pub freshness: Freshness,
     /// Steps with pending tasks.
     pub ready: BTreeSet<ReadyStep>,
     /// Set while former leaders' runs are being searched for.
@@ -130,6 +134,7 @@
             by_id: FxHashMap::default(),
             unnamed: Unnamed::default(),
             evacuated: Evacuated::default(),
+            freshness: Freshness::default(),
             ready: BTreeSet::new(),
             survey: None,
             commits: Commits::default(),
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod capacity;
 mod checkpoints;
 mod crashes;
+mod directory_age;
 mod evacuations;
 mod foreign;
 mod gangs;
--- a/crates/sched/tests/floors/table.rs
+++ b/crates/sched/tests/floors/table.rs
@@ -13,6 +13,7 @@
             "interface::message::evacuated",
             "interface::message::hosts",
             "interface::message::learnt",
+            "interface::message::readings",
             "interface::message::steps",
             "interface::message",
             "interface::searches",
@@ -23,6 +24,7 @@
         "state",
         &[
             "state::checkpoint",
+            "state::freshness",
             "state::model",
             "state::paces",
             "state::rates",
@@ -64,6 +66,7 @@
             "changes::permits",
             "changes::doubts",
             "changes::evacuation",
+            "changes::freshness",
             "changes::crashes::saved",
             "changes::crashes::kept",
             "changes::commits",
