Modules of the scheduler name functions through their modules

Cause: a few modules named functions of decisions bare, against the house style, and changes/directory.rs still named the state by its former name.

No behaviour changes.

--- a/crates/sched/src/changes/crashes/inherited.rs
+++ b/crates/sched/src/changes/crashes/inherited.rs
@@ -7,7 +7,7 @@
 
 use super::evidence::{doubt, hold_until_saved, suspect, Evidence};
 use crate::changes::commits;
-use crate::decisions::losses::{has_left, Loss, AT_START};
+use crate::decisions::losses::{self, Loss, AT_START};
 use crate::interface::message::WorkerIx;
 use crate::state::suspicion::Suspicion;
 use crate::state::table::TaskState;
@@ -45,7 +45,7 @@
 
 /// Counts a worker that a successor could not find against the tasks that it is known to have held.
 pub fn holder_lost(cx: &mut State, ix: WorkerIx, held: &[TaskKey], gone: bool) {
-    if has_left(cx.worker(ix)) {
+    if losses::has_left(cx.worker(ix)) {
         return;
     }
     let id = cx.worker(ix).info.id.clone();
@@ -68,7 +68,7 @@
 /// other one: each of them may have been there, or may have waited. A suspect of which that has been
 /// supposed once is counted the second time, so that no more than one crash is forgotten.
 pub fn any_lost(cx: &mut State, lost: &[WorkerIx], unfound: &FxHashSet<TaskKey>) {
-    let crashed = lost.iter().find(|&&ix| !has_left(cx.worker(ix)));
+    let crashed = lost.iter().find(|&&ix| !losses::has_left(cx.worker(ix)));
     let Some(&ix) = crashed else { return };
     let id = cx.worker(ix).info.id.clone();
     let doubted = |key: &TaskKey| {
--- a/crates/sched/src/changes/directory.rs
+++ b/crates/sched/src/changes/directory.rs
@@ -8,7 +8,7 @@
 use crate::changes::{evacuation, roster, trace, upkeep};
 use crate::interface::message::{WorkerInfo, WorkerIx};
 use crate::state::worker::{Listing, Worker};
-use crate::state::State as Context;
+use crate::state::State;
 
 pub use crate::state::Unnamed;
 
@@ -17,7 +17,7 @@
 const UNNAMED_MOST: usize = 4_096;
 
 /// Takes in what the directory says of a worker.
-pub fn listed(cx: &mut Context, info: WorkerInfo) {
+pub fn listed(cx: &mut State, info: WorkerInfo) {
     if !is_pool_named(cx, &info.service) {
         return set_aside(cx, info);
     }
@@ -50,7 +50,7 @@
 /// Tells whether an entry names another address than that of an incarnation which may run something. None
 /// changes its address, and what answers at the other one would pass for proof that this one is over. The
 /// address is not known where the roster's record could not be read.
-fn names_another_address(cx: &Context, info: &WorkerInfo) -> bool {
+fn names_another_address(cx: &State, info: &WorkerInfo) -> bool {
     let Some(&ix) = cx.by_id.get(&info.id) else { return false };
     let worker = cx.worker(ix);
     let known = !worker.info.addr.is_empty();
@@ -58,7 +58,7 @@
 }
 
 /// Returns how the directory shows a worker.
-fn listing_of(cx: &Context, info: &WorkerInfo) -> Listing {
+fn listing_of(cx: &State, info: &WorkerInfo) -> Listing {
     if !info.draining {
         return Listing::Ready;
     }
@@ -67,13 +67,13 @@
 }
 
 /// Tells whether the configuration names a pool; before the first one each may be.
-fn is_pool_named(cx: &Context, pool: &ids::ServiceId) -> bool {
+fn is_pool_named(cx: &State, pool: &ids::ServiceId) -> bool {
     let Some(config) = &cx.config else { return true };
     config.pools.iter().any(|p| p.service == *pool)
 }
 
 /// Keeps an entry whose pool is not named, and gives the worker that it names no more tasks.
-fn set_aside(cx: &mut Context, info: WorkerInfo) {
+fn set_aside(cx: &mut State, info: WorkerInfo) {
     unreadable(cx, &info.id);
     if cx.unnamed.len() < UNNAMED_MOST || cx.unnamed.contains_key(&info.id) {
         cx.unnamed.insert(info.id.clone(), info);
@@ -81,14 +81,14 @@
 }
 
 /// Takes in that the configuration has changed: entries may name workers now that did not before.
-pub fn pools_changed(cx: &mut Context) {
+pub fn pools_changed(cx: &mut State) {
     for info in std::mem::take(&mut cx.unnamed).into_values() {
         listed(cx, info);
     }
 }
 
 /// Finds a worker by its incarnation, or adds it.
-pub fn known_or_new(cx: &mut Context, info: &WorkerInfo, listing: Listing) -> WorkerIx {
+pub fn known_or_new(cx: &mut State, info: &WorkerInfo, listing: Listing) -> WorkerIx {
     if let Some(&ix) = cx.by_id.get(&info.id) {
         return ix;
     }
@@ -104,7 +104,7 @@
 
 /// Takes in that the directory's entry of a worker is not what a worker writes. One that is leaving goes
 /// on leaving.
-pub fn unreadable(cx: &mut Context, id: &ids::WorkerId) {
+pub fn unreadable(cx: &mut State, id: &ids::WorkerId) {
     cx.unnamed.remove(id);
     let Some(&ix) = cx.by_id.get(id) else { return };
     let worker = cx.worker_mut(ix);
@@ -116,7 +116,7 @@
 
 /// Takes in that the directory no longer lists a worker. It may live on, so nothing of it is
 /// given up here; see [`crate::changes::gone::check`].
-pub fn unlisted(cx: &mut Context, id: &ids::WorkerId) {
+pub fn unlisted(cx: &mut State, id: &ids::WorkerId) {
     cx.unnamed.remove(id);
     let Some(&ix) = cx.by_id.get(id) else { return };
     let since = cx.now;
--- a/crates/sched/src/changes/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -8,7 +8,7 @@
 use gaplock_types::{ids, sizes};
 
 use crate::changes::{gangs, pacing, permits, scarcity, starts, trace, trials};
-use crate::decisions::asks::{advice_of, first_of, may_start, service_of, wanted, First};
+use crate::decisions::asks::{self, First};
 use crate::decisions::choices::Choices;
 use crate::decisions::{disturbance, placement, room};
 use crate::state::table::{self, ReadyStep};
@@ -126,7 +126,7 @@
 fn start_step(cx: &mut State, ready: ReadyStep, pass: &mut Pass) {
     let Some(entry) = cx.jobs.get(&ready.job) else { return };
     let job = entry.job.clone();
-    let Some(service) = service_of(cx, &job) else { return };
+    let Some(service) = asks::service_of(cx, &job) else { return };
     let step = &job.steps[usize::from(ready.step)];
     let Some(round) = entry.round(ready.round) else { return };
     let pending = in_order(cx, ready, step, &round.steps[usize::from(ready.step)].pending);
@@ -135,7 +135,7 @@
     if pass.blocked.iter().any(|b| b.covers(&wanted)) {
         return;
     }
-    if wanted.takes.cpu > pass.most_free && advice_of(cx, &job).is_none() {
+    if wanted.takes.cpu > pass.most_free && asks::advice_of(cx, &job).is_none() {
         note_scarcity(cx, &service, step, pass);
         return explain_first(cx, &job, &service, ready, &pending);
     }
@@ -147,10 +147,10 @@
     let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending) else { return };
     explain(cx, &job, &service, unplaced, pending.len());
     note_scarcity(cx, &service, step, pass);
-    if advice_of(cx, &job).is_some() {
+    if asks::advice_of(cx, &job).is_some() {
         permits::ask(cx, ready, pending.len());
     } else if step.most_per_worker.is_none() {
-        let first = cx.task(unplaced).map_or(first, |t| first_of(cx, t));
+        let first = cx.task(unplaced).map_or(first, |t| asks::first_of(cx, t));
         pass.blocked.push(Blocked::of(service, step, first));
     }
 }
@@ -184,8 +184,8 @@
 /// together, but for those that start again.
 fn first_that_may_start(cx: &State, ready: ReadyStep, pending: &[u32]) -> Option<First> {
     let mut tasks = pending.iter().map(|&index| task_of(ready, index));
-    let task = tasks.find(|&task| may_start(cx, task))?;
-    cx.task(task).map(|t| first_of(cx, t))
+    let task = tasks.find(|&task| asks::may_start(cx, task))?;
+    cx.task(task).map(|t| asks::first_of(cx, t))
 }
 
 /// Logs why the first task of a step that may start finds no worker.
@@ -197,7 +197,7 @@
     pending: &[u32],
 ) {
     let mut tasks = pending.iter().map(|&index| task_of(ready, index));
-    if let Some(task) = tasks.find(|&task| may_start(cx, task)) {
+    if let Some(task) = tasks.find(|&task| asks::may_start(cx, task)) {
         explain(cx, job, service, task, pending.len());
     }
 }
@@ -218,10 +218,10 @@
             return None;
         }
         let task = task_of(ready, index);
-        if !may_start(cx, task) {
+        if !asks::may_start(cx, task) {
             continue;
         }
-        let Some(wanted) = wanted(cx, job, service, task) else { return Some(task) };
+        let Some(wanted) = asks::wanted(cx, job, service, task) else { return Some(task) };
         let chosen = choices.take(cx, &wanted);
         debug_assert_eq!(chosen, placement::choose(cx, &wanted), "the kept order is another one");
         let Some(ix) = chosen else { return Some(task) };
@@ -243,7 +243,7 @@
         return;
     }
     state.explained = now;
-    let Some(wanted) = wanted(cx, job, service, task) else { return };
+    let Some(wanted) = asks::wanted(cx, job, service, task) else { return };
     let counts = placement::explain(cx, &wanted);
     trace::step_waits(task, pending, waited, &wanted.step.demand, &counts);
 }
--- a/crates/sched/src/changes/pacing/paces.rs
+++ b/crates/sched/src/changes/pacing/paces.rs
@@ -7,7 +7,7 @@
 use super::spare;
 use crate::changes::trace;
 use crate::decisions::filling::FillingTask;
-use crate::decisions::paces::{self, part_of};
+use crate::decisions::paces;
 use crate::interface::message::{Action, Run, WorkerIx};
 use crate::state::paces::FULL_PACE;
 use crate::state::worker::{Part, Phase};
@@ -33,7 +33,7 @@
 /// outlasted both stages of halting, its cause lies elsewhere and the time begins anew.
 pub(super) fn watch_targets(cx: &mut State, ix: WorkerIx) {
     let now = cx.now;
-    let halt_over = part_of(cx.settings.tail_excess, HALT_OVER);
+    let halt_over = paces::part_of(cx.settings.tail_excess, HALT_OVER);
     for slot in cx.worker_mut(ix).slots.values_mut() {
         let Part::Serving { target_ms, .. } = slot.part else { continue };
         let Some(share) = slot.reading.map(|tail| f64::from(tail) / f64::from(target_ms.max(1)))
@@ -68,7 +68,7 @@
 /// since.
 fn order_pace(cx: &mut State, ix: WorkerIx, wanted: &FillingTask) {
     let now = cx.now;
-    let again_after = part_of(cx.settings.tail_excess, AGAIN_AFTER);
+    let again_after = paces::part_of(cx.settings.tail_excess, AGAIN_AFTER);
     let worker = cx.worker_mut(ix);
     let Some(slot) = worker.slots.get_mut(&wanted.key) else { return };
     let edge = wanted.pace == 0 || wanted.pace == FULL_PACE;
--- a/crates/sched/src/changes/trials.rs
+++ b/crates/sched/src/changes/trials.rs
@@ -12,17 +12,15 @@
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
 
+use crate::changes::crashes::kept::{self, ALONE_FOR};
 use crate::changes::starts;
-use crate::decisions::losses::are_many_lost;
-use crate::decisions::{asks, placement};
+use crate::decisions::{asks, losses, placement};
 use crate::interface::message::WorkerIx;
 use crate::state::table::TaskState;
 use crate::state::trial::Trial;
 use crate::state::worker::Worker;
 use crate::state::State;
 
-use crate::changes::crashes::kept::{keep, ALONE_FOR};
-
 /// The part of all workers, as a divisor, that tasks with a single loss may keep to themselves; none while
 /// many workers are lost, when there are hundreds of such tasks, nearly all innocent, and room is scarce.
 const TRIALS_SHARE: usize = 16;
@@ -83,7 +81,7 @@
     }
     let mut empty = empty_workers(cx);
     let under_way = cx.workers.iter().filter(|w| w.trial.is_some()).count();
-    let most = if are_many_lost(cx) { 0 } else { (cx.workers.len() / TRIALS_SHARE).max(1) };
+    let most = if losses::are_many_lost(cx) { 0 } else { (cx.workers.len() / TRIALS_SHARE).max(1) };
     let mut left = most.saturating_sub(under_way);
     for suspect in waiting {
         if cx.has_most_starts() {
@@ -141,7 +139,7 @@
     let Some((at, &ix)) = fit.min_by_key(|(_, ix)| rank(**ix)) else { return false };
     empty.swap_remove(at);
     starts::start_at(cx, ix, key);
-    keep(cx, ix, key);
+    kept::keep(cx, ix, key);
     true
 }
 
