Waves of upkeep and racks for gangs are decided in functions that change nothing

Cause: upkeep and gangs chose hosts and racks between changes of the state.

Ruled out: the same for the places of a gang's members, where each place that is taken changes the answer for the next one; it takes room and gives it back as before.

Change: decisions/waves.rs says which hosts are empty enough and which are emptied next, decisions/racks.rs in which order racks are tried. No behaviour changes.

--- a/crates/sched/src/changes/gangs.rs
+++ b/crates/sched/src/changes/gangs.rs
@@ -3,15 +3,12 @@
 //! A gang that several racks slow down is tried in one rack after the other, those with most room
 //! first, before its members are spread.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
-
 use gaplock_jobs::{Job, TaskKey};
 use gaplock_types::ids;
 
 use crate::changes::{checkpoints, lifecycle, orders, permits, starts};
-use crate::decisions::asks;
 use crate::decisions::placement::{self, Wanted};
+use crate::decisions::{asks, racks};
 use crate::interface::message::{Run, WorkerIx};
 use crate::interface::proof::Proof;
 use crate::state::table::ReadyStep;
@@ -62,28 +59,11 @@
     starts: u32,
     same_rack: bool,
 ) -> Option<Vec<(TaskKey, WorkerIx)>> {
-    let racks = if same_rack { racks_by_room(cx, service) } else { Vec::new() };
+    let racks = if same_rack { racks::by_room(cx, service) } else { Vec::new() };
     let in_rack = racks.iter().find_map(|r| place(cx, job, service, members, starts, Some(r)));
     in_rack.or_else(|| place(cx, job, service, members, starts, None))
 }
 
-/// How many racks are tried for a gang that is slowed down by several; those with most room first.
-const RACKS_TRIED: usize = 4;
-
-/// Lists the racks of a pool with most free processors.
-fn racks_by_room(cx: &State, service: &ids::ServiceId) -> Vec<String> {
-    let mut racks: BTreeMap<&str, u64> = BTreeMap::new();
-    let pool = cx.workers.iter().filter(|w| w.info.service == *service && w.takes_tasks(cx.now));
-    for worker in pool {
-        let Some(rack) = worker.info.rack() else { continue };
-        let free = worker.info.capacity.minus(&worker.used).cpu.0;
-        *racks.entry(rack).or_default() += u64::from(free);
-    }
-    let mut racks: Vec<(&str, u64)> = racks.into_iter().collect();
-    racks.sort_by_key(|(_, free)| Reverse(*free));
-    racks.into_iter().take(RACKS_TRIED).map(|(rack, _)| rack.to_string()).collect()
-}
-
 /// Takes the room for all members of a gang, in one rack where that is asked for, or for none.
 fn place(
     cx: &mut State,
--- a/crates/sched/src/changes/upkeep.rs
+++ b/crates/sched/src/changes/upkeep.rs
@@ -12,15 +12,14 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use gaplock_jobs::TaskKey;
 use gaplock_policy::tries::Fate;
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
 use crate::changes::{commits, trace};
+use crate::decisions::waves;
 use crate::interface::message::{
     Action, HostInfo, HostState, Record, UpkeepAnswer, WaveNumber, WaveProgress, WaveRequest,
-    WorkerIx,
 };
 use crate::state::upkeep::{Down, Wave};
 use crate::state::State;
@@ -29,9 +28,6 @@
 /// hosts together may ask 60 times a second.
 const LIST_EVERY: Millis = Millis(500);
 
-/// How long short tasks may go on at a host that is to go down.
-const SHORT_TASKS: Millis = Millis(2_500);
-
 /// The pause before an order that was not carried out is given again.
 const ORDER_AGAIN: Millis = Millis(400);
 
@@ -39,10 +35,6 @@
 /// carried out yet: long, since nothing but that one can change the answer.
 const ASK_AGAIN: Millis = Millis(2_000);
 
-/// The time that one host takes from the first stop to its return, for the choice between waiting
-/// for short tasks and being in time.
-const ONE_HOST: Millis = Millis(5_000);
-
 /// Takes over what a former leader stored of waves.
 pub fn restore(cx: &mut State, waves: Vec<WaveProgress>) {
     cx.upkeep.stored = waves.into_iter().map(|w| (w.number, w)).collect();
@@ -214,17 +206,7 @@
 
 /// Orders hosts down that are empty, or empty enough, once that is stored.
 fn order_emptied(cx: &mut State, number: WaveNumber) {
-    let Some(wave) = cx.upkeep.waves.get(&number) else { return };
-    let late = is_late(wave, cx.now);
-    let ready = |host: &ids::HostId, since: Instant| match worker_on(cx, host) {
-        Some(ix) => is_empty_enough(cx, ix, late || cx.now.since(since) >= SHORT_TASKS),
-        None => true,
-    };
-    let emptied = wave.emptying.iter().filter(|(host, since)| ready(host, **since));
-    let emptied: Vec<ids::HostId> = emptied.map(|(host, _)| host.clone()).collect();
-    let worker_of = |host: &ids::HostId| cx.upkeep.hosts.get(host).and_then(|h| h.worker.clone());
-    let emptied = emptied.into_iter().map(|host| (host.clone(), worker_of(&host)));
-    let emptied: Vec<(ids::HostId, Option<ids::WorkerId>)> = emptied.collect();
+    let emptied = waves::emptied(cx, number);
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
     let (stored, others): (Vec<_>, Vec<_>) =
         emptied.into_iter().partition(|(host, _)| wave.ordered.contains_key(host));
@@ -244,42 +226,9 @@
     }
 }
 
-/// Tells whether a worker's host may go down: nothing lasting runs there, and nothing else, unless
-/// that has been waited for long enough.
-fn is_empty_enough(cx: &State, ix: WorkerIx, waited: bool) -> bool {
-    let mut running = cx.worker(ix).slots.keys();
-    let lasting = |key: &TaskKey| cx.step(*key).is_some_and(|s| s.lasting);
-    running.all(|key| waited && !lasting(key))
-}
-
-/// Tells whether what is left of a wave takes as long as there is time.
-fn is_late(wave: &Wave, now: Instant) -> bool {
-    let at_once = wave.request.at_once.max(1) as usize;
-    let rounds = left(wave).count().div_ceil(at_once) as u64;
-    now + Millis(rounds * ONE_HOST.0) >= wave.until
-}
-
-/// Lists the hosts whose upkeep has not begun.
-fn left(wave: &Wave) -> impl Iterator<Item = &ids::HostId> {
-    let over = |h: &ids::HostId| wave.progress.begun.contains(h) || wave.left_out.contains(h);
-    wave.request.hosts.iter().filter(move |h| !over(h))
-}
-
 /// Begins to empty as many hosts as may go down next, those with fewest tasks first.
 fn empty_next(cx: &mut State, number: WaveNumber) {
-    let Some(wave) = cx.upkeep.waves.get(&number) else { return };
-    let away = |h: &&ids::HostId| {
-        let up = cx.upkeep.hosts.get(*h).is_some_and(|host| host.state == HostState::Up);
-        wave.down.contains_key(*h) || wave.emptying.contains_key(*h) || !up
-    };
-    let taken = wave.request.hosts.iter().filter(away).count();
-    let room = (wave.request.at_once as usize).saturating_sub(taken);
-    let mut next: Vec<(usize, ids::HostId)> = left(wave)
-        .filter(|h| !away(h))
-        .map(|h| (worker_on(cx, h).map_or(0, |ix| cx.worker(ix).slots.len()), h.clone()))
-        .collect();
-    next.sort();
-    for (_, host) in next.into_iter().take(room) {
+    for host in waves::next(cx, number) {
         let now = cx.now;
         set_emptying(cx, &host, true);
         let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
@@ -290,7 +239,7 @@
 /// Reports a wave as completed once the upkeep of every host that stays has begun.
 fn complete(cx: &mut State, number: WaveNumber) {
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
-    if left(wave).next().is_some() {
+    if waves::left(wave).next().is_some() {
         return;
     }
     wave.progress.completed = true;
@@ -299,15 +248,9 @@
     commits::add(cx, Record::Wave(progress));
 }
 
-/// Finds the worker on a host.
-fn worker_on(cx: &State, host: &ids::HostId) -> Option<WorkerIx> {
-    let id = cx.upkeep.hosts.get(host)?.worker.as_ref()?;
-    cx.by_id.get(id).copied().filter(|ix| !cx.worker(*ix).gone)
-}
-
 /// Begins or ends the emptying of the worker on a host, if there is one.
 fn set_emptying(cx: &mut State, host: &ids::HostId, emptying: bool) {
-    if let Some(ix) = worker_on(cx, host) {
+    if let Some(ix) = waves::worker_on(cx, host) {
         cx.worker_mut(ix).emptying = emptying;
     }
 }
--- a/crates/sched/src/decisions.rs
+++ b/crates/sched/src/decisions.rs
@@ -9,5 +9,7 @@
 pub mod losses;
 pub mod paces;
 pub mod placement;
+pub mod racks;
 pub mod room;
 pub mod slowness;
+pub mod waves;
--- a/crates/sched/tests/floors/table.rs
+++ b/crates/sched/tests/floors/table.rs
@@ -54,6 +54,8 @@
             "decisions::asks",
             "decisions::leaving",
             "decisions::slowness",
+            "decisions::racks",
+            "decisions::waves",
             "decisions",
         ],
     ),
