--- a/crates/sched/src/commits.rs
+++ b/crates/sched/src/changes/commits.rs
@@ -4,38 +4,20 @@
 //! commit that holds it. A final state is shown only after its commit. Nothing else waits: a start
 //! needs no record of its own, because a successor learns from the workers what runs.
 
-use std::collections::BTreeSet;
 use std::mem;
 
-use gaplock_jobs::progress::{JobState, Progress, RoundProgress, StepProgress, TaskNote};
+use gaplock_jobs::progress::{Progress, RoundProgress, StepProgress, TaskNote};
 use gaplock_jobs::{progress, JobKey};
 use gaplock_types::ids;
 use gaplock_types::time::Instant;
 
-use crate::checkpoints::Checkpoint;
-use crate::context::Context;
-use crate::message::{EndSeq, Record, RosterEntry, WorkerIx};
-use crate::table::{Entry, StepState, Task, TaskState};
-use crate::{crashes, trace, upkeep};
-
-/// What waits to be stored, and what is being stored.
-#[derive(Debug, Default)]
-pub struct Commits {
-    dirty: BTreeSet<JobKey>,
-    other: Vec<Record>,
-    since: Option<Instant>,
-    urgent: bool,
-    in_flight: Option<Covered>,
-}
-
-/// What becomes true once the commit in flight is stored.
-#[derive(Debug, Default)]
-struct Covered {
-    jobs: Vec<(JobKey, JobState)>,
-    ends: Vec<(WorkerIx, EndSeq)>,
-    other: Vec<Record>,
-    roster: Vec<WorkerIx>,
-}
+use crate::changes::crashes::saved;
+use crate::changes::trace;
+use crate::interface::message::{EndSeq, Record, RosterEntry, WorkerIx};
+use crate::state::checkpoint::Checkpoint;
+use crate::state::commits::{Commits, Covered};
+use crate::state::table::{Entry, StepState, Task, TaskState};
+use crate::state::State;
 
 /// Marks a job's progress as changed.
 pub fn mark(commits: &mut Commits, now: Instant, job: JobKey) {
@@ -51,7 +33,7 @@
 
 /// Adds a record that is not a job's progress. It takes the place of an earlier one on the same
 /// worker, since one commit must not write a key twice.
-pub fn add(cx: &mut Context, record: Record) {
+pub fn add(cx: &mut State, record: Record) {
     push(&mut cx.commits.other, record);
     cx.commits.since.get_or_insert(cx.now);
 }
@@ -78,7 +60,7 @@
 }
 
 /// Adds a worker to the stored roster; it gets tasks once that is stored.
-pub fn add_worker(cx: &mut Context, ix: WorkerIx) {
+pub fn add_worker(cx: &mut State, ix: WorkerIx) {
     let worker = cx.worker_mut(ix);
     worker.roster_pending = true;
     worker.closed = false;
@@ -89,13 +71,13 @@
 }
 
 /// Makes sure that ends which changed no job's progress are acknowledged too.
-pub fn note_ends(cx: &mut Context) {
+pub fn note_ends(cx: &mut State) {
     cx.commits.since.get_or_insert(cx.now);
 }
 
 /// Returns the records of the next commit, if one is due and none is in flight. The driver must
 /// answer with [`crate::Event::Committed`] or [`crate::Event::CommitFailed`].
-pub fn take(cx: &mut Context, now: Instant) -> Option<Vec<Record>> {
+pub fn take(cx: &mut State, now: Instant) -> Option<Vec<Record>> {
     let since = cx.commits.since?;
     let due = cx.commits.urgent || now.since(since) >= cx.settings.commit_delay;
     if cx.commits.in_flight.is_some() || !due {
@@ -105,7 +87,7 @@
     let other = mem::take(&mut cx.commits.other);
     cx.commits.since = None;
     cx.commits.urgent = false;
-    crashes::being_saved(cx, &jobs);
+    saved::being_saved(cx, &jobs);
     let ends = uncommitted_ends(cx);
     let roster = roster_of(cx, &other);
     let entries = jobs.iter().filter_map(|key| cx.jobs.get(key));
@@ -117,14 +99,14 @@
 }
 
 /// Lists the last end of each worker whose ends are not all stored.
-fn uncommitted_ends(cx: &Context) -> Vec<(WorkerIx, EndSeq)> {
+fn uncommitted_ends(cx: &State) -> Vec<(WorkerIx, EndSeq)> {
     let workers = cx.workers.iter().enumerate();
     let unstored = workers.filter(|(_, w)| w.noted > w.stored);
     unstored.map(|(at, w)| (WorkerIx(at as u32), w.noted)).collect()
 }
 
 /// Finds the workers that these records add to the stored roster.
-fn roster_of(cx: &Context, records: &[Record]) -> Vec<WorkerIx> {
+fn roster_of(cx: &State, records: &[Record]) -> Vec<WorkerIx> {
     let ids = records.iter().filter_map(|r| match r {
         Record::Worker(entry) if entry.holds.is_none() => Some(&entry.info.id),
         _ => None,
@@ -133,10 +115,10 @@
 }
 
 /// Takes in that the commit in flight is stored.
-pub fn committed(cx: &mut Context) {
+pub fn committed(cx: &mut State) {
     let Some(covered) = cx.commits.in_flight.take() else { return };
     let now = cx.now;
-    crashes::commit_ended(cx, true);
+    saved::commit_ended(cx, true);
     for (key, state) in covered.jobs {
         if let Some(entry) = cx.jobs.get_mut(&key) {
             entry.shown = state;
@@ -154,17 +136,17 @@
     }
     for record in covered.other {
         if let Record::Wave(progress) = record {
-            upkeep::stored(cx, &progress);
+            cx.upkeep.note_stored(&progress);
         }
     }
     cx.pass_wanted = true;
 }
 
 /// Takes in that the commit in flight is not stored: all of it is due again.
-pub fn failed(cx: &mut Context) {
+pub fn failed(cx: &mut State) {
     let Some(covered) = cx.commits.in_flight.take() else { return };
     trace::commit_failed(covered.jobs.len(), covered.other.len());
-    crashes::commit_ended(cx, false);
+    saved::commit_ended(cx, false);
     let now = cx.now;
     for (key, _) in covered.jobs {
         mark(&mut cx.commits, now, key);
--- /dev/null
+++ b/crates/sched/src/changes/crashes/evidence.rs
@@ -0,0 +1,106 @@
+//! Counts the loss of a worker against the tasks that it ran.
+
+use gaplock_jobs::TaskKey;
+use gaplock_types::ids;
+use gaplock_types::time::Millis;
+
+use crate::changes::{commits, trace};
+use crate::decisions::losses::{self, Blamed, Loss, AT_START};
+use crate::interface::message::WorkerIx;
+use crate::state::suspicion::Saved;
+use crate::state::table::TaskState;
+use crate::state::State;
+
+/// A worker's loss, as it speaks against one of the tasks that ran there.
+#[derive(Debug, Clone)]
+pub(super) struct Evidence<'a> {
+    pub(super) worker: &'a ids::WorkerId,
+    pub(super) loss: Loss,
+    /// How long the run was known to have been at work.
+    pub(super) lived: Millis,
+    /// Whether the worker ever confirmed the run; a start without an answer may not have reached it.
+    pub(super) confirmed: bool,
+    /// How many runs were lost together.
+    pub(super) together: usize,
+    /// Whether nothing but tasks of its job was lost.
+    pub(super) alone: bool,
+}
+
+/// Takes in that all runs at a worker are being given up; `gone` if its incarnation is certainly over.
+pub fn worker_lost(cx: &mut State, ix: WorkerIx, gone: bool) {
+    let worker = cx.worker(ix);
+    let Some(loss) = losses::loss_of(worker, gone).filter(|_| !worker.slots.is_empty()) else {
+        return;
+    };
+    let (id, addr) = (worker.info.id.clone(), worker.info.addr.clone());
+    let (together, blamed) = (worker.slots.len(), losses::blamed(worker));
+    let many = losses::are_many_lost(cx);
+    if loss == Loss::Crashed {
+        cx.crashes.lost_at.insert(addr, cx.now);
+    }
+    for Blamed { key, confirmed, lived } in blamed {
+        if many && !cx.crashes.suspects.contains(&key) {
+            // Nothing waits for this to be stored: after the loss of a failure domain it is hundreds.
+            if doubt(cx, key, &id) && lived < AT_START {
+                commits::mark(&mut cx.commits, cx.now, key.job);
+            }
+            continue;
+        }
+        let alone = cx.worker(ix).slots.keys().all(|other| other.job == key.job);
+        suspect(cx, key, &Evidence { worker: &id, loss, lived, confirmed, together, alone });
+    }
+}
+
+/// Counts a lost worker against a task.
+pub(super) fn suspect(cx: &mut State, key: TaskKey, evidence: &Evidence<'_>) {
+    let (now, worker, loss) = (cx.now, evidence.worker, evidence.loss);
+    let is_gang = cx.step(key).is_some_and(|step| step.gang);
+    let live = cx.jobs.get(&key.job).is_some_and(|entry| !entry.state.is_final());
+    let Some(task) = cx.task_mut(key).filter(|t| live && t.state != TaskState::Done) else {
+        return;
+    };
+    let suspicion = task.suspicion.get_or_insert_default();
+    if suspicion.names(worker) {
+        return;
+    }
+    match loss {
+        Loss::Crashed => suspicion.crashed.push(worker.clone()),
+        Loss::Silent => suspicion.silent.push((worker.clone(), now)),
+    }
+    let first = suspicion.crashed.len() + suspicion.silent.len() == 1;
+    let at_start = evidence.confirmed && evidence.lived < AT_START;
+    suspicion.at_start = at_start && (first || suspicion.at_start);
+    (suspicion.lived, suspicion.ordinary) = (evidence.lived, is_gang);
+    suspicion.alone = evidence.alone;
+    let crashes = suspicion.crashed.len();
+    if loss == Loss::Crashed {
+        suspicion.saved = Saved::No;
+        commits::mark_urgent(&mut cx.commits, now, key.job);
+    }
+    cx.crashes.add(key, worker);
+    let (lived, together) = (evidence.lived, evidence.together);
+    trace::task_suspected(key, worker, loss, crashes, lived, together);
+}
+
+/// Notes that a worker may have crashed under a task; whether the task may still start.
+pub(super) fn doubt(cx: &mut State, key: TaskKey, worker: &ids::WorkerId) -> bool {
+    let live = cx.jobs.get(&key.job).is_some_and(|entry| !entry.state.is_final());
+    let Some(task) = cx.task_mut(key).filter(|t| live && t.state != TaskState::Done) else {
+        return false;
+    };
+    let suspicion = task.suspicion.get_or_insert_default();
+    suspicion.perhaps = Some(worker.clone());
+    suspicion.ordinary = true;
+    cx.crashes.add(key, worker);
+    trace::task_doubted(key, worker);
+    true
+}
+
+/// Holds a task back until what is known of it is stored, and lets it be tried alone.
+pub(super) fn hold_until_saved(cx: &mut State, key: TaskKey) {
+    let now = cx.now;
+    let is_gang = cx.step(key).is_some_and(|step| step.gang);
+    let Some(suspicion) = cx.task_mut(key).and_then(|t| t.suspicion.as_mut()) else { return };
+    (suspicion.saved, suspicion.ordinary) = (Saved::No, is_gang);
+    commits::mark_urgent(&mut cx.commits, now, key.job);
+}
--- a/crates/sched/src/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -2,22 +2,17 @@
 
 use std::collections::BTreeSet;
 
-use gaplock_jobs::config::Advice;
 use gaplock_jobs::{Job, Step, TaskKey};
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 use gaplock_types::{ids, sizes};
 
-use crate::checkpoints::{self, Checkpoint};
-use crate::choices::Choices;
-use crate::context::Context;
-use crate::crashes::{self, trials};
-use crate::lifecycle::Occupant;
-use crate::message::{Run, WorkerIx};
-use crate::placement::{self, Wanted};
-use crate::table::{self, ReadyStep, Task, TaskState};
-use crate::worker::Phase;
-use crate::{gangs, lifecycle, orders, pacing, permits, room, trace};
+use crate::changes::{gangs, pacing, permits, scarcity, starts, trace, trials};
+use crate::decisions::asks::{self, First};
+use crate::decisions::choices::Choices;
+use crate::decisions::{disturbance, placement, room};
+use crate::state::table::{self, ReadyStep};
+use crate::state::State;
 
 /// A demand for which no worker had room in this pass; a demand at least as large with the same
 /// restrictions need not be tried.
@@ -47,7 +42,7 @@
         let filling = step.fills.then(|| BlockedFilling {
             image: step.image.clone(),
             demand: step.demand.cpu,
-            impatient: pacing::is_impatient(first.waited),
+            impatient: disturbance::is_impatient(first.waited),
         });
         let lasting = step.lasting.then(|| room::may_take_kept(first.waited, first.again));
         Self { service, label: step.label.clone(), takes: table::takes(step), filling, lasting }
@@ -77,15 +72,6 @@
     }
 }
 
-/// The task of a step that is tried first.
-#[derive(Debug, Clone, Copy)]
-struct First {
-    /// How long it has waited.
-    waited: Millis,
-    /// Whether it may have been at work before.
-    again: bool,
-}
-
 /// What one pass knows, so that it need not go over all workers for each step.
 #[derive(Debug)]
 struct Pass {
@@ -99,7 +85,7 @@
 }
 
 /// Goes once over all ready steps.
-pub fn pass(cx: &mut Context) {
+pub fn pass(cx: &mut State) {
     if cx.config.is_none() {
         return;
     }
@@ -119,7 +105,7 @@
 }
 
 /// Tells whether a lasting step has tasks that go before all others; few steps do.
-fn is_missed(cx: &Context, ready: ReadyStep) -> bool {
+fn is_missed(cx: &State, ready: ReadyStep) -> bool {
     let Some(entry) = cx.jobs.get(&ready.job) else { return false };
     let step = &entry.job.steps[usize::from(ready.step)];
     let Some(round) = entry.round(ready.round).filter(|_| step.lasting) else { return false };
@@ -129,7 +115,7 @@
 }
 
 /// Returns the most free processors, and the most in all, of any worker that takes tasks.
-fn most_processors(cx: &Context) -> (sizes::MilliCores, sizes::MilliCores) {
+fn most_processors(cx: &State) -> (sizes::MilliCores, sizes::MilliCores) {
     let taking = || cx.workers.iter().filter(|w| w.takes_tasks(cx.now));
     let free = taking().map(|w| w.info.capacity.minus(&w.used).cpu).max();
     let largest = taking().map(|w| w.info.capacity.cpu).max();
@@ -137,10 +123,10 @@
 }
 
 /// Starts what it can of one step, unless a demand like it found no room in this pass.
-fn start_step(cx: &mut Context, ready: ReadyStep, pass: &mut Pass) {
+fn start_step(cx: &mut State, ready: ReadyStep, pass: &mut Pass) {
     let Some(entry) = cx.jobs.get(&ready.job) else { return };
     let job = entry.job.clone();
-    let Some(service) = service_of(cx, &job) else { return };
+    let Some(service) = asks::service_of(cx, &job) else { return };
     let step = &job.steps[usize::from(ready.step)];
     let Some(round) = entry.round(ready.round) else { return };
     let pending = in_order(cx, ready, step, &round.steps[usize::from(ready.step)].pending);
@@ -149,7 +135,7 @@
     if pass.blocked.iter().any(|b| b.covers(&wanted)) {
         return;
     }
-    if wanted.takes.cpu > pass.most_free && advice_of(cx, &job).is_none() {
+    if wanted.takes.cpu > pass.most_free && asks::advice_of(cx, &job).is_none() {
         note_scarcity(cx, &service, step, pass);
         return explain_first(cx, &job, &service, ready, &pending);
     }
@@ -161,26 +147,26 @@
     let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending) else { return };
     explain(cx, &job, &service, unplaced, pending.len());
     note_scarcity(cx, &service, step, pass);
-    if advice_of(cx, &job).is_some() {
+    if asks::advice_of(cx, &job).is_some() {
         permits::ask(cx, ready, pending.len());
     } else if step.most_per_worker.is_none() {
-        let first = cx.task(unplaced).map_or(first, |t| first_of(cx, t));
+        let first = cx.task(unplaced).map_or(first, |t| asks::first_of(cx, t));
         pass.blocked.push(Blocked::of(service, step, first));
     }
 }
 
 /// Takes in that a step found no room. A short one speaks for scarcity, unless no worker could ever
 /// hold it.
-fn note_scarcity(cx: &mut Context, pool: &ids::ServiceId, step: &Step, pass: &Pass) {
+fn note_scarcity(cx: &mut State, pool: &ids::ServiceId, step: &Step, pass: &Pass) {
     if room::is_short(step) && step.demand.cpu <= pass.largest {
-        room::short_waits(cx, pool);
+        scarcity::short_waits(cx, pool);
     }
 }
 
 /// Returns a step's pending tasks in the order in which they are tried. Of lasting ones those come
 /// first that were at work before, by their wait: they may take room that new ones may not, and a
 /// step is given up at the first task that finds none.
-fn in_order(cx: &Context, ready: ReadyStep, step: &Step, pending: &BTreeSet<u32>) -> Vec<u32> {
+fn in_order(cx: &State, ready: ReadyStep, step: &Step, pending: &BTreeSet<u32>) -> Vec<u32> {
     let mut order: Vec<u32> = pending.iter().copied().collect();
     if step.lasting {
         let key = |&index: &u32| task_of(ready, index);
@@ -196,34 +182,29 @@
 
 /// Finds the first task of a step that may start, if there is one. Tasks of one step begin to wait
 /// together, but for those that start again.
-fn first_that_may_start(cx: &Context, ready: ReadyStep, pending: &[u32]) -> Option<First> {
+fn first_that_may_start(cx: &State, ready: ReadyStep, pending: &[u32]) -> Option<First> {
     let mut tasks = pending.iter().map(|&index| task_of(ready, index));
-    let task = tasks.find(|&task| may_start(cx, task))?;
-    cx.task(task).map(|t| first_of(cx, t))
-}
-
-/// Says what decides of a task that is tried first.
-fn first_of(cx: &Context, task: &Task) -> First {
-    First { waited: cx.now.since(task.since), again: task.may_have_run }
+    let task = tasks.find(|&task| asks::may_start(cx, task))?;
+    cx.task(task).map(|t| asks::first_of(cx, t))
 }
 
 /// Logs why the first task of a step that may start finds no worker.
 fn explain_first(
-    cx: &mut Context,
+    cx: &mut State,
     job: &Job,
     service: &ids::ServiceId,
     ready: ReadyStep,
     pending: &[u32],
 ) {
     let mut tasks = pending.iter().map(|&index| task_of(ready, index));
-    if let Some(task) = tasks.find(|&task| may_start(cx, task)) {
+    if let Some(task) = tasks.find(|&task| asks::may_start(cx, task)) {
         explain(cx, job, service, task, pending.len());
     }
 }
 
 /// Starts pending tasks of a step one by one; returns the first that finds no worker.
 fn start_tasks(
-    cx: &mut Context,
+    cx: &mut State,
     job: &Job,
     service: &ids::ServiceId,
     ready: ReadyStep,
@@ -237,64 +218,23 @@
             return None;
         }
         let task = task_of(ready, index);
-        if !may_start(cx, task) {
+        if !asks::may_start(cx, task) {
             continue;
         }
-        let Some(wanted) = wanted(cx, job, service, task) else { return Some(task) };
+        let Some(wanted) = asks::wanted(cx, job, service, task) else { return Some(task) };
         let chosen = choices.take(cx, &wanted);
         debug_assert_eq!(chosen, placement::choose(cx, &wanted), "the kept order is another one");
         let Some(ix) = chosen else { return Some(task) };
-        start_at(cx, ix, task);
+        starts::start_at(cx, ix, task);
     }
     None
 }
 
-/// Starts a task at a worker.
-pub fn start_at(cx: &mut Context, ix: WorkerIx, task: TaskKey) {
-    let run = next_run(cx, task);
-    let checkpoint = checkpoints::of_task(cx, task);
-    reserve(cx, ix, (task, run), checkpoint);
-    orders::send_start(cx, ix, task, run);
-}
-
-/// Returns the pool of workers that runs a job.
-pub fn service_of(cx: &Context, job: &Job) -> Option<ids::ServiceId> {
-    let config = cx.config.as_ref()?;
-    config.queue(&job.queue).map(|q| q.service.clone())
-}
-
-/// Returns what the job's queue says of asking another service where steps may run.
-pub fn advice_of<'a>(cx: &'a Context, job: &Job) -> Option<&'a Advice> {
-    cx.config.as_ref()?.queue(&job.queue)?.advice.as_ref()
-}
-
-/// Tells whether a task is pending, its pause over, and nothing speaks against starting it beside
-/// others.
-pub fn may_start(cx: &Context, task: TaskKey) -> bool {
-    let due = |t: &&Task| t.state == TaskState::Pending && t.not_before <= cx.now;
-    cx.task(task).filter(due).is_some_and(crashes::may_start)
-}
-
-/// Says what a task asks of a worker.
-pub fn wanted<'a>(
-    cx: &'a Context,
-    job: &'a Job,
-    service: &'a ids::ServiceId,
-    task: TaskKey,
-) -> Option<Wanted<'a>> {
-    let step = &job.steps[usize::from(task.step)];
-    let found = cx.task(task)?;
-    let First { waited, again } = first_of(cx, found);
-    let avoid = found.failed_on;
-    let (advice, only_rack) = (advice_of(cx, job), None);
-    Some(Wanted { service, step, task, avoid, waited, again, only_rack, advice })
-}
-
 /// How often the log says why a step waits.
 const EXPLAIN_EVERY: Millis = Millis(2_000);
 
 /// Logs why a task finds no worker, once it has waited for a while.
-fn explain(cx: &mut Context, job: &Job, service: &ids::ServiceId, task: TaskKey, pending: usize) {
+fn explain(cx: &mut State, job: &Job, service: &ids::ServiceId, task: TaskKey, pending: usize) {
     let now = cx.now;
     let Some(waited) = cx.task(task).map(|t| now.since(t.since)) else { return };
     let round = cx.jobs.get_mut(&task.job).and_then(|e| e.round_mut(task.round));
@@ -303,37 +243,7 @@
         return;
     }
     state.explained = now;
-    let Some(wanted) = wanted(cx, job, service, task) else { return };
+    let Some(wanted) = asks::wanted(cx, job, service, task) else { return };
     let counts = placement::explain(cx, &wanted);
     trace::step_waits(task, pending, waited, &wanted.step.demand, &counts);
 }
-
-/// Counts another start of a task and returns its run.
-fn next_run(cx: &mut Context, task: TaskKey) -> Run {
-    let found = cx.task_mut(task);
-    let starts = found.map_or(1, |t| {
-        t.starts += 1;
-        t.starts
-    });
-    cx.run_number(starts)
-}
-
-/// Takes the room for a run, says what its start brings, and holds the task to be there from now on.
-pub fn reserve(
-    cx: &mut Context,
-    ix: WorkerIx,
-    (task, run): (TaskKey, Run),
-    resumes_from: Option<Checkpoint>,
-) {
-    let now = cx.now;
-    lifecycle::leave_pending(cx, task);
-    let (phase, percent, reading) = (Phase::Starting, 0, None);
-    lifecycle::occupy(cx, ix, task, Occupant { run, resumes_from, phase, percent, reading });
-    let worker = cx.worker(ix).info.id.clone();
-    if let Some(t) = cx.task_mut(task) {
-        t.state = TaskState::Active { worker: ix, run };
-        t.may_have_run = true;
-        trace::start_ordered(task, run, &worker, now.since(t.since));
-    }
-    trials::placed(cx, ix, task);
-}
--- a/crates/sched/src/doubts.rs
+++ b/crates/sched/src/changes/doubts.rs
@@ -7,21 +7,12 @@
 //! to refuse all such runs for ever. A later leader's token bars them without that.
 
 use gaplock_jobs::TaskKey;
-use gaplock_types::time::Instant;
 
-use crate::context::Context;
-use crate::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
-use crate::trace;
-use crate::worker::{Slot, Worker};
-
-/// A run that was given up and may still begin.
-#[derive(Debug, Clone, Copy)]
-pub struct Doubt {
-    /// The run.
-    pub run: Run,
-    /// When its stop was last sent; unset before.
-    asked: Option<Instant>,
-}
+use crate::changes::trace;
+use crate::interface::message::{Action, Outcome, Refusal, Run, WorkerClock, WorkerIx};
+use crate::state::doubt::Doubt;
+use crate::state::worker::{Slot, Worker};
+use crate::state::State;
 
 /// Keeps a run in doubt that is being given up, unless its worker has confirmed the run or its
 /// stop: what has begun there never begins again.
@@ -33,7 +24,7 @@
 }
 
 /// Sends the stops that are due to a worker that answers.
-pub fn settle(cx: &mut Context, ix: WorkerIx) {
+pub fn settle(cx: &mut State, ix: WorkerIx) {
     let (now, retry) = (cx.now, cx.settings.stop_retry);
     let worker = cx.worker_mut(ix);
     if !worker.answers() {
@@ -55,7 +46,7 @@
 
 /// Takes in what became of a stop, which may be one for a run in doubt.
 pub fn stopped(
-    cx: &mut Context,
+    cx: &mut State,
     ix: WorkerIx,
     key: TaskKey,
     run: Run,
--- a/crates/sched/src/evacuation.rs
+++ b/crates/sched/src/changes/evacuation.rs
@@ -5,27 +5,18 @@
 //! lies in the store, so it outlives every leader; a successor reads it before its first start.
 //!
 //! What else follows from a worker that gets nothing (room, largest worker, trials, permits) goes by
-//! [`crate::worker::Worker::takes_tasks`]; `docs/PLATFORM.md` (section Evacuations) has the rest.
-
-use std::collections::BTreeSet;
+//! [`crate::state::worker::Worker::takes_tasks`]; `docs/PLATFORM.md` (section Evacuations) has the rest.
 
 use gaplock_types::ids;
 
-use crate::context::Context;
-use crate::message::WorkerIx;
-use crate::trace;
+use crate::changes::trace;
+use crate::interface::message::WorkerIx;
+use crate::state::State;
 
-/// The operators' word on which failure domains are evacuated, as it lay in the store at one revision.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct Evacuated {
-    /// The store's revision at which it was read.
-    pub revision: u64,
-    /// All evacuated domains.
-    pub domains: BTreeSet<ids::DomainId>,
-}
+pub use crate::interface::message::Evacuated;
 
 /// Takes in what the store says; an older reading changes nothing.
-pub fn read(cx: &mut Context, evacuated: Evacuated) {
+pub fn read(cx: &mut State, evacuated: Evacuated) {
     if evacuated.revision < cx.evacuated.revision {
         return;
     }
@@ -46,13 +37,13 @@
 }
 
 /// Marks a worker by the domain that it says it is in.
-pub fn mark(cx: &mut Context, ix: WorkerIx) {
+pub fn mark(cx: &mut State, ix: WorkerIx) {
     let evacuated = cx.evacuated.domains.contains(&cx.worker(ix).info.domain);
     cx.worker_mut(ix).evacuated = evacuated;
 }
 
 /// Counts the runs at the workers of a domain.
-pub fn running_in(cx: &Context, domain: &ids::DomainId) -> usize {
+pub fn running_in(cx: &State, domain: &ids::DomainId) -> usize {
     let there = cx.workers.iter().filter(|w| !w.gone && w.info.domain == *domain);
     there.map(|w| w.slots.len()).sum()
 }
--- a/crates/sched/src/leases.rs
+++ b/crates/sched/src/changes/leases.rs
@@ -5,43 +5,20 @@
 
 use gaplock_jobs::TaskKey;
 
-use crate::context::Context;
-use crate::message::{Run, WorkerClock, WorkerIx};
-use crate::proof::Proof;
-use crate::worker::Slot;
-use crate::{crashes, doubts, lifecycle, roster, takeover, trace};
+use crate::changes::{crashes, doubts, lifecycle, roster, trace};
+use crate::interface::message::{Run, WorkerClock, WorkerIx};
+use crate::interface::proof::Proof;
+use crate::state::worker::Slot;
+use crate::state::State;
 
-/// Gives up the runs of workers that are silent or refuse stops once their leases are certainly
-/// over, and workers that are neither listed nor answering.
-pub fn check(cx: &mut Context) {
-    let now = cx.now;
-    let (drift, lease) = (cx.settings.drift_per_mille, cx.settings.lease());
-    for ix in cx.worker_ixs() {
-        let worker = cx.worker_mut(ix);
-        worker.refuses_stops = worker.has_refused_a_stop_for(now, lease);
-        let worker = cx.worker(ix);
-        let ending = worker.missed > 0 || worker.is_left_to_lapse();
-        if !ending || worker.lapsed_by(drift).is_some_and(|at| at > now) {
-            continue;
-        }
-        let unsurveyed = cx.survey.is_some() && worker.answered.is_none();
-        if unsurveyed {
-            continue;
-        }
-        let absent = worker.is_absent() && worker.missed > 0;
-        crashes::worker_lost(cx, ix, false);
-        keep_doubts(cx, ix);
-        free_all(cx, ix, Proof::LeaseOver);
-        roster::lapsed(cx, ix);
-        if absent {
-            trace::worker_gone(&cx.worker(ix).info.id, "silent, unlisted and its leases over");
-            give_up(cx, ix);
-        }
-    }
+/// Gives up every run at a worker whose leases are certainly over.
+pub fn lapse(cx: &mut State, ix: WorkerIx) {
+    keep_doubts(cx, ix);
+    free_all(cx, ix, Proof::LeaseOver);
 }
 
 /// Remembers the runs at a worker that may still begin there once it gets leases again.
-fn keep_doubts(cx: &mut Context, ix: WorkerIx) {
+fn keep_doubts(cx: &mut State, ix: WorkerIx) {
     let worker = cx.worker_mut(ix);
     let slots: Vec<(TaskKey, Slot)> = worker.slots.iter().map(|(k, s)| (*k, s.clone())).collect();
     for (key, slot) in &slots {
@@ -50,7 +27,7 @@
 }
 
 /// Gives up every run at a worker.
-fn free_all(cx: &mut Context, ix: WorkerIx, proof: Proof) {
+fn free_all(cx: &mut State, ix: WorkerIx, proof: Proof) {
     let slots: Vec<(TaskKey, Run)> =
         cx.worker(ix).slots.iter().map(|(key, slot)| (*key, slot.run)).collect();
     if !slots.is_empty() {
@@ -61,29 +38,29 @@
     }
 }
 
-/// Forgets a worker whose incarnation certainly runs nothing any more.
-pub fn give_up(cx: &mut Context, ix: WorkerIx) {
+/// Forgets a worker whose incarnation certainly runs nothing any more; whether it was not forgotten before.
+pub fn give_up(cx: &mut State, ix: WorkerIx) -> bool {
     crashes::worker_lost(cx, ix, true);
     crashes::worker_gone(cx, ix);
     free_all(cx, ix, Proof::WorkerGone);
     let worker = cx.worker_mut(ix);
     if worker.gone {
-        return;
+        return false;
     }
     worker.gone = true;
     worker.clock = None;
     worker.lease_until = None;
     worker.in_roster = false;
     worker.roster_pending = false;
-    if !takeover::waits_for(cx, ix) {
+    if !cx.survey.as_ref().is_some_and(|survey| survey.waits_for(ix)) {
         roster::forget(cx, ix);
     }
-    takeover::answered(cx, ix);
+    true
 }
 
 /// Returns the end of a lease at a worker that begins now, and remembers it as granted; none while
 /// the worker's leases are left to end.
-pub fn grant(cx: &mut Context, ix: WorkerIx) -> Option<WorkerClock> {
+pub fn grant(cx: &mut State, ix: WorkerIx) -> Option<WorkerClock> {
     let (now, lease) = (cx.now, cx.settings.lease());
     let worker = cx.worker_mut(ix);
     if worker.is_left_to_lapse() {
--- /dev/null
+++ b/crates/sched/src/changes/pacing.rs
@@ -0,0 +1,34 @@
+//! How filling tasks disturb serving ones on the same worker, and what is done about it.
+//!
+//! The model (`state/model.rs`) says what pairs of images do to each other. Placement keeps apart what cannot live
+//! together (`decisions/disturbance.rs`), the pace of what presses is lowered only as far as the serving
+//! tasks need (`decisions/paces.rs`), and what stays slow for long is moved (`moving.rs`).
+
+mod paces;
+mod parts;
+mod readings;
+mod spare;
+
+use crate::changes::trace;
+use crate::interface::message::WorkerIx;
+use crate::state::State;
+
+pub use crate::interface::message::{Learnt, LearntFactor, LearntImage};
+pub use crate::state::model::{Column, Model, Row, Served};
+pub use crate::state::paces::{GivenPaces, FULL_PACE};
+
+pub use paces::{paced, set_paces};
+pub use parts::part_of;
+pub use readings::keep_learnt;
+pub use spare::refresh;
+
+/// Takes in a worker's fresh readings: learns from them, then sets the paces that they ask for.
+pub fn observe(cx: &mut State, ix: WorkerIx) {
+    readings::learn(cx, ix);
+    refresh(cx, ix);
+    paces::watch_targets(cx, ix);
+    set_paces(cx, ix);
+    if tracing::enabled!(tracing::Level::DEBUG) {
+        trace::readings(cx, ix);
+    }
+}
--- /dev/null
+++ b/crates/sched/src/changes/pacing/paces.rs
@@ -0,0 +1,109 @@
+//! The pace of filling tasks: lowered as far as the serving tasks beside them need, and raised
+//! again.
+
+use gaplock_jobs::TaskKey;
+use gaplock_policy::tries::Fate;
+
+use super::spare;
+use crate::changes::trace;
+use crate::decisions::filling::FillingTask;
+use crate::decisions::paces;
+use crate::interface::message::{Action, Run, WorkerIx};
+use crate::state::paces::FULL_PACE;
+use crate::state::worker::{Part, Phase};
+use crate::state::State;
+
+/// Lowers the pace of what disturbs a serving task too much, and raises it again.
+pub fn set_paces(cx: &mut State, ix: WorkerIx) {
+    for task in paces::wanted(cx, cx.worker(ix)) {
+        order_pace(cx, ix, &task);
+    }
+}
+
+/// The share of its target from which a reading counts as over it; readings are rough.
+const OVER_SHARE: f64 = 0.97;
+
+/// The share of its target below which a reading ends an excess.
+const BACK_SHARE: f64 = 0.9;
+
+/// The part of the allowed excess after which halting everything is held not to have helped.
+const HALT_OVER: f64 = 1.05;
+
+/// Notes since when each serving task's readings have been over its target. Where the excess has
+/// outlasted both stages of halting, its cause lies elsewhere and the time begins anew.
+pub(super) fn watch_targets(cx: &mut State, ix: WorkerIx) {
+    let now = cx.now;
+    let halt_over = paces::part_of(cx.settings.tail_excess, HALT_OVER);
+    for slot in cx.worker_mut(ix).slots.values_mut() {
+        let Part::Serving { target_ms, .. } = slot.part else { continue };
+        let Some(share) = slot.reading.map(|tail| f64::from(tail) / f64::from(target_ms.max(1)))
+        else {
+            continue;
+        };
+        if share >= OVER_SHARE {
+            slot.over_since.get_or_insert(now);
+        } else if share < BACK_SHARE {
+            slot.over_since = None;
+        }
+        if slot.over_since.is_some_and(|since| now.since(since) >= halt_over) {
+            slot.over_since = Some(now);
+        }
+    }
+}
+
+/// The least change of pace, in percent, that is worth a call.
+const PACE_STEP: u32 = 15;
+
+/// Below this pace, in percent of full speed, a filling task is better off elsewhere.
+const MOVE_BELOW: u32 = 35;
+
+/// The part of the allowed excess after which the pace of a run in doubt is put in force again. An
+/// order that is carried out late is then undone, also where two calls in a row are lost and with
+/// accounts a third of a second apart, before it breaks the target. It costs each such run, and no
+/// other, one call a second where 4 s are allowed.
+const AGAIN_AFTER: f64 = 0.25;
+
+/// Orders a task's pace, unless the change is not worth a call or an order is on its way. The pace
+/// of a run in doubt is ordered though it was confirmed before: an older order may have undone it
+/// since.
+fn order_pace(cx: &mut State, ix: WorkerIx, wanted: &FillingTask) {
+    let now = cx.now;
+    let again_after = paces::part_of(cx.settings.tail_excess, AGAIN_AFTER);
+    let worker = cx.worker_mut(ix);
+    let Some(slot) = worker.slots.get_mut(&wanted.key) else { return };
+    let edge = wanted.pace == 0 || wanted.pace == FULL_PACE;
+    let change = wanted.pace.abs_diff(slot.pace);
+    let worth_a_call = change >= PACE_STEP || edge && change > 0;
+    if slot.phase != Phase::Running || slot.pacing {
+        return;
+    }
+    if !worth_a_call && !slot.paces.is_due(now, again_after) {
+        return;
+    }
+    if wanted.pace >= MOVE_BELOW {
+        slot.slowed = None;
+    } else {
+        slot.slowed.get_or_insert(now);
+    }
+    slot.pacing = true;
+    slot.paces.send(now, wanted.pace);
+    trace::pace_ordered(wanted.key, slot, &worker.info.id, wanted.pace);
+    let (task, run, percent) = (wanted.key, wanted.run, wanted.pace);
+    cx.actions.push(Action::Pace { worker: ix, task, run, percent });
+}
+
+/// Takes in what became of an order of pace.
+pub fn paced(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run, percent: u32, fate: Fate) {
+    let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key).filter(|s| s.run == run) else {
+        return;
+    };
+    if !slot.pacing || !slot.paces.was_last(percent) {
+        return;
+    }
+    slot.pacing = false;
+    if slot.paces.settle(fate) {
+        slot.pace = percent;
+        slot.mark = None;
+    }
+    spare::refresh(cx, ix);
+}
--- a/crates/sched/src/speed.rs
+++ b/crates/sched/src/changes/speed.rs
@@ -7,106 +7,11 @@
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::context::Context;
-use crate::message::WorkerIx;
-use crate::pacing::FULL_PACE;
-use crate::worker::{Part, Phase, Slot};
-
-/// A run's progress at one time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Mark {
-    /// When it was read.
-    pub at: Instant,
-    /// The progress in percent.
-    pub percent: u32,
-}
-
-/// How many tasks' rates are kept of a step; more would not move the median by much.
-const RATES_KEPT: usize = 15;
-
-/// From how many tasks on the median says something: with fewer, one slow worker decides it.
-const RATES_LEAST: usize = 4;
-
-/// The latest rates of some tasks of a step, in percent a second at full pace.
-#[derive(Debug, Clone, Default)]
-pub struct StepRates {
-    latest: Vec<(u32, f64)>,
-    next: usize,
-}
-
-impl StepRates {
-    /// Takes in a task's rate.
-    pub fn note(&mut self, index: u32, rate: f64) {
-        if let Some((_, known)) = self.latest.iter_mut().find(|(of, _)| *of == index) {
-            *known = rate;
-        } else if self.latest.len() < RATES_KEPT {
-            self.latest.push((index, rate));
-        } else {
-            self.latest[self.next] = (index, rate);
-            self.next = (self.next + 1) % RATES_KEPT;
-        }
-    }
-
-    /// Returns the median rate, once enough tasks are known.
-    pub fn typical(&self) -> Option<f64> {
-        if self.latest.len() < RATES_LEAST {
-            return None;
-        }
-        let mut rates: Vec<f64> = self.latest.iter().map(|(_, rate)| *rate).collect();
-        let middle = rates.len() / 2;
-        let (_, median, _) = rates.select_nth_unstable_by(middle, f64::total_cmp);
-        Some(*median).filter(|rate| *rate > 0.0)
-    }
-}
-
-/// How fast a worker is against others.
-#[derive(Debug, Clone, Copy)]
-pub struct Speed {
-    relative: f64,
-    at: Instant,
-}
-
-impl Default for Speed {
-    fn default() -> Self {
-        Self { relative: 1.0, at: Instant(0) }
-    }
-}
-
-/// How much of one reading enters a worker's speed: two slow runs in a row show a slow worker.
-const SPEED_GAIN: f64 = 0.5;
-
-/// The relative speed below which a worker is slow. On the users' sites healthy runs lie between
-/// 0.6 and 1.5 of their step's median, those on slow workers between 0.1 and 0.3; where tasks of
-/// one step differ by a third, long ones come down to a half.
-const SLOW_BELOW: f64 = 0.4;
-
-/// How long a worker's speed is believed without a new reading.
-const BELIEVED_FOR: Millis = Millis(3_000);
-
-impl Speed {
-    /// Takes in how fast a run on the worker was against its step.
-    pub fn note(&mut self, now: Instant, relative: f64) {
-        let known = self.relative(now);
-        self.relative = known + SPEED_GAIN * (relative.min(1.0) - known);
-        self.at = now;
-    }
-
-    /// Returns the worker's speed; 1 where nothing is known.
-    pub fn relative(&self, now: Instant) -> f64 {
-        if now.since(self.at) > BELIEVED_FOR {
-            return 1.0;
-        }
-        self.relative
-    }
-
-    /// Tells whether the worker is much slower than others.
-    pub fn is_slow(&self, now: Instant) -> bool {
-        self.relative(now) < SLOW_BELOW
-    }
-}
-
-/// The progress of a run that has done its work, in percent.
-pub const WHOLE_PERCENT: u32 = 100;
+use crate::interface::message::WorkerIx;
+use crate::state::paces::FULL_PACE;
+use crate::state::rates::{Mark, WHOLE_PERCENT};
+use crate::state::worker::{Part, Phase, Slot};
+use crate::state::State;
 
 /// The shortest time over which a rate is read.
 const READ_OVER: Millis = Millis(300);
@@ -123,7 +28,7 @@
 const READ_USE_LEAST: f64 = 0.8;
 
 /// Takes in a run's progress from its worker's account.
-pub fn observe(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
+pub fn observe(cx: &mut State, ix: WorkerIx, key: TaskKey) {
     // A lasting task comes along only while it starts.
     if cx.step(key).is_some_and(|step| step.lasting) {
         return;
@@ -136,7 +41,7 @@
 }
 
 /// Takes in that a run has done its work.
-pub fn observe_end(cx: &mut Context, ix: WorkerIx, key: TaskKey, slot: &Slot) {
+pub fn observe_end(cx: &mut State, ix: WorkerIx, key: TaskKey, slot: &Slot) {
     let Some(mark) = slot.mark else { return };
     let span = cx.now.since(mark.at);
     let left = WHOLE_PERCENT.saturating_sub(mark.percent);
@@ -148,7 +53,7 @@
 }
 
 /// Keeps a run's rate for its step, and holds its worker against the other tasks' rates.
-fn note(cx: &mut Context, ix: WorkerIx, key: TaskKey, rate: f64, typical: Option<f64>) {
+fn note(cx: &mut State, ix: WorkerIx, key: TaskKey, rate: f64, typical: Option<f64>) {
     let now = cx.now;
     if let Some(step) = cx.step_state_mut(key) {
         step.rates.note(key.index, rate);
--- /dev/null
+++ b/crates/sched/src/changes/stragglers.rs
@@ -0,0 +1,54 @@
+//! Tasks on slow workers: started again elsewhere where they would be done sooner there, or would
+//! keep their tail's target.
+//!
+//! Where the step allows copies, the slow run goes on and whichever ends first counts. Elsewhere it
+//! is stopped first, since two runs of one task must never overlap.
+
+use gaplock_jobs::TaskKey;
+use gaplock_types::time::Millis;
+
+use crate::changes::{lifecycle, trace};
+use crate::decisions::{placement, slowness};
+use crate::interface::message::{Run, WorkerIx};
+use crate::interface::searches;
+use crate::state::table::TaskState;
+use crate::state::State;
+
+/// Starts tasks again elsewhere that would take much longer on their slow worker. Returns how many searches
+/// that took.
+pub fn check(cx: &mut State) -> usize {
+    let mut searches = searches::open(cx.workers.len());
+    for ix in searches::in_turn(cx.worker_ixs(), cx.places_from.1) {
+        let worker = cx.worker(ix);
+        if worker.missed > 0 || !worker.speed.is_slow(cx.now) {
+            continue;
+        }
+        let slow =
+            worker.slots.iter().filter(|(key, slot)| slowness::is_straggler(cx, ix, **key, slot));
+        let slow: Vec<(TaskKey, Run)> = slow.map(|(key, slot)| (*key, slot.run)).collect();
+        for (key, run) in slow {
+            if searches.is_over() {
+                cx.places_from.1 = ix;
+                return searches.made();
+            }
+            searches.take();
+            if placement::elsewhere(cx, ix, key).is_some() {
+                start_again(cx, ix, key, run);
+            }
+        }
+    }
+    searches.made()
+}
+
+/// Starts a task again: beside its slow run where copies are allowed, after its stop elsewhere.
+fn start_again(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run) {
+    let copies = cx.step(key).is_some_and(|step| step.duplicates);
+    if !copies {
+        return lifecycle::order_stop(cx, ix, key, run, "its worker is slow");
+    }
+    let Some(task) = cx.task_mut(key).filter(|t| t.slow_run.is_none()) else { return };
+    task.slow_run = Some((ix, run));
+    task.state = TaskState::Waiting;
+    trace::copy_wanted(key, run, &cx.worker(ix).info.id);
+    lifecycle::make_pending(cx, key, Millis(0));
+}
--- a/crates/sched/src/trace.rs
+++ b/crates/sched/src/changes/trace.rs
@@ -11,16 +11,16 @@
 use gaplock_types::time::{Instant, Millis};
 use tracing::{debug, info, warn};
 
-use crate::checkpoints::Checkpoint;
-use crate::context::Context;
-use crate::crashes::Loss;
-use crate::message::{
+use crate::decisions::losses::Loss;
+use crate::decisions::placement::UnfitCounts;
+use crate::interface::message::{
     End, Outcome, Run, UpkeepAnswer, WaveNumber, WaveRequest, WorkerClock, WorkerInfo, WorkerIx,
 };
-use crate::placement::UnfitCounts;
-use crate::proof::Proof;
-use crate::table::Entry;
-use crate::worker::{Listing, Slot, Worker};
+use crate::interface::proof::Proof;
+use crate::state::checkpoint::Checkpoint;
+use crate::state::table::Entry;
+use crate::state::worker::{Listing, Slot, Worker};
+use crate::state::State;
 
 /// The leader has heard of a job.
 pub fn job_known(entry: &Entry) {
@@ -41,7 +41,7 @@
 
 /// A try of a start brings a checkpoint: by which run and worker it was saved, and its first signs.
 pub fn start_resumes(
-    cx: &Context,
+    cx: &State,
     (task, run): (TaskKey, Run),
     ix: WorkerIx,
     attempt: u32,
@@ -60,14 +60,14 @@
 }
 
 /// A worker refused a start as invalid that brought a checkpoint, which nothing brings again.
-pub fn checkpoint_refused(cx: &Context, task: TaskKey, ix: WorkerIx, checkpoint: &Checkpoint) {
+pub fn checkpoint_refused(cx: &State, task: TaskKey, ix: WorkerIx, checkpoint: &Checkpoint) {
     let worker = &cx.worker(ix).info.id;
     let (saved_at, text) = (saved_at(cx, checkpoint), shown(checkpoint));
     warn!(event = "checkpoint_refused", %task, %worker, saved_by = checkpoint.run.0, saved_at, text);
 }
 
 /// Returns the worker that listed a checkpoint to this leader.
-fn saved_at<'a>(cx: &'a Context, checkpoint: &Checkpoint) -> Option<&'a str> {
+fn saved_at<'a>(cx: &'a State, checkpoint: &Checkpoint) -> Option<&'a str> {
     checkpoint.worker.map(|ix| cx.worker(ix).info.id.as_str())
 }
 
@@ -322,7 +322,7 @@
 }
 
 /// Writes down what runs on a worker, with its readings and what the model makes of them.
-pub fn readings(cx: &Context, ix: WorkerIx) {
+pub fn readings(cx: &State, ix: WorkerIx) {
     let worker = cx.worker(ix);
     for (task, slot) in &worker.slots {
         let reading = slot.reading.unwrap_or(0);
--- a/crates/sched/src/crashes/trials.rs
+++ b/crates/sched/src/changes/trials.rs
@@ -10,20 +10,16 @@
 
 use gaplock_jobs::TaskKey;
 use gaplock_types::ids;
-use gaplock_types::time::{Instant, Millis};
+use gaplock_types::time::Millis;
 
-use crate::context::Context;
-use crate::message::WorkerIx;
-use crate::table::TaskState;
-use crate::worker::Worker;
-use crate::{dispatch, placement};
-
-use super::evidence::are_many_lost;
-
-/// How long a suspect keeps a worker to itself, by the square of the workers lost under it: after one,
-/// which is most often chance, as long as a start takes to go wrong; after two, longer than what short
-/// tasks work.
-const ALONE_FOR: Millis = Millis(1_000);
+use crate::changes::crashes::kept::{self, ALONE_FOR};
+use crate::changes::starts;
+use crate::decisions::{asks, losses, placement};
+use crate::interface::message::WorkerIx;
+use crate::state::table::TaskState;
+use crate::state::trial::Trial;
+use crate::state::worker::Worker;
+use crate::state::State;
 
 /// The part of all workers, as a divisor, that tasks with a single loss may keep to themselves; none while
 /// many workers are lost, when there are hundreds of such tasks, nearly all innocent, and room is scarce.
@@ -37,24 +33,13 @@
 /// tells a crash at the start from a later one.
 pub const WAIT: Millis = Millis(250);
 
-/// A worker that one task has to itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Trial {
-    /// The task.
-    pub task: TaskKey,
-    /// When it began.
-    pub began: Instant,
-    /// When others may start there again, if the task still runs.
-    pub until: Instant,
-}
-
 /// The part of a pool's workers, as a divisor, that trials may keep for longer than [`ALONE_FOR`]: the rest
 /// is left to all other tasks. Suspects need not be culprits, and on a pool of two workers two innocent
 /// ones kept all others waiting for 9 s.
 const KEPT_SHARE: usize = 2;
 
 /// Ends the oldest trials of pools of which trials keep too large a part.
-pub fn leave_room(cx: &mut Context) {
+pub fn leave_room(cx: &mut State) {
     let now = cx.now;
     let is_kept = |w: &Worker| w.trial.is_some_and(|trial| trial.until > now);
     let pools: BTreeSet<ids::ServiceId> =
@@ -75,11 +60,6 @@
     }
 }
 
-/// Tells whether a worker is kept for another job's suspect.
-pub fn is_kept_from(worker: &Worker, task: TaskKey, now: Instant) -> bool {
-    worker.trial.is_some_and(|trial| trial.until > now && trial.task.job != task.job)
-}
-
 /// A suspect that waits for an empty worker.
 #[derive(Debug, Clone, Copy)]
 struct Waiting {
@@ -91,7 +71,7 @@
 
 /// Starts suspects alone on empty workers, those with most losses first. The others start like any task
 /// from now on, at once or after some patience.
-pub fn start(cx: &mut Context) {
+pub fn start(cx: &mut State) {
     if !cx.crashes.may_wait {
         return;
     }
@@ -101,7 +81,7 @@
     }
     let mut empty = empty_workers(cx);
     let under_way = cx.workers.iter().filter(|w| w.trial.is_some()).count();
-    let most = if are_many_lost(cx) { 0 } else { (cx.workers.len() / TRIALS_SHARE).max(1) };
+    let most = if losses::are_many_lost(cx) { 0 } else { (cx.workers.len() / TRIALS_SHARE).max(1) };
     let mut left = most.saturating_sub(under_way);
     for suspect in waiting {
         if cx.has_most_starts() {
@@ -117,7 +97,7 @@
 }
 
 /// Lists the suspects that may start and wait for an empty worker, in the order in which they are tried.
-fn waiting(cx: &mut Context) -> Vec<Waiting> {
+fn waiting(cx: &mut State) -> Vec<Waiting> {
     let now = cx.now;
     let mut any = false;
     let mut found: Vec<Waiting> = Vec::new();
@@ -136,7 +116,7 @@
 }
 
 /// Lists the workers on which nothing runs.
-fn empty_workers(cx: &Context) -> Vec<WorkerIx> {
+fn empty_workers(cx: &State) -> Vec<WorkerIx> {
     let all = cx.workers.iter().enumerate();
     let empty = all.filter(|(_, w)| w.slots.is_empty() && w.takes_tasks(cx.now));
     empty.map(|(at, _)| WorkerIx(at as u32)).collect()
@@ -145,10 +125,10 @@
 /// Starts a task on the empty worker that tells most: one whose address has not lost a worker lately, and
 /// that answered last. The loss of a worker that crashes anyway, or is dead already, would speak against an
 /// innocent task.
-fn start_alone(cx: &mut Context, key: TaskKey, empty: &mut Vec<WorkerIx>) -> bool {
+fn start_alone(cx: &mut State, key: TaskKey, empty: &mut Vec<WorkerIx>) -> bool {
     let Some(job) = cx.jobs.get(&key.job).map(|entry| entry.job.clone()) else { return false };
-    let Some(service) = dispatch::service_of(cx, &job) else { return false };
-    let Some(wanted) = dispatch::wanted(cx, &job, &service, key) else { return false };
+    let Some(service) = asks::service_of(cx, &job) else { return false };
+    let Some(wanted) = asks::wanted(cx, &job, &service, key) else { return false };
     let rank = |ix: WorkerIx| {
         let worker = cx.worker(ix);
         let heard = worker.clock.map(|(heard, _)| heard);
@@ -158,35 +138,15 @@
         empty.iter().enumerate().filter(|(_, ix)| placement::value(cx, **ix, &wanted).is_some());
     let Some((at, &ix)) = fit.min_by_key(|(_, ix)| rank(**ix)) else { return false };
     empty.swap_remove(at);
-    dispatch::start_at(cx, ix, key);
-    keep(cx, ix, key);
+    starts::start_at(cx, ix, key);
+    kept::keep(cx, ix, key);
     true
 }
 
 /// Lets a suspect start where any task would.
-fn start_like_others(cx: &mut Context, key: TaskKey) {
+fn start_like_others(cx: &mut State, key: TaskKey) {
     let suspicion = cx.task_mut(key).and_then(|t| t.suspicion.as_mut());
     if let Some(suspicion) = suspicion {
         suspicion.ordinary = true;
     }
 }
-
-/// Keeps a worker for a suspect that starts there, unless it has a single loss and others run there.
-pub fn placed(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
-    let now = cx.now;
-    let is_free = cx.worker(ix).trial.is_none_or(|trial| trial.until <= now);
-    if losses(cx, key) > 1 && is_free {
-        keep(cx, ix, key);
-    }
-}
-
-/// Keeps a worker for a task for as long as its losses call for.
-fn keep(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
-    let losses = losses(cx, key) as u64;
-    let until = cx.now + Millis(ALONE_FOR.0 * losses * losses);
-    cx.worker_mut(ix).trial = Some(Trial { task: key, began: cx.now, until });
-}
-
-fn losses(cx: &Context, key: TaskKey) -> usize {
-    cx.task(key).and_then(|t| t.suspicion.as_ref()).map_or(0, |s| s.losses())
-}
--- a/crates/sched/src/upkeep.rs
+++ b/crates/sched/src/changes/upkeep.rs
@@ -12,90 +12,22 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use gaplock_jobs::TaskKey;
-use gaplock_policy::tries::{Fate, Tries};
+use gaplock_policy::tries::Fate;
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
-use rustc_hash::FxHashMap;
 
-use crate::context::Context;
-use crate::message::{
+use crate::changes::{commits, trace};
+use crate::decisions::waves;
+use crate::interface::message::{
     Action, HostInfo, HostState, Record, UpkeepAnswer, WaveNumber, WaveProgress, WaveRequest,
-    WorkerIx,
 };
-use crate::{commits, trace};
-
-/// Everything known of waves and of the hosts that they name.
-#[derive(Debug, Default)]
-pub struct Upkeep {
-    waves: BTreeMap<WaveNumber, Wave>,
-    /// What a former leader stored of waves that have not been heard of again yet.
-    stored: BTreeMap<WaveNumber, WaveProgress>,
-    hosts: FxHashMap<ids::HostId, HostInfo>,
-    /// When the list of hosts in hand was asked for.
-    listed: Option<Instant>,
-    /// When the list is wanted next; unset while a call is under way.
-    list_due: Option<Instant>,
-}
-
-/// One wave.
-#[derive(Debug)]
-struct Wave {
-    request: WaveRequest,
-    /// When it must be over.
-    until: Instant,
-    progress: WaveProgress,
-    /// Whether the operators have been told of the wave; nothing goes down before.
-    told: bool,
-    /// Hosts that are not of the wave after all.
-    left_out: BTreeSet<ids::HostId>,
-    /// Hosts that are being emptied, and since when.
-    emptying: BTreeMap<ids::HostId, Instant>,
-    /// Hosts that are stored as ordered, with their workers; none else is ordered down.
-    ordered: BTreeMap<ids::HostId, Option<ids::WorkerId>>,
-    /// Hosts that a former leader may have ordered down.
-    inherited: BTreeSet<ids::HostId>,
-    /// Hosts that were ordered down and may be down, or may go down yet.
-    down: BTreeMap<ids::HostId, Down>,
-}
-
-/// A host that was ordered down.
-#[derive(Debug, Default)]
-struct Down {
-    /// The tries of its order, with one for those of former leaders.
-    tries: Tries,
-    /// When its order is to be given again.
-    again: Option<Instant>,
-    /// When the platform was heard to say that its upkeep has begun.
-    begun: Option<Instant>,
-}
-
-impl Down {
-    /// Builds the state of a host before its first order; orders of former leaders may be open.
-    fn new(inherited: bool) -> Self {
-        let mut down = Self::default();
-        if inherited {
-            down.tries.send();
-            down.tries.settle(Fate::Unknown);
-        }
-        down
-    }
-
-    /// Takes in what became of the last order, to be given again after `pause` unless that is proof
-    /// enough; returns what became of the host.
-    fn settle(&mut self, last: Fate, again: Instant) -> Fate {
-        self.again = Some(again);
-        self.tries.settle(last)
-    }
-}
+use crate::state::upkeep::{Down, Wave};
+use crate::state::State;
 
 /// How often the hosts are listed while a wave is under way: a host is away for about 2 s, and all
 /// hosts together may ask 60 times a second.
 const LIST_EVERY: Millis = Millis(500);
 
-/// How long short tasks may go on at a host that is to go down.
-const SHORT_TASKS: Millis = Millis(2_500);
-
 /// The pause before an order that was not carried out is given again.
 const ORDER_AGAIN: Millis = Millis(400);
 
@@ -103,26 +35,22 @@
 /// carried out yet: long, since nothing but that one can change the answer.
 const ASK_AGAIN: Millis = Millis(2_000);
 
-/// The time that one host takes from the first stop to its return, for the choice between waiting
-/// for short tasks and being in time.
-const ONE_HOST: Millis = Millis(5_000);
-
 /// Takes over what a former leader stored of waves.
-pub fn restore(cx: &mut Context, waves: Vec<WaveProgress>) {
+pub fn restore(cx: &mut State, waves: Vec<WaveProgress>) {
     cx.upkeep.stored = waves.into_iter().map(|w| (w.number, w)).collect();
 }
 
 /// Tells whether the host of a worker that was just heard of may go down by an order of a former
 /// leader. Such a worker gets no tasks, also before the first list of the hosts and before the wave
 /// is heard of.
-pub fn is_expected_down(cx: &Context, id: &ids::WorkerId) -> bool {
+pub fn is_expected_down(cx: &State, id: &ids::WorkerId) -> bool {
     let known = cx.upkeep.waves.values().map(|w| &w.progress);
     let mut open = cx.upkeep.stored.values().chain(known).filter(|w| !w.completed);
     open.any(|w| w.ordered.values().flatten().any(|worker| worker == id))
 }
 
 /// Takes in a wave that the operators ask for; one that is known already changes nothing.
-pub fn asked(cx: &mut Context, request: WaveRequest) {
+pub fn asked(cx: &mut State, request: WaveRequest) {
     let number = request.number;
     if cx.upkeep.waves.contains_key(&number) {
         return;
@@ -154,16 +82,8 @@
     cx.upkeep.list_due = Some(now);
 }
 
-/// Takes in that a wave's progress is stored.
-pub fn stored(cx: &mut Context, progress: &WaveProgress) {
-    if let Some(wave) = cx.upkeep.waves.get_mut(&progress.number) {
-        wave.told = true;
-        wave.ordered.clone_from(&progress.ordered);
-    }
-}
-
 /// Takes in a list of all hosts that was asked for at `sent`, or that none came.
-pub fn listed(cx: &mut Context, sent: Instant, hosts: Option<Vec<HostInfo>>) {
+pub fn listed(cx: &mut State, sent: Instant, hosts: Option<Vec<HostInfo>>) {
     cx.upkeep.list_due = Some(cx.now + LIST_EVERY);
     let Some(hosts) = hosts else { return };
     cx.upkeep.hosts = hosts.into_iter().map(|h| (h.id.clone(), h)).collect();
@@ -197,7 +117,7 @@
 }
 
 /// Takes in what became of an order that a host goes down.
-pub fn answered(cx: &mut Context, number: WaveNumber, host: &ids::HostId, answer: UpkeepAnswer) {
+pub fn answered(cx: &mut State, number: WaveNumber, host: &ids::HostId, answer: UpkeepAnswer) {
     let now = cx.now;
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
     let Some(down) = wave.down.get_mut(host) else { return };
@@ -223,7 +143,7 @@
 }
 
 /// Notes that the upkeep of a host has begun.
-fn begun(cx: &mut Context, number: WaveNumber, host: &ids::HostId) {
+fn begun(cx: &mut State, number: WaveNumber, host: &ids::HostId) {
     let now = cx.now;
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
     if let Some(down) = wave.down.get_mut(host) {
@@ -238,7 +158,7 @@
 }
 
 /// Leaves a host out that is not of the wave and that no order can take down.
-fn leave_out(cx: &mut Context, number: WaveNumber, host: &ids::HostId) {
+fn leave_out(cx: &mut State, number: WaveNumber, host: &ids::HostId) {
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
     wave.left_out.insert(host.clone());
     wave.down.remove(host);
@@ -249,7 +169,7 @@
 }
 
 /// Brings every wave on.
-pub fn check(cx: &mut Context) {
+pub fn check(cx: &mut State) {
     let active = |w: &&Wave| w.told && !w.progress.completed;
     let numbers: Vec<WaveNumber> =
         cx.upkeep.waves.values().filter(active).map(|w| w.request.number).collect();
@@ -272,7 +192,7 @@
 }
 
 /// Gives orders again that were not carried out, or may not have been.
-fn order_again(cx: &mut Context, number: WaveNumber) {
+fn order_again(cx: &mut State, number: WaveNumber) {
     let now = cx.now;
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
     for (host, down) in &mut wave.down {
@@ -285,18 +205,8 @@
 }
 
 /// Orders hosts down that are empty, or empty enough, once that is stored.
-fn order_emptied(cx: &mut Context, number: WaveNumber) {
-    let Some(wave) = cx.upkeep.waves.get(&number) else { return };
-    let late = is_late(wave, cx.now);
-    let ready = |host: &ids::HostId, since: Instant| match worker_on(cx, host) {
-        Some(ix) => is_empty_enough(cx, ix, late || cx.now.since(since) >= SHORT_TASKS),
-        None => true,
-    };
-    let emptied = wave.emptying.iter().filter(|(host, since)| ready(host, **since));
-    let emptied: Vec<ids::HostId> = emptied.map(|(host, _)| host.clone()).collect();
-    let worker_of = |host: &ids::HostId| cx.upkeep.hosts.get(host).and_then(|h| h.worker.clone());
-    let emptied = emptied.into_iter().map(|host| (host.clone(), worker_of(&host)));
-    let emptied: Vec<(ids::HostId, Option<ids::WorkerId>)> = emptied.collect();
+fn order_emptied(cx: &mut State, number: WaveNumber) {
+    let emptied = waves::emptied(cx, number);
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
     let (stored, others): (Vec<_>, Vec<_>) =
         emptied.into_iter().partition(|(host, _)| wave.ordered.contains_key(host));
@@ -316,42 +226,9 @@
     }
 }
 
-/// Tells whether a worker's host may go down: nothing lasting runs there, and nothing else, unless
-/// that has been waited for long enough.
-fn is_empty_enough(cx: &Context, ix: WorkerIx, waited: bool) -> bool {
-    let mut running = cx.worker(ix).slots.keys();
-    let lasting = |key: &TaskKey| cx.step(*key).is_some_and(|s| s.lasting);
-    running.all(|key| waited && !lasting(key))
-}
-
-/// Tells whether what is left of a wave takes as long as there is time.
-fn is_late(wave: &Wave, now: Instant) -> bool {
-    let at_once = wave.request.at_once.max(1) as usize;
-    let rounds = left(wave).count().div_ceil(at_once) as u64;
-    now + Millis(rounds * ONE_HOST.0) >= wave.until
-}
-
-/// Lists the hosts whose upkeep has not begun.
-fn left(wave: &Wave) -> impl Iterator<Item = &ids::HostId> {
-    let over = |h: &ids::HostId| wave.progress.begun.contains(h) || wave.left_out.contains(h);
-    wave.request.hosts.iter().filter(move |h| !over(h))
-}
-
 /// Begins to empty as many hosts as may go down next, those with fewest tasks first.
-fn empty_next(cx: &mut Context, number: WaveNumber) {
-    let Some(wave) = cx.upkeep.waves.get(&number) else { return };
-    let away = |h: &&ids::HostId| {
-        let up = cx.upkeep.hosts.get(*h).is_some_and(|host| host.state == HostState::Up);
-        wave.down.contains_key(*h) || wave.emptying.contains_key(*h) || !up
-    };
-    let taken = wave.request.hosts.iter().filter(away).count();
-    let room = (wave.request.at_once as usize).saturating_sub(taken);
-    let mut next: Vec<(usize, ids::HostId)> = left(wave)
-        .filter(|h| !away(h))
-        .map(|h| (worker_on(cx, h).map_or(0, |ix| cx.worker(ix).slots.len()), h.clone()))
-        .collect();
-    next.sort();
-    for (_, host) in next.into_iter().take(room) {
+fn empty_next(cx: &mut State, number: WaveNumber) {
+    for host in waves::next(cx, number) {
         let now = cx.now;
         set_emptying(cx, &host, true);
         let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
@@ -360,9 +237,9 @@
 }
 
 /// Reports a wave as completed once the upkeep of every host that stays has begun.
-fn complete(cx: &mut Context, number: WaveNumber) {
+fn complete(cx: &mut State, number: WaveNumber) {
     let Some(wave) = cx.upkeep.waves.get_mut(&number) else { return };
-    if left(wave).next().is_some() {
+    if waves::left(wave).next().is_some() {
         return;
     }
     wave.progress.completed = true;
@@ -371,15 +248,9 @@
     commits::add(cx, Record::Wave(progress));
 }
 
-/// Finds the worker on a host.
-fn worker_on(cx: &Context, host: &ids::HostId) -> Option<WorkerIx> {
-    let id = cx.upkeep.hosts.get(host)?.worker.as_ref()?;
-    cx.by_id.get(id).copied().filter(|ix| !cx.worker(*ix).gone)
-}
-
 /// Begins or ends the emptying of the worker on a host, if there is one.
-fn set_emptying(cx: &mut Context, host: &ids::HostId, emptying: bool) {
-    if let Some(ix) = worker_on(cx, host) {
+fn set_emptying(cx: &mut State, host: &ids::HostId, emptying: bool) {
+    if let Some(ix) = waves::worker_on(cx, host) {
         cx.worker_mut(ix).emptying = emptying;
     }
 }
--- a/crates/sched/src/drain.rs
+++ b/crates/sched/src/decisions/leaving.rs
@@ -1,16 +1,11 @@
-//! Empties workers that are leaving: what lasts moves at once, the rest before the end comes.
-//!
-//! A worker may say that it is leaving, or its entry in the directory just goes while it serves on
-//! for a while. The second looks the same as an entry that lapsed while the store was away, which
-//! comes back soon, so after an outage such a worker is given time to come back.
+//! Whether and how a worker is leaving, and what must leave it now.
 
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::context::Context;
-use crate::message::{Run, WorkerIx};
-use crate::worker::{Listing, Phase, Worker};
-use crate::{availability, lifecycle};
+use crate::interface::message::{Run, WorkerIx};
+use crate::state::worker::{Listing, Phase, Worker};
+use crate::state::State;
 
 /// How long before the least remaining time runs out the last stops go out, beyond the time that
 /// a stop takes: a round trip, the wait for a renewal and a margin.
@@ -22,31 +17,15 @@
 
 /// A worker's departure.
 #[derive(Debug, Clone, Copy)]
-struct Departure {
+pub struct Departure {
     /// When the last stops go out.
-    last_call: Instant,
+    pub last_call: Instant,
     /// Whether the worker itself said that it is leaving.
-    announced: bool,
-}
-
-/// Stops what must leave a departing worker.
-pub fn check(cx: &mut Context) {
-    for ix in cx.worker_ixs() {
-        let worker = cx.worker(ix);
-        if worker.slots.is_empty() || worker.missed > 0 {
-            continue;
-        }
-        let Some(departure) = departure(cx, worker) else { continue };
-        for (key, run) in to_stop(cx, ix, departure) {
-            if departure.announced || availability::may_take(cx, key) {
-                lifecycle::order_stop(cx, ix, key, run, "its worker is leaving");
-            }
-        }
-    }
+    pub announced: bool,
 }
 
 /// Tells whether and how a worker is leaving.
-fn departure(cx: &Context, worker: &Worker) -> Option<Departure> {
+pub fn departure(cx: &State, worker: &Worker) -> Option<Departure> {
     let before = cx.settings.stop_limit.0 + LAST_STOPS_MARGIN.0;
     let last_call = |from: Instant, stays: Millis| from + Millis(stays.0.saturating_sub(before));
     match worker.listing {
@@ -69,7 +48,7 @@
 
 /// Lists the runs that must leave a departing worker now. A worker that said nothing may stay, so
 /// there only what loses little by it leaves early.
-fn to_stop(cx: &Context, ix: WorkerIx, departure: Departure) -> Vec<(TaskKey, Run)> {
+pub fn to_stop(cx: &State, ix: WorkerIx, departure: Departure) -> Vec<(TaskKey, Run)> {
     let worker = cx.worker(ix);
     let running = worker.slots.iter().filter(|(_, slot)| slot.phase == Phase::Running);
     let last_call = cx.now >= departure.last_call;
--- a/crates/sched/src/placement.rs
+++ b/crates/sched/src/decisions/placement.rs
@@ -6,14 +6,12 @@
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 
-use crate::context::Context;
-use crate::crashes::trials;
-use crate::message::WorkerIx;
-use crate::pacing;
-use crate::permits::{self, StepKey};
-use crate::room;
-use crate::table;
-use crate::worker::{Part, Worker};
+use crate::decisions::disturbance;
+use crate::decisions::room;
+use crate::interface::message::{StepKey, WorkerIx};
+use crate::state::table;
+use crate::state::worker::{Part, Worker};
+use crate::state::State;
 
 /// What is asked of a worker.
 #[derive(Debug, Clone, Copy)]
@@ -36,10 +34,13 @@
     pub advice: Option<&'a Advice>,
 }
 
-/// Worth of running in the rack that holds the data, against one whole worker.
+/// Worth of running in the rack that holds the data, in whole workers of free room: above any fit (1) and
+/// [`TOGETHER_COST`] in sum, so that the data decides among sound workers, and below [`SLOW_COST`] less a
+/// fit, so that no slow one is taken for it. That order gave the figure; it is not measured apart.
 const RACK_WORTH: f64 = 4.0;
 
-/// Cost of the worker on which the task failed last, against one whole worker.
+/// Cost of the worker on which the task failed last, in whole workers of free room: above
+/// [`RACK_WORTH`] and [`SLOW_COST`], since a start on any other worker tells more. That order gave the figure.
 const FAILED_HERE_COST: f64 = 8.0;
 
 /// Why a worker does not get a task.
@@ -117,7 +118,7 @@
 }
 
 /// Counts why no worker gets a task.
-pub fn explain(cx: &Context, wanted: &Wanted<'_>) -> UnfitCounts {
+pub fn explain(cx: &State, wanted: &Wanted<'_>) -> UnfitCounts {
     let mut counts = UnfitCounts::default();
     for (at, worker) in cx.workers.iter().enumerate() {
         let unfit = match fits(cx, WorkerIx(at as u32), wanted) {
@@ -148,7 +149,7 @@
 }
 
 /// Finds the best worker that has room, if any.
-pub fn choose(cx: &Context, wanted: &Wanted<'_>) -> Option<WorkerIx> {
+pub fn choose(cx: &State, wanted: &Wanted<'_>) -> Option<WorkerIx> {
     let mut best: Option<(f64, WorkerIx)> = None;
     for ix in (0..cx.workers.len() as u32).map(WorkerIx) {
         let Some(score) = value(cx, ix, wanted) else { continue };
@@ -160,13 +161,13 @@
 }
 
 /// Returns how good a place a worker is for a task, or nothing where it cannot start there now.
-pub fn value(cx: &Context, ix: WorkerIx, wanted: &Wanted<'_>) -> Option<f64> {
+pub fn value(cx: &State, ix: WorkerIx, wanted: &Wanted<'_>) -> Option<f64> {
     fits(cx, ix, wanted).ok()?;
     score(cx, ix, cx.worker(ix), wanted)
 }
 
 /// Finds a worker that is not `here` on which a task that runs there could start at once.
-pub fn elsewhere(cx: &Context, here: WorkerIx, key: TaskKey) -> Option<WorkerIx> {
+pub fn elsewhere(cx: &State, here: WorkerIx, key: TaskKey) -> Option<WorkerIx> {
     let entry = cx.jobs.get(&key.job)?;
     let step = entry.step(key)?;
     let queue = cx.config.as_ref()?.queue(&entry.job.queue)?;
@@ -177,7 +178,7 @@
 }
 
 /// Checks whether a worker may and can run the task.
-pub fn fits(cx: &Context, ix: WorkerIx, wanted: &Wanted<'_>) -> Result<(), Unfit> {
+pub fn fits(cx: &State, ix: WorkerIx, wanted: &Wanted<'_>) -> Result<(), Unfit> {
     let worker = cx.worker(ix);
     let takes = table::takes(wanted.step);
     if worker.gone || worker.info.service != *wanted.service {
@@ -189,7 +190,7 @@
     if !worker.takes_tasks(cx.now) || cx.has_most_starts_at(ix) {
         return Err(Unfit::NotTaking);
     }
-    if trials::is_kept_from(worker, wanted.task, cx.now) {
+    if worker.trial.is_some_and(|trial| trial.keeps_out(wanted.task, cx.now)) {
         return Err(Unfit::NotTaking);
     }
     let taken = worker.used.plus(&takes);
@@ -200,7 +201,8 @@
     if !step.lasting && wanted.waited < SLOW_AVOIDED_FOR && worker.speed.is_slow(cx.now) {
         return Err(Unfit::Slow);
     }
-    if !permits::allows(cx, wanted.advice, StepKey::of(wanted.task), ix) {
+    let ticket = || cx.permits.ticket(StepKey::of(wanted.task), ix, cx.now);
+    if wanted.advice.is_some() && ticket().is_none() {
         return Err(Unfit::NotPermitted);
     }
     let rack = wanted.only_rack.map(String::as_str);
@@ -226,15 +228,16 @@
 /// How long a task waits for a worker that is not slow: about what a short task loses on a slow one.
 const SLOW_AVOIDED_FOR: Millis = Millis(1_000);
 
-/// Cost of a slow worker, against one whole worker.
+/// Cost of a slow worker, in whole workers of free room: above [`RACK_WORTH`] and any fit (1) in sum, so that
+/// neither makes up for it. That order gave the figure; it is not measured apart.
 const SLOW_COST: f64 = 6.0;
 
 /// The part of a lasting step's tasks, as a divisor, that one worker takes before its other tasks go
 /// elsewhere: they all go down with it, and leave it one by one where few of them may be missed.
 const TOGETHER_SHARE: u32 = 3;
 
-/// Cost of that part being there already, against one whole worker: more than any fit is worth, less
-/// than what gathering an image is.
+/// Cost of that part being there already, in whole workers of free room: more than any fit is worth (1), less
+/// than what gathering an image is (3).
 const TOGETHER_COST: f64 = 1.5;
 
 /// Counts the tasks of the same step and round at a worker.
@@ -252,7 +255,7 @@
 
 /// Returns how good a place a worker is for the task, in whole workers, or nothing
 /// where the task would disturb too much yet.
-fn score(cx: &Context, ix: WorkerIx, worker: &Worker, wanted: &Wanted<'_>) -> Option<f64> {
+fn score(cx: &State, ix: WorkerIx, worker: &Worker, wanted: &Wanted<'_>) -> Option<f64> {
     let mut score =
         if wanted.step.fills { spread(worker) } else { room::tightness(worker, wanted.step) };
     let in_rack = |rack: &String| worker.info.labels.contains(rack);
@@ -268,6 +271,6 @@
     if worker.speed.is_slow(cx.now) {
         score -= SLOW_COST;
     }
-    let disturbed = pacing::placement_cost(cx, worker, wanted.step, wanted.waited)?;
+    let disturbed = disturbance::placement_cost(cx, worker, wanted.step, wanted.waited)?;
     Some(score - disturbed)
 }
--- a/crates/sched/src/room.rs
+++ b/crates/sched/src/decisions/room.rs
@@ -17,14 +17,12 @@
 //!
 //! `docs/DECISIONS.md` (section The room of a full pool) has what each rule is worth.
 
-use gaplock_jobs::{Step, TaskKey};
-use gaplock_types::ids;
+use gaplock_jobs::Step;
 use gaplock_types::sizes::MilliCores;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::context::Context;
-use crate::message::WorkerIx;
-use crate::worker::Worker;
+use crate::state::worker::Worker;
+use crate::state::State;
 
 /// How long a worker stays kept after a short task has begun or ended there: somewhat longer than a
 /// short task of the users works, and below the 3 s for which a lasting task may wait beside room.
@@ -52,7 +50,7 @@
 }
 
 /// Adds up what is free.
-pub fn free(cx: &Context) -> Free {
+pub fn free(cx: &State) -> Free {
     let taking = cx.workers.iter().filter(|w| w.takes_tasks(cx.now));
     let free = taking.map(|w| w.info.capacity.minus(&w.used).cpu);
     free.fold(Free::default(), |sum, cpu| Free {
@@ -75,7 +73,7 @@
 }
 
 /// Tells whether a worker's room is kept for short tasks.
-pub fn is_kept(cx: &Context, worker: &Worker) -> bool {
+pub fn is_kept(cx: &State, worker: &Worker) -> bool {
     let within = |at: &Instant, span| cx.now.since(*at) < span;
     worker.short_changed.is_some_and(|at| within(&at, KEPT_FOR))
         && cx.short_waited.get(&worker.info.service).is_some_and(|at| within(at, SCARCE_FOR))
@@ -92,22 +90,3 @@
 pub fn is_missed(step: &Step, waited: Millis, again: bool) -> bool {
     step.lasting && again && waited >= BACK_AFTER
 }
-
-/// Takes in that a short task has found no room in its pool.
-pub fn short_waits(cx: &mut Context, pool: &ids::ServiceId) {
-    let now = cx.now;
-    match cx.short_waited.get_mut(pool) {
-        Some(at) => *at = now,
-        None => {
-            cx.short_waited.insert(pool.clone(), now);
-        }
-    }
-}
-
-/// Takes in that a run of a step has begun or ended at a worker.
-pub fn changed(cx: &mut Context, ix: WorkerIx, key: TaskKey) {
-    let now = cx.now;
-    if cx.step(key).is_some_and(is_short) {
-        cx.worker_mut(ix).short_changed = Some(now);
-    }
-}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -5,45 +5,16 @@
 //! reports what became of them. `docs/PLATFORM.md` explains the design, above all why a successor
 //! learns what runs from the workers themselves.
 
-pub mod account;
-pub mod availability;
-pub mod checkpoints;
-pub mod choices;
-pub mod claims;
-pub mod commits;
+pub mod changes;
 pub mod context;
-pub mod crashes;
-pub mod directory;
-pub mod dispatch;
-pub mod doubts;
-pub mod drain;
-pub mod ends;
-pub mod evacuation;
-pub mod freshness;
-pub mod gangs;
-pub mod intake;
-pub mod leases;
-pub mod lifecycle;
-pub mod message;
-pub mod orders;
-pub mod pacing;
-pub mod permits;
-pub mod placement;
-pub mod proof;
-pub mod renewals;
-pub mod room;
-pub mod roster;
-pub mod searches;
-pub mod settings;
-pub mod speed;
-pub mod stragglers;
-pub mod table;
-pub mod takeover;
-pub mod trace;
-pub mod upkeep;
-pub mod worker;
-pub mod writing;
+pub mod decisions;
+pub mod interface;
+pub mod state;
 
+pub use changes::{commits, evacuation, freshness, pacing, permits, renewals, takeover};
 pub use context::Context;
-pub use message::{Action, Event};
-pub use settings::Settings;
+pub use decisions::room;
+pub use interface::message::{Action, Event};
+pub use interface::settings::Settings;
+pub use interface::{claims, message, searches, settings, writing};
+pub use state::{table, worker};
