Jobs that save their progress also run twice at once in the soak

Cause: no job of the soak ran more than once, so no two rounds of a task had progress that could be taken for each other's.

Change: of the jobs that save progress, gangs apart, every other one runs twice beside each other.

--- a/crates/soak/src/processes/callers.rs
+++ b/crates/soak/src/processes/callers.rs
@@ -46,7 +46,8 @@
 /// Seeds from here on also hand in jobs that save their progress.
 pub(super) const FIRST_WITH_SAVES: u64 = 20_000;
 
-/// Every so many jobs of theirs one is such a job, beginning with the second; every other one is a gang.
+/// Every so many jobs of theirs one is such a job, beginning with the second; every other one is a gang,
+/// and of the rest every other one runs twice.
 const SAVES_EVERY: u64 = 3;
 
 /// Seeds from here on hand in no jobs that crash workers, beside which whole sites wait for trials.
@@ -63,6 +64,7 @@
 enum Kind {
     TwoSteps,
     Saves,
+    SavesTwice,
     Gang,
     Lasts,
     Crashes,
@@ -77,16 +79,20 @@
     if n.is_multiple_of(LASTS_EVERY) {
         return Kind::Lasts;
     }
-    if seed >= FIRST_WITH_SAVES && n % SAVES_EVERY == 2 {
-        return if n.is_multiple_of(2) { Kind::Saves } else { Kind::Gang };
+    let saves = seed >= FIRST_WITH_SAVES && n % SAVES_EVERY == 2;
+    match n / SAVES_EVERY % 4 {
+        _ if !saves => Kind::TwoSteps,
+        0 => Kind::Saves,
+        2 => Kind::SavesTwice,
+        _ => Kind::Gang,
     }
-    Kind::TwoSteps
 }
 
 fn body(kind: Kind) -> String {
     match kind {
         Kind::TwoSteps => two_steps(),
-        Kind::Saves => saving(),
+        Kind::Saves => saving(0),
+        Kind::SavesTwice => saving(2),
         Kind::Gang => gang(),
         Kind::Lasts => lasting(),
         Kind::Crashes => crashing(),
--- a/crates/soak/src/processes/wider.rs
+++ b/crates/soak/src/processes/wider.rs
@@ -15,9 +15,10 @@
 
 use super::faults::millis;
 
-/// The seeds that play this; those above also hand in jobs that crash workers, and so do these.
+/// The seeds that play this, without jobs that crash workers and with them. Above them neither is played, so that
+/// tasks which save their progress get far enough to resume.
 const WITHOUT_CRASHES: std::ops::Range<u64> = 7_000..8_000;
-const FIRST_WITH_CRASHES: u64 = 9_000;
+const WITH_CRASHES: std::ops::Range<u64> = 9_000..30_000;
 
 /// The sequence of a seed that is drawn from.
 const STREAM: u64 = 1 << 32;
@@ -93,7 +94,7 @@
 /// Prepares what a seed plays besides, if it does; half of these seeds have workers that do not guard their
 /// room.
 pub(super) fn prepare(site: &Site, seed: u64) -> Option<Wider> {
-    if !WITHOUT_CRASHES.contains(&seed) && seed < FIRST_WITH_CRASHES {
+    if !WITHOUT_CRASHES.contains(&seed) && !WITH_CRASHES.contains(&seed) {
         return None;
     }
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
