Stand-in workers may list a text beside tasks that save nothing

The other way in which a text reaches a start that is nobody's checkpoint; half of the workers of the soak do so.

--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -86,11 +86,12 @@
 }
 
 /// A worker in no trouble; its runs take a time of its own to stop, at most half of what they may,
-/// and every third refuses checkpoints that it cannot use.
+/// every third refuses checkpoints that it cannot use, and every second lists a text beside tasks that save
+/// nothing, too.
 fn calm_worker(n: usize) -> WorkerTrouble {
     let stop_takes = judge::STOP_LIMIT * (n as u32 % 4) / 6;
-    let refuses_checkpoints = n % 3 == 1;
-    WorkerTrouble { stop_takes, refuses_checkpoints, ..WorkerTrouble::default() }
+    let (refuses_checkpoints, lists_unsaved) = (n % 3 == 1, n.is_multiple_of(2));
+    WorkerTrouble { stop_takes, refuses_checkpoints, lists_unsaved, ..WorkerTrouble::default() }
 }
 
 /// Injects faults until the faulty time and the store's trouble are over, then makes everything
