--- a/crates/sched/src/changes/checkpoints.rs
+++ b/crates/sched/src/changes/checkpoints.rs
@@ -50,8 +50,8 @@
     true
 }
 
-/// Takes in that a worker refused a start as invalid. If it brought a checkpoint, nothing brings that again: every
-/// worker would refuse it as this one did, and a text that is not the task's must not go out a second time.
+/// Takes in that a worker refused a start as invalid. If it brought a checkpoint, the task gives that up: every
+/// worker would refuse it as this one did, and a text that is not the task's must not go out again and again.
 pub fn refused(cx: &mut State, ix: WorkerIx, key: TaskKey) {
     let slot = cx.worker(ix).slots.get(&key);
     let Some(brought) = slot.and_then(|slot| slot.resumes_from.clone()) else { return };
