--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -10,6 +10,7 @@
 use gaplock_platform_standin::site::{
     call, connect_as_peer, gang, saving, two_steps, Output, Site, PREFIX,
 };
+use gaplock_platform_standin::trouble::WorkerTrouble;
 use rustix::process::Signal;
 use serde_json::json;
 use support::{open_site, open_site_with, wait_for};
@@ -82,6 +83,24 @@
 }
 
 /// The members are on two workers or more, and what each of these has listed last was made at a time of its own.
+/// Workers of the users were told to start tasks with checkpoints that were not theirs: whatever a worker listed
+/// beside a task went out with its next start, also for tasks of steps that save nothing.
+#[test]
+fn a_text_beside_a_task_that_saves_nothing_is_not_brought() {
+    let site = open_site(2, 3, Duration::from_secs(1));
+    let lists_unsaved = WorkerTrouble { lists_unsaved: true, ..WorkerTrouble::default() };
+    (0..site.fleet.len()).for_each(|worker| site.fleet.set_trouble(worker, lists_unsaved));
+    assert_eq!(site.hosts[0].submit(JobKey(1), &saving(0)), Some(200));
+    wait_for("the later steps", || site.fleet.starts() == 7);
+    let busy = (0..site.fleet.len()).filter(|&worker| site.fleet.running_at(worker) > 0);
+    for worker in busy.collect::<Vec<_>>() {
+        site.fleet.leave(worker, Duration::from_millis(1_700));
+    }
+    wait_for("the next starts", || site.fleet.starts() > 7);
+    wait_for("completion", || shows(&site, 0, 1, "completed"));
+    assert!(site.fleet.violations().is_empty(), "{:#?}", site.fleet.violations());
+}
+
 #[test]
 fn a_gang_that_loses_a_worker_resumes_from_one_checkpoint() {
     let site = open_site(2, 4, Duration::from_secs(2));
