Metrics: gauges are registered in one way

The function that builds the counters had grown to 51 lines; two gauges were registered by hand beside the closure for it. The same names and texts as before.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -73,16 +73,14 @@
     registry.register("evacuated_domain_runs", what, evacuated_runs.clone());
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
-    let config_version = Gauge::default();
-    registry.register("config_version", "Configuration in force", config_version.clone());
-    let log_lines_dropped = Gauge::default();
-    let what = "Log lines dropped because standard output was not read in time";
-    registry.register("log_lines_dropped", what, log_lines_dropped.clone());
     let mut gauge = |name: &str, help: &str| {
         let gauge = Gauge::default();
         registry.register(name, help, gauge.clone());
         gauge
     };
+    let config_version = gauge("config_version", "Configuration in force");
+    let what = "Log lines dropped because standard output was not read in time";
+    let log_lines_dropped = gauge("log_lines_dropped", what);
     let free_millicores = gauge("free_millicores", "Free processors of all workers together");
     let largest_free_millicores =
         gauge("largest_free_millicores", "The most free processors of one worker");
