--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -1,13 +1,14 @@
 //! A randomised soak of the real daemon in processes of its own.
 //!
-//! Faults come from outside: signals, links to the store and to workers that are delayed, reset,
-//! silenced or cut one way, workers that crash, answer late or are unwell, and a store that writes
-//! late, loses answers or refuses. Some seeds also play entries of other writers, rooms that shrink and
-//! grow, and hosts that are suspended for longer than their leases. All come in series and overlap. What callers and workers see is
-//! checked against the promises of the users' pages: nothing runs twice at one time or again after
-//! its end was acknowledged, or from what its task has not saved, a task that crashes its workers is given up and no other one is, what was
-//! refused never runs, what was cancelled stops, and what was
-//! accepted comes to an end and is shown.
+//! Faults come from outside: signals, links to the store and to workers that are delayed, reset, silenced
+//! or cut one way, workers that crash, answer late or are unwell, and a store that writes late, loses
+//! answers or refuses. Some seeds also play entries of other writers, rooms that shrink and grow, and hosts
+//! that are suspended for longer than their leases. All come in series and overlap.
+//!
+//! What callers and workers see is checked against the promises of the users' pages: nothing runs twice at
+//! one time, or again after its end was acknowledged, or from what its task has not saved; a task that
+//! crashes its workers is given up and no other one is; what was refused never runs, what was cancelled
+//! stops, and what was accepted comes to an end and is shown.
 
 mod callers;
 mod faults;
