--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -2,8 +2,9 @@
 //! late, get lost, or are carried out after newer ones. It checks the promises while it runs.
 //!
 //! This file holds the world's state, what a test does to it, and the passing of time. [`calls`]
-//! carries what the leader sends, [`worker`] carries it out, [`writes`] go to the [`store`], which
-//! keeps what a successor learns, [`evacuations`] are asked for by the operators, the [`directory`] is read late,
+//! carries what the leader sends, [`worker`] carries it out and answers [`renewals`], [`writes`] go to the
+//! [`store`], which keeps what a successor learns, [`evacuations`] are asked for by the operators, the
+//! [`directory`] is read late,
 //! [`hosts`] lie beneath the workers, [`crashes`] take them down, [`checkpoints`] are what runs save and starts
 //! bring, [`checks`] looks for broken promises, and [`views`] tells a test what came of it all.
 
@@ -16,6 +17,7 @@
 mod evacuations;
 mod hosts;
 mod log;
+mod renewals;
 mod store;
 mod views;
 mod worker;
--- /dev/null
+++ b/crates/sched/tests/fleet/world/renewals.rs
@@ -0,0 +1,107 @@
+//! Renewals at a worker: they extend leases, acknowledge ends, and are answered with an account.
+
+use gaplock_jobs::TaskKey;
+use gaplock_sched::message::{
+    Account, End, EndSeq, How, Outcome, Refusal, RunningTask, WorkerClock,
+};
+use gaplock_sched::Event;
+use gaplock_types::time::Instant;
+
+use super::calls::{Call, Delivery, Renewal, Trip};
+use super::worker::SimRun;
+use super::World;
+
+impl World {
+    /// Lets a waiting renewal answer now.
+    pub(super) fn wake_renewal(&mut self, at: usize) {
+        let waiting = self
+            .deliveries
+            .iter()
+            .find(|(_, d)| matches!(d, Delivery::Held { trip, .. } if trip.worker == at));
+        let Some(key) = waiting.map(|(key, _)| *key) else { return };
+        if let Some(delivery) = self.deliveries.remove(&key) {
+            self.send(0, delivery);
+        }
+    }
+
+    pub(super) fn renew(&mut self, trip: Trip, renewal: Renewal, fenced: bool) {
+        let Renewal { stored, until, wait, sent } = renewal;
+        let at = trip.worker;
+        if fenced {
+            if let Some(worker) = self.awaited_by(trip) {
+                let outcome = Outcome::Refused(Refusal::Fenced);
+                self.reply(trip, Event::Renewed { worker, sent, outcome });
+            }
+            return;
+        }
+        self.acknowledge(at, stored);
+        if let Some(until) = until {
+            self.grant(at, until);
+        }
+        let wait = if self.workers[at].ends.is_empty() { wait } else { 0 };
+        self.send(wait, Delivery::Held { trip, sent });
+    }
+
+    fn acknowledge(&mut self, at: usize, stored: EndSeq) {
+        let ends = std::mem::take(&mut self.workers[at].ends);
+        let (noted, left): (Vec<End>, Vec<End>) = ends.into_iter().partition(|e| e.seq <= stored);
+        self.workers[at].ends = left;
+        for end in noted {
+            match end.how {
+                How::Done => {
+                    let came = self.workers[at].ended_at.get(&end.seq).copied().unwrap_or(0);
+                    let lapsed = self.workers[at].lapsed_at >= came;
+                    let again = self.started_at.get(&end.task).is_some_and(|s| *s > came);
+                    if again && !lapsed && !self.copies(end.task) {
+                        let now = self.now;
+                        let text = format!(
+                            "{now}: {} started after its end at {came}, noted later",
+                            end.task
+                        );
+                        self.violations.push(text);
+                    }
+                    self.noted_done.insert(end.task);
+                }
+                How::Failed => *self.noted_failed.entry(end.task).or_default() += 1,
+                _ => {}
+            }
+        }
+    }
+
+    /// Answers a renewal with the worker's account of itself.
+    pub(super) fn answer_renewal(&mut self, trip: Trip, sent: Instant) {
+        let worker = &self.workers[trip.worker];
+        if !worker.up || worker.cut {
+            let renewal = Renewal { stored: EndSeq(0), until: None, wait: 0, sent };
+            return self.time_out(trip, &Call::Renew(renewal));
+        }
+        let Some(worker) = self.awaited_by(trip) else { return };
+        let outcome = Outcome::Done(self.account(trip.worker));
+        self.reply(trip, Event::Renewed { worker, sent, outcome });
+    }
+
+    /// Returns a worker's account of itself.
+    pub fn account(&mut self, at: usize) -> Account {
+        let runs: Vec<(TaskKey, SimRun)> =
+            self.workers[at].running.iter().map(|(task, r)| (*task, r.clone())).collect();
+        let running: Vec<RunningTask> =
+            runs.iter().map(|(task, r)| self.listed(at, *task, r)).collect();
+        let ends = self.workers[at].ends.clone();
+        running.iter().for_each(|row| self.told(row.task, &row.checkpoint));
+        ends.iter().for_each(|end| self.told(end.task, &end.checkpoint));
+        let worker = &self.workers[at];
+        Account { clock: WorkerClock(self.now + worker.clock_offset), running, ends }
+    }
+
+    /// Returns the line of a worker's account for one of its runs.
+    fn listed(&mut self, at: usize, task: TaskKey, r: &SimRun) -> RunningTask {
+        let reading = self.readings.get(&task.job).copied();
+        RunningTask {
+            task,
+            run: r.run,
+            checkpoint: self.listed_checkpoint(task, r),
+            percent: r.percent(self.now),
+            reading: reading.map(|tail| tail * self.workers[at].slowness as u32),
+        }
+    }
+}
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -4,16 +4,13 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use gaplock_jobs::TaskKey;
-use gaplock_sched::message::{
-    Account, End, EndSeq, How, Outcome, Refusal, Run, RunningTask, WorkerClock, WorkerInfo,
-};
+use gaplock_sched::message::{End, EndSeq, How, Outcome, Refusal, Run, WorkerClock, WorkerInfo};
 use gaplock_sched::Event;
 use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
-use gaplock_types::time::Instant;
 use rand::Rng;
 
-use super::calls::{self, Call, Delivery, Renewal, Trip, Work};
+use super::calls::{self, Call, Trip, Work};
 use super::checkpoints::{Brought, Saves};
 use super::{World, SERVICE};
 
@@ -25,7 +22,7 @@
 pub(super) struct SimRun {
     /// What it takes of the worker's room.
     takes: Resources,
-    run: Run,
+    pub(super) run: Run,
     /// When its work began.
     pub(super) began: u64,
     /// When its work is over, by the virtual clock; unset for a lasting task.
@@ -42,7 +39,7 @@
 
 impl SimRun {
     /// Returns how far the work has come at `now`, in percent; a lasting task is at work at once.
-    fn percent(&self, now: u64) -> u32 {
+    pub(super) fn percent(&self, now: u64) -> u32 {
         let Some(end) = self.ends_at else { return 100 };
         let whole = (end - self.began).max(1);
         (now.min(end) - self.began).saturating_mul(100).div_euclid(whole) as u32
@@ -98,15 +95,15 @@
     pub slowness: u64,
     pub(super) running: BTreeMap<TaskKey, SimRun>,
     pub(super) ends: Vec<End>,
-    next_seq: u64,
+    pub(super) next_seq: u64,
     /// When each end came, and when its lease was last over.
-    ended_at: BTreeMap<EndSeq, u64>,
-    lapsed_at: u64,
+    pub(super) ended_at: BTreeMap<EndSeq, u64>,
+    pub(super) lapsed_at: u64,
     token: u64,
     lease_until: u64,
     pub(super) last_ended: BTreeMap<TaskKey, Run>,
     /// How far its clock is ahead of the virtual one, in milliseconds.
-    clock_offset: u64,
+    pub(super) clock_offset: u64,
 }
 
 impl SimWorker {
@@ -205,18 +202,6 @@
         }
     }
 
-    /// Lets a waiting renewal answer now.
-    fn wake_renewal(&mut self, at: usize) {
-        let waiting = self
-            .deliveries
-            .iter()
-            .find(|(_, d)| matches!(d, Delivery::Held { trip, .. } if trip.worker == at));
-        let Some(key) = waiting.map(|(key, _)| *key) else { return };
-        if let Some(delivery) = self.deliveries.remove(&key) {
-            self.send(0, delivery);
-        }
-    }
-
     /// Takes in a call that has arrived.
     pub(super) fn at_worker(&mut self, trip: Trip, call: Call, token: u64) {
         let at = trip.worker;
@@ -263,94 +248,13 @@
         self.reply(trip, event);
     }
 
-    fn renew(&mut self, trip: Trip, renewal: Renewal, fenced: bool) {
-        let Renewal { stored, until, wait, sent } = renewal;
-        let at = trip.worker;
-        if fenced {
-            if let Some(worker) = self.awaited_by(trip) {
-                let outcome = Outcome::Refused(Refusal::Fenced);
-                self.reply(trip, Event::Renewed { worker, sent, outcome });
-            }
-            return;
-        }
-        self.acknowledge(at, stored);
-        if let Some(until) = until {
-            self.grant(at, until);
-        }
-        let wait = if self.workers[at].ends.is_empty() { wait } else { 0 };
-        self.send(wait, Delivery::Held { trip, sent });
-    }
-
-    fn acknowledge(&mut self, at: usize, stored: EndSeq) {
-        let ends = std::mem::take(&mut self.workers[at].ends);
-        let (noted, left): (Vec<End>, Vec<End>) = ends.into_iter().partition(|e| e.seq <= stored);
-        self.workers[at].ends = left;
-        for end in noted {
-            match end.how {
-                How::Done => {
-                    let came = self.workers[at].ended_at.get(&end.seq).copied().unwrap_or(0);
-                    let lapsed = self.workers[at].lapsed_at >= came;
-                    let again = self.started_at.get(&end.task).is_some_and(|s| *s > came);
-                    if again && !lapsed && !self.copies(end.task) {
-                        let now = self.now;
-                        let text = format!(
-                            "{now}: {} started after its end at {came}, noted later",
-                            end.task
-                        );
-                        self.violations.push(text);
-                    }
-                    self.noted_done.insert(end.task);
-                }
-                How::Failed => *self.noted_failed.entry(end.task).or_default() += 1,
-                _ => {}
-            }
-        }
-    }
-
-    fn grant(&mut self, at: usize, until: WorkerClock) {
+    pub(super) fn grant(&mut self, at: usize, until: WorkerClock) {
         let worker = &mut self.workers[at];
         let clock = self.now + worker.clock_offset;
         let most = clock + self.settings.lease_max.0;
         worker.lease_until = worker.lease_until.max(until.0.min(most));
     }
 
-    /// Answers a renewal with the worker's account of itself.
-    pub(super) fn answer_renewal(&mut self, trip: Trip, sent: Instant) {
-        let worker = &self.workers[trip.worker];
-        if !worker.up || worker.cut {
-            let renewal = Renewal { stored: EndSeq(0), until: None, wait: 0, sent };
-            return self.time_out(trip, &Call::Renew(renewal));
-        }
-        let Some(worker) = self.awaited_by(trip) else { return };
-        let outcome = Outcome::Done(self.account(trip.worker));
-        self.reply(trip, Event::Renewed { worker, sent, outcome });
-    }
-
-    /// Returns a worker's account of itself.
-    pub fn account(&mut self, at: usize) -> Account {
-        let runs: Vec<(TaskKey, SimRun)> =
-            self.workers[at].running.iter().map(|(task, r)| (*task, r.clone())).collect();
-        let running: Vec<RunningTask> =
-            runs.iter().map(|(task, r)| self.listed(at, *task, r)).collect();
-        let ends = self.workers[at].ends.clone();
-        running.iter().for_each(|row| self.told(row.task, &row.checkpoint));
-        ends.iter().for_each(|end| self.told(end.task, &end.checkpoint));
-        let worker = &self.workers[at];
-        Account { clock: WorkerClock(self.now + worker.clock_offset), running, ends }
-    }
-
-    /// Returns the line of a worker's account for one of its runs.
-    fn listed(&mut self, at: usize, task: TaskKey, r: &SimRun) -> RunningTask {
-        let reading = self.readings.get(&task.job).copied();
-        RunningTask {
-            task,
-            run: r.run,
-            checkpoint: self.listed_checkpoint(task, r),
-            percent: r.percent(self.now),
-            reading: reading.map(|tail| tail * self.workers[at].slowness as u32),
-        }
-    }
-
     fn order(&mut self, at: usize, call: &Call, clock: u64) -> Result<(), Refusal> {
         match call {
             Call::Start { task, run, until, work, checkpoint } => {
