One choice of a successor serves all heartbeats of a tenth of a second

Cause: each answer to a heartbeat named the successor, and each naming sorted and copied all followers, with a copied name for every comparison. Each host sends 2.5 heartbeats a second, so the leader's cost grew with the square of the hosts: unseen at 30, a few hundredths of a core at 97, an estimated 0.15 to 0.25 of a core at 587.

Ruled out as the main cause by scripts/measure leader: accounts (0.8 us) and starts (2.9 us) do not grow with the fleet.

Change: the followers are plain data in gaplock-policy; the best one is looked for at most every 100 ms. Where the successor changes, answers name the former one for that long, and it claims like any other host then.

Test: candidates examined for each host at 600 and at 1,200 hosts, as a ratio; it is 2 for a choice for each heartbeat.

--- a/crates/measure/src/leader.rs
+++ b/crates/measure/src/leader.rs
@@ -1,11 +1,13 @@
 //! What the leader's decisions cost by the size of the fleet: an account, a start, a pass over steps
-//! that find no room, and the checks of time.
+//! that find no room, the checks of time, and a follower's heartbeat.
 
 use std::sync::Arc;
 use std::time::Instant as StdInstant;
 
 use gaplock_jobs::config::{CallerLimits, Config, Pool, Queue};
 use gaplock_jobs::{Job, JobKey, Step, TaskKey};
+use gaplock_policy::followers::Followers;
+use gaplock_policy::succession::{self, Candidate};
 use gaplock_sched::context::Term;
 use gaplock_sched::message::{
     Account, Action, FencingToken, Outcome, Run, RunningTask, WorkerClock, WorkerInfo, WorkerIx,
@@ -17,8 +19,11 @@
 
 use crate::report::Report;
 
-/// The users' sites now, the two-year size, and the largest that their sweep plays.
-const FLEETS: [usize; 4] = [66, 490, 1_300, 3_000];
+/// The users' sites, the two-year size, the largest that their sweep plays, their whole fleet, and twice that.
+const FLEETS: [usize; 6] = [66, 490, 1_300, 3_000, 6_000, 12_000];
+
+/// How many workers there are for each host on the users' larger sites.
+const WORKERS_PER_HOST: usize = 10;
 
 const SERVICE: &str = "pool";
 const QUEUE: &str = "queue";
@@ -35,7 +40,8 @@
 /// Measures the slopes.
 pub fn measure(seed: u64) -> Report {
     let rows = FLEETS.iter().map(|&workers| row(workers)).collect();
-    let headings = vec!["workers", "account us", "start us", "pass us", "checks us"];
+    let headings =
+        vec!["workers", "account us", "start us", "pass us", "checks us", "heartbeat us"];
     Report { name: "leader", seed, headings, rows, findings: Vec::new() }
 }
 
@@ -45,7 +51,8 @@
     let start = fleet.start_cost();
     let pass = fleet.pass_cost();
     let checks = fleet.checks_cost();
-    let figures = [account, start, pass, checks].map(|us| format!("{us:.1}"));
+    let heartbeat = heartbeat_cost(workers / WORKERS_PER_HOST);
+    let figures = [account, start, pass, checks, heartbeat].map(|us| format!("{us:.1}"));
     [vec![workers.to_string()], figures.to_vec()].concat()
 }
 
@@ -58,6 +65,28 @@
     began.elapsed().as_secs_f64() * 1e6 / times as f64
 }
 
+/// How many milliseconds pass between two heartbeats of one host.
+const BEAT_EVERY: usize = 400;
+
+/// Returns the time in which a heartbeat of one of so many hosts is taken in and a successor is named.
+fn heartbeat_cost(hosts: usize) -> f64 {
+    let beat = |n: usize, ms: usize| Candidate {
+        host: ids::EntryId(format!("host-{n:05}")),
+        addr: format!("10.0.0.1:{n}"),
+        strength: succession::ENOUGH,
+        running_for: Millis(ms as u64),
+        store_age: Millis(100),
+        heard: Instant(ms as u64),
+    };
+    let mut followers = Followers::default();
+    (0..hosts).for_each(|n| followers.note(beat(n, 0)));
+    time(TIMES, |n| {
+        let ms = n * BEAT_EVERY / hosts;
+        followers.note(beat(n % hosts, ms));
+        followers.best(Instant(ms as u64));
+    })
+}
+
 /// A leader whose workers are full of lasting tasks.
 struct Fleet {
     cx: Context,
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -2,15 +2,14 @@
 //!
 //! A leader keeps its followers by their heartbeats and names the best one; a follower remembers
 //! whether that was itself, and holds an invitation to lead until its main task takes it.
-//! `gaplock_policy::succession` makes the choice.
+//! `gaplock_policy::succession` and `gaplock_policy::followers` make the choice.
 
-use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::Mutex;
 
 use async_channel::{Receiver, Sender};
-use gaplock_policy::succession::{self, Candidate, Strength};
-use gaplock_types::ids;
+use gaplock_policy::followers::Followers;
+use gaplock_policy::succession::{Candidate, Strength};
 use gaplock_types::time::Instant;
 
 use crate::peers::{Heartbeat, Invitation};
@@ -18,7 +17,7 @@
 /// What this host knows of who leads next.
 pub struct Handover {
     /// While this host leads: the others, by their last heartbeats.
-    followers: Mutex<BTreeMap<ids::EntryId, Candidate>>,
+    followers: Mutex<Followers>,
     /// Whether the leader named this host to claim first if the leader is lost.
     named: AtomicBool,
     /// The strength of the strongest host that this one has heard of; 0 for none.
@@ -97,9 +96,12 @@
 
     /// Returns the followers that could lead now, the best one first.
     pub fn successors(&self, now: Instant) -> Vec<Candidate> {
-        let followers = self.followers.lock().expect(LOCK);
-        let order = succession::order(followers.values(), now);
-        order.into_iter().cloned().collect()
+        self.followers.lock().expect(LOCK).in_order(now)
+    }
+
+    /// Returns the follower that should lead next.
+    pub fn successor(&self, now: Instant) -> Option<Candidate> {
+        self.followers.lock().expect(LOCK).best(now).cloned()
     }
 
     /// Forgets the followers of an earlier leadership.
@@ -117,7 +119,7 @@
             store_age: beat.store_age,
             heard: now,
         };
-        self.followers.lock().expect(LOCK).insert(beat.host.clone(), candidate);
+        self.followers.lock().expect(LOCK).note(candidate);
     }
 
     /// Hands an invitation to this host's main task, and returns whether this host leads now.
--- a/crates/node/src/keeping.rs
+++ b/crates/node/src/keeping.rs
@@ -59,10 +59,9 @@
 
 /// Tells whether a much stronger host should lead instead of this one.
 fn makes_way(node: &Node, since: Instant) -> bool {
-    let successors = node.handover.successors(clock::now());
-    let best = successors.first();
+    let best = node.handover.successor(clock::now());
     let way = clock::now().since(since) >= LEADS_AT_LEAST
-        && succession::should_make_way(node.strength, best);
+        && succession::should_make_way(node.strength, best.as_ref());
     if let Some(best) = best.filter(|_| way) {
         tracing::info!(event = "makes_way", host = %best.host, strength = best.strength.0,
             own = node.strength.0);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -285,7 +285,7 @@
             return HeartbeatAnswer::NotLeader;
         }
         let newer = self.config().filter(|c| c.version > beat.config_version);
-        let best = self.handover.successors(now).into_iter().next();
+        let best = self.handover.successor(now);
         let strongest = best.as_ref().map_or(self.strength, |c| c.strength.max(self.strength));
         HeartbeatAnswer::Leader {
             config_age: self.config_age(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod connections;
 pub mod estimate;
 pub mod fair;
+pub mod followers;
 pub mod guard;
 pub mod handing;
 pub mod health;
--- a/crates/policy/src/succession.rs
+++ b/crates/policy/src/succession.rs
@@ -64,15 +64,24 @@
     candidates: impl Iterator<Item = &'a Candidate>,
     now: Instant,
 ) -> Vec<&'a Candidate> {
-    let heard = |c: &&Candidate| now.since(c.heard) <= HEARD_WITHIN;
     let (mut found, without): (Vec<&Candidate>, Vec<&Candidate>) =
-        candidates.filter(heard).partition(|c| c.store_age <= STORE_WITHIN);
+        candidates.filter(|c| is_heard(c, now)).partition(|c| c.store_age <= STORE_WITHIN);
     let strongest = without.iter().map(|c| c.strength.0).max().unwrap_or(0);
     found.retain(|c| c.strength.0 + MUCH_STRONGER > strongest);
-    found.sort_by_key(|c| (Reverse(c.strength), c.running_for, c.host.clone()));
+    found.sort_unstable_by(|a, b| rank(a).cmp(&rank(b)));
     found
 }
 
+/// Returns what candidates are ordered by, the best one first.
+fn rank(c: &Candidate) -> (Reverse<Strength>, Millis, &ids::EntryId) {
+    (Reverse(c.strength), c.running_for, &c.host)
+}
+
+/// Tells whether a follower's last heartbeat is recent.
+pub fn is_heard(candidate: &Candidate, now: Instant) -> bool {
+    now.since(candidate.heard) <= HEARD_WITHIN
+}
+
 /// How much stronger another host must be before a leader makes way for it: a change of leader
 /// stops new starts for some 0.2 s.
 const MUCH_STRONGER: u16 = 300;
--- /dev/null
+++ b/crates/policy/tests/followers.rs
@@ -0,0 +1,65 @@
+//! What a leader's followers cost it, and whom it names.
+
+use gaplock_policy::followers::Followers;
+use gaplock_policy::succession::{Candidate, Strength};
+use gaplock_types::ids;
+use gaplock_types::time::{Instant, Millis};
+
+/// The pause between two heartbeats of one follower.
+const BEAT_EVERY: u64 = 400;
+
+fn candidate(host: usize, strength: u16, heard: u64) -> Candidate {
+    Candidate {
+        host: ids::EntryId(format!("host-{host:05}")),
+        addr: format!("host-{host:05}:1"),
+        strength: Strength(strength),
+        running_for: Millis(heard),
+        store_age: Millis(100),
+        heard: Instant(heard),
+    }
+}
+
+/// Plays two seconds of heartbeats, each of which is answered with the successor's name; returns how many
+/// candidates were examined for it.
+fn examined(hosts: usize) -> u64 {
+    let mut followers = Followers::default();
+    (0..hosts).for_each(|host| followers.note(candidate(host, 100, 0)));
+    for ms in 0..2_000_u64 {
+        for host in (0..hosts).filter(|&host| (ms + host as u64) % BEAT_EVERY == 0) {
+            followers.note(candidate(host, 100, ms));
+            assert!(followers.best(Instant(ms)).is_some());
+        }
+    }
+    followers.examined()
+}
+
+#[test]
+fn naming_a_successor_costs_no_more_for_each_host_of_a_larger_fleet() {
+    let (small, large) = (examined(600), examined(1_200));
+    let for_each = |all: u64, hosts: u64| all as f64 / hosts as f64;
+    let ratio = for_each(large, 1_200) / for_each(small, 600);
+    assert!(ratio < 1.2, "{ratio:.2} times the candidates for each host, {small} and {large}");
+}
+
+#[test]
+fn another_successor_is_named_soon_after_the_best_one_falls_silent() {
+    let mut followers = Followers::default();
+    followers.note(candidate(1, 1_000, 0));
+    for ms in (0..3_000).step_by(100) {
+        followers.note(candidate(2, 500, ms));
+        let best = followers.best(Instant(ms)).map(|c| c.strength);
+        let named = if ms <= 1_300 { 1_000 } else { 500 };
+        assert_eq!(best, Some(Strength(named)), "at {ms} ms");
+    }
+}
+
+#[test]
+fn a_follower_that_comes_is_named_with_the_next_choice() {
+    let mut followers = Followers::default();
+    followers.note(candidate(1, 100, 0));
+    assert_eq!(followers.best(Instant(0)).map(|c| c.strength), Some(Strength(100)));
+    followers.note(candidate(2, 1_000, 50));
+    assert_eq!(followers.best(Instant(100)).map(|c| c.strength), Some(Strength(1_000)));
+    followers.clear();
+    assert!(followers.best(Instant(101)).is_none());
+}
