Followers send fewer heartbeats to the leader of a large fleet

Cause: each host sent 2.5 heartbeats a second whatever the size, so the leader of 587 hosts took 1,465 a second, each a JSON-RPC call over a socket of its own: about as many calls as renewals of workers. That part of its work grows with the hosts and brings nothing.

Ruled out: fewer heartbeats for all. On a small installation a lost leader, a configuration and counts of queues are heard of within 0.4 s, and that stays.

Change: the answer says when the next heartbeat is wanted: after 0.4 s up to 200 hosts, then so that 500 come in a second, 1 s at most. That stays below the age at which a follower is no longer named (1.3 s), at which counts are not shown (1.5 s), and within which a configuration has to be in force (2 s, with the leader's own reading of 0.5 s).

By arithmetic: 586 heartbeats a second instead of 1,465 on 587 hosts; beyond 500 hosts they grow with the hosts again.

Tests: heartbeats a second at 250 and 500 hosts, as a ratio; silent hosts do not count; the longest pause leaves a follower named.

--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -21,10 +21,6 @@
 use crate::node::{Node, Role};
 use crate::peers::{Heartbeat, HeartbeatAnswer, PeerError};
 
-/// How often a follower sends a heartbeat. It also carries news of the configuration, which must
-/// be in force everywhere within 2 s.
-const HEARTBEAT_EVERY: Duration = Duration::from_millis(400);
-
 /// The pause before the store is asked again who leads.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 
@@ -132,7 +128,8 @@
     let invited = node.handover.next_invitation();
     let lost = node.leader.lost();
     let (invited, lost) = (pin!(invited), pin!(lost));
-    match future::timeout(HEARTBEAT_EVERY, select(invited, lost)).await {
+    let pause = node.handover.beat_after().as_duration();
+    match future::timeout(pause, select(invited, lost)).await {
         Ok(Either::Left((invited, _))) => invited,
         _ => None,
     }
@@ -186,8 +183,16 @@
     };
     match node.leader.heartbeat(addr, &beat).await? {
         HeartbeatAnswer::NotLeader => Ok(false),
-        HeartbeatAnswer::Leader { config_age, config, waiting, successor, strongest } => {
+        HeartbeatAnswer::Leader {
+            config_age,
+            config,
+            waiting,
+            successor,
+            strongest,
+            beat_after,
+        } => {
             node.handover.set_strongest(strongest);
+            node.handover.set_beat_after(beat_after);
             node.handover.set_named(successor.as_ref() == Some(&node.installation.host));
             if let Some(config) = config {
                 node.set_config(config);
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -8,9 +8,9 @@
 use std::sync::Mutex;
 
 use async_channel::{Receiver, Sender};
-use gaplock_policy::followers::Followers;
+use gaplock_policy::followers::{self, Followers};
 use gaplock_policy::succession::{Candidate, Strength};
-use gaplock_types::time::Instant;
+use gaplock_types::time::{Instant, Millis};
 
 use crate::peers::{Heartbeat, Invitation};
 
@@ -22,6 +22,8 @@
     named: AtomicBool,
     /// The strength of the strongest host that this one has heard of; 0 for none.
     strongest: AtomicU16,
+    /// The pause between heartbeats that the leader asked for last, in milliseconds; 0 for none.
+    beat_after: AtomicU64,
     /// The number of the leadership that this host followed last.
     followed: AtomicU64,
     /// Until when this host leaves claims to others, in milliseconds of its clock.
@@ -50,6 +52,7 @@
             followers: Mutex::default(),
             named: AtomicBool::new(false),
             strongest: AtomicU16::new(0),
+            beat_after: AtomicU64::new(0),
             followed: AtomicU64::new(0),
             stands_back: AtomicU64::new(0),
             invitations: async_channel::bounded(MOST_WAITING),
@@ -104,6 +107,21 @@
         self.followers.lock().expect(LOCK).best(now).cloned()
     }
 
+    /// Returns the pause after which followers are to send their next heartbeat.
+    pub fn beat_every(&self, now: Instant) -> Millis {
+        self.followers.lock().expect(LOCK).beat_every(now)
+    }
+
+    /// Remembers the pause between heartbeats that the leader asked for.
+    pub fn set_beat_after(&self, pause: Millis) {
+        self.beat_after.store(pause.0, Ordering::Relaxed);
+    }
+
+    /// Returns the pause until this host's next heartbeat.
+    pub fn beat_after(&self) -> Millis {
+        Millis(self.beat_after.load(Ordering::Relaxed)).max(followers::BEAT_EVERY)
+    }
+
     /// Forgets the followers of an earlier leadership.
     pub fn forget_followers(&self) {
         self.followers.lock().expect(LOCK).clear();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -293,6 +293,7 @@
             waiting: engine.waiting(),
             successor: best.map(|c| c.host),
             strongest,
+            beat_after: self.handover.beat_every(now),
         }
     }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -105,6 +105,9 @@
         successor: Option<ids::EntryId>,
         /// The strength of the strongest host that the leader knows, itself included.
         strongest: succession::Strength,
+        /// The pause after which the follower is to send its next heartbeat.
+        #[serde(default)]
+        beat_after: Millis,
     },
 }
 
--- a/crates/policy/src/followers.rs
+++ b/crates/policy/src/followers.rs
@@ -1,4 +1,5 @@
-//! A leader's followers, by their last heartbeats, and which of them is named to lead next.
+//! A leader's followers, by their last heartbeats: how often they send one, and which of them is named to
+//! lead next.
 //!
 //! Every answer to a heartbeat names the successor. A choice goes over all followers, so a choice for each answer
 //! would cost the square of their number; one choice serves all answers for a while
@@ -14,6 +15,22 @@
 /// How old a choice may be. A successor that was named this much too late claims as any other host does.
 const CHOICE_MAX_AGE: Millis = Millis(100);
 
+/// The pause between heartbeats on a small installation.
+pub const BEAT_EVERY: Millis = Millis(400);
+
+/// The longest pause between heartbeats: with the time of a call it stays below the age at which a follower is no
+/// longer named, and below that at which the leader's counts are too old to be shown.
+const BEAT_EVERY_MOST: Millis = Millis(1_000);
+
+/// How many heartbeats a leader takes in each second before followers are told to send fewer.
+const BEATS_PER_SECOND: u64 = 500;
+
+/// Returns the pause between two heartbeats of a follower, by the number of followers.
+pub fn beat_every(followers: usize) -> Millis {
+    let needed = Millis(followers as u64 * 1_000 / BEATS_PER_SECOND);
+    needed.clamp(BEAT_EVERY, BEAT_EVERY_MOST)
+}
+
 /// The followers of a leader.
 #[derive(Debug, Default)]
 pub struct Followers {
@@ -27,6 +44,7 @@
 struct Choice {
     at: Instant,
     best: Option<Candidate>,
+    heard: usize,
 }
 
 impl Followers {
@@ -58,6 +76,12 @@
         self.choice.as_ref()?.best.as_ref()
     }
 
+    /// Returns the pause after which a follower is to send its next heartbeat.
+    pub fn beat_every(&mut self, now: Instant) -> Millis {
+        self.look(now);
+        beat_every(self.choice.as_ref().map_or(0, |choice| choice.heard))
+    }
+
     /// Looks at all followers, unless the last look is recent.
     fn look(&mut self, now: Instant) {
         if self.choice.as_ref().is_some_and(|c| now.since(c.at) < CHOICE_MAX_AGE) {
@@ -65,7 +89,8 @@
         }
         self.examined += self.known.len() as u64;
         let best = succession::order(self.known.values(), now).into_iter().next().cloned();
-        self.choice = Some(Choice { at: now, best });
+        let heard = self.known.values().filter(|c| succession::is_heard(c, now)).count();
+        self.choice = Some(Choice { at: now, best, heard });
     }
 
     /// Returns how many followers were examined for all choices so far.
--- a/crates/policy/src/succession.rs
+++ b/crates/policy/src/succession.rs
@@ -51,7 +51,7 @@
     pub heard: Instant,
 }
 
-/// How old a heartbeat may be; followers send one every 0.4 s.
+/// How old a heartbeat may be; followers send one every 0.4 to 1 s (`followers.rs`).
 const HEARD_WITHIN: Millis = Millis(1_300);
 
 /// How long ago the store may have answered a candidate; followers ask it every second.
--- a/crates/policy/tests/followers.rs
+++ b/crates/policy/tests/followers.rs
@@ -1,6 +1,6 @@
 //! What a leader's followers cost it, and whom it names.
 
-use gaplock_policy::followers::Followers;
+use gaplock_policy::followers::{self, Followers};
 use gaplock_policy::succession::{Candidate, Strength};
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
@@ -63,3 +63,28 @@
     followers.clear();
     assert!(followers.best(Instant(101)).is_none());
 }
+
+#[test]
+fn a_leader_takes_as_many_heartbeats_a_second_of_twice_the_hosts() {
+    let a_second = |hosts: usize| hosts as f64 * 1_000.0 / followers::beat_every(hosts).0 as f64;
+    assert_eq!(followers::beat_every(100), Millis(400), "a small installation hears soon");
+    let ratio = a_second(500) / a_second(250);
+    assert!((0.9..1.1).contains(&ratio), "{ratio:.2} times the heartbeats");
+}
+
+#[test]
+fn the_pause_between_heartbeats_goes_by_the_followers_that_are_heard() {
+    let mut followers = Followers::default();
+    (0..400).for_each(|host| followers.note(candidate(host, 100, 0)));
+    assert_eq!(followers.beat_every(Instant(0)), Millis(800));
+    (0..200).for_each(|host| followers.note(candidate(host, 100, 2_000)));
+    assert_eq!(followers.beat_every(Instant(2_000)), Millis(400), "half of them are silent");
+}
+
+#[test]
+fn a_host_that_waits_for_the_longest_pause_is_still_named() {
+    let mut followers = Followers::default();
+    let pause = followers::beat_every(usize::MAX >> 20);
+    followers.note(candidate(1, 1_000, 0));
+    assert!(followers.best(Instant(pause.0 + 200)).is_some(), "its next heartbeat is on its way");
+}
