A look for due renewals costs by those that are due

Cause: while events come in, the leader looks every 2 ms for workers whose renewal is due, and each look went over all workers it has ever seen, also those that are gone.

Change: due times lie in a queue in the order of time.

Test: entries examined for each renewal at 60 and at 240 workers, as a ratio.

--- a/crates/measure/src/leader.rs
+++ b/crates/measure/src/leader.rs
@@ -1,5 +1,5 @@
-//! What the leader's decisions cost by the size of the fleet: an account, a start, a pass over steps
-//! that find no room, the checks of time, and a follower's heartbeat.
+//! What the leader's decisions cost by the size of the fleet: an account, a start, a look for due renewals, a
+//! pass over steps that find no room, the checks of time, and a follower's heartbeat.
 
 use std::sync::Arc;
 use std::time::Instant as StdInstant;
@@ -12,7 +12,7 @@
 use gaplock_sched::message::{
     Account, Action, FencingToken, Outcome, Run, RunningTask, WorkerClock, WorkerInfo, WorkerIx,
 };
-use gaplock_sched::{commits, Context, Event, Settings};
+use gaplock_sched::{commits, renewals, Context, Event, Settings};
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::{Instant, Millis};
 use gaplock_types::{ids, sizes};
@@ -40,8 +40,15 @@
 /// Measures the slopes.
 pub fn measure(seed: u64) -> Report {
     let rows = FLEETS.iter().map(|&workers| row(workers)).collect();
-    let headings =
-        vec!["workers", "account us", "start us", "pass us", "checks us", "heartbeat us"];
+    let headings = vec![
+        "workers",
+        "account us",
+        "start us",
+        "look us",
+        "pass us",
+        "checks us",
+        "heartbeat us",
+    ];
     Report { name: "leader", seed, headings, rows, findings: Vec::new() }
 }
 
@@ -49,10 +56,11 @@
     let mut fleet = open(workers);
     let account = time(TIMES, |n| fleet.account(n % workers));
     let start = fleet.start_cost();
+    let look = fleet.look_cost();
     let pass = fleet.pass_cost();
     let checks = fleet.checks_cost();
     let heartbeat = heartbeat_cost(workers / WORKERS_PER_HOST);
-    let figures = [account, start, pass, checks, heartbeat].map(|us| format!("{us:.1}"));
+    let figures = [account, start, look, pass, checks, heartbeat].map(|us| format!("{us:.1}"));
     [vec![workers.to_string()], figures.to_vec()].concat()
 }
 
@@ -219,6 +227,13 @@
         us
     }
 
+    /// Returns the time of a look for due renewals that finds none.
+    fn look_cost(&mut self) -> f64 {
+        renewals::send_due(&mut self.cx);
+        self.cx.take_actions();
+        time(TIMES, |_| renewals::send_due(&mut self.cx))
+    }
+
     /// Returns the time of one pass in which no step finds room.
     fn pass_cost(&mut self) -> f64 {
         for n in 0..WAITING_STEPS {
--- a/crates/sched/src/changes/commits.rs
+++ b/crates/sched/src/changes/commits.rs
@@ -117,7 +117,6 @@
 /// Takes in that the commit in flight is stored.
 pub fn committed(cx: &mut State) {
     let Some(covered) = cx.commits.in_flight.take() else { return };
-    let now = cx.now;
     saved::commit_ended(cx, true);
     for (key, state) in covered.jobs {
         if let Some(entry) = cx.jobs.get_mut(&key) {
@@ -127,7 +126,7 @@
     for (ix, seq) in covered.ends {
         let worker = cx.worker_mut(ix);
         worker.stored = worker.stored.max(seq);
-        worker.hasten_renewal(now);
+        cx.hasten_renewal(ix);
     }
     for ix in covered.roster {
         let worker = cx.worker_mut(ix);
--- a/crates/sched/src/changes/directory.rs
+++ b/crates/sched/src/changes/directory.rs
@@ -99,6 +99,7 @@
     worker.emptying = upkeep::is_expected_down(cx, &name);
     worker.former = cx.by_name.insert(name, ix);
     cx.workers.push(worker);
+    cx.due.add(cx.now, ix);
     cx.by_id.insert(info.id.clone(), ix);
     evacuation::mark(cx, ix);
     ix
--- a/crates/sched/src/changes/doubts.rs
+++ b/crates/sched/src/changes/doubts.rs
@@ -52,7 +52,6 @@
     run: Run,
     outcome: &Outcome<WorkerClock>,
 ) {
-    let now = cx.now;
     let barred = matches!(outcome, Outcome::Done(_) | Outcome::Refused(Refusal::OldRun));
     let worker = cx.worker_mut(ix);
     if !barred || worker.doubts.get(&key).is_none_or(|doubt| doubt.run != run) {
@@ -60,7 +59,7 @@
     }
     worker.doubts.remove(&key);
     if worker.doubts.is_empty() {
-        worker.hasten_renewal(now);
+        cx.hasten_renewal(ix);
         cx.pass_wanted = true;
     }
 }
--- a/crates/sched/src/changes/lifecycle.rs
+++ b/crates/sched/src/changes/lifecycle.rs
@@ -95,7 +95,7 @@
     let part = pacing::part_of(cx, step);
     let w = cx.worker_mut(worker);
     w.occupy(key, slot_of(step, part, occupant, now));
-    w.hasten_renewal(now);
+    cx.hasten_renewal(worker);
     scarcity::changed(cx, worker, key);
     pacing::refresh(cx, worker);
 }
--- a/crates/sched/src/changes/orders.rs
+++ b/crates/sched/src/changes/orders.rs
@@ -217,7 +217,7 @@
             slot.barred.get_or_insert(now);
             slot.ordered = now;
             slot.stop_again = now + Millis(limit);
-            cx.worker_mut(ix).hasten_renewal(now);
+            cx.hasten_renewal(ix);
         }
         Outcome::Refused(_) => put_off_stop(cx, ix, key),
         Outcome::NotSent | Outcome::Unclear => {}
--- a/crates/sched/src/changes/renewals.rs
+++ b/crates/sched/src/changes/renewals.rs
@@ -14,12 +14,12 @@
 /// Sends every renewal that is due.
 pub fn send_due(cx: &mut State) {
     let now = cx.now;
-    for ix in 0..cx.workers.len() {
-        let worker = &cx.workers[ix];
+    for ix in cx.due.take(now) {
+        let worker = cx.worker(ix);
         if worker.gone || !matches!(worker.renewal, Renewal::Due(at) if at <= now) {
             continue;
         }
-        send(cx, WorkerIx(ix as u32));
+        send(cx, ix);
     }
 }
 
@@ -80,7 +80,7 @@
 pub fn renewed(cx: &mut State, ix: WorkerIx, sent: Instant, outcome: Outcome<Account>) {
     // What an incarnation said before it was known to be over speaks of runs that are over too; nobody
     // would look for their ends. One that is listed again is asked anew.
-    cx.worker_mut(ix).renewal = Renewal::Due(cx.now);
+    cx.set_due(ix, cx.now);
     if cx.worker(ix).gone {
         return;
     }
@@ -122,7 +122,7 @@
         trace::worker_silent(&worker.info.id);
     }
     let pause = Millis(retry.0 * u64::from(worker.missed).min(MISSED_PAUSES));
-    worker.renewal = Renewal::Due(now + pause);
+    cx.set_due(ix, now + pause);
 }
 
 /// The pause before a refused renewal is sent again whose account a task waits for.
@@ -134,7 +134,7 @@
     let worker = cx.worker_mut(ix);
     worker.refuses = true;
     if worker.awaits_proof() {
-        worker.renewal = Renewal::Due(now + REFUSED_RETRY);
+        cx.set_due(ix, now + REFUSED_RETRY);
     }
 }
 
@@ -194,7 +194,7 @@
     } else {
         now
     };
-    worker.renewal = Renewal::Due(next);
+    cx.set_due(ix, next);
     if unstored {
         commits::note_ends(cx);
     }
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -3,6 +3,7 @@
 pub mod checkpoint;
 pub mod commits;
 pub mod doubt;
+pub mod due;
 pub mod freshness;
 pub mod model;
 pub mod paces;
@@ -27,6 +28,7 @@
 use crate::interface::settings::Settings;
 
 use commits::Commits;
+use due::DueRenewals;
 use freshness::Freshness;
 use model::Model;
 use permits::Permits;
@@ -34,7 +36,7 @@
 use suspicion::Crashes;
 use table::{Entry, ReadyStep, StepState, Task, TaskState};
 use upkeep::Upkeep;
-use worker::Worker;
+use worker::{Renewal, Worker};
 
 /// Sound entries whose pool the configuration does not name; a later one may.
 pub type Unnamed = BTreeMap<ids::WorkerId, WorkerInfo>;
@@ -77,6 +79,8 @@
     pub jobs: FxHashMap<JobKey, Entry>,
     /// All workers ever seen by this leader, each start for itself.
     pub workers: Vec<Worker>,
+    /// When their renewals fall due.
+    pub due: DueRenewals,
     /// How many of them are gone.
     pub gone: usize,
     /// Workers by their start.
@@ -135,6 +139,7 @@
             unix_ms,
             jobs: FxHashMap::default(),
             workers: Vec::new(),
+            due: DueRenewals::default(),
             gone: 0,
             by_id: FxHashMap::default(),
             by_name: FxHashMap::default(),
@@ -214,6 +219,20 @@
         &mut self.workers[ix.0 as usize]
     }
 
+    /// Sets when a worker's next renewal is due.
+    pub fn set_due(&mut self, ix: WorkerIx, at: Instant) {
+        self.worker_mut(ix).renewal = Renewal::Due(at);
+        self.due.add(at, ix);
+    }
+
+    /// Makes a worker's next renewal due now, unless one is in flight.
+    pub fn hasten_renewal(&mut self, ix: WorkerIx) {
+        let now = self.now;
+        if matches!(self.worker(ix).renewal, Renewal::Due(at) if at > now) {
+            self.set_due(ix, now);
+        }
+    }
+
     /// Returns how many workers may still run something.
     pub fn fleet_size(&self) -> usize {
         self.workers.len() - self.gone
@@ -226,6 +245,9 @@
             self.gone += 1;
         } else if changed {
             self.gone -= 1;
+            if let Renewal::Due(at) = self.worker(ix).renewal {
+                self.due.add(at, ix);
+            }
         }
         changed
     }
--- /dev/null
+++ b/crates/sched/src/state/due.rs
@@ -0,0 +1,44 @@
+//! Renewals in the order in which they fall due, so that a look for those that are costs by their number and not
+//! by that of all workers.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use gaplock_types::time::Instant;
+
+use crate::interface::message::WorkerIx;
+
+/// When renewals fall due. A worker may be named more than once; what counts is its own state.
+#[derive(Debug, Default)]
+pub struct DueRenewals {
+    queue: BinaryHeap<Reverse<(Instant, WorkerIx)>>,
+    examined: u64,
+}
+
+impl DueRenewals {
+    /// Names a worker whose renewal falls due at `at`.
+    pub fn add(&mut self, at: Instant, worker: WorkerIx) {
+        self.queue.push(Reverse((at, worker)));
+    }
+
+    /// Takes the workers whose time has come, each of them once, in the order in which they became known.
+    pub fn take(&mut self, now: Instant) -> Vec<WorkerIx> {
+        let mut due = Vec::new();
+        while let Some(&Reverse((at, worker))) = self.queue.peek() {
+            if at > now {
+                break;
+            }
+            self.queue.pop();
+            due.push(worker);
+        }
+        self.examined += due.len() as u64;
+        due.sort_unstable();
+        due.dedup();
+        due
+    }
+
+    /// Returns how many entries were taken so far.
+    pub fn examined(&self) -> u64 {
+        self.examined
+    }
+}
--- a/crates/sched/src/state/worker.rs
+++ b/crates/sched/src/state/worker.rs
@@ -270,13 +270,6 @@
         self.clock = Some((now, clock));
     }
 
-    /// Makes the next renewal due now, unless one is in flight.
-    pub fn hasten_renewal(&mut self, now: Instant) {
-        if let Renewal::Due(at) = self.renewal {
-            self.renewal = Renewal::Due(at.min(now));
-        }
-    }
-
     /// Adds a run.
     pub fn occupy(&mut self, task: TaskKey, slot: Slot) {
         self.used = self.used.plus(&slot.takes);
--- a/crates/sched/tests/fleet/renewals.rs
+++ b/crates/sched/tests/fleet/renewals.rs
@@ -34,6 +34,24 @@
     assert_kept(&world);
 }
 
+/// Returns how many entries of the queue of due renewals were examined for each renewal of a fleet at work.
+fn examined_for_each_renewal(workers: usize) -> f64 {
+    let mut world = World::open(72, workers);
+    world.work_ms = 60_000;
+    world.submit(job(1, vec![step(workers as u32, &[])]));
+    world.run(1_000);
+    let before = world.renewals_examined();
+    let renewals = world.renewals_within(2_000);
+    (world.renewals_examined() - before) as f64 / renewals as f64
+}
+
+#[test]
+fn a_look_for_due_renewals_costs_by_those_that_are_due() {
+    let (small, large) = (examined_for_each_renewal(60), examined_for_each_renewal(240));
+    let ratio = large / small;
+    assert!(ratio < 1.3, "{small:.1} entries for each renewal, {large:.1} on four times the fleet");
+}
+
 #[test]
 fn renewals_wait_longer_on_large_fleets_but_no_longer_than_workers_hold_them() {
     let usual = Millis(1_000);
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -34,6 +34,11 @@
         self.renewals.len() - before
     }
 
+    /// Returns how many entries the leader has examined in its queue of due renewals.
+    pub fn renewals_examined(&self) -> u64 {
+        self.cx.as_ref().map_or(0, |cx| cx.due.examined())
+    }
+
     /// Returns how many renewals were ever sent to a worker.
     pub fn renewals_to(&self, worker: usize) -> usize {
         self.renewals.iter().filter(|(_, to)| *to == worker).count()
--- a/crates/sched/tests/floors/table.rs
+++ b/crates/sched/tests/floors/table.rs
@@ -29,6 +29,7 @@
             "state::paces",
             "state::rates",
             "state::doubt",
+            "state::due",
             "state::trial",
             "state::suspicion",
             "state::permits",
