Records of a commit are found by what they speak of

Cause: a record of a worker takes the place of an older one of the same worker, and the older one was looked for among all records that wait.

Change: records that wait lie in a map by their subject. The order within a commit is now that of the subjects; nothing depends on it, since the commit counts as a whole.

--- a/crates/policy/tests/followers.rs
+++ b/crates/policy/tests/followers.rs
@@ -25,7 +25,7 @@
     let mut followers = Followers::default();
     (0..hosts).for_each(|host| followers.note(candidate(host, 100, 0)));
     for ms in 0..2_000_u64 {
-        for host in (0..hosts).filter(|&host| (ms + host as u64) % BEAT_EVERY == 0) {
+        for host in (0..hosts).filter(|&host| (ms + host as u64).is_multiple_of(BEAT_EVERY)) {
             followers.note(candidate(host, 100, ms));
             assert!(followers.best(Instant(ms)).is_some());
         }
--- a/crates/sched/src/changes/commits.rs
+++ b/crates/sched/src/changes/commits.rs
@@ -8,14 +8,13 @@
 
 use gaplock_jobs::progress::{Progress, RoundProgress, StepProgress, TaskNote};
 use gaplock_jobs::{progress, JobKey};
-use gaplock_types::ids;
 use gaplock_types::time::Instant;
 
 use crate::changes::crashes::saved;
 use crate::changes::trace;
 use crate::interface::message::{EndSeq, Record, RosterEntry, WorkerIx};
 use crate::state::checkpoint::Checkpoint;
-use crate::state::commits::{Commits, Covered};
+use crate::state::commits::{Commits, Covered, Records};
 use crate::state::table::{Entry, StepState, Task, TaskState};
 use crate::state::State;
 
@@ -31,34 +30,12 @@
     commits.urgent = true;
 }
 
-/// Adds a record that is not a job's progress. It takes the place of an earlier one on the same
-/// worker, since one commit must not write a key twice.
+/// Adds a record that is not a job's progress. It takes the place of an earlier one of the same subject.
 pub fn add(cx: &mut State, record: Record) {
-    push(&mut cx.commits.other, record);
+    cx.commits.other.put(record);
     cx.commits.since.get_or_insert(cx.now);
 }
 
-fn push(records: &mut Vec<Record>, record: Record) {
-    if let Some(worker) = worker_of(&record) {
-        records.retain(|r| worker_of(r) != Some(worker));
-    }
-    // A transaction sets each key once, and the newer record holds all that the older one does.
-    if let Record::Wave(newer) = &record {
-        let same = |r: &Record| matches!(r, Record::Wave(older) if older.number == newer.number);
-        records.retain(|r| !same(r));
-    }
-    records.push(record);
-}
-
-/// Returns the worker whose place in the roster a record changes.
-fn worker_of(record: &Record) -> Option<&ids::WorkerId> {
-    match record {
-        Record::Worker(entry) => Some(&entry.info.id),
-        Record::ForgetWorker(id) => Some(id),
-        _ => None,
-    }
-}
-
 /// Adds a worker to the stored roster; it gets tasks once that is stored.
 pub fn add_worker(cx: &mut State, ix: WorkerIx) {
     let worker = cx.worker_mut(ix);
@@ -106,7 +83,7 @@
 }
 
 /// Finds the workers that these records add to the stored roster.
-fn roster_of(cx: &State, records: &[Record]) -> Vec<WorkerIx> {
+fn roster_of(cx: &State, records: &Records) -> Vec<WorkerIx> {
     let ids = records.iter().filter_map(|r| match r {
         Record::Worker(entry) if entry.holds.is_none() => Some(&entry.info.id),
         _ => None,
@@ -133,9 +110,9 @@
         worker.in_roster = worker.roster_pending;
         worker.roster_pending = false;
     }
-    for record in covered.other {
+    for record in covered.other.iter() {
         if let Record::Wave(progress) = record {
-            cx.upkeep.note_stored(&progress);
+            cx.upkeep.note_stored(progress);
         }
     }
     cx.pass_wanted = true;
@@ -151,9 +128,7 @@
         mark(&mut cx.commits, now, key);
     }
     let newer = mem::replace(&mut cx.commits.other, covered.other);
-    for record in newer {
-        push(&mut cx.commits.other, record);
-    }
+    cx.commits.other.put_all(newer);
     cx.commits.since.get_or_insert(now);
 }
 
--- a/crates/sched/src/state/commits.rs
+++ b/crates/sched/src/state/commits.rs
@@ -1,18 +1,71 @@
 //! What waits to be stored, and what is being stored.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::JobKey;
+use gaplock_types::ids;
 use gaplock_types::time::Instant;
 
-use crate::interface::message::{EndSeq, Record, WorkerIx};
+use crate::interface::message::{EndSeq, Record, WaveNumber, WorkerIx};
+
+/// What a record speaks of. A transaction writes each key once, and the newer record of a subject holds all that
+/// the older one does.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Subject {
+    Progress(JobKey),
+    Forgotten(JobKey),
+    Worker(ids::WorkerId),
+    Learnt,
+    Wave(WaveNumber),
+}
+
+impl Subject {
+    /// Returns what a record speaks of.
+    fn of(record: &Record) -> Self {
+        match record {
+            Record::Progress(progress) => Self::Progress(progress.key),
+            Record::Forget(key) => Self::Forgotten(*key),
+            Record::Worker(entry) => Self::Worker(entry.info.id.clone()),
+            Record::ForgetWorker(id) => Self::Worker(id.clone()),
+            Record::Learnt(_) => Self::Learnt,
+            Record::Wave(progress) => Self::Wave(progress.number),
+        }
+    }
+}
+
+/// Records by their subjects. Thousands of workers enter the roster in one commit, so a newer record finds the
+/// older one by its subject.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Records(BTreeMap<Subject, Record>);
+
+impl Records {
+    /// Adds a record in place of an older one of its subject.
+    pub(crate) fn put(&mut self, record: Record) {
+        self.0.insert(Subject::of(&record), record);
+    }
+
+    /// Adds newer records.
+    pub(crate) fn put_all(&mut self, newer: Self) {
+        self.0.extend(newer.0);
+    }
+
+    /// Lists the records.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Record> {
+        self.0.values()
+    }
+
+    /// Returns how many there are.
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+}
 
 /// What waits to be stored, and what is being stored.
 #[derive(Debug, Default)]
 pub struct Commits {
     pub(crate) dirty: BTreeSet<JobKey>,
-    pub(crate) other: Vec<Record>,
+    pub(crate) other: Records,
     pub(crate) since: Option<Instant>,
     pub(crate) urgent: bool,
     pub(crate) in_flight: Option<Covered>,
@@ -23,6 +76,6 @@
 pub(crate) struct Covered {
     pub(crate) jobs: Vec<(JobKey, JobState)>,
     pub(crate) ends: Vec<(WorkerIx, EndSeq)>,
-    pub(crate) other: Vec<Record>,
+    pub(crate) other: Records,
     pub(crate) roster: Vec<WorkerIx>,
 }
