Hosts that cannot lead next check the store less often on a large fleet

Cause: every follower read the configuration from the store each second, to know that the store answers it.

Who needs it: the leader, whose leadership the word of any one host ends where the store no longer answers it, and the choice of a successor, which asks for a recent answer of the store and takes no host that is much weaker than another one.

Change: the leader answers whether a check is wanted: by the second of hosts that may lead next, so that 100 come in a second of the others, each within 5 s; and of all at once while its own confirmation is overdue. A host whose calls fail checks as before. Up to 100 hosts, and where none is stronger than the others, nothing changes.

Tests: checks of 200 and of 400 weak hosts as a ratio; hosts that may lead next check by the second.

--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -24,9 +24,6 @@
 /// The pause before the store is asked again who leads.
 const ASK_AGAIN: Duration = Duration::from_millis(200);
 
-/// How often a follower makes sure that the store answers it; the leader needs to know.
-const STORE_CHECK_EVERY: Millis = Millis(1_000);
-
 /// How old the leader's last reading of the configuration may be before a follower reads it from
 /// the store itself; a change must be in force within 2 s.
 const CONFIG_MAX_AGE: Millis = Millis(900);
@@ -190,9 +187,11 @@
             successor,
             strongest,
             beat_after,
+            check_store,
         } => {
             node.handover.set_strongest(strongest);
             node.handover.set_beat_after(beat_after);
+            node.handover.set_check_wanted(check_store);
             node.handover.set_named(successor.as_ref() == Some(&node.installation.host));
             if let Some(config) = config {
                 node.set_config(config);
@@ -210,12 +209,11 @@
     matches!(probe, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Makes sure now and then that the store answers this host, and reads the configuration with it.
+/// Makes sure that the store answers this host where the leader wants to know or the host needs to, and reads the
+/// configuration with it.
 async fn check_store(node: &Node) {
-    if node.is_store_away()
-        || node.store_age() >= STORE_CHECK_EVERY
-        || node.config_age() >= CONFIG_MAX_AGE
-    {
+    let wanted = node.handover.take_check_wanted();
+    if wanted || node.is_store_away() || node.config_age() >= CONFIG_MAX_AGE {
         read_config(node).await;
     }
 }
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -24,6 +24,8 @@
     strongest: AtomicU16,
     /// The pause between heartbeats that the leader asked for last, in milliseconds; 0 for none.
     beat_after: AtomicU64,
+    /// Whether the leader asked this host to check the store.
+    check_wanted: AtomicBool,
     /// The number of the leadership that this host followed last.
     followed: AtomicU64,
     /// Until when this host leaves claims to others, in milliseconds of its clock.
@@ -53,6 +55,7 @@
             named: AtomicBool::new(false),
             strongest: AtomicU16::new(0),
             beat_after: AtomicU64::new(0),
+            check_wanted: AtomicBool::new(false),
             followed: AtomicU64::new(0),
             stands_back: AtomicU64::new(0),
             invitations: async_channel::bounded(MOST_WAITING),
@@ -112,6 +115,22 @@
         self.followers.lock().expect(LOCK).beat_every(now)
     }
 
+    /// Tells whether a follower should make sure now that the store answers it.
+    pub fn should_check(&self, now: Instant, beat: &Heartbeat) -> bool {
+        let mut followers = self.followers.lock().expect(LOCK);
+        followers.should_check(now, beat.strength, beat.store_age)
+    }
+
+    /// Remembers whether the leader asked this host to check the store.
+    pub fn set_check_wanted(&self, wanted: bool) {
+        self.check_wanted.store(wanted, Ordering::Relaxed);
+    }
+
+    /// Tells, once, whether the leader asked this host to check the store.
+    pub fn take_check_wanted(&self) -> bool {
+        self.check_wanted.swap(false, Ordering::Relaxed)
+    }
+
     /// Remembers the pause between heartbeats that the leader asked for.
     pub fn set_beat_after(&self, pause: Millis) {
         self.beat_after.store(pause.0, Ordering::Relaxed);
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -166,6 +166,11 @@
         Instant(self.confirmed.load(Ordering::SeqCst))
     }
 
+    /// Tells whether a confirmation is overdue, so that the word of other hosts about the store is needed.
+    pub fn is_in_doubt(&self, now: Instant) -> bool {
+        now.since(self.confirmed()) >= CONFIRMED_LATER
+    }
+
     /// Takes in another host's word: how long ago the store last answered it.
     pub fn heard(&self, now: Instant, store_age: Millis) {
         self.peers_heard.fetch_max(now.0, Ordering::SeqCst);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -294,6 +294,7 @@
             successor: best.map(|c| c.host),
             strongest,
             beat_after: self.handover.beat_every(now),
+            check_store: engine.standing.is_in_doubt(now) || self.handover.should_check(now, &beat),
         }
     }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -108,9 +108,18 @@
         /// The pause after which the follower is to send its next heartbeat.
         #[serde(default)]
         beat_after: Millis,
+        /// Whether the follower should make sure that the store answers it. Its word ends the leadership where
+        /// the store no longer answers the leader.
+        #[serde(default = "by_default")]
+        check_store: bool,
     },
 }
 
+/// What a leader wants that does not tell.
+fn by_default() -> bool {
+    true
+}
+
 /// What a leader says of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum StatusAnswer {
--- a/crates/policy/src/followers.rs
+++ b/crates/policy/src/followers.rs
@@ -1,5 +1,5 @@
-//! A leader's followers, by their last heartbeats: how often they send one, and which of them is named to
-//! lead next.
+//! A leader's followers, by their last heartbeats: how often they send one, when they check the store, and which of
+//! them is named to lead next.
 //!
 //! Every answer to a heartbeat names the successor. A choice goes over all followers, so a choice for each answer
 //! would cost the square of their number; one choice serves all answers for a while
@@ -10,7 +10,7 @@
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::succession::{self, Candidate};
+use crate::succession::{self, Candidate, Strength};
 
 /// How old a choice may be. A successor that was named this much too late claims as any other host does.
 const CHOICE_MAX_AGE: Millis = Millis(100);
@@ -25,6 +25,22 @@
 /// How many heartbeats a leader takes in each second before followers are told to send fewer.
 const BEATS_PER_SECOND: u64 = 500;
 
+/// How often a follower that may lead next makes sure that the store answers it, and every one of a small
+/// installation.
+const CHECK_EVERY: Millis = Millis(1_000);
+
+/// The longest time between two checks of a follower that may not lead next.
+const CHECK_EVERY_MOST: Millis = Millis(5_000);
+
+/// How many of these checks all followers together make in each second.
+const CHECKS_PER_SECOND: u64 = 100;
+
+/// Returns the time between two checks of a follower that may not lead next, by the number of followers.
+pub fn check_every(followers: usize) -> Millis {
+    let needed = Millis(followers as u64 * 1_000 / CHECKS_PER_SECOND);
+    needed.clamp(CHECK_EVERY, CHECK_EVERY_MOST)
+}
+
 /// Returns the pause between two heartbeats of a follower, by the number of followers.
 pub fn beat_every(followers: usize) -> Millis {
     let needed = Millis(followers as u64 * 1_000 / BEATS_PER_SECOND);
@@ -82,6 +98,19 @@
         beat_every(self.choice.as_ref().map_or(0, |choice| choice.heard))
     }
 
+    /// Tells whether a follower should make sure now that the store answers it. Only followers that may lead next
+    /// need to know by the second.
+    pub fn should_check(&mut self, now: Instant, strength: Strength, store_age: Millis) -> bool {
+        self.look(now);
+        let Some(choice) = &self.choice else { return store_age >= CHECK_EVERY };
+        let strongest = choice.best.as_ref().map_or(Strength(0), |best| best.strength);
+        let every = match succession::is_much_weaker(strength, strongest) {
+            true => check_every(choice.heard),
+            false => CHECK_EVERY,
+        };
+        store_age >= every
+    }
+
     /// Looks at all followers, unless the last look is recent.
     fn look(&mut self, now: Instant) {
         if self.choice.as_ref().is_some_and(|c| now.since(c.at) < CHOICE_MAX_AGE) {
--- a/crates/policy/src/succession.rs
+++ b/crates/policy/src/succession.rs
@@ -67,7 +67,7 @@
     let (mut found, without): (Vec<&Candidate>, Vec<&Candidate>) =
         candidates.filter(|c| is_heard(c, now)).partition(|c| c.store_age <= STORE_WITHIN);
     let strongest = without.iter().map(|c| c.strength.0).max().unwrap_or(0);
-    found.retain(|c| c.strength.0 + MUCH_STRONGER > strongest);
+    found.retain(|c| !is_much_weaker(c.strength, Strength(strongest)));
     found.sort_unstable_by(|a, b| rank(a).cmp(&rank(b)));
     found
 }
@@ -86,9 +86,14 @@
 /// stops new starts for some 0.2 s.
 const MUCH_STRONGER: u16 = 300;
 
+/// Tells whether a host is so much weaker than another that it should not lead in its place.
+pub fn is_much_weaker(own: Strength, other: Strength) -> bool {
+    other.0 >= own.0 + MUCH_STRONGER
+}
+
 /// Tells whether a leader should hand over to its best follower.
 pub fn should_make_way(own: Strength, best: Option<&Candidate>) -> bool {
-    best.is_some_and(|c| c.strength.0 >= own.0 + MUCH_STRONGER)
+    best.is_some_and(|c| is_much_weaker(own, c.strength))
 }
 
 /// The pause before a claim of a host that is weaker by a whole [`ENOUGH`] than the strongest one:
--- a/crates/policy/tests/followers.rs
+++ b/crates/policy/tests/followers.rs
@@ -88,3 +88,38 @@
     followers.note(candidate(1, 1_000, 0));
     assert!(followers.best(Instant(pause.0 + 200)).is_some(), "its next heartbeat is on its way");
 }
+
+/// Plays a minute in which `strong` of the followers could lead; returns how often strong and weak ones were told
+/// to check the store.
+fn checks(strong: usize, weak: usize) -> (usize, usize) {
+    let mut followers = Followers::default();
+    let mut checked = vec![0_u64; strong + weak];
+    let (mut by_strong, mut by_weak) = (0, 0);
+    for ms in (0..60_000_u64).step_by(500) {
+        for (host, last) in checked.iter_mut().enumerate() {
+            let strength = Strength(if host < strong { 1_000 } else { 200 });
+            followers.note(candidate(host, strength.0, ms));
+            if followers.should_check(Instant(ms), strength, Millis(ms - *last)) {
+                *last = ms;
+                let by = if host < strong { &mut by_strong } else { &mut by_weak };
+                *by += 1;
+            }
+        }
+    }
+    (by_strong, by_weak)
+}
+
+#[test]
+fn weak_hosts_of_twice_the_fleet_check_the_store_as_often_in_all() {
+    let ((_, small), (_, large)) = (checks(4, 200), checks(4, 400));
+    let ratio = large as f64 / small as f64;
+    assert!(ratio < 1.2, "{ratio:.2} times the checks, {small} and {large}");
+}
+
+#[test]
+fn a_host_that_may_lead_next_checks_the_store_by_the_second() {
+    let (strong, _) = checks(4, 400);
+    assert_eq!(strong, 4 * 59);
+    let (_, weak) = checks(0, 4);
+    assert_eq!(weak, 4 * 59, "where no host is stronger, each may lead");
+}
