A follower looks at the age of its configuration right after the leader has told it

Cause: the check whether the leader's last reading of the configuration is too old came after the pause between two heartbeats.

Change: the age is looked at when the leader's answer has set it. The check that the leader asks for comes before the next heartbeat, which tells the leader what came of it, and the leader asks where the store's age would be too high by then. Between heartbeats of 0.4 s that is as before: every third one.

--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -66,7 +66,7 @@
                 task::sleep(ASK_AGAIN).await;
             }
         }
-        check_store(&node).await;
+        read_config_if_old(&node).await;
     }
 }
 
@@ -94,6 +94,7 @@
     loop {
         match heartbeat(node, &leader.addr).await {
             Ok(true) => {
+                read_config_if_old(node).await;
                 if let Some(invited) = wait(node).await {
                     return claim_invited(node, invited).await;
                 }
@@ -107,10 +108,13 @@
                 break;
             }
         }
-        check_store(node).await;
         if node.is_stopping() {
             return;
         }
+        // The next heartbeat tells the leader what came of it.
+        if node.handover.take_check_wanted() {
+            read_config(node).await;
+        }
     }
     // A leader that has just stopped answers that it leads no longer, and may be about to invite.
     let invited = future::timeout(ASK_AGAIN, node.handover.next_invitation()).await;
@@ -209,11 +213,9 @@
     matches!(probe, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Makes sure that the store answers this host where the leader wants to know or the host needs to, and reads the
-/// configuration with it.
-async fn check_store(node: &Node) {
-    let wanted = node.handover.take_check_wanted();
-    if wanted || node.is_store_away() || node.config_age() >= CONFIG_MAX_AGE {
+/// Reads the configuration from the store where what is known of it is old, or where the store has been away.
+async fn read_config_if_old(node: &Node) {
+    if node.is_store_away() || node.config_age() >= CONFIG_MAX_AGE {
         read_config(node).await;
     }
 }
--- a/crates/policy/src/followers.rs
+++ b/crates/policy/src/followers.rs
@@ -98,17 +98,17 @@
         beat_every(self.choice.as_ref().map_or(0, |choice| choice.heard))
     }
 
-    /// Tells whether a follower should make sure now that the store answers it. Only followers that may lead next
-    /// need to know by the second.
+    /// Tells whether a follower should make sure that the store answers it before it sends its next heartbeat, which
+    /// tells the store's age. Only followers that may lead next need to know by the second.
     pub fn should_check(&mut self, now: Instant, strength: Strength, store_age: Millis) -> bool {
-        self.look(now);
-        let Some(choice) = &self.choice else { return store_age >= CHECK_EVERY };
+        let then = Millis(store_age.0 + self.beat_every(now).0);
+        let Some(choice) = &self.choice else { return then >= CHECK_EVERY };
         let strongest = choice.best.as_ref().map_or(Strength(0), |best| best.strength);
         let every = match succession::is_much_weaker(strength, strongest) {
             true => check_every(choice.heard),
             false => CHECK_EVERY,
         };
-        store_age >= every
+        then >= every
     }
 
     /// Looks at all followers, unless the last look is recent.
