A survey orders no paces of the runs that it finds

No account tells a run's pace, so each filling run that is found beside a serving one needs an order, and all are found at one time. The orders grow with what fills, and delay the survey and the starts behind it, which wait for the leader's one thread.

Change: while a survey lasts, and for 2 s at most, only orders that lower a pace go out. A found run is held to work at full pace until then, as before, so nothing beside it reckons with less. The orders go out with the next accounts, which are spread.

--- a/crates/sched/src/changes/pacing/paces.rs
+++ b/crates/sched/src/changes/pacing/paces.rs
@@ -3,6 +3,7 @@
 
 use gaplock_jobs::TaskKey;
 use gaplock_policy::tries::Fate;
+use gaplock_types::time::Millis;
 
 use super::spare;
 use crate::changes::trace;
@@ -63,12 +64,18 @@
 /// other, one call a second where 4 s are allowed.
 const AGAIN_AFTER: f64 = 0.25;
 
+/// How long a survey keeps runs that it finds from being given their pace, unless that is lowered. Their paces are
+/// not known, so each of them needs an order; until then it is held to work at full pace. The survey's calls and
+/// the starts behind them go first.
+const FOUND_WAIT: Millis = Millis(2_000);
+
 /// Orders a task's pace, unless the change is not worth a call or an order is on its way. The pace
 /// of a run in doubt is ordered though it was confirmed before: an older order may have undone it
 /// since.
 fn order_pace(cx: &mut State, ix: WorkerIx, wanted: &FillingTask) {
     let now = cx.now;
     let again_after = paces::part_of(cx.settings.tail_excess, AGAIN_AFTER);
+    let surveys = cx.survey.as_ref().is_some_and(|survey| now.since(survey.began) < FOUND_WAIT);
     let worker = cx.worker_mut(ix);
     let Some(slot) = worker.slots.get_mut(&wanted.key) else { return };
     let edge = wanted.pace == 0 || wanted.pace == FULL_PACE;
@@ -77,7 +84,7 @@
     if slot.phase != Phase::Running || slot.pacing {
         return;
     }
-    if !worth_a_call && !slot.paces.is_due(now, again_after) {
+    if !worth_a_call && (surveys || !slot.paces.is_due(now, again_after)) {
         return;
     }
     if wanted.pace >= MOVE_BELOW {
--- a/crates/sched/tests/fleet/late_paces.rs
+++ b/crates/sched/tests/fleet/late_paces.rs
@@ -113,6 +113,27 @@
     assert_kept(&world);
 }
 
+#[test]
+fn a_survey_orders_no_paces_of_the_runs_that_it_finds() {
+    let mut world = World::open(117, 24);
+    world.work_ms = 600_000;
+    world.submit(job(1, vec![Step { count: 24, ..serving_job(1).steps[0].clone() }]));
+    world.readings.insert(JobKey(1), 10);
+    world.run(500);
+    world.submit(filling_job(2, 24));
+    world.run(1_500);
+    world.crash(0);
+    world.lose_leader();
+    world.take_over();
+    let before = world.paces_ordered;
+    world.run(1_000);
+    assert!(world.in_survey(), "the silent worker's leases are not over");
+    assert_eq!(world.paces_ordered, before, "paces were ordered beside the survey");
+    world.run(2_000);
+    assert!(world.in_survey() && world.paces_ordered > before, "a long survey keeps no run slow");
+    assert_kept(&world);
+}
+
 #[test]
 fn a_run_in_doubt_costs_about_one_order_a_second() {
     let mut world = shared(115, 1);
