A new leader logs no line for each worker that it finds as it was stored

Writing takes the processor time of the one thread that the survey's calls need, and the lines grow with the fleet and tell nothing: takeover_began has the counts.

Change: a worker that the roster and the first reading of the directory show in the same way gets no line; one that is leaving, unreadable or new does, and each later change.

--- a/crates/sched/src/changes/directory.rs
+++ b/crates/sched/src/changes/directory.rs
@@ -26,6 +26,7 @@
     }
     cx.unnamed.remove(&info.id);
     let listing = listing_of(cx, &info);
+    let is_new = !cx.by_id.contains_key(&info.id);
     let ix = known_or_new(cx, &info, listing);
     let worker = cx.worker_mut(ix);
     let was = worker.listing;
@@ -37,7 +38,7 @@
     cx.set_gone(ix, false);
     evacuation::mark(cx, ix);
     let worker = cx.worker(ix);
-    if was != listing {
+    if is_new || was != listing && !is_as_stored(cx, worker) {
         trace::worker_listed(&worker.info, worker.listing);
     }
     if !worker.info.capacity.holds(&worker.used) {
@@ -47,6 +48,13 @@
     cx.pass_wanted = true;
 }
 
+/// Tells whether a successor reads for the first time of a worker that it knows from the roster, and finds it
+/// ready. A line for each of thousands would take up processor time that the survey needs.
+fn is_as_stored(cx: &State, worker: &Worker) -> bool {
+    let restoring = cx.survey.as_ref().is_some_and(|survey| survey.began == cx.now);
+    restoring && worker.listing == Listing::Ready
+}
+
 /// Tells whether an entry names another address than that of an incarnation which may run something. None
 /// changes its address, and what answers at the other one would pass for proof that this one is over. The
 /// address is not known where the roster's record could not be read.
@@ -93,7 +101,6 @@
         return ix;
     }
     let ix = WorkerIx(cx.workers.len() as u32);
-    trace::worker_listed(info, listing);
     let name = info.id.name();
     let mut worker = Worker::new(info.clone(), listing, cx.now);
     worker.emptying = upkeep::is_expected_down(cx, &name);
