--- /dev/null
+++ b/crates/sched/tests/fleet/cancelled.rs
@@ -0,0 +1,71 @@
+//! Runs of jobs that were cancelled: none goes on or begins, whoever started it and however late its worker
+//! carried the start out.
+
+use gaplock_types::time::Millis;
+
+use crate::world::{assert_kept, job, step, World};
+
+/// How long after the first accounts a run of a cancelled job may be there: the time of a stop, and of the
+/// account that shows the run.
+const STOPPED_WITHIN: u64 = 2_000;
+
+/// Builds a world whose leader has started tasks that work for long, and is lost before they are cancelled.
+fn cancelled_without_a_leader(seed: u64) -> World {
+    let mut world = World::open(seed, 4);
+    world.work_ms = 60_000;
+    world.submit(job(1, vec![step(12, &[])]));
+    world.run(1_000);
+    assert_eq!(world.running_of(1), 12);
+    world.lose_leader();
+    world.cancel(1);
+    world
+}
+
+#[test]
+fn runs_whose_starter_was_removed_end_once_their_job_is_cancelled() {
+    let mut world = cancelled_without_a_leader(401);
+    world.run(500);
+    world.take_over();
+    world.run(STOPPED_WITHIN);
+    for _ in 0..10 {
+        assert_eq!(world.running_of(1), 0, "a run of a cancelled job goes on");
+        world.run(1_000);
+    }
+    assert_kept(&world);
+}
+
+#[test]
+fn a_start_that_its_worker_carries_out_late_ends_though_its_starter_was_removed() {
+    let mut world = World::open(402, 2);
+    world.work_ms = 60_000;
+    world.run(100);
+    for worker in &mut world.workers {
+        worker.delays_start = Some(3_000);
+    }
+    world.submit(job(1, vec![step(2, &[])]));
+    world.run(50);
+    world.lose_leader();
+    world.cancel(1);
+    world.take_over();
+    // The successor's token refuses a late start, or its accounts show the run.
+    world.run(3_000 + STOPPED_WITHIN);
+    for _ in 0..10 {
+        assert_eq!(world.running_of(1), 0, "a run of a cancelled job goes on");
+        world.run(1_000);
+    }
+    assert_kept(&world);
+}
+
+#[test]
+fn a_worker_that_was_silent_when_the_job_was_cancelled_stops_its_runs_once_it_answers() {
+    let mut world = cancelled_without_a_leader(403);
+    let cut = (0..4).find(|&at| world.running_at(at) > 0).expect("tasks run");
+    world.workers[cut].cut = true;
+    world.take_over();
+    let silent = Millis(world.settings.lease_max.0 / 2);
+    world.run(silent.0);
+    world.workers[cut].cut = false;
+    world.run(STOPPED_WITHIN);
+    assert_eq!(world.running_of(1), 0, "a run of a cancelled job goes on at a worker that is back");
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod backlogs;
 mod bursts;
+mod cancelled;
 mod capacity;
 mod checkpoints;
 mod crashes;
