--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -27,5 +27,6 @@
 mod takeovers;
 mod trials;
 mod waves;
+mod whole_fleet;
 mod withdrawals;
 mod world;
