--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -53,6 +53,8 @@
     pub suspect_tasks: Gauge,
     /// How far the leader's view of the directory is behind, in milliseconds.
     pub directory_lag_ms: Gauge,
+    /// Events that wait for the leader; it cannot keep up where they grow. 0 on a follower.
+    pub waiting_events: Gauge,
     /// Log lines that were dropped because standard output was not read in time.
     pub log_lines_dropped: Gauge,
 }
@@ -90,6 +92,7 @@
     let suspect_tasks = gauge("suspect_tasks", "Tasks that are suspected of crashing workers");
     let directory_lag_ms =
         gauge("directory_lag_ms", "How far the leader's view of the workers' directory is behind");
+    let waiting_events = gauge("waiting_events", "Events that wait for the leader");
     Metrics {
         registry,
         answers,
@@ -105,6 +108,7 @@
         unreadable_entries,
         suspect_tasks,
         directory_lag_ms,
+        waiting_events,
         log_lines_dropped,
     }
 }
--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -203,6 +203,17 @@
     assert!(site.twice().is_empty());
 }
 
+#[test]
+fn a_leader_shows_how_many_events_wait_for_it() {
+    let site = open_site(2, 2, Duration::from_millis(300));
+    wait_for("the workers to be known", || site.knows_workers());
+    assert_eq!(submit(&site, 0, 1), Some(200));
+    wait_for("completion", || shows(&site, 0, 1, "completed"));
+    let leader = site.leader().expect("there is a leader");
+    let waiting = site.hosts[leader].metric("gaplock_waiting_events");
+    assert!(waiting.is_some_and(|events| events < 1_000), "{waiting:?} events wait");
+}
+
 #[test]
 fn a_job_is_refused_at_once_while_the_store_is_away() {
     let site = open_site(2, 2, Duration::from_millis(300));
