--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -90,8 +90,7 @@
     let unreadable_entries =
         gauge("unreadable_entries", "Entries of the directory that no worker writes");
     let suspect_tasks = gauge("suspect_tasks", "Tasks that are suspected of crashing workers");
-    let directory_lag_ms =
-        gauge("directory_lag_ms", "How far the leader's view of the workers' directory is behind");
+    let directory_lag_ms = gauge("directory_lag_ms", "Lag of the view of the workers' directory");
     let waiting_events = gauge("waiting_events", "Events that wait for the leader");
     Metrics {
         registry,
--- a/crates/policy/src/followers.rs
+++ b/crates/policy/src/followers.rs
@@ -55,7 +55,7 @@
     examined: u64,
 }
 
-/// What one look at all followers has found.
+/// What was found when all followers were last examined.
 #[derive(Debug)]
 struct Choice {
     at: Instant,
@@ -88,13 +88,13 @@
 
     /// Returns the follower that should lead next.
     pub fn best(&mut self, now: Instant) -> Option<&Candidate> {
-        self.look(now);
+        self.choose(now);
         self.choice.as_ref()?.best.as_ref()
     }
 
     /// Returns the pause after which a follower is to send its next heartbeat.
     pub fn beat_every(&mut self, now: Instant) -> Millis {
-        self.look(now);
+        self.choose(now);
         beat_every(self.choice.as_ref().map_or(0, |choice| choice.heard))
     }
 
@@ -111,8 +111,8 @@
         then >= every
     }
 
-    /// Looks at all followers, unless the last look is recent.
-    fn look(&mut self, now: Instant) {
+    /// Chooses anew among all followers, unless the last choice is recent.
+    fn choose(&mut self, now: Instant) {
         if self.choice.as_ref().is_some_and(|c| now.since(c.at) < CHOICE_MAX_AGE) {
             return;
         }
--- a/crates/sched/src/changes/pacing/paces.rs
+++ b/crates/sched/src/changes/pacing/paces.rs
@@ -75,7 +75,7 @@
 fn order_pace(cx: &mut State, ix: WorkerIx, wanted: &FillingTask) {
     let now = cx.now;
     let again_after = paces::part_of(cx.settings.tail_excess, AGAIN_AFTER);
-    let surveys = cx.survey.as_ref().is_some_and(|survey| now.since(survey.began) < FOUND_WAIT);
+    let surveying = cx.survey.as_ref().is_some_and(|survey| now.since(survey.began) < FOUND_WAIT);
     let worker = cx.worker_mut(ix);
     let Some(slot) = worker.slots.get_mut(&wanted.key) else { return };
     let edge = wanted.pace == 0 || wanted.pace == FULL_PACE;
@@ -84,7 +84,7 @@
     if slot.phase != Phase::Running || slot.pacing {
         return;
     }
-    if !worth_a_call && (surveys || !slot.paces.is_due(now, again_after)) {
+    if !worth_a_call && (surveying || !slot.paces.is_due(now, again_after)) {
         return;
     }
     if wanted.pace >= MOVE_BELOW {
--- a/crates/sched/src/state/due.rs
+++ b/crates/sched/src/state/due.rs
@@ -8,7 +8,7 @@
 
 use crate::interface::message::WorkerIx;
 
-/// When renewals fall due. A worker may be named more than once; what counts is its own state.
+/// When renewals fall due. A worker may stand here more than once; its own state says whether its renewal is due.
 #[derive(Debug, Default)]
 pub struct DueRenewals {
     queue: BinaryHeap<Reverse<(Instant, WorkerIx)>>,
@@ -16,7 +16,7 @@
 }
 
 impl DueRenewals {
-    /// Names a worker whose renewal falls due at `at`.
+    /// Adds a worker whose renewal falls due at `at`.
     pub fn add(&mut self, at: Instant, worker: WorkerIx) {
         self.queue.push(Reverse((at, worker)));
     }
