A follower that the store turns away stays with the leader that it knows

In the second the host had read who leads and its first heartbeat was answered 'not leader', since the leader took its role 1 ms later; the host then asked the store, which was silent by then, and never called the leader again: not ready after 2.5 s, for as long as the store turns it away. One lost heartbeat does the same.

Change: a follower whose store is away goes on with the leader that it followed last. Nothing is claimed by that: a claim needs the store, at the revision that was read.

--- a/crates/node/src/following.rs
+++ b/crates/node/src/following.rs
@@ -50,11 +50,13 @@
 
 /// Runs for the life of the process.
 pub async fn run(node: Arc<Node>) {
+    let mut last = None;
     while !node.is_stopping() {
         match leadership::current(&node.store).await {
             Ok(Holder::Host(record, revision)) => {
                 node.store_answered();
                 follow(&node, &record, revision).await;
+                last = Some((record, revision));
             }
             Ok(Holder::Nobody(at)) => {
                 node.store_answered();
@@ -63,6 +65,11 @@
             Err(e) => {
                 tracing::debug!(event = "store_silent", error = %e);
                 node.store_failed();
+                // The store may turn just this host away, and the last leader may still lead.
+                let last = last.as_ref().filter(|(record, _)| !is_mine(&node, record));
+                if let Some((record, revision)) = last {
+                    follow(&node, record, *revision).await;
+                }
                 task::sleep(ASK_AGAIN).await;
             }
         }
@@ -81,9 +88,14 @@
     }
 }
 
+/// Tells whether a claim is of this host.
+fn is_mine(node: &Node, leader: &LeaderRecord) -> bool {
+    leader.host == node.installation.host
+}
+
 /// Follows one leader for as long as it answers.
 async fn follow(node: &Arc<Node>, leader: &LeaderRecord, revision: Revision) {
-    if leader.host == node.installation.host {
+    if is_mine(node, leader) {
         // The claim is of a former process of this host, or of a leadership that it gave up.
         return claim(node, revision).await;
     }
--- a/crates/node/tests/unwell_store.rs
+++ b/crates/node/tests/unwell_store.rs
@@ -19,6 +19,19 @@
     host.state(job).is_some_and(|(_, word)| word == "completed")
 }
 
+/// Starts a site of three hosts and returns it with its leader, once the others have heard of that one. A host that
+/// the store refuses before that knows no leader, and is not ready.
+fn open_site_with_leader() -> (site::Site, usize) {
+    let site = support::open_site(3, 2, Duration::from_millis(200));
+    wait_for("the workers to be known", || site.knows_workers());
+    let leader = site.leader().expect("there is a leader");
+    let follows = |host: &site::Host| !host.logged("following").is_empty();
+    wait_for("the others to follow", || {
+        site.hosts.iter().enumerate().all(|(at, host)| at == leader || follows(host))
+    });
+    (site, leader)
+}
+
 #[test]
 fn a_leader_whose_watches_ask_for_forgotten_history_misses_no_job_and_no_worker() {
     let site = support::open_site(2, 2, Duration::from_millis(200));
@@ -38,9 +51,7 @@
 
 #[test]
 fn a_host_that_the_store_refuses_takes_jobs_by_way_of_the_leader() {
-    let site = support::open_site(3, 2, Duration::from_millis(200));
-    wait_for("the workers to be known", || site.knows_workers());
-    let leader = site.leader().expect("there is a leader");
+    let (site, leader) = open_site_with_leader();
     let refused = (leader + 1) % 3;
     for (n, mode) in [(1, Mode::Reset), (2, Mode::Silent)] {
         let job = JobKey(n);
@@ -57,9 +68,7 @@
 
 #[test]
 fn a_host_that_the_store_is_silent_to_stays_ready_and_in_touch_with_the_leader() {
-    let site = support::open_site(3, 2, Duration::from_millis(200));
-    wait_for("the workers to be known", || site.knows_workers());
-    let leader = site.leader().expect("there is a leader");
+    let (site, leader) = open_site_with_leader();
     let cut = &site.hosts[(leader + 1) % 3];
     cut.store_link.set(Mode::Silent);
     let until = Instant::now() + Duration::from_secs(6);
@@ -73,9 +82,7 @@
 
 #[test]
 fn a_leader_that_the_store_refuses_makes_way_for_one_that_it_serves() {
-    let site = support::open_site(3, 2, Duration::from_millis(200));
-    wait_for("the workers to be known", || site.knows_workers());
-    let leader = site.leader().expect("there is a leader");
+    let (site, leader) = open_site_with_leader();
     let job = JobKey(1);
     site.hosts[leader].store_link.set(Mode::Silent);
     wait_for("another leader", || site.leader().is_some_and(|host| host != leader));
