Log lines and a metric for runs of ended jobs

The hypotheses on a run that goes on after its job was cancelled could not all be told apart: a listed run whose place was given up is passed over without a line, and so is a cancellation of a job that is not known. Both are logged now (run_passed_over, cancelled_unknown), and a run of an ended job without a stop on its way is logged (run_after_end) and counted (gaplock_runs_after_end), which was silent in each case seen. No decision changes.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -132,6 +132,7 @@
         self.node.metrics.show_evacuated(iter::empty());
         self.node.metrics.directory_lag_ms.set(0);
         self.node.metrics.waiting_events.set(0);
+        self.node.metrics.runs_after_end.set(0);
     }
 
     /// Takes in a message and those that wait behind it, up to a batch.
@@ -200,6 +201,7 @@
         self.node.metrics.show_evacuated(shown);
         self.node.metrics.directory_lag_ms.set(self.cx.freshness.lag().0 as i64);
         self.node.metrics.waiting_events.set(self.rx.len() as i64);
+        self.node.metrics.runs_after_end.set(self.cx.runs_after_end as i64);
         let free = room::free(&self.cx);
         self.show_room(free, self.cx.ready.len(), self.cx.crashes.suspects.len());
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -51,6 +51,8 @@
     pub unreadable_entries: Gauge,
     /// Tasks that are suspected of crashing workers; 0 on a follower.
     pub suspect_tasks: Gauge,
+    /// Runs that the leader found of jobs that had ended before; 0 on a follower.
+    pub runs_after_end: Gauge,
     /// How far the leader's view of the directory is behind, in milliseconds.
     pub directory_lag_ms: Gauge,
     /// Events that wait for the leader; it cannot keep up where they grow. 0 on a follower.
@@ -90,6 +92,7 @@
     let unreadable_entries =
         gauge("unreadable_entries", "Entries of the directory that no worker writes");
     let suspect_tasks = gauge("suspect_tasks", "Tasks that are suspected of crashing workers");
+    let runs_after_end = gauge("runs_after_end", "Runs found of jobs that had ended before");
     let directory_lag_ms = gauge("directory_lag_ms", "Lag of the view of the workers' directory");
     let waiting_events = gauge("waiting_events", "Events that wait for the leader");
     Metrics {
@@ -106,6 +109,7 @@
         waiting_steps,
         unreadable_entries,
         suspect_tasks,
+        runs_after_end,
         directory_lag_ms,
         waiting_events,
         log_lines_dropped,
--- a/crates/sched/src/changes/account.rs
+++ b/crates/sched/src/changes/account.rs
@@ -37,12 +37,23 @@
     slot.reading = row.reading;
     speed::observe(cx, ix, row.task);
     checkpoints::take_in(cx, ix, row.task, row.run, row.checkpoint.as_deref());
+    note_after_end(cx, ix, row);
     let Some(task) = cx.task_mut(row.task) else { return };
     if row.percent >= AT_WORK_PERCENT {
         task.failed_in_row = 0;
     }
 }
 
+/// Notes a run whose job has ended and that nobody stops.
+fn note_after_end(cx: &mut State, ix: WorkerIx, row: &RunningTask) {
+    let ended = cx.jobs.get(&row.task.job).is_some_and(|entry| entry.state.is_final());
+    let slot = cx.worker(ix).slots.get(&row.task);
+    if ended && slot.is_some_and(|slot| slot.phase != Phase::Stopping) {
+        cx.runs_after_end += 1;
+        trace::run_after_end(row.task, row.run, &cx.worker(ix).info.id);
+    }
+}
+
 /// Decides about a run that this leader did not start, or has given up: kept if the task is free,
 /// stopped otherwise.
 fn take_in_unknown(cx: &mut State, ix: WorkerIx, row: &RunningTask) {
@@ -60,7 +71,9 @@
             lifecycle::leave_pending(cx, key);
             adopt(cx, ix, row);
         }
-        Some(TaskState::Active { run, .. }) if run == row.run => {}
+        Some(TaskState::Active { run, .. }) if run == row.run => {
+            trace::run_passed_over(key, run, &cx.worker(ix).info.id);
+        }
         _ => stop_stray(cx, ix, row, "the task is done, ended or elsewhere"),
     }
 }
--- a/crates/sched/src/changes/intake.rs
+++ b/crates/sched/src/changes/intake.rs
@@ -118,6 +118,9 @@
 
 /// Takes in a stored cancellation.
 pub fn cancel(cx: &mut State, key: JobKey) {
+    if !cx.jobs.contains_key(&key) {
+        trace::cancelled_unknown(key);
+    }
     lifecycle::end_job(cx, key, JobState::Cancelled);
 }
 
--- a/crates/sched/src/changes/trace.rs
+++ b/crates/sched/src/changes/trace.rs
@@ -138,6 +138,21 @@
         seq = end.seq.0, noted = noted.0);
 }
 
+/// A worker lists a run that is held to be elsewhere.
+pub fn run_passed_over(task: TaskKey, run: Run, worker: &ids::WorkerId) {
+    warn!(event = "run_passed_over", %task, run = run.0, %worker);
+}
+
+/// A worker lists a run of a job that has ended, and no stop of it was ordered.
+pub fn run_after_end(task: TaskKey, run: Run, worker: &ids::WorkerId) {
+    warn!(event = "run_after_end", %task, run = run.0, %worker);
+}
+
+/// A job that is not known is cancelled.
+pub fn cancelled_unknown(job: JobKey) {
+    info!(event = "cancelled_unknown", %job);
+}
+
 /// A run is taken off its worker without a listed end, so that its task may go elsewhere: by which
 /// proof, and what is known of the tries of its start.
 pub fn run_released(
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -126,6 +126,8 @@
     pub directory_back: Instant,
     /// When what was learnt was last stored.
     pub learnt_kept: Instant,
+    /// How many listed runs were found of jobs that had ended before, without a stop on its way.
+    pub runs_after_end: u64,
 }
 
 impl State {
@@ -162,6 +164,7 @@
             short_waited: FxHashMap::default(),
             directory_back: now,
             learnt_kept: now,
+            runs_after_end: 0,
         }
     }
 
