--- a/crates/sched/tests/fleet/cancelled.rs
+++ b/crates/sched/tests/fleet/cancelled.rs
@@ -1,6 +1,7 @@
 //! Runs of jobs that were cancelled: none goes on or begins, whoever started it and however late its worker
 //! carried the start out.
 
+use gaplock_jobs::Step;
 use gaplock_types::time::Millis;
 
 use crate::world::{assert_kept, job, step, World};
@@ -69,3 +70,36 @@
     assert_eq!(world.running_of(1), 0, "a run of a cancelled job goes on at a worker that is back");
     assert_kept(&world);
 }
+
+/// Builds a world of eight workers with a lasting task of job 1 each, one of which has started again twice,
+/// the last time `after` milliseconds ago: its task waits for an empty worker.
+fn with_a_waiting_suspect(seed: u64, after: u64) -> World {
+    let mut world = World::open(seed, 8);
+    world.crashes.same_names = true;
+    let apart = Step { lasting: true, most_per_worker: Some(1), ..step(8, &[]) };
+    world.submit(job(1, vec![apart]));
+    world.run(2_000);
+    world.crash_and_return(0);
+    world.run(4_000);
+    assert_eq!(world.running_of(1), 8);
+    world.crash_and_return(0);
+    world.run(after);
+    world
+}
+
+/// Guards against a suspect of crashes that is started for its trial although its job was cancelled before.
+#[test]
+fn a_suspect_that_waits_for_its_trial_is_not_started_once_its_job_is_cancelled() {
+    let mut started = Vec::new();
+    for after in (0..2_000).step_by(20) {
+        let mut world = with_a_waiting_suspect(410, after);
+        world.cancel(1);
+        let before = world.starts;
+        world.run(STOPPED_WITHIN);
+        if world.starts != before || world.running_of(1) > 0 {
+            started.push(after);
+        }
+        assert_kept(&world);
+    }
+    assert!(started.is_empty(), "started after the cancellation at {started:?} ms");
+}
