A job that has ended keeps no tasks

Callers saw a task of a cancelled job start after the cancellation was acknowledged, and run on.

Cause: the end of a job took its steps out of the ready ones and left its tasks as they were. A task that is suspected of crashes is also found by the list of suspects, which is cleared of ended jobs every 200 ms only; the search for a trial looked at the task alone, found it pending and started it. The job had ended, so neither its end nor a later cancellation ordered a stop.

The class is state that outlives its owner: each index of tasks had to look whether the job is live. Now the end of a job drops its tasks, as a takeover does with a job that is stored as ended, so whatever keeps a task by its key finds none: trials, adoption, retries, copies, gangs.

--- a/crates/sched/src/changes/lifecycle.rs
+++ b/crates/sched/src/changes/lifecycle.rs
@@ -226,7 +226,8 @@
     found
 }
 
-/// Puts a job into a final state and stops whatever of it still runs.
+/// Puts a job into a final state and stops whatever of it still runs. It keeps no tasks from then on, so nothing that
+/// keeps tasks by their keys, such as the list of suspects, finds one that could be started.
 pub fn end_job(cx: &mut State, job: JobKey, state: JobState) {
     let unix_ms = cx.unix_ms;
     let Some(entry) = cx.jobs.get_mut(&job) else { return };
@@ -242,6 +243,7 @@
     for step in ready {
         cx.ready.remove(&step);
     }
+    entry.rounds.clear();
     if unreadable {
         active = runs_of(cx, job);
     }
--- a/crates/sched/src/state/table.rs
+++ b/crates/sched/src/state/table.rs
@@ -143,7 +143,7 @@
     pub state: JobState,
     /// The state that is stored and may be shown.
     pub shown: JobState,
-    /// Rounds that have begun and are not finished.
+    /// Rounds that have begun and are not finished; none once the job has ended.
     pub rounds: Vec<Round>,
     /// Numbers of finished rounds.
     pub finished: BTreeSet<u32>,
