A listed run of an ended job is stopped by its listing

A stop was ordered once, when the job ended, for what the leader held to run then. A run that came to a worker by any other way went on, with its lease renewed, until the worker was lost; a cancellation by the caller did nothing, since the job had ended. Now each account decides again: a run of an ended job without a stop on its way is logged, counted and stopped.

No way is known that still leads there, now that ended jobs keep no tasks; the test puts a leader into that state and failed before (four runs went on).

--- a/crates/sched/src/changes/account.rs
+++ b/crates/sched/src/changes/account.rs
@@ -37,21 +37,29 @@
     slot.reading = row.reading;
     speed::observe(cx, ix, row.task);
     checkpoints::take_in(cx, ix, row.task, row.run, row.checkpoint.as_deref());
-    note_after_end(cx, ix, row);
+    stop_after_end(cx, ix, row);
     let Some(task) = cx.task_mut(row.task) else { return };
     if row.percent >= AT_WORK_PERCENT {
         task.failed_in_row = 0;
     }
 }
 
-/// Notes a run whose job has ended and that nobody stops.
-fn note_after_end(cx: &mut State, ix: WorkerIx, row: &RunningTask) {
-    let ended = cx.jobs.get(&row.task.job).is_some_and(|entry| entry.state.is_final());
+/// Stops a run whose job has ended, unless its stop is on its way. The members of a gang may end a little after the
+/// one whose end completed their job.
+fn stop_after_end(cx: &mut State, ix: WorkerIx, row: &RunningTask) {
+    let Some(entry) = cx.jobs.get(&row.task.job).filter(|entry| entry.state.is_final()) else {
+        return;
+    };
+    let is_gang = entry.step(row.task).is_some_and(|step| step.gang);
     let slot = cx.worker(ix).slots.get(&row.task);
-    if ended && slot.is_some_and(|slot| slot.phase != Phase::Stopping) {
+    if slot.is_none_or(|slot| slot.phase == Phase::Stopping) {
+        return;
+    }
+    if !is_gang {
         cx.runs_after_end += 1;
         trace::run_after_end(row.task, row.run, &cx.worker(ix).info.id);
     }
+    lifecycle::order_stop(cx, ix, row.task, row.run, "its job has ended");
 }
 
 /// Decides about a run that this leader did not start, or has given up: kept if the task is free,
--- a/crates/sched/tests/fleet/cancelled.rs
+++ b/crates/sched/tests/fleet/cancelled.rs
@@ -1,7 +1,8 @@
 //! Runs of jobs that were cancelled: none goes on or begins, whoever started it and however late its worker
 //! carried the start out.
 
-use gaplock_jobs::Step;
+use gaplock_jobs::progress::JobState;
+use gaplock_jobs::{JobKey, Step};
 use gaplock_types::time::Millis;
 
 use crate::world::{assert_kept, job, step, World};
@@ -103,3 +104,20 @@
     }
     assert!(started.is_empty(), "started after the cancellation at {started:?} ms");
 }
+
+/// Guards against a run that goes on because no stop was ordered when its job ended: its next listing orders one.
+#[test]
+fn a_listed_run_of_an_ended_job_is_stopped_whatever_left_it_there() {
+    let mut world = World::open(412, 2);
+    world.work_ms = 60_000;
+    world.submit(job(1, vec![step(4, &[])]));
+    world.run(1_000);
+    assert_eq!(world.running_of(1), 4);
+    let cx = world.cx.as_mut().expect("there is a leader");
+    let entry = cx.jobs.get_mut(&JobKey(1)).expect("the job is known");
+    entry.state = JobState::Cancelled;
+    entry.rounds.clear();
+    world.run(STOPPED_WITHIN);
+    assert_eq!(world.running_of(1), 0, "a run of an ended job goes on");
+    assert_eq!(world.cx.map(|cx| cx.runs_after_end), Some(4), "counted for the operators");
+}
