A listed inbox is handed in in the order in which it was written

Callers could see a cancelled job run on: told that it is cancelled, and nothing ever stopped it.

Cause: the leader drops a cancellation of a job that it does not know, since its watch will tell of both in their order. Where the store has forgotten the watch's history the inbox is listed instead, by keys, and all cancellations come before all jobs. A job that was handed in and cancelled since the watch's last answer, and whose announcement had not arrived, was then started and never stopped, until the next leader.

Not seen in a user's report.

Items carry the revision of their last change, and inbox keys are written once, so that order is the watch's.

--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -89,7 +89,7 @@
             Err(StoreError::Gone) => match node.store.list(keys::INBOX).await {
                 Ok(listed) => {
                     from = listed.revision;
-                    listed.items.iter().for_each(|item| hand_in(&engine, item));
+                    in_order(&listed.items).for_each(|item| hand_in(&engine, item));
                 }
                 Err(e) => {
                     tracing::debug!(event = "store_silent", error = %e);
@@ -104,6 +104,14 @@
     }
 }
 
+/// Goes over listed items in the order in which they were written, as a watch tells of them. By their keys,
+/// cancellations come before the jobs that they cancel.
+fn in_order(items: &[Item]) -> impl Iterator<Item = &Item> {
+    let mut items: Vec<&Item> = items.iter().collect();
+    items.sort_by_key(|item| item.revision);
+    items.into_iter()
+}
+
 /// Hands a stored job or cancellation to the engine.
 fn hand_in(engine: &Engine, item: &Item) {
     match read_inbox(item) {
--- a/crates/node/tests/unwell_store.rs
+++ b/crates/node/tests/unwell_store.rs
@@ -7,11 +7,16 @@
 
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::relay::Mode;
-use gaplock_platform_standin::site::{self, two_steps};
+use gaplock_platform_standin::site::{self, lasting, two_steps};
+use serde_json::Value;
 use support::wait_for;
 
 const ACCEPTED: u16 = 200;
 
+/// Where jobs and cancellations are stored.
+const JOBS: &str = "gaplock/in/job/";
+const CANCELS: &str = "gaplock/in/cancel/";
+
 /// How many tasks a job has.
 const TASKS: u64 = 10;
 
@@ -49,6 +54,32 @@
     assert!(site.twice().is_empty());
 }
 
+/// Guards against a cancellation that is listed before its job, as keys are ordered, and is then forgotten: the job
+/// ran on though its caller had been told that it is cancelled.
+#[test]
+fn a_cancellation_counts_that_the_leader_lists_together_with_its_job() {
+    let site = support::open_site(1, 2, Duration::from_secs(60));
+    wait_for("the workers to be known", || site.knows_workers());
+    let host = &site.hosts[0];
+    for n in 1..=3 {
+        let (known, listed) = (JobKey(n), JobKey(100 + n));
+        assert_eq!(host.submit(known, &lasting()), Some(ACCEPTED));
+        wait_for("a start", || site.has_started(known));
+        let record = site.store.get(&format!("{JOBS}{known}")).expect("the job is stored");
+        let record = record.to_string().replace(&known.to_string(), &listed.to_string());
+        assert!(record.contains(&listed.to_string()), "{record}");
+        // The leader has just had an answer to its watch and pauses before the next one.
+        site.store.put_bytes(&format!("{JOBS}{listed}"), record.as_bytes());
+        site.store.put_bytes(&format!("{CANCELS}{listed}"), b"{}");
+        site.store.forget_history();
+        let word = || host.state(listed).map(|(_, word)| word);
+        let is_known = |line: &Value| line["job"] == listed.to_string();
+        wait_for("the job to be known", || host.logged("job_known").iter().any(is_known));
+        wait_for("the cancellation to count", || word().is_some_and(|word| word == "canceled"));
+    }
+    assert!(site.store.watches_gone() > 0, "no watch asked for what was forgotten");
+}
+
 #[test]
 fn a_host_that_the_store_refuses_takes_jobs_by_way_of_the_leader() {
     let (site, leader) = open_site_with_leader();
