Starts at workers that start again: tell withdrawn ones from repeats

Nothing ran twice: the calls name the worker only, so the later start may carry them out, and the leader withdraws them. The count could not tell that case from the fault that the test is for.

The test holds that each of the twenty tasks ended as done exactly once, with its last run, and that every earlier run ended as stopped before the next one began, had been ordered once and of the former start, and was stopped since its worker had started again. Before the restart no such run is let pass. A repeat after an end, which the count let pass where a task was missing, fails too.

--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -4,15 +4,17 @@
 
 use std::time::{Duration, Instant};
 
-use gaplock_jobs::JobKey;
+use gaplock_jobs::{JobKey, TaskKey};
 use gaplock_platform_standin::cloud;
+use gaplock_platform_standin::judge::SeenRun;
 use gaplock_platform_standin::relay::Mode;
 use gaplock_platform_standin::site::{
     call, connect_as_peer, gang, saving, two_steps, Output, Site, PREFIX,
 };
 use gaplock_platform_standin::trouble::WorkerTrouble;
+use gaplock_types::ids;
 use rustix::process::Signal;
-use serde_json::json;
+use serde_json::{json, Value};
 use support::{open_site, open_site_with, wait_for};
 
 fn shows(site: &Site, host: usize, key: u64, state: &str) -> bool {
@@ -119,17 +121,53 @@
     assert!(site.fleet.violations().is_empty(), "{:#?}", site.fleet.violations());
 }
 
-/// The workers' next starts list their ends under numbers that the leader has taken in before.
+/// Tells whether a run was withdrawn since its worker had started again: the order named the former start, whose
+/// end the leader learnt of only then, and the later start was told to stop what it had carried out.
+fn was_withdrawn(site: &Site, former: &[ids::WorkerId], (task, run): (TaskKey, &SeenRun)) -> bool {
+    let lines = |event: &str| site.hosts.iter().flat_map(|h| h.logged(event)).collect::<Vec<_>>();
+    let of_run = |line: &Value| line["task"] == task.to_string() && line["run"] == run.run;
+    let ordered: Vec<Value> = lines("start_ordered").into_iter().filter(of_run).collect();
+    let names_former = |line: &Value| former.iter().any(|id| line["worker"] == id.to_string());
+    let stopped = lines("stop_ordered").into_iter().filter(of_run);
+    let mut why = stopped.filter(|line| line["why"] == "its worker has started again");
+    run.ended.is_some_and(|(how, _)| how == "stopped")
+        && matches!(&ordered[..], [order] if names_former(order))
+        && why.next().is_some()
+}
+
+/// Asserts that each of a job's tasks ran to its end once, and that whatever began of it before was withdrawn and
+/// over when the next run began.
+fn assert_ran_once(site: &Site, key: u64, former: &[ids::WorkerId]) {
+    let tasks = site.fleet.runs_of(JobKey(key));
+    assert_eq!(tasks.len(), 10, "tasks of job {key}");
+    for (task, runs) in tasks {
+        let (last, earlier) = runs.split_last().expect("it began");
+        let is_done = last.ended.is_some_and(|(how, _)| how == "done");
+        assert!(is_done, "{task} did not end as done: {runs:#?}");
+        for (run, next) in earlier.iter().zip(&runs[1..]) {
+            let is_over = run.ended.is_some_and(|(_, at)| at <= next.began);
+            assert!(is_over, "{task} ran twice at one time: {runs:#?}");
+            let withdrawn = was_withdrawn(site, former, (task, run));
+            assert!(withdrawn, "{task} was started again: {runs:#?}");
+        }
+    }
+}
+
+/// The workers' next starts list their ends under numbers that the leader has taken in before. A start under way
+/// when the leader learns of the restart is withdrawn and may begin elsewhere.
 #[test]
 fn tasks_at_workers_that_start_again_under_their_ids_run_once() {
     let site = open_site(3, 2, Duration::from_millis(300));
     let via = site.leader().expect("there is a leader");
     assert_eq!(submit(&site, via, 1), Some(200));
     wait_for("completion", || shows(&site, via, 1, "completed"));
-    (0..site.fleet.len()).for_each(|worker| site.fleet.start_over(worker));
+    let workers = 0..site.fleet.len();
+    let former: Vec<_> = workers.clone().map(|worker| site.fleet.present_start(worker)).collect();
+    workers.for_each(|worker| site.fleet.start_over(worker));
     assert_eq!(submit(&site, via, 2), Some(200));
     wait_for("completion after the restart", || shows(&site, via, 2, "completed"));
-    assert_eq!(site.fleet.starts(), 20, "a task was started again");
+    assert_ran_once(&site, 1, &[]);
+    assert_ran_once(&site, 2, &former);
     assert!(site.fleet.violations().is_empty(), "{:#?}", site.fleet.violations());
 }
 
