Starts of suspects are stored before they are sent

Callers saw jobs given up none of whose tasks crashes anything: beside a dozen crashing jobs on two workers, with leaders lost.

Now a successor knows where a suspect was started. The task's note in its job's progress names the worker (`started`; an empty list: nowhere, no list: not recorded, as in former notes). The count or the doubt is stored with an empty list. A start of such a suspect takes its room, the worker is stored in the next, urgent commit, and only then the start is sent (`crashes/recorded.rs`). A successor counts a lost worker if the note names it, at once and not from the second time on, and otherwise supposes nothing. If the commit is lost it is due again and the start waits; if the worker takes no tasks by then, the task waits for another one. If the leader is lost before the commit, nothing was sent; right after it, the worker's loss would speak against a task that was not there, a few milliseconds at most.

Cost: a commit for each start of a suspect, shared with all others that wait; none for the start of any other task, nor of one that is only doubted since many workers were lost at one time.

The new test holds that the stored note names the worker by the time that it crashes, and that a successor counts a crash that its predecessor never heard of; with `hold` taken out it fails. The job in it takes down four workers, the bound where it is not known how long each run lived.

--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -51,6 +51,9 @@
     /// One more that may have crashed under it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub perhaps_crashed: Option<ids::WorkerId>,
+    /// The workers at which it may be at work, if its starts have been stored since the last of these was noted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started: Option<Vec<ids::WorkerId>>,
 }
 
 fn is_zero(n: &u64) -> bool {
--- a/crates/node/tests/misplaced_records.rs
+++ b/crates/node/tests/misplaced_records.rs
@@ -29,6 +29,7 @@
         checkpoint_run: 4_097,
         crashed: Vec::new(),
         perhaps_crashed: None,
+        started: None,
     };
     let steps = vec![StepProgress { done: Vec::new(), notes: vec![note] }];
     let rounds = vec![RoundProgress { round: 0, finished: false, steps }];
--- a/crates/sched/src/changes/commits.rs
+++ b/crates/sched/src/changes/commits.rs
@@ -1,8 +1,9 @@
 //! Gathers what is to be stored into commits and remembers what each of them covers.
 //!
 //! A worker forgets an end once it is acknowledged, so an end is acknowledged only after the
-//! commit that holds it. A final state is shown only after its commit. Nothing else waits: a start
-//! needs no record of its own, because a successor learns from the workers what runs.
+//! commit that holds it. A final state is shown only after its commit. Nothing else waits but
+//! what speaks against a suspect and its starts (`crashes`): any other start needs no record of its own,
+//! because a successor learns from the workers what runs.
 
 use std::mem;
 
@@ -165,6 +166,8 @@
     let is_noted = |t: &Task| t.failed > 0 || kept(t) || t.suspicion.is_some();
     let noted = |t: &Task| t.state != TaskState::Done && is_noted(t);
     let crashed = |t: &Task| t.suspicion.as_ref().map(|s| s.crashed.clone()).unwrap_or_default();
+    let waits = |t: &Task| matches!(t.state, TaskState::Waiting | TaskState::Pending);
+    let started = |t: &Task| t.suspicion.as_ref()?.started_to_store(waits(t));
     let notes = tasks.filter(|(_, t)| noted(t)).map(|(index, t)| TaskNote {
         index,
         failed: t.failed,
@@ -173,6 +176,7 @@
         checkpoint_run: t.checkpoint.as_ref().map_or(0, |c| c.run.0),
         crashed: crashed(t),
         perhaps_crashed: t.suspicion.as_ref().and_then(|s| s.perhaps.clone()),
+        started: started(t),
     });
     StepProgress { done: progress::pack(done), notes: notes.collect() }
 }
--- a/crates/sched/src/changes/crashes.rs
+++ b/crates/sched/src/changes/crashes.rs
@@ -10,11 +10,12 @@
 //! were left to end, a worker that answers again. Many workers lost at one time raise a doubt only
 //! (`docs/PLATFORM.md`, section Crashing tasks). `decisions/losses.rs` says against whom a loss speaks,
 //! `evidence` counts it, `state/suspicion.rs` keeps it, `verdict` ends it, `inherited` finds what
-//! predecessors saw.
+//! predecessors saw, `recorded` stores where a suspect starts.
 
 mod evidence;
 mod inherited;
 pub mod kept;
+pub mod recorded;
 pub mod saved;
 mod verdict;
 
--- a/crates/sched/src/changes/crashes/evidence.rs
+++ b/crates/sched/src/changes/crashes/evidence.rs
@@ -7,7 +7,7 @@
 use crate::changes::{commits, trace};
 use crate::decisions::losses::{self, Blamed, Loss, AT_START};
 use crate::interface::message::WorkerIx;
-use crate::state::suspicion::Saved;
+use crate::state::suspicion::{Saved, Started};
 use crate::state::table::TaskState;
 use crate::state::State;
 
@@ -67,6 +67,10 @@
         Loss::Crashed => suspicion.crashed.push(worker.clone()),
         Loss::Silent => suspicion.silent.push((worker.clone(), now)),
     }
+    suspicion.started = match loss {
+        Loss::Crashed => Started::Nowhere,
+        Loss::Silent => Started::At(worker.clone()),
+    };
     let first = suspicion.crashed.len() + suspicion.silent.len() == 1;
     let at_start = evidence.confirmed && evidence.lived < AT_START;
     suspicion.at_start = at_start && (first || suspicion.at_start);
--- a/crates/sched/src/changes/crashes/inherited.rs
+++ b/crates/sched/src/changes/crashes/inherited.rs
@@ -9,7 +9,7 @@
 use crate::changes::commits;
 use crate::decisions::losses::{self, Loss, AT_START};
 use crate::interface::message::WorkerIx;
-use crate::state::suspicion::Suspicion;
+use crate::state::suspicion::{Started, Suspicion};
 use crate::state::table::TaskState;
 use crate::state::State;
 
@@ -27,7 +27,11 @@
     if crashed.is_empty() && perhaps.is_none() {
         return None;
     }
-    Some(Box::new(Suspicion { crashed, perhaps, ..Suspicion::default() }))
+    let started = match &note.started {
+        None => Started::Unrecorded,
+        Some(workers) => workers.first().cloned().map_or(Started::Nowhere, Started::At),
+    };
+    Some(Box::new(Suspicion { crashed, perhaps, started, ..Suspicion::default() }))
 }
 
 /// Finds the suspects of a job that was restored.
@@ -65,9 +69,11 @@
 }
 
 /// Takes in that a successor has found workers gone that may have run any task, and these tasks at no
-/// other one: each of them may have been there, or may have waited. A suspect of which that has been
-/// supposed once is counted the second time, so that no more than one crash is forgotten.
+/// other one: each of them may have been there, or may have waited. Of a suspect whose starts are stored it
+/// is known. Another one of which that has been supposed once is counted the second time, so that no more
+/// than one crash is forgotten.
 pub fn any_lost(cx: &mut State, lost: &[WorkerIx], unfound: &FxHashSet<TaskKey>) {
+    let unfound = count_recorded(cx, lost, unfound);
     let crashed = lost.iter().find(|&&ix| !losses::has_left(cx.worker(ix)));
     let Some(&ix) = crashed else { return };
     let id = cx.worker(ix).info.id.clone();
@@ -84,6 +90,7 @@
         if too_many || !doubt(cx, key, &id) {
             continue;
         }
+        note_unstarted(cx, key);
         if few {
             hold_until_saved(cx, key);
         } else {
@@ -91,3 +98,35 @@
         }
     }
 }
+
+/// Counts workers that are gone against the suspects that are stored as started there, and returns the tasks of
+/// which nothing is stored.
+fn count_recorded(
+    cx: &mut State,
+    lost: &[WorkerIx],
+    unfound: &FxHashSet<TaskKey>,
+) -> FxHashSet<TaskKey> {
+    let crashed = lost.iter().map(|&ix| cx.worker(ix)).filter(|w| !losses::has_left(w));
+    let crashed: Vec<ids::WorkerId> = crashed.map(|w| w.info.id.clone()).collect();
+    let mut unknown = FxHashSet::default();
+    for &key in unfound {
+        let suspicion = cx.task(key).and_then(|t| t.suspicion.as_ref());
+        match suspicion.map(|s| s.started.clone()).unwrap_or_default() {
+            Started::Unrecorded => {
+                unknown.insert(key);
+            }
+            Started::At(id) if crashed.contains(&id) => {
+                suspect(cx, key, &unknown_lives(&id, 1));
+            }
+            Started::Nowhere | Started::At(_) => {}
+        }
+    }
+    unknown
+}
+
+/// Notes that a suspect waits, so that its next start is stored before it is sent.
+fn note_unstarted(cx: &mut State, key: TaskKey) {
+    if let Some(suspicion) = cx.task_mut(key).and_then(|t| t.suspicion.as_mut()) {
+        suspicion.started = Started::Nowhere;
+    }
+}
--- a/crates/sched/src/changes/gangs.rs
+++ b/crates/sched/src/changes/gangs.rs
@@ -6,7 +6,7 @@
 use gaplock_jobs::{Job, TaskKey};
 use gaplock_types::ids;
 
-use crate::changes::{checkpoints, lifecycle, orders, permits, starts};
+use crate::changes::{checkpoints, lifecycle, permits, starts};
 use crate::decisions::placement::{self, Wanted};
 use crate::decisions::{asks, racks};
 use crate::interface::message::{Run, WorkerIx};
@@ -40,7 +40,7 @@
     };
     let run = cx.run_number(starts);
     for (task, ix) in placed {
-        orders::send_start(cx, ix, task, run);
+        starts::send(cx, ix, task, run);
     }
 }
 
--- a/crates/sched/src/changes/starts.rs
+++ b/crates/sched/src/changes/starts.rs
@@ -2,7 +2,7 @@
 
 use gaplock_jobs::TaskKey;
 
-use crate::changes::crashes::kept;
+use crate::changes::crashes::{kept, recorded};
 use crate::changes::lifecycle::Occupant;
 use crate::changes::{checkpoints, lifecycle, orders, trace};
 use crate::interface::message::{Run, WorkerIx};
@@ -16,7 +16,14 @@
     let run = next_run(cx, task);
     let checkpoint = checkpoints::of_task(cx, task);
     reserve(cx, ix, (task, run), checkpoint);
-    orders::send_start(cx, ix, task, run);
+    send(cx, ix, task, run);
+}
+
+/// Sends a start that has its slot, or holds it back until it is stored where its task is a suspect.
+pub fn send(cx: &mut State, ix: WorkerIx, task: TaskKey, run: Run) {
+    if !recorded::hold(cx, ix, task, run) {
+        orders::send_start(cx, ix, task, run);
+    }
 }
 
 /// Counts another start of a task and returns its run.
--- a/crates/sched/src/changes/takeover.rs
+++ b/crates/sched/src/changes/takeover.rs
@@ -1,7 +1,7 @@
 //! What a new leader does before it may start anything that a former one may have started.
 //!
-//! Starts are not stored, so a successor asks every worker of the stored roster what it runs. A
-//! worker that does not answer keeps the tasks in doubt until its longest possible lease is over.
+//! Only starts of suspects are stored, so a successor asks every worker of the stored roster what it
+//! runs. A worker that does not answer keeps the tasks in doubt until its longest possible lease is over.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::mem;
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -4,6 +4,7 @@
 
 use gaplock_types::time::{Instant, Millis};
 
+use crate::changes::crashes::recorded;
 use crate::changes::{
     commits, crashes, directory, dispatch, drain, evacuation, freshness, gone, intake, moving,
     orders, pacing, permits, renewals, roster, stragglers, takeover, upkeep,
@@ -123,7 +124,10 @@
             Event::Upkeep { wave, host, answer } => {
                 upkeep::answered(self, wave, &host, answer);
             }
-            Event::Committed => commits::committed(self),
+            Event::Committed => {
+                commits::committed(self);
+                recorded::send_stored(self);
+            }
             Event::CommitFailed => commits::failed(self),
         }
     }
--- a/crates/sched/src/state/suspicion.rs
+++ b/crates/sched/src/state/suspicion.rs
@@ -7,6 +7,8 @@
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
 
+use crate::interface::message::{Run, WorkerIx};
+
 /// How many workers may crash under a task before its job fails, whatever else is known. Users bear five
 /// starts of a task that crashes its workers; one of them may be forgotten with its leader.
 pub const MOST_CRASHES: usize = 4;
@@ -36,6 +38,18 @@
     Yes,
 }
 
+/// What is stored of where a suspect was started since what speaks against it was noted.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub(crate) enum Started {
+    /// Nothing: it may have been started anywhere.
+    #[default]
+    Unrecorded,
+    /// It was not started.
+    Nowhere,
+    /// It may be at work at this worker and at no other one.
+    At(ids::WorkerId),
+}
+
 /// What speaks against a task under which workers were lost.
 #[derive(Debug, Clone, Default)]
 pub struct Suspicion {
@@ -46,6 +60,7 @@
     /// Workers under it that were silent past all leases while the directory listed them, and since when.
     pub(crate) silent: Vec<(ids::WorkerId, Instant)>,
     pub(crate) saved: Saved,
+    pub(crate) started: Started,
     /// How long its last lost run was known to have been at work.
     pub(crate) lived: Millis,
     /// Whether each crash followed a start at once, as far as is known.
@@ -72,6 +87,15 @@
         (self.crashed.len(), self.perhaps.is_some())
     }
 
+    /// Returns where a successor is to suppose the task at work; nothing where starts are not recorded.
+    pub(crate) fn started_to_store(&self, waits: bool) -> Option<Vec<ids::WorkerId>> {
+        match &self.started {
+            Started::Unrecorded => None,
+            Started::At(worker) if !waits || !self.silent.is_empty() => Some(vec![worker.clone()]),
+            Started::Nowhere | Started::At(_) => Some(Vec::new()),
+        }
+    }
+
     /// Tells whether the task is held to crash its workers.
     pub(crate) fn is_proven(&self) -> bool {
         let at_start = self.at_start && self.alone && self.crashed.len() >= CRASHES_AT_START;
@@ -117,6 +141,8 @@
     /// Set when a suspect may wait to be tried alone.
     pub(crate) may_wait: bool,
     pub(crate) checked: Instant,
+    /// Starts of suspects that are sent once they are stored.
+    pub(crate) held_starts: Vec<(WorkerIx, TaskKey, Run)>,
 }
 
 impl Crashes {
--- a/crates/sched/tests/fleet/innocents.rs
+++ b/crates/sched/tests/fleet/innocents.rs
@@ -35,3 +35,24 @@
     assert!(given_up.is_empty(), "{given_up:?}");
     assert_kept(&world);
 }
+
+/// A successor that finds a worker gone goes by what is stored: a crash at a start that it cannot know of would be
+/// forgotten, each time. The leader is lost before it hears of the second crash, with nothing else to tell of it.
+#[test]
+fn the_start_of_a_suspect_is_stored_before_its_worker_gets_it() {
+    let mut world = World::open(20_301, 16);
+    world.crash_under(1, 0, AT_ONCE_MS);
+    world.submit(job(1, vec![step(1, &[])]));
+    world.run_until_crashes(1, 2, 15_000);
+    assert_eq!(world.stored_crashes(1), 1, "the second crash is known");
+    assert_eq!(world.stored_starts(1), 1, "a start was sent that is not stored");
+    world.lose_leader();
+    world.run(700);
+    world.take_over();
+    world.run(8_000);
+    assert!(world.stored_crashes(1) >= 2, "the second crash is forgotten");
+    world.run(40_000);
+    assert_eq!(world.state(1), Some(JobState::Failed));
+    assert!(world.crashes.of(1) <= 4, "{} workers crashed", world.crashes.of(1));
+    assert_kept(&world);
+}
--- a/crates/sched/tests/fleet/world/views.rs
+++ b/crates/sched/tests/fleet/world/views.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use gaplock_jobs::progress::JobState;
+use gaplock_jobs::progress::{JobState, TaskNote};
 use gaplock_jobs::{JobKey, TaskKey};
 use gaplock_sched::message::{Run, WaveNumber};
 use gaplock_sched::worker::{Phase, Worker};
@@ -117,6 +117,21 @@
         notes.map(|n| n.failed).sum()
     }
 
+    /// Returns how many crashes are stored against a job's tasks.
+    pub fn stored_crashes(&self, key: u64) -> usize {
+        self.stored_notes(key).map(|note| note.crashed.len()).sum()
+    }
+
+    /// Returns at how many workers tasks of a job are stored as started.
+    pub fn stored_starts(&self, key: u64) -> usize {
+        self.stored_notes(key).filter_map(|note| note.started.as_ref()).map(Vec::len).sum()
+    }
+
+    fn stored_notes(&self, key: u64) -> impl Iterator<Item = &TaskNote> {
+        let rounds = self.progress.get(&JobKey(key)).into_iter().flat_map(|p| &p.rounds);
+        rounds.flat_map(|r| &r.steps).flat_map(|s| &s.notes)
+    }
+
     /// Returns how many runs, ended or not, a worker was ever given.
     pub fn runs_given_to(&self, worker: usize) -> usize {
         let worker = &self.workers[worker];
--- a/crates/sched/tests/floors/table.rs
+++ b/crates/sched/tests/floors/table.rs
@@ -92,6 +92,7 @@
             "changes::takeover",
             "changes::gone",
             "changes::orders",
+            "changes::crashes::recorded",
             "changes::starts",
             "changes::ends",
             "changes::account",
