Judge of cancellations in the simulated fleet

In every world, a start that a leader sends after it has learnt that the job is cancelled is a violation, whatever goes wrong besides. So is a run that is there 2 s after the cancel at a worker where nothing went wrong for a lease, nor with calls to it. At the quiet end nothing may run whose job is cancelled, has ended otherwise, or is forgotten. The world keeps forgotten jobs, which late calls may name.

The fleet's tests looked at such runs in single places only, so a leader that starts a cancelled job's task again passed them.

--- a/crates/sched/tests/fleet/world/calls.rs
+++ b/crates/sched/tests/fleet/world/calls.rs
@@ -118,6 +118,7 @@
                     let (takes, lasting, ms) = (step.demand, step.lasting, self.work_ms);
                     let work = Work { takes, lasting, sent: now.0, ms };
                     let checkpoint = checkpoint.map(|text| text.to_string());
+                    self.check_sent(self.worker_of(worker), task, run);
                     (worker, Call::Start { task, run, until, work, checkpoint })
                 }
                 Action::Stop { worker, task, run } => (worker, Call::Stop { task, run }),
@@ -162,6 +163,7 @@
         let roll = self.rng.random_range(0..1_000);
         let f = self.faults;
         if self.workers[worker].replaced && !self.workers[worker].cut {
+            self.note_trouble(worker, 0);
             let event = other_incarnation(ix, &call);
             return self.send(1, Delivery::ToLeader { event, leader });
         }
@@ -180,13 +182,16 @@
             self.send(CALL_LIMIT_MS, Delivery::ToLeader { event, leader });
         }
         if lost {
-            return;
+            return self.note_trouble(worker, 0);
         }
         let after = match delay {
             Some(ms) => ms,
             None if late => self.rng.random_range(LATE_MS),
             None => 1,
         };
+        if unanswered {
+            self.note_trouble(worker, after);
+        }
         let trip = Trip { worker, asked: ix, leader, answered: !unanswered };
         self.send(after, Delivery::ToWorker { trip, call, token });
     }
@@ -209,6 +214,7 @@
 
     /// Lets a call end without an answer that lost its worker on the way.
     pub(super) fn time_out(&mut self, trip: Trip, call: &Call) {
+        self.note_trouble(trip.worker, 0);
         if let Some(ix) = self.awaited_by(trip) {
             let event = no_answer(ix, call);
             self.send(CALL_LIMIT_MS, Delivery::ToLeader { event, leader: trip.leader });
--- /dev/null
+++ b/crates/sched/tests/fleet/world/cancellations.rs
@@ -0,0 +1,130 @@
+//! What a cancellation promises: no leader that knows of it starts a task of the job, and whatever runs of the job
+//! is gone soon, wherever it is and however it came there.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use gaplock_jobs::progress::JobState;
+use gaplock_jobs::{JobKey, TaskKey};
+use gaplock_sched::message::Run;
+
+use super::World;
+
+/// How long a run of a cancelled job may be there where nothing goes wrong: the time of a stop, and of the account
+/// that shows the run.
+const GONE_WITHIN_MS: u64 = 2_000;
+
+/// How often runs are looked at, in milliseconds.
+const LOOK_EVERY_MS: u64 = 20;
+
+/// A cancellation that is stored.
+#[derive(Debug, Clone, Copy)]
+struct Cancellation {
+    at: u64,
+    /// The first term whose leader knows of it.
+    known_from: u64,
+}
+
+/// The cancellations of a world, and what hinders its leaders from carrying them out.
+#[derive(Debug, Default)]
+pub struct Cancellations {
+    made: BTreeMap<JobKey, Cancellation>,
+    /// Until when something went wrong with the calls to a worker, or with the worker.
+    troubled_until: BTreeMap<usize, u64>,
+    /// When the present leader began.
+    led_since: u64,
+    /// Runs that were found going on.
+    found: BTreeSet<(usize, TaskKey, Run)>,
+}
+
+/// Fails the test if something runs whose job is over.
+pub(super) fn assert_none_left_over(world: &World) {
+    let left = world.left_over();
+    assert!(left.is_empty(), "{} runs of jobs that are over go on: {left:?}", left.len());
+}
+
+impl Cancellations {
+    /// Returns by when the runs of a job at a worker must be gone. What went wrong there may have left a lease.
+    fn gone_by(&self, job: JobKey, at: usize, lease_ms: u64) -> Option<u64> {
+        let made = self.made.get(&job)?;
+        let calm = self.troubled_until.get(&at).map_or(0, |until| until + lease_ms);
+        Some(made.at.max(calm).max(self.led_since) + GONE_WITHIN_MS)
+    }
+}
+
+impl World {
+    /// Notes that a cancellation is stored: the leader that is told of it knows it, or else its successor.
+    pub(super) fn note_cancelled(&mut self, key: JobKey) {
+        let known_from = if self.cx.is_some() { self.term } else { self.term + 1 };
+        let made = Cancellation { at: self.now, known_from };
+        self.cancelled.insert(key);
+        self.cancellations.made.entry(key).or_insert(made);
+    }
+
+    /// Notes that something goes wrong at a worker, or with calls to it, for so many milliseconds.
+    pub(super) fn note_trouble(&mut self, at: usize, for_ms: u64) {
+        let until = self.cancellations.troubled_until.entry(at).or_default();
+        *until = (*until).max(self.now + for_ms);
+    }
+
+    /// Notes that another leader begins, or that there is none.
+    pub(super) fn note_leader(&mut self) {
+        self.cancellations.led_since = self.now;
+    }
+
+    /// Checks that a start which the leader sends is not one of a job that it knows to be cancelled.
+    pub(super) fn check_sent(&mut self, at: usize, task: TaskKey, run: Run) {
+        let made = self.cancellations.made.get(&task.job).copied();
+        let Some(made) = made.filter(|made| made.known_from <= self.term) else { return };
+        let (now, ago) = (self.now, self.now - made.at);
+        let said = format!(
+            "{now}: start of {task}, run {}, sent to {at} {ago} ms after its cancel",
+            run.0
+        );
+        self.violations.push(said);
+    }
+
+    /// Checks that no run of a cancelled job goes on where nothing hinders its stop.
+    pub(super) fn check_runs(&mut self) {
+        if self.cx.is_none() {
+            return self.note_leader();
+        }
+        if self.cancellations.made.is_empty() || !self.now.is_multiple_of(LOOK_EVERY_MS) {
+            return;
+        }
+        let lease = self.settings.lease_max.0;
+        let mut over = Vec::new();
+        for (at, worker) in self.workers.iter().enumerate().filter(|(_, w)| w.up) {
+            for (task, sim) in &worker.running {
+                let gone_by = self.cancellations.gone_by(task.job, at, lease);
+                if gone_by.is_some_and(|by| by + worker.stop_ms < self.now) {
+                    over.push((at, *task, sim.run));
+                }
+            }
+        }
+        for (at, task, run) in over {
+            if self.cancellations.found.insert((at, task, run)) {
+                let ago = self.now - self.cancellations.made[&task.job].at;
+                let now = self.now;
+                let said = format!(
+                    "{now}: {task}, run {}, goes on at {at} {ago} ms after its cancel",
+                    run.0
+                );
+                self.violations.push(said);
+            }
+        }
+    }
+
+    /// Tells whether a job is cancelled, has ended otherwise, or is forgotten.
+    pub(super) fn is_over(&self, job: JobKey) -> bool {
+        let state = self.progress.get(&job).map(|progress| progress.state);
+        let ended = self.cancelled.contains(&job) || state.is_some_and(JobState::is_final);
+        ended || self.forgotten.contains(&job)
+    }
+
+    /// Lists what runs of jobs that are over, with its workers.
+    fn left_over(&self) -> Vec<(usize, TaskKey, Run)> {
+        let up = self.workers.iter().enumerate().filter(|(_, w)| w.up);
+        let runs = up.flat_map(|(at, w)| w.running.iter().map(move |(t, sim)| (at, *t, sim.run)));
+        runs.filter(|(_, task, _)| self.is_over(task.job)).collect()
+    }
+}
--- a/crates/sched/tests/fleet/world/checks.rs
+++ b/crates/sched/tests/fleet/world/checks.rs
@@ -1,9 +1,10 @@
 //! The promises that are checked while a world runs; a broken one is kept in words.
 
 use gaplock_jobs::progress::{JobState, Progress};
-use gaplock_jobs::{Job, JobKey, TaskKey};
+use gaplock_jobs::{Job, TaskKey};
 
 use super::builders::{job, step};
+use super::cancellations::assert_none_left_over;
 use super::worker::SimWorker;
 use super::{Faults, World, WriteFaults, MAX_ATTEMPTS};
 
@@ -36,14 +37,21 @@
     assert_nothing_waits(world);
 }
 
-/// Ends all faults and, once it has been quiet for a while, fails the test if a task waits that could run.
+/// Ends all faults and, once it has been quiet for a while, fails the test if a task waits that could run, or runs
+/// though its job is over.
 pub fn assert_nothing_waits(world: &mut World) {
+    quieten(world);
+    let waiting = world.waiting();
+    assert!(waiting.is_empty(), "{} could run and wait: {waiting:?}", waiting.len());
+    assert_none_left_over(world);
+}
+
+/// Ends all faults and lets so much time pass that nothing waits any more that fits.
+fn quieten(world: &mut World) {
     world.faults = Faults::default();
     world.write_faults = WriteFaults::default();
     world.workers.iter_mut().for_each(SimWorker::recover);
     world.run(QUIET_MS);
-    let waiting = world.waiting();
-    assert!(waiting.is_empty(), "{} could run and wait: {waiting:?}", waiting.len());
 }
 
 /// How long it is quiet before nothing waits any more that fits: the longest lease, and the time for what was
@@ -54,11 +62,7 @@
     /// Lists the tasks whose turn has come by their workers' word, that run nowhere, and for which a worker has
     /// room.
     fn waiting(&self) -> Vec<TaskKey> {
-        let is_over = |job: &JobKey| {
-            let state = self.progress.get(job).map(|progress| progress.state);
-            self.cancelled.contains(job) || state.is_some_and(JobState::is_final)
-        };
-        let live = self.jobs.values().filter(|job| job.repeat.is_none() && !is_over(&job.key));
+        let live = self.jobs.values().filter(|job| job.repeat.is_none() && !self.is_over(job.key));
         live.flat_map(|job| self.waiting_of(job)).collect()
     }
 
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -6,10 +6,12 @@
 //! [`store`], which keeps what a successor learns, [`evacuations`] are asked for by the operators, the
 //! [`directory`] is read late,
 //! [`hosts`] lie beneath the workers, [`crashes`] take them down, [`checkpoints`] are what runs save and starts
-//! bring, [`checks`] looks for broken promises, and [`views`] tells a test what came of it all.
+//! bring, [`checks`] and [`cancellations`] look for broken promises, and [`views`] tells a test what came of it
+//! all.
 
 mod builders;
 mod calls;
+mod cancellations;
 mod checkpoints;
 mod checks;
 mod crashes;
@@ -40,6 +42,7 @@
 
 pub use builders::{job, lasting, step};
 use calls::Delivery;
+use cancellations::Cancellations;
 use checkpoints::Checkpoints;
 pub use checks::{assert_all_end, assert_kept, assert_nothing_waits, play};
 use crashes::Crashes;
@@ -126,6 +129,10 @@
     next_delivery: u64,
     jobs: BTreeMap<JobKey, Arc<Job>>,
     cancelled: BTreeSet<JobKey>,
+    /// Jobs that the store no longer holds; calls may still name them.
+    forgotten: BTreeSet<JobKey>,
+    /// What is judged of cancellations.
+    cancellations: Cancellations,
     progress: BTreeMap<JobKey, Progress>,
     /// Jobs whose stored progress cannot be read.
     unreadable: BTreeSet<JobKey>,
@@ -174,6 +181,8 @@
             next_delivery: 0,
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
+            forgotten: BTreeSet::new(),
+            cancellations: Cancellations::default(),
             progress: BTreeMap::new(),
             unreadable: BTreeSet::new(),
             roster: BTreeMap::new(),
@@ -215,12 +224,13 @@
     pub fn submit(&mut self, job: Job) {
         let job = Arc::new(job);
         self.jobs.insert(job.key, Arc::clone(&job));
+        self.forgotten.remove(&job.key);
         self.event(Event::Job(job));
     }
 
     /// Cancels a job.
     pub fn cancel(&mut self, key: u64) {
-        self.cancelled.insert(JobKey(key));
+        self.note_cancelled(JobKey(key));
         self.event(Event::Cancel(JobKey(key)));
     }
 
@@ -326,6 +336,7 @@
                 self.event(Event::Tick);
             }
             self.commit();
+            self.check_runs();
         }
     }
 
--- a/crates/sched/tests/fleet/world/store.rs
+++ b/crates/sched/tests/fleet/world/store.rs
@@ -1,9 +1,10 @@
 //! The store: it takes commits in, and a successor begins with what it holds.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use gaplock_jobs::progress::Progress;
-use gaplock_jobs::JobKey;
+use gaplock_jobs::{Job, JobKey};
 use gaplock_sched::context::Term;
 use gaplock_sched::message::{FencingToken, Record};
 use gaplock_sched::takeover::{self, Stored};
@@ -17,13 +18,14 @@
     /// Replaces the leader by a new one that knows only the store.
     pub fn take_over(&mut self) {
         self.term += 1;
+        self.note_leader();
         self.token += 10;
         self.writes.claim(self.term);
         let term = Term { number: self.term, token: FencingToken(self.token) };
         let mut cx = Context::open(self.settings.clone(), term, self.instant(), self.unix());
         cx.handle(self.instant(), self.unix(), Event::Config(config(self.advice)));
         let stored = Stored {
-            jobs: self.jobs.values().cloned().collect(),
+            jobs: self.stored_jobs(),
             progress: self.readable_progress(),
             unreadable: self.unreadable.clone(),
             cancelled: self.cancelled.iter().copied().collect(),
@@ -43,6 +45,12 @@
         self.act();
     }
 
+    /// Returns all jobs that are not forgotten.
+    fn stored_jobs(&self) -> Vec<Arc<Job>> {
+        let stored = self.jobs.values().filter(|job| !self.forgotten.contains(&job.key));
+        stored.cloned().collect()
+    }
+
     /// Returns the progress of all jobs whose record can be read.
     fn readable_progress(&self) -> BTreeMap<JobKey, Progress> {
         let records = self.progress.iter().filter(|(key, _)| !self.unreadable.contains(key));
@@ -80,7 +88,7 @@
                 }
                 Record::Forget(key) => {
                     self.progress.remove(&key);
-                    self.jobs.remove(&key);
+                    self.forgotten.insert(key);
                 }
                 Record::Worker(entry) => {
                     self.roster.insert(entry.info.id.clone(), entry);
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -180,6 +180,7 @@
     pub fn start_over(&mut self, at: usize) {
         let goes = |trip: &Trip| trip.worker == at && !trip.answered;
         self.deliveries.retain(|_, d| !matches!(d, Delivery::ToWorker { trip, .. } if goes(trip)));
+        self.note_trouble(at, ENTERED_AFTER_MS);
         let mut info = self.workers[at].info.clone();
         let former = info.id.clone();
         info.id = ids::WorkerId::of(&former.name(), Some(self.now));
@@ -271,6 +272,7 @@
 
     /// Answers that nothing was done.
     fn refuse(&mut self, trip: Trip, call: &Call) {
+        self.note_trouble(trip.worker, 0);
         let Some(worker) = self.awaited_by(trip) else { return };
         let event = match call {
             Call::Renew(renewal) => {
