Tests of each way in which a cancelled job's task could run on

One test for each: lost and refused stops, starts under way and late ones, also at the next start of their worker, restarts, cuts, removed leaders, adopting successors, gang mates, retries, suspects of crashes, copies, a cancellation ahead of its job, rounds, moves, and forgotten and failed jobs. Two random worlds mix them; CANCEL_SEEDS says how many are played, from CANCEL_FROM on.

--- /dev/null
+++ b/crates/sched/tests/fleet/cancelled_mix.rs
@@ -0,0 +1,143 @@
+//! Jobs of every kind that are cancelled amid every fault, in random worlds.
+
+use std::env;
+use std::ops::Range;
+
+use gaplock_jobs::job::Repeat;
+use gaplock_jobs::{Job, Step};
+use gaplock_types::time::Millis;
+
+use crate::world::{
+    assert_cancellations_kept, assert_nothing_waits, job, lasting, step, Faults, World,
+};
+
+/// How many random worlds are played unless `CANCEL_SEEDS` says.
+const SEEDS: u64 = 12;
+
+/// The first of them unless `CANCEL_FROM` says.
+const FIRST_SEED: u64 = 4_000;
+
+/// How many workers a world has.
+const WORKERS: u64 = 10;
+
+/// How many jobs are handed in.
+const JOBS: u64 = 24;
+
+/// Builds a job of one of the kinds that differ in what runs, and where.
+fn any_job(world: &mut World, key: u64) -> Job {
+    let copies = Step { duplicates: true, ..step(4, &[]) };
+    let gang = Step { gang: true, ..step(4, &[]) };
+    match world.draw(7) {
+        0 => job(key, vec![lasting(4)]),
+        1 => job(key, vec![gang]),
+        2 => job(key, vec![copies, step(2, &[0])]),
+        3 => {
+            let repeat = Some(Repeat { times: 6, first_unix_ms: 0, every: Millis(400) });
+            Job { repeat, ..job(key, vec![step(3, &[]), step(2, &[0])]) }
+        }
+        4 => job(key, vec![step(3, &[]), lasting(2)]),
+        _ => job(key, vec![step(5, &[]), step(3, &[0])]),
+    }
+}
+
+/// Hands a job in and cancels it, soon, later, or not at all.
+fn hand_in(world: &mut World, key: u64) {
+    let job = any_job(world, key);
+    let pause = world.draw(500);
+    match world.draw(8) {
+        0 => world.cancel_ahead(job, pause),
+        1..4 => {
+            world.submit(job);
+            world.run(pause);
+            world.cancel(key);
+        }
+        _ => world.submit(job),
+    }
+    if key >= 3 && world.draw(3) == 0 {
+        let earlier = key - 1 - world.draw(3);
+        world.cancel(earlier);
+    }
+}
+
+/// Does one of the things that make a run hard to stop or to find.
+fn harm(world: &mut World) {
+    let at = world.draw(WORKERS) as usize;
+    let (ms, gap) = (world.draw(4_000), world.draw(2_500));
+    match world.draw(16) {
+        0 | 1 => world.workers[at].cut ^= true,
+        2 => world.change_leader(gap),
+        3 => world.workers[at].delays_start = Some(ms),
+        4 => world.workers[at].refuses_stops ^= true,
+        5 => world.workers[at].slowness = if world.workers[at].slowness == 1 { 6 } else { 1 },
+        6 => world.workers[at].stop_ms = ms / 5,
+        7 => world.workers[at].late_by_own_lease ^= true,
+        _ => {}
+    }
+}
+
+/// Loses workers that are up, now and then: no more than two under one task, which is given up after three.
+fn lose_workers(world: &mut World, key: u64, start_over: fn(&mut World, usize)) {
+    let one = world.draw(WORKERS) as usize;
+    let (lost, lose): (Vec<usize>, fn(&mut World, usize)) = match key {
+        6 => (vec![one], World::crash_and_return),
+        11 => (vec![one], start_over),
+        12 => ((0..3).collect(), World::crash_and_return),
+        18 => ((0..WORKERS as usize).collect(), start_over),
+        _ => return,
+    };
+    for at in lost {
+        if world.workers[at].up {
+            lose(world, at);
+        }
+    }
+}
+
+/// Plays a world of jobs that are cancelled amid faults up to the end of the faults.
+fn played(seed: u64, start_over: fn(&mut World, usize)) -> World {
+    let mut world = World::open(seed, WORKERS as usize);
+    world.work_ms = 1_500;
+    world.crashes.same_names = seed.is_multiple_of(2);
+    world.faults = Faults {
+        lost_per_mille: 20,
+        unanswered_per_mille: 50,
+        late_per_mille: 30,
+        failing_per_mille: 10,
+        unwell_per_mille: 30,
+    };
+    for key in 0..JOBS {
+        hand_in(&mut world, key);
+        harm(&mut world);
+        let pause = world.draw(500);
+        world.run(pause);
+        lose_workers(&mut world, key, start_over);
+    }
+    world
+}
+
+/// Returns the seeds that are played.
+fn seeds() -> Range<u64> {
+    let number = |name: &str| env::var(name).ok().and_then(|n| n.parse().ok());
+    let from = number("CANCEL_FROM").unwrap_or(FIRST_SEED);
+    from..from + number("CANCEL_SEEDS").unwrap_or(SEEDS)
+}
+
+/// A run of a cancelled job goes on, or begins, after one of the many orders in which faults may come.
+#[test]
+fn no_run_of_a_cancelled_job_goes_on_whatever_goes_wrong() {
+    for seed in seeds() {
+        let mut world = played(seed, World::start_over);
+        assert_nothing_waits(&mut world);
+        assert!(world.violations.is_empty(), "seed {seed}: {:#?}", world.violations);
+    }
+}
+
+/// The same where starts that come late reach the next start of their worker, which has forgotten what barred them.
+/// Such a start may also double a task of a job that goes on, so only cancellations are judged.
+#[test]
+fn no_run_of_a_cancelled_job_goes_on_at_the_next_start_of_its_worker() {
+    for seed in seeds() {
+        println!("seed {seed}");
+        let mut world = played(seed, World::start_over_before_calls);
+        assert_cancellations_kept(&mut world);
+    }
+}
--- /dev/null
+++ b/crates/sched/tests/fleet/cancelled_runs.rs
@@ -0,0 +1,421 @@
+//! The ways in which a task of a cancelled job could run on or begin, one test for each.
+
+use gaplock_jobs::job::Repeat;
+use gaplock_jobs::progress::JobState;
+use gaplock_jobs::{Job, Step};
+use gaplock_types::time::Millis;
+
+use crate::world::{assert_kept, assert_nothing_waits, job, lasting, step, World};
+
+/// How long a run may be there once its job is cancelled and its worker answers, in milliseconds.
+const GONE_WITHIN: u64 = 2_000;
+
+/// How long no run may come back after that, in milliseconds: longer than all leases and late calls.
+const STAYS_GONE: u64 = 10_000;
+
+/// How long after its start a crashing task crashes its worker, in milliseconds.
+const AT_ONCE_MS: u64 = 10;
+
+/// Fails the test if a run of job 1 is there from now on.
+fn assert_stays_gone(world: &mut World, case: &str) {
+    let until = world.now + STAYS_GONE;
+    while world.now < until {
+        assert_eq!(world.running_of(1), 0, "{case}: a run of a cancelled job at {}", world.now);
+        world.run(100);
+    }
+    assert!(world.violations.is_empty(), "{case}: {:#?}", world.violations);
+}
+
+/// Fails the test if a run of job 1 is there once the time of a stop is over.
+fn assert_goes(world: &mut World, case: &str) {
+    world.run(GONE_WITHIN);
+    assert_stays_gone(world, case);
+}
+
+/// Builds a world of four workers whose work takes a minute, with job 1 of `steps` at work for a second.
+fn at_work(seed: u64, steps: Vec<Step>) -> World {
+    let mut world = World::open(seed, 4);
+    world.work_ms = 60_000;
+    world.submit(job(1, steps));
+    world.run(1_000);
+    assert!(world.running_of(1) > 0);
+    world
+}
+
+/// Builds a world of which each worker carries out its next start so many milliseconds late, and hands in job 1.
+fn with_late_starts(seed: u64, late_ms: u64) -> World {
+    let mut world = World::open(seed, 3);
+    world.work_ms = 60_000;
+    world.run(100);
+    world.workers.iter_mut().for_each(|w| w.delays_start = Some(late_ms));
+    world.submit(job(1, vec![step(6, &[])]));
+    world
+}
+
+/// A stop that never arrives was the only one.
+#[test]
+fn a_run_ends_whose_stop_was_lost() {
+    for lost_ms in [1, 100, 700] {
+        let mut world = at_work(410, vec![step(12, &[])]);
+        world.faults.lost_per_mille = 1_000;
+        world.cancel(1);
+        world.run(lost_ms);
+        world.faults.lost_per_mille = 0;
+        assert_goes(&mut world, &format!("lost for {lost_ms} ms"));
+    }
+}
+
+/// A stop that is refused is given up.
+#[test]
+fn a_run_ends_whose_stop_was_refused_for_a_while() {
+    for refused_ms in [10, 400, 1_500, 4_000] {
+        let mut world = at_work(411, vec![step(12, &[]), lasting(4)]);
+        world.workers.iter_mut().for_each(|w| w.refuses_stops = true);
+        world.cancel(1);
+        world.run(refused_ms);
+        world.workers.iter_mut().for_each(|w| w.refuses_stops = false);
+        assert_goes(&mut world, &format!("refused for {refused_ms} ms"));
+    }
+}
+
+/// A start without an answer, or its repeat, begins the task after the cancellation.
+#[test]
+fn a_start_under_way_begins_nothing_that_stays() {
+    for late_ms in [200, 600, 1_200, 3_000] {
+        for after in [0, 1, 150, 399, 401, 450, 850, 1_300] {
+            let mut world = with_late_starts(412, late_ms);
+            world.run(after);
+            world.cancel(1);
+            assert_goes(&mut world, &format!("{late_ms} ms late, cancelled after {after} ms"));
+        }
+    }
+}
+
+/// A start without an answer is carried out seconds late, after the account that did not list its run.
+#[test]
+fn a_start_carried_out_seconds_late_ends() {
+    for own_lease in [false, true] {
+        for late_ms in [2_000, 4_500, 5_900, 8_000] {
+            let mut world = with_late_starts(413, late_ms);
+            world.workers.iter_mut().for_each(|w| w.late_by_own_lease = own_lease);
+            world.workers.iter_mut().for_each(|w| w.unwell = true);
+            world.run(600);
+            world.cancel(1);
+            world.run(300);
+            world.workers.iter_mut().for_each(|w| w.unwell = false);
+            // Other work keeps leases at the workers.
+            world.submit(job(2, vec![lasting(6)]));
+            assert_goes(&mut world, &format!("{late_ms} ms late, own lease: {own_lease}"));
+        }
+    }
+}
+
+/// A worker that starts again before, while and after the cancel.
+#[test]
+fn a_run_ends_whose_worker_starts_again() {
+    for (restart, cancel) in [(0, 0), (0, 1), (0, 300), (0, 900), (1, 0), (300, 0), (900, 0)] {
+        let mut world = at_work(414, vec![step(6, &[]), lasting(6)]);
+        for at in 0..1_000 {
+            if at == restart {
+                (0..3).for_each(|worker| world.start_over(worker));
+            }
+            if at == cancel {
+                world.cancel(1);
+            }
+            world.run(1);
+        }
+        let case = format!("restart after {restart} ms, cancel after {cancel} ms");
+        assert_goes(&mut world, &case);
+    }
+}
+
+/// A late start reaches the next start of its worker, which has forgotten the stop that barred it.
+#[test]
+fn a_start_that_reaches_the_next_start_of_its_worker_ends() {
+    for late_ms in [700, 1_500, 3_000, 5_000] {
+        for (cancel, restart) in [(0, 100), (50, 450), (450, 200), (900, 900), (900, 1_800)] {
+            let mut world = with_late_starts(415, late_ms);
+            world.run(cancel);
+            world.cancel(1);
+            world.run(restart);
+            (0..3).for_each(|worker| world.start_over_before_calls(worker));
+            world.run(late_ms);
+            let case = format!("{late_ms} ms late, restart {restart} ms after {cancel} ms");
+            assert_goes(&mut world, &case);
+        }
+    }
+}
+
+/// A worker starts again with a late start on its way, and the job is cancelled after that.
+#[test]
+fn a_start_that_reaches_the_next_start_of_its_worker_before_the_cancel_ends() {
+    for late_ms in [500, 1_500, 3_000] {
+        for (restart, cancel) in [(50, 0), (50, 100), (450, 500), (450, 1_200), (900, 3_000)] {
+            let mut world = with_late_starts(416, late_ms);
+            world.run(restart);
+            (0..3).for_each(|worker| world.start_over_before_calls(worker));
+            world.run(cancel);
+            world.cancel(1);
+            world.run(late_ms);
+            let case = format!("{late_ms} ms late, cancel {cancel} ms after {restart} ms");
+            assert_goes(&mut world, &case);
+        }
+    }
+}
+
+/// A worker hears nothing of the cancellation while it is cut off, or its stop was its last call.
+#[test]
+fn a_run_ends_whose_worker_comes_back_from_a_cut() {
+    for before in [0, 500, 2_500] {
+        for after in [1, 800, 3_000, 5_000, 9_000] {
+            let mut world = at_work(417, vec![step(8, &[]), lasting(4)]);
+            world.workers[..2].iter_mut().for_each(|w| w.cut = true);
+            world.run(before);
+            world.cancel(1);
+            world.run(after);
+            world.workers[..2].iter_mut().for_each(|w| w.cut = false);
+            assert_goes(&mut world, &format!("cut {before} ms before to {after} ms after"));
+        }
+    }
+}
+
+/// A cut worker takes a start of a removed leader in once it is back.
+#[test]
+fn a_start_of_a_removed_leader_begins_nothing_that_stays() {
+    for late_ms in [300, 1_500, 5_000] {
+        for gap in [0, 300, 2_000] {
+            let mut world = with_late_starts(418, late_ms);
+            world.run(100);
+            world.lose_leader();
+            world.run(gap / 2);
+            world.cancel(1);
+            world.run(gap / 2);
+            world.take_over();
+            world.run(late_ms);
+            assert_goes(&mut world, &format!("{late_ms} ms late, no leader for {gap} ms"));
+        }
+    }
+}
+
+/// A successor adopts a run in the very moment of the cancellation.
+#[test]
+fn a_run_ends_that_a_successor_adopts() {
+    for after in [0, 1, 2, 3, 5, 20, 300, 1_000] {
+        let mut world = at_work(419, vec![step(6, &[]), lasting(6)]);
+        world.workers[0].cut = true;
+        world.change_leader(500);
+        world.run(after);
+        world.cancel(1);
+        world.run(after);
+        world.workers[0].cut = false;
+        assert_goes(&mut world, &format!("cancelled {after} ms after the takeover"));
+    }
+}
+
+/// A leader that is lost right after it took the cancellation in, before the last run is gone.
+#[test]
+fn a_run_ends_whose_leader_is_lost_after_the_cancel() {
+    for after in [0, 1, 2, 50, 500] {
+        let mut world = at_work(420, vec![step(6, &[]), lasting(6)]);
+        world.workers.iter_mut().for_each(|w| w.stop_ms = 800);
+        world.workers[0].refuses_stops = true;
+        world.cancel(1);
+        world.run(after);
+        world.change_leader(700);
+        world.workers[0].refuses_stops = false;
+        assert_goes(&mut world, &format!("leader lost {after} ms after the cancel"));
+    }
+}
+
+/// Members of a gang whose mates have failed, are starting, or went with their worker.
+#[test]
+fn mates_of_a_gang_end_together() {
+    for (case, late, failing, cut) in [
+        ("all at work", None, false, false),
+        ("one starts late", Some(1_500), false, false),
+        ("one fails", None, true, false),
+        ("one is cut off", None, false, true),
+    ] {
+        for after in [0, 20, 60, 300, 1_000] {
+            let mut world = World::open(421, 4);
+            world.work_ms = 60_000;
+            world.run(100);
+            (world.workers[1].delays_start, world.workers[1].failing) = (late, failing);
+            let gang = Step { gang: true, most_per_worker: Some(2), ..step(7, &[]) };
+            world.submit(job(1, vec![gang]));
+            world.run(10);
+            world.workers[1].cut = cut;
+            world.run(after);
+            world.cancel(1);
+            world.run(if cut { 3_000 } else { 0 });
+            world.workers[1].cut = false;
+            assert_goes(&mut world, &format!("{case}, cancelled after {after} ms"));
+        }
+    }
+}
+
+/// A failed task waits for its next try when its job is cancelled.
+#[test]
+fn a_failed_task_is_not_tried_again() {
+    for after in [49, 51, 52, 53, 55, 100, 150, 160, 210, 400] {
+        let mut world = World::open(422, 3);
+        world.work_ms = 60_000;
+        world.run(100);
+        world.workers.iter_mut().for_each(|w| w.failing = true);
+        world.submit(job(1, vec![step(3, &[]), lasting(3)]));
+        world.run(after);
+        world.cancel(1);
+        world.workers.iter_mut().for_each(|w| w.failing = false);
+        assert_goes(&mut world, &format!("cancelled {after} ms after the first start"));
+    }
+}
+
+/// Builds a world of two workers, each of which was lost twice under the tasks of job 1: some of these are being
+/// tried, and the others wait for an empty worker.
+fn twice_lost(seed: u64) -> World {
+    let mut world = World::open(seed, 2);
+    world.submit(job(1, vec![lasting(12)]));
+    world.run(2_000);
+    for pause in [12_000, 0] {
+        for _ in 0..2 {
+            let at = world.busy_worker();
+            world.crash_and_return(at);
+            world.run(200);
+        }
+        world.run(pause);
+    }
+    while world.running_of(1) == 0 {
+        world.run(1);
+    }
+    assert!(world.suspects() > world.running_of(1), "no suspect waits");
+    world
+}
+
+/// Tasks that are suspected of having crashed their workers wait for trials of their own, beside the queue of all
+/// others.
+#[test]
+fn suspects_that_wait_for_a_trial_are_not_tried() {
+    for after in (0..1_500).step_by(70) {
+        let mut world = twice_lost(423);
+        world.run(after);
+        world.cancel(1);
+        // The stops of those that are being tried leave empty workers, for which the others wait.
+        assert_goes(&mut world, &format!("cancelled {after} ms after the first trial"));
+    }
+}
+
+/// A suspect whose trial begins in the very moment of the cancellation.
+#[test]
+fn a_suspect_that_is_being_tried_ends() {
+    for after in (0..400).step_by(20) {
+        let mut world = World::open(424, 6);
+        world.crash_under(1, 0, AT_ONCE_MS);
+        world.submit(job(1, vec![step(4, &[])]));
+        world.run_until_crashes(1, 1, 5_000);
+        world.run(3_000 + 10 * after);
+        world.cancel(1);
+        assert_goes(&mut world, &format!("cancelled {after} ms after the crash"));
+    }
+}
+
+/// A task has two runs, the slow one and its copy, and one of them is forgotten.
+#[test]
+fn a_slow_run_and_its_copy_end() {
+    for after in (0..2_000).step_by(100) {
+        for cut in [false, true] {
+            let mut world = World::open(425, 4);
+            world.work_ms = 2_000;
+            world.workers[0].slowness = 8;
+            world.submit(job(1, vec![Step { duplicates: true, ..step(24, &[]) }]));
+            world.run(1_000 + after);
+            world.workers[0].cut = cut;
+            world.cancel(1);
+            world.run(1_000);
+            world.workers[0].cut = false;
+            assert_goes(&mut world, &format!("cancelled after {after} ms, slow one cut: {cut}"));
+        }
+    }
+}
+
+/// The leader hears of a cancellation first, which concerns a job that it does not know.
+#[test]
+fn a_job_that_comes_after_its_cancellation_begins_nothing() {
+    for gap in [0, 1, 100, 3_000] {
+        let mut world = World::open(426, 3);
+        world.work_ms = 60_000;
+        world.run(100);
+        world.cancel_ahead(job(1, vec![step(4, &[]), lasting(2)]), gap);
+        assert_stays_gone(&mut world, &format!("{gap} ms"));
+        assert_eq!(world.state(1), Some(JobState::Cancelled), "{gap} ms");
+    }
+}
+
+/// A round that falls due after the cancellation, and one that is under way.
+#[test]
+fn no_round_of_a_cancelled_job_begins() {
+    for after in [0, 100, 299, 300, 301, 500, 850] {
+        let mut world = World::open(427, 3);
+        world.work_ms = 700;
+        let repeat = Some(Repeat { times: 50, first_unix_ms: 0, every: Millis(300) });
+        world.submit(Job { repeat, ..job(1, vec![step(3, &[]), step(2, &[0])]) });
+        world.run(1_000 + after);
+        world.cancel(1);
+        let starts = world.starts;
+        assert_goes(&mut world, &format!("cancelled after {after} ms"));
+        assert_eq!(world.starts, starts, "{after} ms");
+    }
+}
+
+/// A task that is being moved off a worker that leaves, or is told to stop for another reason.
+#[test]
+fn a_task_that_is_on_the_move_ends() {
+    for after in [0, 1, 3, 100, 900, 2_500] {
+        let mut world = at_work(428, vec![step(8, &[]), lasting(8)]);
+        world.workers.iter_mut().for_each(|w| w.stop_ms = 300);
+        world.drain(0, 4_000);
+        world.unlist(1);
+        world.run(after);
+        world.cancel(1);
+        assert_goes(&mut world, &format!("cancelled {after} ms after workers leave"));
+    }
+}
+
+/// A job is forgotten some time after its end, and a worker that was cut off for longer still runs its task.
+#[test]
+fn a_run_ends_whose_job_is_forgotten() {
+    let mut world = World::open(429, 3);
+    world.settings.keep_finished = Millis(500);
+    world.take_over();
+    world.work_ms = 60_000;
+    world.submit(job(1, vec![step(6, &[])]));
+    world.run(1_000);
+    world.workers[0].refuses_stops = true;
+    world.cancel(1);
+    world.run(3_000);
+    assert_eq!(world.state(1), None, "the job is not forgotten");
+    world.workers[0].refuses_stops = false;
+    assert_goes(&mut world, "forgotten");
+}
+
+/// A job that fails leaves runs of its other tasks and steps.
+#[test]
+fn runs_of_a_job_that_failed_end() {
+    for cut in [false, true] {
+        let mut world = World::open(430, 4);
+        world.work_ms = 60_000;
+        world.submit(job(1, vec![lasting(8)]));
+        world.submit(job(2, vec![step(8, &[]), lasting(8)]));
+        world.run(500);
+        world.faults.failing_per_mille = 1_000;
+        world.submit(job(3, vec![step(1, &[])]));
+        (0..2).for_each(|at| world.start_over(at));
+        world.run(2_500);
+        world.faults.failing_per_mille = 0;
+        world.workers[2].cut = cut;
+        world.run(4_000);
+        world.workers[2].cut = false;
+        world.run(4_000);
+        assert_kept(&world);
+        assert_nothing_waits(&mut world);
+    }
+}
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -3,6 +3,8 @@
 mod backlogs;
 mod bursts;
 mod cancelled;
+mod cancelled_mix;
+mod cancelled_runs;
 mod capacity;
 mod checkpoints;
 mod crashes;
--- a/crates/sched/tests/fleet/world/cancellations.rs
+++ b/crates/sched/tests/fleet/world/cancellations.rs
@@ -2,11 +2,14 @@
 //! is gone soon, wherever it is and however it came there.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use gaplock_jobs::progress::JobState;
-use gaplock_jobs::{JobKey, TaskKey};
+use gaplock_jobs::{Job, JobKey, TaskKey};
 use gaplock_sched::message::Run;
+use gaplock_sched::Event;
 
+use super::checks::quieten;
 use super::World;
 
 /// How long a run of a cancelled job may be there where nothing goes wrong: the time of a stop, and of the account
@@ -34,6 +37,16 @@
     led_since: u64,
     /// Runs that were found going on.
     found: BTreeSet<(usize, TaskKey, Run)>,
+    /// Broken promises of cancellations, in words.
+    broken: Vec<String>,
+}
+
+/// Ends all faults and, once it has been quiet for a while, fails the test if a promise of a cancellation was broken,
+/// whatever else went wrong.
+pub fn assert_cancellations_kept(world: &mut World) {
+    quieten(world);
+    assert!(world.cancellations.broken.is_empty(), "{:#?}", world.cancellations.broken);
+    assert_none_left_over(world);
 }
 
 /// Fails the test if something runs whose job is over.
@@ -52,6 +65,16 @@
 }
 
 impl World {
+    /// Cancels a job of which the leader hears so many milliseconds after its cancellation.
+    pub fn cancel_ahead(&mut self, job: Job, gap: u64) {
+        let key = job.key;
+        let job = Arc::new(job);
+        self.jobs.insert(key, Arc::clone(&job));
+        self.cancel(key.0);
+        self.run(gap);
+        self.event(Event::Job(job));
+    }
+
     /// Notes that a cancellation is stored: the leader that is told of it knows it, or else its successor.
     pub(super) fn note_cancelled(&mut self, key: JobKey) {
         let known_from = if self.cx.is_some() { self.term } else { self.term + 1 };
@@ -80,7 +103,7 @@
             "{now}: start of {task}, run {}, sent to {at} {ago} ms after its cancel",
             run.0
         );
-        self.violations.push(said);
+        self.broken(said);
     }
 
     /// Checks that no run of a cancelled job goes on where nothing hinders its stop.
@@ -109,11 +132,16 @@
                     "{now}: {task}, run {}, goes on at {at} {ago} ms after its cancel",
                     run.0
                 );
-                self.violations.push(said);
+                self.broken(said);
             }
         }
     }
 
+    fn broken(&mut self, said: String) {
+        self.cancellations.broken.push(said.clone());
+        self.violations.push(said);
+    }
+
     /// Tells whether a job is cancelled, has ended otherwise, or is forgotten.
     pub(super) fn is_over(&self, job: JobKey) -> bool {
         let state = self.progress.get(&job).map(|progress| progress.state);
--- a/crates/sched/tests/fleet/world/checks.rs
+++ b/crates/sched/tests/fleet/world/checks.rs
@@ -47,7 +47,7 @@
 }
 
 /// Ends all faults and lets so much time pass that nothing waits any more that fits.
-fn quieten(world: &mut World) {
+pub(super) fn quieten(world: &mut World) {
     world.faults = Faults::default();
     world.write_faults = WriteFaults::default();
     world.workers.iter_mut().for_each(SimWorker::recover);
--- a/crates/sched/tests/fleet/world/mod.rs
+++ b/crates/sched/tests/fleet/world/mod.rs
@@ -42,6 +42,7 @@
 
 pub use builders::{job, lasting, step};
 use calls::Delivery;
+pub use cancellations::assert_cancellations_kept;
 use cancellations::Cancellations;
 use checkpoints::Checkpoints;
 pub use checks::{assert_all_end, assert_kept, assert_nothing_waits, play};
--- a/crates/sched/tests/fleet/world/worker.rs
+++ b/crates/sched/tests/fleet/world/worker.rs
@@ -180,6 +180,11 @@
     pub fn start_over(&mut self, at: usize) {
         let goes = |trip: &Trip| trip.worker == at && !trip.answered;
         self.deliveries.retain(|_, d| !matches!(d, Delivery::ToWorker { trip, .. } if goes(trip)));
+        self.start_over_before_calls(at);
+    }
+
+    /// Starts a worker over under its name, whose next start gets the calls that this one left unanswered.
+    pub fn start_over_before_calls(&mut self, at: usize) {
         self.note_trouble(at, ENTERED_AFTER_MS);
         let mut info = self.workers[at].info.clone();
         let former = info.id.clone();
