Idle workers are asked every 4 s: the bound of a late start at a next start

A run that begins at an idle worker after its job was cancelled is seen by the next account only. The test allowed 2 s for that and failed on a code that stops the run as soon as an account lists it (1.5 s late, restart after 0.1 s). The bound is now the interval of idle renewals and the 2 s of a stop, after which no run may be there for 10 s, as before.

--- a/crates/sched/tests/fleet/cancelled_runs.rs
+++ b/crates/sched/tests/fleet/cancelled_runs.rs
@@ -141,6 +141,9 @@
             (0..3).for_each(|worker| world.start_over_before_calls(worker));
             world.run(late_ms);
             let case = format!("{late_ms} ms late, restart {restart} ms after {cancel} ms");
+            // A worker that holds nothing is asked only so often what it runs.
+            let idle = world.settings.idle_renew_every.0;
+            world.run(idle);
             assert_goes(&mut world, &case);
         }
     }
