A cancellation that comes before its job counts once the job comes

Callers who cancel right after the acceptance could see tasks start after the cancellation was acknowledged.

Cause: job and cancellation are announced to the leader by the hosts that stored them, and the cancellation may be faster; the leader dropped it and started the job, until its watch told of both in their order.

Now a cancellation of a job that is not known is kept for 10 s, and the job ends when it comes. Ruled out as a danger: a job that is handed in again under an id that was forgotten, which is two minutes after its end.

--- a/crates/sched/src/changes/intake.rs
+++ b/crates/sched/src/changes/intake.rs
@@ -78,6 +78,9 @@
     let entry = entry(cx, job);
     trace::job_known(&entry);
     cx.jobs.insert(key, entry);
+    if cx.early_cancellations.remove(&key).is_some() {
+        return lifecycle::end_job(cx, key, JobState::Cancelled);
+    }
     begin_rounds(cx, key);
 }
 
@@ -116,16 +119,23 @@
     }
 }
 
-/// Takes in a stored cancellation.
+/// How long a cancellation waits for its job, which another host announces: longer than the watch takes that tells
+/// of both. A job that is handed in again under its id, once it was forgotten, comes later than that.
+const EARLY_FOR: Millis = Millis(10_000);
+
+/// Takes in a stored cancellation; one may be heard of before its job.
 pub fn cancel(cx: &mut State, key: JobKey) {
     if !cx.jobs.contains_key(&key) {
         trace::cancelled_unknown(key);
+        cx.early_cancellations.insert(key, cx.now);
     }
     lifecycle::end_job(cx, key, JobState::Cancelled);
 }
 
 /// Drops jobs whose final state has been kept for long enough.
 pub fn forget_finished(cx: &mut State) {
+    let now = cx.now;
+    cx.early_cancellations.retain(|_, since| now.since(*since) < EARLY_FOR);
     let keep = cx.settings.keep_finished.0;
     let unix_ms = cx.unix_ms;
     let old =
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -77,6 +77,8 @@
     pub unix_ms: u64,
     /// All jobs whose state is still kept.
     pub jobs: FxHashMap<JobKey, Entry>,
+    /// Cancellations of jobs that are not known yet, and when they came.
+    pub early_cancellations: FxHashMap<JobKey, Instant>,
     /// All workers ever seen by this leader, each start for itself.
     pub workers: Vec<Worker>,
     /// When their renewals fall due.
@@ -140,6 +142,7 @@
             now,
             unix_ms,
             jobs: FxHashMap::default(),
+            early_cancellations: FxHashMap::default(),
             workers: Vec::new(),
             due: DueRenewals::default(),
             gone: 0,
