Known red: a hand-in that is stored after its cancellation was answered with 410

A caller whose hand-in got no outcome (504) cancels the job and is told that there is none (410); the store then carries the hand-in out late, and the job's tasks run until they end by themselves. Cause: `store_cancel_here` looks for the stored job, finds none and writes nothing, so that nothing stands in the way of the late write.

--- a/crates/node/tests/cancelled.rs
+++ b/crates/node/tests/cancelled.rs
@@ -10,7 +10,7 @@
 
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::judge::{acknowledges, OUTSTAY_LIMIT};
-use gaplock_platform_standin::site::{gang, lasting, two_steps, Site};
+use gaplock_platform_standin::site::{self, gang, lasting, two_steps, Site};
 use gaplock_platform_standin::trouble::{Lateness, Stops, WorkerTrouble};
 use support::{open_site, wait_for};
 
@@ -26,6 +26,12 @@
 /// How many tasks a job of two steps has at work at first.
 const FIRST_TASKS: u64 = 6;
 
+/// Where accepted jobs are stored.
+const JOBS: &str = "gaplock/in/job/";
+
+/// What a caller is told whose outcome is not known.
+const UNKNOWN: u16 = 504;
+
 /// Opens a site whose workers are known to its leader, and returns that leader.
 fn open(hosts: usize, workers: usize) -> (Site, usize) {
     let site = open_site(hosts, workers, LONG);
@@ -227,3 +233,27 @@
     }
     assert_gone(&site, leader, &keys);
 }
+
+/// Guards against a hand-in without an outcome that is stored, and runs for good, after its caller was told that
+/// there is no such job to cancel.
+#[test]
+fn a_hand_in_that_is_stored_after_its_cancellation_starts_nothing() {
+    let (site, leader) = open(2, 2);
+    let job = JobKey(1);
+    let other = &site.hosts[1 - leader];
+    site.store.hold_next(JOBS);
+    let callers = other.callers.clone();
+    let asked = thread::spawn(move || site::submit(&callers, job, &lasting()));
+    wait_for("a hand-in without an answer", || site.store.holds_one());
+    site.store.set_writes_refused(true);
+    assert_eq!(asked.join().expect("the caller does not panic"), Some(UNKNOWN));
+    site.store.set_writes_refused(false);
+    cancel(&site, leader, &[1]);
+    site.store.carry_out_held();
+    site.fleet.note_calm();
+    let began = Instant::now();
+    while began.elapsed() < OUTSTAY_LIMIT + MARGIN {
+        assert_eq!(site.fleet.starts_of(job), Vec::<String>::new());
+        thread::sleep(Duration::from_millis(20));
+    }
+}
