--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -13,6 +13,7 @@
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
 
+use super::cancels::Crashes;
 use super::restarts::Restarts;
 use super::wider::Wider;
 use super::{Play, LOCK, POLL};
@@ -131,6 +132,7 @@
 pub(super) struct Besides {
     pub(super) wider: Option<Wider>,
     pub(super) restarts: Option<Restarts>,
+    pub(super) crashes: Option<Crashes>,
 }
 
 impl Besides {
@@ -143,6 +145,9 @@
         if let Some(restarts) = &mut self.restarts {
             faults += restarts.tick(site, more)?;
         }
+        if let Some(crashes) = &mut self.crashes {
+            faults += crashes.tick(site, more)?;
+        }
         Ok(faults)
     }
 }
