A start without an answer is withdrawn where its worker gets no lease

A job could stay active for good with one task that ran nowhere and held its room.

Cause: a start without an answer is sent again with a new lease. Where the worker's leases are left to end, none can be granted, and the sending returned without a word: no call was under way and nothing looked at the slot again, once the worker had taken the stop that it had refused.

--- a/crates/sched/src/changes/orders.rs
+++ b/crates/sched/src/changes/orders.rs
@@ -147,6 +147,10 @@
         return lifecycle::order_stop(cx, ix, key, run, "start not answered");
     }
     slot.ordered = now;
+    let worker = cx.worker(ix);
+    if worker.is_left_to_lapse() || worker.clock.is_none() {
+        return lifecycle::order_stop(cx, ix, key, run, "its worker gets no lease");
+    }
     send_start(cx, ix, key, run);
 }
 
--- a/crates/sched/tests/fleet/withdrawals.rs
+++ b/crates/sched/tests/fleet/withdrawals.rs
@@ -248,3 +248,25 @@
     }
     assert!(late <= 2, "{late} of 200 tasks waited over 3 s");
 }
+
+/// Guards against a start without an answer that is neither repeated nor withdrawn, since its worker gets no lease
+/// just then: its task was held to be there for good, and its job never ended.
+#[test]
+fn a_start_without_an_answer_is_withdrawn_where_no_lease_can_be_granted() {
+    for early in (0..1_000).step_by(50) {
+        let mut world = World::open(901, 1);
+        world.work_ms = 60_000;
+        world.submit(job(1, vec![step(1, &[])]));
+        world.run(1_000);
+        world.workers[0].refuses_stops = true;
+        world.cancel(1);
+        world.run(6_000 - early);
+        world.work_ms = 300;
+        world.workers[0].delays_start = Some(20_000);
+        world.submit(job(2, vec![step(1, &[])]));
+        world.run(early + 1_500);
+        world.workers[0].refuses_stops = false;
+        world.run(40_000);
+        assert!(world.is_completed(2), "sent {early} ms before the worker is left to lapse");
+    }
+}
