The end of a job stops members of gangs that outlive their step

The first end of a gang counts for all its members, so a member that is still listed then is at a worker and no longer its task's run. The end of its job ordered no stop of it; the next account did, and neither logged nor counted it, since members were left out for all jobs. Now the end of a job with a gang looks at the workers, and only members of completed jobs are left out of the count.

--- a/crates/sched/src/changes/account.rs
+++ b/crates/sched/src/changes/account.rs
@@ -1,5 +1,6 @@
 //! A worker's account of itself, held against what the leader believes to run there.
 
+use gaplock_jobs::progress::JobState;
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::Instant;
 
@@ -50,12 +51,13 @@
     let Some(entry) = cx.jobs.get(&row.task.job).filter(|entry| entry.state.is_final()) else {
         return;
     };
-    let is_gang = entry.step(row.task).is_some_and(|step| step.gang);
+    let is_mate =
+        entry.state == JobState::Completed && entry.step(row.task).is_some_and(|step| step.gang);
     let slot = cx.worker(ix).slots.get(&row.task);
     if slot.is_none_or(|slot| slot.phase == Phase::Stopping) {
         return;
     }
-    if !is_gang {
+    if !is_mate {
         cx.runs_after_end += 1;
         trace::run_after_end(row.task, row.run, &cx.worker(ix).info.id);
     }
--- a/crates/sched/src/changes/lifecycle.rs
+++ b/crates/sched/src/changes/lifecycle.rs
@@ -236,7 +236,8 @@
     }
     entry.state = state;
     entry.ended_unix_ms = unix_ms.max(1);
-    let unreadable = entry.unreadable;
+    // A member of a gang that is done may still be listed.
+    let unlike_its_tasks = entry.unreadable || entry.job.steps.iter().any(|step| step.gang);
     let mut active = entry.active();
     trace::job_ended(job, state, active.len());
     let ready: Vec<ReadyStep> = ready_steps(entry);
@@ -244,7 +245,7 @@
         cx.ready.remove(&step);
     }
     entry.rounds.clear();
-    if unreadable {
+    if unlike_its_tasks {
         active = runs_of(cx, job);
     }
     for (key, worker, run) in active {
--- a/crates/sched/tests/fleet/cancelled.rs
+++ b/crates/sched/tests/fleet/cancelled.rs
@@ -121,3 +121,20 @@
     assert_eq!(world.running_of(1), 0, "a run of an ended job goes on");
     assert_eq!(world.cx.map(|cx| cx.runs_after_end), Some(4), "counted for the operators");
 }
+
+/// Guards against a member of a gang that goes on after its step is done, and for which the cancellation of its job
+/// orders no stop.
+#[test]
+fn a_member_of_a_gang_that_outlives_its_step_is_stopped_by_the_cancellation() {
+    let mut world = World::open(413, 4);
+    world.work_ms = 1_000;
+    world.workers[0].slowness = 30;
+    let gang = Step { gang: true, most_per_worker: Some(1), ..step(4, &[]) };
+    world.submit(job(1, vec![gang, Step { lasting: true, ..step(1, &[0]) }]));
+    world.run(3_000);
+    assert_eq!(world.running_of(1), 2, "a member and the next step's task");
+    world.cancel(1);
+    world.run(STOPPED_WITHIN);
+    assert_eq!(world.running_of(1), 0, "a run of a cancelled job goes on");
+    assert_eq!(world.cx.map(|cx| cx.runs_after_end), Some(0), "its stop was not ordered at once");
+}
