--- a/crates/sched/src/changes/crashes/recorded.rs
+++ b/crates/sched/src/changes/crashes/recorded.rs
@@ -16,10 +16,15 @@
 use crate::state::worker::Phase;
 use crate::state::State;
 
-/// Holds the start of a suspect back until it is stored; whether it has to wait for that.
+/// Holds the start of a suspect back until it is stored; whether it has to wait for that. The members of a gang are
+/// sent together, since they wait for each other at their workers for a short time only.
 pub fn hold(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run) -> bool {
     let id = cx.worker(ix).info.id.clone();
+    let is_gang = cx.step(key).is_some_and(|step| step.gang);
     let Some(suspicion) = cx.task_mut(key).and_then(|t| t.suspicion.as_mut()) else { return false };
+    if is_gang {
+        suspicion.started = Started::Unrecorded;
+    }
     if suspicion.started == Started::Unrecorded {
         return false;
     }
@@ -29,8 +34,11 @@
     true
 }
 
-/// Sends the starts that are stored by now.
+/// Sends the starts that are stored by now, unless the view of the directory is too old for any start.
 pub fn send_stored(cx: &mut State) {
+    if cx.freshness.is_behind() {
+        return;
+    }
     for (ix, key, run) in mem::take(&mut cx.crashes.held_starts) {
         let slot = cx.worker(ix).slots.get(&key);
         let is_held =
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -147,6 +147,7 @@
         roster::check(self);
         orders::check(self);
         crashes::check(self);
+        recorded::send_stored(self);
         upkeep::check(self);
         drain::check(self);
         self.rearrange();
