--- a/crates/sched/src/changes/intake.rs
+++ b/crates/sched/src/changes/intake.rs
@@ -120,7 +120,8 @@
 }
 
 /// How long a cancellation waits for its job, which another host announces: longer than the watch takes that tells
-/// of both. A job that is handed in again under its id, once it was forgotten, comes later than that.
+/// of both. An id that is handed in again within this time of its forgotten job's cancellation is cancelled too
+/// (`docs/KNOWN-ISSUES.md`).
 const EARLY_FOR: Millis = Millis(10_000);
 
 /// Takes in a stored cancellation; one may be heard of before its job.
