Forecast the load of serving tasks by its period

Cause: the load of a serving job is a sine wave of about 10 s, but placement looked 1 s ahead along its slope while best-effort tasks run for 2 to 24 s, so tasks were halted at the next peak. Ruled out: a fixed period, which holds for one deployment only; one search over all pools, since pools serve different users. Placement fits a task beside the highest load during its estimated run (classes of 1, 2.5, 5 and 10 s), paces beside the highest load within 0.5 s. The period is stored with the learnt model.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -136,6 +136,7 @@
         }
         self.show_free_capacity(FreeCpu::default(), 0, 0);
         self.node.metrics.show_evacuated(iter::empty());
+        self.node.metrics.show_load_periods(iter::empty());
         self.node.metrics.directory_lag_ms.set(0);
         self.node.metrics.waiting_events.set(0);
         self.node.metrics.runs_after_end.set(0);
@@ -206,6 +207,7 @@
         let evacuated = self.cx.evacuated.domains.iter();
         let shown = evacuated.map(|domain| (domain, evacuation::count_runs_in(&self.cx, domain)));
         self.node.metrics.show_evacuated(shown);
+        self.node.metrics.show_load_periods(self.cx.interference.confirmed_periods());
         self.node.metrics.directory_lag_ms.set(self.cx.freshness.lag().0 as i64);
         self.node.metrics.waiting_events.set(self.rx.len() as i64);
         self.node.metrics.runs_after_end.set(self.cx.runs_after_end as i64);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use gaplock_types::codes::Code;
 use gaplock_types::ids;
+use gaplock_types::time::Millis;
 use prometheus_client::encoding::{text, EncodeLabelSet};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -23,6 +24,12 @@
     domain: String,
 }
 
+/// A pool as a label.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PoolLabel {
+    pool: String,
+}
+
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 2.5];
 
@@ -30,6 +37,10 @@
 /// whatever operators write.
 const MAX_EVACUATED_SHOWN: usize = 64;
 
+/// The maximum number of pools whose load period is shown: a limit whatever the configuration
+/// names.
+const MAX_PERIODS_SHOWN: usize = 64;
+
 /// All metrics of a host.
 pub struct Metrics {
     registry: Registry,
@@ -38,6 +49,7 @@
     commits: Family<Label, Counter>,
     commit_time: Histogram,
     evacuated_runs: Family<DomainLabel, Gauge>,
+    load_periods: Family<PoolLabel, Gauge>,
     /// The number of leaderships that this process has held.
     pub terms: Counter,
     /// The version of the configuration in force.
@@ -79,6 +91,9 @@
     let evacuated_runs = Family::<DomainLabel, Gauge>::default();
     let help = "Tasks that still run in an evacuated failure domain";
     registry.register("evacuated_domain_runs", help, evacuated_runs.clone());
+    let load_periods = Family::<PoolLabel, Gauge>::default();
+    let help = "Confirmed period of the load of a pool's serving jobs";
+    registry.register("load_period_ms", help, load_periods.clone());
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let mut gauge = |name: &str, help: &str| {
@@ -106,6 +121,7 @@
         commits,
         commit_time,
         evacuated_runs,
+        load_periods,
         terms,
         config_version,
         free_millicores,
@@ -147,6 +163,18 @@
         }
     }
 
+    /// Shows the confirmed periods of pools' loads. Pools without one are not shown.
+    pub fn show_load_periods<'a>(
+        &self,
+        periods: impl Iterator<Item = (&'a ids::ServiceId, Millis)>,
+    ) {
+        self.load_periods.clear();
+        for (pool, period) in periods.take(MAX_PERIODS_SHOWN) {
+            let label = PoolLabel { pool: pool.to_string() };
+            self.load_periods.get_or_create(&label).set(period.0 as i64);
+        }
+    }
+
     /// Renders the metrics as text.
     pub fn render(&self) -> String {
         let mut out = String::new();
--- a/crates/sched/src/changes/pacing.rs
+++ b/crates/sched/src/changes/pacing.rs
@@ -14,8 +14,10 @@
 use crate::interface::message::WorkerIx;
 use crate::state::State;
 
-pub use crate::interface::message::{Learned, LearnedFactor, LearnedImage};
-pub use crate::state::interference_model::{Column, InterferenceModel, Row, ServingTask};
+pub use crate::interface::message::{Learned, LearnedFactor, LearnedImage, LearnedPeriod};
+pub use crate::state::interference_model::{
+    Column, InterferenceModel, Lookahead, PoolIx, Row, ServingTask,
+};
 pub use crate::state::pace_orders::{PaceOrders, FULL_PACE};
 
 pub use paces::{handle_pace_outcome, order_paces};
--- a/crates/sched/src/changes/pacing/readings.rs
+++ b/crates/sched/src/changes/pacing/readings.rs
@@ -2,7 +2,7 @@
 
 use gaplock_types::time::Millis;
 
-use crate::changes::commits;
+use crate::changes::{commits, trace};
 use crate::decisions::best_effort::{self, READING_WINDOW};
 use crate::decisions::interference::CONTENTION_SHARE;
 use crate::interface::message::{Record, WorkerIx};
@@ -39,8 +39,13 @@
     if best_effort_share > CONTENTION_SHARE || cx.worker(ix).speed.is_slow(now) {
         return;
     }
+    let service = &cx.workers[ix.0 as usize].info.service;
+    let pool = cx.interference.pool(service);
     for (serving, tail_ms) in tails {
-        cx.interference.learn(&serving, &used, tail_ms, now);
+        cx.interference.learn(&serving, pool, &used, tail_ms, now);
+    }
+    if let Some(change) = cx.interference.update_period(pool, now) {
+        trace::period_changed(service, change);
     }
 }
 
@@ -58,7 +63,7 @@
 fn estimate_speed(cx: &mut State, ix: WorkerIx, tails: &[(ServingTask, f64)]) {
     let now = cx.now;
     for (serving, tail_ms) in tails {
-        let load = cx.interference.load(serving.job, now, 0.0);
+        let load = cx.interference.load(serving.job, now);
         let excess = cx.interference.utilization(serving, *tail_ms) - load;
         let relative = if excess > MIN_SLOW_UTILIZATION_EXCESS { SLOW_READING_SPEED } else { 1.0 };
         cx.worker_mut(ix).speed.record(now, relative);
--- a/crates/sched/src/changes/trace.rs
+++ b/crates/sched/src/changes/trace.rs
@@ -3,6 +3,7 @@
 //! `docs/OPERATIONS.md` lists the lines. A line names the job or task, the inputs of the decision
 //! and its outcome, but never text supplied by the caller.
 
+use gaplock_forecast::period::PeriodChange;
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, TaskKey};
 use gaplock_policy::attempts::CallAttempts;
@@ -365,6 +366,19 @@
     info!(event = "pace_ordered", %task, run, %worker, from, to, open);
 }
 
+/// Logs that the period of the loads of a pool's jobs was confirmed or dropped.
+pub fn period_changed(pool: &ids::ServiceId, change: PeriodChange) {
+    match change {
+        PeriodChange::Confirmed { period, previous } => {
+            let former_ms = previous.map(|period| period.0);
+            info!(event = "load_period_confirmed", %pool, period_ms = period.0, former_ms);
+        }
+        PeriodChange::Dropped { previous } => {
+            info!(event = "load_period_dropped", %pool, former_ms = previous.0);
+        }
+    }
+}
+
 /// Logs what runs on a worker, with the readings and the model's estimates.
 pub fn readings(cx: &State, ix: WorkerIx) {
     let worker = cx.worker(ix);
@@ -372,7 +386,7 @@
         let reading = slot.reading.unwrap_or(0);
         let image = cx.step(*task).and_then(|s| s.image.as_deref());
         debug!(event = "reading", worker = %worker.info.id, %task, image, part = ?slot.role,
-            reading, pace = slot.pace, load = cx.interference.load(task.job, cx.now, 0.0), phase = ?slot.phase,
+            reading, pace = slot.pace, load = cx.interference.load(task.job, cx.now), phase = ?slot.phase,
             percent = slot.progress_percent, wants = slot.best_effort_millicores);
     }
     debug!(event = "pressure", worker = %worker.info.id, spare = ?worker.spare_interference,
--- a/crates/sched/src/decisions/interference.rs
+++ b/crates/sched/src/decisions/interference.rs
@@ -10,7 +10,7 @@
 use gaplock_types::time::Millis;
 
 use crate::state::interference_model::MIN_INTERFERENCE;
-use crate::state::worker::{TaskRole, Worker};
+use crate::state::worker::{TaskRole, Worker, RUN_TIMES};
 use crate::state::State;
 
 /// The share of a worker's processors in use by best-effort tasks alone from which on these, of any
@@ -64,21 +64,30 @@
 /// Cost of one unit of tolerable interference, in workers of free capacity.
 const INTERFERENCE_COST: f64 = 6.0;
 
+/// Returns the position of the run time that covers a task's estimate. A task needs room at the
+/// highest load while it runs: a short one may start in the trough, a long one outlasts the peak.
+fn run_time_class(estimate: Millis) -> usize {
+    RUN_TIMES.iter().position(|run_time| estimate <= *run_time).unwrap_or(RUN_TIMES.len() - 1)
+}
+
 /// Returns the cost of placing a best-effort task, due to its interference with serving tasks.
 /// Returns `None` where the task must not be placed yet.
 fn best_effort_cost(cx: &State, worker: &Worker, step: &Step, waited: Millis) -> Option<f64> {
     let image = step.image.as_deref().unwrap_or_default();
     let column = cx.interference.known_column(image);
     let share = f64::from(step.demand.cpu.0) / f64::from(worker.info.capacity.cpu.0.max(1));
-    if !worker.spare_interference.is_empty() && share > worker.spare_best_effort_share {
+    let run_time = run_time_class(step.estimate);
+    let spare_share = worker.spare_best_effort_share[run_time];
+    if !worker.spare_interference.is_empty() && share > spare_share {
         return None;
     }
     let mut cost = worker.fitting_image_share * COMPATIBILITY_COST;
     if !worker.spare_interference.is_empty() {
-        let left = worker.spare_best_effort_share - share;
+        let left = spare_share - share;
         cost += (MAX_BEST_EFFORT_SHARE - CONTENTION_SHARE - left).max(0.0) * CONTENTION_COST;
     }
     for &(row, spare) in &worker.spare_interference {
+        let spare = spare[run_time];
         let interference = cx.interference.factor(row, column) * share;
         if interference < MIN_INTERFERENCE {
             continue;
--- a/crates/sched/src/decisions/paces.rs
+++ b/crates/sched/src/decisions/paces.rs
@@ -4,7 +4,7 @@
 use gaplock_types::time::Millis;
 
 use crate::decisions::best_effort::{self, BestEffortTask};
-use crate::state::interference_model::{InterferenceModel, Row, MIN_INTERFERENCE};
+use crate::state::interference_model::{InterferenceModel, Lookahead, Row, MIN_INTERFERENCE};
 use crate::state::pace_orders::FULL_PACE;
 use crate::state::worker::{TaskRole, Worker};
 use crate::state::State;
@@ -13,9 +13,9 @@
 /// that already run. Readings are rough and up to a second old.
 const MAX_TAIL_SHARE_BESIDE_RUNNING: f64 = 1.0;
 
-/// How far ahead the load is predicted for tasks that already run, in seconds: until the next
-/// reading and the next change of pace.
-const RUNNING_LOOKAHEAD_S: f64 = 0.5;
+/// How far ahead the load is predicted for tasks that already run: until the next reading and the
+/// next change of pace.
+const RUNNING_LOOKAHEAD: Lookahead = Lookahead { slope_s: 0.5, highest_within: Millis(500) };
 
 /// Lists the best-effort tasks on a worker with the pace that each should have.
 pub fn target_paces(cx: &State, worker: &Worker) -> Vec<BestEffortTask> {
@@ -29,12 +29,9 @@
     }
     for (key, slot) in &worker.slots {
         let Some(serving) = best_effort::as_serving_task(*key, slot) else { continue };
-        let tolerable = cx.interference.tolerable_interference(
-            &serving,
-            MAX_TAIL_SHARE_BESIDE_RUNNING,
-            now,
-            RUNNING_LOOKAHEAD_S,
-        );
+        let load = cx.interference.load_ahead(serving.job, now, RUNNING_LOOKAHEAD);
+        let tolerable =
+            cx.interference.tolerable_interference(&serving, MAX_TAIL_SHARE_BESIDE_RUNNING, load);
         lower_paces(&cx.interference, serving.row, tolerable, &mut tasks);
     }
     halt(cx, worker, &mut tasks);
--- a/crates/sched/src/interface/message.rs
+++ b/crates/sched/src/interface/message.rs
@@ -17,7 +17,7 @@
 
 pub use evacuated::Evacuated;
 pub use hosts::{HostInfo, HostState, MaintenanceAnswer, WaveNumber, WaveProgress, WaveRequest};
-pub use learned::{Learned, LearnedFactor, LearnedImage};
+pub use learned::{Learned, LearnedFactor, LearnedImage, LearnedPeriod};
 pub use readings::{DirectoryRead, RevisionSample};
 pub use steps::StepKey;
 
--- a/crates/sched/src/interface/message/learned.rs
+++ b/crates/sched/src/interface/message/learned.rs
@@ -1,5 +1,8 @@
 //! The learned interference between images, in the form that is stored for the next leader.
 
+use gaplock_types::ids;
+use gaplock_types::time::Millis;
+
 /// What was learned about one serving image, in the form that is stored for the next leader.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct LearnedImage {
@@ -23,9 +26,21 @@
     pub variance: f64,
 }
 
+/// The confirmed period of the loads of one pool's jobs.
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct LearnedPeriod {
+    /// The service whose pool it is.
+    pub pool: ids::ServiceId,
+    /// The period.
+    pub period: Millis,
+}
+
 /// What was learned about all images.
 #[derive(Debug, Clone, PartialEq, Default, serde::Serialize, serde::Deserialize)]
 pub struct Learned {
     /// The serving images.
     pub images: Vec<LearnedImage>,
+    /// The confirmed periods, by pool. Records of earlier versions have none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub periods: Vec<LearnedPeriod>,
 }
--- a/crates/sched/src/interface/settings.rs
+++ b/crates/sched/src/interface/settings.rs
@@ -49,6 +49,9 @@
     pub full_pause: Millis,
     /// How long a serving task may continuously exceed its target; set by the installation.
     pub max_tail_excess: Millis,
+    /// Whether the load of serving tasks is forecast by its period, once one is confirmed; set by
+    /// the installation, and in force from the next change of leader.
+    pub forecasts_load: bool,
     /// How long beyond the longest lease a new leader waits for workers that do not answer.
     pub takeover_margin: Millis,
     /// How long a finished job's state is kept; set by the installation, with a margin.
@@ -89,6 +92,7 @@
             quarantine: Millis(3_000),
             full_pause: Millis(300),
             max_tail_excess: Millis(4_000),
+            forecasts_load: true,
             takeover_margin: Millis(500),
             finished_job_retention: Millis(150_000),
         }
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -138,7 +138,6 @@
     /// fills it.
     pub fn open(settings: Settings, term: Term, now: Instant, unix_ms: u64) -> Self {
         Self {
-            settings,
             config: None,
             term,
             now,
@@ -156,7 +155,7 @@
             ready: BTreeSet::new(),
             recovery_scan: None,
             commits: Commits::default(),
-            interference: InterferenceModel::default(),
+            interference: InterferenceModel::open(settings.forecasts_load),
             permits: Permits::default(),
             crashes: CrashTracker::default(),
             maintenance: Maintenance::default(),
@@ -170,6 +169,7 @@
             directory_recovered_at: now,
             learned_stored_at: now,
             runs_after_end: 0,
+            settings,
         }
     }
 
--- a/crates/sched/src/state/interference_model.rs
+++ b/crates/sched/src/state/interference_model.rs
@@ -6,12 +6,18 @@
 //! each of them uses times a factor that depends on the pair of images; for most pairs the factor
 //! is zero. Fitted to 24,000 readings of one calm day this explains 84 to 88 % of their variance
 //! (`docs/MEASUREMENTS.md`, section Disturbance).
+//!
+//! Where the load of a pool's jobs has a confirmed period, a job's load is forecast from its
+//! amplitude and phase (`crates/forecast`). Everywhere else it is extrapolated by its slope.
 
+use gaplock_forecast::period::{PeriodChange, PeriodSearch, SeriesId};
+use gaplock_forecast::series::Series;
 use gaplock_jobs::JobKey;
-use gaplock_types::time::Instant;
+use gaplock_types::ids;
+use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
 
-use crate::interface::message::{Learned, LearnedFactor, LearnedImage};
+use crate::interface::message::{Learned, LearnedFactor, LearnedImage, LearnedPeriod};
 
 /// A serving image by its position.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -140,15 +146,35 @@
     a.iter().zip(b).map(|(x, y)| x * y).sum()
 }
 
-/// The load of a long-running job, which all its tasks share.
+/// A pool of workers by its position.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct PoolIx(u16);
+
+/// How far ahead a load is wanted.
 #[derive(Debug, Clone, Copy)]
+pub struct Lookahead {
+    /// How far ahead the slope is extrapolated, in seconds, where the load has no confirmed period.
+    pub slope_s: f64,
+    /// The time from now within which the highest load counts, where the load has one.
+    pub highest_within: Millis,
+}
+
+/// The load of a long-running job, which all its tasks share.
+#[derive(Debug, Clone)]
 struct Load {
     value: f64,
     slope: f64,
     at: Instant,
+    /// The pool whose period the series is fitted to.
+    pool: PoolIx,
+    series: Series,
 }
 
 impl Load {
+    fn open(pool: PoolIx, now: Instant) -> Self {
+        Self { value: LOAD_PRIOR, slope: 0.0, at: now, pool, series: Series::default() }
+    }
+
     /// Returns the load expected `ahead_s` seconds after `now`.
     fn expected(&self, now: Instant, ahead_s: f64) -> f64 {
         let age_s = now.since(self.at).0 as f64 / 1_000.0 + ahead_s;
@@ -179,9 +205,47 @@
     columns: FxHashMap<String, Column>,
     images: Vec<ServingImage>,
     loads: FxHashMap<JobKey, Load>,
+    /// Whether loads are forecast by their period.
+    forecasts_load: bool,
+    pools: FxHashMap<ids::ServiceId, PoolIx>,
+    periods: Vec<PeriodSearch>,
 }
 
 impl InterferenceModel {
+    /// Creates a model that knows nothing yet.
+    pub fn open(forecasts_load: bool) -> Self {
+        Self { forecasts_load, ..Self::default() }
+    }
+
+    /// Returns a pool's position, adding one for a new pool.
+    pub fn pool(&mut self, service: &ids::ServiceId) -> PoolIx {
+        match self.pools.get(service) {
+            Some(&pool) => pool,
+            None => self.add_pool(service, None),
+        }
+    }
+
+    fn add_pool(&mut self, service: &ids::ServiceId, period: Option<Millis>) -> PoolIx {
+        let pool = PoolIx(self.periods.len() as u16);
+        self.periods.push(PeriodSearch::open(period));
+        self.pools.insert(service.clone(), pool);
+        pool
+    }
+
+    /// Looks for the period of a pool's loads, and returns whether the confirmed one has changed.
+    pub fn update_period(&mut self, pool: PoolIx, now: Instant) -> Option<PeriodChange> {
+        self.periods[usize::from(pool.0)].update(now)
+    }
+
+    /// Lists the pools whose loads have a confirmed period.
+    pub fn confirmed_periods(&self) -> impl Iterator<Item = (&ids::ServiceId, Millis)> {
+        self.pools.iter().filter_map(|(pool, ix)| Some((pool, self.period(*ix)?)))
+    }
+
+    fn period(&self, pool: PoolIx) -> Option<Millis> {
+        self.periods[usize::from(pool.0)].period()
+    }
+
     /// Returns a serving image's row, adding one for a new image.
     pub fn row(&mut self, image: &str) -> Row {
         if let Some(&row) = self.rows.get(image) {
@@ -236,11 +300,23 @@
             images.push(LearnedImage { image: name.clone(), lowest_ms, factors });
         }
         images.sort_by(|a, b| a.image.cmp(&b.image));
-        Learned { images }
+        let mut periods: Vec<LearnedPeriod> = self
+            .confirmed_periods()
+            .map(|(pool, period)| LearnedPeriod { pool: pool.clone(), period })
+            .collect();
+        periods.sort_by(|a, b| a.pool.cmp(&b.pool));
+        Learned { images, periods }
     }
 
     /// Restores what a previous leader has learned.
     pub fn restore(&mut self, learned: &Learned) {
+        if self.forecasts_load {
+            for known in &learned.periods {
+                if !self.pools.contains_key(&known.pool) {
+                    self.add_pool(&known.pool, Some(known.period));
+                }
+            }
+        }
         for known in &learned.images {
             let row = self.row(&known.image);
             for factor in &known.factors {
@@ -292,9 +368,21 @@
         fitting as f64 / columns as f64
     }
 
-    /// Returns a job's expected load `ahead_s` seconds from now.
-    pub fn load(&self, job: JobKey, now: Instant, ahead_s: f64) -> f64 {
-        self.loads.get(&job).map_or(LOAD_PRIOR, |load| load.expected(now, ahead_s))
+    /// Returns a job's expected load now.
+    pub fn load(&self, job: JobKey, now: Instant) -> f64 {
+        self.load_ahead(job, now, Lookahead { slope_s: 0.0, highest_within: Millis(0) })
+    }
+
+    /// Returns a job's expected load: the highest one within the lookahead where the load has a
+    /// confirmed period, otherwise the one at its end.
+    pub fn load_ahead(&self, job: JobKey, now: Instant, ahead: Lookahead) -> f64 {
+        let Some(load) = self.loads.get(&job) else { return LOAD_PRIOR };
+        let period = self.period(load.pool);
+        let forecast = period.and_then(|_| load.series.highest(now, ahead.highest_within));
+        match forecast {
+            Some(highest) => highest.clamp(LOAD_RANGE.0, LOAD_RANGE.1),
+            None => load.expected(now, ahead.slope_s),
+        }
     }
 
     /// Forgets a job's load.
@@ -303,16 +391,9 @@
     }
 
     /// Returns the highest interference at which a serving task's expected tail is still within
-    /// `share` of its target, `ahead_s` seconds from now; negative if the load alone exceeds that.
-    pub fn tolerable_interference(
-        &self,
-        task: &ServingTask,
-        share: f64,
-        now: Instant,
-        ahead_s: f64,
-    ) -> f64 {
-        let limit = self.utilization(task, task.target_ms * share);
-        limit / self.load(task.job, now, ahead_s) - 1.0
+    /// `share` of its target under a load; negative if the load alone exceeds that.
+    pub fn tolerable_interference(&self, task: &ServingTask, share: f64, load: f64) -> f64 {
+        self.utilization(task, task.target_ms * share) / load - 1.0
     }
 
     /// Returns the utilization that a tail implies.
@@ -326,6 +407,7 @@
     pub fn learn(
         &mut self,
         task: &ServingTask,
+        pool: PoolIx,
         best_effort: &[(Column, f64)],
         tail_ms: f64,
         now: Instant,
@@ -336,7 +418,7 @@
         image.grow(columns);
         let utilization = self.utilization(task, tail_ms);
         let interference = self.interference(task.row, best_effort.iter().copied());
-        let load = self.load(task.job, now, 0.0);
+        let load = self.load(task.job, now);
         let expected = load * (1.0 + interference);
         let saturated = utilization >= SATURATED_UTILIZATION;
         if saturated && expected >= SATURATED_UTILIZATION {
@@ -349,20 +431,32 @@
             }
             self.images[usize::from(task.row.0)].update(&inputs, utilization - load);
         }
-        self.update_load(task.job, utilization, interference, now);
+        self.update_load((task.job, pool), utilization, interference, now);
     }
 
     /// Updates a job's load from a reading, which counts less the more interference there is.
-    fn update_load(&mut self, job: JobKey, utilization: f64, interference: f64, now: Instant) {
-        let fresh = Load { value: LOAD_PRIOR, slope: 0.0, at: now };
-        let load = self.loads.entry(job).or_insert(fresh);
+    fn update_load(
+        &mut self,
+        (job, pool): (JobKey, PoolIx),
+        utilization: f64,
+        interference: f64,
+        now: Instant,
+    ) {
+        let load = self.loads.entry(job).or_insert_with(|| Load::open(pool, now));
         let value = load.expected(now, 0.0);
         let weight = 1.0 / ((1.0 + interference) * (1.0 + 2.0 * interference));
-        let residual = utilization / (1.0 + interference) - value;
+        let measured = utilization / (1.0 + interference);
+        let residual = measured - value;
         let slope = load.slope + SLOPE_GAIN * weight * residual;
         load.value = (value + LOAD_GAIN * weight * residual).clamp(LOAD_RANGE.0, LOAD_RANGE.1);
         load.slope = slope.clamp(-MAX_SLOPE_PER_S, MAX_SLOPE_PER_S);
         load.at = now;
+        if self.forecasts_load {
+            let search = &mut self.periods[usize::from(load.pool.0)];
+            if let Some(bin) = load.series.observe(now, measured, weight, search.period()) {
+                search.add(SeriesId(job.0), &bin);
+            }
+        }
     }
 
     /// Describes the learned factors, for the log.
--- a/crates/sched/src/state/worker.rs
+++ b/crates/sched/src/state/worker.rs
@@ -16,6 +16,10 @@
 use crate::state::rates::{ProgressSample, Speed};
 use crate::state::trial::Trial;
 
+/// The run times for which a worker's spare capacity is kept. A longer task counts with the last
+/// one, which covers the whole period of most loads.
+pub const RUN_TIMES: [Millis; 4] = [Millis(1_000), Millis(2_500), Millis(5_000), Millis(10_000)];
+
 /// The progress in percent at which a long-running task is ready.
 pub const READY_PERCENT: u32 = 100;
 
@@ -187,11 +191,11 @@
     /// The processor demand of the best-effort tasks here, in thousandths of a core.
     pub best_effort_millicores: u32,
     /// How much more interference each serving image here tolerates, by its task that tolerates
-    /// least.
-    pub spare_interference: Vec<(Row, f64)>,
+    /// least, for tasks that run as long as each of the [`RUN_TIMES`].
+    pub spare_interference: Vec<(Row, [f64; RUN_TIMES.len()])>,
     /// The share of the processors that more best-effort tasks may use without contending with
-    /// serving tasks.
-    pub spare_best_effort_share: f64,
+    /// serving tasks, for tasks that run as long as each of the [`RUN_TIMES`].
+    pub spare_best_effort_share: [f64; RUN_TIMES.len()],
     /// The share of the known best-effort images that would fit here.
     pub fitting_image_share: f64,
     /// When a best-effort task last ended here.
@@ -241,7 +245,7 @@
             used: Resources::default(),
             best_effort_millicores: 0,
             spare_interference: Vec::new(),
-            spare_best_effort_share: 1.0,
+            spare_best_effort_share: [1.0; RUN_TIMES.len()],
             fitting_image_share: 1.0,
             best_effort_ended_at: Instant(0),
             short_task_changed_at: None,
--- a/crates/sched/tests/fleet/best_effort.rs
+++ b/crates/sched/tests/fleet/best_effort.rs
@@ -78,7 +78,7 @@
         lowest_ms: f64::from(LIGHT_LOAD_TAIL_MS),
         factors: vec![factor("heavy", heavy), factor("light", 0.0)],
     };
-    Learned { images: vec![image("sturdy", 0.0), image("touchy", 4.0)] }
+    Learned { images: vec![image("sturdy", 0.0), image("touchy", 4.0)], ..Learned::default() }
 }
 
 /// Builds a job of `count` tasks of an image, either best-effort or serving ones.
--- a/crates/sched/tests/pacing.rs
+++ b/crates/sched/tests/pacing.rs
@@ -2,7 +2,7 @@
 //! and interference factors are known, and must estimate them.
 
 use gaplock_jobs::JobKey;
-use gaplock_sched::pacing::{Column, InterferenceModel, Row, ServingTask};
+use gaplock_sched::pacing::{Column, InterferenceModel, PoolIx, Row, ServingTask};
 use gaplock_types::time::Instant;
 
 /// The tail latency of the service at a utilization of 0.
@@ -14,6 +14,8 @@
 struct SimulatedService {
     /// The model under test.
     model: InterferenceModel,
+    /// The pool of the service.
+    pool: PoolIx,
     /// The image of the service.
     row: Row,
     /// A best-effort image with a true interference factor of 2.
@@ -30,10 +32,11 @@
 
 fn simulated_service() -> SimulatedService {
     let mut model = InterferenceModel::default();
+    let pool = model.pool(&"pool".into());
     let row = model.row("serving");
     let heavy = model.column("heavy");
     let light = model.column("light");
-    SimulatedService { model, row, heavy, light, now: 1_000 }
+    SimulatedService { model, pool, row, heavy, light, now: 1_000 }
 }
 
 /// Returns the true load: it oscillates between 0.2 and 0.7 with a period of 14 s.
@@ -52,7 +55,7 @@
             .filter(|(_, share)| *share > 0.0)
             .collect();
         let task = serving_task(1, self.row);
-        self.model.learn(&task, &best_effort, tail, Instant(self.now));
+        self.model.learn(&task, self.pool, &best_effort, tail, Instant(self.now));
         self.now += READING_EVERY_MS;
     }
 
@@ -86,7 +89,7 @@
     let mut worst: f64 = 0.0;
     for _ in 0..90 {
         service.learn_reading(0.0, 0.1);
-        let expected = service.model.load(JobKey(1), Instant(service.now), 0.0);
+        let expected = service.model.load(JobKey(1), Instant(service.now));
         worst = worst.max((expected - load_at(service.now)).abs());
     }
     assert!(worst < 0.15, "the estimated load is off by up to {worst}");
@@ -102,7 +105,10 @@
         service.learn_reading(0.0, 0.0);
         let at = Instant(service.now);
         let load = load_at(service.now);
-        tolerable.push((load, service.model.tolerable_interference(&task, 1.0, at, 0.0)));
+        tolerable.push((
+            load,
+            service.model.tolerable_interference(&task, 1.0, service.model.load(JobKey(1), at)),
+        ));
     }
     let mean = |low: f64, high: f64| {
         let within: Vec<f64> =
