Let a short task start where a long one finds no room

Cause: a dispatch pass, and the check for tasks to move, remember demands that found no worker and skip larger ones of the same image. With spare capacity by run time a long task that finds no room would have kept short ones of its image from starting in the trough. Ruled out: keeping only one run time per image, which starts long tasks before the peak. Change: the class of the expected run time is part of what is remembered.

--- a/crates/sched/src/changes/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::changes::{gangs, pacing, permits, scarcity, starts, trace, trials};
 use crate::decisions::ranking::RankedWorkers;
 use crate::decisions::requests::{self, WaitStatus};
+use crate::decisions::run_times::{self, RunTimeClass};
 use crate::decisions::{free_capacity, interference, placement};
 use crate::state::job_table::{self, ReadyStep};
 use crate::state::State;
@@ -36,15 +37,18 @@
     demand: sizes::MilliCores,
     /// Set once it has waited long enough to be placed where it interferes least.
     may_interfere: bool,
+    /// How long it is expected to run: a longer one needs at least as much room.
+    run_time: RunTimeClass,
 }
 
 impl UnplacedDemand {
     /// Describes the demand of a step's task that finds no worker.
-    fn of(service: ids::ServiceId, step: &Step, wait: WaitStatus) -> Self {
+    fn of(service: ids::ServiceId, step: &Step, wait: WaitStatus, run_time: RunTimeClass) -> Self {
         let best_effort = step.fills.then(|| UnplacedBestEffort {
             image: step.image.clone(),
             demand: step.demand.cpu,
             may_interfere: interference::may_interfere(wait.waited),
+            run_time,
         });
         let may_use_reserved =
             step.lasting.then(|| free_capacity::may_use_reserved(wait.waited, wait.may_have_run));
@@ -75,6 +79,7 @@
                 known.image == other.image
                     && known.demand <= other.demand
                     && known.may_interfere >= other.may_interfere
+                    && known.run_time <= other.run_time
             }
             _ => false,
         }
@@ -144,7 +149,8 @@
     let Some(round) = entry.round(ready.round) else { return };
     let pending = start_order(cx, ready, step, &round.steps[usize::from(ready.step)].pending);
     let Some(wait) = first_that_may_start(cx, ready, &pending) else { return };
-    let demand = UnplacedDemand::of(service.clone(), step, wait);
+    let run_time = run_times::run_time_class(cx, &service, step, task_key(ready, 0));
+    let demand = UnplacedDemand::of(service.clone(), step, wait, run_time);
     if pass.unplaced.iter().any(|known| known.covers(&demand)) {
         return;
     }
@@ -164,7 +170,7 @@
         permits::request_permits(cx, ready, pending.len());
     } else if step.most_per_worker.is_none() {
         let wait = cx.task(unplaced).map_or(wait, |t| requests::wait_status(cx, t));
-        pass.unplaced.push(UnplacedDemand::of(service, step, wait));
+        pass.unplaced.push(UnplacedDemand::of(service, step, wait, run_time));
     }
 }
 
--- a/crates/sched/src/decisions/interference.rs
+++ b/crates/sched/src/decisions/interference.rs
@@ -9,8 +9,9 @@
 use gaplock_jobs::Step;
 use gaplock_types::time::Millis;
 
+use crate::decisions::run_times::RunTimeClass;
 use crate::state::interference_model::MIN_INTERFERENCE;
-use crate::state::worker::{TaskRole, Worker, RUN_TIMES};
+use crate::state::worker::{TaskRole, Worker};
 use crate::state::State;
 
 /// The share of a worker's processors in use by best-effort tasks alone from which on these, of any
@@ -26,9 +27,15 @@
 
 /// Returns the cost of the interference that placing a step's task on a worker would cause, in
 /// workers of free capacity, or `None` where the task must not be placed yet.
-pub fn placement_cost(cx: &State, worker: &Worker, step: &Step, waited: Millis) -> Option<f64> {
+pub fn placement_cost(
+    cx: &State,
+    worker: &Worker,
+    step: &Step,
+    waited: Millis,
+    run_time: RunTimeClass,
+) -> Option<f64> {
     if step.fills {
-        return best_effort_cost(cx, worker, step, waited);
+        return best_effort_cost(cx, worker, step, waited, run_time);
     }
     if step.tail_target.is_some() {
         return Some(serving_cost(cx, worker, step));
@@ -64,20 +71,19 @@
 /// Cost of one unit of tolerable interference, in workers of free capacity.
 const INTERFERENCE_COST: f64 = 6.0;
 
-/// Returns the position of the run time that covers a task's estimate. A task needs room at the
-/// highest load while it runs: a short one may start in the trough, a long one outlasts the peak.
-fn run_time_class(estimate: Millis) -> usize {
-    RUN_TIMES.iter().position(|run_time| estimate <= *run_time).unwrap_or(RUN_TIMES.len() - 1)
-}
-
 /// Returns the cost of placing a best-effort task, due to its interference with serving tasks.
 /// Returns `None` where the task must not be placed yet.
-fn best_effort_cost(cx: &State, worker: &Worker, step: &Step, waited: Millis) -> Option<f64> {
+fn best_effort_cost(
+    cx: &State,
+    worker: &Worker,
+    step: &Step,
+    waited: Millis,
+    run_time: RunTimeClass,
+) -> Option<f64> {
     let image = step.image.as_deref().unwrap_or_default();
     let column = cx.interference.known_column(image);
     let share = f64::from(step.demand.cpu.0) / f64::from(worker.info.capacity.cpu.0.max(1));
-    let run_time = run_time_class(step.estimate);
-    let spare_share = worker.spare_best_effort_share[run_time];
+    let spare_share = worker.spare_best_effort_share[run_time.index()];
     if !worker.spare_interference.is_empty() && share > spare_share {
         return None;
     }
@@ -87,7 +93,7 @@
         cost += (MAX_BEST_EFFORT_SHARE - CONTENTION_SHARE - left).max(0.0) * CONTENTION_COST;
     }
     for &(row, spare) in &worker.spare_interference {
-        let spare = spare[run_time];
+        let spare = spare[run_time.index()];
         let interference = cx.interference.factor(row, column) * share;
         if interference < MIN_INTERFERENCE {
             continue;
--- a/crates/sched/src/decisions/placement.rs
+++ b/crates/sched/src/decisions/placement.rs
@@ -8,6 +8,7 @@
 
 use crate::decisions::free_capacity;
 use crate::decisions::interference;
+use crate::decisions::run_times::{self, RunTimeClass};
 use crate::interface::message::{StepKey, WorkerIx};
 use crate::state::job_table;
 use crate::state::worker::{TaskRole, Worker};
@@ -26,6 +27,8 @@
     pub avoid: Option<WorkerIx>,
     /// How long the task has waited.
     pub waited: Millis,
+    /// How long a best-effort task is expected to run.
+    pub run_time: RunTimeClass,
     /// Whether the task may have run before.
     pub may_have_run: bool,
     /// Set if only workers of this rack are allowed.
@@ -176,6 +179,7 @@
     let step = entry.step(key)?;
     let queue = cx.config.as_ref()?.queue(&entry.job.queue)?;
     let (service, advice) = (&queue.service, queue.advice.as_ref());
+    let run_time = run_times::run_time_class(cx, service, step, key);
     let (avoid, waited, may_have_run, only_rack) = (Some(here), Millis(0), true, None);
     best_worker(
         cx,
@@ -185,6 +189,7 @@
             task: key,
             avoid,
             waited,
+            run_time,
             may_have_run,
             only_rack,
             advice,
@@ -303,6 +308,7 @@
     if worker.speed.is_slow(cx.now) {
         score -= SLOW_COST;
     }
-    let interference_cost = interference::placement_cost(cx, worker, request.step, request.waited)?;
+    let interference_cost =
+        interference::placement_cost(cx, worker, request.step, request.waited, request.run_time)?;
     Some(score - interference_cost)
 }
--- a/crates/sched/src/decisions/requests.rs
+++ b/crates/sched/src/decisions/requests.rs
@@ -6,6 +6,7 @@
 use gaplock_types::time::Millis;
 
 use crate::decisions::placement::PlacementRequest;
+use crate::decisions::run_times;
 use crate::state::job_table::{Task, TaskState};
 use crate::state::State;
 
@@ -54,8 +55,19 @@
     let found = cx.task(task)?;
     let WaitStatus { waited, may_have_run } = wait_status(cx, found);
     let avoid = found.failed_on;
+    let run_time = run_times::run_time_class(cx, service, step, task);
     let (advice, only_rack) = (advice_of(cx, job), None);
-    Some(PlacementRequest { service, step, task, avoid, waited, may_have_run, only_rack, advice })
+    Some(PlacementRequest {
+        service,
+        step,
+        task,
+        avoid,
+        waited,
+        run_time,
+        may_have_run,
+        only_rack,
+        advice,
+    })
 }
 
 /// Returns whether a pending task may start on any worker that fits, instead of alone on a worker
--- a/crates/sched/src/state/interference_model.rs
+++ b/crates/sched/src/state/interference_model.rs
@@ -242,6 +242,11 @@
         self.pools.iter().filter_map(|(pool, ix)| Some((pool, self.period(*ix)?)))
     }
 
+    /// Returns the confirmed period of a pool's loads.
+    pub fn confirmed_period(&self, service: &ids::ServiceId) -> Option<Millis> {
+        self.period(*self.pools.get(service)?)
+    }
+
     fn period(&self, pool: PoolIx) -> Option<Millis> {
         self.periods[usize::from(pool.0)].period()
     }
--- a/crates/sched/tests/floors/table.rs
+++ b/crates/sched/tests/floors/table.rs
@@ -48,6 +48,7 @@
             "decisions::availability",
             "decisions::best_effort",
             "decisions::paces",
+            "decisions::run_times",
             "decisions::interference",
             "decisions::free_capacity",
             "decisions::placement",
