--- a/crates/sched/src/interface/settings.rs
+++ b/crates/sched/src/interface/settings.rs
@@ -50,7 +50,7 @@
     /// How long a serving task may continuously exceed its target; set by the installation.
     pub max_tail_excess: Millis,
     /// Whether the load of serving tasks is forecast by its period, once one is confirmed; set by
-    /// the installation, and in force from the next change of leader.
+    /// the installation. A leader uses the value that it began with.
     pub forecasts_load: bool,
     /// How long beyond the longest lease a new leader waits for workers that do not answer.
     pub takeover_margin: Millis,
