Merge the forecast of periodic serving load

Cause: serving load varies by half within 10 s, while placement looked one second ahead and paces half a second, along a slope. Tasks were halted at the next peak, and 11 % of the readings of serving tasks were over their target.

--- a/crates/sched/src/decisions/interference.rs
+++ b/crates/sched/src/decisions/interference.rs
@@ -9,6 +9,7 @@
 use gaplock_jobs::Step;
 use gaplock_types::time::Millis;
 
+use crate::decisions::run_times::RunTimeClass;
 use crate::state::interference_model::MIN_INTERFERENCE;
 use crate::state::worker::{TaskRole, Worker};
 use crate::state::State;
@@ -26,9 +27,15 @@
 
 /// Returns the cost of the interference that placing a step's task on a worker would cause, in
 /// workers of free capacity, or `None` where the task must not be placed yet.
-pub fn placement_cost(cx: &State, worker: &Worker, step: &Step, waited: Millis) -> Option<f64> {
+pub fn placement_cost(
+    cx: &State,
+    worker: &Worker,
+    step: &Step,
+    waited: Millis,
+    run_time: RunTimeClass,
+) -> Option<f64> {
     if step.fills {
-        return best_effort_cost(cx, worker, step, waited);
+        return best_effort_cost(cx, worker, step, waited, run_time);
     }
     if step.tail_target.is_some() {
         return Some(serving_cost(cx, worker, step));
@@ -66,19 +73,27 @@
 
 /// Returns the cost of placing a best-effort task, due to its interference with serving tasks.
 /// Returns `None` where the task must not be placed yet.
-fn best_effort_cost(cx: &State, worker: &Worker, step: &Step, waited: Millis) -> Option<f64> {
+fn best_effort_cost(
+    cx: &State,
+    worker: &Worker,
+    step: &Step,
+    waited: Millis,
+    run_time: RunTimeClass,
+) -> Option<f64> {
     let image = step.image.as_deref().unwrap_or_default();
     let column = cx.interference.known_column(image);
     let share = f64::from(step.demand.cpu.0) / f64::from(worker.info.capacity.cpu.0.max(1));
-    if !worker.spare_interference.is_empty() && share > worker.spare_best_effort_share {
+    let spare_share = worker.spare_best_effort_share[run_time.index()];
+    if !worker.spare_interference.is_empty() && share > spare_share {
         return None;
     }
     let mut cost = worker.fitting_image_share * COMPATIBILITY_COST;
     if !worker.spare_interference.is_empty() {
-        let left = worker.spare_best_effort_share - share;
+        let left = spare_share - share;
         cost += (MAX_BEST_EFFORT_SHARE - CONTENTION_SHARE - left).max(0.0) * CONTENTION_COST;
     }
     for &(row, spare) in &worker.spare_interference {
+        let spare = spare[run_time.index()];
         let interference = cx.interference.factor(row, column) * share;
         if interference < MIN_INTERFERENCE {
             continue;
