Confirm a load period sooner where many jobs show it

Cause: a period was confirmed 16 s after the first reading, though 12 and more jobs with different phases show it within one cycle of 10 s. Ruled out: fewer cycles for any number of jobs; one drifting job then confirms a false period (the tests of few series fail).

--- a/crates/forecast/src/period.rs
+++ b/crates/forecast/src/period.rs
@@ -42,9 +42,18 @@
 /// The part of its period that a candidate must have seen of a series before its errors count.
 const MIN_FITTED_PERIODS: f64 = 0.5;
 
-/// The number of periods for which there must have been samples before a period is confirmed.
+/// The number of periods for which there must have been samples before a period is confirmed from
+/// few series. Within one period a drift looks the same.
 const MIN_OBSERVED_PERIODS: f64 = 1.5;
 
+/// The number of series from which on [`MIN_OBSERVED_PERIODS_OF_MANY`] holds.
+const MANY_SERIES: usize = 12;
+
+/// The number of periods for which there must have been samples before a period is confirmed from
+/// many series: with different phases, they show within one period what one series shows in
+/// several.
+const MIN_OBSERVED_PERIODS_OF_MANY: f64 = 0.8;
+
 /// The shortest time for which there must have been samples, in milliseconds.
 const MIN_OBSERVED_MS: f64 = 8_000.0;
 
@@ -134,8 +143,8 @@
     }
 
     /// Returns whether the candidate explains the load clearly, and over enough of its periods.
-    fn is_clear(&self, observed_ms: f64) -> bool {
-        observed_ms >= (MIN_OBSERVED_PERIODS * self.period_ms).max(MIN_OBSERVED_MS)
+    fn is_clear(&self, observed_ms: f64, min_periods: f64) -> bool {
+        observed_ms >= (min_periods * self.period_ms).max(MIN_OBSERVED_MS)
             && self.error < self.level_error * self.significant().min(CONFIRM_BELOW)
             && self.error < self.latest_error * self.significant().min(CONFIRM_BELOW_LATEST)
     }
@@ -310,7 +319,7 @@
             self.period = Some(period);
             return Some(PeriodChange::Confirmed { period, previous: None });
         };
-        let judged = observed_ms >= MIN_OBSERVED_PERIODS * current.0 as f64;
+        let judged = observed_ms >= self.min_observed_periods() * current.0 as f64;
         let score = self.nearest(current).score().filter(|_| judged);
         if let Some((period, best_score)) = best {
             let difference = period.0.abs_diff(current.0) * 1_000 / current.0;
@@ -340,7 +349,7 @@
         let scored = scores.iter().enumerate().filter_map(|(at, score)| Some((at, (*score)?)));
         let (at, score) = scored.min_by(|a, b| a.1.total_cmp(&b.1))?;
         let candidate = &self.candidates[at];
-        if !candidate.is_clear(observed_ms) {
+        if !candidate.is_clear(observed_ms, self.min_observed_periods()) {
             return None;
         }
         let offset = if at == 0 || at + 1 == scores.len() {
@@ -353,6 +362,14 @@
         Some((Millis(period_ms.round() as u64), score))
     }
 
+    /// Returns for how many of its periods a candidate must have been observed.
+    fn min_observed_periods(&self) -> f64 {
+        if self.searched.len() < MANY_SERIES {
+            return MIN_OBSERVED_PERIODS;
+        }
+        MIN_OBSERVED_PERIODS_OF_MANY
+    }
+
     /// Returns the candidate that is nearest to a period.
     fn nearest(&self, period: Millis) -> &Candidate {
         let steps = (period.0 as f64 / MIN_PERIOD.0 as f64).ln() / CANDIDATE_STEP.ln();
--- a/crates/forecast/tests/forecast.rs
+++ b/crates/forecast/tests/forecast.rs
@@ -102,6 +102,36 @@
     assert_near(group.search.period(), 10_000.0, "one series");
 }
 
+/// Guards against a period that is confirmed late although many series show it, so that a load of minutes is
+/// served without a forecast.
+#[test]
+fn many_series_confirm_a_period_within_one_cycle() {
+    let mut group = Group::open(6, 16);
+    group.feed(10_500, NOISE, sine(10_000.0));
+    let found = group.search.period().map_or(0.0, |period| period.0 as f64);
+    assert!((found / 10_000.0 - 1.0).abs() < 0.25, "found {found} within one cycle");
+    group.feed(20_000, NOISE, sine(10_000.0));
+    assert_near(group.search.period(), 10_000.0, "after three cycles");
+}
+
+/// Guards against false periods of many series, which need fewer cycles.
+#[test]
+fn many_drifting_or_noisy_series_confirm_no_period() {
+    for seed in 40..50 {
+        let mut noisy = Group::open(seed, 16);
+        noisy.feed(60_000, NOISE, |_, _| 0.45);
+        assert_eq!(noisy.changes, [], "noise, seed {seed}");
+        let mut drifting = Group::open(seed, 16);
+        let mut walk = ChaCha8Rng::seed_from_u64(seed);
+        let mut load = [0.45; 16];
+        for _ in 0..120 {
+            load.iter_mut().for_each(|load| *load += walk.random_range(-0.05..0.05));
+            drifting.feed(500, NOISE / 4.0, |at, _| load[at]);
+        }
+        assert_eq!(drifting.changes, [], "a drifting load, seed {seed}");
+    }
+}
+
 /// Guards against false periods: they would keep tasks from starting for a peak that does not come.
 #[test]
 fn no_period_is_found_in_noise_a_constant_load_or_a_drift() {
