Lower paces, move tasks and order best-effort starts by slack

Change: decisions/slack.rs computes the time that a job has beyond what a task and the steps after it need, by progress and the rates of the step, or by the estimate corrected by the ratio of actual to estimated time of its queue and class (overload/estimates.rs).

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -16,6 +16,7 @@
 
 const RENEW_WAIT: &str = "renew-wait";
 const COMMIT_DELAY: &str = "commit-delay";
+const PACE_BY_SLACK: &str = "pace-by-slack";
 
 /// Every setting.
 pub const TABLE: &[Setting] = &[
@@ -48,6 +49,13 @@
         Some("60"),
         "How long ends of tasks are gathered into one commit.",
     ),
+    setting(
+        PACE_BY_SLACK,
+        Kind::Number { min: 0, max: 1 },
+        "0|1",
+        Some("1"),
+        "Whether best-effort tasks are slowed down, moved and started by the time their jobs have.",
+    ),
 ];
 
 /// The time within which the answers to a burst of starts must be handled, in seconds: well below
@@ -77,6 +85,7 @@
         renew_wait: Millis(values.number(RENEW_WAIT)),
         commit_delay: Millis(values.number(COMMIT_DELAY)),
         max_starts_in_flight: max_starts_in_flight(installation.cpu_share, installation.link_mbps),
+        pace_by_slack: values.number(PACE_BY_SLACK) == 1,
         ..Settings::default()
     };
     installation::apply(installation, &mut cfg);
--- a/crates/sched/src/changes/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -11,7 +11,7 @@
 use crate::changes::{gangs, pacing, permits, scarcity, starts, trace, trials};
 use crate::decisions::ranking::RankedWorkers;
 use crate::decisions::requests::{self, WaitStatus};
-use crate::decisions::{free_capacity, interference, placement};
+use crate::decisions::{free_capacity, interference, order, placement};
 use crate::state::job_table::{self, ReadyStep};
 use crate::state::State;
 
@@ -102,6 +102,10 @@
     trials::start_trials(cx);
     let mut ready: Vec<ReadyStep> = cx.ready.iter().copied().collect();
     ready.sort_by_cached_key(|&step| !has_restart_priority(cx, step));
+    cx.passes += 1;
+    if cx.settings.pace_by_slack {
+        order::by_usefulness(cx, &mut ready);
+    }
     let (most_free, largest) = most_processors(cx);
     let mut pass = Pass { unplaced: Vec::new(), most_free, largest, searches: 0 };
     for step in ready {
--- a/crates/sched/src/changes/ends.rs
+++ b/crates/sched/src/changes/ends.rs
@@ -31,6 +31,7 @@
     let slot = lifecycle::vacate(cx, ix, end.task, end.run);
     if let Some(slot) = slot.filter(|_| end.cause == EndCause::Done) {
         speed::observe_end(cx, ix, end.task, &slot);
+        speed::record_estimate_ratio(cx, end.task, &slot);
     }
     trace::run_ended(end, &cx.worker(ix).info.id, was_active);
     let Some(entry) = cx.jobs.get(&end.task.job) else { return };
--- a/crates/sched/src/changes/intake.rs
+++ b/crates/sched/src/changes/intake.rs
@@ -24,6 +24,7 @@
             entry.max_attempts = queue.max_attempts;
         }
     }
+    cx.estimate_ratios.retain(|queue| config.queue(queue).is_some());
     cx.config = Some(config);
     cx.pass_wanted = true;
     directory::pools_changed(cx);
@@ -52,6 +53,8 @@
         next_round: 0,
         ended_unix_ms: 0,
         due: Instant((cx.now.0 + allowed).saturating_sub(age.0)),
+        allowed: Millis(allowed),
+        chain_after: chains_after(&job),
         priority: queue.map_or(0, |q| q.priority),
         max_attempts: queue.map_or(FALLBACK_MAX_ATTEMPTS, |q| q.max_attempts),
         unreadable: false,
@@ -69,6 +72,19 @@
     Millis(ends.into_iter().max().unwrap_or(0))
 }
 
+/// Returns, for each step, the sum of the estimated times on the longest chain of steps after it.
+fn chains_after(job: &Job) -> Vec<Millis> {
+    let mut chains = vec![Millis(0); job.steps.len()];
+    for (at, step) in job.steps.iter().enumerate().rev() {
+        let with_step = chains[at].0.saturating_add(step.estimate.0);
+        for &before in &step.after {
+            let chain = &mut chains[usize::from(before)];
+            *chain = Millis(chain.0.max(with_step));
+        }
+    }
+    chains
+}
+
 /// Adds a stored job. If the job is already known, nothing changes.
 pub fn add_job(cx: &mut State, job: Arc<Job>) {
     let key = job.key;
--- a/crates/sched/src/changes/moving.rs
+++ b/crates/sched/src/changes/moving.rs
@@ -6,15 +6,23 @@
 
 use crate::changes::lifecycle;
 use crate::decisions::placement;
+use crate::decisions::slack::{self, Slack, Usefulness};
 use crate::interface::message::{Run, WorkerIx};
 use crate::interface::search_budget::{self, SearchBudget};
 use crate::state::interference_model::Column;
-use crate::state::worker::{Phase, Slot, TaskRole};
+use crate::state::worker::{Phase, TaskRole};
 use crate::state::State;
 
 /// How long a best-effort task is slowed down before it is moved.
 const MOVE_AFTER: Millis = Millis(1_200);
 
+/// How long a best-effort task is slowed down before it is moved if its job will be late otherwise:
+/// longer than two readings, so that one high reading of a serving task moves nothing.
+const MOVE_URGENT_AFTER: Millis = Millis(500);
+
+/// The time that a move costs in addition to the stop: orders, and loading a checkpoint.
+const MOVE_OVERHEAD: Millis = Millis(600);
+
 /// What one check knows, so that it need not evaluate all workers for each slowed task.
 #[derive(Debug)]
 struct Search {
@@ -27,50 +35,101 @@
     unplaceable: Vec<(Column, u32)>,
 }
 
+/// A best-effort task that has been slowed down for long.
+#[derive(Debug, Clone, Copy)]
+struct SlowedTask {
+    worker: WorkerIx,
+    key: TaskKey,
+    run: Run,
+    /// Its image and its processor demand.
+    image_demand: (Column, u32),
+    /// Unset if moves do not depend on slack.
+    slack: Option<Slack>,
+}
+
 /// Moves best-effort tasks that have been slowed down for long to a worker where they interfere
 /// with no serving task. Returns how many searches over all workers that took.
 pub fn check(cx: &mut State) -> usize {
     let budget = search_budget::open(cx.workers.len());
     let mut search = Search { budget, taken: FxHashSet::default(), unplaceable: Vec::new() };
+    if cx.settings.pace_by_slack {
+        move_by_slack(cx, &mut search);
+    } else {
+        move_in_turn(cx, &mut search);
+    }
+    search.budget.made()
+}
+
+/// Moves slowed tasks of one worker after the other. The next check continues where the budget was
+/// exhausted.
+fn move_in_turn(cx: &mut State, search: &mut Search) {
     for ix in search_budget::rotated_to(cx.worker_ixs(), cx.rebalance_cursors.0) {
-        for (key, run, column, demand) in slowed_tasks(cx, ix) {
+        for task in slowed_tasks(cx, ix) {
             if search.budget.is_exhausted() {
                 cx.rebalance_cursors.0 = ix;
-                return search.budget.made();
-            }
-            if search.finds_better_place(cx, ix, key, (column, demand)) {
-                lifecycle::order_stop(cx, ix, key, run, "it disturbs what is served here");
+                return;
             }
+            search.move_if_better(cx, &task);
         }
     }
-    search.budget.made()
 }
 
-/// Lists the best-effort tasks on a worker that have been slowed down for long, with the image and
-/// the processor demand of each.
-fn slowed_tasks(cx: &State, ix: WorkerIx) -> Vec<(TaskKey, Run, Column, u32)> {
-    let now = cx.now;
-    let is_slowed = |slot: &Slot| {
-        slot.phase == Phase::Running
-            && slot.slowed_since.is_some_and(|since| now.since(since) >= MOVE_AFTER)
-    };
-    let slots = cx.worker(ix).slots.iter().filter(|(_, slot)| is_slowed(slot));
-    let best_effort = slots.filter_map(|(key, slot)| match slot.role {
-        TaskRole::Filling(column) => Some((*key, slot.run, column, slot.best_effort_millicores)),
-        _ => None,
+/// Moves slowed tasks by the use of their jobs and by least slack, as far as the budget reaches.
+fn move_by_slack(cx: &mut State, search: &mut Search) {
+    let ixs = cx.worker_ixs().into_iter();
+    let mut slowed: Vec<SlowedTask> = ixs.flat_map(|ix| slowed_tasks(cx, ix)).collect();
+    let key = |task: &SlowedTask| task.slack.map(|slack| (slack.usefulness, slack.ms as i64));
+    slowed.sort_by_key(|task| (key(task), task.key));
+    for task in slowed {
+        if search.budget.is_exhausted() {
+            return;
+        }
+        search.move_if_better(cx, &task);
+    }
+}
+
+/// Lists the best-effort tasks on a worker that have been slowed down for long.
+fn slowed_tasks(cx: &State, ix: WorkerIx) -> Vec<SlowedTask> {
+    let slots = cx.worker(ix).slots.iter();
+    let slowed = slots.filter_map(|(key, slot)| {
+        let TaskRole::Filling(column) = slot.role else { return None };
+        let lasted = cx.now.since(slot.slowed_since?);
+        if slot.phase != Phase::Running || lasted < MOVE_URGENT_AFTER {
+            return None;
+        }
+        let by_slack = cx.settings.pace_by_slack;
+        let slack = by_slack.then(|| slack::slack_of(cx, *key, slot.progress_percent)).flatten();
+        let image_demand = (column, slot.best_effort_millicores);
+        let task = SlowedTask { worker: ix, key: *key, run: slot.run, image_demand, slack };
+        (lasted >= move_after(cx, slack)).then_some(task)
     });
-    best_effort.collect()
+    slowed.collect()
+}
+
+/// Returns how long a task is slowed down before it is moved. It is moved early if its job can be
+/// on time only then.
+fn move_after(cx: &State, slack: Option<Slack>) -> Millis {
+    let latest = (cx.settings.stop_limit.0 + MOVE_OVERHEAD.0 + MOVE_AFTER.0) as f64;
+    let is_urgent =
+        slack.is_some_and(|slack| slack.usefulness == Usefulness::OnTime && slack.ms < latest);
+    if is_urgent {
+        MOVE_URGENT_AFTER
+    } else {
+        MOVE_AFTER
+    }
 }
 
 impl Search {
+    /// Stops a task if it would find a better worker at once.
+    fn move_if_better(&mut self, cx: &mut State, task: &SlowedTask) {
+        if self.finds_better_place(cx, task) {
+            let SlowedTask { worker, key, run, .. } = *task;
+            lifecycle::order_stop(cx, worker, key, run, "it disturbs what is served here");
+        }
+    }
     /// Returns whether a task can resume elsewhere and would find another worker at once.
-    fn finds_better_place(
-        &mut self,
-        cx: &State,
-        here: WorkerIx,
-        key: TaskKey,
-        image_demand: (Column, u32),
-    ) -> bool {
+    fn finds_better_place(&mut self, cx: &State, task: &SlowedTask) -> bool {
+        let SlowedTask { worker: here, key, image_demand, .. } = *task;
         let can_resume = cx.step(key).is_some_and(|step| !step.gang && step.checkpoints);
         let covers = |&(column, demand): &(Column, u32)| {
             column == image_demand.0 && demand <= image_demand.1
--- a/crates/sched/src/changes/speed.rs
+++ b/crates/sched/src/changes/speed.rs
@@ -6,10 +6,13 @@
 //! its step. A worker whose runs fall far behind counts as slow for a while, whatever its health
 //! says.
 
+use std::sync::Arc;
+
 use gaplock_jobs::TaskKey;
 use gaplock_types::time::{Instant, Millis};
 
 use crate::interface::message::WorkerIx;
+use crate::state::job_table;
 use crate::state::pace_orders::FULL_PACE;
 use crate::state::rates::{ProgressSample, COMPLETE_PERCENT};
 use crate::state::worker::{Phase, Slot, TaskRole};
@@ -56,6 +59,27 @@
     record_rate(cx, ix, key, rate(slot, remaining, span), median_rate);
 }
 
+/// Records how the time of a task that has done its work compares with its estimate. The time of a
+/// best-effort task counts at full pace: that of a run that was slowed down or resumed follows from
+/// its rate, and is not known if nothing but slow progress was seen.
+pub fn record_estimate_ratio(cx: &mut State, key: TaskKey, slot: &Slot) {
+    let Some(entry) = cx.jobs.get(&key.job) else { return };
+    let job = Arc::clone(&entry.job);
+    let Some(step) = job.steps.get(usize::from(key.step)) else { return };
+    let whole_run = slot.confirmed.filter(|_| slot.resumes_from.is_none());
+    let rate = cx.step_state(key).and_then(|step| step.rates.of_task(key.index));
+    let actual = match (whole_run, rate) {
+        (Some(began), _) if slot.best_effort_millicores == 0 => cx.now.since(began),
+        (_, Some(rate)) if rate > 0.0 => {
+            Millis((f64::from(COMPLETE_PERCENT) / rate * 1_000.0) as u64)
+        }
+        (Some(began), _) if slot.pace_orders.is_untouched() => cx.now.since(began),
+        _ => return,
+    };
+    let class = job_table::work_class(step);
+    cx.estimate_ratios.record(&job.queue, class, step.estimate, actual);
+}
+
 /// Records a run's rate for its step, and the speed of its worker relative to the other tasks'
 /// rates.
 fn record_rate(cx: &mut State, ix: WorkerIx, key: TaskKey, rate: f64, median_rate: Option<f64>) {
--- a/crates/sched/src/decisions/paces.rs
+++ b/crates/sched/src/decisions/paces.rs
@@ -4,6 +4,7 @@
 use gaplock_types::time::Millis;
 
 use crate::decisions::best_effort::{self, BestEffortTask};
+use crate::decisions::slack::{self, Slack, Usefulness};
 use crate::state::interference_model::{InterferenceModel, Row, MIN_INTERFERENCE};
 use crate::state::pace_orders::FULL_PACE;
 use crate::state::worker::{TaskRole, Worker};
@@ -27,6 +28,7 @@
     for task in &mut tasks {
         task.pace = FULL_PACE;
     }
+    let mut known_slacks: Option<Vec<Slack>> = None;
     for (key, slot) in &worker.slots {
         let Some(serving) = best_effort::as_serving_task(*key, slot) else { continue };
         let tolerable = cx.interference.tolerable_interference(
@@ -35,7 +37,15 @@
             now,
             RUNNING_LOOKAHEAD_S,
         );
-        lower_paces(&cx.interference, serving.row, tolerable, &mut tasks);
+        if !cx.settings.pace_by_slack {
+            lower_paces(&cx.interference, serving.row, tolerable, &mut tasks);
+            continue;
+        }
+        let excess = excess_interference(&cx.interference, serving.row, tolerable, &tasks);
+        if excess > 0.0 {
+            let slacks = known_slacks.get_or_insert_with(|| slacks(cx, worker, &tasks));
+            lower_paces_by_slack(&cx.interference, serving.row, excess, &mut tasks, slacks);
+        }
     }
     halt(cx, worker, &mut tasks);
     tasks
@@ -45,22 +55,103 @@
 /// that interferes most. If an unanswered order leaves the pace of a run uncertain, the run counts
 /// with the highest pace that may be in force, and the other runs are lowered to make up for it.
 fn lower_paces(model: &InterferenceModel, row: Row, tolerable: f64, tasks: &mut [BestEffortTask]) {
-    let interference = |f: &BestEffortTask| model.factor(row, Some(f.column)) * f.share;
-    tasks.sort_by(|a, b| interference(b).total_cmp(&interference(a)));
-    let mut excess =
-        model.interference(row, tasks.iter().map(BestEffortTask::at_worst_pace)) - tolerable;
+    tasks.sort_by(|a, b| {
+        full_pace_interference(model, row, b).total_cmp(&full_pace_interference(model, row, a))
+    });
+    let mut excess = excess_interference(model, row, tolerable, tasks);
     for task in tasks {
-        let at_full_pace = interference(task);
-        if excess <= 0.0 || at_full_pace < MIN_INTERFERENCE {
+        let interference = full_pace_interference(model, row, task);
+        if excess <= 0.0 || interference < MIN_INTERFERENCE {
+            return;
+        }
+        excess -= lower_pace(task, interference, excess);
+    }
+}
+
+/// Returns the interference of a task with a serving image at full pace.
+fn full_pace_interference(model: &InterferenceModel, row: Row, task: &BestEffortTask) -> f64 {
+    model.factor(row, Some(task.column)) * task.share
+}
+
+/// Returns how far the tasks interfere more with a serving image than is tolerable.
+fn excess_interference(
+    model: &InterferenceModel,
+    row: Row,
+    tolerable: f64,
+    tasks: &[BestEffortTask],
+) -> f64 {
+    model.interference(row, tasks.iter().map(BestEffortTask::at_worst_pace)) - tolerable
+}
+
+/// Lowers a task's pace as far as the excess of interference requires, and returns by how much that
+/// reduces the interference.
+fn lower_pace(task: &mut BestEffortTask, at_full_pace: f64, excess: f64) -> f64 {
+    let worst_before = at_full_pace * f64::from(task.worst_pace()) / 100.0;
+    let allowed = (worst_before - excess).max(0.0);
+    task.pace = task.pace.min((allowed / at_full_pace * 100.0) as u32);
+    // An earlier order without an answer may restore a higher pace in spite of the new order, so
+    // the interference at that pace remains.
+    let worst_after = at_full_pace * f64::from(task.worst_pace()) / 100.0;
+    worst_before - worst_after.max(allowed)
+}
+
+/// The slack that tasks with less count with, in milliseconds. Below about the time between two
+/// readings, slack says nothing, and interference decides.
+const MIN_SLACK_MS: f64 = 200.0;
+
+/// How many times its slack a task counts with whose pace is lowered. Its slack
+/// shrinks with time and that of its neighbors does not, so without this margin similar tasks would
+/// take turns, each at the cost of two calls.
+const LOWERED_SLACK_FACTOR: f64 = 1.5;
+
+/// Returns the slack of each task on a worker by which the order of lowering is decided.
+fn slacks(cx: &State, worker: &Worker, tasks: &[BestEffortTask]) -> Vec<Slack> {
+    let slack = |task: &BestEffortTask| {
+        let slot = worker.slots.get(&task.key)?;
+        let mut slack = slack::slack_of(cx, task.key, slot.progress_percent)?;
+        slack.ms = slack.ms.max(MIN_SLACK_MS);
+        if slot.pace < FULL_PACE {
+            slack.ms *= LOWERED_SLACK_FACTOR;
+        }
+        Some(slack)
+    };
+    // A run whose job is not known any more is of no use.
+    let unknown = Slack { usefulness: Usefulness::None, ms: MIN_SLACK_MS };
+    tasks.iter().map(|task| slack(task).unwrap_or(unknown)).collect()
+}
+
+/// Lowers paces until the interference with a serving image is tolerable: first of tasks whose jobs
+/// are of no more use, then of late jobs, then of tasks with the largest product of slack and
+/// interference. The product is large for a task that has time and makes much room, so lowering its
+/// pace costs least per unit of interference. Among late jobs the task that interferes most goes
+/// first. `slacks` has one element for each task.
+fn lower_paces_by_slack(
+    model: &InterferenceModel,
+    row: Row,
+    excess: f64,
+    tasks: &mut [BestEffortTask],
+    slacks: &[Slack],
+) {
+    let mut order: Vec<(Slack, f64, usize)> = tasks
+        .iter()
+        .zip(slacks)
+        .enumerate()
+        .map(|(at, (task, slack))| (*slack, full_pace_interference(model, row, task), at))
+        .filter(|(_, interference, _)| *interference >= MIN_INTERFERENCE)
+        .collect();
+    let cost = |(slack, interference, _): &(Slack, f64, usize)| match slack.usefulness {
+        Usefulness::OnTime => slack.ms * interference,
+        Usefulness::Late | Usefulness::None => *interference,
+    };
+    order.sort_by(|a, b| {
+        b.0.usefulness.cmp(&a.0.usefulness).then(cost(b).total_cmp(&cost(a))).then(a.2.cmp(&b.2))
+    });
+    let mut excess = excess;
+    for (_, interference, at) in order {
+        if excess <= 0.0 {
             return;
         }
-        let worst_before = at_full_pace * f64::from(task.worst_pace()) / 100.0;
-        let allowed = (worst_before - excess).max(0.0);
-        task.pace = task.pace.min((allowed / at_full_pace * 100.0) as u32);
-        // An earlier order without an answer may restore a higher pace in spite of the new order,
-        // so the interference at that pace remains.
-        let worst_after = at_full_pace * f64::from(task.worst_pace()) / 100.0;
-        excess -= worst_before - worst_after.max(allowed);
+        excess -= lower_pace(&mut tasks[at], interference, excess);
     }
 }
 
--- /dev/null
+++ b/crates/sched/src/decisions/slack.rs
@@ -0,0 +1,117 @@
+//! Decides how much time a job has left beyond the time that it still needs, and whether its result
+//! can still be of use.
+//!
+//! A job is only of use once its last task is done, and a task that waits or is slowed down on one
+//! worker decides when that is. So slack is computed for each task: it is the time until the job's
+//! objective, minus the task's remaining work at full pace and the steps after it.
+
+use gaplock_jobs::TaskKey;
+use gaplock_types::time::{Instant, Millis};
+
+use crate::state::job_table::{self, JobEntry, ReadyStep, StepState};
+use crate::state::rates::COMPLETE_PERCENT;
+use crate::state::State;
+
+/// Of how much use the result of a job can still be. Earlier variants go first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Usefulness {
+    /// It can be there by the objective.
+    OnTime,
+    /// It comes late but is of some use.
+    Late,
+    /// It comes after [`USEFUL_FACTOR`] times the objective.
+    None,
+}
+
+/// How many times the time allowed to a job its result is of any use to its caller.
+pub const USEFUL_FACTOR: u64 = 3;
+
+/// The share of the remaining time that counts for whether a job can still be on time, as long as
+/// that time is only estimated. Estimates are off by up to 0.9, so a job that is late by its
+/// estimate may still be on time, and loses most of its value if it is given up too early.
+const ESTIMATED_TIME_SHARE: f64 = 0.5;
+
+/// How much time a task has left.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Slack {
+    /// Of how much use the job's result can still be.
+    pub usefulness: Usefulness,
+    /// The time to the objective beyond the time that the task and the steps after it need, in
+    /// milliseconds; negative if the job will be late.
+    pub ms: f64,
+}
+
+/// The time that a part of a job needs, in milliseconds.
+#[derive(Debug, Clone, Copy)]
+struct Need {
+    expected: f64,
+    /// The least that it may be.
+    least: f64,
+}
+
+/// Returns the slack of a task that has made this much progress; unset if its job is not known.
+pub fn slack_of(cx: &State, key: TaskKey, progress_percent: u32) -> Option<Slack> {
+    let entry = cx.jobs.get(&key.job)?;
+    let state = entry.round(key.round)?.steps.get(usize::from(key.step))?;
+    let remaining = f64::from(COMPLETE_PERCENT.saturating_sub(progress_percent)) / 100.0;
+    let task = need(cx, entry, state, key.step, remaining)?;
+    // A task of its step that waits for a worker needs its whole time.
+    let slowest = match state.pending.is_empty() {
+        true => task,
+        false => need(cx, entry, state, key.step, 1.0)?,
+    };
+    let left = time_to_objective(cx, entry, key.round);
+    let usefulness = usefulness(entry, left, slowest.least);
+    Some(Slack { usefulness, ms: left - task.expected })
+}
+
+/// Returns the slack of the tasks of a step that wait for a worker; unset if its job is not known.
+pub fn slack_of_step(cx: &State, ready: &ReadyStep) -> Option<Slack> {
+    let entry = cx.jobs.get(&ready.job)?;
+    let state = entry.round(ready.round)?.steps.get(usize::from(ready.step))?;
+    let need = need(cx, entry, state, ready.step, 1.0)?;
+    let left = time_to_objective(cx, entry, ready.round);
+    Some(Slack { usefulness: usefulness(entry, left, need.least), ms: left - need.expected })
+}
+
+/// Returns the time until the objective of a job's round, in milliseconds. The objective of a round
+/// counts from when it is due.
+fn time_to_objective(cx: &State, entry: &JobEntry, round: u32) -> f64 {
+    let accepted = entry.job.accepted_unix_ms;
+    let offset = entry.due_unix_ms(round).saturating_sub(accepted);
+    let due: Instant = entry.due + Millis(offset);
+    due.0 as f64 - cx.now.0 as f64
+}
+
+/// Returns of how much use a job is whose objective is `left` milliseconds away and that needs
+/// `need` milliseconds.
+fn usefulness(entry: &JobEntry, left: f64, need: f64) -> Usefulness {
+    let beyond_objective = (entry.allowed.0 * (USEFUL_FACTOR - 1)) as f64;
+    if left >= need {
+        Usefulness::OnTime
+    } else if left + beyond_objective >= need {
+        Usefulness::Late
+    } else {
+        Usefulness::None
+    }
+}
+
+/// Returns the time that a part of a task and all steps after it need: by the rates of the step
+/// once they are known, otherwise by the corrected estimates.
+fn need(cx: &State, entry: &JobEntry, state: &StepState, step: u16, part: f64) -> Option<Need> {
+    let description = entry.job.steps.get(usize::from(step))?;
+    let class = job_table::work_class(description);
+    let ratio = cx.estimate_ratios.ratio(&entry.job.queue, class);
+    let after = entry.chain_after.get(usize::from(step))?.0 as f64 * ratio;
+    let need = match state.rates.median() {
+        Some(rate) => {
+            let task = f64::from(COMPLETE_PERCENT) / rate * 1_000.0 * part;
+            Need { expected: task + after, least: task + after * ESTIMATED_TIME_SHARE }
+        }
+        None => {
+            let expected = description.estimate.0 as f64 * ratio * part + after;
+            Need { expected, least: expected * ESTIMATED_TIME_SHARE }
+        }
+    };
+    Some(need)
+}
--- a/crates/sched/src/interface/settings.rs
+++ b/crates/sched/src/interface/settings.rs
@@ -51,6 +51,9 @@
     pub max_tail_excess: Millis,
     /// How long beyond the longest lease a new leader waits for workers that do not answer.
     pub takeover_margin: Millis,
+    /// Whether paces, moves and starts of best-effort tasks depend on the time that their jobs have
+    /// left; set by the daemon's flags.
+    pub pace_by_slack: bool,
     /// How long a finished job's state is kept; set by the installation, with a margin.
     pub finished_job_retention: Millis,
 }
@@ -90,6 +93,7 @@
             full_pause: Millis(300),
             max_tail_excess: Millis(4_000),
             takeover_margin: Millis(500),
+            pace_by_slack: true,
             finished_job_retention: Millis(150_000),
         }
     }
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -20,6 +20,7 @@
 use std::sync::Arc;
 
 use gaplock_jobs::{config, JobKey, Step, TaskKey};
+use gaplock_overload::estimates::EstimateRatios;
 use gaplock_types::ids;
 use gaplock_types::time::Instant;
 use rustc_hash::FxHashMap;
@@ -102,6 +103,10 @@
     pub recovery_scan: Option<RecoveryScan>,
     /// What is to be stored.
     pub commits: Commits,
+    /// How far callers' estimates of the duration of tasks are off.
+    pub estimate_ratios: EstimateRatios,
+    /// How many dispatch passes were made.
+    pub passes: u64,
     /// The learned interference between tasks.
     pub interference: InterferenceModel,
     /// Where steps may run whose queue asks an external service.
@@ -156,6 +161,8 @@
             ready: BTreeSet::new(),
             recovery_scan: None,
             commits: Commits::default(),
+            estimate_ratios: EstimateRatios::default(),
+            passes: 0,
             interference: InterferenceModel::default(),
             permits: Permits::default(),
             crashes: CrashTracker::default(),
--- a/crates/sched/src/state/job_table.rs
+++ b/crates/sched/src/state/job_table.rs
@@ -6,8 +6,9 @@
 use gaplock_jobs::job::{self, Repeat};
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey, Step, TaskKey};
+use gaplock_overload::summary::WorkClass;
 use gaplock_types::sizes::Resources;
-use gaplock_types::time::Instant;
+use gaplock_types::time::{Instant, Millis};
 
 use crate::interface::message::{Run, WorkerIx};
 use crate::state::checkpoint::Checkpoint;
@@ -154,6 +155,10 @@
     pub ended_unix_ms: u64,
     /// The job's objective as a time of the leader's clock, for ordering.
     pub due: Instant,
+    /// The time from the job's acceptance to its objective.
+    pub allowed: Millis,
+    /// For each step, the estimated time of the longest chain of steps that come after it.
+    pub chain_after: Vec<Millis>,
     /// The queue's priority; 0 goes first.
     pub priority: u32,
     /// How many failed runs a task may have.
@@ -271,6 +276,15 @@
     pub step: u16,
 }
 
+/// Returns how the tasks of a step use the processors of a pool.
+pub fn work_class(step: &Step) -> WorkClass {
+    match step {
+        _ if step.lasting => WorkClass::LongRunning,
+        _ if step.fills => WorkClass::BestEffort,
+        _ => WorkClass::Short,
+    }
+}
+
 /// Returns the resources that a task reserves on a worker; a best-effort task reserves no
 /// processors.
 pub fn reservation(step: &Step) -> Resources {
--- a/crates/sched/src/state/pace_orders.rs
+++ b/crates/sched/src/state/pace_orders.rs
@@ -68,6 +68,11 @@
         self.pace_unknown || self.attempts.unanswered() > 0 && waited
     }
 
+    /// Returns whether the run has worked at full pace all along.
+    pub fn is_untouched(&self) -> bool {
+        self.last.is_none() && !self.pace_unknown
+    }
+
     /// Returns whether the pace that was last confirmed is certainly in force.
     pub fn is_certain(&self) -> bool {
         !self.pace_unknown && self.attempts.unanswered() == 0
--- a/crates/sched/src/state/rates.rs
+++ b/crates/sched/src/state/rates.rs
@@ -25,6 +25,8 @@
 pub struct StepRates {
     latest: Vec<(u32, f64)>,
     next_replaced: usize,
+    /// The median of `latest`, which is read far more often than it changes.
+    median: Option<f64>,
 }
 
 impl StepRates {
@@ -38,10 +40,20 @@
             self.latest[self.next_replaced] = (index, rate);
             self.next_replaced = (self.next_replaced + 1) % MAX_RATES_PER_STEP;
         }
+        self.median = self.compute_median();
     }
 
     /// Returns the median rate, once enough tasks are known.
     pub fn median(&self) -> Option<f64> {
+        self.median
+    }
+
+    /// Returns the rate that was last recorded of a task, if it is among those that are kept.
+    pub fn of_task(&self, index: u32) -> Option<f64> {
+        self.latest.iter().find(|(task, _)| *task == index).map(|(_, rate)| *rate)
+    }
+
+    fn compute_median(&self) -> Option<f64> {
         if self.latest.len() < MIN_RATES_FOR_MEDIAN {
             return None;
         }
--- a/crates/sched/tests/floors/table.rs
+++ b/crates/sched/tests/floors/table.rs
@@ -46,6 +46,8 @@
         &[
             "decisions::losses",
             "decisions::availability",
+            "decisions::slack",
+            "decisions::order",
             "decisions::best_effort",
             "decisions::paces",
             "decisions::interference",
