--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -29,6 +29,7 @@
 mod renewals;
 mod restarts;
 mod simulation;
+mod slack;
 mod slow_workers;
 mod suspect_isolation;
 mod takeovers;
--- a/crates/sched/tests/fleet/simulation/mod.rs
+++ b/crates/sched/tests/fleet/simulation/mod.rs
@@ -255,6 +255,12 @@
         self.notify_leader(Event::Job(job));
     }
 
+    /// Submits a job that is accepted now, or `ago` milliseconds ago.
+    pub fn submit_accepted(&mut self, mut job: Job, ago: u64) {
+        job.accepted_unix_ms = self.unix() - ago;
+        self.submit(job);
+    }
+
     /// Cancels a job.
     pub fn cancel(&mut self, key: u64) {
         self.record_cancelled(JobKey(key));
--- a/crates/sched/tests/fleet/simulation/views.rs
+++ b/crates/sched/tests/fleet/simulation/views.rs
@@ -183,4 +183,10 @@
         let all = self.workers.iter().flat_map(|w| w.running.iter());
         all.filter(|(t, _)| t.job == JobKey(key)).map(|(_, r)| r.pace).collect()
     }
+
+    /// Returns the paces of a job's tasks at one worker.
+    pub fn paces_at(&self, worker: usize, key: u64) -> Vec<u32> {
+        let runs = self.workers[worker].running.iter();
+        runs.filter(|(t, _)| t.job == JobKey(key)).map(|(_, r)| r.pace).collect()
+    }
 }
