Limit the best-effort demand that is at work in a pool, off by default

Cause: after a burst hundreds of best-effort tasks are at work at a time, a large part of them is halted for serving tasks, and all their jobs end late.

Ruled out: a gradient limit; the run time of a task on these deployments depends on its caller's estimate and size more than on the load, so there is no base time to compare with. Little's law alone; the rate at which work completes is itself what too much concurrency lowers. Stopping tasks for the limit; their progress since the last checkpoint is lost.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -12,6 +12,7 @@
 use gaplock_jobs::JobKey;
 use gaplock_platform::store::Revision;
 use gaplock_remote::clock;
+use gaplock_sched::concurrency_limit;
 use gaplock_sched::context::Term;
 use gaplock_sched::free_capacity::{self, FreeCpu};
 use gaplock_sched::job_table::JobEntry;
@@ -136,6 +137,7 @@
         }
         self.show_free_capacity(FreeCpu::default(), 0, 0);
         self.node.metrics.show_evacuated(iter::empty());
+        self.node.metrics.show_best_effort(iter::empty());
         self.node.metrics.directory_lag_ms.set(0);
         self.node.metrics.waiting_events.set(0);
         self.node.metrics.runs_after_end.set(0);
@@ -211,6 +213,10 @@
         self.node.metrics.runs_after_end.set(self.cx.runs_after_end as i64);
         let free = free_capacity::free_cpu(&self.cx);
         self.show_free_capacity(free, self.cx.ready.len(), self.cx.crashes.suspects.len());
+        let at_work = concurrency_limit::demand_at_work(&self.cx);
+        let limit = |pool| self.cx.best_effort_limits.get(pool).and_then(|(l, _)| l.millicores());
+        let shown = at_work.iter().map(|(pool, demand)| (*pool, *demand, limit(*pool)));
+        self.node.metrics.show_best_effort(shown);
     }
 
     /// Sets the metrics of the workers' free capacity, of waiting steps and of suspect tasks.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -23,6 +23,12 @@
     domain: String,
 }
 
+/// A pool of workers as a label.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PoolLabel {
+    pool: String,
+}
+
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 2.5];
 
@@ -30,6 +36,9 @@
 /// whatever operators write.
 const MAX_EVACUATED_SHOWN: usize = 64;
 
+/// The maximum number of pools whose best-effort work is shown.
+const MAX_POOLS_SHOWN: usize = 64;
+
 /// All metrics of a host.
 pub struct Metrics {
     registry: Registry,
@@ -38,6 +47,8 @@
     commits: Family<Label, Counter>,
     commit_time: Histogram,
     evacuated_runs: Family<DomainLabel, Gauge>,
+    best_effort_limit: Family<PoolLabel, Gauge>,
+    best_effort_at_work: Family<PoolLabel, Gauge>,
     /// The number of leaderships that this process has held.
     pub terms: Counter,
     /// The version of the configuration in force.
@@ -79,6 +90,12 @@
     let evacuated_runs = Family::<DomainLabel, Gauge>::default();
     let help = "Tasks that still run in an evacuated failure domain";
     registry.register("evacuated_domain_runs", help, evacuated_runs.clone());
+    let best_effort_limit = Family::<PoolLabel, Gauge>::default();
+    let help = "Limit on the best-effort demand at work in a pool, while one is in force";
+    registry.register("best_effort_limit_millicores", help, best_effort_limit.clone());
+    let best_effort_at_work = Family::<PoolLabel, Gauge>::default();
+    let help = "Best-effort demand of a pool that is at a worker and not halted";
+    registry.register("best_effort_at_work_millicores", help, best_effort_at_work.clone());
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let mut gauge = |name: &str, help: &str| {
@@ -106,6 +123,8 @@
         commits,
         commit_time,
         evacuated_runs,
+        best_effort_limit,
+        best_effort_at_work,
         terms,
         config_version,
         free_millicores,
@@ -147,6 +166,22 @@
         }
     }
 
+    /// Shows the best-effort demand at work in each pool, and its limit if one is in force.
+    pub fn show_best_effort<'a>(
+        &self,
+        pools: impl Iterator<Item = (&'a ids::ServiceId, u64, Option<u64>)>,
+    ) {
+        self.best_effort_limit.clear();
+        self.best_effort_at_work.clear();
+        for (pool, at_work, limit) in pools.take(MAX_POOLS_SHOWN) {
+            let label = PoolLabel { pool: pool.to_string() };
+            self.best_effort_at_work.get_or_create(&label).set(at_work as i64);
+            if let Some(limit) = limit {
+                self.best_effort_limit.get_or_create(&label).set(limit as i64);
+            }
+        }
+    }
+
     /// Renders the metrics as text.
     pub fn render(&self) -> String {
         let mut out = String::new();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -17,6 +17,7 @@
 const RENEW_WAIT: &str = "renew-wait";
 const COMMIT_DELAY: &str = "commit-delay";
 const PACE_BY_SLACK: &str = "pace-by-slack";
+const LIMIT_BEST_EFFORT: &str = "limit-best-effort";
 
 /// Every setting.
 pub const TABLE: &[Setting] = &[
@@ -56,6 +57,13 @@
         Some("1"),
         "Whether best-effort tasks are slowed down, moved and started by the time their jobs have.",
     ),
+    setting(
+        LIMIT_BEST_EFFORT,
+        Kind::Number { min: 0, max: 1 },
+        "0|1",
+        Some("0"),
+        "Whether the best-effort work that is under way at one time in a pool is limited.",
+    ),
 ];
 
 /// The time within which the answers to a burst of starts must be handled, in seconds: well below
@@ -86,6 +94,7 @@
         commit_delay: Millis(values.number(COMMIT_DELAY)),
         max_starts_in_flight: max_starts_in_flight(installation.cpu_share, installation.link_mbps),
         pace_by_slack: values.number(PACE_BY_SLACK) == 1,
+        limit_best_effort: values.number(LIMIT_BEST_EFFORT) == 1,
         ..Settings::default()
     };
     installation::apply(installation, &mut cfg);
--- a/crates/sched/src/changes/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -9,6 +9,7 @@
 use gaplock_types::{ids, sizes};
 
 use crate::changes::{gangs, pacing, permits, scarcity, starts, trace, trials};
+use crate::decisions::concurrency_limit::{self, Room};
 use crate::decisions::ranking::RankedWorkers;
 use crate::decisions::requests::{self, WaitStatus};
 use crate::decisions::{free_capacity, interference, order, placement};
@@ -91,6 +92,8 @@
     largest: sizes::MilliCores,
     /// For how many steps all workers were evaluated.
     searches: usize,
+    /// How much more best-effort demand may start.
+    room: Room,
 }
 
 /// Tries all ready steps once.
@@ -103,11 +106,12 @@
     let mut ready: Vec<ReadyStep> = cx.ready.iter().copied().collect();
     ready.sort_by_cached_key(|&step| !has_restart_priority(cx, step));
     cx.passes += 1;
-    if cx.settings.pace_by_slack {
+    if cx.settings.pace_by_slack || cx.settings.limit_best_effort {
         order::by_usefulness(cx, &mut ready);
     }
     let (most_free, largest) = most_processors(cx);
-    let mut pass = Pass { unplaced: Vec::new(), most_free, largest, searches: 0 };
+    let mut pass =
+        Pass { unplaced: Vec::new(), most_free, largest, searches: 0, room: Room::open(cx) };
     for step in ready {
         if cx.is_at_start_limit() {
             break;
@@ -146,7 +150,11 @@
     let Some(service) = requests::service_of(cx, &job) else { return };
     let step = &job.steps[usize::from(ready.step)];
     let Some(round) = entry.round(ready.round) else { return };
-    let pending = start_order(cx, ready, step, &round.steps[usize::from(ready.step)].pending);
+    let mut pending = start_order(cx, ready, step, &round.steps[usize::from(ready.step)].pending);
+    let is_limited = step.fills && !pass.room.is_left(&service);
+    if is_limited {
+        pending.retain(|&index| concurrency_limit::is_exempt(cx, task_key(ready, index)));
+    }
     let Some(wait) = first_that_may_start(cx, ready, &pending) else { return };
     let demand = UnplacedDemand::of(service.clone(), step, wait);
     if pass.unplaced.iter().any(|known| known.covers(&demand)) {
@@ -161,7 +169,9 @@
         return;
     }
     pass.searches += 1;
-    let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending) else { return };
+    let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending, &mut pass.room) else {
+        return;
+    };
     log_waiting(cx, &job, &service, unplaced, pending.len());
     note_scarcity(cx, &service, step, pass);
     if requests::advice_of(cx, &job).is_some() {
@@ -226,10 +236,13 @@
     service: &ids::ServiceId,
     ready: ReadyStep,
     pending: &[u32],
+    room: &mut Room,
 ) -> Option<TaskKey> {
     // Adds the step's image to the model if it is new. This is done before the first task is
     // placed, so that all tasks of the step are evaluated alike.
     pacing::add_image_and_get_role(cx, &job.steps[usize::from(ready.step)]);
+    let step = &job.steps[usize::from(ready.step)];
+    let best_effort = job_table::best_effort_millicores(step);
     let mut ranking = RankedWorkers::default();
     for &index in pending {
         if cx.is_at_start_limit() {
@@ -239,6 +252,9 @@
         if !requests::may_start(cx, task) {
             continue;
         }
+        if step.fills && !room.is_left(service) && !concurrency_limit::is_exempt(cx, task) {
+            continue;
+        }
         let Some(request) = requests::placement_request(cx, job, service, task) else {
             return Some(task);
         };
@@ -250,6 +266,7 @@
         );
         let Some(ix) = chosen else { return Some(task) };
         starts::start_at(cx, ix, task);
+        room.take(service, best_effort);
     }
     None
 }
--- a/crates/sched/src/changes/trace.rs
+++ b/crates/sched/src/changes/trace.rs
@@ -5,6 +5,7 @@
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, TaskKey};
+use gaplock_overload::budget::{Change, Observation};
 use gaplock_policy::attempts::CallAttempts;
 use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
@@ -365,6 +366,20 @@
     info!(event = "pace_ordered", %task, run, %worker, from, to, open);
 }
 
+/// Logs that the limit on a pool's best-effort demand changed; raises are frequent and small.
+pub fn best_effort_limit_changed(
+    pool: &ids::ServiceId,
+    change: Change,
+    limit: Option<u64>,
+    seen: &Observation,
+) {
+    if change == Change::Raised {
+        debug!(event = "best_effort_limit", %pool, ?change, limit, ?seen);
+    } else {
+        info!(event = "best_effort_limit", %pool, ?change, limit, ?seen);
+    }
+}
+
 /// Logs what runs on a worker, with the readings and the model's estimates.
 pub fn readings(cx: &State, ix: WorkerIx) {
     let worker = cx.worker(ix);
--- a/crates/sched/src/decisions.rs
+++ b/crates/sched/src/decisions.rs
@@ -2,6 +2,7 @@
 
 pub mod availability;
 pub mod best_effort;
+pub mod concurrency_limit;
 pub mod free_capacity;
 pub mod interference;
 pub mod leaving;
--- a/crates/sched/src/interface/settings.rs
+++ b/crates/sched/src/interface/settings.rs
@@ -54,6 +54,9 @@
     /// Whether paces, moves and starts of best-effort tasks depend on the time that their jobs have
     /// left; set by the daemon's flags.
     pub pace_by_slack: bool,
+    /// Whether the best-effort demand that is at work at one time in a pool is limited; set by the
+    /// daemon's flags.
+    pub limit_best_effort: bool,
     /// How long a finished job's state is kept; set by the installation, with a margin.
     pub finished_job_retention: Millis,
 }
@@ -94,6 +97,7 @@
             max_tail_excess: Millis(4_000),
             takeover_margin: Millis(500),
             pace_by_slack: true,
+            limit_best_effort: false,
             finished_job_retention: Millis(150_000),
         }
     }
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -20,6 +20,7 @@
 use std::sync::Arc;
 
 use gaplock_jobs::{config, JobKey, Step, TaskKey};
+use gaplock_overload::budget::{Limit, Observation};
 use gaplock_overload::estimates::EstimateRatios;
 use gaplock_types::ids;
 use gaplock_types::time::Instant;
@@ -105,6 +106,11 @@
     pub commits: Commits,
     /// How far callers' estimates of the duration of tasks are off.
     pub estimate_ratios: EstimateRatios,
+    /// The limit on the best-effort demand at work in each pool, and what was last observed there;
+    /// empty unless the setting is on.
+    pub best_effort_limits: BTreeMap<ids::ServiceId, (Limit, Observation)>,
+    /// When pools were last observed.
+    pub pools_observed_at: Instant,
     /// How many dispatch passes were made.
     pub passes: u64,
     /// The learned interference between tasks.
@@ -162,6 +168,8 @@
             recovery_scan: None,
             commits: Commits::default(),
             estimate_ratios: EstimateRatios::default(),
+            best_effort_limits: BTreeMap::new(),
+            pools_observed_at: Instant(0),
             passes: 0,
             interference: InterferenceModel::default(),
             permits: Permits::default(),
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod cancelled_runs;
 mod capacity;
 mod checkpoints;
+mod concurrency_limit;
 mod crash_attribution;
 mod crashes;
 mod directory_age;
--- a/crates/sched/tests/floors/table.rs
+++ b/crates/sched/tests/floors/table.rs
@@ -55,6 +55,7 @@
             "decisions::placement",
             "decisions::ranking",
             "decisions::requests",
+            "decisions::concurrency_limit",
             "decisions::leaving",
             "decisions::slowness",
             "decisions::racks",
@@ -66,6 +67,7 @@
         "changes",
         &[
             "changes::trace",
+            "changes::best_effort_limits",
             "changes::speed",
             "changes::scarcity",
             "changes::permits",
