Decide a job's usefulness by the slowest task of its step

Cause: a task that is far ahead kept its pace although another task of its step could no longer be done by the objective, and tasks of jobs that could still be on time were slowed down for it.

Ruled out: searching a step's tasks each time a pace is computed; that is 20 tasks for each of ten tasks on a worker. The least progress is determined every 200 ms when a report arrives.

Change: tasks keep their progress, also between two runs if it is saved; a step keeps the least one.

--- a/crates/sched/src/changes/lifecycle.rs
+++ b/crates/sched/src/changes/lifecycle.rs
@@ -41,6 +41,9 @@
     task.since = now;
     let is_suspect = task.crash_evidence.is_some();
     let has_checkpoint = task.checkpoint.is_some();
+    if !has_checkpoint {
+        task.progress_percent = 0;
+    }
     if let Some(round) = entry.round_mut(key.round) {
         round.steps[usize::from(key.step)].pending.insert(key.index);
     }
--- a/crates/sched/src/changes/moving.rs
+++ b/crates/sched/src/changes/moving.rs
@@ -109,14 +109,14 @@
 /// Returns how long a task is slowed down before it is moved. It is moved early if its job can be
 /// on time only then.
 fn move_after(cx: &State, slack: Option<Slack>) -> Millis {
-    let latest = (cx.settings.stop_limit.0 + MOVE_OVERHEAD.0 + MOVE_AFTER.0) as f64;
-    let is_urgent =
-        slack.is_some_and(|slack| slack.usefulness == Usefulness::OnTime && slack.ms < latest);
-    if is_urgent {
-        MOVE_URGENT_AFTER
-    } else {
-        MOVE_AFTER
+    let Some(slack) = slack else { return MOVE_AFTER };
+    let move_ms = (cx.settings.stop_limit.0 + MOVE_OVERHEAD.0) as f64;
+    let late_if_moved_later = move_ms + MOVE_AFTER.0 as f64;
+    if slack.usefulness == Usefulness::OnTime && (move_ms..late_if_moved_later).contains(&slack.ms)
+    {
+        return MOVE_URGENT_AFTER;
     }
+    MOVE_AFTER
 }
 
 impl Search {
--- a/crates/sched/src/changes/worker_report.rs
+++ b/crates/sched/src/changes/worker_report.rs
@@ -40,7 +40,12 @@
     speed::observe(cx, ix, row.task);
     checkpoints::apply(cx, ix, row.task, row.run, row.checkpoint.as_deref());
     stop_after_end(cx, ix, row);
-    let Some(task) = cx.task_mut(row.task) else { return };
+    let is_best_effort = cx.step(row.task).is_some_and(|step| step.fills);
+    let Some(step) = cx.step_state_mut(row.task) else { return };
+    if is_best_effort {
+        step.record_progress(now, row.task.index, row.progress_percent);
+    }
+    let Some(task) = step.tasks.get_mut(row.task.index as usize) else { return };
     if row.progress_percent >= READY_PERCENT {
         task.consecutive_failures = 0;
     }
--- a/crates/sched/src/decisions/slack.rs
+++ b/crates/sched/src/decisions/slack.rs
@@ -31,6 +31,10 @@
 /// estimate may still be on time, and loses most of its value if it is given up too early.
 const ESTIMATED_TIME_SHARE: f64 = 0.5;
 
+/// The same share where the time follows from the rates of the step. These are read over parts of
+/// runs, and the tasks of a step differ.
+const MEASURED_TIME_SHARE: f64 = 0.8;
+
 /// How much time a task has left.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Slack {
@@ -53,13 +57,9 @@
 pub fn slack_of(cx: &State, key: TaskKey, progress_percent: u32) -> Option<Slack> {
     let entry = cx.jobs.get(&key.job)?;
     let state = entry.round(key.round)?.steps.get(usize::from(key.step))?;
-    let remaining = f64::from(COMPLETE_PERCENT.saturating_sub(progress_percent)) / 100.0;
-    let task = need(cx, entry, state, key.step, remaining)?;
-    // A task of its step that waits for a worker needs its whole time.
-    let slowest = match state.pending.is_empty() {
-        true => task,
-        false => need(cx, entry, state, key.step, 1.0)?,
-    };
+    let percent = progress_percent.max(state.tasks.get(key.index as usize)?.progress_percent);
+    let task = need(cx, entry, state, key.step, percent)?;
+    let slowest = need(cx, entry, state, key.step, percent.min(state.least_progress.1))?;
     let left = time_to_objective(cx, entry, key.round);
     let usefulness = usefulness(entry, left, slowest.least);
     Some(Slack { usefulness, ms: left - task.expected })
@@ -69,7 +69,7 @@
 pub fn slack_of_step(cx: &State, ready: &ReadyStep) -> Option<Slack> {
     let entry = cx.jobs.get(&ready.job)?;
     let state = entry.round(ready.round)?.steps.get(usize::from(ready.step))?;
-    let need = need(cx, entry, state, ready.step, 1.0)?;
+    let need = need(cx, entry, state, ready.step, state.least_progress.1)?;
     let left = time_to_objective(cx, entry, ready.round);
     Some(Slack { usefulness: usefulness(entry, left, need.least), ms: left - need.expected })
 }
@@ -96,22 +96,25 @@
     }
 }
 
-/// Returns the time that a part of a task and all steps after it need: by the rates of the step
-/// once they are known, otherwise by the corrected estimates.
-fn need(cx: &State, entry: &JobEntry, state: &StepState, step: u16, part: f64) -> Option<Need> {
+/// Returns the time that a task with this much progress and all steps after it need: by the rates of
+/// the step once they are known, otherwise by the corrected estimates.
+fn need(
+    cx: &State,
+    entry: &JobEntry,
+    state: &StepState,
+    step: u16,
+    progress_percent: u32,
+) -> Option<Need> {
     let description = entry.job.steps.get(usize::from(step))?;
-    let class = job_table::work_class(description);
-    let ratio = cx.estimate_ratios.ratio(&entry.job.queue, class);
+    let ratio = cx.estimate_ratios.ratio(&entry.job.queue, job_table::work_class(description));
     let after = entry.chain_after.get(usize::from(step))?.0 as f64 * ratio;
-    let need = match state.rates.median() {
-        Some(rate) => {
-            let task = f64::from(COMPLETE_PERCENT) / rate * 1_000.0 * part;
-            Need { expected: task + after, least: task + after * ESTIMATED_TIME_SHARE }
-        }
+    let left_percent = f64::from(COMPLETE_PERCENT.saturating_sub(progress_percent));
+    let (task, share) = match state.rates.median() {
+        Some(rate) => (left_percent / rate * 1_000.0, MEASURED_TIME_SHARE),
         None => {
-            let expected = description.estimate.0 as f64 * ratio * part + after;
-            Need { expected, least: expected * ESTIMATED_TIME_SHARE }
+            let estimate = description.estimate.0 as f64 * ratio;
+            (estimate * left_percent / f64::from(COMPLETE_PERCENT), ESTIMATED_TIME_SHARE)
         }
     };
-    Some(need)
+    Some(Need { expected: task + after, least: task * share + after * ESTIMATED_TIME_SHARE })
 }
--- a/crates/sched/src/state/job_table.rs
+++ b/crates/sched/src/state/job_table.rs
@@ -53,6 +53,8 @@
     pub consecutive_invalid_starts: u32,
     /// The task is not started before this time.
     pub not_before: Instant,
+    /// The progress of its run, or that from which the next run resumes, in percent.
+    pub progress_percent: u32,
     /// The checkpoint from which the next run resumes.
     pub checkpoint: Option<Checkpoint>,
     /// The worker on which the last run failed; the next run avoids it.
@@ -78,6 +80,7 @@
             consecutive_failures: 0,
             consecutive_invalid_starts: 0,
             not_before: Instant(0),
+            progress_percent: 0,
             checkpoint: None,
             failed_on: None,
             since: Instant(0),
@@ -101,6 +104,27 @@
     pub last_explained_at: Instant,
     /// How fast its tasks make progress.
     pub rates: StepRates,
+    /// The least progress of any task that is not done, in percent, and when it was determined; kept
+    /// for best-effort steps only.
+    pub least_progress: (Instant, u32),
+}
+
+/// How often the least progress of a step is determined again. It is read for every task whose pace
+/// is computed, and changes as fast as workers report.
+const LEAST_PROGRESS_INTERVAL: Millis = Millis(200);
+
+impl StepState {
+    /// Records a task's progress, and that of the slowest task of the step from time to time.
+    pub fn record_progress(&mut self, now: Instant, index: u32, percent: u32) {
+        if let Some(task) = self.tasks.get_mut(index as usize) {
+            task.progress_percent = percent;
+        }
+        if now.since(self.least_progress.0) >= LEAST_PROGRESS_INTERVAL {
+            let unfinished = self.tasks.iter().filter(|task| task.state != TaskState::Done);
+            let least = unfinished.map(|task| task.progress_percent).min();
+            self.least_progress = (now, least.unwrap_or(0));
+        }
+    }
 }
 
 /// One round of a job; a job that does not repeat has round 0 only.
@@ -121,6 +145,7 @@
             pending: BTreeSet::new(),
             last_explained_at: Instant(0),
             rates: StepRates::default(),
+            least_progress: (Instant(0), 0),
         };
         Self { number, steps: job.steps.iter().map(step).collect() }
     }
