--- a/crates/sched/tests/fleet/slack.rs
+++ b/crates/sched/tests/fleet/slack.rs
@@ -84,8 +84,7 @@
 /// Returns the mean paces of two jobs on one worker while the load has risen so far that the serving
 /// task tolerates about one of them. Each job is given with its demand and the time since it was
 /// accepted.
-fn mean_paces_under_high_load(by_slack: bool, jobs: [(Job, u32, u64); 2]) -> [u32; 2] {
-    let mut sim = simulation(311, by_slack);
+fn mean_paces_under_high_load(mut sim: Simulation, jobs: [(Job, u32, u64); 2]) -> [u32; 2] {
     let keys = jobs.each_ref().map(|(job, millicores, _)| (job.key.0, *millicores));
     for (job, _, accepted_ago) in jobs {
         sim.submit_accepted(job, accepted_ago);
@@ -112,9 +111,9 @@
             (best_effort_job(2, 1_100, 8_000), best_effort_job(3, 1_000, 40_000));
         [(due_soon, 1_100, 0), (with_time, 1_000, 0)]
     };
-    let [due_soon, with_time] = mean_paces_under_high_load(true, jobs());
+    let [due_soon, with_time] = mean_paces_under_high_load(simulation(311, true), jobs());
     assert!(due_soon > with_time + 40, "due soon: {due_soon} %, with time: {with_time} %");
-    let [due_soon, with_time] = mean_paces_under_high_load(false, jobs());
+    let [due_soon, with_time] = mean_paces_under_high_load(simulation(311, false), jobs());
     assert!(due_soon + 40 < with_time, "slack decides although the setting is off");
 }
 
@@ -126,12 +125,27 @@
             (best_effort_job(2, 1_000, 4_000), best_effort_job(3, 1_100, 12_000));
         [(useless, 1_000, 20_000), (of_use, 1_100, 0)]
     };
-    let [useless, of_use] = mean_paces_under_high_load(true, jobs());
+    let [useless, of_use] = mean_paces_under_high_load(simulation(311, true), jobs());
     assert!(of_use > useless + 40, "of use: {of_use} %, of no more use: {useless} %");
-    let [useless, of_use] = mean_paces_under_high_load(false, jobs());
+    let [useless, of_use] = mean_paces_under_high_load(simulation(311, false), jobs());
     assert!(of_use + 40 < useless, "usefulness decides although the setting is off");
 }
 
+/// Load: a task that is well ahead of another task of its step, which waits and makes the job late.
+/// By its own slack it kept its pace, and a job that can be on time was slowed down for it.
+#[test]
+fn a_task_is_slowed_down_whose_job_another_task_makes_late() {
+    let mut sim = simulation(315, true);
+    sim.work_ms = 5_000;
+    let only_one_fits =
+        Step { count: 2, most_per_worker: Some(1), ..best_effort_step(1_000, 4_000, &[]) };
+    let held_up = job(2, vec![only_one_fits]);
+    let with_time = best_effort_job(3, 1_100, 40_000);
+    let jobs = [(held_up, 1_000, 2_000), (with_time, 1_100, 0)];
+    let [held_up, with_time] = mean_paces_under_high_load(sim, jobs);
+    assert!(held_up + 40 < with_time, "held up: {held_up} %, with time: {with_time} %");
+}
+
 /// Load: two halted tasks, one of which holds up a job whose other tasks are done, and a worker
 /// that becomes free for one of them. Tasks were moved in the order of the workers' tables, after
 /// 1.2 s each.
