Leave a quarter of the move budget to tasks in turn, learn ratios from own starts only

Cause: tasks with least slack that find no place could use up every check's searches. A run that a previous leader started counted with the time since its adoption. Change: three quarters of the searches go by slack, the rest in the order of the workers. The time of a task counts only if this leader started the run.

--- a/crates/sched/src/changes/moving.rs
+++ b/crates/sched/src/changes/moving.rs
@@ -74,14 +74,28 @@
     }
 }
 
+/// The part of the budget, as a divisor, that is left to tasks in the order of the workers. If the
+/// tasks with least slack use up the rest and find no place at every check, others still move.
+const IN_TURN_DIVISOR: usize = 4;
+
 /// Moves slowed tasks by the use of their jobs and by least slack, as far as the budget reaches.
 fn move_by_slack(cx: &mut State, search: &mut Search) {
     let ixs = cx.worker_ixs().into_iter();
     let mut slowed: Vec<SlowedTask> = ixs.flat_map(|ix| slowed_tasks(cx, ix)).collect();
     let key = |task: &SlowedTask| task.slack.map(|slack| (slack.usefulness, slack.ms as i64));
     slowed.sort_by_key(|task| (key(task), task.key));
-    for task in slowed {
+    let kept = search.budget.remaining() / IN_TURN_DIVISOR;
+    let mut slowed = slowed.into_iter();
+    while search.budget.remaining() > kept {
+        let Some(task) = slowed.next() else { return };
+        search.move_if_better(cx, &task);
+    }
+    let from = cx.rebalance_cursors.0;
+    let mut untried: Vec<SlowedTask> = slowed.collect();
+    untried.sort_by_key(|task| (task.worker < from, task.worker));
+    for task in untried {
         if search.budget.is_exhausted() {
+            cx.rebalance_cursors.0 = task.worker;
             return;
         }
         search.move_if_better(cx, &task);
--- a/crates/sched/src/changes/speed.rs
+++ b/crates/sched/src/changes/speed.rs
@@ -65,8 +65,11 @@
 pub fn record_estimate_ratio(cx: &mut State, key: TaskKey, slot: &Slot) {
     let Some(entry) = cx.jobs.get(&key.job) else { return };
     let job = Arc::clone(&entry.job);
-    let Some(step) = job.steps.get(usize::from(key.step)) else { return };
-    let whole_run = slot.confirmed.filter(|_| slot.resumes_from.is_none());
+    let step = job.steps.get(usize::from(key.step)).filter(|step| !step.lasting);
+    let Some(step) = step else { return };
+    // When a run began that a previous leader started is not known.
+    let is_whole = slot.resumes_from.is_none() && slot.attempts.sent() > 0;
+    let whole_run = slot.confirmed.filter(|_| is_whole);
     let rate = cx.step_state(key).and_then(|step| step.rates.of_task(key.index));
     let actual = match (whole_run, rate) {
         (Some(began), _) if slot.best_effort_millicores == 0 => cx.now.since(began),
--- a/crates/sched/src/interface/search_budget.rs
+++ b/crates/sched/src/interface/search_budget.rs
@@ -36,6 +36,11 @@
         self.remaining == 0
     }
 
+    /// Returns how many more searches may be made.
+    pub fn remaining(&self) -> usize {
+        self.remaining
+    }
+
     /// Records that a search is made.
     pub fn spend_one(&mut self) {
         self.remaining = self.remaining.saturating_sub(1);
--- a/crates/sched/tests/fleet/simulation/views.rs
+++ b/crates/sched/tests/fleet/simulation/views.rs
@@ -4,11 +4,12 @@
 
 use gaplock_jobs::progress::{JobState, TaskRecord};
 use gaplock_jobs::{JobKey, TaskKey};
+use gaplock_overload::summary::WorkClass;
 use gaplock_sched::message::{Run, WaveNumber};
 use gaplock_sched::worker::{Phase, Worker};
 
 use super::worker::SimWorker;
-use super::Simulation;
+use super::{Simulation, QUEUE};
 
 impl Simulation {
     /// Returns whether a job is stored as completed.
@@ -184,6 +185,11 @@
         all.filter(|(t, _)| t.job == JobKey(key)).map(|(_, r)| r.pace).collect()
     }
 
+    /// Returns how many times their estimates tasks of a class take, as far as the leader knows.
+    pub fn estimate_ratio(&self, class: WorkClass) -> f64 {
+        self.cx.as_ref().map_or(1.0, |cx| cx.estimate_ratios.ratio(QUEUE, class))
+    }
+
     /// Returns the paces of a job's tasks at one worker.
     pub fn paces_at(&self, worker: usize, key: u64) -> Vec<u32> {
         let runs = self.workers[worker].running.iter();
--- a/crates/sched/tests/fleet/slack.rs
+++ b/crates/sched/tests/fleet/slack.rs
@@ -2,6 +2,7 @@
 //! serving task whose tail follows its load and the paces in force.
 
 use gaplock_jobs::{Job, JobKey, Step};
+use gaplock_overload::summary::WorkClass;
 use gaplock_sched::pacing::{Learned, LearnedFactor, LearnedImage};
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
@@ -225,3 +226,17 @@
     assert!(key > 7, "the job of no more use was run before jobs that can be on time");
     assert_no_violations(&sim);
 }
+
+/// Guards against slack that rests on estimates which the work of a queue has long disproved.
+#[test]
+fn the_leader_learns_how_far_estimates_are_off() {
+    let mut sim = Simulation::open(316, 4);
+    sim.work_ms = 1_500;
+    sim.submit(job(2, vec![step(30, &[])]));
+    sim.submit(job(3, vec![Step { count: 30, ..best_effort_step(1_000, 1_000, &[]) }]));
+    sim.run(10_000);
+    let (short, batch) =
+        (sim.estimate_ratio(WorkClass::Short), sim.estimate_ratio(WorkClass::BestEffort));
+    assert!((2.3..3.2).contains(&short), "tasks take 3 times their estimate, learned {short}");
+    assert!((1.2..1.7).contains(&batch), "tasks take 1.5 times their estimate, learned {batch}");
+}
