--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -37,9 +37,8 @@
 /// whatever operators write.
 const MAX_EVACUATED_SHOWN: usize = 64;
 
-/// The maximum number of pools whose load period is shown: a limit whatever the configuration
-/// names.
-const MAX_PERIODS_SHOWN: usize = 64;
+/// The maximum number of pools that are shown: a limit whatever the configuration names.
+const MAX_POOLS_SHOWN: usize = 64;
 
 /// All metrics of a host.
 pub struct Metrics {
@@ -50,6 +49,8 @@
     commit_time: Histogram,
     evacuated_runs: Family<DomainLabel, Gauge>,
     load_periods: Family<PoolLabel, Gauge>,
+    best_effort_limit: Family<PoolLabel, Gauge>,
+    best_effort_at_work: Family<PoolLabel, Gauge>,
     /// The number of leaderships that this process has held.
     pub terms: Counter,
     /// The version of the configuration in force.
@@ -94,6 +95,12 @@
     let load_periods = Family::<PoolLabel, Gauge>::default();
     let help = "Confirmed period of the load of a pool's serving jobs";
     registry.register("load_period_ms", help, load_periods.clone());
+    let best_effort_limit = Family::<PoolLabel, Gauge>::default();
+    let help = "Limit on the best-effort demand at work in a pool, while one is in force";
+    registry.register("best_effort_limit_millicores", help, best_effort_limit.clone());
+    let best_effort_at_work = Family::<PoolLabel, Gauge>::default();
+    let help = "Best-effort demand of a pool that is at a worker and not halted";
+    registry.register("best_effort_at_work_millicores", help, best_effort_at_work.clone());
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let mut gauge = |name: &str, help: &str| {
@@ -122,6 +129,8 @@
         commit_time,
         evacuated_runs,
         load_periods,
+        best_effort_limit,
+        best_effort_at_work,
         terms,
         config_version,
         free_millicores,
@@ -169,12 +178,28 @@
         periods: impl Iterator<Item = (&'a ids::ServiceId, Millis)>,
     ) {
         self.load_periods.clear();
-        for (pool, period) in periods.take(MAX_PERIODS_SHOWN) {
+        for (pool, period) in periods.take(MAX_POOLS_SHOWN) {
             let label = PoolLabel { pool: pool.to_string() };
             self.load_periods.get_or_create(&label).set(period.0 as i64);
         }
     }
 
+    /// Shows the best-effort demand at work in each pool, and its limit if one is in force.
+    pub fn show_best_effort<'a>(
+        &self,
+        pools: impl Iterator<Item = (&'a ids::ServiceId, u64, Option<u64>)>,
+    ) {
+        self.best_effort_limit.clear();
+        self.best_effort_at_work.clear();
+        for (pool, at_work, limit) in pools.take(MAX_POOLS_SHOWN) {
+            let label = PoolLabel { pool: pool.to_string() };
+            self.best_effort_at_work.get_or_create(&label).set(at_work as i64);
+            if let Some(limit) = limit {
+                self.best_effort_limit.get_or_create(&label).set(limit as i64);
+            }
+        }
+    }
+
     /// Renders the metrics as text.
     pub fn render(&self) -> String {
         let mut out = String::new();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -17,6 +17,8 @@
 const RENEW_WAIT: &str = "renew-wait";
 const COMMIT_DELAY: &str = "commit-delay";
 const NO_LOAD_FORECAST: &str = "no-load-forecast";
+const NO_PACE_BY_SLACK: &str = "no-pace-by-slack";
+const LIMIT_BEST_EFFORT: &str = "limit-best-effort";
 
 /// Every setting.
 pub const TABLE: &[Setting] = &[
@@ -56,6 +58,20 @@
         None,
         "Extrapolates the load of serving tasks by its slope instead of forecasting it by its period.",
     ),
+    setting(
+        NO_PACE_BY_SLACK,
+        Kind::Switch,
+        "",
+        None,
+        "Slows down, moves and starts best-effort tasks without regard to the time their jobs have.",
+    ),
+    setting(
+        LIMIT_BEST_EFFORT,
+        Kind::Switch,
+        "",
+        None,
+        "Limits the best-effort work that is under way at one time in a pool.",
+    ),
 ];
 
 /// The time within which the answers to a burst of starts must be handled, in seconds: well below
@@ -86,6 +102,8 @@
         commit_delay: Millis(values.number(COMMIT_DELAY)),
         forecasts_load: !values.switch(NO_LOAD_FORECAST),
         max_starts_in_flight: max_starts_in_flight(installation.cpu_share, installation.link_mbps),
+        pace_by_slack: !values.switch(NO_PACE_BY_SLACK),
+        limit_best_effort: values.switch(LIMIT_BEST_EFFORT),
         ..Settings::default()
     };
     installation::apply(installation, &mut cfg);
--- a/crates/sched/src/changes/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -9,10 +9,11 @@
 use gaplock_types::{ids, sizes};
 
 use crate::changes::{gangs, pacing, permits, scarcity, starts, trace, trials};
+use crate::decisions::concurrency_limit::{self, Room};
 use crate::decisions::ranking::RankedWorkers;
 use crate::decisions::requests::{self, WaitStatus};
 use crate::decisions::run_times::{self, RunTimeClass};
-use crate::decisions::{free_capacity, interference, placement};
+use crate::decisions::{free_capacity, interference, order, placement};
 use crate::state::job_table::{self, ReadyStep};
 use crate::state::State;
 
@@ -96,6 +97,8 @@
     largest: sizes::MilliCores,
     /// For how many steps all workers were evaluated.
     searches: usize,
+    /// How much more best-effort demand may start.
+    room: Room,
 }
 
 /// Tries all ready steps once.
@@ -107,8 +110,13 @@
     trials::start_trials(cx);
     let mut ready: Vec<ReadyStep> = cx.ready.iter().copied().collect();
     ready.sort_by_cached_key(|&step| !has_restart_priority(cx, step));
+    cx.passes += 1;
+    if cx.settings.pace_by_slack || cx.settings.limit_best_effort {
+        order::by_usefulness(cx, &mut ready);
+    }
     let (most_free, largest) = most_processors(cx);
-    let mut pass = Pass { unplaced: Vec::new(), most_free, largest, searches: 0 };
+    let mut pass =
+        Pass { unplaced: Vec::new(), most_free, largest, searches: 0, room: Room::open(cx) };
     for step in ready {
         if cx.is_at_start_limit() {
             break;
@@ -147,7 +155,11 @@
     let Some(service) = requests::service_of(cx, &job) else { return };
     let step = &job.steps[usize::from(ready.step)];
     let Some(round) = entry.round(ready.round) else { return };
-    let pending = start_order(cx, ready, step, &round.steps[usize::from(ready.step)].pending);
+    let mut pending = start_order(cx, ready, step, &round.steps[usize::from(ready.step)].pending);
+    let is_limited = step.fills && !pass.room.is_left(&service);
+    if is_limited {
+        pending.retain(|&index| concurrency_limit::is_exempt(cx, task_key(ready, index)));
+    }
     let Some(wait) = first_that_may_start(cx, ready, &pending) else { return };
     let run_time = run_times::run_time_class(cx, &service, step, task_key(ready, 0));
     let demand = UnplacedDemand::of(service.clone(), step, wait, run_time);
@@ -163,7 +175,9 @@
         return;
     }
     pass.searches += 1;
-    let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending) else { return };
+    let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending, &mut pass.room) else {
+        return;
+    };
     log_waiting(cx, &job, &service, unplaced, pending.len());
     note_scarcity(cx, &service, step, pass);
     if requests::advice_of(cx, &job).is_some() {
@@ -228,10 +242,13 @@
     service: &ids::ServiceId,
     ready: ReadyStep,
     pending: &[u32],
+    room: &mut Room,
 ) -> Option<TaskKey> {
     // Adds the step's image to the model if it is new. This is done before the first task is
     // placed, so that all tasks of the step are evaluated alike.
     pacing::add_image_and_get_role(cx, &job.steps[usize::from(ready.step)]);
+    let step = &job.steps[usize::from(ready.step)];
+    let best_effort = job_table::best_effort_millicores(step);
     let mut ranking = RankedWorkers::default();
     for &index in pending {
         if cx.is_at_start_limit() {
@@ -241,6 +258,9 @@
         if !requests::may_start(cx, task) {
             continue;
         }
+        if step.fills && !room.is_left(service) && !concurrency_limit::is_exempt(cx, task) {
+            continue;
+        }
         let Some(request) = requests::placement_request(cx, job, service, task) else {
             return Some(task);
         };
@@ -252,6 +272,7 @@
         );
         let Some(ix) = chosen else { return Some(task) };
         starts::start_at(cx, ix, task);
+        room.take(service, best_effort);
     }
     None
 }
--- a/crates/sched/src/decisions.rs
+++ b/crates/sched/src/decisions.rs
@@ -2,15 +2,18 @@
 
 pub mod availability;
 pub mod best_effort;
+pub mod concurrency_limit;
 pub mod free_capacity;
 pub mod interference;
 pub mod leaving;
 pub mod losses;
+pub mod order;
 pub mod paces;
 pub mod placement;
 pub mod racks;
 pub mod ranking;
 pub mod requests;
 pub mod run_times;
+pub mod slack;
 pub mod slowness;
 pub mod waves;
--- a/crates/sched/src/interface/settings.rs
+++ b/crates/sched/src/interface/settings.rs
@@ -54,6 +54,12 @@
     pub forecasts_load: bool,
     /// How long beyond the longest lease a new leader waits for workers that do not answer.
     pub takeover_margin: Millis,
+    /// Whether paces, moves and starts of best-effort tasks depend on the time that their jobs have
+    /// left; set by the daemon's flags.
+    pub pace_by_slack: bool,
+    /// Whether the best-effort demand that is at work at one time in a pool is limited; set by the
+    /// daemon's flags.
+    pub limit_best_effort: bool,
     /// How long a finished job's state is kept; set by the installation, with a margin.
     pub finished_job_retention: Millis,
 }
@@ -94,6 +100,8 @@
             max_tail_excess: Millis(4_000),
             forecasts_load: true,
             takeover_margin: Millis(500),
+            pace_by_slack: true,
+            limit_best_effort: false,
             finished_job_retention: Millis(150_000),
         }
     }
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -20,6 +20,8 @@
 use std::sync::Arc;
 
 use gaplock_jobs::{config, JobKey, Step, TaskKey};
+use gaplock_overload::budget::{Limit, Observation};
+use gaplock_overload::estimates::EstimateRatios;
 use gaplock_types::ids;
 use gaplock_types::time::Instant;
 use rustc_hash::FxHashMap;
@@ -102,6 +104,15 @@
     pub recovery_scan: Option<RecoveryScan>,
     /// What is to be stored.
     pub commits: Commits,
+    /// How far callers' estimates of the duration of tasks are off.
+    pub estimate_ratios: EstimateRatios,
+    /// The limit on the best-effort demand at work in each pool, and what was last observed there;
+    /// empty unless the setting is on.
+    pub best_effort_limits: BTreeMap<ids::ServiceId, (Limit, Observation)>,
+    /// When pools were last observed.
+    pub pools_observed_at: Instant,
+    /// How many dispatch passes were made.
+    pub passes: u64,
     /// The learned interference between tasks.
     pub interference: InterferenceModel,
     /// Where steps may run whose queue asks an external service.
@@ -155,6 +166,10 @@
             ready: BTreeSet::new(),
             recovery_scan: None,
             commits: Commits::default(),
+            estimate_ratios: EstimateRatios::default(),
+            best_effort_limits: BTreeMap::new(),
+            pools_observed_at: Instant(0),
+            passes: 0,
             interference: InterferenceModel::open(settings.forecasts_load),
             permits: Permits::default(),
             crashes: CrashTracker::default(),
--- a/crates/sched/src/state/job_table.rs
+++ b/crates/sched/src/state/job_table.rs
@@ -6,8 +6,9 @@
 use gaplock_jobs::job::{self, Repeat};
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey, Step, TaskKey};
+use gaplock_overload::summary::WorkClass;
 use gaplock_types::sizes::Resources;
-use gaplock_types::time::Instant;
+use gaplock_types::time::{Instant, Millis};
 
 use crate::interface::message::{Run, WorkerIx};
 use crate::state::checkpoint::Checkpoint;
@@ -52,6 +53,8 @@
     pub consecutive_invalid_starts: u32,
     /// The task is not started before this time.
     pub not_before: Instant,
+    /// The progress of its run, or that from which the next run resumes, in percent.
+    pub progress_percent: u32,
     /// The checkpoint from which the next run resumes.
     pub checkpoint: Option<Checkpoint>,
     /// The worker on which the last run failed; the next run avoids it.
@@ -77,6 +80,7 @@
             consecutive_failures: 0,
             consecutive_invalid_starts: 0,
             not_before: Instant(0),
+            progress_percent: 0,
             checkpoint: None,
             failed_on: None,
             since: Instant(0),
@@ -100,6 +104,27 @@
     pub last_explained_at: Instant,
     /// How fast its tasks make progress.
     pub rates: StepRates,
+    /// The least progress of any task that is not done, in percent, and when it was determined; kept
+    /// for best-effort steps only.
+    pub least_progress: (Instant, u32),
+}
+
+/// How often the least progress of a step is determined again. It is read for every task whose pace
+/// is computed, and changes as fast as workers report.
+const LEAST_PROGRESS_INTERVAL: Millis = Millis(200);
+
+impl StepState {
+    /// Records a task's progress, and that of the slowest task of the step from time to time.
+    pub fn record_progress(&mut self, now: Instant, index: u32, percent: u32) {
+        if let Some(task) = self.tasks.get_mut(index as usize) {
+            task.progress_percent = percent;
+        }
+        if now.since(self.least_progress.0) >= LEAST_PROGRESS_INTERVAL {
+            let unfinished = self.tasks.iter().filter(|task| task.state != TaskState::Done);
+            let least = unfinished.map(|task| task.progress_percent).min();
+            self.least_progress = (now, least.unwrap_or(0));
+        }
+    }
 }
 
 /// One round of a job; a job that does not repeat has round 0 only.
@@ -120,6 +145,7 @@
             pending: BTreeSet::new(),
             last_explained_at: Instant(0),
             rates: StepRates::default(),
+            least_progress: (Instant(0), 0),
         };
         Self { number, steps: job.steps.iter().map(step).collect() }
     }
@@ -154,6 +180,10 @@
     pub ended_unix_ms: u64,
     /// The job's objective as a time of the leader's clock, for ordering.
     pub due: Instant,
+    /// The time from the job's acceptance to its objective.
+    pub allowed: Millis,
+    /// For each step, the estimated time of the longest chain of steps that come after it.
+    pub chain_after: Vec<Millis>,
     /// The queue's priority; 0 goes first.
     pub priority: u32,
     /// How many failed runs a task may have.
@@ -271,6 +301,15 @@
     pub step: u16,
 }
 
+/// Returns how the tasks of a step use the processors of a pool.
+pub fn work_class(step: &Step) -> WorkClass {
+    match step {
+        _ if step.lasting => WorkClass::LongRunning,
+        _ if step.fills => WorkClass::BestEffort,
+        _ => WorkClass::Short,
+    }
+}
+
 /// Returns the resources that a task reserves on a worker; a best-effort task reserves no
 /// processors.
 pub fn reservation(step: &Step) -> Resources {
--- a/crates/sched/tests/floors/table.rs
+++ b/crates/sched/tests/floors/table.rs
@@ -46,6 +46,8 @@
         &[
             "decisions::losses",
             "decisions::availability",
+            "decisions::slack",
+            "decisions::order",
             "decisions::best_effort",
             "decisions::paces",
             "decisions::run_times",
@@ -54,6 +56,7 @@
             "decisions::placement",
             "decisions::ranking",
             "decisions::requests",
+            "decisions::concurrency_limit",
             "decisions::leaving",
             "decisions::slowness",
             "decisions::racks",
@@ -65,6 +68,7 @@
         "changes",
         &[
             "changes::trace",
+            "changes::best_effort_limits",
             "changes::speed",
             "changes::scarcity",
             "changes::permits",
