Send a load summary in the answer to heartbeats

Parts of overload control on every host need the leader's view of the load, and hosts had only the counts of jobs that have not begun.

The engine makes a LoadSummary with the queue counts, so far with the pools only. A heartbeat says which version its sender has, and the answer brings the summary only if it is newer; both fields have defaults, so hosts of the previous version still understand each other. Node::load_summary() returns the newest summary and its age: the engine's own on the leader, the last one received on any other host. The age of a received summary counts from when the heartbeat was sent, so it is never too small. The metrics show the age and the pools' capacity.

Ruled out: a call of its own for the summary, which would cost small hosts one more message per 300 ms; a return type with the summary by value, since admission control reads it for each request.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -16,12 +16,12 @@
 use gaplock_sched::free_capacity::{self, FreeCpu};
 use gaplock_sched::job_table::JobEntry;
 use gaplock_sched::message::{FencingToken, Record};
-use gaplock_sched::{commits, evacuation, Context, Event};
+use gaplock_sched::{commits, evacuation, load, Context, Event};
 use gaplock_types::time::Instant;
 
 use crate::actions::{self, CallContext, Clients};
 use crate::leadership::{Authority, LeadershipStatus};
-use crate::node::Node;
+use crate::node::{Node, TimedSummary};
 use crate::peers::{QueueCount, StatusAnswer};
 use crate::store_writer::{CommitError, StoreWriter};
 
@@ -39,6 +39,7 @@
     /// Whether this host may act as the leader.
     pub leadership: Arc<LeadershipStatus>,
     queue_counts: Mutex<Vec<QueueCount>>,
+    load: Mutex<Option<TimedSummary>>,
 }
 
 impl Engine {
@@ -63,6 +64,11 @@
         self.queue_counts.lock().expect("no holder of the lock panics").clone()
     }
 
+    /// Returns the newest load summary; `None` before the first one.
+    pub fn load(&self) -> Option<TimedSummary> {
+        self.load.lock().expect("no holder of the lock panics").clone()
+    }
+
     /// Returns how many jobs of a queue have not begun.
     pub fn waiting_jobs_of(&self, queue: &str) -> u32 {
         let counts = self.queue_counts();
@@ -79,9 +85,10 @@
     clients: Clients,
     to_store_writer: Sender<Vec<Record>>,
     counted_at: Instant,
+    load_sequence: u64,
 }
 
-/// How often the queue counts and the metrics are updated; callers accept counts up to 2 s old.
+/// How often the queue counts, the load summary and the metrics are updated; callers accept counts up to 2 s old.
 const COUNT_EVERY_MS: u64 = 300;
 
 /// The maximum number of messages handled before actions are carried out.
@@ -95,7 +102,8 @@
     writer: StoreWriter,
 ) -> Driver {
     let (tx, rx) = async_channel::unbounded();
-    let engine = Arc::new(Engine { tx, leadership, queue_counts: Mutex::default() });
+    let engine =
+        Arc::new(Engine { tx, leadership, queue_counts: Mutex::default(), load: Mutex::default() });
     let (to_store_writer, records) = async_channel::bounded(1);
     task::spawn(write_commits(Arc::clone(node), writer, records, Arc::clone(&engine)));
     Driver {
@@ -106,6 +114,7 @@
         clients: Clients::open(node.installation.descriptors),
         to_store_writer,
         counted_at: Instant(0),
+        load_sequence: 0,
     }
 }
 
@@ -190,7 +199,7 @@
         }
     }
 
-    /// Updates the queue counts and the metrics, at most once per `COUNT_EVERY_MS`.
+    /// Updates the queue counts, the load summary and the metrics, at most once per `COUNT_EVERY_MS`.
     fn update_metrics(&mut self, now: Instant) {
         if now.since(self.counted_at).0 < COUNT_EVERY_MS {
             return;
@@ -203,6 +212,7 @@
         let counts = counts.into_iter();
         let counts = counts.map(|(queue, waiting)| QueueCount { queue: queue.into(), waiting });
         *self.engine.queue_counts.lock().expect("no holder of the lock panics") = counts.collect();
+        self.update_load(now);
         let evacuated = self.cx.evacuated.domains.iter();
         let shown = evacuated.map(|domain| (domain, evacuation::count_runs_in(&self.cx, domain)));
         self.node.metrics.show_evacuated(shown);
@@ -213,6 +223,14 @@
         self.show_free_capacity(free, self.cx.ready.len(), self.cx.crashes.suspects.len());
     }
 
+    /// Makes the load summary that other hosts get.
+    fn update_load(&mut self, now: Instant) {
+        self.load_sequence += 1;
+        let summary = load::summary(&self.cx, self.load_sequence);
+        let load = TimedSummary { summary: Arc::new(summary), made_at: now };
+        *self.engine.load.lock().expect("no holder of the lock panics") = Some(load);
+    }
+
     /// Sets the metrics of the workers' free capacity, of waiting steps and of suspect tasks.
     fn show_free_capacity(&self, free: FreeCpu, waiting_steps: usize, suspects: usize) {
         let metrics = &self.node.metrics;
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -199,6 +199,7 @@
         addr: node.peer_addr.clone(),
         strength: node.leader_capacity,
         running_for: node.running_for(),
+        load: node.leader_load_version(),
     };
     match node.peer_client.heartbeat(addr, &beat).await? {
         HeartbeatAnswer::NotLeader => Ok(false),
@@ -210,6 +211,7 @@
             strongest,
             beat_after,
             check_store,
+            load,
         } => {
             node.handover.set_best_leader_capacity(strongest);
             node.handover.set_heartbeat_pause(beat_after);
@@ -220,6 +222,9 @@
             }
             node.confirm_config_newest_at(Instant(sent.0.saturating_sub(config_age.0)));
             node.record_leader_answer(waiting);
+            if let Some(load) = load {
+                node.record_leader_load(sent, *load);
+            }
             Ok(true)
         }
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use gaplock_types::codes::Code;
 use gaplock_types::ids;
+use gaplock_types::time::Millis;
 use prometheus_client::encoding::{text, EncodeLabelSet};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -11,6 +12,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use crate::node::KnownLoad;
+
 /// A label with a bounded set of values.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Label {
@@ -23,6 +26,16 @@
     domain: String,
 }
 
+/// A pool as a label.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PoolLabel {
+    pool: String,
+}
+
+/// The age from which a load summary is no longer shown. Hosts act as if they had none from then
+/// on, too.
+const LOAD_SHOWN_FOR: Millis = Millis(2_000);
+
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 2.5];
 
@@ -30,6 +43,10 @@
 /// whatever operators write.
 const MAX_EVACUATED_SHOWN: usize = 64;
 
+/// The maximum number of pools that are shown: far above the users' number, and a limit whatever
+/// the configuration says.
+const MAX_POOLS_SHOWN: usize = 64;
+
 /// All metrics of a host.
 pub struct Metrics {
     registry: Registry,
@@ -61,6 +78,8 @@
     /// Events that wait for the leader. If their number keeps growing, the leader cannot keep up. 0
     /// on a follower.
     pub waiting_events: Gauge,
+    load_summary_age_ms: Gauge,
+    pool_millicores: Family<PoolLabel, Gauge>,
     /// Log lines that were dropped because standard output was not read in time.
     pub log_lines_dropped: Gauge,
 }
@@ -79,6 +98,9 @@
     let evacuated_runs = Family::<DomainLabel, Gauge>::default();
     let help = "Tasks that still run in an evacuated failure domain";
     registry.register("evacuated_domain_runs", help, evacuated_runs.clone());
+    let pool_millicores = Family::<PoolLabel, Gauge>::default();
+    let help = "Processors of all workers of a pool that accept tasks, by this host's load summary";
+    registry.register("pool_millicores", help, pool_millicores.clone());
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let mut gauge = |name: &str, help: &str| {
@@ -98,6 +120,8 @@
     let suspect_tasks = gauge("suspect_tasks", "Tasks that are suspected of crashing workers");
     let runs_after_end = gauge("runs_after_end", "Runs found of jobs that had ended before");
     let directory_lag_ms = gauge("directory_lag_ms", "Lag of the view of the workers' directory");
+    let load_summary_age_ms =
+        gauge("load_summary_age_ms", "Age of the newest load summary; -1 for none");
     let waiting_events = gauge("waiting_events", "Events that wait for the leader");
     Metrics {
         registry,
@@ -116,6 +140,8 @@
         runs_after_end,
         directory_lag_ms,
         waiting_events,
+        load_summary_age_ms,
+        pool_millicores,
         log_lines_dropped,
     }
 }
@@ -147,6 +173,18 @@
         }
     }
 
+    /// Shows the newest load summary of this host. All hosts show the same load, so values of
+    /// several hosts are not added up.
+    pub fn show_load(&self, load: Option<&KnownLoad>) {
+        self.load_summary_age_ms.set(load.map_or(-1, |load| load.age.0 as i64));
+        self.pool_millicores.clear();
+        let Some(load) = load.filter(|load| load.age <= LOAD_SHOWN_FOR) else { return };
+        for pool in load.summary.pools.iter().take(MAX_POOLS_SHOWN) {
+            let label = PoolLabel { pool: pool.pool.to_string() };
+            self.pool_millicores.get_or_create(&label).set(pool.capacity_millicores as i64);
+        }
+    }
+
     /// Renders the metrics as text.
     pub fn render(&self) -> String {
         let mut out = String::new();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,7 @@
 
 use gaplock_jobs::config::Config;
 use gaplock_jobs::{Job, JobKey};
+use gaplock_overload::summary::{LoadSummary, SummaryVersion};
 use gaplock_platform::advice::{self, AdviceClient};
 use gaplock_platform::hosts::{self, HostsClient};
 use gaplock_platform::installation::Installation;
@@ -33,6 +34,25 @@
     Leader(Arc<Engine>),
 }
 
+/// A load summary with the time at which it was made.
+#[derive(Debug, Clone)]
+pub struct TimedSummary {
+    /// The summary.
+    pub summary: Arc<LoadSummary>,
+    /// When it was made, by this host's clock; for a summary of another host the earliest possible
+    /// time.
+    pub made_at: Instant,
+}
+
+/// The newest load summary that a host knows.
+#[derive(Debug, Clone)]
+pub struct KnownLoad {
+    /// The summary.
+    pub summary: Arc<LoadSummary>,
+    /// How long ago the leader made it, at most.
+    pub age: Millis,
+}
+
 /// State shared by all tasks of a host's process.
 pub struct Node {
     /// The installation's settings for this host.
@@ -62,6 +82,7 @@
     leader_answered_at_ms: AtomicU64,
     config_newest_at_ms: AtomicU64,
     leader_queue_counts: Mutex<BTreeMap<String, u32>>,
+    leader_load: Mutex<Option<TimedSummary>>,
     started_at: Instant,
     /// The capacity of this host as a leader.
     pub leader_capacity: LeaderCapacity,
@@ -82,6 +103,17 @@
 
 const LOCK: &str = "no holder of the lock panics";
 
+/// Returns the leader's summary as it is sent to a follower that has the version `known`: with its
+/// age, and `None` if the follower already has it.
+fn load_newer_than(
+    known: SummaryVersion,
+    now: Instant,
+    load: Option<TimedSummary>,
+) -> Option<LoadSummary> {
+    let load = load.filter(|load| load.summary.version() > known)?;
+    Some(LoadSummary { age: now.since(load.made_at), ..LoadSummary::clone(&load.summary) })
+}
+
 /// Builds the shared state of a process.
 pub fn open(
     installation: Installation,
@@ -117,6 +149,7 @@
         leader_answered_at_ms: AtomicU64::new(0),
         config_newest_at_ms: AtomicU64::new(0),
         leader_queue_counts: Mutex::default(),
+        leader_load: Mutex::default(),
     })
 }
 
@@ -234,6 +267,33 @@
         *self.leader_queue_counts.lock().expect(LOCK) = counts.collect();
     }
 
+    /// Records a load summary that the leader sent in the answer to a call made at `asked`, unless
+    /// a newer one is known.
+    pub fn record_leader_load(&self, asked: Instant, summary: LoadSummary) {
+        let made_at = Instant(asked.0.saturating_sub(summary.age.0));
+        let mut known = self.leader_load.lock().expect(LOCK);
+        if known.as_ref().is_none_or(|k| summary.is_newer_than(&k.summary)) {
+            *known = Some(TimedSummary { summary: Arc::new(summary), made_at });
+        }
+    }
+
+    /// Returns the newest load summary that this host has, with its present age: the engine's own
+    /// on the leader, the leader's last one on any other host. `None` if there has been none.
+    pub fn load_summary(&self) -> Option<KnownLoad> {
+        let known = match self.role() {
+            Role::Leader(engine) => engine.load(),
+            Role::Follower(_) => self.leader_load.lock().expect(LOCK).clone(),
+        };
+        let age = |made_at| clock::now().since(made_at);
+        known.map(|k| KnownLoad { age: age(k.made_at), summary: k.summary })
+    }
+
+    /// Returns the version of the newest load summary that a leader sent to this host.
+    pub fn leader_load_version(&self) -> SummaryVersion {
+        let known = self.leader_load.lock().expect(LOCK);
+        known.as_ref().map(|k| k.summary.version()).unwrap_or_default()
+    }
+
     fn leader_age(&self) -> Millis {
         clock::now().since(Instant(self.leader_answered_at_ms.load(Ordering::Relaxed)))
     }
@@ -307,6 +367,7 @@
             beat_after: self.handover.heartbeat_interval(now),
             check_store: engine.leadership.is_confirmation_overdue(now)
                 || self.handover.should_check_store(now, &beat),
+            load: load_newer_than(beat.load, now, engine.load()).map(Box::new),
         }
     }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -13,6 +13,7 @@
 use gaplock_jobs::config::Config;
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey};
+use gaplock_overload::summary::{LoadSummary, SummaryVersion};
 use gaplock_policy::store_outcome::StoreOutcome;
 use gaplock_policy::succession;
 use gaplock_types::ids;
@@ -71,6 +72,9 @@
     pub strength: succession::LeaderCapacity,
     /// How long the follower's process has been running.
     pub running_for: Millis,
+    /// The newest load summary that the follower has.
+    #[serde(default)]
+    pub load: SummaryVersion,
 }
 
 /// A leader's invitation to a follower to claim the leadership at once.
@@ -113,6 +117,9 @@
         /// leadership if the store no longer answers the leader.
         #[serde(default = "check_store_by_default")]
         check_store: bool,
+        /// The load of all queues and pools, if it is newer than what the follower has.
+        #[serde(default)]
+        load: Option<Box<LoadSummary>>,
     },
 }
 
--- a/crates/overload/src/summary.rs
+++ b/crates/overload/src/summary.rs
@@ -72,9 +72,35 @@
     pub pools: Vec<PoolLoad>,
 }
 
+/// Identifies a summary. Versions are ordered by age, the newest last; the default is older than
+/// all.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Default,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+pub struct SummaryVersion {
+    /// The term of the leader that made it.
+    pub term: u64,
+    /// Its number within the term.
+    pub sequence: u64,
+}
+
 impl LoadSummary {
+    /// Returns the version of this summary.
+    pub fn version(&self) -> SummaryVersion {
+        SummaryVersion { term: self.term, sequence: self.sequence }
+    }
+
     /// Returns whether this summary is newer than `other`.
     pub fn is_newer_than(&self, other: &Self) -> bool {
-        (self.term, self.sequence) > (other.term, other.sequence)
+        self.version() > other.version()
     }
 }
--- a/crates/sched/src/decisions.rs
+++ b/crates/sched/src/decisions.rs
@@ -5,6 +5,7 @@
 pub mod free_capacity;
 pub mod interference;
 pub mod leaving;
+pub mod load;
 pub mod losses;
 pub mod paces;
 pub mod placement;
--- a/crates/sched/tests/floors/table.rs
+++ b/crates/sched/tests/floors/table.rs
@@ -44,6 +44,7 @@
     (
         "decisions",
         &[
+            "decisions::load",
             "decisions::losses",
             "decisions::availability",
             "decisions::best_effort",
