Account for the load of each queue and class of work

No rate, backlog or time to drain was kept anywhere, so nothing could act on them, no operator could see them, and a new leader knew nothing of a burst.

crates/overload/src/account.rs keeps jobs, running and waiting demand, backlog and averages of arriving and completed work, at constant cost per event. The scheduler feeds it where runs come to and leave workers, where tasks wait and are done, and where jobs and rounds begin and end (changes/accounting.rs). The sums are whole numbers that are taken away as they were added; work is corrected by the estimate ratio (1 so far) when it is read. The completion rates are stored at gaplock/load with a commit that is due anyway, at most every 4 s. Arrivals and backlog are computed from the stored jobs.

Ruled out: sums computed from all jobs when a summary is made (a backlog of thousands of jobs every 300 ms); a backlog kept in corrected work, which drifts when the ratio changes between adding and taking away; a commit of its own for the record.

Checked: every test of the simulated fleet compares the sums with those computed from jobs and workers; with work_dropped or task_stopped left out, the tests of accounts.rs fail.

--- a/crates/measure/src/leader.rs
+++ b/crates/measure/src/leader.rs
@@ -1,6 +1,6 @@
 //! Measures the time of the leader's operations by the size of the fleet: handling a worker report, starting a
-//! task, checking for due renewals, a dispatch pass in which no step finds capacity, the periodic checks, and
-//! handling a follower's heartbeat.
+//! task, checking for due renewals, a dispatch pass in which no step finds capacity, the periodic checks, handling
+//! a follower's heartbeat, and making the load summary.
 
 use std::sync::Arc;
 use std::time::Instant as StdInstant;
@@ -14,7 +14,7 @@
     Action, FencingToken, Outcome, Run, RunningTask, WorkerClock, WorkerInfo, WorkerIx,
     WorkerReport,
 };
-use gaplock_sched::{commits, renewals, Context, Event, Settings};
+use gaplock_sched::{commits, load, renewals, Context, Event, Settings};
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::{Instant, Millis};
 use gaplock_types::{ids, sizes};
@@ -51,6 +51,7 @@
         "pass us",
         "checks us",
         "heartbeat us",
+        "load us",
     ];
     Report { name: "leader", seed, headings, rows, findings: Vec::new() }
 }
@@ -63,8 +64,10 @@
     let dispatch_pass = fleet.dispatch_pass_cost();
     let periodic_checks = fleet.periodic_checks_cost();
     let heartbeat = heartbeat_cost(workers / WORKERS_PER_HOST);
-    let figures = [report, start, renewal_check, dispatch_pass, periodic_checks, heartbeat]
-        .map(|us| format!("{us:.1}"));
+    let summary = time(REPETITIONS, |n| drop(load::summary(&fleet.cx, n as u64)));
+    let figures =
+        [report, start, renewal_check, dispatch_pass, periodic_checks, heartbeat, summary]
+            .map(|us| format!("{us:.1}"));
     [vec![workers.to_string()], figures.to_vec()].concat()
 }
 
--- a/crates/measure/src/patterns/simulation.rs
+++ b/crates/measure/src/patterns/simulation.rs
@@ -12,7 +12,7 @@
 use gaplock_jobs::{Job, JobKey, TaskKey};
 use gaplock_sched::context::Term;
 use gaplock_sched::message::{
-    EndCause, FencingToken, Record, RosterEntry, Run, WorkerClock, WorkerInfo,
+    EndCause, FencingToken, Record, RosterEntry, Run, StoredLoad, WorkerClock, WorkerInfo,
 };
 use gaplock_sched::pacing::Learned;
 use gaplock_sched::takeover::{self, StoredState};
@@ -87,6 +87,7 @@
     progress: BTreeMap<JobKey, Progress>,
     roster: BTreeMap<ids::WorkerId, RosterEntry>,
     learned: Learned,
+    stored_load: StoredLoad,
 }
 
 /// Runs a pattern's load under the scheduler with these settings.
@@ -115,6 +116,7 @@
             progress: BTreeMap::new(),
             roster: BTreeMap::new(),
             learned: Learned::default(),
+            stored_load: StoredLoad::default(),
             load,
         };
         for at in 0..simulation.load.workers.len() {
@@ -240,6 +242,7 @@
             cancelled: self.cancelled.iter().copied().collect(),
             roster: self.roster.values().cloned().collect(),
             learned: self.learned.clone(),
+            load: self.stored_load.clone(),
             ..StoredState::default()
         };
         takeover::restore(&mut cx, stored);
@@ -270,6 +273,7 @@
                     self.roster.remove(&id);
                 }
                 Record::Learned(learned) => self.learned = learned,
+                Record::Load(load) => self.stored_load = load,
                 Record::Wave(_) => {}
             }
         }
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -32,6 +32,9 @@
 /// only.
 pub const LEARNED: &str = "gaplock/learnt";
 
+/// What is known of the load that a new leader cannot learn at once; written by the leader only.
+pub const LOAD: &str = "gaplock/load";
+
 /// The progress of maintenance waves; written by the leader only.
 pub const WAVES: &str = "gaplock/wave/";
 
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use gaplock_overload::summary::QueueLoad;
 use gaplock_types::codes::Code;
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
@@ -26,6 +27,70 @@
     domain: String,
 }
 
+/// A class of work of a queue as a label.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct QueueLabel {
+    queue: String,
+    class: String,
+}
+
+/// The metrics of one class of work of one queue.
+struct QueueMetrics {
+    backlog_core_s: Family<QueueLabel, Gauge>,
+    drain_ms: Family<QueueLabel, Gauge>,
+    arriving: Family<QueueLabel, Gauge>,
+    completed: Family<QueueLabel, Gauge>,
+    running: Family<QueueLabel, Gauge>,
+    waiting: Family<QueueLabel, Gauge>,
+}
+
+impl QueueMetrics {
+    fn open(registry: &mut Registry) -> Self {
+        let mut family = |name: &str, help: &str| {
+            let family = Family::<QueueLabel, Gauge>::default();
+            registry.register(name, help, family.clone());
+            family
+        };
+        let help = "Estimated work that is left of a queue's accepted jobs, in core seconds";
+        Self {
+            backlog_core_s: family("queue_backlog_core_s", help),
+            drain_ms: family("queue_drain_ms", "Time to drain a queue's backlog; -1 for none"),
+            arriving: family("queue_arriving_core_ms_per_s", "Work that arrives per second"),
+            completed: family("queue_completed_core_ms_per_s", "Work that is done per second"),
+            running: family("queue_running_millicores", "Demand of the tasks at workers"),
+            waiting: family("queue_waiting_millicores", "Demand of the tasks that wait"),
+        }
+    }
+
+    fn families(&self) -> [&Family<QueueLabel, Gauge>; 6] {
+        let Self { backlog_core_s, drain_ms, arriving, completed, running, waiting } = self;
+        [backlog_core_s, drain_ms, arriving, completed, running, waiting]
+    }
+
+    /// Shows the load of these queues and of no others; the summary bounds their number.
+    fn show(&self, queues: &[QueueLoad]) {
+        self.families().into_iter().for_each(Family::clear);
+        for load in queues {
+            let label =
+                QueueLabel { queue: load.queue.clone(), class: load.class.name().to_string() };
+            let set = |family: &Family<QueueLabel, Gauge>, value: u64| {
+                family.get_or_create(&label).set(i64::try_from(value).unwrap_or(i64::MAX));
+            };
+            set(&self.backlog_core_s, load.backlog_core_ms / 1_000);
+            set(&self.arriving, load.arriving_core_ms_per_s);
+            set(&self.completed, load.completed_core_ms_per_s);
+            set(&self.running, load.running_millicores);
+            set(&self.waiting, load.waiting_millicores);
+            match load.time_to_drain() {
+                Some(drain) => set(&self.drain_ms, drain.0),
+                None => {
+                    self.drain_ms.get_or_create(&label).set(-1);
+                }
+            }
+        }
+    }
+}
+
 /// A pool as a label.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PoolLabel {
@@ -80,6 +145,7 @@
     pub waiting_events: Gauge,
     load_summary_age_ms: Gauge,
     pool_millicores: Family<PoolLabel, Gauge>,
+    queues: QueueMetrics,
     /// Log lines that were dropped because standard output was not read in time.
     pub log_lines_dropped: Gauge,
 }
@@ -101,6 +167,7 @@
     let pool_millicores = Family::<PoolLabel, Gauge>::default();
     let help = "Processors of all workers of a pool that accept tasks, by this host's load summary";
     registry.register("pool_millicores", help, pool_millicores.clone());
+    let queues = QueueMetrics::open(&mut registry);
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let mut gauge = |name: &str, help: &str| {
@@ -142,6 +209,7 @@
         waiting_events,
         load_summary_age_ms,
         pool_millicores,
+        queues,
         log_lines_dropped,
     }
 }
@@ -177,8 +245,10 @@
     /// several hosts are not added up.
     pub fn show_load(&self, load: Option<&KnownLoad>) {
         self.load_summary_age_ms.set(load.map_or(-1, |load| load.age.0 as i64));
+        let load = load.filter(|load| load.age <= LOAD_SHOWN_FOR);
+        self.queues.show(load.map_or(&[], |load| &load.summary.queues));
         self.pool_millicores.clear();
-        let Some(load) = load.filter(|load| load.age <= LOAD_SHOWN_FOR) else { return };
+        let Some(load) = load else { return };
         for pool in load.summary.pools.iter().take(MAX_POOLS_SHOWN) {
             let label = PoolLabel { pool: pool.pool.to_string() };
             self.pool_millicores.get_or_create(&label).set(pool.capacity_millicores as i64);
--- a/crates/node/src/state_reader.rs
+++ b/crates/node/src/state_reader.rs
@@ -51,6 +51,7 @@
     roster: PartialListing,
     directory: PartialListing,
     learned: Option<Item>,
+    load: Option<Item>,
     waves: Vec<Item>,
     evacuated: Evacuated,
 }
@@ -125,7 +126,8 @@
     partial: &mut PartialState,
 ) -> Result<(), StoreError> {
     let (store, installation) = (&node.store, &node.installation);
-    let PartialState { inbox, progress, roster, directory, learned, waves, evacuated } = partial;
+    let PartialState { inbox, progress, roster, directory, learned, load, waves, evacuated } =
+        partial;
     let read_evacuated = async {
         if installation.bounds.evacuation_limit.is_some() {
             *evacuated = evacuations::read(node, &mut BTreeSet::new()).await?;
@@ -139,19 +141,21 @@
         Ok(())
     };
     // Boxed: the futures of so many calls are too large for a thread's stack.
-    let (_, roster, directory, progress, inbox, read_learned, evacuated, waves) = futures::join!(
+    let (_, roster, directory, progress, inbox, read_learned, read_load, evacuated, waves) = futures::join!(
         Box::pin(follower::read_config(node)),
         Box::pin(store.continue_listing(keys::ROSTER, roster)),
         Box::pin(store.continue_listing(directory::PREFIX, directory)),
         Box::pin(store.continue_listing(keys::PROGRESS, progress)),
         Box::pin(store.continue_listing(keys::INBOX, inbox)),
         Box::pin(store.get(keys::LEARNED)),
+        Box::pin(store.get(keys::LOAD)),
         Box::pin(read_evacuated),
         Box::pin(read_waves),
     );
     // Parts that were read completely are kept; the next read continues with the others.
     roster.and(directory).and(progress).and(inbox).and(evacuated).and(waves)?;
     *learned = read_learned?;
+    *load = read_load?;
     node.record_store_answer();
     Ok(())
 }
@@ -173,6 +177,7 @@
     }
     stored.roster = roster.items.iter().filter_map(records::roster_entry).collect();
     stored.learned = partial.learned.as_ref().and_then(records::decode).unwrap_or_default();
+    stored.load = partial.load.as_ref().and_then(records::decode).unwrap_or_default();
     stored.waves = partial.waves.iter().filter_map(records::decode).collect();
     stored.evacuated = partial.evacuated;
     let directory = partial.directory.into_listing();
--- a/crates/node/src/store_writer.rs
+++ b/crates/node/src/store_writer.rs
@@ -168,6 +168,9 @@
                     txn.set.push((keys::wave(progress.number), encode(progress), None));
                     txn.set.push((waves::status_key(progress.number), status, None));
                 }
+                Record::Load(load) => {
+                    txn.set.push((keys::LOAD.to_string(), encode(load), None));
+                }
                 Record::Learned(learned) => {
                     txn.set.push((keys::LEARNED.to_string(), encode(learned), None));
                 }
@@ -211,7 +214,11 @@
 /// Returns how many entries of a transaction a record needs.
 fn txn_entries_of(record: &Record) -> usize {
     match record {
-        Record::Progress(_) | Record::Worker(_) | Record::ForgetWorker(_) | Record::Learned(_) => 1,
+        Record::Progress(_)
+        | Record::Worker(_)
+        | Record::ForgetWorker(_)
+        | Record::Learned(_)
+        | Record::Load(_) => 1,
         Record::Wave(_) => 2,
         Record::Forget(_) => 3,
     }
--- a/crates/node/tests/records.rs
+++ b/crates/node/tests/records.rs
@@ -19,6 +19,7 @@
 const LEADER: &str = "gaplock/leader";
 const COMMITS: &str = "gaplock/commits";
 const LEARNED: &str = "gaplock/learnt";
+const LOAD: &str = "gaplock/load";
 const ROSTER: &str = "gaplock/roster/";
 
 /// Bytes that no version of the daemon wrote.
@@ -60,15 +61,17 @@
 }
 
 #[test]
-fn a_malformed_learned_model_and_a_malformed_commit_id_stop_nothing() {
+fn malformed_learned_state_and_a_malformed_commit_id_stop_nothing() {
     let mut site = open_site(3, 2, Duration::from_millis(300));
     wait_for("the workers to be known", || site.has_stored_workers());
     submit(&site, 0, 1);
     site.store.put_bytes(COMMITS, MALFORMED);
     site.store.put_bytes(LEARNED, MALFORMED);
+    site.store.put_bytes(LOAD, MALFORMED);
     wait_for("completion", || completed(&site, 0, 1));
     site.store.put_bytes(COMMITS, MALFORMED);
     site.store.put_bytes(LEARNED, MALFORMED);
+    site.store.put_bytes(LOAD, MALFORMED);
     wait_for("a leader", || site.leader().is_some());
     let other = change_leader(&mut site);
     submit(&site, other, 2);
--- a/crates/overload/src/summary.rs
+++ b/crates/overload/src/summary.rs
@@ -18,6 +18,17 @@
     LongRunning,
 }
 
+impl WorkClass {
+    /// Returns the name by which logs and metrics show the class.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Short => "short",
+            Self::BestEffort => "best-effort",
+            Self::LongRunning => "long-running",
+        }
+    }
+}
+
 /// The load of one class of work in one queue.
 ///
 /// Processor demand is in thousandths of a core, work in core milliseconds.
@@ -46,6 +57,19 @@
     pub completed_core_ms_per_s: u64,
 }
 
+impl QueueLoad {
+    /// Returns how long the backlog takes at the rate at which work was completed recently; `None`
+    /// if there is a backlog and nothing was completed.
+    pub fn time_to_drain(&self) -> Option<Millis> {
+        if self.backlog_core_ms == 0 {
+            return Some(Millis(0));
+        }
+        let backlog = u128::from(self.backlog_core_ms) * 1_000;
+        let drain = backlog.checked_div(u128::from(self.completed_core_ms_per_s))?;
+        Some(Millis(u64::try_from(drain).unwrap_or(u64::MAX)))
+    }
+}
+
 /// The capacity of one pool.
 #[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct PoolLoad {
--- a/crates/sched/src/changes.rs
+++ b/crates/sched/src/changes.rs
@@ -2,6 +2,7 @@
 //! queue the actions that the driver carries out.
 
 pub mod abandoned_starts;
+pub mod accounting;
 pub mod checkpoints;
 pub mod commits;
 pub mod crashes;
--- a/crates/sched/src/changes/commits.rs
+++ b/crates/sched/src/changes/commits.rs
@@ -9,10 +9,11 @@
 
 use gaplock_jobs::progress::{Progress, RoundProgress, StepProgress, TaskRecord};
 use gaplock_jobs::{progress, JobKey};
-use gaplock_types::time::Instant;
+use gaplock_types::time::{Instant, Millis};
 
 use crate::changes::crashes::saved;
 use crate::changes::trace;
+use crate::decisions::load;
 use crate::interface::message::{EndSeq, Record, RosterEntry, WorkerIx};
 use crate::state::checkpoint::Checkpoint;
 use crate::state::commits::{Commits, InFlightCommit, Records};
@@ -62,6 +63,7 @@
         return None;
     }
     let jobs = mem::take(&mut cx.commits.dirty_jobs);
+    add_load(cx, now);
     let other = mem::take(&mut cx.commits.other_records);
     cx.commits.oldest_change = None;
     cx.commits.urgent = false;
@@ -77,6 +79,22 @@
     Some(records)
 }
 
+/// How often the load is stored for the next leader: as often as the learned interference. A
+/// completion rate that is 4 s old is still within a factor of two of the present one, as the
+/// half-life of its average is 5 s.
+const STORE_LOAD_INTERVAL: Millis = Millis(4_000);
+
+/// Adds the load to a commit that is due anyway, at intervals.
+fn add_load(cx: &mut State, now: Instant) {
+    if now.since(cx.load_stored_at) < STORE_LOAD_INTERVAL {
+        return;
+    }
+    cx.load_stored_at = now;
+    if let Some(stored) = load::to_store(cx) {
+        cx.commits.other_records.put(Record::Load(stored));
+    }
+}
+
 /// Returns the last recorded end of each worker whose ends are not all stored.
 fn uncommitted_ends(cx: &State) -> Vec<(WorkerIx, EndSeq)> {
     let workers = cx.workers.iter().enumerate();
--- a/crates/sched/src/changes/ends.rs
+++ b/crates/sched/src/changes/ends.rs
@@ -2,6 +2,7 @@
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::TaskKey;
+use gaplock_overload::account::CoreMillis;
 use gaplock_types::time::Millis;
 
 use crate::changes::{checkpoints, commits, lifecycle, speed, trace};
@@ -29,6 +30,7 @@
     let was_active = cx.is_active(end.task, ix, end.run);
     let saved = checkpoints::apply(cx, ix, end.task, end.run, end.checkpoint.as_deref());
     let slot = lifecycle::vacate(cx, ix, end.task, end.run);
+    let work = slot.as_ref().and_then(|slot| slot.work_done(cx.now));
     if let Some(slot) = slot.filter(|_| end.cause == EndCause::Done) {
         speed::observe_end(cx, ix, end.task, &slot);
     }
@@ -43,7 +45,7 @@
         commits::mark_dirty(&mut cx.commits, cx.now, end.task.job);
     }
     match end.cause {
-        EndCause::Done => apply_done(cx, ix, end.task, end.run),
+        EndCause::Done => apply_done(cx, ix, (end.task, end.run), work),
         EndCause::Failed => apply_failed(cx, ix, end.task, end.run, was_active),
         EndCause::Stopped | EndCause::Lapsed | EndCause::Broken | EndCause::Alone => {
             if was_active {
@@ -53,8 +55,9 @@
     }
 }
 
-/// Marks a task as done, together with its whole gang, and stops other runs of it.
-fn apply_done(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run) {
+/// Marks a task as done, together with its whole gang, and stops other runs of it. `work` is the
+/// work that the run took, if it is known.
+fn apply_done(cx: &mut State, ix: WorkerIx, (key, run): (TaskKey, Run), work: Option<CoreMillis>) {
     let worker = cx.worker_mut(ix);
     worker.failures = 0;
     worker.quarantines = 0;
@@ -69,10 +72,10 @@
     let gang = step.gang;
     let members = if gang { step.count } else { 0 };
     stop_other_runs(cx, ix, key, run);
-    lifecycle::finish_task(cx, key);
+    lifecycle::finish_task(cx, key, work);
     // The members of a gang end together, so the end of one counts for all of them.
     for index in 0..members {
-        lifecycle::finish_task(cx, TaskKey { index, ..key });
+        lifecycle::finish_task(cx, TaskKey { index, ..key }, work);
     }
 }
 
--- a/crates/sched/src/changes/intake.rs
+++ b/crates/sched/src/changes/intake.rs
@@ -5,9 +5,10 @@
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{config, Job, JobKey};
+use gaplock_overload::account::QueueIx;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::changes::{commits, directory, lifecycle, permits, trace};
+use crate::changes::{accounting, commits, directory, lifecycle, permits, trace};
 use crate::interface::message::Record;
 use crate::state::job_table::{JobEntry, Round};
 use crate::state::recovery_scan::RecoveryScan;
@@ -52,6 +53,8 @@
         next_round: 0,
         ended_unix_ms: 0,
         due: Instant((cx.now.0 + allowed).saturating_sub(age.0)),
+        objective: Millis(allowed),
+        load_queue: QueueIx::default(),
         priority: queue.map_or(0, |q| q.priority),
         max_attempts: queue.map_or(FALLBACK_MAX_ATTEMPTS, |q| q.max_attempts),
         unreadable: false,
@@ -78,6 +81,7 @@
     let entry = new_entry(cx, job);
     trace::job_known(&entry);
     cx.jobs.insert(key, entry);
+    accounting::job_accepted(cx, key);
     if cx.early_cancellations.remove(&key).is_some() {
         return lifecycle::end_job(cx, key, JobState::Cancelled);
     }
@@ -102,6 +106,7 @@
         }
         let round = Round::new(next, &entry.job);
         entry.rounds.push(round);
+        accounting::round_arrived(cx, key, next);
         lifecycle::begin_steps(cx, key, next);
     }
 }
--- a/crates/sched/src/changes/lifecycle.rs
+++ b/crates/sched/src/changes/lifecycle.rs
@@ -4,11 +4,12 @@
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, Step, TaskKey};
+use gaplock_overload::account::{ClassIx, CoreMillis};
 use gaplock_policy::attempts::CallAttempts;
 use gaplock_types::time::{Instant, Millis};
 
 use crate::changes::pacing::{self, PaceOrders, FULL_PACE};
-use crate::changes::{commits, scarcity, trace};
+use crate::changes::{accounting, commits, scarcity, trace};
 use crate::interface::message::{Action, Run, WorkerIx};
 use crate::interface::proof::ReleaseProof;
 use crate::state::checkpoint::Checkpoint;
@@ -42,7 +43,10 @@
     let is_suspect = task.crash_evidence.is_some();
     let has_checkpoint = task.checkpoint.is_some();
     if let Some(round) = entry.round_mut(key.round) {
-        round.steps[usize::from(key.step)].pending.insert(key.index);
+        let added = round.steps[usize::from(key.step)].pending.insert(key.index);
+        if added {
+            accounting::task_waits(&mut cx.load, entry, key);
+        }
     }
     cx.ready.insert(ready);
     cx.pass_wanted = true;
@@ -63,10 +67,13 @@
     let ready = ready_step(entry, key.round, key.step);
     let Some(round) = entry.round_mut(key.round) else { return };
     let step = &mut round.steps[usize::from(key.step)];
-    step.pending.remove(&key.index);
+    let removed = step.pending.remove(&key.index);
     if step.pending.is_empty() {
         cx.ready.remove(&ready);
     }
+    if removed {
+        accounting::task_waits_no_longer(&mut cx.load, entry, key);
+    }
 }
 
 /// What is known of a run when it is added to a worker.
@@ -93,17 +100,25 @@
         entry.state = JobState::Active;
         commits::mark_dirty(&mut cx.commits, now, key.job);
     }
-    let job = Arc::clone(&entry.job);
+    let (job, queue) = (Arc::clone(&entry.job), entry.load_queue);
     let Some(step) = job.steps.get(usize::from(key.step)) else { return };
     let role = pacing::add_image_and_get_role(cx, step);
-    let w = cx.worker_mut(worker);
-    w.add_slot(key, slot_of(step, role, occupant, now));
+    let load_class = queue.class(job_table::work_class(step));
+    let slot = slot_of(step, role, load_class, occupant, now);
+    accounting::task_started(&mut cx.load, &slot);
+    cx.worker_mut(worker).add_slot(key, slot);
     cx.expedite_renewal(worker);
     scarcity::note_short_change(cx, worker, key);
     pacing::refresh_spare_capacity(cx, worker);
 }
 
-fn slot_of(step: &Step, role: TaskRole, occupant: Occupant, now: Instant) -> Slot {
+fn slot_of(
+    step: &Step,
+    role: TaskRole,
+    load_class: ClassIx,
+    occupant: Occupant,
+    now: Instant,
+) -> Slot {
     let started = occupant.phase == Phase::Starting;
     Slot {
         run: occupant.run,
@@ -111,6 +126,8 @@
         reservation: job_table::reservation(step),
         role,
         best_effort_millicores: job_table::best_effort_millicores(step),
+        load_class,
+        began_at: (started && occupant.resumes_from.is_none()).then_some(now),
         ordered_at: now,
         resend_stop_at: now,
         stop_refusals: 0,
@@ -134,6 +151,7 @@
 pub fn vacate(cx: &mut State, worker: WorkerIx, key: TaskKey, run: Run) -> Option<Slot> {
     cx.pass_wanted = true;
     let slot = cx.worker_mut(worker).remove_slot(key, run)?;
+    accounting::task_stopped(&mut cx.load, &slot);
     if let Some(task) = cx.task_mut(key).filter(|t| t.slow_run == Some((worker, run))) {
         task.slow_run = None;
     }
@@ -173,8 +191,9 @@
     Millis(first.0 << doublings).min(max)
 }
 
-/// Marks a task as done and begins whatever waited for it.
-pub fn finish_task(cx: &mut State, key: TaskKey) {
+/// Marks a task as done and begins whatever waited for it. `work` is the work that it took, if that
+/// is known.
+pub fn finish_task(cx: &mut State, key: TaskKey, work: Option<CoreMillis>) {
     leave_pending(cx, key);
     let Some(entry) = cx.jobs.get_mut(&key.job) else { return };
     let Some(task) = entry.task_mut(key) else { return };
@@ -189,6 +208,7 @@
     step.unfinished = step.unfinished.saturating_sub(1);
     let step_done = step.unfinished == 0;
     let round_done = step_done && round.is_done();
+    accounting::task_done(&mut cx.load, cx.now, entry, key, work);
     commits::mark_dirty(&mut cx.commits, cx.now, key.job);
     if round_done {
         finish_round(cx, key.job, key.round);
@@ -241,6 +261,7 @@
     if entry.state.is_final() {
         return;
     }
+    accounting::job_ended(&mut cx.load, entry);
     entry.state = state;
     entry.ended_unix_ms = unix_ms.max(1);
     // The tasks of an unreadable job do not show its runs, and a gang member that is done may still
--- a/crates/sched/src/changes/takeover.rs
+++ b/crates/sched/src/changes/takeover.rs
@@ -16,9 +16,10 @@
 use crate::changes::evacuation::{self, Evacuated};
 use crate::changes::pacing::Learned;
 use crate::changes::{
-    checkpoints, crashes, directory, intake, leases, lifecycle, maintenance, roster, trace,
+    accounting, checkpoints, crashes, directory, intake, leases, lifecycle, maintenance, roster,
+    trace,
 };
-use crate::interface::message::{RosterEntry, Run, WaveProgress, WorkerIx};
+use crate::interface::message::{RosterEntry, Run, StoredLoad, WaveProgress, WorkerIx};
 use crate::state::job_table::{JobEntry, Round, StepState, TaskState};
 use crate::state::recovery_scan::RecoveryScan;
 use crate::state::worker::Listing;
@@ -39,6 +40,8 @@
     pub roster: Vec<RosterEntry>,
     /// What has been learned about how images interfere with each other.
     pub learned: Learned,
+    /// What a previous leader stored of the load.
+    pub load: StoredLoad,
     /// The progress of the maintenance waves.
     pub waves: Vec<WaveProgress>,
     /// The failure domains that the operators have evacuated.
@@ -54,11 +57,13 @@
         cancelled,
         roster,
         learned,
+        load,
         waves,
         evacuated,
     } = stored;
     evacuation::apply(cx, evacuated);
     cx.interference.restore(&learned);
+    accounting::restore(cx, &load);
     maintenance::restore(cx, waves);
     let (mut unanswered_open, mut unanswered_closed) = (FxHashSet::default(), FxHashMap::default());
     for entry in roster {
@@ -100,6 +105,7 @@
             false => restored_entry(cx, job, progress.remove(&key)),
         };
         cx.jobs.insert(key, entry);
+        accounting::job_restored(cx, key);
         crashes::register_suspects(cx, key);
     }
     for key in cancelled {
--- a/crates/sched/src/changes/trace.rs
+++ b/crates/sched/src/changes/trace.rs
@@ -11,6 +11,7 @@
 use gaplock_types::time::{Instant, Millis};
 use tracing::{debug, info, warn};
 
+use crate::decisions::load::Backlogged;
 use crate::decisions::losses::Loss;
 use crate::decisions::placement::UnfitCounts;
 use crate::interface::message::{
@@ -40,6 +41,18 @@
     info!(event = "job_ended", %job, ?state, still_running);
 }
 
+/// Logs that a queue's backlog of one class of work takes longer to drain than its jobs may take.
+pub fn queue_backlogged(backlogged: &Backlogged) {
+    let Backlogged { load, drain, objective } = backlogged;
+    info!(event = "queue_backlogged", queue = %load.queue, class = load.class.name(),
+        jobs = load.jobs, drain_ms = drain.0, objective_ms = objective.0,
+        backlog_core_s = load.backlog_core_ms / 1_000,
+        arriving_core_ms_per_s = load.arriving_core_ms_per_s,
+        completed_core_ms_per_s = load.completed_core_ms_per_s,
+        running_millicores = load.running_millicores,
+        waiting_millicores = load.waiting_millicores);
+}
+
 /// Logs that the start of a task at a worker was ordered.
 pub fn start_ordered(task: TaskKey, run: Run, worker: &ids::WorkerId, waited: Millis) {
     info!(event = "start_ordered", %task, run = run.0, %worker, waited_ms = waited.0);
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -7,8 +7,9 @@
 
 use crate::changes::crashes::recorded_starts;
 use crate::changes::{
-    commits, crashes, directory, dispatch, drain, evacuation, freshness, intake, maintenance,
-    moving, orders, pacing, permits, renewals, roster, stragglers, takeover, terminated,
+    accounting, commits, crashes, directory, dispatch, drain, evacuation, freshness, intake,
+    maintenance, moving, orders, pacing, permits, renewals, roster, stragglers, takeover,
+    terminated,
 };
 use crate::interface::message::{Action, Event, WorkerIx};
 use crate::interface::settings::Settings;
@@ -157,6 +158,7 @@
         drain::check(self);
         self.rebalance();
         pacing::store_learned(self);
+        accounting::log_backlogs(self);
         intake::forget_finished(self);
         self.pass_wanted |= !self.ready.is_empty();
     }
--- a/crates/sched/src/decisions/load.rs
+++ b/crates/sched/src/decisions/load.rs
@@ -1,25 +1,122 @@
-//! The load of all queues and pools, as the leader shares it with the other hosts.
+//! The load of all queues and pools: as the leader shares it with the other hosts, as it is stored
+//! for the next leader, and the queues that do not keep up.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
-use gaplock_overload::summary::{LoadSummary, PoolLoad};
+use gaplock_overload::account::{self, ClassLoad};
+use gaplock_overload::summary::{LoadSummary, PoolLoad, QueueLoad};
 use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 
+use crate::interface::message::{
+    StoredLoad, StoredQueueLoad, MAX_STORED_LOADS, MAX_STORED_NAME_BYTES,
+};
 use crate::state::State;
 
+/// The largest number of queue entries of a summary.
+const MAX_QUEUE_LOADS: usize = 64;
+
 /// Returns the present load.
 pub fn summary(cx: &State, sequence: u64) -> LoadSummary {
     LoadSummary {
         term: cx.term.number,
         sequence,
         age: Millis(0),
-        queues: Vec::new(),
+        queues: queues(cx),
         pools: pools(cx),
     }
 }
 
+/// Returns the load of the queues that have any, the largest backlogs first; none while the account
+/// is turned off.
+pub fn queues(cx: &State) -> Vec<QueueLoad> {
+    if !cx.settings.load_account {
+        return Vec::new();
+    }
+    let mut loads: Vec<QueueLoad> = cx.load.loads(cx.now).map(|load| queue(cx, &load)).collect();
+    loads.retain(has_load);
+    let demand = |load: &QueueLoad| load.running_millicores + load.waiting_millicores;
+    loads.sort_by_key(|load| Reverse((load.backlog_core_ms, demand(load))));
+    loads.truncate(MAX_QUEUE_LOADS);
+    loads
+}
+
+fn has_load(load: &QueueLoad) -> bool {
+    load.jobs > 0
+        || load.running_millicores > 0
+        || load.arriving_core_ms_per_s > 0
+        || load.completed_core_ms_per_s > 0
+}
+
+/// Returns the ratio of actual to estimated work of a class of a queue.
+fn estimate_ratio(_load: &ClassLoad) -> f64 {
+    1.0
+}
+
+/// Returns the load of one class of work of one queue.
+fn queue(cx: &State, load: &ClassLoad) -> QueueLoad {
+    let config = cx.config.as_ref().and_then(|config| config.queue(load.queue));
+    let ratio = estimate_ratio(load);
+    QueueLoad {
+        queue: load.queue.to_string(),
+        // A queue that was removed from the configuration belongs to no pool; its jobs are kept.
+        pool: config.map_or_else(|| ids::ServiceId(String::new()), |queue| queue.service.clone()),
+        class: load.class,
+        priority: config.map_or(0, |queue| queue.priority),
+        jobs: load.sums.jobs,
+        running_millicores: load.sums.running_millicores,
+        waiting_millicores: load.sums.waiting_millicores,
+        backlog_core_ms: account::corrected(load.sums.backlog.0 as f64, ratio),
+        arriving_core_ms_per_s: account::corrected(load.arriving, ratio),
+        completed_core_ms_per_s: load.completed as u64,
+    }
+}
+
+/// A class of work of a queue whose backlog takes longer to drain than its jobs may take.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Backlogged {
+    /// Its load.
+    pub load: QueueLoad,
+    /// The time to drain.
+    pub drain: Millis,
+    /// The mean objective of its jobs.
+    pub objective: Millis,
+}
+
+/// Returns the classes of work whose time to drain is over the mean objective of their jobs; none
+/// while the account is turned off.
+pub fn backlogged(cx: &State) -> Vec<Backlogged> {
+    if !cx.settings.load_account {
+        return Vec::new();
+    }
+    let judged = cx.load.loads(cx.now).filter(|load| load.sums.jobs > 0).filter_map(|load| {
+        let objective = Millis(load.sums.objectives_ms / u64::from(load.sums.jobs));
+        let load = queue(cx, &load);
+        let drain = load.time_to_drain()?;
+        Some(Backlogged { load, drain, objective })
+    });
+    judged.filter(|judged| judged.drain > judged.objective).collect()
+}
+
+/// Returns what the next leader needs to know of the load; `None` if there is nothing.
+pub fn to_store(cx: &State) -> Option<StoredLoad> {
+    let is_stored = |load: &QueueLoad| {
+        load.completed_core_ms_per_s > 0 && load.queue.len() <= MAX_STORED_NAME_BYTES
+    };
+    let queues = queues(cx).into_iter().filter(is_stored).take(MAX_STORED_LOADS);
+    let queues: Vec<StoredQueueLoad> = queues
+        .map(|load| StoredQueueLoad {
+            queue: load.queue,
+            class: load.class,
+            completed_core_ms_per_s: load.completed_core_ms_per_s,
+            estimate_ratio: None,
+        })
+        .collect();
+    (!queues.is_empty()).then_some(StoredLoad { queues, pools: Vec::new() })
+}
+
 /// Returns the capacity of all pools.
 fn pools(cx: &State) -> Vec<PoolLoad> {
     let mut pools: BTreeMap<&ids::ServiceId, PoolLoad> = BTreeMap::new();
--- a/crates/sched/src/interface/message.rs
+++ b/crates/sched/src/interface/message.rs
@@ -3,6 +3,7 @@
 mod evacuated;
 mod hosts;
 mod learned;
+mod load;
 mod readings;
 mod steps;
 
@@ -18,6 +19,9 @@
 pub use evacuated::Evacuated;
 pub use hosts::{HostInfo, HostState, MaintenanceAnswer, WaveNumber, WaveProgress, WaveRequest};
 pub use learned::{Learned, LearnedFactor, LearnedImage};
+pub use load::{
+    StoredLoad, StoredPoolLoad, StoredQueueLoad, MAX_STORED_LOADS, MAX_STORED_NAME_BYTES,
+};
 pub use readings::{DirectoryRead, RevisionSample};
 pub use steps::StepKey;
 
@@ -322,6 +326,8 @@
     ForgetWorker(ids::WorkerId),
     /// The learned interference between images.
     Learned(Learned),
+    /// What is known of the load that a new leader cannot learn at once.
+    Load(StoredLoad),
     /// The progress of a maintenance wave.
     Wave(WaveProgress),
 }
--- a/crates/sched/src/interface/settings.rs
+++ b/crates/sched/src/interface/settings.rs
@@ -53,6 +53,8 @@
     pub takeover_margin: Millis,
     /// How long a finished job's state is kept; set by the installation, with a margin.
     pub finished_job_retention: Millis,
+    /// Whether the load of the queues is shown, logged, stored and shared with the other hosts.
+    pub load_account: bool,
 }
 
 /// The longest lease that is requested, whatever workers would grant. A task at a lost worker
@@ -91,6 +93,7 @@
             max_tail_excess: Millis(4_000),
             takeover_margin: Millis(500),
             finished_job_retention: Millis(150_000),
+            load_account: true,
         }
     }
 }
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -20,6 +20,7 @@
 use std::sync::Arc;
 
 use gaplock_jobs::{config, JobKey, Step, TaskKey};
+use gaplock_overload::account::LoadAccount;
 use gaplock_types::ids;
 use gaplock_types::time::Instant;
 use rustc_hash::FxHashMap;
@@ -104,6 +105,8 @@
     pub commits: Commits,
     /// The learned interference between tasks.
     pub interference: InterferenceModel,
+    /// The load of each queue and class of work.
+    pub load: LoadAccount,
     /// Where steps may run whose queue asks an external service.
     pub permits: Permits,
     /// Tasks that were running on workers when these were lost, and may have crashed them.
@@ -129,6 +132,10 @@
     pub directory_recovered_at: Instant,
     /// When the learned interference was last stored.
     pub learned_stored_at: Instant,
+    /// When the load was last stored.
+    pub load_stored_at: Instant,
+    /// When queues that do not keep up were last logged.
+    pub backlogs_logged_at: Instant,
     /// How many runs were listed although their job had ended before and no stop was on its way.
     pub runs_after_end: u64,
 }
@@ -157,6 +164,7 @@
             recovery_scan: None,
             commits: Commits::default(),
             interference: InterferenceModel::default(),
+            load: LoadAccount::open(now),
             permits: Permits::default(),
             crashes: CrashTracker::default(),
             maintenance: Maintenance::default(),
@@ -169,6 +177,8 @@
             short_task_waited_at: FxHashMap::default(),
             directory_recovered_at: now,
             learned_stored_at: now,
+            load_stored_at: now,
+            backlogs_logged_at: now,
             runs_after_end: 0,
         }
     }
--- a/crates/sched/src/state/commits.rs
+++ b/crates/sched/src/state/commits.rs
@@ -17,6 +17,7 @@
     Forgotten(JobKey),
     Worker(ids::WorkerId),
     Learned,
+    Load,
     Wave(WaveNumber),
 }
 
@@ -29,6 +30,7 @@
             Record::Worker(entry) => Self::Worker(entry.info.id.clone()),
             Record::ForgetWorker(id) => Self::Worker(id.clone()),
             Record::Learned(_) => Self::Learned,
+            Record::Load(_) => Self::Load,
             Record::Wave(progress) => Self::Wave(progress.number),
         }
     }
--- a/crates/sched/src/state/job_table.rs
+++ b/crates/sched/src/state/job_table.rs
@@ -6,8 +6,10 @@
 use gaplock_jobs::job::{self, Repeat};
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey, Step, TaskKey};
+use gaplock_overload::account::{CoreMillis, QueueIx};
+use gaplock_overload::summary::WorkClass;
 use gaplock_types::sizes::Resources;
-use gaplock_types::time::Instant;
+use gaplock_types::time::{Instant, Millis};
 
 use crate::interface::message::{Run, WorkerIx};
 use crate::state::checkpoint::Checkpoint;
@@ -154,8 +156,12 @@
     pub ended_unix_ms: u64,
     /// The job's objective as a time of the leader's clock, for ordering.
     pub due: Instant,
+    /// The time from the job's acceptance to its objective.
+    pub objective: Millis,
     /// The queue's priority; 0 goes first.
     pub priority: u32,
+    /// The queue in the load account; valid once the job has been entered there.
+    pub load_queue: QueueIx,
     /// How many failed runs a task may have.
     pub max_attempts: u32,
     /// Set if the stored progress cannot be read, so that it is not known which tasks are done. No
@@ -271,6 +277,23 @@
     pub step: u16,
 }
 
+/// Returns how the tasks of a step use processors.
+pub fn work_class(step: &Step) -> WorkClass {
+    match (step.fills, step.lasting) {
+        (true, _) => WorkClass::BestEffort,
+        (false, true) => WorkClass::LongRunning,
+        (false, false) => WorkClass::Short,
+    }
+}
+
+/// Returns the estimated work of one task; 0 for a long-running one, which is never done.
+pub fn task_work(step: &Step) -> CoreMillis {
+    if step.lasting {
+        return CoreMillis(0);
+    }
+    CoreMillis::of_task(step.demand.cpu, step.estimate)
+}
+
 /// Returns the resources that a task reserves on a worker; a best-effort task reserves no
 /// processors.
 pub fn reservation(step: &Step) -> Resources {
--- a/crates/sched/src/state/worker.rs
+++ b/crates/sched/src/state/worker.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 
 use gaplock_jobs::TaskKey;
+use gaplock_overload::account::{ClassIx, CoreMillis};
 use gaplock_policy::attempts::CallAttempts;
-use gaplock_types::sizes::Resources;
+use gaplock_types::sizes::{MilliCores, Resources};
 use gaplock_types::time::{Instant, Millis};
 use rustc_hash::FxHashMap;
 
@@ -45,6 +46,12 @@
     pub role: TaskRole,
     /// The processor demand of a best-effort task, in thousandths of a core; 0 for others.
     pub best_effort_millicores: u32,
+    /// Where the run counts in the load account.
+    pub load_class: ClassIx,
+    /// When the run was first ordered here from the beginning of its task. Unset for a run that
+    /// resumes from a checkpoint or was found at the worker, since its time is not that of the
+    /// whole task.
+    pub began_at: Option<Instant>,
     /// When the order in force was sent.
     pub ordered_at: Instant,
     /// When the stop is sent again, unless the end of the run is seen before.
@@ -80,6 +87,18 @@
     pub slowed_since: Option<Instant>,
 }
 
+impl Slot {
+    /// Returns the run's processor demand, whether it reserves processors or not.
+    pub fn demand(&self) -> MilliCores {
+        MilliCores(self.reservation.cpu.0.saturating_add(self.best_effort_millicores))
+    }
+
+    /// Returns the work of a run that is done now, if the run did all the work of its task.
+    pub fn work_done(&self, now: Instant) -> Option<CoreMillis> {
+        Some(CoreMillis::of_task(self.demand(), now.since(self.began_at?)))
+    }
+}
+
 /// The role of a run among the runs on its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TaskRole {
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduler against a simulated fleet on virtual time. [`simulation`] simulates the workers,
 //! the store, the calls between them and their faults; each other module holds the tests of one subject.
 
+mod accounts;
 mod backlogs;
 mod best_effort;
 mod bursts;
--- a/crates/sched/tests/fleet/simulation/mod.rs
+++ b/crates/sched/tests/fleet/simulation/mod.rs
@@ -13,12 +13,13 @@
 //! - [`hosts`] holds the hosts of the workers, which go down for maintenance.
 //! - [`crashes`] crashes workers.
 //! - [`checkpoints`] records what runs save and which checkpoint a start carries.
-//! - [`checks`] and [`cancellations`] check the guarantees.
+//! - [`checks`] and [`cancellations`] check the guarantees, [`accounts`] the load account.
 //! - [`views`] returns state to tests.
 //! - [`builders`] builds configurations and jobs, and [`log`] prints the scheduler's log.
 //!
 //! In all these modules, `at` is the position of a worker in the list of simulated workers.
 
+mod accounts;
 mod builders;
 mod calls;
 mod cancellations;
@@ -41,7 +42,9 @@
 use gaplock_jobs::config::{Advice, Config, Pool};
 use gaplock_jobs::progress::Progress;
 use gaplock_jobs::{Job, JobKey, TaskKey};
-use gaplock_sched::message::{Outcome, RosterEntry, WaveNumber, WaveProgress, WorkerReport};
+use gaplock_sched::message::{
+    Outcome, RosterEntry, StoredLoad, WaveNumber, WaveProgress, WorkerReport,
+};
 use gaplock_sched::pacing::Learned;
 use gaplock_sched::{Context, Event, Settings};
 use gaplock_types::ids;
@@ -125,6 +128,8 @@
     pub advice: Option<Advice>,
     /// The learned interference model that a successor finds in the store.
     pub learned: Learned,
+    /// What is stored of the load.
+    pub load: StoredLoad,
     /// The tail reading that workers report of each job's tasks.
     pub readings: BTreeMap<JobKey, u32>,
     /// The hosts on which the workers run.
@@ -194,6 +199,7 @@
             work_ms: 500,
             advice: None,
             learned: Learned::default(),
+            load: StoredLoad::default(),
             readings: BTreeMap::new(),
             hosts: Hosts::default(),
             crashes: Crashes::default(),
@@ -255,6 +261,12 @@
         self.notify_leader(Event::Job(job));
     }
 
+    /// Changes the settings of this leader and of its successors.
+    pub fn change_settings(&mut self, change: impl FnOnce(&mut Settings)) {
+        change(&mut self.settings);
+        self.notify_leader(Event::Settings(Box::new(self.settings.clone())));
+    }
+
     /// Cancels a job.
     pub fn cancel(&mut self, key: u64) {
         self.record_cancelled(JobKey(key));
@@ -364,6 +376,7 @@
             }
             self.commit();
             self.check_runs();
+            self.check_accounts();
         }
     }
 
@@ -373,7 +386,7 @@
     }
 
     /// Returns the wall clock in milliseconds since 1970.
-    fn unix(&self) -> u64 {
+    pub fn unix(&self) -> u64 {
         UNIX_BASE + self.now - START_MS
     }
 
--- a/crates/sched/tests/fleet/simulation/store.rs
+++ b/crates/sched/tests/fleet/simulation/store.rs
@@ -31,6 +31,7 @@
             cancelled: self.cancelled.iter().copied().collect(),
             roster: self.roster.values().cloned().collect(),
             learned: self.learned.clone(),
+            load: self.load.clone(),
             waves: self.wave_progress.values().cloned().collect(),
             evacuated: self.evacuated(),
         };
@@ -97,6 +98,7 @@
                     self.roster.remove(&id);
                 }
                 Record::Learned(_) => {}
+                Record::Load(load) => self.load = load,
                 Record::Wave(progress) => {
                     self.check_wave(&progress);
                     self.wave_progress.insert(progress.number, progress);
