--- a/crates/explain/src/lib.rs
+++ b/crates/explain/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Lines of several processes are merged by their timestamps. Lines that are not JSON, or that
 //! name neither the job nor one of its tasks, are omitted. Changes of leadership are included for
-//! every job: they show where a host whose log is missing may have made decisions.
+//! every job: they show where a host whose log is missing may have made decisions. Lines about the
+//! backlog of the job's queue are included up to the last start or wait of one of its tasks.
 
 use serde_json::{Map, Value};
 
@@ -33,15 +34,46 @@
     "commit_failed",
 ];
 
+/// The event that shows the backlog of a queue.
+const BACKLOG_EVENT: &str = "queue_backlogged";
+
+/// The events that show that a task of the job waits or has waited.
+const WAIT_EVENTS: [&str; 2] = ["step_waits", "start_ordered"];
+
+impl Line {
+    fn field(&self, name: &str) -> Option<&str> {
+        self.fields.iter().find(|(field, _)| field == name).map(|(_, value)| value.as_str())
+    }
+
+    fn names_job(&self) -> bool {
+        self.event != BACKLOG_EVENT && !LEADERSHIP_EVENTS.contains(&self.event.as_str())
+    }
+}
+
+/// Removes the lines about backlogs that do not explain a wait of the job: those of other queues,
+/// and those after the last wait.
+fn remove_unrelated_backlogs(lines: &mut Vec<Line>) {
+    let of_job = lines.iter().filter(|l| l.names_job());
+    let queue = of_job.filter_map(|l| l.field("queue")).next().map(str::to_string);
+    let last_wait = lines.iter().rposition(|l| WAIT_EVENTS.contains(&l.event.as_str()));
+    let mut at = 0;
+    lines.retain(|line| {
+        let explains_wait =
+            queue.is_some() && line.field("queue") == queue.as_deref() && last_wait > Some(at);
+        at += 1;
+        line.event != BACKLOG_EVENT || explains_wait
+    });
+}
+
 /// Returns the timeline of a job from the text of a log, sorted by time.
 ///
 /// It begins and ends with lines that name the job or one of its tasks, and is empty without one.
 pub fn timeline(log: &str, job: &str) -> Vec<Line> {
     let mut lines: Vec<Line> = log.lines().filter_map(|text| parse_line(text, job)).collect();
     lines.sort_by(|a, b| a.time.cmp(&b.time));
-    let names_job = |l: &Line| !LEADERSHIP_EVENTS.contains(&l.event.as_str());
+    remove_unrelated_backlogs(&mut lines);
     let (Some(first), Some(last)) =
-        (lines.iter().position(names_job), lines.iter().rposition(names_job))
+        (lines.iter().position(Line::names_job), lines.iter().rposition(Line::names_job))
     else {
         return Vec::new();
     };
@@ -54,7 +86,8 @@
     let (event, task) = (text_field("event")?, text_field("task"));
     let of_job = text_field("job").as_deref() == Some(job)
         || task.as_deref().is_some_and(|t| t.split('.').next() == Some(job));
-    if !of_job && !LEADERSHIP_EVENTS.contains(&event.as_str()) {
+    let of_every_job = LEADERSHIP_EVENTS.contains(&event.as_str()) || event == BACKLOG_EVENT;
+    if !of_job && !of_every_job {
         return None;
     }
     let fields = object.iter().filter(|(name, _)| !OMITTED_FIELDS.contains(&name.as_str()));
--- a/crates/explain/tests/timelines.rs
+++ b/crates/explain/tests/timelines.rs
@@ -28,3 +28,27 @@
 fn a_job_that_no_line_names_has_an_empty_timeline() {
     assert!(gaplock_explain::timeline(LOG, "00000000000000ff").is_empty());
 }
+
+const BACKLOG_LOG: &str = r#"
+{"timestamp":"T00","event":"queue_backlogged","queue":"q","drain_ms":1}
+{"timestamp":"T01","event":"job_known","job":"00000000000000aa","queue":"q"}
+{"timestamp":"T02","event":"queue_backlogged","queue":"q","drain_ms":9000}
+{"timestamp":"T02","event":"queue_backlogged","queue":"other","drain_ms":8000}
+{"timestamp":"T03","event":"start_ordered","task":"00000000000000aa.0.0.0","run":4097}
+{"timestamp":"T04","event":"queue_backlogged","queue":"q","drain_ms":7000}
+{"timestamp":"T05","event":"job_ended","job":"00000000000000aa"}
+"#;
+
+/// Guards against a wait that is shown without the backlog of its queue, and against timelines full
+/// of backlogs that the job did not wait for.
+#[test]
+fn the_backlog_of_the_queue_is_shown_while_the_job_waits() {
+    let timeline = gaplock_explain::timeline(BACKLOG_LOG, "00000000000000aa");
+    expect![[r#"
+        T01 job_known - job=00000000000000aa queue=q
+        T02 queue_backlogged - drain_ms=9000 queue=q
+        T03 start_ordered 00000000000000aa.0.0.0 run=4097
+        T05 job_ended - job=00000000000000aa
+    "#]]
+    .assert_eq(&gaplock_explain::render(&timeline));
+}
