Let operators hold or cap the best-effort work of a queue for a time

Operators could only change the configuration or cancel jobs to make room.

gaplock-steer plans, confirms and undoes one instruction per queue: hold or cap its best-effort work, or guarantee a floor. The record at gaplock/steer/QUEUE is written only by transactions that expect the revision that the plan was made against, and ends by itself. The leader reads the records every second, and a new leader before its first start. An instruction concerns starts only. Held tasks are not moved and not restarted elsewhere, since they could not start again. A floor is stored but has no effect until the processor shares read it.

Ruled out: a watch in place of reads, and instructions under op/, which hosts may not write. Dispatch asks once for a step, so a held step with many tasks costs a pass no more than one task.

Checked: fleet tests for hold, cap, end and takeover; the commands against the stand-in store; a test on real processes that both leaders read the record.

--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -17,7 +17,7 @@
 use crate::engine::Engine;
 use crate::entries::Entries;
 use crate::node::Node;
-use crate::{directory, evacuations, keys, records};
+use crate::{directory, evacuations, keys, records, steering};
 
 /// How long a watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
@@ -45,6 +45,7 @@
     directory::spawn(node, engine, start.directory, start.entries);
     let inbox = feed_inbox(Arc::clone(node), Arc::clone(engine), start.inbox);
     let mut feeds = vec![task::spawn(inbox)];
+    feeds.push(task::spawn(steering::feed(Arc::clone(node), Arc::clone(engine))));
     if let Some(bound) = node.installation.bounds.evacuation_limit {
         let feed = evacuations::feed(Arc::clone(node), Arc::clone(engine), bound);
         feeds.push(task::spawn(feed));
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -22,6 +22,7 @@
 mod settings;
 mod settings_reload;
 mod state_reader;
+mod steering;
 mod store_writer;
 mod threads;
 
--- a/crates/node/src/state_reader.rs
+++ b/crates/node/src/state_reader.rs
@@ -15,13 +15,14 @@
 use gaplock_platform::store::{Item, Listing, PartialListing, Revision, StoreError};
 use gaplock_remote::clock;
 use gaplock_sched::evacuation::Evacuated;
+use gaplock_sched::message::Steering;
 use gaplock_sched::takeover::StoredState;
 use gaplock_types::time::{Instant, Millis};
 
 use crate::feeds::{self, InboxItem};
 use crate::leadership::{Authority, LeadershipStatus};
 use crate::node::Node;
-use crate::{evacuations, follower, keys, records};
+use crate::{evacuations, follower, keys, records, steering};
 
 /// The stored state: the scheduler's state is restored from it, and the feeds continue from its
 /// revisions.
@@ -54,6 +55,7 @@
     load: Option<Item>,
     waves: Vec<Item>,
     evacuated: Evacuated,
+    steering: Steering,
 }
 
 impl PartialState {
@@ -126,8 +128,17 @@
     partial: &mut PartialState,
 ) -> Result<(), StoreError> {
     let (store, installation) = (&node.store, &node.installation);
-    let PartialState { inbox, progress, roster, directory, learned, load, waves, evacuated } =
-        partial;
+    let PartialState {
+        inbox,
+        progress,
+        roster,
+        directory,
+        learned,
+        load,
+        waves,
+        evacuated,
+        steering,
+    } = partial;
     let read_evacuated = async {
         if installation.bounds.evacuation_limit.is_some() {
             *evacuated = evacuations::read(node, &mut BTreeSet::new()).await?;
@@ -140,8 +151,20 @@
         }
         Ok(())
     };
+    let mut refused = BTreeSet::new();
     // Boxed: the futures of so many calls are too large for a thread's stack.
-    let (_, roster, directory, progress, inbox, read_learned, read_load, evacuated, waves) = futures::join!(
+    let (
+        _,
+        roster,
+        directory,
+        progress,
+        inbox,
+        read_learned,
+        read_load,
+        evacuated,
+        waves,
+        read_steering,
+    ) = futures::join!(
         Box::pin(follower::read_config(node)),
         Box::pin(store.continue_listing(keys::ROSTER, roster)),
         Box::pin(store.continue_listing(directory::PREFIX, directory)),
@@ -151,11 +174,13 @@
         Box::pin(store.get(keys::LOAD)),
         Box::pin(read_evacuated),
         Box::pin(read_waves),
+        Box::pin(steering::read(node, &mut refused)),
     );
     // Parts that were read completely are kept; the next read continues with the others.
     roster.and(directory).and(progress).and(inbox).and(evacuated).and(waves)?;
     *learned = read_learned?;
     *load = read_load?;
+    *steering = read_steering?;
     node.record_store_answer();
     Ok(())
 }
@@ -180,6 +205,7 @@
     stored.load = partial.load.as_ref().and_then(records::decode).unwrap_or_default();
     stored.waves = partial.waves.iter().filter_map(records::decode).collect();
     stored.evacuated = partial.evacuated;
+    stored.steering = partial.steering;
     let directory = partial.directory.into_listing();
     LoadedState { stored, inbox: inbox.revision, directory, directory_read_started: began }
 }
--- a/crates/node/tests/load.rs
+++ b/crates/node/tests/load.rs
@@ -1,10 +1,12 @@
-//! The load summary that the leader sends to the other hosts, on real processes.
+//! The load summary that the leader sends to the other hosts, and operators' instructions for
+//! queues, on real processes.
 
 mod support;
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use gaplock_jobs::JobKey;
+use gaplock_overload::steer::{self, Instruction, Steer};
 use gaplock_platform_standin::site::{two_steps, Site};
 use support::{open_site, wait_for};
 
@@ -40,3 +42,26 @@
     wait_for("the load under the next leader", || all_show_load(&site, &others));
     assert!(site.fleet.violations().is_empty(), "{:?}", site.fleet.violations());
 }
+
+/// Guards against an instruction that a leader or its successor does not read, and against a
+/// malformed one that keeps others from being read.
+#[test]
+fn each_leader_reads_the_instructions_for_queues() {
+    let mut site = open_site(3, 2, Duration::from_secs(60));
+    wait_for("the workers to be known", || site.has_stored_workers());
+    let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).expect("the clock is set");
+    let until_unix_ms = unix_ms.as_millis() as u64 + 600_000;
+    let hold = Steer { instruction: Instruction::Hold, until_unix_ms };
+    let record = steer::replaced(None, "checks", hold, 0);
+    let value = serde_json::to_value(record).expect("the record can be encoded");
+    site.store.put_bytes(&steer::key("broken"), b"{");
+    site.store.put(&steer::key("checks"), &value);
+    let first = site.leader().expect("there is a leader");
+    wait_for("the instruction", || !site.hosts[first].logged("queue_steered").is_empty());
+    assert_eq!(site.hosts[first].logged("steering_malformed").len(), 1);
+    site.hosts[first].kill().expect("the process runs");
+    let next = || site.leader().filter(|leader| *leader != first);
+    wait_for("another leader", || next().is_some());
+    let next = next().expect("there is another leader");
+    wait_for("the instruction", || !site.hosts[next].logged("queue_steered").is_empty());
+}
--- a/crates/overload/src/account.rs
+++ b/crates/overload/src/account.rs
@@ -218,8 +218,12 @@
         ix
     }
 
+    fn position(at: ClassIx) -> usize {
+        at.queue.0 as usize * CLASSES.len() + class_index(at.class)
+    }
+
     fn account(&mut self, at: ClassIx) -> &mut ClassAccount {
-        &mut self.accounts[at.queue.0 as usize * CLASSES.len() + class_index(at.class)]
+        &mut self.accounts[Self::position(at)]
     }
 
     /// A job that has tasks of this class was accepted.
@@ -303,6 +307,11 @@
         self.account(ix).completed = Average::restored(now, rate as f64);
     }
 
+    /// Returns the demand of all tasks at workers, in thousandths of a core.
+    pub fn running_millicores(&self, at: ClassIx) -> u64 {
+        self.accounts[Self::position(at)].sums.running_millicores
+    }
+
     /// Returns the load of each class of work of each queue.
     pub fn loads(&self, now: Instant) -> impl Iterator<Item = ClassLoad<'_>> {
         let accounts = self.accounts.iter().enumerate();
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -6,4 +6,5 @@
 //! `docs/design/hard-load.md` describes the decisions and the loads that they handle.
 
 pub mod account;
+pub mod steer;
 pub mod summary;
--- a/crates/sched/src/changes.rs
+++ b/crates/sched/src/changes.rs
@@ -27,6 +27,7 @@
 pub mod scarcity;
 pub mod speed;
 pub mod starts;
+pub mod steering;
 pub mod stragglers;
 pub mod takeover;
 pub mod terminated;
--- a/crates/sched/src/changes/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -11,7 +11,7 @@
 use crate::changes::{gangs, pacing, permits, scarcity, starts, trace, trials};
 use crate::decisions::ranking::RankedWorkers;
 use crate::decisions::requests::{self, WaitStatus};
-use crate::decisions::{free_capacity, interference, placement};
+use crate::decisions::{free_capacity, interference, placement, steering};
 use crate::state::job_table::{self, ReadyStep};
 use crate::state::State;
 
@@ -143,6 +143,10 @@
     let step = &job.steps[usize::from(ready.step)];
     let Some(round) = entry.round(ready.round) else { return };
     let pending = start_order(cx, ready, step, &round.steps[usize::from(ready.step)].pending);
+    // An instruction concerns all tasks of a step alike, so the others need not be looked at.
+    if pending.first().is_some_and(|&first| !steering::allows_start(cx, task_key(ready, first))) {
+        return;
+    }
     let Some(wait) = first_that_may_start(cx, ready, &pending) else { return };
     let demand = UnplacedDemand::of(service.clone(), step, wait);
     if pass.unplaced.iter().any(|known| known.covers(&demand)) {
--- a/crates/sched/src/changes/moving.rs
+++ b/crates/sched/src/changes/moving.rs
@@ -5,7 +5,7 @@
 use rustc_hash::FxHashSet;
 
 use crate::changes::lifecycle;
-use crate::decisions::placement;
+use crate::decisions::{placement, steering};
 use crate::interface::message::{Run, WorkerIx};
 use crate::interface::search_budget::{self, SearchBudget};
 use crate::state::interference_model::Column;
@@ -75,7 +75,7 @@
         let covers = |&(column, demand): &(Column, u32)| {
             column == image_demand.0 && demand <= image_demand.1
         };
-        if !can_resume || self.unplaceable.iter().any(covers) {
+        if !can_resume || steering::is_held(cx, key) || self.unplaceable.iter().any(covers) {
             return false;
         }
         self.budget.spend_one();
--- a/crates/sched/src/changes/stragglers.rs
+++ b/crates/sched/src/changes/stragglers.rs
@@ -8,7 +8,7 @@
 use gaplock_types::time::Millis;
 
 use crate::changes::{lifecycle, trace};
-use crate::decisions::{placement, slowness};
+use crate::decisions::{placement, slowness, steering};
 use crate::interface::message::{Run, WorkerIx};
 use crate::interface::search_budget;
 use crate::state::job_table::TaskState;
@@ -23,8 +23,9 @@
         if worker.unanswered_renewals > 0 || !worker.speed.is_slow(cx.now) {
             continue;
         }
-        let slow =
-            worker.slots.iter().filter(|(key, slot)| slowness::is_straggler(cx, ix, **key, slot));
+        let slow = worker.slots.iter().filter(|(key, slot)| {
+            slowness::is_straggler(cx, ix, **key, slot) && !steering::is_held(cx, **key)
+        });
         let slow: Vec<(TaskKey, Run)> = slow.map(|(key, slot)| (*key, slot.run)).collect();
         for (key, run) in slow {
             if budget.is_exhausted() {
--- a/crates/sched/src/changes/takeover.rs
+++ b/crates/sched/src/changes/takeover.rs
@@ -17,9 +17,9 @@
 use crate::changes::pacing::Learned;
 use crate::changes::{
     accounting, checkpoints, crashes, directory, intake, leases, lifecycle, maintenance, roster,
-    trace,
+    steering, trace,
 };
-use crate::interface::message::{RosterEntry, Run, StoredLoad, WaveProgress, WorkerIx};
+use crate::interface::message::{RosterEntry, Run, Steering, StoredLoad, WaveProgress, WorkerIx};
 use crate::state::job_table::{JobEntry, Round, StepState, TaskState};
 use crate::state::recovery_scan::RecoveryScan;
 use crate::state::worker::Listing;
@@ -46,6 +46,8 @@
     pub waves: Vec<WaveProgress>,
     /// The failure domains that the operators have evacuated.
     pub evacuated: Evacuated,
+    /// The operators' instructions for queues.
+    pub steering: Steering,
 }
 
 /// Fills a new leader's state from the store and begins the recovery scan.
@@ -60,8 +62,10 @@
         load,
         waves,
         evacuated,
+        steering,
     } = stored;
     evacuation::apply(cx, evacuated);
+    steering::apply(cx, steering);
     cx.interference.restore(&learned);
     accounting::restore(cx, &load);
     maintenance::restore(cx, waves);
--- a/crates/sched/src/changes/trace.rs
+++ b/crates/sched/src/changes/trace.rs
@@ -5,6 +5,7 @@
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, TaskKey};
+use gaplock_overload::steer::Steer;
 use gaplock_policy::attempts::CallAttempts;
 use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
@@ -53,6 +54,17 @@
         waiting_millicores = load.waiting_millicores);
 }
 
+/// Logs that an operator's instruction for a queue is in force, and until when.
+pub fn queue_steered(queue: &str, steer: &Steer) {
+    info!(event = "queue_steered", queue, instruction = %steer.instruction,
+        until_unix_ms = steer.until_unix_ms);
+}
+
+/// Logs that no operator's instruction for a queue is in force any more.
+pub fn queue_steering_ended(queue: &str) {
+    info!(event = "queue_steering_ended", queue);
+}
+
 /// Logs that the start of a task at a worker was ordered.
 pub fn start_ordered(task: TaskKey, run: Run, worker: &ids::WorkerId, waited: Millis) {
     info!(event = "start_ordered", %task, run = run.0, %worker, waited_ms = waited.0);
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -8,7 +8,7 @@
 use crate::changes::crashes::recorded_starts;
 use crate::changes::{
     accounting, commits, crashes, directory, dispatch, drain, evacuation, freshness, intake,
-    maintenance, moving, orders, pacing, permits, renewals, roster, stragglers, takeover,
+    maintenance, moving, orders, pacing, permits, renewals, roster, steering, stragglers, takeover,
     terminated,
 };
 use crate::interface::message::{Action, Event, WorkerIx};
@@ -108,6 +108,7 @@
             Event::DirectoryRead(read) => freshness::directory_read(self, read),
             Event::StoreRevision(sample) => freshness::record_revision(self, sample),
             Event::Evacuated(evacuated) => evacuation::apply(self, evacuated),
+            Event::Steered(instructions) => steering::apply(self, instructions),
             Event::Renewed { worker, sent, outcome } => {
                 renewals::handle_renewal_outcome(self, worker, sent, outcome);
             }
@@ -159,6 +160,7 @@
         self.rebalance();
         pacing::store_learned(self);
         accounting::log_backlogs(self);
+        steering::check(self);
         intake::forget_finished(self);
         self.pass_wanted |= !self.ready.is_empty();
     }
--- a/crates/sched/src/decisions.rs
+++ b/crates/sched/src/decisions.rs
@@ -13,4 +13,5 @@
 pub mod ranking;
 pub mod requests;
 pub mod slowness;
+pub mod steering;
 pub mod waves;
--- a/crates/sched/src/decisions/requests.rs
+++ b/crates/sched/src/decisions/requests.rs
@@ -6,6 +6,7 @@
 use gaplock_types::time::Millis;
 
 use crate::decisions::placement::PlacementRequest;
+use crate::decisions::steering;
 use crate::state::job_table::{Task, TaskState};
 use crate::state::State;
 
@@ -36,11 +37,12 @@
     cx.config.as_ref()?.queue(&job.queue)?.advice.as_ref()
 }
 
-/// Returns whether a task is pending, its pause before the next start is over, and it may start
-/// without a trial.
+/// Returns whether a task is pending, its pause before the next start is over, it may start without
+/// a trial, and the operators' instruction for its queue allows it.
 pub fn may_start(cx: &State, task: TaskKey) -> bool {
     let due = |t: &&Task| t.state == TaskState::Pending && t.not_before <= cx.now;
     cx.task(task).filter(due).is_some_and(may_start_without_trial)
+        && steering::allows_start(cx, task)
 }
 
 /// Builds the placement request of a task.
--- a/crates/sched/src/interface/message.rs
+++ b/crates/sched/src/interface/message.rs
@@ -5,6 +5,7 @@
 mod learned;
 mod load;
 mod readings;
+mod steering;
 mod steps;
 
 use std::sync::Arc;
@@ -23,6 +24,7 @@
     StoredLoad, StoredPoolLoad, StoredQueueLoad, MAX_STORED_LOADS, MAX_STORED_NAME_BYTES,
 };
 pub use readings::{DirectoryRead, RevisionSample};
+pub use steering::Steering;
 pub use steps::StepKey;
 
 /// The number of a run of a task; it rises with every start, across all leaders.
@@ -307,6 +309,8 @@
         /// The answer to the order.
         answer: MaintenanceAnswer,
     },
+    /// The operators' instructions for queues were read.
+    Steered(Steering),
     /// The commit in flight is stored.
     Committed,
     /// The commit in flight is certainly not stored and must be repeated.
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -25,7 +25,9 @@
 use gaplock_types::time::Instant;
 use rustc_hash::FxHashMap;
 
-use crate::interface::message::{Action, Evacuated, FencingToken, Run, WorkerInfo, WorkerIx};
+use crate::interface::message::{
+    Action, Evacuated, FencingToken, Run, Steering, WorkerInfo, WorkerIx,
+};
 use crate::interface::settings::Settings;
 
 use commits::Commits;
@@ -95,6 +97,8 @@
     pub unknown_pool_workers: UnknownPoolWorkers,
     /// The failure domains whose workers get no new tasks.
     pub evacuated: Evacuated,
+    /// The operators' instructions for queues.
+    pub steering: Steering,
     /// How old the view of the directory is.
     pub freshness: Freshness,
     /// Steps with pending tasks.
@@ -159,6 +163,7 @@
             by_name: FxHashMap::default(),
             unknown_pool_workers: UnknownPoolWorkers::default(),
             evacuated: Evacuated::default(),
+            steering: Steering::default(),
             freshness: Freshness::default(),
             ready: BTreeSet::new(),
             recovery_scan: None,
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -31,6 +31,7 @@
 mod restarts;
 mod simulation;
 mod slow_workers;
+mod steering;
 mod suspect_isolation;
 mod takeovers;
 mod withdrawn_starts;
--- a/crates/sched/tests/fleet/simulation/mod.rs
+++ b/crates/sched/tests/fleet/simulation/mod.rs
@@ -42,8 +42,9 @@
 use gaplock_jobs::config::{Advice, Config, Pool};
 use gaplock_jobs::progress::Progress;
 use gaplock_jobs::{Job, JobKey, TaskKey};
+use gaplock_overload::steer::{Instruction, Steer};
 use gaplock_sched::message::{
-    Outcome, RosterEntry, StoredLoad, WaveNumber, WaveProgress, WorkerReport,
+    Outcome, RosterEntry, Steering, StoredLoad, WaveNumber, WaveProgress, WorkerReport,
 };
 use gaplock_sched::pacing::Learned;
 use gaplock_sched::{Context, Event, Settings};
@@ -130,6 +131,8 @@
     pub learned: Learned,
     /// What is stored of the load.
     pub load: StoredLoad,
+    /// The operators' instructions that are stored.
+    steering: Steering,
     /// The tail reading that workers report of each job's tasks.
     pub readings: BTreeMap<JobKey, u32>,
     /// The hosts on which the workers run.
@@ -200,6 +203,7 @@
             advice: None,
             learned: Learned::default(),
             load: StoredLoad::default(),
+            steering: Steering::default(),
             readings: BTreeMap::new(),
             hosts: Hosts::default(),
             crashes: Crashes::default(),
@@ -267,6 +271,21 @@
         self.notify_leader(Event::Settings(Box::new(self.settings.clone())));
     }
 
+    /// Stores an instruction for the only queue that ends after `ms` milliseconds.
+    pub fn steer(&mut self, instruction: Instruction, ms: u64) {
+        let steer = Steer { instruction, until_unix_ms: self.unix() + ms };
+        self.steering.revision += 1;
+        self.steering.queues.insert(QUEUE.into(), steer);
+        self.notify_leader(Event::Steered(self.steering.clone()));
+    }
+
+    /// Removes the instruction for the only queue.
+    pub fn end_steering(&mut self) {
+        self.steering.revision += 1;
+        self.steering.queues.clear();
+        self.notify_leader(Event::Steered(self.steering.clone()));
+    }
+
     /// Cancels a job.
     pub fn cancel(&mut self, key: u64) {
         self.record_cancelled(JobKey(key));
--- a/crates/sched/tests/fleet/simulation/store.rs
+++ b/crates/sched/tests/fleet/simulation/store.rs
@@ -34,6 +34,7 @@
             load: self.load.clone(),
             waves: self.wave_progress.values().cloned().collect(),
             evacuated: self.evacuated(),
+            steering: self.steering.clone(),
         };
         takeover::restore(&mut cx, stored);
         for worker in self.workers.iter().filter(|w| w.up) {
