Explain why a held step waits, and remember the largest worker of a pool

A step whose start an operator's instruction withholds had no line in the log, so gaplock-explain showed a wait without a reason: step_held now names the task and the instruction. The largest capacity of a pool was computed from present capacities, so a worker that shrank was forgotten; each worker now keeps the most that it has had under this leader.

--- a/crates/explain/src/lib.rs
+++ b/crates/explain/src/lib.rs
@@ -38,7 +38,7 @@
 const BACKLOG_EVENT: &str = "queue_backlogged";
 
 /// The events that show that a task of the job waits or has waited.
-const WAIT_EVENTS: [&str; 2] = ["step_waits", "start_ordered"];
+const WAIT_EVENTS: [&str; 3] = ["step_waits", "step_held", "start_ordered"];
 
 impl Line {
     fn field(&self, name: &str) -> Option<&str> {
--- a/crates/sched/src/changes/directory.rs
+++ b/crates/sched/src/changes/directory.rs
@@ -35,6 +35,7 @@
         (Listing::Draining { .. }, Listing::Draining { .. }) => previous,
         _ => listing,
     };
+    worker.largest = worker.largest.max_of_each(&info.capacity);
     worker.info = info;
     cx.set_terminated(ix, false);
     evacuation::update_worker(cx, ix);
--- a/crates/sched/src/changes/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -144,8 +144,9 @@
     let Some(round) = entry.round(ready.round) else { return };
     let pending = start_order(cx, ready, step, &round.steps[usize::from(ready.step)].pending);
     // An instruction concerns all tasks of a step alike, so the others need not be looked at.
-    if pending.first().is_some_and(|&first| !steering::allows_start(cx, task_key(ready, first))) {
-        return;
+    let first = pending.first().map(|&first| task_key(ready, first));
+    if let Some(first) = first.filter(|&first| !steering::allows_start(cx, first)) {
+        return log_held(cx, &job, first, pending.len());
     }
     let Some(wait) = first_that_may_start(cx, ready, &pending) else { return };
     let demand = UnplacedDemand::of(service.clone(), step, wait);
@@ -257,16 +258,30 @@
 /// How often the log says why a step waits.
 const WAIT_LOG_INTERVAL: Millis = Millis(2_000);
 
-/// Logs why a task finds no worker, once it has waited for a while.
-fn log_waiting(cx: &mut State, job: &Job, service: &ids::ServiceId, task: TaskKey, pending: usize) {
+/// Returns how long a task has waited if the log is to say why its step waits: once it has waited
+/// for a while, and then at intervals.
+fn take_wait_to_log(cx: &mut State, task: TaskKey) -> Option<Millis> {
     let now = cx.now;
-    let Some(waited) = cx.task(task).map(|t| now.since(t.since)) else { return };
-    let round = cx.jobs.get_mut(&task.job).and_then(|e| e.round_mut(task.round));
-    let Some(state) = round.map(|r| &mut r.steps[usize::from(task.step)]) else { return };
+    let waited = cx.task(task).map(|t| now.since(t.since))?;
+    let state = cx.step_state_mut(task)?;
     if waited < WAIT_LOG_INTERVAL || now.since(state.last_explained_at) < WAIT_LOG_INTERVAL {
-        return;
+        return None;
     }
     state.last_explained_at = now;
+    Some(waited)
+}
+
+/// Logs that an operator's instruction keeps a step's tasks from starting.
+fn log_held(cx: &mut State, job: &Job, task: TaskKey, pending: usize) {
+    let Some(waited) = take_wait_to_log(cx, task) else { return };
+    if let Some(instruction) = steering::instruction(cx, &job.queue) {
+        trace::step_held(task, pending, waited, instruction);
+    }
+}
+
+/// Logs why a task finds no worker, once it has waited for a while.
+fn log_waiting(cx: &mut State, job: &Job, service: &ids::ServiceId, task: TaskKey, pending: usize) {
+    let Some(waited) = take_wait_to_log(cx, task) else { return };
     let Some(request) = requests::placement_request(cx, job, service, task) else { return };
     let counts = placement::count_unfit(cx, &request);
     trace::step_waits(task, pending, waited, &request.step.demand, &counts);
--- a/crates/sched/src/changes/trace.rs
+++ b/crates/sched/src/changes/trace.rs
@@ -5,7 +5,7 @@
 
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, TaskKey};
-use gaplock_overload::steer::Steer;
+use gaplock_overload::steer::{Instruction, Steer};
 use gaplock_policy::attempts::CallAttempts;
 use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
@@ -60,6 +60,11 @@
         until_unix_ms = steer.until_unix_ms);
 }
 
+/// Logs that an operator's instruction for its queue keeps a step's tasks from starting.
+pub fn step_held(task: TaskKey, pending: usize, waited: Millis, instruction: Instruction) {
+    info!(event = "step_held", %task, pending, waited_ms = waited.0, %instruction);
+}
+
 /// Logs that no operator's instruction for a queue is in force any more.
 pub fn queue_steering_ended(queue: &str) {
     info!(event = "queue_steering_ended", queue);
--- a/crates/sched/src/decisions/load.rs
+++ b/crates/sched/src/decisions/load.rs
@@ -127,15 +127,10 @@
             capacity_millicores: 0,
             largest: Resources::default(),
         });
-        let capacity = worker.info.capacity;
         if worker.accepts_tasks(cx.now) {
-            load.capacity_millicores += u64::from(capacity.cpu.0);
+            load.capacity_millicores += u64::from(worker.info.capacity.cpu.0);
         }
-        load.largest = Resources {
-            cpu: load.largest.cpu.max(capacity.cpu),
-            mem: load.largest.mem.max(capacity.mem),
-            acc: load.largest.acc.max(capacity.acc),
-        };
+        load.largest = load.largest.max_of_each(&worker.largest);
     }
     pools.into_values().collect()
 }
--- a/crates/sched/src/state/worker.rs
+++ b/crates/sched/src/state/worker.rs
@@ -152,6 +152,8 @@
 pub struct Worker {
     /// Its description.
     pub info: WorkerInfo,
+    /// The most of each resource that it has had under this leader.
+    pub largest: Resources,
     /// How the directory lists it.
     pub listing: Listing,
     /// Set once it is proven that this incarnation runs nothing and never will.
@@ -233,6 +235,7 @@
     /// Creates the state of a worker that the leader has just learned of.
     pub fn new(info: WorkerInfo, listing: Listing, now: Instant) -> Self {
         Self {
+            largest: info.capacity,
             info,
             listing,
             terminated: false,
--- a/crates/sched/tests/fleet/accounts.rs
+++ b/crates/sched/tests/fleet/accounts.rs
@@ -4,9 +4,11 @@
 use gaplock_jobs::job::Repeat;
 use gaplock_jobs::{Job, Step};
 use gaplock_overload::summary::WorkClass;
+use gaplock_sched::load;
 use gaplock_sched::message::{
     StoredLoad, StoredPoolLoad, StoredQueueLoad, MAX_STORED_LOADS, MAX_STORED_NAME_BYTES,
 };
+use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 
 use crate::simulation::{assert_no_violations, job, long_running_step, step, Faults, Simulation};
@@ -101,6 +103,29 @@
     assert_no_violations(&sim);
 }
 
+/// Guards against a pool whose largest worker is forgotten when it shrinks or is lost: jobs that
+/// only it can hold would pass for ones that can never run.
+#[test]
+fn the_largest_capacity_of_a_pool_is_remembered() {
+    let mut sim = Simulation::open(62, 2);
+    sim.run(500);
+    let pool = |sim: &Simulation| {
+        let cx = sim.cx.as_ref().expect("there is a leader");
+        load::summary(cx, 1).pools.remove(0)
+    };
+    let (before, capacity) = (pool(&sim), sim.workers[0].info.capacity);
+    assert_eq!(before.largest, capacity);
+    for worker in 0..2 {
+        sim.resize(worker, capacity.minus(&Resources::new(2_000, 0, 0)));
+    }
+    sim.crash(0);
+    sim.unlist(0);
+    sim.run(9_000);
+    let after = pool(&sim);
+    assert_eq!(after.largest, capacity);
+    assert_eq!(after.capacity_millicores, u64::from(capacity.cpu.0) - 2_000);
+}
+
 /// Guards against a record that grows beyond its bound, and against one that a host of another
 /// version cannot read.
 #[test]
--- a/crates/types/src/sizes.rs
+++ b/crates/types/src/sizes.rs
@@ -127,6 +127,15 @@
         )
     }
 
+    /// Returns the larger amount of each dimension.
+    pub fn max_of_each(&self, other: &Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            mem: self.mem.max(other.mem),
+            acc: self.acc.max(other.acc),
+        }
+    }
+
     /// Returns the largest share of `total` that `self` takes in any dimension.
     pub fn dominant_share(&self, total: &Self) -> f64 {
         let share = |part: u32, whole: u32| match (part, whole) {
