Merge the load account, its record, metrics and the operators' instructions

Cause: nothing kept rates, backlog or time to drain, so no decision could use them, no operator saw them, and a new leader knew nothing of an overload. The merge turns its setting into a switch like the others.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -19,6 +19,7 @@
 const NO_LOAD_FORECAST: &str = "no-load-forecast";
 const NO_PACE_BY_SLACK: &str = "no-pace-by-slack";
 const LIMIT_BEST_EFFORT: &str = "limit-best-effort";
+const NO_LOAD_ACCOUNT: &str = "no-load-account";
 
 /// Every setting.
 pub const TABLE: &[Setting] = &[
@@ -72,6 +73,13 @@
         None,
         "Limits the best-effort work that is under way at one time in a pool.",
     ),
+    setting(
+        NO_LOAD_ACCOUNT,
+        Kind::Switch,
+        "",
+        None,
+        "Neither shows, logs and stores the load of the queues nor shares it between hosts.",
+    ),
 ];
 
 /// The time within which the answers to a burst of starts must be handled, in seconds: well below
@@ -101,6 +109,7 @@
         renew_wait: Millis(values.number(RENEW_WAIT)),
         commit_delay: Millis(values.number(COMMIT_DELAY)),
         forecasts_load: !values.switch(NO_LOAD_FORECAST),
+        load_account: !values.switch(NO_LOAD_ACCOUNT),
         max_starts_in_flight: max_starts_in_flight(installation.cpu_share, installation.link_mbps),
         pace_by_slack: !values.switch(NO_PACE_BY_SLACK),
         limit_best_effort: values.switch(LIMIT_BEST_EFFORT),
--- a/crates/sched/src/changes.rs
+++ b/crates/sched/src/changes.rs
@@ -2,6 +2,7 @@
 //! queue the actions that the driver carries out.
 
 pub mod abandoned_starts;
+pub mod accounting;
 pub mod best_effort_limits;
 pub mod checkpoints;
 pub mod commits;
@@ -27,6 +28,7 @@
 pub mod scarcity;
 pub mod speed;
 pub mod starts;
+pub mod steering;
 pub mod stragglers;
 pub mod takeover;
 pub mod terminated;
--- a/crates/sched/src/changes/moving.rs
+++ b/crates/sched/src/changes/moving.rs
@@ -5,9 +5,9 @@
 use rustc_hash::FxHashSet;
 
 use crate::changes::lifecycle;
-use crate::decisions::placement;
 use crate::decisions::run_times::{self, RunTimeClass};
 use crate::decisions::slack::{self, Slack, Usefulness};
+use crate::decisions::{placement, steering};
 use crate::interface::message::{Run, WorkerIx};
 use crate::interface::search_budget::{self, SearchBudget};
 use crate::state::interference_model::Column;
@@ -163,7 +163,10 @@
     fn finds_better_place(&mut self, cx: &State, task: &SlowedTask) -> bool {
         let SlowedTask { worker: here, key, need, .. } = *task;
         let can_resume = cx.step(key).is_some_and(|step| !step.gang && step.checkpoints);
-        if !can_resume || self.unplaceable.iter().any(|known| known.covers(&need)) {
+        if !can_resume
+            || steering::is_held(cx, key)
+            || self.unplaceable.iter().any(|known| known.covers(&need))
+        {
             return false;
         }
         self.budget.spend_one();
--- a/crates/sched/src/changes/trace.rs
+++ b/crates/sched/src/changes/trace.rs
@@ -7,12 +7,14 @@
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{JobKey, TaskKey};
 use gaplock_overload::budget::{Change, Observation};
+use gaplock_overload::steer::{Instruction, Steer};
 use gaplock_policy::attempts::CallAttempts;
 use gaplock_types::ids;
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::{Instant, Millis};
 use tracing::{debug, info, warn};
 
+use crate::decisions::load::Backlogged;
 use crate::decisions::losses::Loss;
 use crate::decisions::placement::UnfitCounts;
 use crate::interface::message::{
@@ -42,6 +44,34 @@
     info!(event = "job_ended", %job, ?state, still_running);
 }
 
+/// Logs that a queue's backlog of one class of work takes longer to drain than its jobs may take.
+pub fn queue_backlogged(backlogged: &Backlogged) {
+    let Backlogged { load, drain, objective } = backlogged;
+    info!(event = "queue_backlogged", queue = %load.queue, class = load.class.name(),
+        jobs = load.jobs, drain_ms = drain.0, objective_ms = objective.0,
+        backlog_core_s = load.backlog_core_ms / 1_000,
+        arriving_core_ms_per_s = load.arriving_core_ms_per_s,
+        completed_core_ms_per_s = load.completed_core_ms_per_s,
+        running_millicores = load.running_millicores,
+        waiting_millicores = load.waiting_millicores);
+}
+
+/// Logs that an operator's instruction for a queue is in force, and until when.
+pub fn queue_steered(queue: &str, steer: &Steer) {
+    info!(event = "queue_steered", queue, instruction = %steer.instruction,
+        until_unix_ms = steer.until_unix_ms);
+}
+
+/// Logs that an operator's instruction for its queue keeps a step's tasks from starting.
+pub fn step_held(task: TaskKey, pending: usize, waited: Millis, instruction: Instruction) {
+    info!(event = "step_held", %task, pending, waited_ms = waited.0, %instruction);
+}
+
+/// Logs that no operator's instruction for a queue is in force any more.
+pub fn queue_steering_ended(queue: &str) {
+    info!(event = "queue_steering_ended", queue);
+}
+
 /// Logs that the start of a task at a worker was ordered.
 pub fn start_ordered(task: TaskKey, run: Run, worker: &ids::WorkerId, waited: Millis) {
     info!(event = "start_ordered", %task, run = run.0, %worker, waited_ms = waited.0);
--- a/crates/sched/src/interface/message.rs
+++ b/crates/sched/src/interface/message.rs
@@ -3,7 +3,9 @@
 mod evacuated;
 mod hosts;
 mod learned;
+mod load;
 mod readings;
+mod steering;
 mod steps;
 
 use std::sync::Arc;
@@ -18,7 +20,11 @@
 pub use evacuated::Evacuated;
 pub use hosts::{HostInfo, HostState, MaintenanceAnswer, WaveNumber, WaveProgress, WaveRequest};
 pub use learned::{Learned, LearnedFactor, LearnedImage, LearnedPeriod};
+pub use load::{
+    StoredLoad, StoredPoolLoad, StoredQueueLoad, MAX_STORED_LOADS, MAX_STORED_NAME_BYTES,
+};
 pub use readings::{DirectoryRead, RevisionSample};
+pub use steering::Steering;
 pub use steps::StepKey;
 
 /// The number of a run of a task; it rises with every start, across all leaders.
@@ -303,6 +309,8 @@
         /// The answer to the order.
         answer: MaintenanceAnswer,
     },
+    /// The operators' instructions for queues were read.
+    Steered(Steering),
     /// The commit in flight is stored.
     Committed,
     /// The commit in flight is certainly not stored and must be repeated.
@@ -322,6 +330,8 @@
     ForgetWorker(ids::WorkerId),
     /// The learned interference between images.
     Learned(Learned),
+    /// What is known of the load that a new leader cannot learn at once.
+    Load(StoredLoad),
     /// The progress of a maintenance wave.
     Wave(WaveProgress),
 }
--- a/crates/sched/src/interface/settings.rs
+++ b/crates/sched/src/interface/settings.rs
@@ -62,6 +62,8 @@
     pub limit_best_effort: bool,
     /// How long a finished job's state is kept; set by the installation, with a margin.
     pub finished_job_retention: Millis,
+    /// Whether the load of the queues is shown, logged, stored and shared with the other hosts.
+    pub load_account: bool,
 }
 
 /// The longest lease that is requested, whatever workers would grant. A task at a lost worker
@@ -103,6 +105,7 @@
             pace_by_slack: true,
             limit_best_effort: false,
             finished_job_retention: Millis(150_000),
+            load_account: true,
         }
     }
 }
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -20,13 +20,16 @@
 use std::sync::Arc;
 
 use gaplock_jobs::{config, JobKey, Step, TaskKey};
+use gaplock_overload::account::LoadAccount;
 use gaplock_overload::budget::{Limit, Observation};
 use gaplock_overload::estimates::EstimateRatios;
 use gaplock_types::ids;
 use gaplock_types::time::Instant;
 use rustc_hash::FxHashMap;
 
-use crate::interface::message::{Action, Evacuated, FencingToken, Run, WorkerInfo, WorkerIx};
+use crate::interface::message::{
+    Action, Evacuated, FencingToken, Run, Steering, WorkerInfo, WorkerIx,
+};
 use crate::interface::settings::Settings;
 
 use commits::Commits;
@@ -96,6 +99,8 @@
     pub unknown_pool_workers: UnknownPoolWorkers,
     /// The failure domains whose workers get no new tasks.
     pub evacuated: Evacuated,
+    /// The operators' instructions for queues.
+    pub steering: Steering,
     /// How old the view of the directory is.
     pub freshness: Freshness,
     /// Steps with pending tasks.
@@ -115,6 +120,8 @@
     pub passes: u64,
     /// The learned interference between tasks.
     pub interference: InterferenceModel,
+    /// The load of each queue and class of work.
+    pub load: LoadAccount,
     /// Where steps may run whose queue asks an external service.
     pub permits: Permits,
     /// Tasks that were running on workers when these were lost, and may have crashed them.
@@ -140,6 +147,10 @@
     pub directory_recovered_at: Instant,
     /// When the learned interference was last stored.
     pub learned_stored_at: Instant,
+    /// When the load was last stored.
+    pub load_stored_at: Instant,
+    /// When queues that do not keep up were last logged.
+    pub backlogs_logged_at: Instant,
     /// How many runs were listed although their job had ended before and no stop was on its way.
     pub runs_after_end: u64,
 }
@@ -162,6 +173,7 @@
             by_name: FxHashMap::default(),
             unknown_pool_workers: UnknownPoolWorkers::default(),
             evacuated: Evacuated::default(),
+            steering: Steering::default(),
             freshness: Freshness::default(),
             ready: BTreeSet::new(),
             recovery_scan: None,
@@ -171,6 +183,7 @@
             pools_observed_at: Instant(0),
             passes: 0,
             interference: InterferenceModel::open(settings.forecasts_load),
+            load: LoadAccount::open(now),
             permits: Permits::default(),
             crashes: CrashTracker::default(),
             maintenance: Maintenance::default(),
@@ -183,6 +196,8 @@
             short_task_waited_at: FxHashMap::default(),
             directory_recovered_at: now,
             learned_stored_at: now,
+            load_stored_at: now,
+            backlogs_logged_at: now,
             runs_after_end: 0,
             settings,
         }
--- a/crates/sched/tests/fleet/simulation/store.rs
+++ b/crates/sched/tests/fleet/simulation/store.rs
@@ -31,8 +31,10 @@
             cancelled: self.cancelled.iter().copied().collect(),
             roster: self.roster.values().cloned().collect(),
             learned: self.learned.clone(),
+            load: self.load.clone(),
             waves: self.wave_progress.values().cloned().collect(),
             evacuated: self.evacuated(),
+            steering: self.steering.clone(),
         };
         takeover::restore(&mut cx, stored);
         for worker in self.workers.iter().filter(|w| w.up) {
@@ -97,6 +99,7 @@
                     self.roster.remove(&id);
                 }
                 Record::Learned(learned) => self.learned = learned,
+                Record::Load(load) => self.load = load,
                 Record::Wave(progress) => {
                     self.check_wave(&progress);
                     self.wave_progress.insert(progress.number, progress);
