Hold long-running tasks to their class's share while short tasks wait

Cause: after the loss of a third of a full pool's workers, long-running tasks hold all that is left, and their restarts go before all short tasks after 3 s. Short tasks find room only where another short task ends.

Ruled out: sums per pool that follow each event, since which workers count changes with their renewals; a worker keeps its sums by class, and a check adds them up while short tasks wait.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -16,6 +16,7 @@
 use gaplock_sched::free_capacity::{self, FreeCpu};
 use gaplock_sched::job_table::JobEntry;
 use gaplock_sched::message::{FencingToken, Record};
+use gaplock_sched::shares;
 use gaplock_sched::{commits, evacuation, Context, Event};
 use gaplock_types::time::Instant;
 
@@ -136,6 +137,7 @@
         }
         self.show_free_capacity(FreeCpu::default(), 0, 0);
         self.node.metrics.show_evacuated(iter::empty());
+        self.node.metrics.show_class_shares(iter::empty());
         self.node.metrics.directory_lag_ms.set(0);
         self.node.metrics.waiting_events.set(0);
         self.node.metrics.runs_after_end.set(0);
@@ -209,6 +211,9 @@
         self.node.metrics.directory_lag_ms.set(self.cx.freshness.lag().0 as i64);
         self.node.metrics.waiting_events.set(self.rx.len() as i64);
         self.node.metrics.runs_after_end.set(self.cx.runs_after_end as i64);
+        let classes = shares::class_shares(&self.cx);
+        let shown = classes.iter().map(|((pool, class), share)| (pool, *class, *share));
+        self.node.metrics.show_class_shares(shown);
         let free = free_capacity::free_cpu(&self.cx);
         self.show_free_capacity(free, self.cx.ready.len(), self.cx.crashes.suspects.len());
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use gaplock_overload::summary::WorkClass;
+use gaplock_sched::shares::ClassShare;
 use gaplock_types::codes::Code;
 use gaplock_types::ids;
 use prometheus_client::encoding::{text, EncodeLabelSet};
@@ -23,6 +25,13 @@
     domain: String,
 }
 
+/// A class of work in a pool as a label.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ClassLabel {
+    pool: String,
+    class: &'static str,
+}
+
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 2.5];
 
@@ -30,6 +39,10 @@
 /// whatever operators write.
 const MAX_EVACUATED_SHOWN: usize = 64;
 
+/// The maximum number of classes of work that are shown, over all pools: a limit whatever the
+/// configuration names.
+const MAX_CLASSES_SHOWN: usize = 64;
+
 /// All metrics of a host.
 pub struct Metrics {
     registry: Registry,
@@ -38,6 +51,8 @@
     commits: Family<Label, Counter>,
     commit_time: Histogram,
     evacuated_runs: Family<DomainLabel, Gauge>,
+    class_entitled: Family<ClassLabel, Gauge>,
+    class_in_use: Family<ClassLabel, Gauge>,
     /// The number of leaderships that this process has held.
     pub terms: Counter,
     /// The version of the configuration in force.
@@ -79,6 +94,12 @@
     let evacuated_runs = Family::<DomainLabel, Gauge>::default();
     let help = "Tasks that still run in an evacuated failure domain";
     registry.register("evacuated_domain_runs", help, evacuated_runs.clone());
+    let class_entitled = Family::<ClassLabel, Gauge>::default();
+    let help = "Processors that a class of work is entitled to in a pool";
+    registry.register("class_entitled_millicores", help, class_entitled.clone());
+    let class_in_use = Family::<ClassLabel, Gauge>::default();
+    let help = "Processors that a class of work reserves in a pool";
+    registry.register("class_used_millicores", help, class_in_use.clone());
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let mut gauge = |name: &str, help: &str| {
@@ -106,6 +127,8 @@
         commits,
         commit_time,
         evacuated_runs,
+        class_entitled,
+        class_in_use,
         terms,
         config_version,
         free_millicores,
@@ -147,6 +170,25 @@
         }
     }
 
+    /// Shows what each class of work is entitled to and uses in each pool.
+    pub fn show_class_shares<'a>(
+        &self,
+        shares: impl Iterator<Item = (&'a ids::ServiceId, WorkClass, ClassShare)>,
+    ) {
+        self.class_entitled.clear();
+        self.class_in_use.clear();
+        for (pool, class, share) in shares.take(MAX_CLASSES_SHOWN) {
+            let class = match class {
+                WorkClass::Short => "short",
+                WorkClass::BestEffort => "best-effort",
+                WorkClass::LongRunning => "long-running",
+            };
+            let label = ClassLabel { pool: pool.to_string(), class };
+            self.class_entitled.get_or_create(&label).set(share.entitled as i64);
+            self.class_in_use.get_or_create(&label).set(share.in_use as i64);
+        }
+    }
+
     /// Renders the metrics as text.
     pub fn render(&self) -> String {
         let mut out = String::new();
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -16,6 +16,7 @@
 
 const RENEW_WAIT: &str = "renew-wait";
 const COMMIT_DELAY: &str = "commit-delay";
+const NO_CLASS_SHARES: &str = "no-class-shares";
 
 /// Every setting.
 pub const TABLE: &[Setting] = &[
@@ -48,6 +49,13 @@
         Some("60"),
         "How long ends of tasks are gathered into one commit.",
     ),
+    setting(
+        NO_CLASS_SHARES,
+        Kind::Switch,
+        "",
+        None,
+        "Long-running tasks are not held to their share while short tasks wait.",
+    ),
 ];
 
 /// The time within which the answers to a burst of starts must be handled, in seconds: well below
@@ -76,6 +84,7 @@
     let mut cfg = Settings {
         renew_wait: Millis(values.number(RENEW_WAIT)),
         commit_delay: Millis(values.number(COMMIT_DELAY)),
+        class_shares: !values.switch(NO_CLASS_SHARES),
         max_starts_in_flight: max_starts_in_flight(installation.cpu_share, installation.link_mbps),
         ..Settings::default()
     };
--- a/crates/sched/src/changes.rs
+++ b/crates/sched/src/changes.rs
@@ -24,6 +24,7 @@
 pub mod restarts;
 pub mod roster;
 pub mod scarcity;
+pub mod shares;
 pub mod speed;
 pub mod starts;
 pub mod stragglers;
--- a/crates/sched/src/changes/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -9,6 +9,8 @@
 use gaplock_types::{ids, sizes};
 
 use crate::changes::{gangs, pacing, permits, scarcity, starts, trace, trials};
+use crate::decisions::free_capacity::RoomAccess;
+use crate::decisions::placement::PlacementRequest;
 use crate::decisions::ranking::RankedWorkers;
 use crate::decisions::requests::{self, WaitStatus};
 use crate::decisions::{free_capacity, interference, placement};
@@ -27,6 +29,8 @@
     /// For a long-running task: whether it has waited so long that it may use capacity that is
     /// reserved for short tasks.
     may_use_reserved: Option<bool>,
+    /// Which rooms the task may take while shares of classes are enforced.
+    access: RoomAccess,
 }
 
 /// What decides, besides free capacity, whether a best-effort task finds a worker.
@@ -40,7 +44,7 @@
 
 impl UnplacedDemand {
     /// Describes the demand of a step's task that finds no worker.
-    fn of(service: ids::ServiceId, step: &Step, wait: WaitStatus) -> Self {
+    fn of(service: ids::ServiceId, step: &Step, wait: WaitStatus, access: RoomAccess) -> Self {
         let best_effort = step.fills.then(|| UnplacedBestEffort {
             image: step.image.clone(),
             demand: step.demand.cpu,
@@ -54,6 +58,7 @@
             reservation: job_table::reservation(step),
             best_effort,
             may_use_reserved,
+            access,
         }
     }
 
@@ -64,6 +69,7 @@
         same_pool
             && same_kind
             && self.may_use_reserved >= other.may_use_reserved
+            && self.access >= other.access
             && other.reservation.holds(&self.reservation)
             && self.best_effort_covers(other)
     }
@@ -100,19 +106,44 @@
     }
     trials::end_excess_trials(cx);
     trials::start_trials(cx);
-    let mut ready: Vec<ReadyStep> = cx.ready.iter().copied().collect();
-    ready.sort_by_cached_key(|&step| !has_restart_priority(cx, step));
+    let turns = turns(cx);
     let (most_free, largest) = most_processors(cx);
     let mut pass = Pass { unplaced: Vec::new(), most_free, largest, searches: 0 };
-    for step in ready {
+    for turn in turns {
         if cx.is_at_start_limit() {
             break;
         }
-        start_step(cx, step, &mut pass);
+        start_step(cx, turn, &mut pass);
     }
     cx.pass_evaluations = pass.searches * cx.workers.len();
 }
 
+/// A step whose turn it is in a pass.
+#[derive(Debug, Clone, Copy)]
+struct Turn {
+    step: ReadyStep,
+    /// Whether the turn is before those of short steps.
+    before_short: bool,
+}
+
+/// Returns the order of a pass: the steps with tasks that go before all others, then the rest.
+/// Where shares of classes are enforced, the former take only large rooms at first, and have
+/// another turn in the order of priority and objective.
+fn turns(cx: &State) -> Vec<Turn> {
+    let (first, rest): (Vec<ReadyStep>, Vec<ReadyStep>) =
+        cx.ready.iter().partition(|&&step| has_restart_priority(cx, step));
+    let is_enforced = |step: &&ReadyStep| {
+        let job = cx.jobs.get(&step.job).map(|entry| &entry.job);
+        let pool = job.and_then(|job| requests::service_of(cx, job));
+        pool.is_some_and(|pool| cx.class_shares.enforcement(&pool).is_some())
+    };
+    let again: Vec<ReadyStep> = first.iter().filter(is_enforced).copied().collect();
+    let mut last: Vec<ReadyStep> = rest.into_iter().chain(again).collect();
+    last.sort_unstable();
+    let turn = |before_short| move |step| Turn { step, before_short };
+    first.into_iter().map(turn(true)).chain(last.into_iter().map(turn(false))).collect()
+}
+
 /// Returns whether a long-running step has tasks that go before all others; few steps do.
 fn has_restart_priority(cx: &State, ready: ReadyStep) -> bool {
     let Some(entry) = cx.jobs.get(&ready.job) else { return false };
@@ -136,7 +167,8 @@
 
 /// Starts the tasks of one step that can start, unless a similar demand found no capacity in this
 /// pass.
-fn start_step(cx: &mut State, ready: ReadyStep, pass: &mut Pass) {
+fn start_step(cx: &mut State, turn: Turn, pass: &mut Pass) {
+    let Turn { step: ready, before_short } = turn;
     let Some(entry) = cx.jobs.get(&ready.job) else { return };
     let job = entry.job.clone();
     let Some(service) = requests::service_of(cx, &job) else { return };
@@ -144,7 +176,8 @@
     let Some(round) = entry.round(ready.round) else { return };
     let pending = start_order(cx, ready, step, &round.steps[usize::from(ready.step)].pending);
     let Some(wait) = first_that_may_start(cx, ready, &pending) else { return };
-    let demand = UnplacedDemand::of(service.clone(), step, wait);
+    let access = access_of(cx, &service, (step, ready.priority), wait, before_short);
+    let demand = UnplacedDemand::of(service.clone(), step, wait, access);
     if pass.unplaced.iter().any(|known| known.covers(&demand)) {
         return;
     }
@@ -157,17 +190,30 @@
         return;
     }
     pass.searches += 1;
-    let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending) else { return };
+    let Some(unplaced) = start_tasks(cx, &job, &service, turn, &pending) else { return };
     log_waiting(cx, &job, &service, unplaced, pending.len());
     note_scarcity(cx, &service, step, pass);
     if requests::advice_of(cx, &job).is_some() {
         permits::request_permits(cx, ready, pending.len());
     } else if step.most_per_worker.is_none() {
         let wait = cx.task(unplaced).map_or(wait, |t| requests::wait_status(cx, t));
-        pass.unplaced.push(UnplacedDemand::of(service, step, wait));
+        let access = access_of(cx, &service, (step, ready.priority), wait, before_short);
+        pass.unplaced.push(UnplacedDemand::of(service, step, wait, access));
     }
 }
 
+/// Returns which rooms the tasks of a step with a wait status may take.
+fn access_of(
+    cx: &State,
+    service: &ids::ServiceId,
+    of: (&Step, u32),
+    wait: WaitStatus,
+    before_short: bool,
+) -> RoomAccess {
+    let wait = (wait.waited, wait.may_have_run);
+    free_capacity::room_access(cx, service, of, wait, before_short)
+}
+
 /// Records that a step found too little free capacity. A short step is a sign of scarcity, unless
 /// no worker could ever hold its tasks.
 fn note_scarcity(cx: &mut State, pool: &ids::ServiceId, step: &Step, pass: &Pass) {
@@ -220,12 +266,13 @@
     cx: &mut State,
     job: &Job,
     service: &ids::ServiceId,
-    ready: ReadyStep,
+    Turn { step: ready, before_short }: Turn,
     pending: &[u32],
 ) -> Option<TaskKey> {
+    let step = &job.steps[usize::from(ready.step)];
     // Adds the step's image to the model if it is new. This is done before the first task is
     // placed, so that all tasks of the step are evaluated alike.
-    pacing::add_image_and_get_role(cx, &job.steps[usize::from(ready.step)]);
+    pacing::add_image_and_get_role(cx, step);
     let mut ranking = RankedWorkers::default();
     for &index in pending {
         if cx.is_at_start_limit() {
@@ -238,6 +285,9 @@
         let Some(request) = requests::placement_request(cx, job, service, task) else {
             return Some(task);
         };
+        let wait = WaitStatus { waited: request.waited, may_have_run: request.may_have_run };
+        let access = access_of(cx, service, (step, ready.priority), wait, before_short);
+        let request = PlacementRequest { access, ..request };
         let chosen = ranking.take_best(cx, &request);
         debug_assert_eq!(
             chosen,
--- a/crates/sched/src/changes/lifecycle.rs
+++ b/crates/sched/src/changes/lifecycle.rs
@@ -12,6 +12,7 @@
 use crate::interface::message::{Action, Run, WorkerIx};
 use crate::interface::proof::ReleaseProof;
 use crate::state::checkpoint::Checkpoint;
+use crate::state::class_shares::ClassPriority;
 use crate::state::job_table::{self, JobEntry, ReadyStep, Round, Task, TaskState};
 use crate::state::worker::{Phase, Slot, TaskRole};
 use crate::state::State;
@@ -94,21 +95,23 @@
         commits::mark_dirty(&mut cx.commits, now, key.job);
     }
     let job = Arc::clone(&entry.job);
+    let priority = entry.priority;
     let Some(step) = job.steps.get(usize::from(key.step)) else { return };
     let role = pacing::add_image_and_get_role(cx, step);
     let w = cx.worker_mut(worker);
-    w.add_slot(key, slot_of(step, role, occupant, now));
+    w.add_slot(key, slot_of(step, priority, role, occupant, now));
     cx.expedite_renewal(worker);
     scarcity::note_short_change(cx, worker, key);
     pacing::refresh_spare_capacity(cx, worker);
 }
 
-fn slot_of(step: &Step, role: TaskRole, occupant: Occupant, now: Instant) -> Slot {
+fn slot_of(step: &Step, priority: u32, role: TaskRole, occupant: Occupant, now: Instant) -> Slot {
     let started = occupant.phase == Phase::Starting;
     Slot {
         run: occupant.run,
         phase: occupant.phase,
         reservation: job_table::reservation(step),
+        class: ClassPriority { class: job_table::class_of(step), priority },
         role,
         best_effort_millicores: job_table::best_effort_millicores(step),
         ordered_at: now,
--- a/crates/sched/src/changes/starts.rs
+++ b/crates/sched/src/changes/starts.rs
@@ -4,7 +4,7 @@
 
 use crate::changes::crashes::{recorded_starts, reserved};
 use crate::changes::lifecycle::Occupant;
-use crate::changes::{checkpoints, lifecycle, orders, trace};
+use crate::changes::{checkpoints, lifecycle, orders, shares, trace};
 use crate::interface::message::{Run, WorkerIx};
 use crate::state::checkpoint::Checkpoint;
 use crate::state::job_table::TaskState;
@@ -55,5 +55,6 @@
         t.may_have_run = true;
         trace::start_ordered(task, run, &worker, now.since(t.since));
     }
+    shares::note_start(cx, ix, task);
     reserved::reserve_after_placement(cx, ix, task);
 }
--- a/crates/sched/src/changes/trace.rs
+++ b/crates/sched/src/changes/trace.rs
@@ -7,12 +7,13 @@
 use gaplock_jobs::{JobKey, TaskKey};
 use gaplock_policy::attempts::CallAttempts;
 use gaplock_types::ids;
-use gaplock_types::sizes::Resources;
+use gaplock_types::sizes::{MilliCores, Resources};
 use gaplock_types::time::{Instant, Millis};
 use tracing::{debug, info, warn};
 
 use crate::decisions::losses::Loss;
 use crate::decisions::placement::UnfitCounts;
+use crate::decisions::shares::PoolLoad;
 use crate::interface::message::{
     EndSeq, MaintenanceAnswer, Outcome, Run, RunEnd, WaveNumber, WaveRequest, WorkerClock,
     WorkerInfo, WorkerIx,
@@ -113,6 +114,7 @@
 ) {
     info!(event = "step_waits", %task, pending, waited_ms = waited.0, %demand,
         not_taking = unfit.not_taking, evacuated = unfit.evacuated, full = unfit.full, reserved = unfit.reserved,
+        over_share = unfit.over_share,
         slow = unfit.slow, label = unfit.label, spread = unfit.spread, disturbs = unfit.disturbs,
         not_permitted = unfit.not_permitted,
         no_memory = unfit.no_memory, if_emptied = unfit.if_emptied,
@@ -124,6 +126,30 @@
     info!(event = "stop_ordered", %task, run = run.0, %worker, why);
 }
 
+/// Logs that long-running tasks of a pool are held to their share, because short tasks wait.
+pub fn shares_enforced(pool: &ids::ServiceId, load: &PoolLoad, excess: u64) {
+    info!(event = "shares_enforced", %pool, capacity = load.capacity, used = load.used,
+        fragmented = load.fragmented, excess, waiting = load.short.millicores,
+        waited_ms = load.short.longest_wait.0);
+}
+
+/// Logs that long-running tasks of a pool are no longer held to their share.
+pub fn shares_lifted(pool: &ids::ServiceId, lasted: Millis, preempted: u32) {
+    info!(event = "shares_lifted", %pool, lasted_ms = lasted.0, preempted);
+}
+
+/// Logs that a long-running task is stopped to make room for short tasks.
+pub fn task_preempted(
+    (task, run): (TaskKey, Run),
+    worker: &ids::WorkerId,
+    frees: MilliCores,
+    load: &PoolLoad,
+) {
+    info!(event = "task_preempted", %task, run = run.0, %worker, frees = frees.0,
+        waiting = load.short.millicores, waited_ms = load.short.longest_wait.0,
+        predicted_wait_ms = load.predicted_wait().map(|wait| wait.0));
+}
+
 /// Logs that a speculative copy of a task is wanted because its worker is slow.
 pub fn copy_wanted(task: TaskKey, run: Run, worker: &ids::WorkerId) {
     info!(event = "copy_wanted", %task, run = run.0, %worker);
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -8,7 +8,7 @@
 use crate::changes::crashes::recorded_starts;
 use crate::changes::{
     commits, crashes, directory, dispatch, drain, evacuation, freshness, intake, maintenance,
-    moving, orders, pacing, permits, renewals, roster, stragglers, takeover, terminated,
+    moving, orders, pacing, permits, renewals, roster, shares, stragglers, takeover, terminated,
 };
 use crate::interface::message::{Action, Event, WorkerIx};
 use crate::interface::settings::Settings;
@@ -155,6 +155,7 @@
         recorded_starts::send_stored_starts(self);
         maintenance::advance_waves(self);
         drain::check(self);
+        shares::check(self);
         self.rebalance();
         pacing::store_learned(self);
         intake::forget_finished(self);
--- a/crates/sched/src/decisions.rs
+++ b/crates/sched/src/decisions.rs
@@ -11,5 +11,6 @@
 pub mod racks;
 pub mod ranking;
 pub mod requests;
+pub mod shares;
 pub mod slowness;
 pub mod waves;
--- a/crates/sched/src/decisions/free_capacity.rs
+++ b/crates/sched/src/decisions/free_capacity.rs
@@ -16,12 +16,17 @@
 //!   before all short tasks ([`has_restart_priority`]). In a full pool, capacity becomes free only
 //!   in pieces, and an endless backlog of short tasks would take each of them.
 //!
+//! While the shares of a pool are enforced ([`crate::state::class_shares`]), long-running tasks that
+//! would take more than their class is entitled to wait ([`room_access`]) instead.
+//!
 //! `docs/DECISIONS.md` (section The room of a full pool) says what each rule is worth.
 
 use gaplock_jobs::Step;
+use gaplock_types::ids;
 use gaplock_types::sizes::MilliCores;
 use gaplock_types::time::{Instant, Millis};
 
+use crate::state::job_table;
 use crate::state::worker::Worker;
 use crate::state::State;
 
@@ -96,3 +101,65 @@
 pub fn has_restart_priority(step: &Step, waited: Millis, may_have_run: bool) -> bool {
     step.lasting && may_have_run && waited >= MAX_RESTART_WAIT
 }
+
+/// How long a long-running task that may have run before leaves all room to short tasks while
+/// shares are enforced. It must be started within 6 s after its last run ended where a worker has
+/// room for it.
+const MAX_HELD_RESTART_WAIT: Millis = Millis(5_000);
+
+/// How long a worker's room is kept for short tasks after a long-running task was preempted there:
+/// a stop of up to 0.9 s, and some dispatch passes.
+const KEPT_AFTER_PREEMPTION: Millis = Millis(2_000);
+
+/// Which rooms a long-running task may take, from none to any.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RoomAccess {
+    /// None: its class holds what it is entitled to.
+    None,
+    /// Rooms for at least twice its demand: it has waited so long that it takes half of one.
+    Double,
+    /// Any room within its class's share, unless a task was just preempted there for short tasks.
+    Share,
+    /// Any room.
+    Any,
+}
+
+/// Returns which rooms a task of a pool may take. While shares are enforced, steps that go before
+/// short tasks are tried before and after these; `before_short` says which.
+pub fn room_access(
+    cx: &State,
+    pool: &ids::ServiceId,
+    (step, priority): (&Step, u32),
+    (waited, may_have_run): (Millis, bool),
+    before_short: bool,
+) -> RoomAccess {
+    let Some(enforcement) = cx.class_shares.enforcement(pool).filter(|_| step.lasting) else {
+        return RoomAccess::Any;
+    };
+    if may_have_run && waited >= MAX_HELD_RESTART_WAIT && !before_short {
+        return RoomAccess::Any;
+    }
+    let headroom = enforcement.headroom.get(&priority).copied().unwrap_or(0);
+    if headroom >= u64::from(step.demand.cpu.0) {
+        RoomAccess::Share
+    } else if waited >= MAX_RESTART_WAIT {
+        RoomAccess::Double
+    } else {
+        RoomAccess::None
+    }
+}
+
+/// Returns whether a worker's room is one that a task may take.
+pub fn may_take_room(cx: &State, worker: &Worker, step: &Step, access: RoomAccess) -> bool {
+    let is_double = || {
+        let demand = job_table::reservation(step);
+        worker.info.capacity.minus(&worker.used).holds(&demand.plus(&demand))
+    };
+    let is_kept = || worker.preempted_at.is_some_and(|at| cx.now.since(at) < KEPT_AFTER_PREEMPTION);
+    match access {
+        RoomAccess::None => false,
+        RoomAccess::Double => is_double(),
+        RoomAccess::Share => !is_kept() || is_double(),
+        RoomAccess::Any => true,
+    }
+}
--- a/crates/sched/src/decisions/placement.rs
+++ b/crates/sched/src/decisions/placement.rs
@@ -6,7 +6,7 @@
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 
-use crate::decisions::free_capacity;
+use crate::decisions::free_capacity::{self, RoomAccess};
 use crate::decisions::interference;
 use crate::interface::message::{StepKey, WorkerIx};
 use crate::state::job_table;
@@ -28,6 +28,8 @@
     pub waited: Millis,
     /// Whether the task may have run before.
     pub may_have_run: bool,
+    /// Which rooms it may take while shares of classes are enforced.
+    pub access: RoomAccess,
     /// Set if only workers of this rack are allowed.
     pub only_rack: Option<&'a String>,
     /// Set if another service decides which workers may run the step.
@@ -59,6 +61,8 @@
     Slow,
     /// It has free capacity, but that is reserved for short tasks.
     Reserved,
+    /// It has free capacity, but the task's class holds its share of the pool.
+    OverShare,
     /// It lacks a required label, or is not in the required rack.
     LabelMissing,
     /// It runs as many tasks of the step as it may, or another run of this task.
@@ -83,6 +87,8 @@
     pub slow: u32,
     /// Workers whose free capacity is reserved for short tasks.
     pub reserved: u32,
+    /// Workers whose free capacity the task may not take, because its class holds its share.
+    pub over_share: u32,
     /// Workers without a required label, or not in the required rack.
     pub label: u32,
     /// Workers that run as many tasks of the step as they may.
@@ -141,6 +147,7 @@
             UnfitReason::Full => counts.count_full(worker, request.step),
             UnfitReason::Slow => counts.slow += 1,
             UnfitReason::Reserved => counts.reserved += 1,
+            UnfitReason::OverShare => counts.over_share += 1,
             UnfitReason::LabelMissing => counts.label += 1,
             UnfitReason::TooManyOfStep => counts.spread += 1,
             UnfitReason::NotPermitted => counts.not_permitted += 1,
@@ -177,6 +184,8 @@
     let queue = cx.config.as_ref()?.queue(&entry.job.queue)?;
     let (service, advice) = (&queue.service, queue.advice.as_ref());
     let (avoid, waited, may_have_run, only_rack) = (Some(here), Millis(0), true, None);
+    let (of, wait) = ((step, entry.priority), (waited, may_have_run));
+    let access = free_capacity::room_access(cx, service, of, wait, false);
     best_worker(
         cx,
         &PlacementRequest {
@@ -186,6 +195,7 @@
             avoid,
             waited,
             may_have_run,
+            access,
             only_rack,
             advice,
         },
@@ -246,6 +256,9 @@
     if !may_use_reserved && free_capacity::is_reserved(cx, worker) {
         return Err(UnfitReason::Reserved);
     }
+    if !free_capacity::may_take_room(cx, worker, step, request.access) {
+        return Err(UnfitReason::OverShare);
+    }
     Ok(())
 }
 
--- a/crates/sched/src/decisions/requests.rs
+++ b/crates/sched/src/decisions/requests.rs
@@ -5,6 +5,7 @@
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
 
+use crate::decisions::free_capacity;
 use crate::decisions::placement::PlacementRequest;
 use crate::state::job_table::{Task, TaskState};
 use crate::state::State;
@@ -55,7 +56,19 @@
     let WaitStatus { waited, may_have_run } = wait_status(cx, found);
     let avoid = found.failed_on;
     let (advice, only_rack) = (advice_of(cx, job), None);
-    Some(PlacementRequest { service, step, task, avoid, waited, may_have_run, only_rack, advice })
+    let of = (step, cx.jobs.get(&task.job).map_or(0, |entry| entry.priority));
+    let access = free_capacity::room_access(cx, service, of, (waited, may_have_run), false);
+    Some(PlacementRequest {
+        service,
+        step,
+        task,
+        avoid,
+        waited,
+        may_have_run,
+        access,
+        only_rack,
+        advice,
+    })
 }
 
 /// Returns whether a pending task may start on any worker that fits, instead of alone on a worker
--- a/crates/sched/src/interface/settings.rs
+++ b/crates/sched/src/interface/settings.rs
@@ -51,6 +51,9 @@
     pub max_tail_excess: Millis,
     /// How long beyond the longest lease a new leader waits for workers that do not answer.
     pub takeover_margin: Millis,
+    /// Whether long-running tasks are kept to their class's share of a pool while short tasks wait
+    /// for capacity; set by the daemon's settings.
+    pub class_shares: bool,
     /// How long a finished job's state is kept; set by the installation, with a margin.
     pub finished_job_retention: Millis,
 }
@@ -90,6 +93,7 @@
             full_pause: Millis(300),
             max_tail_excess: Millis(4_000),
             takeover_margin: Millis(500),
+            class_shares: true,
             finished_job_retention: Millis(150_000),
         }
     }
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -2,6 +2,7 @@
 
 pub mod abandoned_start;
 pub mod checkpoint;
+pub mod class_shares;
 pub mod commits;
 pub mod crash_evidence;
 pub mod freshness;
@@ -27,6 +28,7 @@
 use crate::interface::message::{Action, Evacuated, FencingToken, Run, WorkerInfo, WorkerIx};
 use crate::interface::settings::Settings;
 
+use class_shares::ClassShares;
 use commits::Commits;
 use crash_evidence::CrashTracker;
 use freshness::Freshness;
@@ -125,6 +127,8 @@
     pub rebalance_searches: usize,
     /// When a short task last found no free capacity, by pool.
     pub short_task_waited_at: FxHashMap<ids::ServiceId, Instant>,
+    /// The shares of classes of work in each pool, and what is done to enforce them.
+    pub class_shares: ClassShares,
     /// When the directory could be read again after the last outage, or was first read.
     pub directory_recovered_at: Instant,
     /// When the learned interference was last stored.
@@ -167,6 +171,7 @@
             rebalance_cursors: (WorkerIx(0), WorkerIx(0)),
             rebalance_searches: 0,
             short_task_waited_at: FxHashMap::default(),
+            class_shares: ClassShares::default(),
             directory_recovered_at: now,
             learned_stored_at: now,
             runs_after_end: 0,
--- a/crates/sched/src/state/job_table.rs
+++ b/crates/sched/src/state/job_table.rs
@@ -6,6 +6,7 @@
 use gaplock_jobs::job::{self, Repeat};
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey, Step, TaskKey};
+use gaplock_overload::summary::WorkClass;
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Instant;
 
@@ -280,6 +281,17 @@
     step.demand
 }
 
+/// Returns the class of work of a step's tasks.
+pub fn class_of(step: &Step) -> WorkClass {
+    if step.fills {
+        WorkClass::BestEffort
+    } else if step.lasting {
+        WorkClass::LongRunning
+    } else {
+        WorkClass::Short
+    }
+}
+
 /// Returns the processor demand of a best-effort task in thousandths of a core, and 0 for any
 /// other.
 pub fn best_effort_millicores(step: &Step) -> u32 {
--- a/crates/sched/src/state/worker.rs
+++ b/crates/sched/src/state/worker.rs
@@ -11,6 +11,7 @@
 use crate::interface::message::{EndSeq, Run, WorkerClock, WorkerInfo, WorkerIx};
 use crate::state::abandoned_start::AbandonedStart;
 use crate::state::checkpoint::Checkpoint;
+use crate::state::class_shares::{ClassPriority, ReservedCpu};
 use crate::state::interference_model::{Column, Row};
 use crate::state::pace_orders::PaceOrders;
 use crate::state::rates::{ProgressSample, Speed};
@@ -41,6 +42,8 @@
     pub phase: Phase,
     /// The resources that the run reserves on the worker.
     pub reservation: Resources,
+    /// The class and the priority of the work.
+    pub class: ClassPriority,
     /// The run's role among the runs on the worker.
     pub role: TaskRole,
     /// The processor demand of a best-effort task, in thousandths of a core; 0 for others.
@@ -184,6 +187,8 @@
     pub abandoned_starts: BTreeMap<TaskKey, AbandonedStart>,
     /// The resources that the runs reserve.
     pub used: Resources,
+    /// The processors that the runs reserve, by class of work.
+    pub reserved_by_class: ReservedCpu,
     /// The processor demand of the best-effort tasks here, in thousandths of a core.
     pub best_effort_millicores: u32,
     /// How much more interference each serving image here tolerates, by its task that tolerates
@@ -198,6 +203,8 @@
     pub best_effort_ended_at: Instant,
     /// When a short task last began or ended here.
     pub short_task_changed_at: Option<Instant>,
+    /// When a long-running task was last preempted here to make room for short tasks.
+    pub preempted_at: Option<Instant>,
     /// Its speed relative to other workers.
     pub speed: Speed,
     /// Failed runs since the last successful one.
@@ -239,12 +246,14 @@
             slots: FxHashMap::default(),
             abandoned_starts: BTreeMap::new(),
             used: Resources::default(),
+            reserved_by_class: ReservedCpu::default(),
             best_effort_millicores: 0,
             spare_interference: Vec::new(),
             spare_best_effort_share: 1.0,
             fitting_image_share: 1.0,
             best_effort_ended_at: Instant(0),
             short_task_changed_at: None,
+            preempted_at: None,
             speed: Speed::default(),
             failures: 0,
             quarantines: 0,
@@ -279,6 +288,7 @@
     /// Adds a run.
     pub fn add_slot(&mut self, task: TaskKey, slot: Slot) {
         self.used = self.used.plus(&slot.reservation);
+        self.reserved_by_class.add(slot.class, slot.reservation.cpu);
         self.best_effort_millicores += slot.best_effort_millicores;
         self.slots.insert(task, slot);
     }
@@ -291,6 +301,7 @@
         let slot = self.slots.remove(&task)?;
         self.trial = self.trial.filter(|trial| trial.task != task);
         self.used = self.used.minus(&slot.reservation);
+        self.reserved_by_class.remove(slot.class, slot.reservation.cpu);
         self.best_effort_millicores =
             self.best_effort_millicores.saturating_sub(slot.best_effort_millicores);
         Some(slot)
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -28,6 +28,7 @@
 mod packing;
 mod renewals;
 mod restarts;
+mod shares;
 mod simulation;
 mod slow_workers;
 mod suspect_isolation;
