--- a/crates/sched/src/changes/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -130,18 +130,27 @@
 /// Where shares of classes are enforced, the former take only large rooms at first, and have
 /// another turn in the order of priority and objective.
 fn turns(cx: &State) -> Vec<Turn> {
-    let (first, rest): (Vec<ReadyStep>, Vec<ReadyStep>) =
-        cx.ready.iter().partition(|&&step| has_restart_priority(cx, step));
-    let is_enforced = |step: &&ReadyStep| {
-        let job = cx.jobs.get(&step.job).map(|entry| &entry.job);
-        let pool = job.and_then(|job| requests::service_of(cx, job));
-        pool.is_some_and(|pool| cx.class_shares.enforcement(&pool).is_some())
-    };
-    let again: Vec<ReadyStep> = first.iter().filter(is_enforced).copied().collect();
-    let mut last: Vec<ReadyStep> = rest.into_iter().chain(again).collect();
-    last.sort_unstable();
-    let turn = |before_short| move |step| Turn { step, before_short };
-    first.into_iter().map(turn(true)).chain(last.into_iter().map(turn(false))).collect()
+    let mut first: Vec<Turn> = Vec::new();
+    let mut last: Vec<Turn> = Vec::with_capacity(cx.ready.len());
+    for &step in &cx.ready {
+        let goes_first = has_restart_priority(cx, step);
+        let has_other_turn = goes_first && is_share_enforced(cx, step);
+        if goes_first {
+            first.push(Turn { step, before_short: true });
+        }
+        if !goes_first || has_other_turn {
+            last.push(Turn { step, before_short: false });
+        }
+    }
+    first.extend(last);
+    first
+}
+
+/// Returns whether shares of classes are enforced in the pool of a step.
+fn is_share_enforced(cx: &State, ready: ReadyStep) -> bool {
+    let job = cx.jobs.get(&ready.job).map(|entry| &entry.job);
+    let pool = job.and_then(|job| requests::service_of(cx, job));
+    pool.is_some_and(|pool| cx.class_shares.enforcement(&pool).is_some())
 }
 
 /// Returns whether a long-running step has tasks that go before all others; few steps do.
@@ -186,6 +195,11 @@
         return log_first_waiting(cx, &job, &service, ready, &pending);
     }
     if step.gang {
+        if before_short && is_share_enforced(cx, ready) {
+            // Members are placed one by one, so the large rooms that may be taken in this turn
+            // cannot be told from others. The step has another turn.
+            return;
+        }
         gangs::start(cx, &job, &service, ready, &pending);
         return;
     }
--- a/crates/sched/src/changes/shares.rs
+++ b/crates/sched/src/changes/shares.rs
@@ -126,15 +126,23 @@
     let balance = shares::balance(load, &shares.under_way);
     let must_enforce = waits && !balance.excess.is_empty() && load.is_half_used();
     if must_enforce && shares.enforcement.is_none() {
-        let (headroom, preempted) = (balance.headroom.clone(), 0);
-        shares.enforcement =
-            Some(Enforcement { since: now, short_waited_at: now, headroom, preempted });
+        let (headroom, preempted, short_waits_since) = (balance.headroom.clone(), 0, Some(now));
+        shares.enforcement = Some(Enforcement {
+            since: now,
+            short_waited_at: now,
+            headroom,
+            preempted,
+            short_waits_since,
+        });
         trace::shares_enforced(pool, load, balance.excess.values().sum());
     }
     let Some(enforcement) = &mut shares.enforcement else { return };
     enforcement.headroom = balance.headroom;
     if waits && load.is_half_used() {
         enforcement.short_waited_at = now;
+        enforcement.short_waits_since.get_or_insert(now);
+    } else {
+        enforcement.short_waits_since = None;
     }
     if now.since(enforcement.short_waited_at) >= ENFORCED_FOR {
         trace::shares_lifted(pool, now.since(enforcement.since), enforcement.preempted);
@@ -156,7 +164,7 @@
 }
 
 /// Returns how many processors are to be freed for short tasks beside those that stops under way
-/// free, in thousandths of a core. A stop pays only for tasks that still wait when it has ended.
+/// free, in thousandths of a core.
 fn wanted_millicores(
     load: &PoolLoad,
     shares: &PoolShares,
@@ -165,7 +173,10 @@
 ) -> u64 {
     let expected = shares.under_way.iter().filter(|stop| stop.is_expected(now, stop_limit));
     let expected: u64 = expected.map(|stop| u64::from(stop.reservation.cpu.0)).sum();
-    load.waiting_after(stop_limit).saturating_sub(expected)
+    let since = shares.enforcement.as_ref().and_then(|e| e.short_waits_since);
+    let lasted = since.map_or(Millis(0), |since| now.since(since));
+    let wanted = load.worth_freeing(lasted, stop_limit);
+    wanted.saturating_sub(expected)
 }
 
 /// Stops a long-running task, so that short tasks get its room.
--- a/crates/sched/src/decisions/free_capacity.rs
+++ b/crates/sched/src/decisions/free_capacity.rs
@@ -107,9 +107,10 @@
 /// room for it.
 const MAX_HELD_RESTART_WAIT: Millis = Millis(5_000);
 
-/// How long a worker's room is kept for short tasks after a long-running task was preempted there:
-/// a stop of up to 0.9 s, and some dispatch passes.
-const KEPT_AFTER_PREEMPTION: Millis = Millis(2_000);
+/// How long beyond the longest stop a worker's room is kept for short tasks after a long-running
+/// task was preempted there. A short task of the users runs for 0.7 s and is then followed by
+/// others.
+const KEPT_AFTER_PREEMPTION: Millis = Millis(1_000);
 
 /// Which rooms a long-running task may take, from none to any.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -155,7 +156,8 @@
         let demand = job_table::reservation(step);
         worker.info.capacity.minus(&worker.used).holds(&demand.plus(&demand))
     };
-    let is_kept = || worker.preempted_at.is_some_and(|at| cx.now.since(at) < KEPT_AFTER_PREEMPTION);
+    let kept_for = cx.settings.stop_limit.0 + KEPT_AFTER_PREEMPTION.0;
+    let is_kept = || worker.preempted_at.is_some_and(|at| cx.now.since(at).0 < kept_for);
     match access {
         RoomAccess::None => false,
         RoomAccess::Double => is_double(),
--- a/crates/sched/src/decisions/shares.rs
+++ b/crates/sched/src/decisions/shares.rs
@@ -19,6 +19,7 @@
 
 use crate::decisions::{availability, free_capacity, requests};
 use crate::interface::message::{Run, StepKey, WorkerIx};
+use crate::interface::search_budget;
 use crate::state::class_shares::{ClassPriority, PoolShares, Preemption};
 use crate::state::job_table::{self, ReadyStep};
 use crate::state::worker::{Phase, Slot, Worker, READY_PERCENT};
@@ -32,6 +33,9 @@
 /// wrong one would hide the rest of the backlog.
 pub const MAX_ESTIMATE: Millis = Millis(10_000);
 
+/// How long the start of a long-running task takes at most until it is ready.
+const START_TIME: Millis = Millis(500);
+
 /// How many waiting steps of a pool are kept as candidates for which room is made.
 const MAX_WAITING_STEPS: usize = 16;
 
@@ -51,10 +55,6 @@
 /// best of so many is hardly worse than the best of all.
 const MAX_CANDIDATES: usize = 4_096;
 
-/// How many different demands of waiting steps a check makes room for. Each takes a search over the
-/// pool's workers.
-const MAX_DEMANDS_PER_CHECK: usize = 2;
-
 /// The load of one class and priority in a pool, in thousandths of a core.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ClassLoad {
@@ -88,7 +88,7 @@
     pub millicores: u64,
     /// The longest wait of a step's first task.
     pub longest_wait: Millis,
-    /// The smallest demand of a task.
+    /// The smallest demand of a task that has waited for [`SHORT_WAIT_LIMIT`].
     pub smallest: Option<MilliCores>,
     /// The first steps in the order of dispatch that have waited for [`SHORT_WAIT_LIMIT`].
     pub steps: Vec<ReadyStep>,
@@ -99,7 +99,8 @@
 pub struct PoolLoad {
     /// The processors of the workers that accept tasks, in thousandths of a core.
     pub capacity: u64,
-    /// The part of it that is free in pieces that are too small for every waiting short task.
+    /// The part of it that is free in pieces that are too small for the short tasks that have
+    /// waited for [`SHORT_WAIT_LIMIT`].
     pub fragmented: u64,
     /// The part of it that runs reserve.
     pub used: u64,
@@ -142,15 +143,22 @@
         (rate > 0).then(|| Millis((self.short.work_core_ms * 1_000.0 / rate as f64) as u64))
     }
 
-    /// Returns the demand of waiting short tasks that will still wait when a task that is stopped
-    /// now has ended; 0 if a stop takes longer than the backlog lasts.
-    pub fn waiting_after(&self, stop: Millis) -> u64 {
-        let Some(wait) = self.predicted_wait() else { return self.short.millicores };
-        if wait <= stop {
-            return 0;
+    /// Returns how many processors are worth freeing for waiting short tasks, in thousandths of a
+    /// core; `lasted` says for how long such tasks have been waiting without interruption.
+    ///
+    /// A preempted task's processors are idle during its stop and its next start. So preemption
+    /// pays only if the backlog lasts longer than that: by its predicted end, or because it has
+    /// lasted as long already, in which case it can be expected to last as long again. The
+    /// prediction alone misses a backlog that stays short because as much arrives as is started.
+    pub fn worth_freeing(&self, lasted: Millis, stop: Millis) -> u64 {
+        let idle = stop.0 + START_TIME.0;
+        let predicted = self.predicted_wait();
+        if lasted.0 >= idle || predicted.is_none() {
+            return self.short.millicores;
         }
-        let left = (wait.0 - stop.0) as f64 / wait.0 as f64;
-        (self.short.millicores as f64 * left) as u64
+        let Some(wait) = predicted.filter(|wait| wait.0 > idle) else { return 0 };
+        let still_waiting = (wait.0 - stop.0) as f64 / wait.0 as f64;
+        (self.short.millicores as f64 * still_waiting) as u64
     }
 }
 
@@ -225,9 +233,11 @@
     short.millicores += waiting;
     short.work_core_ms += waiting as f64 * step.estimate.min(MAX_ESTIMATE).0 as f64 / 1_000.0;
     short.longest_wait = short.longest_wait.max(waited);
-    short.smallest = Some(short.smallest.map_or(step.demand.cpu, |s| s.min(step.demand.cpu)));
-    if waited >= SHORT_WAIT_LIMIT && short.steps.len() < MAX_WAITING_STEPS {
-        short.steps.push(ready);
+    if waited >= SHORT_WAIT_LIMIT {
+        short.smallest = Some(short.smallest.map_or(step.demand.cpu, |s| s.min(step.demand.cpu)));
+        if short.steps.len() < MAX_WAITING_STEPS {
+            short.steps.push(ready);
+        }
     }
 }
 
@@ -325,7 +335,12 @@
     let mut excess = excess.clone();
     let mut chosen: Vec<Candidate> = Vec::new();
     let mut freed = 0;
+    let mut budget = search_budget::open(cx.workers.len());
     for requirement in requirements(cx, pool, &load.short.steps) {
+        if budget.is_exhausted() {
+            break;
+        }
+        budget.spend_one();
         let mut candidates = candidates(cx, &requirement, shares, &excess);
         candidates.sort_by_key(|c| (Reverse(c.gain), c.left_over, c.worker, c.task));
         for candidate in candidates {
@@ -351,7 +366,7 @@
     chosen
 }
 
-/// Returns the first different demands of waiting steps for which room could be made. A gang needs
+/// Returns the different demands of waiting steps for which room could be made. A gang needs
 /// room for all its members at once, which single stops do not make.
 fn requirements<'a>(
     cx: &'a State,
@@ -371,9 +386,6 @@
         let advice = requests::advice_of(cx, &entry.job);
         let (step, demand) = (StepKey::of(key), step.demand);
         found.push(Requirement { pool, step, demand, label, advice });
-        if found.len() == MAX_DEMANDS_PER_CHECK {
-            break;
-        }
     }
     found
 }
--- a/crates/sched/src/state/class_shares.rs
+++ b/crates/sched/src/state/class_shares.rs
@@ -97,6 +97,8 @@
     pub since: Instant,
     /// When short tasks were last found to have waited too long.
     pub short_waited_at: Instant,
+    /// Since when each check has found that short tasks had waited too long.
+    pub short_waits_since: Option<Instant>,
     /// How many more processors long-running tasks of each priority may take, in thousandths of a
     /// core; updated by each check, and reduced by each start.
     pub headroom: BTreeMap<u32, u64>,
