--- a/crates/explain/tests/timelines.rs
+++ b/crates/explain/tests/timelines.rs
@@ -24,6 +24,26 @@
     .assert_eq(&gaplock_explain::render(&timeline));
 }
 
+const PREEMPTION: &str = r#"
+{"timestamp":"T01","level":"INFO","event":"start_ordered","task":"00000000000000aa.0.0.3","run":4097,"worker":"w1@1","waited_ms":3}
+{"timestamp":"T02","level":"INFO","event":"shares_enforced","pool":"hollow","excess":14800}
+{"timestamp":"T03","level":"INFO","event":"task_preempted","task":"00000000000000aa.0.0.3","run":4097,"worker":"w1@1","frees":13000,"waiting":545200,"waited_ms":1700,"predicted_wait_ms":1470}
+{"timestamp":"T03","level":"INFO","event":"stop_ordered","task":"00000000000000aa.0.0.3","run":4097,"worker":"w1@1","why":"short tasks wait for its room"}
+{"timestamp":"T03","level":"INFO","event":"task_preempted","task":"00000000000000ab.0.0.0","run":4097,"worker":"w2@1","frees":13000}
+"#;
+
+/// Guards against a preemption that the timeline of the preempted task's job leaves out.
+#[test]
+fn a_preemption_is_in_the_timeline_of_its_job() {
+    let timeline = gaplock_explain::timeline(PREEMPTION, "00000000000000aa");
+    expect![[r#"
+        T01 start_ordered 00000000000000aa.0.0.3 run=4097 waited_ms=3 worker=w1@1
+        T03 task_preempted 00000000000000aa.0.0.3 frees=13000 predicted_wait_ms=1470 run=4097 waited_ms=1700 waiting=545200 worker=w1@1
+        T03 stop_ordered 00000000000000aa.0.0.3 run=4097 why=short tasks wait for its room worker=w1@1
+    "#]]
+    .assert_eq(&gaplock_explain::render(&timeline));
+}
+
 #[test]
 fn a_job_that_no_line_names_has_an_empty_timeline() {
     assert!(gaplock_explain::timeline(LOG, "00000000000000ff").is_empty());
