Let long-running tasks take rooms that waiting short tasks do not fit into

Cause: while shares were enforced, long-running starts also waited beside rooms that are too small for every waiting short task, so processors were idle for the sake of a share.

Ruled out: holding these rooms back so that they grow: no more short jobs were in time.

Change: such rooms are free for any long-running task at any time.

--- a/crates/sched/src/changes/shares.rs
+++ b/crates/sched/src/changes/shares.rs
@@ -8,6 +8,7 @@
 use gaplock_jobs::TaskKey;
 use gaplock_overload::summary::WorkClass;
 use gaplock_types::ids;
+use gaplock_types::sizes::MilliCores;
 use gaplock_types::time::{Instant, Millis};
 
 use crate::changes::{lifecycle, trace};
@@ -126,13 +127,13 @@
     let balance = shares::balance(load, &shares.under_way);
     let must_enforce = waits && !balance.excess.is_empty() && load.is_half_used();
     if must_enforce && shares.enforcement.is_none() {
-        let (headroom, preempted, short_waits_since) = (balance.headroom.clone(), 0, Some(now));
         shares.enforcement = Some(Enforcement {
             since: now,
             short_waited_at: now,
-            headroom,
-            preempted,
-            short_waits_since,
+            short_waits_since: Some(now),
+            headroom: balance.headroom.clone(),
+            smallest_waiting: MilliCores(0),
+            preempted: 0,
         });
         trace::shares_enforced(pool, load, balance.excess.values().sum());
     }
@@ -141,6 +142,7 @@
     if waits && load.is_half_used() {
         enforcement.short_waited_at = now;
         enforcement.short_waits_since.get_or_insert(now);
+        enforcement.smallest_waiting = load.short.smallest.unwrap_or_default();
     } else {
         enforcement.short_waits_since = None;
     }
--- a/crates/sched/src/decisions/free_capacity.rs
+++ b/crates/sched/src/decisions/free_capacity.rs
@@ -112,11 +112,12 @@
 /// others.
 const KEPT_AFTER_PREEMPTION: Millis = Millis(1_000);
 
-/// Which rooms a long-running task may take, from none to any.
+/// Which rooms a long-running task may take, each with those before it. No processors are left idle
+/// for the sake of a share: a room that is too small for the short tasks that wait is always free.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum RoomAccess {
-    /// None: its class holds what it is entitled to.
-    None,
+    /// Rooms that are too small for the short tasks that wait: its class holds its share.
+    Small,
     /// Rooms for at least twice its demand: it has waited so long that it takes half of one.
     Double,
     /// Any room within its class's share, unless a task was just preempted there for short tasks.
@@ -146,7 +147,7 @@
     } else if waited >= MAX_RESTART_WAIT {
         RoomAccess::Double
     } else {
-        RoomAccess::None
+        RoomAccess::Small
     }
 }
 
@@ -158,10 +159,15 @@
     };
     let kept_for = cx.settings.stop_limit.0 + KEPT_AFTER_PREEMPTION.0;
     let is_kept = || worker.preempted_at.is_some_and(|at| cx.now.since(at).0 < kept_for);
+    let is_too_small = || {
+        let enforcement = cx.class_shares.enforcement(&worker.info.service);
+        let free = worker.info.capacity.minus(&worker.used).cpu;
+        enforcement.is_some_and(|enforcement| free < enforcement.smallest_waiting)
+    };
     match access {
-        RoomAccess::None => false,
-        RoomAccess::Double => is_double(),
-        RoomAccess::Share => !is_kept() || is_double(),
+        RoomAccess::Small => is_too_small(),
+        RoomAccess::Double => is_double() || is_too_small(),
+        RoomAccess::Share => !is_kept() || is_double() || is_too_small(),
         RoomAccess::Any => true,
     }
 }
--- a/crates/sched/src/state/class_shares.rs
+++ b/crates/sched/src/state/class_shares.rs
@@ -102,6 +102,8 @@
     /// How many more processors long-running tasks of each priority may take, in thousandths of a
     /// core; updated by each check, and reduced by each start.
     pub headroom: BTreeMap<u32, u64>,
+    /// The smallest demand of a short task that had waited too long when such tasks last waited.
+    pub smallest_waiting: MilliCores,
     /// How many tasks have been preempted.
     pub preempted: u32,
 }
