Merge processor shares between classes of work

Cause: where a third of a full pool's workers is lost, long-running tasks hold what is left, their restarts go before all short tasks, and short jobs starve. Not measured on a deployment in this state.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use gaplock_overload::summary::QueueLoad;
+use gaplock_overload::summary::{QueueLoad, WorkClass};
+use gaplock_sched::shares::ClassShare;
 use gaplock_types::codes::Code;
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
@@ -101,6 +102,13 @@
 /// on, too.
 const LOAD_SHOWN_FOR: Millis = Millis(2_000);
 
+/// A class of work in a pool as a label.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ClassLabel {
+    pool: String,
+    class: &'static str,
+}
+
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 2.5];
 
@@ -110,6 +118,9 @@
 
 /// The maximum number of pools that are shown: a limit whatever the configuration names.
 const MAX_POOLS_SHOWN: usize = 64;
+/// The maximum number of classes of work that are shown, over all pools: a limit whatever the
+/// configuration names.
+const MAX_CLASSES_SHOWN: usize = 64;
 
 /// All metrics of a host.
 pub struct Metrics {
@@ -122,6 +133,8 @@
     load_periods: Family<PoolLabel, Gauge>,
     best_effort_limit: Family<PoolLabel, Gauge>,
     best_effort_at_work: Family<PoolLabel, Gauge>,
+    class_entitled: Family<ClassLabel, Gauge>,
+    class_in_use: Family<ClassLabel, Gauge>,
     /// The number of leaderships that this process has held.
     pub terms: Counter,
     /// The version of the configuration in force.
@@ -179,6 +192,12 @@
     let help = "Processors of all workers of a pool that accept tasks, by this host's load summary";
     registry.register("pool_millicores", help, pool_millicores.clone());
     let queues = QueueMetrics::open(&mut registry);
+    let class_entitled = Family::<ClassLabel, Gauge>::default();
+    let help = "Processors that a class of work is entitled to in a pool";
+    registry.register("class_entitled_millicores", help, class_entitled.clone());
+    let class_in_use = Family::<ClassLabel, Gauge>::default();
+    let help = "Processors that a class of work reserves in a pool";
+    registry.register("class_used_millicores", help, class_in_use.clone());
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let mut gauge = |name: &str, help: &str| {
@@ -211,6 +230,8 @@
         load_periods,
         best_effort_limit,
         best_effort_at_work,
+        class_entitled,
+        class_in_use,
         terms,
         config_version,
         free_millicores,
@@ -297,6 +318,20 @@
         }
     }
 
+    /// Shows what each class of work is entitled to and uses in each pool.
+    pub fn show_class_shares<'a>(
+        &self,
+        shares: impl Iterator<Item = (&'a ids::ServiceId, WorkClass, ClassShare)>,
+    ) {
+        self.class_entitled.clear();
+        self.class_in_use.clear();
+        for (pool, class, share) in shares.take(MAX_CLASSES_SHOWN) {
+            let label = ClassLabel { pool: pool.to_string(), class: class.name() };
+            self.class_entitled.get_or_create(&label).set(share.entitled as i64);
+            self.class_in_use.get_or_create(&label).set(share.in_use as i64);
+        }
+    }
+
     /// Renders the metrics as text.
     pub fn render(&self) -> String {
         let mut out = String::new();
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod account;
 pub mod budget;
 pub mod estimates;
+pub mod share;
 pub mod steer;
 pub mod summary;
--- a/crates/sched/src/changes/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -10,6 +10,8 @@
 
 use crate::changes::{gangs, pacing, permits, scarcity, starts, trace, trials};
 use crate::decisions::concurrency_limit::{self, Room};
+use crate::decisions::free_capacity::RoomAccess;
+use crate::decisions::placement::PlacementRequest;
 use crate::decisions::ranking::RankedWorkers;
 use crate::decisions::requests::{self, WaitStatus};
 use crate::decisions::run_times::{self, RunTimeClass};
@@ -29,6 +31,8 @@
     /// For a long-running task: whether it has waited so long that it may use capacity that is
     /// reserved for short tasks.
     may_use_reserved: Option<bool>,
+    /// Which rooms the task may take while shares of classes are enforced.
+    access: RoomAccess,
 }
 
 /// What decides, besides free capacity, whether a best-effort task finds a worker.
@@ -44,7 +48,13 @@
 
 impl UnplacedDemand {
     /// Describes the demand of a step's task that finds no worker.
-    fn of(service: ids::ServiceId, step: &Step, wait: WaitStatus, run_time: RunTimeClass) -> Self {
+    fn of(
+        service: ids::ServiceId,
+        step: &Step,
+        wait: WaitStatus,
+        access: RoomAccess,
+        run_time: RunTimeClass,
+    ) -> Self {
         let best_effort = step.fills.then(|| UnplacedBestEffort {
             image: step.image.clone(),
             demand: step.demand.cpu,
@@ -59,6 +69,7 @@
             reservation: job_table::reservation(step),
             best_effort,
             may_use_reserved,
+            access,
         }
     }
 
@@ -69,6 +80,7 @@
         same_pool
             && same_kind
             && self.may_use_reserved >= other.may_use_reserved
+            && self.access >= other.access
             && other.reservation.holds(&self.reservation)
             && self.best_effort_covers(other)
     }
@@ -109,23 +121,58 @@
     trials::end_excess_trials(cx);
     trials::start_trials(cx);
     let mut ready: Vec<ReadyStep> = cx.ready.iter().copied().collect();
-    ready.sort_by_cached_key(|&step| !has_restart_priority(cx, step));
     cx.passes += 1;
     if cx.settings.pace_by_slack || cx.settings.limit_best_effort {
         order::by_usefulness(cx, &mut ready);
     }
+    let turns = turns(cx, &ready);
     let (most_free, largest) = most_processors(cx);
     let mut pass =
         Pass { unplaced: Vec::new(), most_free, largest, searches: 0, room: Room::open(cx) };
-    for step in ready {
+    for turn in turns {
         if cx.is_at_start_limit() {
             break;
         }
-        start_step(cx, step, &mut pass);
+        start_step(cx, turn, &mut pass);
     }
     cx.pass_evaluations = pass.searches * cx.workers.len();
 }
 
+/// A step whose turn it is in a pass.
+#[derive(Debug, Clone, Copy)]
+struct Turn {
+    step: ReadyStep,
+    /// Whether the turn is before those of short steps.
+    before_short: bool,
+}
+
+/// Returns the order of a pass: the steps with tasks that go before all others, then the rest.
+/// Where shares of classes are enforced, the former take only large rooms at first, and have
+/// another turn in the order of priority and objective.
+fn turns(cx: &State, ready: &[ReadyStep]) -> Vec<Turn> {
+    let mut first: Vec<Turn> = Vec::new();
+    let mut last: Vec<Turn> = Vec::with_capacity(ready.len());
+    for &step in ready {
+        let goes_first = has_restart_priority(cx, step);
+        let has_other_turn = goes_first && is_share_enforced(cx, step);
+        if goes_first {
+            first.push(Turn { step, before_short: true });
+        }
+        if !goes_first || has_other_turn {
+            last.push(Turn { step, before_short: false });
+        }
+    }
+    first.extend(last);
+    first
+}
+
+/// Returns whether shares of classes are enforced in the pool of a step.
+fn is_share_enforced(cx: &State, ready: ReadyStep) -> bool {
+    let job = cx.jobs.get(&ready.job).map(|entry| &entry.job);
+    let pool = job.and_then(|job| requests::service_of(cx, job));
+    pool.is_some_and(|pool| cx.class_shares.enforcement(&pool).is_some())
+}
+
 /// Returns whether a long-running step has tasks that go before all others; few steps do.
 fn has_restart_priority(cx: &State, ready: ReadyStep) -> bool {
     let Some(entry) = cx.jobs.get(&ready.job) else { return false };
@@ -149,7 +196,8 @@
 
 /// Starts the tasks of one step that can start, unless a similar demand found no capacity in this
 /// pass.
-fn start_step(cx: &mut State, ready: ReadyStep, pass: &mut Pass) {
+fn start_step(cx: &mut State, turn: Turn, pass: &mut Pass) {
+    let Turn { step: ready, before_short } = turn;
     let Some(entry) = cx.jobs.get(&ready.job) else { return };
     let job = entry.job.clone();
     let Some(service) = requests::service_of(cx, &job) else { return };
@@ -167,7 +215,8 @@
     }
     let Some(wait) = first_that_may_start(cx, ready, &pending) else { return };
     let run_time = run_times::run_time_class(cx, &service, step, task_key(ready, 0));
-    let demand = UnplacedDemand::of(service.clone(), step, wait, run_time);
+    let access = access_of(cx, &service, (step, ready.priority), wait, before_short);
+    let demand = UnplacedDemand::of(service.clone(), step, wait, access, run_time);
     if pass.unplaced.iter().any(|known| known.covers(&demand)) {
         return;
     }
@@ -176,11 +225,16 @@
         return log_first_waiting(cx, &job, &service, ready, &pending);
     }
     if step.gang {
+        if before_short && is_share_enforced(cx, ready) {
+            // Members are placed one by one, so the large rooms that may be taken in this turn
+            // cannot be told from others. The step has another turn.
+            return;
+        }
         gangs::start(cx, &job, &service, ready, &pending);
         return;
     }
     pass.searches += 1;
-    let Some(unplaced) = start_tasks(cx, &job, &service, ready, &pending, &mut pass.room) else {
+    let Some(unplaced) = start_tasks(cx, &job, &service, turn, &pending, &mut pass.room) else {
         return;
     };
     log_waiting(cx, &job, &service, unplaced, pending.len());
@@ -189,10 +243,23 @@
         permits::request_permits(cx, ready, pending.len());
     } else if step.most_per_worker.is_none() {
         let wait = cx.task(unplaced).map_or(wait, |t| requests::wait_status(cx, t));
-        pass.unplaced.push(UnplacedDemand::of(service, step, wait, run_time));
+        let access = access_of(cx, &service, (step, ready.priority), wait, before_short);
+        pass.unplaced.push(UnplacedDemand::of(service, step, wait, access, run_time));
     }
 }
 
+/// Returns which rooms the tasks of a step with a wait status may take.
+fn access_of(
+    cx: &State,
+    service: &ids::ServiceId,
+    of: (&Step, u32),
+    wait: WaitStatus,
+    before_short: bool,
+) -> RoomAccess {
+    let wait = (wait.waited, wait.may_have_run);
+    free_capacity::room_access(cx, service, of, wait, before_short)
+}
+
 /// Records that a step found too little free capacity. A short step is a sign of scarcity, unless
 /// no worker could ever hold its tasks.
 fn note_scarcity(cx: &mut State, pool: &ids::ServiceId, step: &Step, pass: &Pass) {
@@ -245,14 +312,14 @@
     cx: &mut State,
     job: &Job,
     service: &ids::ServiceId,
-    ready: ReadyStep,
+    Turn { step: ready, before_short }: Turn,
     pending: &[u32],
     room: &mut Room,
 ) -> Option<TaskKey> {
+    let step = &job.steps[usize::from(ready.step)];
     // Adds the step's image to the model if it is new. This is done before the first task is
     // placed, so that all tasks of the step are evaluated alike.
-    pacing::add_image_and_get_role(cx, &job.steps[usize::from(ready.step)]);
-    let step = &job.steps[usize::from(ready.step)];
+    pacing::add_image_and_get_role(cx, step);
     let best_effort = job_table::best_effort_millicores(step);
     let mut ranking = RankedWorkers::default();
     for &index in pending {
@@ -269,6 +336,9 @@
         let Some(request) = requests::placement_request(cx, job, service, task) else {
             return Some(task);
         };
+        let wait = WaitStatus { waited: request.waited, may_have_run: request.may_have_run };
+        let access = access_of(cx, service, (step, ready.priority), wait, before_short);
+        let request = PlacementRequest { access, ..request };
         let chosen = ranking.take_best(cx, &request);
         debug_assert_eq!(
             chosen,
--- a/crates/sched/src/changes/lifecycle.rs
+++ b/crates/sched/src/changes/lifecycle.rs
@@ -13,6 +13,7 @@
 use crate::interface::message::{Action, Run, WorkerIx};
 use crate::interface::proof::ReleaseProof;
 use crate::state::checkpoint::Checkpoint;
+use crate::state::class_shares::ClassPriority;
 use crate::state::job_table::{self, JobEntry, ReadyStep, Round, Task, TaskState};
 use crate::state::worker::{Phase, Slot, TaskRole};
 use crate::state::State;
@@ -103,11 +104,12 @@
         entry.state = JobState::Active;
         commits::mark_dirty(&mut cx.commits, now, key.job);
     }
-    let (job, queue) = (Arc::clone(&entry.job), entry.load_queue);
+    let (job, queue, priority) = (Arc::clone(&entry.job), entry.load_queue, entry.priority);
     let Some(step) = job.steps.get(usize::from(key.step)) else { return };
     let role = pacing::add_image_and_get_role(cx, step);
-    let load_class = queue.class(job_table::work_class(step));
-    let slot = slot_of(step, role, load_class, occupant, now);
+    let class = job_table::work_class(step);
+    let account = (queue.class(class), ClassPriority { class, priority });
+    let slot = slot_of(step, role, account, occupant, now);
     accounting::task_started(&mut cx.load, &slot);
     cx.worker_mut(worker).add_slot(key, slot);
     cx.expedite_renewal(worker);
@@ -118,7 +120,7 @@
 fn slot_of(
     step: &Step,
     role: TaskRole,
-    load_class: ClassIx,
+    (load_class, class): (ClassIx, ClassPriority),
     occupant: Occupant,
     now: Instant,
 ) -> Slot {
@@ -127,6 +129,7 @@
         run: occupant.run,
         phase: occupant.phase,
         reservation: job_table::reservation(step),
+        class,
         role,
         best_effort_millicores: job_table::best_effort_millicores(step),
         load_class,
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -8,8 +8,8 @@
 use crate::changes::crashes::recorded_starts;
 use crate::changes::{
     accounting, best_effort_limits, commits, crashes, directory, dispatch, drain, evacuation,
-    freshness, intake, maintenance, moving, orders, pacing, permits, renewals, roster, steering,
-    stragglers, takeover, terminated,
+    freshness, intake, maintenance, moving, orders, pacing, permits, renewals, roster, shares,
+    steering, stragglers, takeover, terminated,
 };
 use crate::interface::message::{Action, Event, WorkerIx};
 use crate::interface::settings::Settings;
@@ -158,6 +158,7 @@
         maintenance::advance_waves(self);
         drain::check(self);
         best_effort_limits::check(self);
+        shares::check(self);
         self.rebalance();
         pacing::store_learned(self);
         accounting::log_backlogs(self);
--- a/crates/sched/src/decisions.rs
+++ b/crates/sched/src/decisions.rs
@@ -15,6 +15,7 @@
 pub mod ranking;
 pub mod requests;
 pub mod run_times;
+pub mod shares;
 pub mod slack;
 pub mod slowness;
 pub mod steering;
--- a/crates/sched/src/decisions/placement.rs
+++ b/crates/sched/src/decisions/placement.rs
@@ -6,7 +6,7 @@
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
 
-use crate::decisions::free_capacity;
+use crate::decisions::free_capacity::{self, RoomAccess};
 use crate::decisions::interference;
 use crate::decisions::run_times::{self, RunTimeClass};
 use crate::interface::message::{StepKey, WorkerIx};
@@ -31,6 +31,8 @@
     pub run_time: RunTimeClass,
     /// Whether the task may have run before.
     pub may_have_run: bool,
+    /// Which rooms it may take while shares of classes are enforced.
+    pub access: RoomAccess,
     /// Set if only workers of this rack are allowed.
     pub only_rack: Option<&'a String>,
     /// Set if another service decides which workers may run the step.
@@ -62,6 +64,8 @@
     Slow,
     /// It has free capacity, but that is reserved for short tasks.
     Reserved,
+    /// It has free capacity, but the task's class holds its share of the pool.
+    OverShare,
     /// It lacks a required label, or is not in the required rack.
     LabelMissing,
     /// It runs as many tasks of the step as it may, or another run of this task.
@@ -86,6 +90,8 @@
     pub slow: u32,
     /// Workers whose free capacity is reserved for short tasks.
     pub reserved: u32,
+    /// Workers whose free capacity the task may not take, because its class holds its share.
+    pub over_share: u32,
     /// Workers without a required label, or not in the required rack.
     pub label: u32,
     /// Workers that run as many tasks of the step as they may.
@@ -144,6 +150,7 @@
             UnfitReason::Full => counts.count_full(worker, request.step),
             UnfitReason::Slow => counts.slow += 1,
             UnfitReason::Reserved => counts.reserved += 1,
+            UnfitReason::OverShare => counts.over_share += 1,
             UnfitReason::LabelMissing => counts.label += 1,
             UnfitReason::TooManyOfStep => counts.spread += 1,
             UnfitReason::NotPermitted => counts.not_permitted += 1,
@@ -181,6 +188,8 @@
     let (service, advice) = (&queue.service, queue.advice.as_ref());
     let run_time = run_times::run_time_class(cx, service, step, key);
     let (avoid, waited, may_have_run, only_rack) = (Some(here), Millis(0), true, None);
+    let (of, wait) = ((step, entry.priority), (waited, may_have_run));
+    let access = free_capacity::room_access(cx, service, of, wait, false);
     best_worker(
         cx,
         &PlacementRequest {
@@ -191,6 +200,7 @@
             waited,
             run_time,
             may_have_run,
+            access,
             only_rack,
             advice,
         },
@@ -251,6 +261,9 @@
     if !may_use_reserved && free_capacity::is_reserved(cx, worker) {
         return Err(UnfitReason::Reserved);
     }
+    if !free_capacity::may_take_room(cx, worker, step, request.access) {
+        return Err(UnfitReason::OverShare);
+    }
     Ok(())
 }
 
--- a/crates/sched/src/decisions/requests.rs
+++ b/crates/sched/src/decisions/requests.rs
@@ -5,6 +5,7 @@
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
 
+use crate::decisions::free_capacity;
 use crate::decisions::placement::PlacementRequest;
 use crate::decisions::run_times;
 use crate::decisions::steering;
@@ -59,6 +60,8 @@
     let avoid = found.failed_on;
     let run_time = run_times::run_time_class(cx, service, step, task);
     let (advice, only_rack) = (advice_of(cx, job), None);
+    let of = (step, cx.jobs.get(&task.job).map_or(0, |entry| entry.priority));
+    let access = free_capacity::room_access(cx, service, of, (waited, may_have_run), false);
     Some(PlacementRequest {
         service,
         step,
@@ -67,6 +70,7 @@
         waited,
         run_time,
         may_have_run,
+        access,
         only_rack,
         advice,
     })
--- a/crates/sched/src/interface/settings.rs
+++ b/crates/sched/src/interface/settings.rs
@@ -60,6 +60,9 @@
     /// Whether the best-effort demand that is at work at one time in a pool is limited; set by the
     /// daemon's flags.
     pub limit_best_effort: bool,
+    /// Whether long-running tasks are kept to their class's share of a pool while short tasks wait
+    /// for capacity; set by the daemon's settings.
+    pub class_shares: bool,
     /// How long a finished job's state is kept; set by the installation, with a margin.
     pub finished_job_retention: Millis,
     /// Whether the load of the queues is shown, logged, stored and shared with the other hosts.
@@ -104,6 +107,7 @@
             takeover_margin: Millis(500),
             pace_by_slack: true,
             limit_best_effort: false,
+            class_shares: true,
             finished_job_retention: Millis(150_000),
             load_account: true,
         }
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -31,6 +31,7 @@
 mod packing;
 mod renewals;
 mod restarts;
+mod shares;
 mod simulation;
 mod slack;
 mod slow_workers;
