Decide which arriving jobs are refused and when their callers return

Cause: more is submitted than can be of use, everything is accepted, and refused callers would all return after one second.

Ruled out: one order for all queues (a flood of one would move the return times of the others); admitting everyone who was told the longest return time at once (600 callers of a queue that completes 10 jobs/s would return together), so callers whose turn is later keep their place and are told the rest.

--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -5,4 +5,5 @@
 //! neither jobs nor hosts, so it can be embedded without the rest of the scheduler.
 //! `docs/design/hard-load.md` describes the decisions and the loads that they handle.
 
+pub mod admission;
 pub mod summary;
