Add the result code of jobs that no worker of their pool can hold

Cause: a job that no worker can hold waits for ever. The code `never-fits` belongs to the reference daemons' 422, which tells callers never to send the request again; larger workers may be added to a pool.

--- a/crates/types/src/codes.rs
+++ b/crates/types/src/codes.rs
@@ -104,6 +104,8 @@
         "The partition is between two owners; come back after `Retry-After`.";
     InProgress = 206, "in-progress", 409, Unknown, true,
         "The first request with this key still runs; come back after `Retry-After`.";
+    TooLargeForPool = 207, "too-large-for-pool", 503, No, true,
+        "No worker of the pool can hold it; ask for less, or come back after `Retry-After`.";
     OutcomeUnknown = 300, "outcome-unknown", 502, Unknown, false,
         "The work may have run; check its effect before sending a new request.";
     AnswerNotKept = 301, "answer-not-kept", 410, Yes, false,
