Compute a job's objective in one place

Cause: admission control needs the objective that the scheduler computes when it adds a job.

Change: Queue::objective in gaplock-jobs, used by intake. The value is unchanged.

--- a/crates/jobs/src/config.rs
+++ b/crates/jobs/src/config.rs
@@ -26,6 +26,18 @@
     pub advice: Option<Advice>,
 }
 
+/// The upper bound of the time allowed to a job: ten years. Longer estimates by callers mean
+/// nothing, and sums of times must not overflow.
+pub const MAX_OBJECTIVE: time::Millis = time::Millis(315_360_000_000);
+
+impl Queue {
+    /// Returns the time objective of a job whose longest chain of steps takes `chain`.
+    pub fn objective(&self, chain: time::Millis) -> time::Millis {
+        let stretched = (chain.0 as f64 * self.stretch) as u64;
+        time::Millis(stretched.saturating_add(self.slack.0)).min(MAX_OBJECTIVE)
+    }
+}
+
 /// Time limits of the service that says which workers may run a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Advice {
--- a/crates/sched/src/changes/intake.rs
+++ b/crates/sched/src/changes/intake.rs
@@ -32,17 +32,11 @@
 /// The number of failed runs allowed to a task whose queue is no longer in the configuration.
 const FALLBACK_MAX_ATTEMPTS: u32 = 2;
 
-/// The upper bound of the time allowed to a job, from which its due time is computed: ten years.
-/// Longer estimates by callers mean nothing, and sums of times must not overflow.
-const MAX_ALLOWED_TIME: Millis = Millis(315_360_000_000);
-
 /// Builds the entry of a job of which no progress is known.
 pub fn new_entry(cx: &State, job: Arc<Job>) -> JobEntry {
     let queue = cx.config.as_ref().and_then(|c| c.queue(&job.queue));
     let chain = longest_chain(&job);
-    let stretch = queue.map_or(1.0, |q| q.stretch);
-    let allowed = (chain.0 as f64 * stretch) as u64;
-    let allowed = allowed.saturating_add(queue.map_or(0, |q| q.slack.0)).min(MAX_ALLOWED_TIME.0);
+    let allowed = queue.map_or(chain.min(config::MAX_OBJECTIVE), |q| q.objective(chain));
     let age = Millis(cx.unix_ms.saturating_sub(job.accepted_unix_ms));
     JobEntry {
         state: JobState::Queued,
@@ -51,7 +45,7 @@
         finished_rounds: BTreeSet::new(),
         next_round: 0,
         ended_unix_ms: 0,
-        due: Instant((cx.now.0 + allowed).saturating_sub(age.0)),
+        due: Instant((cx.now.0 + allowed.0).saturating_sub(age.0)),
         priority: queue.map_or(0, |q| q.priority),
         max_attempts: queue.map_or(FALLBACK_MAX_ATTEMPTS, |q| q.max_attempts),
         unreadable: false,
