Keep a refusal true by a marker that the write of a job expects not to be there

Cause: before a job can be refused for load, it must be certain that an earlier attempt at another host, still on its way to the store, never starts it.

Ruled out: ages by wall clocks (hosts' clocks are never compared); the leader's word on which request came first (lost with the leader, and a marker written after its answer would be removed); refusing wherever a marker is found (a returning caller would be refused for 15 s).

Change: markers at gaplock/refused/JOB under a lease of 15 s. The write of a job expects none, still in one call, or removes one whose revision the host knew before the request arrived; heartbeats carry the store's revision. Any other marker is replaced by an own one, and the job is refused. Decisions are in gaplock_policy::refusals, without I/O. A request older than 5 s is not stored any more. Nothing writes markers for load yet.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use gaplock_jobs::config::Queue;
 use gaplock_jobs::job;
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::JobKey;
@@ -47,7 +48,7 @@
         return answer(&node, Code::NotFound, StatusCode::NotFound.into(), Vec::new());
     };
     match method {
-        Method::Post => submit(&node, key, &queue.name, request).await,
+        Method::Post => submit(&node, key, queue, request).await,
         Method::Get => status(&node, key).await,
         Method::Delete => cancel(&node, key).await,
         _ => answer(&node, Code::BadRequest, StatusCode::MethodNotAllowed.into(), Vec::new()),
@@ -61,12 +62,13 @@
     host.split(':').next().unwrap_or_default().to_string()
 }
 
-async fn submit(node: &Arc<Node>, key: JobKey, queue: &str, request: FullRequest) -> Response {
+async fn submit(node: &Arc<Node>, key: JobKey, queue: &Queue, request: FullRequest) -> Response {
+    let submission = inbox::begin_submission(node);
     let max_bytes = node.config().map_or(0, |config| config.limits.body_bytes);
     let Some(body) = request.body.ok().filter(|body| body.len() <= max_bytes) else {
         return answer(node, Code::TooLarge, StatusCode::PayloadTooLarge.into(), Vec::new());
     };
-    let decoded = callers::decode_job(key, queue, clock::unix_ms(), &body);
+    let decoded = callers::decode_job(key, &queue.name, clock::unix_ms(), &body);
     let job = match decoded {
         Ok(job) => Arc::new(job),
         Err(e) => return bad_request(node, key, &e),
@@ -74,9 +76,10 @@
     if let Err(e) = job::validate(&job) {
         return bad_request(node, key, &e);
     }
-    let outcome = inbox::store_job(node, job).await;
-    tracing::info!(event = "job_handed_in", job = %key, queue, outcome = ?outcome);
+    let outcome = inbox::store_job(node, job, &submission).await;
+    tracing::info!(event = "job_handed_in", job = %key, queue = queue.name, outcome = ?outcome);
     match outcome {
+        StoreOutcome::Refused => refuse(node, Code::Overloaded),
         StoreOutcome::Stored => answer(node, Code::Accepted, StatusCode::Ok.into(), b"{}".to_vec()),
         StoreOutcome::NotStored => refuse(node, Code::StoreDown),
         // Storing a new job never reports `NoSuchJob`; if it did, the outcome would be unknown.
@@ -141,7 +144,10 @@
         StoreOutcome::Stored => answer(node, Code::Ok, StatusCode::Ok.into(), b"{}".to_vec()),
         StoreOutcome::NoSuchJob => answer(node, Code::NotFound, GONE, Vec::new()),
         StoreOutcome::NotStored => refuse(node, Code::StoreDown),
-        StoreOutcome::Unclear => answer(node, Code::OutcomeUnknown, GATEWAY_TIMEOUT, Vec::new()),
+        // A cancellation is never refused by admission control; if it were, nothing would be known.
+        StoreOutcome::Unclear | StoreOutcome::Refused => {
+            answer(node, Code::OutcomeUnknown, GATEWAY_TIMEOUT, Vec::new())
+        }
     }
 }
 
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -204,6 +204,7 @@
         HeartbeatAnswer::NotLeader => Ok(false),
         HeartbeatAnswer::Leader {
             config_age,
+            store_revision,
             config,
             waiting,
             successor,
@@ -211,6 +212,7 @@
             beat_after,
             check_store,
         } => {
+            node.note_store_revision(Revision(store_revision));
             node.handover.set_best_leader_capacity(strongest);
             node.handover.set_heartbeat_pause(beat_after);
             node.handover.set_check_wanted(check_store);
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -8,7 +8,13 @@
 use gaplock_jobs::{Job, JobKey};
 use gaplock_platform::store::{Revision, StoreError, Txn};
 use gaplock_policy::attempts::{CallAttempts, Execution};
+use gaplock_policy::refusals::{
+    Found, JobStep, JobWrite, Marker, MarkerOutcome, MarkerStep, MarkerWrite, MarkerWriter,
+    StoreRevision, WriteAnswer,
+};
 use gaplock_policy::store_outcome::{self, LeaderReply, StoreOutcome, StoredJob};
+use gaplock_remote::clock;
+use gaplock_types::time::{self, Millis};
 
 use crate::keys;
 use crate::node::Node;
@@ -23,10 +29,56 @@
 /// that the key does not exist.
 const UNCLEAR_RETRY_LIMIT: Duration = Duration::from_millis(350);
 
+/// How long after its arrival a request may still store its job: well below the lease of a marker,
+/// so that a host that was suspended does not store a job whose caller was refused meanwhile.
+const MAX_REQUEST_AGE: Millis = Millis(5_000);
+
+/// The lease of the marker of a refused job: longer than a write of an earlier attempt may be under
+/// way, which is a few seconds.
+const MARKER_LEASE: Duration = Duration::from_secs(15);
+
+/// How often the marker of a refused job is sent. More than one conflict means that other hosts
+/// decide about the same job at the same time.
+const MAX_MARKER_WRITES: u32 = 3;
+
+/// One request of a caller that submits a job.
+#[derive(Debug, Clone, Copy)]
+pub struct Submission {
+    arrived: time::Instant,
+    /// A revision that the store had before the request arrived.
+    known: StoreRevision,
+    writer: MarkerWriter,
+}
+
+impl Submission {
+    /// Returns whether the request is too old for its job to be stored.
+    fn is_too_old(&self) -> bool {
+        clock::now().since(self.arrived) > MAX_REQUEST_AGE
+    }
+}
+
+/// Begins a submission that has just arrived from a caller.
+pub fn begin_submission(node: &Node) -> Submission {
+    Submission { known: node.store_revision(), ..forwarded_submission() }
+}
+
+/// Begins a submission that another host forwards. It is not known when the request arrived there,
+/// so that no marker counts as older.
+pub fn forwarded_submission() -> Submission {
+    let writer = MarkerWriter(rand::random());
+    Submission { arrived: clock::now(), known: StoreRevision(0), writer }
+}
+
+/// The stored form of the marker of a refused job.
+#[derive(serde::Serialize, serde::Deserialize)]
+struct MarkerRecord {
+    writer: MarkerWriter,
+}
+
 /// Stores a job over this host's own connection to the store, or else through the leader.
-pub async fn store_job(node: &Arc<Node>, job: Arc<Job>) -> StoreOutcome {
-    let direct = store_job_directly(node, Arc::clone(&job)).await;
-    if needs_no_leader(direct) {
+pub async fn store_job(node: &Arc<Node>, job: Arc<Job>, submission: &Submission) -> StoreOutcome {
+    let direct = store_job_directly(node, Arc::clone(&job), submission).await;
+    if needs_no_leader(direct) || submission.is_too_old() {
         return direct;
     }
     let Some(addr) = node.leader_addr() else { return direct };
@@ -37,7 +89,7 @@
 /// Returns whether the outcome of this host's own write is final, so that the leader need not be
 /// asked.
 fn needs_no_leader(direct: StoreOutcome) -> bool {
-    matches!(direct, StoreOutcome::Stored | StoreOutcome::NoSuchJob)
+    matches!(direct, StoreOutcome::Stored | StoreOutcome::NoSuchJob | StoreOutcome::Refused)
 }
 
 /// Converts the result of the call to the leader into what is known of the leader's write.
@@ -50,24 +102,144 @@
 }
 
 /// Stores a job over this host's own connection to the store.
-pub async fn store_job_directly(node: &Arc<Node>, job: Arc<Job>) -> StoreOutcome {
-    let key = keys::job(job.key);
-    let txn = Txn {
-        expected: vec![(key.clone(), Revision(0))],
-        set: vec![(key, store_writer::encode(&*job), None)],
-        remove: Vec::new(),
-    };
-    let outcome = match write_once(node, &txn).await {
-        // The write's only condition is that the job does not exist yet.
-        WriteOutcome::Conflict => StoreOutcome::Stored,
-        WriteOutcome::Known(outcome) => outcome,
-    };
+pub async fn store_job_directly(
+    node: &Arc<Node>,
+    job: Arc<Job>,
+    submission: &Submission,
+) -> StoreOutcome {
+    let outcome = write_job(node, &job, submission).await;
     if outcome == StoreOutcome::Stored {
         announce_job(node, job);
     }
     outcome
 }
 
+/// Writes a job; an attempt without an answer is retried for a while. One attempt is enough unless
+/// something is stored under the job's keys.
+async fn write_job(node: &Node, job: &Job, submission: &Submission) -> StoreOutcome {
+    if node.is_store_unavailable() {
+        return StoreOutcome::NotStored;
+    }
+    let began = Instant::now();
+    let mut write = JobWrite::begin(submission.writer, submission.known);
+    let mut marker = None;
+    loop {
+        if submission.is_too_old() {
+            tracing::info!(event = "submission_too_old", job = %job.key);
+            return write.given_up();
+        }
+        write.sent();
+        let answer = commit_or_find(node, &job_txn(job, marker), job.key).await;
+        match write.answered(answer) {
+            JobStep::Finish(outcome) => return outcome,
+            JobStep::Refuse(found) => {
+                tracing::info!(event = "refusal_found", job = %job.key, revision = found.0);
+                let (own, known) = (submission.writer, submission.known);
+                let marker = MarkerWrite::begin_after_later_refusal(own, known);
+                return match store_marker(node, job.key, own, marker, Some(found)).await {
+                    MarkerOutcome::Stored => StoreOutcome::Refused,
+                    MarkerOutcome::JobStored => StoreOutcome::Stored,
+                    MarkerOutcome::Uncertain | MarkerOutcome::Blocked => write.given_up(),
+                };
+            }
+            JobStep::Expect(found) => marker = found,
+            JobStep::Retry if began.elapsed() > UNCLEAR_RETRY_LIMIT => {
+                return StoreOutcome::Unclear
+            }
+            JobStep::Retry => task::sleep(UNCLEAR_RETRY_PAUSE).await,
+        }
+    }
+}
+
+/// Builds the write of a job, which removes the marker of an earlier refusal if there is one.
+fn job_txn(job: &Job, marker: Option<StoreRevision>) -> Txn {
+    let (key, refused) = (keys::job(job.key), keys::refused(job.key));
+    Txn {
+        expected: vec![(key.clone(), Revision(0)), (refused.clone(), expected_marker(marker))],
+        set: vec![(key, store_writer::encode(job), None)],
+        remove: marker.map(|_| refused).into_iter().collect(),
+    }
+}
+
+/// Returns the revision at which a write expects the marker; zero if it expects none.
+fn expected_marker(marker: Option<StoreRevision>) -> Revision {
+    Revision(marker.unwrap_or_default().0)
+}
+
+/// Stores the marker of a refused job in place of the marker at `marker`, or where there is none.
+async fn store_marker(
+    node: &Node,
+    key: JobKey,
+    own: MarkerWriter,
+    mut write: MarkerWrite,
+    mut marker: Option<StoreRevision>,
+) -> MarkerOutcome {
+    if node.is_store_unavailable() {
+        return write.given_up();
+    }
+    let lease = match node.store.grant_lease(MARKER_LEASE).await {
+        Ok(lease) => lease,
+        Err(_) => {
+            node.record_store_failure();
+            return write.given_up();
+        }
+    };
+    let record = store_writer::encode(&MarkerRecord { writer: own });
+    for _ in 0..MAX_MARKER_WRITES {
+        let refused = keys::refused(key);
+        let txn = Txn {
+            expected: vec![
+                (keys::job(key), Revision(0)),
+                (refused.clone(), expected_marker(marker)),
+            ],
+            set: vec![(refused, record.clone(), Some(lease))],
+            remove: Vec::new(),
+        };
+        let answer = commit_or_find(node, &txn, key).await;
+        match write.answered(answer) {
+            MarkerStep::Finish(outcome) => return outcome,
+            MarkerStep::Expect(found) => marker = found,
+        }
+    }
+    write.given_up()
+}
+
+/// Makes a write under the keys of a job once; after a conflict, reads what is stored there.
+async fn commit_or_find(node: &Node, txn: &Txn, key: JobKey) -> WriteAnswer {
+    match node.store.commit(txn).await {
+        Ok(revision) => {
+            node.record_store_answer();
+            node.note_store_revision(revision);
+            WriteAnswer::Stored
+        }
+        Err(StoreError::Conflict) => {
+            node.record_store_answer();
+            WriteAnswer::Conflict(find_stored(node, key).await.ok())
+        }
+        Err(StoreError::Unavailable | StoreError::Gone) => {
+            node.record_store_failure();
+            WriteAnswer::NotStored
+        }
+        Err(StoreError::Unclear) => {
+            node.record_store_failure();
+            WriteAnswer::Unclear
+        }
+    }
+}
+
+/// Reads what is stored under the keys of a job.
+async fn find_stored(node: &Node, key: JobKey) -> Result<Found, StoreError> {
+    if node.store.get(&keys::job(key)).await?.is_some() {
+        return Ok(Found::Job);
+    }
+    let Some(item) = node.store.get(&keys::refused(key)).await? else { return Ok(Found::Nothing) };
+    let record = serde_json::from_slice::<MarkerRecord>(&item.value).ok();
+    Ok(Found::Marker(Marker {
+        revision: StoreRevision(item.revision.0),
+        writer: record.map(|r| r.writer),
+    }))
+}
+
 /// The outcome of a write that was retried for a while.
 enum WriteOutcome {
     /// The outcome of the write, as far as it is known.
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -35,6 +35,14 @@
 /// The progress of maintenance waves; written by the leader only.
 pub const WAVES: &str = "gaplock/wave/";
 
+/// Markers of refused jobs, each under a lease; written by any host before it refuses a job.
+pub const REFUSED: &str = "gaplock/refused/";
+
+/// Returns the key of the marker of a refused job.
+pub fn refused(key: JobKey) -> String {
+    format!("{REFUSED}{key}")
+}
+
 /// Returns the key of a wave's progress.
 pub fn wave(number: WaveNumber) -> String {
     format!("{WAVES}{}", number.0)
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,7 +10,8 @@
 use gaplock_platform::advice::{self, AdviceClient};
 use gaplock_platform::hosts::{self, HostsClient};
 use gaplock_platform::installation::Installation;
-use gaplock_platform::store::Store;
+use gaplock_platform::store::{Revision, Store};
+use gaplock_policy::refusals::StoreRevision;
 use gaplock_policy::succession::{self, LeaderCapacity};
 use gaplock_remote::clock;
 use gaplock_sched::freshness::RevisionSample;
@@ -59,6 +60,7 @@
     store_answered_at_ms: AtomicU64,
     store_failed_at_ms: AtomicU64,
     store_lost: AtomicBool,
+    store_revision: AtomicU64,
     leader_answered_at_ms: AtomicU64,
     config_newest_at_ms: AtomicU64,
     leader_queue_counts: Mutex<BTreeMap<String, u32>>,
@@ -114,6 +116,7 @@
         store_answered_at_ms: AtomicU64::new(0),
         store_failed_at_ms: AtomicU64::new(0),
         store_lost: AtomicBool::new(false),
+        store_revision: AtomicU64::new(0),
         leader_answered_at_ms: AtomicU64::new(0),
         config_newest_at_ms: AtomicU64::new(0),
         leader_queue_counts: Mutex::default(),
@@ -199,8 +202,19 @@
         self.store_answered_at_ms.fetch_max(clock::now().0, Ordering::Relaxed);
     }
 
+    /// Records a revision that the store has or had.
+    pub fn note_store_revision(&self, revision: Revision) {
+        self.store_revision.fetch_max(revision.0, Ordering::SeqCst);
+    }
+
+    /// Returns the highest revision of the store that this host has learned of.
+    pub fn store_revision(&self) -> StoreRevision {
+        StoreRevision(self.store_revision.load(Ordering::SeqCst))
+    }
+
     /// Reports the store's revision at a given time to the engine, if this host leads.
     pub fn report_store_revision(&self, sample: RevisionSample) {
+        self.note_store_revision(Revision(sample.revision));
         if let Role::Leader(engine) = self.role() {
             engine.send(Event::StoreRevision(sample));
         }
@@ -300,6 +314,7 @@
             .map_or(self.leader_capacity, |c| c.leader_capacity.max(self.leader_capacity));
         HeartbeatAnswer::Leader {
             config_age: self.config_age(),
+            store_revision: self.store_revision().0,
             config: newer.map(|c| Config::clone(&c)),
             waiting: engine.queue_counts(),
             successor: best.map(|c| c.host),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -25,6 +25,8 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
+use crate::inbox;
+
 /// The time limit of a call to the leader; it normally takes a millisecond or two.
 const CALL_LIMIT: Duration = Duration::from_millis(700);
 
@@ -98,6 +100,10 @@
     Leader {
         /// How long ago the leader last read the configuration from the store.
         config_age: Millis,
+        /// The highest revision of the store that the leader has learned of. A follower that knows
+        /// it recognizes older markers of refused jobs.
+        #[serde(default)]
+        store_revision: u64,
         /// The configuration in force, if the follower's is older.
         config: Option<Config>,
         /// Queues with jobs that have not begun.
@@ -317,10 +323,11 @@
         node.apply_cancel_if_leader(key).await
     });
     register_method(module, STORE_JOB, |node, job: Job| async move {
-        crate::inbox::store_job_directly(&node, Arc::new(job)).await
+        let submission = inbox::forwarded_submission();
+        inbox::store_job_directly(&node, Arc::new(job), &submission).await
     });
     register_method(module, STORE_CANCEL, |node, key: JobKey| async move {
-        crate::inbox::store_cancel_directly(&node, key).await
+        inbox::store_cancel_directly(&node, key).await
     });
     register_method(
         module,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod health;
 pub mod interference;
 pub mod placement;
+pub mod refusals;
 pub mod retry;
 pub mod route;
 pub mod store_outcome;
--- a/crates/policy/src/store_outcome.rs
+++ b/crates/policy/src/store_outcome.rs
@@ -12,6 +12,9 @@
     Stored,
     /// There is no such job.
     NoSuchJob,
+    /// The job is refused, as the marker of its refusal shows; it is not stored and never will be
+    /// by this request.
+    Refused,
     /// It is not stored and never will be.
     NotStored,
     /// It may be stored, or may still be stored later.
@@ -31,7 +34,8 @@
 
 /// Combines this host's outcome with the leader's; the same rule holds for jobs and cancellations.
 /// What either of them stored is stored. If either found that the job is gone, it can no longer be
-/// cancelled. Otherwise the outcome is `NotStored` only if both of them are certain of that.
+/// cancelled. If the leader refused it, its marker keeps this host's attempts from being carried
+/// out, also those without an answer. Otherwise the outcome is `NotStored` only if both of them are certain of that.
 pub fn combine(here: StoreOutcome, at_leader: LeaderReply) -> StoreOutcome {
     let there = match at_leader {
         LeaderReply::NotAsked => return here,
@@ -39,7 +43,12 @@
         LeaderReply::Answered(there) => there,
     };
     let either = |outcome| here == outcome || there == outcome;
-    let precedence = [StoreOutcome::Stored, StoreOutcome::NoSuchJob, StoreOutcome::Unclear];
+    let precedence = [
+        StoreOutcome::Stored,
+        StoreOutcome::NoSuchJob,
+        StoreOutcome::Refused,
+        StoreOutcome::Unclear,
+    ];
     precedence.into_iter().find(|&outcome| either(outcome)).unwrap_or(StoreOutcome::NotStored)
 }
 
