Refuse jobs that would end too late to be of use, or that no worker can hold

Cause: everything is accepted at any backlog, Retry-After is always 1 s, and a returning caller has no precedence. A job that no worker can hold is accepted and shown as queued for ever, never as failed (test admit_all).

Ruled out: deciding on each host (return times would not be spread, and a returning caller would be known to one host only); refusing long-running work, repeating jobs and jobs without an objective by load.

Change: a host whose load summary is at most 2 s old asks the leader by the call `admit` if its queue and class drain in more than the job's objective, or the job is too large; the leader decides in its engine's task.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -7,6 +7,7 @@
 use gaplock_jobs::job;
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::JobKey;
+use gaplock_overload::admission::{Decision, MIN_RETURN};
 use gaplock_platform::callers;
 use gaplock_platform::store::StoreError;
 use gaplock_policy::store_outcome::StoreOutcome;
@@ -17,12 +18,15 @@
 
 use crate::node::Node;
 use crate::peers::StatusAnswer;
-use crate::{inbox, keys, records};
+use crate::{admission, inbox, keys, records};
 
 /// How long a refused caller should wait before it tries again, in seconds: about as long as a
 /// change of leader takes.
 const RETRY_AFTER_S: &str = "1";
 
+/// The reason, in metrics, of a refusal that another host decided at the same time.
+const REFUSED_ELSEWHERE: &str = "refused-elsewhere";
+
 const GONE: u16 = 410;
 const GATEWAY_TIMEOUT: u16 = 504;
 
@@ -76,11 +80,20 @@
     if let Err(e) = job::validate(&job) {
         return bad_request(node, key, &e);
     }
-    let outcome = inbox::store_job(node, job, &submission).await;
+    let decision = admission::decide(node, queue, &job).await;
+    let outcome = match decision {
+        Decision::Refuse { .. } => inbox::store_refusal(node, job, &submission).await,
+        Decision::Admit { .. } => inbox::store_job(node, job, &submission).await,
+    };
     tracing::info!(event = "job_handed_in", job = %key, queue = queue.name, outcome = ?outcome);
     match outcome {
-        StoreOutcome::Refused => refuse(node, Code::Overloaded),
-        StoreOutcome::Stored => answer(node, Code::Accepted, StatusCode::Ok.into(), b"{}".to_vec()),
+        StoreOutcome::Refused => refuse_admission(node, key, queue, decision),
+        StoreOutcome::Stored => {
+            if decision == (Decision::Admit { returned: true }) {
+                node.metrics.count_returned(&queue.name);
+            }
+            answer(node, Code::Accepted, StatusCode::Ok.into(), b"{}".to_vec())
+        }
         StoreOutcome::NotStored => refuse(node, Code::StoreDown),
         // Storing a new job never reports `NoSuchJob`; if it did, the outcome would be unknown.
         StoreOutcome::Unclear | StoreOutcome::NoSuchJob => {
@@ -89,6 +102,29 @@
     }
 }
 
+/// Refuses a job whose marker is stored. If this host had admitted the job, another host refused it
+/// at the same time.
+fn refuse_admission(node: &Node, key: JobKey, queue: &Queue, decision: Decision) -> Response {
+    let (code, label, return_in) = match decision {
+        Decision::Refuse { reason, return_in } => {
+            (admission::code_of(reason), admission::label_of(reason), return_in)
+        }
+        Decision::Admit { .. } => (Code::Overloaded, REFUSED_ELSEWHERE, MIN_RETURN),
+    };
+    let seconds = return_in.0.div_ceil(1_000);
+    tracing::info!(
+        event = "job_refused",
+        job = %key,
+        queue = queue.name,
+        reason = label,
+        retry_after_s = seconds
+    );
+    node.metrics.count_refusal(&queue.name, label);
+    let mut res = answer(node, code, StatusCode::ServiceUnavailable.into(), Vec::new());
+    res.insert_header("retry-after", seconds.to_string());
+    res
+}
+
 fn bad_request(node: &Node, key: JobKey, e: &dyn std::error::Error) -> Response {
     tracing::info!(event = "job_malformed", job = %key, error = %e);
     answer(node, Code::BadRequest, StatusCode::BadRequest.into(), Vec::new())
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -10,6 +10,7 @@
 use async_std::{future, task};
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::JobKey;
+use gaplock_overload::admission::Arrival;
 use gaplock_platform::store::Revision;
 use gaplock_remote::clock;
 use gaplock_sched::context::Term;
@@ -20,9 +21,10 @@
 use gaplock_types::time::Instant;
 
 use crate::actions::{self, CallContext, Clients};
+use crate::admission::LeaderAdmission;
 use crate::leadership::{Authority, LeadershipStatus};
 use crate::node::Node;
-use crate::peers::{QueueCount, StatusAnswer};
+use crate::peers::{AdmitAnswer, QueueCount, StatusAnswer};
 use crate::store_writer::{CommitError, StoreWriter};
 
 /// A message to the engine.
@@ -31,6 +33,8 @@
     Event(Event),
     /// A query for a job's state, with the channel for the answer.
     Status(JobKey, Sender<StatusAnswer>),
+    /// The question whether a job is admitted, with the channel for the answer.
+    Admit(Arrival, Sender<AdmitAnswer>),
 }
 
 /// The handle of a running engine.
@@ -58,6 +62,15 @@
         rx.recv().await.unwrap_or(StatusAnswer::Unknown)
     }
 
+    /// Decides whether a job is admitted.
+    pub async fn admit(&self, arrival: Arrival) -> AdmitAnswer {
+        let (tx, rx) = async_channel::bounded(1);
+        if self.tx.send(Message::Admit(arrival, tx)).await.is_err() {
+            return AdmitAnswer::NotDecided;
+        }
+        rx.recv().await.unwrap_or(AdmitAnswer::NotDecided)
+    }
+
     /// Returns how many jobs of each queue have not begun.
     pub fn queue_counts(&self) -> Vec<QueueCount> {
         self.queue_counts.lock().expect("no holder of the lock panics").clone()
@@ -77,6 +90,7 @@
     engine: Arc<Engine>,
     node: Arc<Node>,
     clients: Clients,
+    admission: LeaderAdmission,
     to_store_writer: Sender<Vec<Record>>,
     counted_at: Instant,
 }
@@ -104,6 +118,7 @@
         engine,
         node: Arc::clone(node),
         clients: Clients::open(node.installation.descriptors),
+        admission: LeaderAdmission::default(),
         to_store_writer,
         counted_at: Instant(0),
     }
@@ -153,7 +168,17 @@
     /// Handles one message.
     fn handle_message(&mut self, message: Message) {
         match message {
-            Message::Event(event) => self.cx.handle(clock::now(), clock::unix_ms(), event),
+            Message::Event(event) => {
+                if let Event::Job(job) = &event {
+                    self.admission.forget(job.key);
+                }
+                self.cx.handle(clock::now(), clock::unix_ms(), event);
+            }
+            Message::Admit(arrival, tx) => {
+                if tx.try_send(self.decide_admission(&arrival)).is_err() {
+                    tracing::debug!(event = "admission_not_wanted", job = %JobKey(arrival.key.0));
+                }
+            }
             Message::Status(key, tx) => {
                 let is_readable = |e: &&JobEntry| !e.unreadable || e.stored_state.is_final();
                 let entry = self.cx.jobs.get(&key).filter(is_readable);
@@ -167,6 +192,16 @@
         }
     }
 
+    /// Decides whether a job is admitted, unless this host may not act as the leader now.
+    fn decide_admission(&mut self, arrival: &Arrival) -> AdmitAnswer {
+        let now = clock::now();
+        if self.engine.leadership.authority(now) != Authority::Act {
+            return AdmitAnswer::NotDecided;
+        }
+        let is_known = self.cx.jobs.contains_key(&JobKey(arrival.key.0));
+        self.admission.decide(&self.node, now, is_known, arrival)
+    }
+
     /// Carries out the actions that the scheduler asks for. If `may_send` is false, answers each of
     /// them as not sent instead.
     fn carry_out_actions(&mut self, may_send: bool) {
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -166,6 +166,27 @@
     Revision(marker.unwrap_or_default().0)
 }
 
+/// Stores the marker of a job that is to be refused. If it may not be stored, stores the job
+/// instead, unless another request of its caller may have been refused meanwhile.
+pub async fn store_refusal(
+    node: &Arc<Node>,
+    job: Arc<Job>,
+    submission: &Submission,
+) -> StoreOutcome {
+    let write = MarkerWrite::begin(submission.writer, submission.known);
+    let outcome = store_marker(node, job.key, submission.writer, write, None).await;
+    if matches!(outcome, MarkerOutcome::Uncertain | MarkerOutcome::Blocked) {
+        tracing::info!(event = "refusal_not_stored", job = %job.key, outcome = ?outcome);
+    }
+    match outcome {
+        MarkerOutcome::Stored => StoreOutcome::Refused,
+        MarkerOutcome::JobStored => StoreOutcome::Stored,
+        MarkerOutcome::Uncertain => store_job(node, job, submission).await,
+        // No attempt to store the job was made on behalf of this request.
+        MarkerOutcome::Blocked => StoreOutcome::NotStored,
+    }
+}
+
 /// Stores the marker of a refused job in place of the marker at `marker`, or where there is none.
 async fn store_marker(
     node: &Node,
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,6 +1,7 @@
 //! The daemon that runs on every host of an installation; see `docs/PLATFORM.md`.
 
 mod actions;
+mod admission;
 mod callers;
 mod directory;
 mod engine;
@@ -66,7 +67,7 @@
     let peer_addr = format!("{}:{}", installation.ip, installation.peer_ports.0);
     let store = store::open(&installation.store_addr, installation.link_mbps);
     tracing::info!(event = "started", host = %installation.host, domain = %installation.domain);
-    let node = node::open(installation, cfg, peer_addr, store);
+    let node = node::open(installation, cfg, peer_addr, store, settings::admission_control(values));
     let (ip, port) = (values.text(settings::METRICS_IP), values.number(settings::METRICS_PORT));
     let listeners = match listeners::bind(&node, &format!("{ip}:{port}")).await {
         Ok(listeners) => listeners,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -23,6 +23,19 @@
     domain: String,
 }
 
+/// A queue as a label; the configuration bounds their number.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct QueueLabel {
+    queue: String,
+}
+
+/// A queue and the reason of a refusal as labels.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabel {
+    queue: String,
+    reason: String,
+}
+
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 2.5];
 
@@ -38,6 +51,8 @@
     commits: Family<Label, Counter>,
     commit_time: Histogram,
     evacuated_runs: Family<DomainLabel, Gauge>,
+    refused_jobs: Family<RefusalLabel, Counter>,
+    returned_jobs: Family<QueueLabel, Counter>,
     /// The number of leaderships that this process has held.
     pub terms: Counter,
     /// The version of the configuration in force.
@@ -79,6 +94,12 @@
     let evacuated_runs = Family::<DomainLabel, Gauge>::default();
     let help = "Tasks that still run in an evacuated failure domain";
     registry.register("evacuated_domain_runs", help, evacuated_runs.clone());
+    let refused_jobs = Family::<RefusalLabel, Counter>::default();
+    let help = "Jobs refused by admission control, by queue and reason";
+    registry.register("refused_jobs", help, refused_jobs.clone());
+    let returned_jobs = Family::<QueueLabel, Counter>::default();
+    let help = "Jobs that were refused before and were admitted when their callers returned";
+    registry.register("returned_jobs", help, returned_jobs.clone());
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let mut gauge = |name: &str, help: &str| {
@@ -106,6 +127,8 @@
         commits,
         commit_time,
         evacuated_runs,
+        refused_jobs,
+        returned_jobs,
         terms,
         config_version,
         free_millicores,
@@ -126,6 +149,17 @@
         self.answers.get_or_create(&Label { kind: code.row().name.to_string() }).inc();
     }
 
+    /// Counts a job that admission control refused.
+    pub fn count_refusal(&self, queue: &str, reason: &str) {
+        let label = RefusalLabel { queue: queue.to_string(), reason: reason.to_string() };
+        self.refused_jobs.get_or_create(&label).inc();
+    }
+
+    /// Counts a job that was admitted when its refused caller returned.
+    pub fn count_returned(&self, queue: &str) {
+        self.returned_jobs.get_or_create(&QueueLabel { queue: queue.to_string() }).inc();
+    }
+
     /// Counts a call to a worker.
     pub fn count_worker_call(&self, kind: &'static str, outcome: &'static str) {
         self.worker_calls.get_or_create(&Label { kind: format!("{kind}:{outcome}") }).inc();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,6 +7,8 @@
 
 use gaplock_jobs::config::Config;
 use gaplock_jobs::{Job, JobKey};
+use gaplock_overload::admission::Arrival;
+use gaplock_overload::summary::LoadSummary;
 use gaplock_platform::advice::{self, AdviceClient};
 use gaplock_platform::hosts::{self, HostsClient};
 use gaplock_platform::installation::Installation;
@@ -23,7 +25,9 @@
 use crate::handover::Handover;
 use crate::leadership::Authority;
 use crate::metrics::Metrics;
-use crate::peers::{self, Heartbeat, HeartbeatAnswer, Invitation, QueueCount, StatusAnswer};
+use crate::peers::{
+    self, AdmitAnswer, Heartbeat, HeartbeatAnswer, Invitation, QueueCount, StatusAnswer,
+};
 
 /// The role of this host in the installation.
 #[derive(Clone)]
@@ -53,6 +57,8 @@
     pub peer_client: peers::PeerClient,
     /// The metrics of this host.
     pub metrics: Metrics,
+    /// Whether jobs may be refused by the load of their queue.
+    pub admission_control: bool,
     settings: RwLock<Settings>,
     config: RwLock<Option<Arc<Config>>>,
     role: RwLock<Role>,
@@ -90,6 +96,7 @@
     settings: Settings,
     peer_addr: String,
     store: Store,
+    admission_control: bool,
 ) -> Arc<Node> {
     let advisor = installation.advice_addr.as_deref().map(advice::open);
     let own_host = &installation.host;
@@ -110,6 +117,7 @@
         store: Arc::new(store),
         peer_client: peers::PeerClient::default(),
         metrics: crate::metrics::open(),
+        admission_control,
         config: RwLock::new(None),
         role: RwLock::new(Role::Follower(None)),
         stopping: AtomicBool::new(false),
@@ -202,6 +210,11 @@
         self.store_answered_at_ms.fetch_max(clock::now().0, Ordering::Relaxed);
     }
 
+    /// Returns the newest load summary with its age; `None` if there is none.
+    pub fn load_summary(&self) -> Option<(Arc<LoadSummary>, Millis)> {
+        None
+    }
+
     /// Records a revision that the store has or had.
     pub fn note_store_revision(&self, revision: Revision) {
         self.store_revision.fetch_max(revision.0, Ordering::SeqCst);
@@ -339,6 +352,12 @@
         true
     }
 
+    /// Decides whether a job is admitted if this host leads.
+    pub async fn admit_if_leader(&self, arrival: Arrival) -> AdmitAnswer {
+        let Role::Leader(engine) = self.role() else { return AdmitAnswer::NotDecided };
+        engine.admit(arrival).await
+    }
+
     /// Returns a job's state if this host leads and knows it.
     pub async fn status_if_leader(&self, key: JobKey) -> StatusAnswer {
         let Role::Leader(engine) = self.role() else { return StatusAnswer::Unknown };
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -13,6 +13,7 @@
 use gaplock_jobs::config::Config;
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey};
+use gaplock_overload::admission::{Arrival, Decision};
 use gaplock_policy::store_outcome::StoreOutcome;
 use gaplock_policy::succession;
 use gaplock_types::ids;
@@ -137,12 +138,22 @@
     State(JobState),
 }
 
+/// The answer to the question whether a job is admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum AdmitAnswer {
+    /// This host does not lead, or has no recent load summary.
+    NotDecided,
+    /// The leader's decision.
+    Decided(Decision),
+}
+
 const HEARTBEAT: &str = "heartbeat";
 const JOB_STORED: &str = "job_stored";
 const CANCEL_STORED: &str = "cancel_stored";
 const STORE_JOB: &str = "store_job";
 const STORE_CANCEL: &str = "store_cancel";
 const STATUS: &str = "status";
+const ADMIT: &str = "admit";
 const INVITE: &str = "invite";
 
 /// The client for calls to other hosts. Its connection is opened on first use and again after a
@@ -271,6 +282,14 @@
         }
     }
 
+    /// Asks the leader whether a job is admitted.
+    ///
+    /// # Errors
+    /// As [`PeerClient::heartbeat`].
+    pub async fn admit(&self, addr: &str, arrival: &Arrival) -> Result<AdmitAnswer, PeerError> {
+        self.call(addr, ADMIT, arrival).await
+    }
+
     /// Queries a job's state.
     ///
     /// # Errors
@@ -334,6 +353,9 @@
         STATUS,
         |node, key: JobKey| async move { node.status_if_leader(key).await },
     );
+    register_method(module, ADMIT, |node, arrival: Arrival| async move {
+        node.admit_if_leader(arrival).await
+    });
     register_method(module, INVITE, |node, invitation: Invitation| async move {
         node.handle_invitation(invitation).await
     });
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -16,6 +16,7 @@
 
 const RENEW_WAIT: &str = "renew-wait";
 const COMMIT_DELAY: &str = "commit-delay";
+const ADMIT_ALL: &str = "admit-all";
 
 /// Every setting.
 pub const TABLE: &[Setting] = &[
@@ -48,8 +49,20 @@
         Some("60"),
         "How long ends of tasks are gathered into one commit.",
     ),
+    setting(
+        ADMIT_ALL,
+        Kind::Switch,
+        "",
+        None,
+        "Admits jobs also where their queue cannot be drained within three times their objective.",
+    ),
 ];
 
+/// Returns whether jobs are refused that would end too late to be of use.
+pub fn admission_control(values: &Values) -> bool {
+    !values.switch(ADMIT_ALL)
+}
+
 /// The time within which the answers to a burst of starts must be handled, in seconds: well below
 /// the 0.4 s after which a call to a worker counts as unanswered.
 const BURST_ANSWERS_WITHIN_S: f64 = 0.15;
