Merge admission control and the order of return

Cause: everything was accepted at any backlog, Retry-After was always 1 s, and a caller that came back stood where any newcomer stands. The load summary that decides is that of the account; its backlog is corrected by the ratio of actual to estimated time, which is now stored for the next leader, too.

--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -205,6 +205,7 @@
         HeartbeatAnswer::NotLeader => Ok(false),
         HeartbeatAnswer::Leader {
             config_age,
+            store_revision,
             config,
             waiting,
             successor,
@@ -213,6 +214,7 @@
             check_store,
             load,
         } => {
+            node.note_store_revision(Revision(store_revision));
             node.handover.set_best_leader_capacity(strongest);
             node.handover.set_heartbeat_pause(beat_after);
             node.handover.set_check_wanted(check_store);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -30,25 +30,25 @@
 
 /// A class of work of a queue as a label.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct QueueLabel {
+struct QueueClassLabel {
     queue: String,
     class: String,
 }
 
 /// The metrics of one class of work of one queue.
 struct QueueMetrics {
-    backlog_core_s: Family<QueueLabel, Gauge>,
-    drain_ms: Family<QueueLabel, Gauge>,
-    arriving: Family<QueueLabel, Gauge>,
-    completed: Family<QueueLabel, Gauge>,
-    running: Family<QueueLabel, Gauge>,
-    waiting: Family<QueueLabel, Gauge>,
+    backlog_core_s: Family<QueueClassLabel, Gauge>,
+    drain_ms: Family<QueueClassLabel, Gauge>,
+    arriving: Family<QueueClassLabel, Gauge>,
+    completed: Family<QueueClassLabel, Gauge>,
+    running: Family<QueueClassLabel, Gauge>,
+    waiting: Family<QueueClassLabel, Gauge>,
 }
 
 impl QueueMetrics {
     fn open(registry: &mut Registry) -> Self {
         let mut family = |name: &str, help: &str| {
-            let family = Family::<QueueLabel, Gauge>::default();
+            let family = Family::<QueueClassLabel, Gauge>::default();
             registry.register(name, help, family.clone());
             family
         };
@@ -63,7 +63,7 @@
         }
     }
 
-    fn families(&self) -> [&Family<QueueLabel, Gauge>; 6] {
+    fn families(&self) -> [&Family<QueueClassLabel, Gauge>; 6] {
         let Self { backlog_core_s, drain_ms, arriving, completed, running, waiting } = self;
         [backlog_core_s, drain_ms, arriving, completed, running, waiting]
     }
@@ -73,8 +73,8 @@
         self.families().into_iter().for_each(Family::clear);
         for load in queues {
             let label =
-                QueueLabel { queue: load.queue.clone(), class: load.class.name().to_string() };
-            let set = |family: &Family<QueueLabel, Gauge>, value: u64| {
+                QueueClassLabel { queue: load.queue.clone(), class: load.class.name().to_string() };
+            let set = |family: &Family<QueueClassLabel, Gauge>, value: u64| {
                 family.get_or_create(&label).set(i64::try_from(value).unwrap_or(i64::MAX));
             };
             set(&self.backlog_core_s, load.backlog_core_ms / 1_000);
@@ -109,6 +109,19 @@
     class: &'static str,
 }
 
+/// A queue as a label; the configuration bounds their number.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct QueueLabel {
+    queue: String,
+}
+
+/// A queue and the reason of a refusal as labels.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabel {
+    queue: String,
+    reason: String,
+}
+
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 2.5];
 
@@ -135,6 +148,8 @@
     best_effort_at_work: Family<PoolLabel, Gauge>,
     class_entitled: Family<ClassLabel, Gauge>,
     class_in_use: Family<ClassLabel, Gauge>,
+    refused_jobs: Family<RefusalLabel, Counter>,
+    returned_jobs: Family<QueueLabel, Counter>,
     /// The number of leaderships that this process has held.
     pub terms: Counter,
     /// The version of the configuration in force.
@@ -198,6 +213,12 @@
     let class_in_use = Family::<ClassLabel, Gauge>::default();
     let help = "Processors that a class of work reserves in a pool";
     registry.register("class_used_millicores", help, class_in_use.clone());
+    let refused_jobs = Family::<RefusalLabel, Counter>::default();
+    let help = "Jobs refused by admission control, by queue and reason";
+    registry.register("refused_jobs", help, refused_jobs.clone());
+    let returned_jobs = Family::<QueueLabel, Counter>::default();
+    let help = "Jobs that were refused before and were admitted when their callers returned";
+    registry.register("returned_jobs", help, returned_jobs.clone());
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let mut gauge = |name: &str, help: &str| {
@@ -232,6 +253,8 @@
         best_effort_at_work,
         class_entitled,
         class_in_use,
+        refused_jobs,
+        returned_jobs,
         terms,
         config_version,
         free_millicores,
@@ -255,6 +278,17 @@
         self.answers.get_or_create(&Label { kind: code.row().name.to_string() }).inc();
     }
 
+    /// Counts a job that admission control refused.
+    pub fn count_refusal(&self, queue: &str, reason: &str) {
+        let label = RefusalLabel { queue: queue.to_string(), reason: reason.to_string() };
+        self.refused_jobs.get_or_create(&label).inc();
+    }
+
+    /// Counts a job that was admitted when its refused caller returned.
+    pub fn count_returned(&self, queue: &str) {
+        self.returned_jobs.get_or_create(&QueueLabel { queue: queue.to_string() }).inc();
+    }
+
     /// Counts a call to a worker.
     pub fn count_worker_call(&self, kind: &'static str, outcome: &'static str) {
         self.worker_calls.get_or_create(&Label { kind: format!("{kind}:{outcome}") }).inc();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -7,11 +7,13 @@
 
 use gaplock_jobs::config::Config;
 use gaplock_jobs::{Job, JobKey};
+use gaplock_overload::admission::Arrival;
 use gaplock_overload::summary::{LoadSummary, SummaryVersion};
 use gaplock_platform::advice::{self, AdviceClient};
 use gaplock_platform::hosts::{self, HostsClient};
 use gaplock_platform::installation::Installation;
-use gaplock_platform::store::Store;
+use gaplock_platform::store::{Revision, Store};
+use gaplock_policy::refusals::StoreRevision;
 use gaplock_policy::succession::{self, LeaderCapacity};
 use gaplock_remote::clock;
 use gaplock_sched::freshness::RevisionSample;
@@ -23,7 +25,9 @@
 use crate::handover::Handover;
 use crate::leadership::Authority;
 use crate::metrics::Metrics;
-use crate::peers::{self, Heartbeat, HeartbeatAnswer, Invitation, QueueCount, StatusAnswer};
+use crate::peers::{
+    self, AdmitAnswer, Heartbeat, HeartbeatAnswer, Invitation, QueueCount, StatusAnswer,
+};
 
 /// The role of this host in the installation.
 #[derive(Clone)]
@@ -72,6 +76,8 @@
     pub peer_client: peers::PeerClient,
     /// The metrics of this host.
     pub metrics: Metrics,
+    /// Whether jobs may be refused by the load of their queue.
+    pub admission_control: bool,
     settings: RwLock<Settings>,
     config: RwLock<Option<Arc<Config>>>,
     role: RwLock<Role>,
@@ -79,6 +85,7 @@
     store_answered_at_ms: AtomicU64,
     store_failed_at_ms: AtomicU64,
     store_lost: AtomicBool,
+    store_revision: AtomicU64,
     leader_answered_at_ms: AtomicU64,
     config_newest_at_ms: AtomicU64,
     leader_queue_counts: Mutex<BTreeMap<String, u32>>,
@@ -120,6 +127,7 @@
     settings: Settings,
     peer_addr: String,
     store: Store,
+    admission_control: bool,
 ) -> Arc<Node> {
     let advisor = installation.advice_addr.as_deref().map(advice::open);
     let own_host = &installation.host;
@@ -140,12 +148,14 @@
         store: Arc::new(store),
         peer_client: peers::PeerClient::default(),
         metrics: crate::metrics::open(),
+        admission_control,
         config: RwLock::new(None),
         role: RwLock::new(Role::Follower(None)),
         stopping: AtomicBool::new(false),
         store_answered_at_ms: AtomicU64::new(0),
         store_failed_at_ms: AtomicU64::new(0),
         store_lost: AtomicBool::new(false),
+        store_revision: AtomicU64::new(0),
         leader_answered_at_ms: AtomicU64::new(0),
         config_newest_at_ms: AtomicU64::new(0),
         leader_queue_counts: Mutex::default(),
@@ -232,8 +242,19 @@
         self.store_answered_at_ms.fetch_max(clock::now().0, Ordering::Relaxed);
     }
 
+    /// Records a revision that the store has or had.
+    pub fn note_store_revision(&self, revision: Revision) {
+        self.store_revision.fetch_max(revision.0, Ordering::SeqCst);
+    }
+
+    /// Returns the highest revision of the store that this host has learned of.
+    pub fn store_revision(&self) -> StoreRevision {
+        StoreRevision(self.store_revision.load(Ordering::SeqCst))
+    }
+
     /// Reports the store's revision at a given time to the engine, if this host leads.
     pub fn report_store_revision(&self, sample: RevisionSample) {
+        self.note_store_revision(Revision(sample.revision));
         if let Role::Leader(engine) = self.role() {
             engine.send(Event::StoreRevision(sample));
         }
@@ -360,6 +381,7 @@
             .map_or(self.leader_capacity, |c| c.leader_capacity.max(self.leader_capacity));
         HeartbeatAnswer::Leader {
             config_age: self.config_age(),
+            store_revision: self.store_revision().0,
             config: newer.map(|c| Config::clone(&c)),
             waiting: engine.queue_counts(),
             successor: best.map(|c| c.host),
@@ -385,6 +407,12 @@
         true
     }
 
+    /// Decides whether a job is admitted if this host leads.
+    pub async fn admit_if_leader(&self, arrival: Arrival) -> AdmitAnswer {
+        let Role::Leader(engine) = self.role() else { return AdmitAnswer::NotDecided };
+        engine.admit(arrival).await
+    }
+
     /// Returns a job's state if this host leads and knows it.
     pub async fn status_if_leader(&self, key: JobKey) -> StatusAnswer {
         let Role::Leader(engine) = self.role() else { return StatusAnswer::Unknown };
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -13,6 +13,7 @@
 use gaplock_jobs::config::Config;
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey};
+use gaplock_overload::admission::{Arrival, Decision};
 use gaplock_overload::summary::{LoadSummary, SummaryVersion};
 use gaplock_policy::store_outcome::StoreOutcome;
 use gaplock_policy::succession;
@@ -26,6 +27,8 @@
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
+use crate::inbox;
+
 /// The time limit of a call to the leader; it normally takes a millisecond or two.
 const CALL_LIMIT: Duration = Duration::from_millis(700);
 
@@ -102,6 +105,10 @@
     Leader {
         /// How long ago the leader last read the configuration from the store.
         config_age: Millis,
+        /// The highest revision of the store that the leader has learned of. A follower that knows
+        /// it recognizes older markers of refused jobs.
+        #[serde(default)]
+        store_revision: u64,
         /// The configuration in force, if the follower's is older.
         config: Option<Config>,
         /// Queues with jobs that have not begun.
@@ -138,12 +145,22 @@
     State(JobState),
 }
 
+/// The answer to the question whether a job is admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum AdmitAnswer {
+    /// This host does not lead, or has no recent load summary.
+    NotDecided,
+    /// The leader's decision.
+    Decided(Decision),
+}
+
 const HEARTBEAT: &str = "heartbeat";
 const JOB_STORED: &str = "job_stored";
 const CANCEL_STORED: &str = "cancel_stored";
 const STORE_JOB: &str = "store_job";
 const STORE_CANCEL: &str = "store_cancel";
 const STATUS: &str = "status";
+const ADMIT: &str = "admit";
 const INVITE: &str = "invite";
 
 /// The client for calls to other hosts. Its connection is opened on first use and again after a
@@ -272,6 +289,14 @@
         }
     }
 
+    /// Asks the leader whether a job is admitted.
+    ///
+    /// # Errors
+    /// As [`PeerClient::heartbeat`].
+    pub async fn admit(&self, addr: &str, arrival: &Arrival) -> Result<AdmitAnswer, PeerError> {
+        self.call(addr, ADMIT, arrival).await
+    }
+
     /// Queries a job's state.
     ///
     /// # Errors
@@ -324,16 +349,20 @@
         node.apply_cancel_if_leader(key).await
     });
     register_method(module, STORE_JOB, |node, job: Job| async move {
-        crate::inbox::store_job_directly(&node, Arc::new(job)).await
+        let submission = inbox::forwarded_submission();
+        inbox::store_job_directly(&node, Arc::new(job), &submission).await
     });
     register_method(module, STORE_CANCEL, |node, key: JobKey| async move {
-        crate::inbox::store_cancel_directly(&node, key).await
+        inbox::store_cancel_directly(&node, key).await
     });
     register_method(
         module,
         STATUS,
         |node, key: JobKey| async move { node.status_if_leader(key).await },
     );
+    register_method(module, ADMIT, |node, arrival: Arrival| async move {
+        node.admit_if_leader(arrival).await
+    });
     register_method(module, INVITE, |node, invitation: Invitation| async move {
         node.handle_invitation(invitation).await
     });
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -21,6 +21,7 @@
 const LIMIT_BEST_EFFORT: &str = "limit-best-effort";
 const NO_LOAD_ACCOUNT: &str = "no-load-account";
 const NO_CLASS_SHARES: &str = "no-class-shares";
+const ADMIT_ALL: &str = "admit-all";
 
 /// Every setting.
 pub const TABLE: &[Setting] = &[
@@ -88,8 +89,20 @@
         None,
         "Long-running tasks are not held to their share while short tasks wait.",
     ),
+    setting(
+        ADMIT_ALL,
+        Kind::Switch,
+        "",
+        None,
+        "Admits jobs also where their queue cannot be drained within three times their objective.",
+    ),
 ];
 
+/// Returns whether jobs are refused that would end too late to be of use.
+pub fn admission_control(values: &Values) -> bool {
+    !values.switch(ADMIT_ALL)
+}
+
 /// The time within which the answers to a burst of starts must be handled, in seconds: well below
 /// the 0.4 s after which a call to a worker counts as unanswered.
 const BURST_ANSWERS_WITHIN_S: f64 = 0.15;
--- a/crates/overload/src/estimates.rs
+++ b/crates/overload/src/estimates.rs
@@ -23,6 +23,10 @@
 /// tasks of a queue do not decide its correction.
 const PRIOR_TASKS: f64 = 5.0;
 
+/// The estimate of one task that stands for those of a previous leader, in milliseconds: about that
+/// of batch tasks on the users' sites.
+const RESTORED_TASK_MS: f64 = 2_000.0;
+
 /// The decayed sums over the completed tasks of one queue and class.
 #[derive(Debug, Clone, Copy, Default)]
 struct Sums {
@@ -69,6 +73,21 @@
         }
     }
 
+    /// Restores a correction that a previous leader has learned. It counts as much as
+    /// [`PRIOR_TASKS`] tasks, so that new tasks soon outweigh it. A value that is not finite is
+    /// ignored.
+    pub fn restore(&mut self, queue: &str, class: WorkClass, ratio: f64) {
+        if !ratio.is_finite() {
+            return;
+        }
+        let (min, max) = BOUNDS;
+        let estimated_ms = PRIOR_TASKS * RESTORED_TASK_MS;
+        // The ratio includes the assumption of exact estimates, which would lower it once more.
+        let actual_ms = estimated_ms * (2.0 * ratio.clamp(min, max) - 1.0).clamp(min, 2.0 * max);
+        let sums = Sums { tasks: PRIOR_TASKS, estimated_ms, actual_ms };
+        self.queues.entry(queue.to_string()).or_default().insert(class, sums);
+    }
+
     /// Returns the factor by which estimates of a queue and class are to be multiplied.
     pub fn ratio(&self, queue: &str, class: WorkClass) -> f64 {
         let sums = self.queues.get(queue).and_then(|classes| classes.get(&class));
--- a/crates/overload/src/lib.rs
+++ b/crates/overload/src/lib.rs
@@ -6,6 +6,7 @@
 //! `docs/design/hard-load.md` describes the decisions and the loads that they handle.
 
 pub mod account;
+pub mod admission;
 pub mod budget;
 pub mod estimates;
 pub mod share;
--- a/crates/overload/tests/estimates.rs
+++ b/crates/overload/tests/estimates.rs
@@ -45,3 +45,20 @@
     ratios.retain(|queue| queue == "low");
     assert!((ratios.ratio("high", BATCH) - 1.0).abs() < f64::EPSILON);
 }
+
+/// Guards against a successor that trusts the callers' estimates until it has seen tasks of its own, and against a
+/// stored value that outweighs these for long or is not a number.
+#[test]
+fn a_restored_ratio_holds_until_new_tasks_outweigh_it() {
+    let mut ratios = EstimateRatios::default();
+    ratios.restore("batch", WorkClass::BestEffort, 2.5);
+    let restored = ratios.ratio("batch", WorkClass::BestEffort);
+    assert!((restored - 2.5).abs() < 0.01, "restored as {restored}");
+    for _ in 0..100 {
+        ratios.record("batch", WorkClass::BestEffort, Millis(1_000), Millis(1_000));
+    }
+    let later = ratios.ratio("batch", WorkClass::BestEffort);
+    assert!(later < 1.3, "still {later} after a hundred exact estimates");
+    ratios.restore("other", WorkClass::Short, f64::NAN);
+    assert_eq!(ratios.ratio("other", WorkClass::Short), 1.0);
+}
--- a/crates/sched/src/changes/accounting.rs
+++ b/crates/sched/src/changes/accounting.rs
@@ -53,7 +53,7 @@
         return;
     }
     for class in classes(&entry.job) {
-        cx.load.job_accepted(entry.load_queue.class(class), entry.allowed);
+        cx.load.job_accepted(entry.load_queue.class(class), entry.objective);
     }
 }
 
@@ -88,7 +88,7 @@
 /// Takes a job that ends out of the accounts, with its waiting tasks and the work that is left.
 pub(super) fn job_ended(load: &mut LoadAccount, entry: &JobEntry) {
     for class in classes(&entry.job) {
-        load.job_ended(entry.load_queue.class(class), entry.allowed);
+        load.job_ended(entry.load_queue.class(class), entry.objective);
     }
     for round in &entry.rounds {
         for (at, work) in work_left(entry, round) {
@@ -131,6 +131,9 @@
     for queue in stored.queues.iter().take(MAX_STORED_LOADS) {
         let (name, rate) = (&queue.queue, queue.completed_core_ms_per_s);
         cx.load.restore_completed(name, queue.class, cx.now, rate);
+        if let Some(ratio) = queue.estimate_ratio {
+            cx.estimate_ratios.restore(name, queue.class, ratio);
+        }
     }
 }
 
--- a/crates/sched/src/decisions/load.rs
+++ b/crates/sched/src/decisions/load.rs
@@ -51,14 +51,14 @@
 }
 
 /// Returns the ratio of actual to estimated work of a class of a queue.
-fn estimate_ratio(_load: &ClassLoad) -> f64 {
-    1.0
+fn estimate_ratio(cx: &State, load: &ClassLoad) -> f64 {
+    cx.estimate_ratios.ratio(load.queue, load.class)
 }
 
 /// Returns the load of one class of work of one queue.
 fn queue(cx: &State, load: &ClassLoad) -> QueueLoad {
     let config = cx.config.as_ref().and_then(|config| config.queue(load.queue));
-    let ratio = estimate_ratio(load);
+    let ratio = estimate_ratio(cx, load);
     QueueLoad {
         queue: load.queue.to_string(),
         // A queue that was removed from the configuration belongs to no pool; its jobs are kept.
@@ -108,10 +108,10 @@
     let queues = queues(cx).into_iter().filter(is_stored).take(MAX_STORED_LOADS);
     let queues: Vec<StoredQueueLoad> = queues
         .map(|load| StoredQueueLoad {
+            estimate_ratio: Some(cx.estimate_ratios.ratio(&load.queue, load.class)),
             queue: load.queue,
             class: load.class,
             completed_core_ms_per_s: load.completed_core_ms_per_s,
-            estimate_ratio: None,
         })
         .collect();
     (!queues.is_empty()).then_some(StoredLoad { queues, pools: Vec::new() })
--- a/crates/sched/src/decisions/slack.rs
+++ b/crates/sched/src/decisions/slack.rs
@@ -93,7 +93,7 @@
 /// Returns of how much use a job is whose objective is `left` milliseconds away and that needs
 /// `need` milliseconds.
 fn usefulness(entry: &JobEntry, left: f64, need: f64) -> Usefulness {
-    let beyond_objective = (entry.allowed.0 * (USEFUL_FACTOR - 1)) as f64;
+    let beyond_objective = (entry.objective.0 * (USEFUL_FACTOR - 1)) as f64;
     if left >= need {
         Usefulness::OnTime
     } else if left + beyond_objective >= need {
--- a/crates/sched/src/state/job_table.rs
+++ b/crates/sched/src/state/job_table.rs
@@ -182,7 +182,7 @@
     /// The job's objective as a time of the leader's clock, for ordering.
     pub due: Instant,
     /// The time from the job's acceptance to its objective.
-    pub allowed: Millis,
+    pub objective: Millis,
     /// For each step, the estimated time of the longest chain of steps that come after it.
     pub chain_after: Vec<Millis>,
     /// The queue's priority; 0 goes first.
