--- a/crates/sched/tests/pacing.rs
+++ b/crates/sched/tests/pacing.rs
@@ -2,7 +2,7 @@
 //! and interference factors are known, and must estimate them.
 
 use gaplock_jobs::JobKey;
-use gaplock_sched::pacing::{Column, InterferenceModel, PoolIx, Row, ServingTask};
+use gaplock_sched::pacing::{Column, InterferenceModel, Learned, PoolIx, Row, ServingTask};
 use gaplock_types::time::Instant;
 
 /// The tail latency of the service at a utilization of 0.
@@ -152,3 +152,10 @@
     assert!((kept - heavy).abs() < 0.01, "the restored factor is {kept}, learned was {heavy}");
     assert_eq!(successor.learned().images[0].lowest_ms, stored.images[0].lowest_ms);
 }
+
+/// Guards against a leader that reads nothing of what an earlier version has learned.
+#[test]
+fn a_learned_model_of_an_earlier_version_has_no_period() {
+    let stored: Learned = serde_json::from_str(r#"{"images":[]}"#).expect("the record is read");
+    assert_eq!(stored, Learned::default());
+}
