Refuse jobs for the work that waits, not for all accepted work

Change: only the part of the backlog that waits, by waiting over runnable demand, goes before a newcomer.

--- a/crates/overload/src/admission.rs
+++ b/crates/overload/src/admission.rs
@@ -101,7 +101,8 @@
     if is_too_large(summary, arrival) {
         return true;
     }
-    let drain = load_of(summary, arrival).and_then(|load| drain_time(load, load.backlog_core_ms));
+    let queued = |load: &QueueLoad| drain_time(load, queued_part(load, load.backlog_core_ms));
+    let drain = load_of(summary, arrival).and_then(queued);
     drain.is_some_and(|drain| drain > arrival.objective)
 }
 
@@ -121,6 +122,16 @@
     summary.queues.iter().find(|q| q.queue == arrival.queue && q.class == arrival.class)
 }
 
+/// Returns the part of a queue's accepted work that waits for capacity, as far as its tasks that
+/// could run now do. Work that runs delays no newcomer, and a burst that finds free capacity is no
+/// reason to refuse anything, however much work it is.
+fn queued_part(load: &QueueLoad, work_core_ms: u64) -> u64 {
+    let waiting = u128::from(load.waiting_millicores);
+    let runnable = waiting + u128::from(load.running_millicores);
+    let part = (u128::from(work_core_ms) * waiting).checked_div(runnable).unwrap_or(0);
+    u64::try_from(part).unwrap_or(u64::MAX)
+}
+
 /// Returns how long a queue takes for `work_core_ms`; `None` if it completes nothing at present.
 fn drain_time(load: &QueueLoad, work_core_ms: u64) -> Option<Millis> {
     let rate = u128::from(load.completed_core_ms_per_s);
@@ -241,18 +252,19 @@
         self.refusals.get(&key).map(|r| r.first_refused)
     }
 
-    /// Returns the work that goes before a job: the backlog, what was admitted since, and the work
-    /// of callers that were refused earlier.
+    /// Returns the work that goes before a job: what waits of the backlog and of what was admitted
+    /// since, and the work of callers that were refused earlier.
     fn work_before(&self, load: &QueueLoad, arrival: &Arrival) -> u64 {
         let Some(places) = self.places.get(&queue_class(arrival)) else {
-            return load.backlog_core_ms;
+            return queued_part(load, load.backlog_core_ms);
         };
         let reserved = match self.refusals.get(&arrival.key) {
             Some(own) => places.by_place.range(..own.place).map(|(_, key)| self.work_of(key)).sum(),
             None => places.reserved_core_ms,
         };
         let admitted = places.admitted_core_ms[0].saturating_add(places.admitted_core_ms[1]);
-        load.backlog_core_ms.saturating_add(admitted).saturating_add(reserved)
+        let accepted = load.backlog_core_ms.saturating_add(admitted);
+        queued_part(load, accepted).saturating_add(reserved)
     }
 
     fn work_of(&self, key: &ArrivalKey) -> u64 {
