Start short jobs that can be on time before those past it

Cause: where more short jobs arrive than a pool can run, the ones that are due first went first, so all were late. The test of the order fails with the setting off as the old order requires.

--- a/crates/sched/tests/fleet/slack.rs
+++ b/crates/sched/tests/fleet/slack.rs
@@ -205,6 +205,35 @@
     assert_no_violations(&sim);
 }
 
+/// Load: more short jobs arrive than a pool can run. Jobs that were due first went first, so that each job was late
+/// once the first one was.
+#[test]
+fn a_short_job_that_can_be_on_time_goes_before_one_past_all_use() {
+    for (by_slack, expected) in [(true, [2, 4, 3]), (false, [2, 3, 4])] {
+        let mut sim = Simulation::open(317, 1);
+        sim.settings.pace_by_slack = by_slack;
+        sim.lose_leader();
+        sim.start_new_leader();
+        sim.work_ms = 400;
+        let whole_worker = Resources::new(WORKER_MILLICORES as u32, 512, 0);
+        for (key, accepted_ago) in [(2, 0), (3, 60_000), (4, 0)] {
+            let steps =
+                vec![Step { demand: whole_worker, estimate: Millis(4_000), ..step(1, &[]) }];
+            sim.submit_accepted(job(key, steps), accepted_ago);
+            sim.run(20);
+        }
+        let mut completed = Vec::new();
+        for _ in 0..300 {
+            sim.run(10);
+            let ended = (2..=4).filter(|&key| sim.is_completed(key) && !completed.contains(&key));
+            let ended: Vec<u64> = ended.collect();
+            completed.extend(ended);
+        }
+        assert_eq!(completed, expected, "by slack: {by_slack}");
+        assert_no_violations(&sim);
+    }
+}
+
 /// Load: work that can be on time arrives faster than it can run. A job of no more use must not wait
 /// for ever, since it was accepted.
 #[test]
