Let only work that can be on time delay a newcomer in admission

Cause: short jobs that can be on time start before late ones, but admission control still counted the late ones before a newcomer. Change: the demand of waiting short work that is late goes behind a newcomer, too.

--- a/crates/overload/src/summary.rs
+++ b/crates/overload/src/summary.rs
@@ -48,8 +48,8 @@
     pub running_millicores: u64,
     /// The demand of all tasks that could start now and wait for a worker.
     pub waiting_millicores: u64,
-    /// The part of the waiting demand that goes before a job that arrives now. Best-effort work that
-    /// can no longer be on time does not.
+    /// The part of the waiting demand that goes before a job that arrives now. Work that can no longer
+    /// be on time does not.
     #[serde(default)]
     pub preceding_millicores: u64,
     /// The estimated work that is left of all accepted jobs; 0 for long-running work.
--- a/crates/sched/src/decisions/load.rs
+++ b/crates/sched/src/decisions/load.rs
@@ -14,7 +14,7 @@
 use crate::interface::message::{
     StoredLoad, StoredQueueLoad, MAX_STORED_LOADS, MAX_STORED_NAME_BYTES,
 };
-use crate::state::State;
+use crate::state::{job_table, State};
 
 /// The largest number of queue entries of a summary.
 const MAX_QUEUE_LOADS: usize = 64;
@@ -37,7 +37,10 @@
         return Vec::new();
     }
     let late = late_demands(cx);
-    let queue = |load: ClassLoad| queue(cx, &load, late.get(load.queue).copied().unwrap_or(0));
+    let queue = |load: ClassLoad| {
+        let late = late.get(&(load.queue, load.class)).copied();
+        queue(cx, &load, late.unwrap_or(0))
+    };
     let mut loads: Vec<QueueLoad> = cx.load.loads(cx.now).map(queue).collect();
     loads.retain(has_load);
     let demand = |load: &QueueLoad| load.running_millicores + load.waiting_millicores;
@@ -53,22 +56,23 @@
         || load.completed_core_ms_per_s > 0
 }
 
-/// Returns the demand of waiting best-effort tasks, by queue, whose jobs can no longer be on time: a
-/// job that arrives goes before them, unless slack decides nothing.
-fn late_demands(cx: &State) -> BTreeMap<&str, u64> {
+/// Returns the demand of waiting tasks, by queue and class, whose jobs can no longer be on time: a job
+/// that arrives goes before them, unless slack decides nothing.
+fn late_demands(cx: &State) -> BTreeMap<(&str, WorkClass), u64> {
     let mut demands = BTreeMap::new();
     if !cx.settings.pace_by_slack {
         return demands;
     }
     for ready in &cx.ready {
         let Some(entry) = cx.jobs.get(&ready.job) else { continue };
-        let step = entry.job.steps.get(usize::from(ready.step)).filter(|step| step.fills);
+        let step = entry.job.steps.get(usize::from(ready.step)).filter(|step| !step.lasting);
         let state = entry.round(ready.round).and_then(|r| r.steps.get(usize::from(ready.step)));
         let (Some(step), Some(state)) = (step, state) else { continue };
         let is_late = |slack: Slack| slack.usefulness != Usefulness::OnTime;
         if slack::slack_of_step(cx, ready).is_some_and(is_late) {
             let demand = u64::from(step.demand.cpu.0) * state.pending.len() as u64;
-            *demands.entry(entry.job.queue.as_str()).or_default() += demand;
+            let of = (entry.job.queue.as_str(), job_table::work_class(step));
+            *demands.entry(of).or_default() += demand;
         }
     }
     demands
@@ -92,10 +96,7 @@
         jobs: load.sums.jobs,
         running_millicores: load.sums.running_millicores,
         waiting_millicores: load.sums.waiting_millicores,
-        preceding_millicores: match load.class {
-            WorkClass::BestEffort => load.sums.waiting_millicores.saturating_sub(late_millicores),
-            WorkClass::Short | WorkClass::LongRunning => load.sums.waiting_millicores,
-        },
+        preceding_millicores: load.sums.waiting_millicores.saturating_sub(late_millicores),
         backlog_core_ms: account::corrected(load.sums.backlog.0 as f64, ratio),
         arriving_core_ms_per_s: account::corrected(load.arriving, ratio),
         completed_core_ms_per_s: load.completed as u64,
