--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -90,7 +90,7 @@
         StoreOutcome::Refused => refuse_admission(node, key, queue, decision),
         StoreOutcome::Stored => {
             if decision == (Decision::Admit { returned: true }) {
-                node.metrics.count_returned(&queue.name);
+                node.metrics.overload.count_returned(&queue.name);
             }
             answer(node, Code::Accepted, StatusCode::Ok.into(), b"{}".to_vec())
         }
@@ -119,7 +119,7 @@
         reason = label,
         retry_after_s = seconds
     );
-    node.metrics.count_refusal(&queue.name, label);
+    node.metrics.overload.count_refusal(&queue.name, label);
     let mut res = answer(node, code, StatusCode::ServiceUnavailable.into(), Vec::new());
     res.insert_header("retry-after", seconds.to_string());
     res
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -161,9 +161,9 @@
         }
         self.show_free_capacity(FreeCpu::default(), 0, 0);
         self.node.metrics.show_evacuated(iter::empty());
-        self.node.metrics.show_load_periods(iter::empty());
-        self.node.metrics.show_best_effort(iter::empty());
-        self.node.metrics.show_class_shares(iter::empty());
+        self.node.metrics.overload.show_load_periods(iter::empty());
+        self.node.metrics.overload.show_best_effort(iter::empty());
+        self.node.metrics.overload.show_class_shares(iter::empty());
         self.node.metrics.directory_lag_ms.set(0);
         self.node.metrics.waiting_events.set(0);
         self.node.metrics.runs_after_end.set(0);
@@ -255,19 +255,19 @@
         let evacuated = self.cx.evacuated.domains.iter();
         let shown = evacuated.map(|domain| (domain, evacuation::count_runs_in(&self.cx, domain)));
         self.node.metrics.show_evacuated(shown);
-        self.node.metrics.show_load_periods(self.cx.interference.confirmed_periods());
+        self.node.metrics.overload.show_load_periods(self.cx.interference.confirmed_periods());
         self.node.metrics.directory_lag_ms.set(self.cx.freshness.lag().0 as i64);
         self.node.metrics.waiting_events.set(self.rx.len() as i64);
         self.node.metrics.runs_after_end.set(self.cx.runs_after_end as i64);
         let classes = shares::class_shares(&self.cx);
         let shown = classes.iter().map(|((pool, class), share)| (pool, *class, *share));
-        self.node.metrics.show_class_shares(shown);
+        self.node.metrics.overload.show_class_shares(shown);
         let free = free_capacity::free_cpu(&self.cx);
         self.show_free_capacity(free, self.cx.ready.len(), self.cx.crashes.suspects.len());
         let at_work = concurrency_limit::demand_at_work(&self.cx);
         let limit = |pool| self.cx.best_effort_limits.get(pool).and_then(|(l, _)| l.millicores());
         let shown = at_work.iter().map(|(pool, demand)| (*pool, *demand, limit(*pool)));
-        self.node.metrics.show_best_effort(shown);
+        self.node.metrics.overload.show_best_effort(shown);
     }
 
     /// Makes the load summary that other hosts get.
--- a/crates/node/src/listeners.rs
+++ b/crates/node/src/listeners.rs
@@ -67,7 +67,7 @@
         return Response::new(StatusCode::NotFound);
     }
     let mut res = Response::new(StatusCode::Ok);
-    node.metrics.show_load(node.load_summary().as_ref());
+    node.metrics.overload.show_load(node.load_summary().as_ref());
     res.set_body(node.metrics.render());
     res
 }
