--- a/crates/steer/src/main.rs
+++ b/crates/steer/src/main.rs
@@ -14,7 +14,7 @@
   confirm QUEUE hold|cap|floor [CORES] --until UNIX_MS --revision N
   undo QUEUE --revision N
 
-The settings file is the one at the path in GAPLOCK_CONFIG.";
+It reads the settings file of the host's daemon, gaplock-node.";
 
 /// The exit code for input that cannot be used.
 const EXIT_USAGE: u8 = 2;
