--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -13,12 +13,11 @@
 use gaplock_overload::admission::Arrival;
 use gaplock_platform::store::Revision;
 use gaplock_remote::clock;
-use gaplock_sched::concurrency_limit;
 use gaplock_sched::context::Term;
 use gaplock_sched::free_capacity::{self, FreeCpu};
 use gaplock_sched::job_table::JobEntry;
 use gaplock_sched::message::{FencingToken, Record};
-use gaplock_sched::{commits, evacuation, load, shares, Context, Event};
+use gaplock_sched::{commits, concurrency_limit, evacuation, load, shares, Context, Event};
 use gaplock_types::time::Instant;
 
 use crate::actions::{self, CallContext, Clients};
@@ -103,7 +102,8 @@
     load_sequence: u64,
 }
 
-/// How often the queue counts, the load summary and the metrics are updated; callers accept counts up to 2 s old.
+/// How often the queue counts, the load summary and the metrics are updated; callers accept counts
+/// up to 2 s old.
 const COUNT_EVERY_MS: u64 = 300;
 
 /// The maximum number of messages handled before actions are carried out.
@@ -238,7 +238,8 @@
         }
     }
 
-    /// Updates the queue counts, the load summary and the metrics, at most once per `COUNT_EVERY_MS`.
+    /// Updates the queue counts, the load summary and the metrics, at most once per
+    /// `COUNT_EVERY_MS`.
     fn update_metrics(&mut self, now: Instant) {
         if now.since(self.counted_at).0 < COUNT_EVERY_MS {
             return;
