Show that submissions of a removed route are not finished

The scheduler looks a job's queue up in the configuration in force at each dispatch. After the operator has removed the route, the remaining tasks of the submissions that it accepted are never started.

--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod large_submission;
+mod removed_route;
 mod zone_cut;
 
 use std::io;
@@ -18,6 +19,7 @@
 pub fn run(case: &str, setup: &Setup) -> io::Result<Outcome> {
     match case {
         "large-submission" => large_submission::run(setup),
+        "removed-route" => removed_route::run(setup),
         "zone-cut" => zone_cut::run(setup),
         _ => Err(io::Error::other(format!("there is no case {case}"))),
     }
