Show that many images stop all commits of the leader

The leader stores what it has learned of each pair of a serving and a best-effort image, and never forgets an image. Once the record exceeds the longest value of the store, the store refuses the commit, and the leader sends the same one without end: no end of a task is acknowledged and no submission of any caller is completed any more.

--- a/review/standin/src/cases/mod.rs
+++ b/review/standin/src/cases/mod.rs
@@ -1,6 +1,6 @@
 //! The cases.
 
-mod large_submission;
+mod many_images;
 mod removed_route;
 mod zone_cut;
 
@@ -18,7 +18,7 @@
 /// Returns why it could not run.
 pub fn run(case: &str, setup: &Setup) -> io::Result<Outcome> {
     match case {
-        "large-submission" => large_submission::run(setup),
+        "many-images" => many_images::run(setup),
         "removed-route" => removed_route::run(setup),
         "zone-cut" => zone_cut::run(setup),
         _ => Err(io::Error::other(format!("there is no case {case}"))),
--- a/review/standin/src/worker.rs
+++ b/review/standin/src/worker.rs
@@ -1,7 +1,8 @@
 //! A worker: runs tasks under leases and lists their ends until they are acknowledged.
 //!
 //! A task's spec says how it behaves: `work=MS` how long it runs, `cpu=N` how many thousandths of a
-//! core it takes. Without `work` it runs until it is stopped.
+//! core it takes, `tail=MS` the tail of its answers' times if it serves users. Without `work` it
+//! runs until it is stopped.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -56,6 +57,7 @@
     cpu: u64,
     began: Instant,
     work: Option<Duration>,
+    tail_ms: Option<u64>,
     /// Its position in the list of all runs.
     at: usize,
 }
@@ -297,7 +299,8 @@
         runs.push(Run { task: task.to_string(), run, worker, began, ended });
         drop(runs);
         let work = spec_number(spec, "work=").map(Duration::from_millis);
-        let running = Running { run, cpu, began: Instant::now(), work, at };
+        let tail_ms = spec_number(spec, "tail=");
+        let running = Running { run, cpu, began: Instant::now(), work, tail_ms, at };
         state.running.insert(task.to_string(), running);
         if (self.is_recorded)(task) {
             self.record.line(&format!("worker {} begins {task} run {run}", self.id));
@@ -347,7 +350,7 @@
                 running.run.into(),
                 "".into(),
                 percent.into(),
-                running.cpu.into(),
+                running.tail_ms.unwrap_or(running.cpu).into(),
             ])
         });
         let ends = state.ends.iter().take(ENDS_LISTED).map(|end| {
