--- a/review/standin/src/cases/removed_route.rs
+++ b/review/standin/src/cases/removed_route.rs
@@ -1,4 +1,5 @@
-//! The operator removes a route while submissions that it accepted are under way.
+//! The operator removes a route, and gives another one a new name, while submissions that they
+//! accepted are under way.
 
 use std::io;
 use std::thread;
@@ -10,8 +11,17 @@
 
 const CHECKS: Route = Route { name: "checks", host: "checks.example", prefix: "/checks/" };
 
+/// The route that is removed.
+const REPORTS: Route = Route { name: "reports", host: "reports.example", prefix: "/reports/" };
+
+/// The route that is removed and added again under another name.
 const BUNDLES: Route = Route { name: "bundles", host: "bundles.example", prefix: "/bundles/" };
 
+const RENAMED: Route = Route { name: "bundles-2", ..BUNDLES };
+
+/// How many submissions each of the two routes accepts.
+const SUBMISSIONS: u64 = 2;
+
 /// Two steps of two tasks, each of which runs for 2 s.
 const BODY: &str = r#"{"Spec":"work=2000 cpu=1000","Steps":[{"Count":2,"Cpu":1000,"MemMb":256,"EstimateMs":2000},{"Count":2,"Cpu":1000,"MemMb":256,"EstimateMs":2000,"After":[0]}]}"#;
 
@@ -25,7 +35,7 @@
         hosts: vec!["hall-a", "hall-b"],
         workers: vec!["hall-a", "hall-a", "hall-b", "hall-b"],
         store: "hall-a",
-        routes: vec![CHECKS, BUNDLES],
+        routes: vec![CHECKS, REPORTS, BUNDLES],
         is_recorded: |_| true,
     })?;
     for host in HOSTS {
@@ -37,17 +47,22 @@
         return Ok(Outcome::NotRun);
     }
     let mut chains = Vec::new();
-    for number in 0..3_u64 {
-        let id = format!("{:016x}", 0x5c0e_7a21_d94b_3600 + number);
-        if !site.submit(&HOSTS, BUNDLES, &id, BODY) {
-            return Ok(Outcome::NotRun);
+    for (at, route) in [REPORTS, BUNDLES].into_iter().enumerate() {
+        for number in 0..SUBMISSIONS {
+            let id = format!("{:016x}", 0x5c0e_7a21_d94b_3600 + 16 * at as u64 + number);
+            if !site.submit(&HOSTS, route, &id, BODY) {
+                return Ok(Outcome::NotRun);
+            }
+            chains.push(Chain::new(&id, &[2, 2]));
         }
-        chains.push(Chain::new(&id, &[2, 2]));
     }
     thread::sleep(Duration::from_millis(500));
     if setup.trouble {
-        site.store.put("op/config", &site::configuration(2, &[CHECKS]));
-        site.record.line("operator: version 2 removes the route bundles; it is confirmed");
+        site.store.put("op/config", &site::configuration(2, &[CHECKS, RENAMED]));
+        site.record.line(
+            "operator: version 2, without the route reports, and with bundles-2 in place of \
+             bundles (same host, prefix and service); it is confirmed",
+        );
     }
     // A submission of the remaining route shows that the installation works on.
     let id = "5c0e7a21d94b36ff";
@@ -65,9 +80,11 @@
         site.record.line(&format!("at the end: {} is {done}", chain.id));
     }
     let Some(other) = chains.pop() else { return Ok(Outcome::NotRun) };
-    for (chain, route) in chains.iter().map(|c| (c, BUNDLES)).chain([(&other, CHECKS)]) {
+    for (at, chain) in chains.iter().enumerate() {
+        let route = if (at as u64) < SUBMISSIONS { REPORTS } else { BUNDLES };
         site.state(&HOSTS, route, &chain.id);
     }
+    site.state(&HOSTS, CHECKS, &other.id);
     if !other.is_done(&runs) {
         return Ok(Outcome::NotRun);
     }
