Log and measure on what a leader's authority rests

The logs of the partitioned leader did not say why it went on: only the claim of its successor and the releases of silent workers' runs were logged.

authority_changed names the basis of the authority (the store's confirmation, reports of other hosts, none), for how long the claim is unconfirmed and for how long other hosts are silent; gaplock_unconfirmed_ms shows the former as a metric.

The successor claims 3.7 s after the last confirmation and ends its recovery scan 6.7 s later with two silent workers. Ruled out: a renewal of the lease in the store (the claim's key is gone), a clock (both scans follow the lease), a late order (no start of the former leader is unanswered).

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -22,7 +22,7 @@
 
 use crate::actions::{self, CallContext, Clients};
 use crate::admission::LeaderAdmission;
-use crate::leadership::{Authority, LeadershipStatus};
+use crate::leadership::{Authority, Basis, LeadershipStatus};
 use crate::node::{Node, TimedSummary};
 use crate::peers::{AdmitAnswer, QueueCount, StatusAnswer};
 use crate::store_writer::{CommitError, StoreWriter};
@@ -100,6 +100,8 @@
     to_store_writer: Sender<Vec<Record>>,
     counted_at: Instant,
     load_sequence: u64,
+    /// What the authority rested on when it was last checked.
+    basis: Basis,
 }
 
 /// How often the queue counts, the load summary and the metrics are updated; callers accept counts
@@ -131,6 +133,7 @@
         to_store_writer,
         counted_at: Instant(0),
         load_sequence: 0,
+        basis: Basis::Confirmed,
     }
 }
 
@@ -144,7 +147,7 @@
     pub async fn run(mut self) {
         loop {
             let now = clock::now();
-            match self.engine.leadership.authority(now) {
+            match self.check_authority(now) {
                 Authority::Lost => break,
                 Authority::Act => self.carry_out_actions(true),
                 Authority::Wait => self.carry_out_actions(false),
@@ -165,10 +168,25 @@
         self.node.metrics.overload.show_best_effort(iter::empty());
         self.node.metrics.overload.show_class_shares(iter::empty());
         self.node.metrics.directory_lag_ms.set(0);
+        self.node.metrics.unconfirmed_ms.set(0);
         self.node.metrics.waiting_events.set(0);
         self.node.metrics.runs_after_end.set(0);
     }
 
+    /// Returns whether this host may act as the leader now, and logs when the basis of that changes.
+    fn check_authority(&mut self, now: Instant) -> Authority {
+        let leadership = &self.engine.leadership;
+        let basis = leadership.basis(now);
+        let unconfirmed = now.since(leadership.confirmed_at());
+        self.node.metrics.unconfirmed_ms.set(unconfirmed.0 as i64);
+        if basis != self.basis {
+            tracing::info!(event = "authority_changed", from = %self.basis, to = %basis,
+                unconfirmed_ms = unconfirmed.0, peers_silent_ms = leadership.peer_silence(now).0);
+            self.basis = basis;
+        }
+        basis.authority()
+    }
+
     /// Handles a message and those queued behind it, up to `MAX_BATCH`.
     fn handle_batch(&mut self, first: Message) {
         self.handle_message(first);
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -160,6 +160,34 @@
     Lost,
 }
 
+/// What a leader's authority rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
+pub enum Basis {
+    /// The store confirmed the claim recently.
+    #[display("confirmed")]
+    Confirmed,
+    /// The store does not answer this host, and other hosts report the same.
+    #[display("store_silent")]
+    StoreSilent,
+    /// Neither the store nor enough other hosts are heard.
+    #[display("unconfirmed")]
+    Unconfirmed,
+    /// Another host reached the store, or the claim is gone.
+    #[display("lost")]
+    Lost,
+}
+
+impl Basis {
+    /// Returns what a leader with this basis may do.
+    pub fn authority(self) -> Authority {
+        match self {
+            Self::Confirmed | Self::StoreSilent => Authority::Act,
+            Self::Unconfirmed => Authority::Wait,
+            Self::Lost => Authority::Lost,
+        }
+    }
+}
+
 impl LeadershipStatus {
     /// Builds the status of a claim that was sent at `sent`.
     pub fn of_claim_sent_at(sent: Instant) -> Arc<Self> {
@@ -196,25 +224,35 @@
         self.lost.store(true, Ordering::SeqCst);
     }
 
-    /// Returns whether the leader may act. Without a recent confirmation it may continue only while
-    /// other hosts report that the store does not answer them either: no host can claim then.
+    /// Returns whether the leader may act.
     pub fn authority(&self, now: Instant) -> Authority {
+        self.basis(now).authority()
+    }
+
+    /// Returns how long ago another host was last heard.
+    pub fn peer_silence(&self, now: Instant) -> Millis {
+        now.since(Instant(self.peer_heard_at_ms.load(Ordering::SeqCst)))
+    }
+
+    /// Returns what the leader's authority rests on. Without a recent confirmation it may continue
+    /// only while other hosts report that the store does not answer them either: no host can claim
+    /// then.
+    pub fn basis(&self, now: Instant) -> Basis {
         if self.lost.load(Ordering::SeqCst) {
-            return Authority::Lost;
+            return Basis::Lost;
         }
         let confirmed = self.confirmed_at();
         let unconfirmed = now.since(confirmed);
         if unconfirmed.0 + LEASE_MARGIN.0 < LEASE.0 {
-            return Authority::Act;
+            return Basis::Confirmed;
         }
-        let peer_heard = Instant(self.peer_heard_at_ms.load(Ordering::SeqCst));
         let store_answered_peer = Instant(self.peer_store_answered_at_ms.load(Ordering::SeqCst));
         if store_answered_peer > confirmed + CONFIRMATION_OVERDUE_AFTER {
-            return Authority::Lost;
+            return Basis::Lost;
         }
-        if now.since(peer_heard) < PEER_REPORT_MAX_AGE {
-            return Authority::Act;
+        if self.peer_silence(now) < PEER_REPORT_MAX_AGE {
+            return Basis::StoreSilent;
         }
-        Authority::Wait
+        Basis::Unconfirmed
     }
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -60,6 +60,8 @@
     pub suspect_tasks: Gauge,
     /// Runs that the leader found of jobs that had already ended; 0 on a follower.
     pub runs_after_end: Gauge,
+    /// How long ago the store last confirmed the leader's claim, in milliseconds; 0 on a follower.
+    pub unconfirmed_ms: Gauge,
     /// The lag of the leader's view of the directory, in milliseconds.
     pub directory_lag_ms: Gauge,
     /// Events that wait for the leader. If their number keeps growing, the leader cannot keep up. 0
@@ -104,6 +106,7 @@
         gauge("unreadable_entries", "Entries of the directory that no worker writes");
     let suspect_tasks = gauge("suspect_tasks", "Tasks that are suspected of crashing workers");
     let runs_after_end = gauge("runs_after_end", "Runs found of jobs that had ended before");
+    let unconfirmed_ms = gauge("unconfirmed_ms", "Time since the store confirmed the claim");
     let directory_lag_ms = gauge("directory_lag_ms", "Lag of the view of the workers' directory");
     let waiting_events = gauge("waiting_events", "Events that wait for the leader");
     Metrics {
@@ -121,6 +124,7 @@
         unreadable_entries,
         suspect_tasks,
         runs_after_end,
+        unconfirmed_ms,
         directory_lag_ms,
         waiting_events,
         overload,
