--- a/crates/measure/src/patterns/simulation.rs
+++ b/crates/measure/src/patterns/simulation.rs
@@ -274,7 +274,7 @@
                 }
                 Record::Learned(learned) => self.learned = learned,
                 Record::Load(load) => self.stored_load = load,
-                Record::Wave(_) => {}
+                Record::Wave(_) | Record::ClaimSettled => {}
             }
         }
     }
--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -12,7 +12,9 @@
 use gaplock_platform::store::Revision;
 use gaplock_platform::worker::{self, StartCommand, WorkerClient};
 use gaplock_policy::attempts::Execution;
+use gaplock_policy::authority::{self, Authority};
 use gaplock_policy::connections;
+use gaplock_remote::clock;
 use gaplock_sched::message::{
     EndSeq, FencingToken, MaintenanceAnswer, Outcome, Permit, Run, WaveNumber, WorkerClock,
     WorkerIx, WorkerReport,
@@ -227,8 +229,18 @@
     call.engine.send(Event::Maintenance { wave, host, answer });
 }
 
-/// Confirms with the store that this host still leads.
+/// Confirms that this host still leads, after a worker has refused its token for a higher one. If
+/// the store does not confirm the claim, the refusal proves that another host claimed later.
 async fn confirm_leadership(call: CallContext) {
+    let leadership = &call.engine.leadership;
+    let now = clock::now();
+    if !authority::is_confirmed(leadership.confirmed_at(), now) {
+        if leadership.authority(now) != Authority::Lost {
+            tracing::warn!(event = "leadership_lost", why = "a worker obeys a later leader");
+            leadership.lose();
+        }
+        return;
+    }
     follower::confirm_leadership(&call.node, &call.engine.leadership, Revision(call.token.0)).await;
 }
 
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -11,13 +11,13 @@
 use async_std::task;
 use gaplock_platform::directory;
 use gaplock_platform::store::{Revision, StoreError};
+use gaplock_policy::authority::Authority;
 use gaplock_remote::clock;
 use gaplock_sched::freshness::DirectoryRead;
 use gaplock_sched::Event;
 
 use crate::engine::Engine;
 use crate::entries::Entries;
-use crate::leadership::Authority;
 use crate::node::Node;
 use crate::{feeds, threads};
 
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -12,6 +12,7 @@
 use gaplock_jobs::JobKey;
 use gaplock_overload::admission::Arrival;
 use gaplock_platform::store::Revision;
+use gaplock_policy::authority::{Authority, Basis};
 use gaplock_remote::clock;
 use gaplock_sched::context::Term;
 use gaplock_sched::free_capacity::{self, FreeCpu};
@@ -22,7 +23,7 @@
 
 use crate::actions::{self, CallContext, Clients};
 use crate::admission::LeaderAdmission;
-use crate::leadership::{Authority, Basis, LeadershipStatus};
+use crate::leadership::LeadershipStatus;
 use crate::node::{Node, TimedSummary};
 use crate::peers::{AdmitAnswer, QueueCount, StatusAnswer};
 use crate::store_writer::{CommitError, StoreWriter};
@@ -149,7 +150,7 @@
             let now = clock::now();
             match self.check_authority(now) {
                 Authority::Lost => break,
-                Authority::Act => self.carry_out_actions(true),
+                Authority::Act | Authority::Hold => self.carry_out_actions(true),
                 Authority::Wait => self.carry_out_actions(false),
             }
             self.commit(now);
@@ -181,10 +182,12 @@
         self.node.metrics.unconfirmed_ms.set(unconfirmed.0 as i64);
         if basis != self.basis {
             tracing::info!(event = "authority_changed", from = %self.basis, to = %basis,
-                unconfirmed_ms = unconfirmed.0, peers_silent_ms = leadership.peer_silence(now).0);
+                unconfirmed_ms = unconfirmed.0, silent = leadership.silent_followers(now).len());
             self.basis = basis;
         }
-        basis.authority()
+        let authority = basis.authority();
+        self.cx.may_be_superseded = authority != Authority::Act;
+        authority
     }
 
     /// Handles a message and those queued behind it, up to `MAX_BATCH`.
@@ -226,7 +229,7 @@
     /// Decides whether a job is admitted, unless this host may not act as the leader now.
     fn decide_admission(&mut self, arrival: &Arrival) -> AdmitAnswer {
         let now = clock::now();
-        if self.engine.leadership.authority(now) != Authority::Act {
+        if !matches!(self.engine.leadership.authority(now), Authority::Act | Authority::Hold) {
             return AdmitAnswer::NotDecided;
         }
         let is_known = self.cx.jobs.contains_key(&JobKey(arrival.key.0));
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -9,6 +9,7 @@
 use futures::future::{select, Either};
 use gaplock_platform::configuration;
 use gaplock_platform::store::{Revision, StoreError};
+use gaplock_policy::authority::{Authority, Contact};
 use gaplock_policy::succession;
 use gaplock_remote::clock;
 use gaplock_sched::claims::LeaderRecord;
@@ -17,9 +18,9 @@
 
 use crate::handover::PendingInvitation;
 use crate::leader;
-use crate::leadership::{self, Authority, Claim, Holder, LeadershipStatus};
+use crate::leadership::{self, Claim, Former, Holder, LeadershipStatus};
 use crate::node::{Node, Role};
-use crate::peers::{Heartbeat, HeartbeatAnswer, PeerError};
+use crate::peers::{Echo, Heartbeat, HeartbeatAnswer, PeerError};
 
 /// The pause before the store is asked again who leads.
 const LEADER_QUERY_PAUSE: Duration = Duration::from_millis(200);
@@ -46,9 +47,15 @@
 /// The pause between these attempts, a little longer than a commit takes.
 const INVITED_CLAIM_PAUSE: Duration = Duration::from_millis(15);
 
-/// The time limit for the connection attempt that checks whether the leader's process is running.
+/// The time limit for the connection attempt that checks whether a host's process is running.
 const PROBE_LIMIT: Duration = Duration::from_millis(200);
 
+/// How long a check of the store delays the next heartbeat. The check goes on beyond that.
+const CHECK_WAIT: Duration = Duration::from_millis(150);
+
+/// The shortest time between checks of the store that the leader wants at once.
+const CHECK_NOW_INTERVAL: Millis = Millis(400);
+
 /// Follows or leads until the process stops.
 pub async fn run(node: Arc<Node>) {
     let mut last = None;
@@ -61,7 +68,7 @@
             }
             Ok(Holder::Nobody(at)) => {
                 node.record_store_answer();
-                claim(&node, at).await;
+                claim(&node, at, Former::MayAct(node.handover.contact())).await;
             }
             Err(e) => {
                 tracing::debug!(event = "store_silent", error = %e);
@@ -101,25 +108,42 @@
     if is_own_claim(node, leader) {
         // The claim belongs to a previous process of this host, or to a leadership that it has
         // given up.
-        return claim(node, revision).await;
+        return claim(node, revision, Former::Stopped).await;
     }
     node.set_role(Role::Follower(Some(leader.addr.clone())));
     if node.handover.set_followed_term(leader.term) {
         tracing::info!(event = "following", leader = %leader.host, term = leader.term);
     }
+    let mut checked_now_at = Instant(0);
     loop {
+        let sent = clock::now();
         match heartbeat(node, &leader.addr).await {
-            Ok(true) => {
+            Ok(Heard::Leads) => {
+                let wants_check = node.handover.take_check_now();
+                if wants_check && sent.since(checked_now_at) >= CHECK_NOW_INTERVAL {
+                    checked_now_at = sent;
+                    start_check(node).await;
+                    continue;
+                }
                 check_store(node).await;
                 if let Some(pending) = wait_for_heartbeat_due(node).await {
                     return claim_by_invitation(node, pending).await;
                 }
             }
-            Ok(false) => break,
+            Ok(Heard::Waits) => {
+                start_check(node).await;
+                if let Some(pending) = wait_for_heartbeat_due(node).await {
+                    return claim_by_invitation(node, pending).await;
+                }
+                if node.has_store_answered_since(sent) {
+                    return;
+                }
+            }
+            Ok(Heard::LeadsNot) => break,
             Err(e) => {
                 tracing::info!(event = "leader_silent", leader = %leader.host, error = %e);
                 if process_is_dead(&leader.addr).await {
-                    return claim(node, revision).await;
+                    return claim(node, revision, Former::Stopped).await;
                 }
                 break;
             }
@@ -129,7 +153,7 @@
         }
         // Done right before the next heartbeat, which reports the result to the leader.
         if node.handover.take_check_wanted() {
-            read_config(node).await;
+            start_check(node).await;
         }
     }
     // A leader that has just stepped down answers that it no longer leads; it may be about to
@@ -159,7 +183,7 @@
     let sent = clock::now();
     let me = own_leader_record(node);
     for _ in 0..INVITED_CLAIM_ATTEMPTS {
-        match leadership::claim(&node.store, &me, seen).await {
+        match leadership::claim(&node.store, &me, seen, Former::Stopped).await {
             Ok(claim) => {
                 answer_invitation(&pending, true);
                 return lead(node, claim, sent).await;
@@ -189,8 +213,18 @@
     }
 }
 
-/// Sends a heartbeat; returns whether the called host still leads.
-async fn heartbeat(node: &Node, addr: &str) -> Result<bool, PeerError> {
+/// What the host that was last known to lead answered.
+enum Heard {
+    /// It leads.
+    Leads,
+    /// It leads, but may not act now.
+    Waits,
+    /// It does not lead.
+    LeadsNot,
+}
+
+/// Sends a heartbeat to the host that was last known to lead.
+async fn heartbeat(node: &Node, addr: &str) -> Result<Heard, PeerError> {
     let sent = clock::now();
     let beat = Heartbeat {
         host: node.installation.host.clone(),
@@ -200,9 +234,20 @@
         strength: node.leader_capacity,
         running_for: node.running_for(),
         load: node.leader_load_version(),
+        domain: Some(node.installation.domain.clone()),
+        echo: node.handover.contact().map(|contact| Echo {
+            term: contact.term,
+            at: contact.leader_clock,
+            age: sent.since(contact.answered_at),
+        }),
+        store_failed: node.store_failure_age(),
     };
     match node.peer_client.heartbeat(addr, &beat).await? {
-        HeartbeatAnswer::NotLeader => Ok(false),
+        HeartbeatAnswer::NotLeader => Ok(Heard::LeadsNot),
+        HeartbeatAnswer::Waiting(echo) => {
+            node.handover.record_contact(contact(echo, sent));
+            Ok(Heard::Waits)
+        }
         HeartbeatAnswer::Leader {
             config_age,
             store_revision,
@@ -213,7 +258,11 @@
             beat_after,
             check_store,
             load,
+            echo,
+            check_now,
         } => {
+            node.handover.record_contact(contact(echo, sent));
+            node.handover.set_check_now(check_now);
             node.note_store_revision(Revision(store_revision));
             node.handover.set_best_leader_capacity(strongest);
             node.handover.set_heartbeat_pause(beat_after);
@@ -227,25 +276,45 @@
             if let Some(load) = load {
                 node.record_leader_load(sent, *load);
             }
-            Ok(true)
+            Ok(Heard::Leads)
         }
     }
 }
 
+/// Builds the contact with a leader that has just answered a heartbeat sent at `sent_at`.
+fn contact(echo: Echo, sent_at: Instant) -> Contact {
+    Contact { term: echo.term, sent_at, answered_at: clock::now(), leader_clock: echo.at }
+}
+
 /// Returns whether the address refuses connections, which the port of a running process does not.
-async fn process_is_dead(addr: &str) -> bool {
+pub async fn process_is_dead(addr: &str) -> bool {
     let probe = future::timeout(PROBE_LIMIT, net::TcpStream::connect(addr)).await;
     matches!(probe, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
 }
 
 /// Reads the configuration from the store if the known one is old or if the store has been
-/// unavailable. This read also serves as the check of the store that the leader may have requested:
-/// a store that does not answer then delays only one call per heartbeat, so that the host stays in
-/// contact with the leader.
-async fn check_store(node: &Node) {
+/// unavailable. This read also serves as the check of the store that the leader may have requested.
+async fn check_store(node: &Arc<Node>) {
     if node.is_store_unavailable() || node.config_age() >= CONFIG_MAX_AGE {
         node.handover.take_check_wanted();
-        read_config(node).await;
+        start_check(node).await;
+    }
+}
+
+/// Reads the configuration from the store, unless such a read is under way, and waits for it a
+/// little. A store that does not answer must not delay the heartbeats, which the leader needs to
+/// act without the store.
+async fn start_check(node: &Arc<Node>) {
+    if !node.begin_store_check() {
+        return;
+    }
+    let checking = Arc::clone(node);
+    let check = task::spawn(async move {
+        read_config(&checking).await;
+        checking.end_store_check();
+    });
+    if future::timeout(CHECK_WAIT, check).await.is_err() {
+        tracing::debug!(event = "store_silent", error = "a check of the store goes on");
     }
 }
 
@@ -271,9 +340,9 @@
     }
 }
 
-/// Claims the leadership in place of the claim at revision `seen`; pauses first unless the leader
-/// named this host as its successor.
-async fn claim(node: &Arc<Node>, seen: Revision) {
+/// Claims the leadership in place of the claim at revision `seen`, given what is known of the former
+/// leader; pauses first unless that leader named this host as its successor.
+async fn claim(node: &Arc<Node>, seen: Revision, former: Former) {
     if node.handover.defers_claims(clock::now()) {
         task::sleep(DEFERRED_CLAIM_PAUSE).await;
     } else if !node.handover.is_named_successor() {
@@ -287,7 +356,7 @@
         return;
     }
     let sent = clock::now();
-    match leadership::claim(&node.store, &own_leader_record(node), seen).await {
+    match leadership::claim(&node.store, &own_leader_record(node), seen, former).await {
         Ok(claim) => lead(node, claim, sent).await,
         Err(StoreError::Conflict) => tracing::debug!(event = "claim_too_late"),
         Err(e) => {
@@ -306,9 +375,10 @@
         strength = node.leader_capacity.0
     );
     node.handover.set_named_successor(false);
+    let term = claim.term;
     leader::lead(node, claim, sent).await;
     node.set_role(Role::Follower(None));
-    tracing::info!(event = "leadership_over", term = claim.term);
+    tracing::info!(event = "leadership_over", term);
 }
 
 /// Asks the store whether the claim at `revision` is still stored, and records the answer.
--- a/crates/node/src/handover.rs
+++ b/crates/node/src/handover.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 
 use async_channel::{Receiver, Sender};
+use gaplock_policy::authority::Contact;
 use gaplock_policy::followers::{self, Followers};
 use gaplock_policy::succession::{Candidate, LeaderCapacity};
 use gaplock_types::time::{Instant, Millis};
@@ -26,6 +27,10 @@
     heartbeat_pause_ms: AtomicU64,
     /// Whether the leader asked this host to check the store.
     check_wanted: AtomicBool,
+    /// Whether the leader asked this host to check the store at once.
+    check_now: AtomicBool,
+    /// The last contact with a leader.
+    contact: Mutex<Option<Contact>>,
     /// The term of the leadership that this host followed last.
     followed_term: AtomicU64,
     /// Until when this host lets other hosts claim first, in milliseconds of its clock.
@@ -56,6 +61,8 @@
             best_leader_capacity: AtomicU16::new(0),
             heartbeat_pause_ms: AtomicU64::new(0),
             check_wanted: AtomicBool::new(false),
+            check_now: AtomicBool::new(false),
+            contact: Mutex::default(),
             followed_term: AtomicU64::new(0),
             defer_claims_until_ms: AtomicU64::new(0),
             invitations: async_channel::bounded(MAX_PENDING_INVITATIONS),
@@ -131,6 +138,27 @@
         self.check_wanted.swap(false, Ordering::Relaxed)
     }
 
+    /// Records whether the leader asked this host to check the store at once.
+    pub fn set_check_now(&self, wanted: bool) {
+        self.check_now.store(wanted, Ordering::Relaxed);
+    }
+
+    /// Returns whether the leader asked this host to check the store at once, and clears the
+    /// request.
+    pub fn take_check_now(&self) -> bool {
+        self.check_now.swap(false, Ordering::Relaxed)
+    }
+
+    /// Records a contact with a leader.
+    pub fn record_contact(&self, contact: Contact) {
+        *self.contact.lock().expect(LOCK) = Some(contact);
+    }
+
+    /// Returns the last contact with a leader.
+    pub fn contact(&self) -> Option<Contact> {
+        *self.contact.lock().expect(LOCK)
+    }
+
     /// Records the pause between heartbeats that the leader asked for.
     pub fn set_heartbeat_pause(&self, pause: Millis) {
         self.heartbeat_pause_ms.store(pause.0, Ordering::Relaxed);
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -9,6 +9,10 @@
 /// The claim of the leader; stored under the leader's lease.
 pub const LEADER: &str = "gaplock/leader";
 
+/// The last claim, whether or not its lease has expired. A successor learns from it whom to ask
+/// whether the former leader has stopped.
+pub const LAST_CLAIM: &str = "gaplock/last-claim";
+
 /// The number of the leadership and of its last commit. Every commit expects the last value and
 /// replaces it, so that a commit whose answer was lost can never be carried out after a later one.
 pub const COMMITS: &str = "gaplock/commits";
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -2,37 +2,83 @@
 //! over.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use async_std::task;
 use gaplock_platform::store::Txn;
+use gaplock_policy::authority::Authority;
 use gaplock_remote::clock;
+use gaplock_sched::claims::{FormerLeaders, LeaderRecord};
 use gaplock_sched::freshness::DirectoryRead;
 use gaplock_sched::{takeover, Context, Event};
 use gaplock_types::time::Instant;
 
-use crate::leadership::{Claim, LeadershipStatus};
+use crate::engine::Engine;
+use crate::leadership::{self, Claim, LeadershipStatus};
 use crate::node::{Node, Role};
-use crate::peers::Invitation;
-use crate::{engine, entries, feeds, keys, lease_renewal, state_reader, store_writer};
+use crate::peers::{Invitation, PeerClient, Superseded};
+use crate::{engine, entries, feeds, follower, keys, lease_renewal, state_reader, store_writer};
 
 /// Leads until the leadership is over.
 pub async fn lead(node: &Arc<Node>, claim: Claim, sent: Instant) {
-    let leadership = LeadershipStatus::of_claim_sent_at(sent);
+    let leadership = leadership::open(claim.term, node.place(), sent);
+    node.set_leadership(&leadership);
     node.handover.forget_followers();
-    lease_renewal::spawn(node, &leadership, claim, sent);
+    lease_renewal::spawn(node, &leadership, claim.clone(), sent);
     let state = state_reader::read_all(node, &leadership).await;
-    if let Some(state) = state {
+    if let Some(mut state) = state {
         node.metrics.terms.inc();
-        run(node, claim, &leadership, state).await;
+        state.stored.former_leaders = claim.inherited.former_leaders;
+        log_unseen_leaders(&claim);
+        run(node, &claim, &leadership, state).await;
     }
     leadership.lose();
-    hand_over(node, claim).await;
+    hand_over(node, &claim).await;
+}
+
+/// Logs the former leaders that may act on.
+fn log_unseen_leaders(claim: &Claim) {
+    let FormerLeaders::UnseenUntil(until) = claim.inherited.former_leaders else { return };
+    let hosts: Vec<&str> = claim.inherited.to_ask.iter().map(|r| r.host.0.as_str()).collect();
+    let wait_ms = until.since(clock::now()).0;
+    tracing::warn!(event = "former_leaders_unseen", term = claim.term, hosts = ?hosts, wait_ms);
+}
+
+/// The pause between notices to a former leader that has not answered.
+const NOTICE_RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Notifies the hosts of former leaders that may act on, until each of them has stopped or this
+/// leadership is over, and reports the former to the engine.
+async fn stop_former_leaders(former: Vec<LeaderRecord>, term: u64, engine: Arc<Engine>) {
+    let stops = former.iter().map(|former| stop_former_leader(former, term, &engine));
+    futures::future::join_all(stops).await;
+    if engine.leadership.authority(clock::now()) != Authority::Lost {
+        engine.send(Event::FormerLeadersStopped);
+    }
+}
+
+/// Notifies the host of a former leader until it answers, its process has ended or this leadership
+/// is over.
+async fn stop_former_leader(former: &LeaderRecord, term: u64, engine: &Engine) {
+    let client = PeerClient::default();
+    while engine.leadership.authority(clock::now()) != Authority::Lost {
+        let has_stopped = match client.notify_superseded(&former.addr, Superseded { term }).await {
+            // Another host may have the address by now.
+            Ok(host) => host == former.host,
+            Err(_) => follower::process_is_dead(&former.addr).await,
+        };
+        if has_stopped {
+            return;
+        }
+        task::sleep(NOTICE_RETRY_PAUSE).await;
+    }
 }
 
 /// The maximum number of followers that are invited to lead before the claim is removed instead.
 const MAX_INVITED: usize = 3;
 
 /// Invites the best followers to claim the leadership at once. If none does, removes the claim.
-async fn hand_over(node: &Arc<Node>, claim: Claim) {
+async fn hand_over(node: &Arc<Node>, claim: &Claim) {
     node.set_role(Role::Follower(None));
     for candidate in node.handover.successor_candidates(clock::now()).iter().take(MAX_INVITED) {
         let invitation = Invitation { claim: claim.revision.0 };
@@ -49,11 +95,11 @@
 /// Builds the engine from the stored state and feeds it until the leadership is over.
 async fn run(
     node: &Arc<Node>,
-    claim: Claim,
+    claim: &Claim,
     leadership: &Arc<LeadershipStatus>,
     state: state_reader::LoadedState,
 ) {
-    let writer = store_writer::open(Arc::clone(&node.store), Arc::clone(leadership), &claim);
+    let writer = store_writer::open(Arc::clone(&node.store), Arc::clone(leadership), claim);
     let term = engine::term(claim.term, claim.revision);
     let (now, unix_ms) = (clock::now(), clock::unix_ms());
     let mut cx = Context::open(node.settings(), term, now, unix_ms);
@@ -77,6 +123,10 @@
     let start =
         feeds::FeedStart { inbox: state.inbox, directory: state.directory.revision, entries };
     let feeds = feeds::open(node, &engine, start);
+    let to_ask = &claim.inherited.to_ask;
+    if !to_ask.is_empty() {
+        task::spawn(stop_former_leaders(to_ask.clone(), claim.term, Arc::clone(&engine)));
+    }
     driver.run().await;
     for feed in feeds {
         feed.cancel().await;
@@ -84,7 +134,7 @@
 }
 
 /// Removes the claim, so that other hosts need not wait until its lease expires.
-async fn resign(node: &Node, claim: Claim) {
+async fn resign(node: &Node, claim: &Claim) {
     let txn = Txn {
         expected: vec![(keys::LEADER.to_string(), claim.revision)],
         set: Vec::new(),
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -1,42 +1,36 @@
 //! The leadership: a key under a lease in the platform's store, claimed by compare-and-swap.
 //!
-//! The lease only determines when other hosts may claim. Two leaders at one time do no harm because
-//! of the fencing token, which is the revision of the claim, and the conditions on every write.
+//! The lease only determines when other hosts may claim. `gaplock_policy::authority` decides for
+//! how long a leader may act while the store does not confirm its claim.
 
+use std::future;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use gaplock_platform::store::{LeaseId, Revision, Store, StoreError, Txn};
 use gaplock_policy::attempts::Execution;
-use gaplock_sched::claims::{self, LeaderRecord};
+use gaplock_policy::authority::{self, Authority, Basis, Contact, Place, Report, Reports};
+use gaplock_remote::clock;
+use gaplock_sched::claims::{self, Inherited, LeaderRecord};
 use gaplock_sched::commit_writer::CommitId;
+use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
 use crate::keys;
 use crate::{records, store_writer};
 
-/// How long the store keeps the claim of a leader that does not renew its lease. With a shorter
-/// lease a dead host is noticed sooner, but renewals must still succeed while the store answers a
-/// hundred times slower than usual.
-pub const LEASE: Millis = Millis(2_000);
-
 /// How often the leader renews its lease and confirms its claim.
 pub const RENEW_EVERY: Duration = Duration::from_millis(500);
 
-/// How long before the possible end of its lease a leader without confirmation stops acting.
-const LEASE_MARGIN: Millis = Millis(300);
-
-/// How long another host's report about the store counts.
-const PEER_REPORT_MAX_AGE: Millis = Millis(2_000);
+/// How long the basis of an unconfirmed authority is reused; finding it goes over all followers.
+const BASIS_MAX_AGE: Millis = Millis(20);
 
-/// How long after the last confirmation the next one is overdue: longer than the time between two
-/// confirmations. If the store has answered another host later than that, the report of that host
-/// ends the leadership.
-const CONFIRMATION_OVERDUE_AFTER: Millis = Millis(700);
+const LOCK: &str = "no holder of the lock panics";
 
 /// A leadership that this process holds.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Claim {
     /// The number of the leadership.
     pub term: u64,
@@ -46,6 +40,30 @@
     pub lease: LeaseId,
     /// The ID that the claim has stored as that of its first commit.
     pub commit_id: CommitId,
+    /// The claim as it is stored.
+    pub record: LeaderRecord,
+    /// What is to be allowed for of former leaders.
+    pub inherited: Inherited,
+}
+
+/// What a host knows of the leader that it replaces when it sends its claim.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Former {
+    /// Its process has ended, or it has given the leadership up.
+    Stopped,
+    /// Its lease has expired, but it may not know that. This was the last contact with any leader.
+    MayAct(Option<Contact>),
+}
+
+impl Former {
+    /// Returns by when the leader of a term has stopped, as far as a host knows that sends its
+    /// claim at `claimed`.
+    fn stopped_by(self, claimed: Instant, term: u64) -> Option<Instant> {
+        match self {
+            Self::Stopped => Some(claimed),
+            Self::MayAct(contact) => authority::stopped_by(claimed, term, contact),
+        }
+    }
 }
 
 /// Who holds the leadership.
@@ -90,7 +108,7 @@
 }
 
 /// Claims the leadership in place of the claim at `seen`; revision zero means that there is no
-/// claim.
+/// claim. `former` is what is known of the leader before.
 ///
 /// # Errors
 /// [`StoreError::Conflict`] if another host, or an earlier attempt of this one, claimed first;
@@ -100,27 +118,47 @@
     store: &Store,
     own_record: &LeaderRecord,
     seen: Revision,
+    former: Former,
 ) -> Result<Claim, StoreError> {
-    let (lease, last) = futures::join!(
-        Box::pin(store.grant_lease(LEASE.as_duration())),
-        Box::pin(store.get(keys::COMMITS))
+    let claimed = clock::now();
+    let (lease, last, last_claim) = futures::join!(
+        Box::pin(store.grant_lease(authority::LEASE.as_duration())),
+        Box::pin(store.get(keys::COMMITS)),
+        Box::pin(store.get(keys::LAST_CLAIM))
     );
-    let (lease, last) = (lease?, last?);
+    let (lease, last, last_claim) = (lease?, last?, last_claim?);
     let commits = last.as_ref().map_or(Revision(0), |item| item.revision);
     let term =
         last.and_then(|item| store_writer::decode_commit_id(&item.value)).map_or(1, |m| m.term + 1);
     let commit_id = CommitId { term, number: 0 };
     let record = LeaderRecord { term, lease: lease.0, ..own_record.clone() };
+    let inherited = if term == 1 {
+        Inherited::nothing()
+    } else {
+        let last_claim = last_claim.as_ref().and_then(records::decode);
+        let stopped_by = former.stopped_by(claimed, term - 1);
+        claims::inherit(last_claim.as_ref(), &record.host, claimed, stopped_by)
+    };
+    let last_claim = inherited.last_claim(record.clone(), claimed);
+    let claim = |revision| Claim {
+        term,
+        revision,
+        lease,
+        commit_id,
+        record: record.clone(),
+        inherited: inherited.clone(),
+    };
     let txn = Txn {
         expected: vec![(keys::LEADER.to_string(), seen), (keys::COMMITS.to_string(), commits)],
         set: vec![
             (keys::LEADER.to_string(), store_writer::encode(&record), Some(lease)),
+            (keys::LAST_CLAIM.to_string(), store_writer::encode(&last_claim), None),
             (keys::COMMITS.to_string(), store_writer::encode(&commit_id), None),
         ],
         remove: Vec::new(),
     };
     match store.commit(&txn).await {
-        Ok(revision) => Ok(Claim { term, revision, lease, commit_id }),
+        Ok(revision) => Ok(claim(revision)),
         Err(StoreError::Unclear) => {
             // If this read gets no answer either, the outcome of the claim stays unknown.
             let found = current_holder(store).await.map_err(|_| StoreError::Unclear)?;
@@ -128,7 +166,7 @@
                 Holder::Host(stored, revision)
                     if claims::execution_of_unanswered(&record, &stored) == Execution::Done =>
                 {
-                    Ok(Claim { term, revision, lease, commit_id })
+                    Ok(claim(revision))
                 }
                 _ => Err(StoreError::Unclear),
             }
@@ -138,67 +176,39 @@
 }
 
 /// What a leader knows about its own leadership; shared by all its tasks.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct LeadershipStatus {
+    /// The number of the leadership.
+    pub term: u64,
+    place: Place,
     /// When the last successful confirmation was sent, in milliseconds of this host's clock.
     confirmed_at_ms: AtomicU64,
-    /// When the store last answered another host, in milliseconds of this host's clock.
-    peer_store_answered_at_ms: AtomicU64,
-    /// When another host last sent a heartbeat, in milliseconds of this host's clock.
-    peer_heard_at_ms: AtomicU64,
     lost: AtomicBool,
+    reports: Mutex<Reports>,
+    /// The basis that the followers' reports last gave, and when.
+    found: Mutex<Option<(Instant, Basis)>>,
+    /// The queue of requests to confirm the claim at once.
+    confirm_now: (Sender<()>, Receiver<()>),
 }
 
-/// Whether a leader may act now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Authority {
-    /// It may act.
-    Act,
-    /// It may not act now, but may again once the store confirms its claim.
-    Wait,
-    /// It may never act again.
-    Lost,
-}
-
-/// What a leader's authority rests on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
-pub enum Basis {
-    /// The store confirmed the claim recently.
-    #[display("confirmed")]
-    Confirmed,
-    /// The store does not answer this host, and other hosts report the same.
-    #[display("store_silent")]
-    StoreSilent,
-    /// Neither the store nor enough other hosts are heard.
-    #[display("unconfirmed")]
-    Unconfirmed,
-    /// Another host reached the store, or the claim is gone.
-    #[display("lost")]
-    Lost,
-}
-
-impl Basis {
-    /// Returns what a leader with this basis may do.
-    pub fn authority(self) -> Authority {
-        match self {
-            Self::Confirmed | Self::StoreSilent => Authority::Act,
-            Self::Unconfirmed => Authority::Wait,
-            Self::Lost => Authority::Lost,
-        }
-    }
+/// Opens the status of a leadership whose claim was sent at `sent`.
+pub fn open(term: u64, place: Place, sent: Instant) -> Arc<LeadershipStatus> {
+    Arc::new(LeadershipStatus {
+        term,
+        place,
+        confirmed_at_ms: AtomicU64::new(sent.0),
+        lost: AtomicBool::new(false),
+        reports: Mutex::default(),
+        found: Mutex::default(),
+        confirm_now: async_channel::bounded(1),
+    })
 }
 
 impl LeadershipStatus {
-    /// Builds the status of a claim that was sent at `sent`.
-    pub fn of_claim_sent_at(sent: Instant) -> Arc<Self> {
-        let status = Self::default();
-        status.confirmed_at_ms.store(sent.0, Ordering::SeqCst);
-        Arc::new(status)
-    }
-
     /// Records that the store confirmed the leadership in answer to a call sent at `sent`.
     pub fn record_confirmation(&self, sent: Instant) {
         self.confirmed_at_ms.fetch_max(sent.0, Ordering::SeqCst);
+        *self.found.lock().expect(LOCK) = None;
     }
 
     /// Returns when the last successful confirmation was sent.
@@ -209,14 +219,50 @@
     /// Returns whether a confirmation is overdue, so that reports of other hosts about the store
     /// are needed.
     pub fn is_confirmation_overdue(&self, now: Instant) -> bool {
-        now.since(self.confirmed_at()) >= CONFIRMATION_OVERDUE_AFTER
+        now.since(self.confirmed_at()) >= authority::CONFIRMATION_OVERDUE_AFTER
+    }
+
+    /// Returns whether a follower should call the store at once: the confirmation is overdue, and
+    /// no call of the follower has failed since the last one.
+    pub fn needs_check_of(&self, now: Instant, report: &Report) -> bool {
+        self.is_confirmation_overdue(now)
+            && report.store_failed_at.is_none_or(|at| at < self.confirmed_at())
     }
 
-    /// Records another host's report of how long ago the store last answered it.
-    pub fn record_peer_report(&self, now: Instant, store_age: Millis) {
-        self.peer_heard_at_ms.fetch_max(now.0, Ordering::SeqCst);
-        self.peer_store_answered_at_ms
-            .fetch_max(now.0.saturating_sub(store_age.0), Ordering::SeqCst);
+    /// Records a follower's report that is answered at `now`.
+    pub fn record_report(&self, now: Instant, report: Report) {
+        self.reports.lock().expect(LOCK).record(now, report);
+    }
+
+    /// Records at `now` that the store has answered this host, or that something is known to be
+    /// stored. If the claim is not confirmed, this has it confirmed at once; until then the leader
+    /// does not act.
+    pub fn record_store_answer(&self, now: Instant) {
+        if authority::is_confirmed(self.confirmed_at(), now) {
+            return;
+        }
+        self.reports.lock().expect(LOCK).record_store_answer(now);
+        *self.found.lock().expect(LOCK) = None;
+        // A full queue already holds such a request.
+        let _ignored = self.confirm_now.0.try_send(());
+    }
+
+    /// Waits until the claim has to be confirmed at once.
+    pub async fn confirmation_wanted(&self) {
+        if self.confirm_now.1.recv().await.is_err() {
+            future::pending::<()>().await;
+        }
+    }
+
+    /// Forgets a follower whose process has ended.
+    pub fn forget_follower(&self, host: &ids::EntryId) {
+        self.reports.lock().expect(LOCK).forget(host);
+    }
+
+    /// Returns the followers whose silence keeps the leader from acting without confirmation, with
+    /// their addresses.
+    pub fn silent_followers(&self, now: Instant) -> Vec<(ids::EntryId, String)> {
+        self.reports.lock().expect(LOCK).silent(self.confirmed_at(), now)
     }
 
     /// Marks the leadership as lost, for good.
@@ -229,30 +275,23 @@
         self.basis(now).authority()
     }
 
-    /// Returns how long ago another host was last heard.
-    pub fn peer_silence(&self, now: Instant) -> Millis {
-        now.since(Instant(self.peer_heard_at_ms.load(Ordering::SeqCst)))
-    }
-
-    /// Returns what the leader's authority rests on. Without a recent confirmation it may continue
-    /// only while other hosts report that the store does not answer them either: no host can claim
-    /// then.
+    /// Returns what the leader's authority rests on.
     pub fn basis(&self, now: Instant) -> Basis {
         if self.lost.load(Ordering::SeqCst) {
             return Basis::Lost;
         }
-        let confirmed = self.confirmed_at();
-        let unconfirmed = now.since(confirmed);
-        if unconfirmed.0 + LEASE_MARGIN.0 < LEASE.0 {
+        if authority::is_confirmed(self.confirmed_at(), now) {
             return Basis::Confirmed;
         }
-        let store_answered_peer = Instant(self.peer_store_answered_at_ms.load(Ordering::SeqCst));
-        if store_answered_peer > confirmed + CONFIRMATION_OVERDUE_AFTER {
-            return Basis::Lost;
-        }
-        if self.peer_silence(now) < PEER_REPORT_MAX_AGE {
-            return Basis::StoreSilent;
+        let mut found = self.found.lock().expect(LOCK);
+        if let Some((at, basis)) = *found {
+            if now.since(at) < BASIS_MAX_AGE {
+                return basis;
+            }
         }
-        Basis::Unconfirmed
+        let reports = self.reports.lock().expect(LOCK);
+        let basis = reports.basis(&self.place, self.confirmed_at(), now);
+        *found = Some((now, basis));
+        basis
     }
 }
--- a/crates/node/src/lease_renewal.rs
+++ b/crates/node/src/lease_renewal.rs
@@ -5,15 +5,18 @@
 //! way on the one thread that runs all other tasks, and a renewal queued behind them would come
 //! after the lease has expired (`docs/CAPACITY.md`).
 
+use std::pin::pin;
 use std::sync::Arc;
 
 use async_std::task;
-use gaplock_platform::store::StoreError;
+use futures::future::select;
+use gaplock_platform::store::{Revision, StoreError};
+use gaplock_policy::authority::{self, Authority};
 use gaplock_policy::succession;
 use gaplock_remote::clock;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::leadership::{self, Authority, Claim, LeadershipStatus};
+use crate::leadership::{self, Claim, LeadershipStatus};
 use crate::node::Node;
 use crate::{follower, threads};
 
@@ -23,7 +26,12 @@
 /// Starts to maintain a claim that was sent at `sent`; ends when the leadership is lost.
 pub fn spawn(node: &Arc<Node>, leadership: &Arc<LeadershipStatus>, claim: Claim, sent: Instant) {
     let (node, shared) = (Arc::clone(node), Arc::clone(leadership));
-    if let Err(e) = threads::spawn(THREAD, renew_and_confirm(node, shared, claim, sent)) {
+    let maintained = async move {
+        let confirmed = pin!(confirm_when_wanted(&node, &shared, claim.revision));
+        let renewed = pin!(renew_and_confirm(&node, &shared, &claim, sent));
+        select(renewed, confirmed).await;
+    };
+    if let Err(e) = threads::spawn(THREAD, maintained) {
         tracing::warn!(event = "leadership_lost", why = "no thread to keep it", error = %e);
         leadership.lose();
     }
@@ -32,21 +40,22 @@
 /// Repeatedly renews the lease, confirms the claim and reads the configuration. The three calls run
 /// concurrently: one after the other they take longer than the lease where the store is slow.
 async fn renew_and_confirm(
-    node: Arc<Node>,
-    leadership: Arc<LeadershipStatus>,
-    claim: Claim,
+    node: &Arc<Node>,
+    leadership: &LeadershipStatus,
+    claim: &Claim,
     sent: Instant,
 ) {
     while leadership.authority(clock::now()) != Authority::Lost {
-        if node.is_stopping() || should_step_down(&node, sent) {
+        if node.is_stopping() || should_step_down(node, sent) {
             leadership.lose();
             return;
         }
         // Boxed: the futures of three concurrent calls are too large for the thread's stack.
-        let confirmed = Box::pin(follower::confirm_leadership(&node, &leadership, claim.revision));
+        let confirmed = Box::pin(follower::confirm_leadership(node, leadership, claim.revision));
         let renewed = Box::pin(node.store.renew_lease(claim.lease));
-        let read = Box::pin(follower::read_config(&node));
-        let (_, renewed, _) = futures::join!(confirmed, renewed, read);
+        let read = Box::pin(follower::read_config(node));
+        let probed = Box::pin(forget_ended_followers(leadership));
+        let (_, renewed, _, ()) = futures::join!(confirmed, renewed, read, probed);
         match renewed {
             Ok(()) => node.record_store_answer(),
             Err(StoreError::Gone) => {
@@ -60,6 +69,32 @@
     }
 }
 
+/// Confirms the claim whenever that is wanted at once: the other calls may still wait for a store
+/// that has not answered for a while.
+async fn confirm_when_wanted(node: &Node, leadership: &LeadershipStatus, revision: Revision) {
+    loop {
+        leadership.confirmation_wanted().await;
+        follower::confirm_leadership(node, leadership, revision).await;
+    }
+}
+
+/// How many silent followers are probed at a time.
+const MAX_PROBES: usize = 8;
+
+/// Forgets the silent followers whose processes have ended. Otherwise their silence would keep a
+/// leader without confirmation from acting.
+async fn forget_ended_followers(leadership: &LeadershipStatus) {
+    let now = clock::now();
+    if authority::is_confirmed(leadership.confirmed_at(), now) {
+        return;
+    }
+    let silent = leadership.silent_followers(now).into_iter().take(MAX_PROBES);
+    let probes = silent
+        .map(|(host, addr)| async move { follower::process_is_dead(&addr).await.then_some(host) });
+    let ended = futures::future::join_all(probes).await;
+    ended.iter().flatten().for_each(|host| leadership.forget_follower(host));
+}
+
 /// The minimum time that a process leads before it steps down, so that the leadership does not
 /// alternate between hosts.
 const MIN_TIME_AS_LEADER: Millis = Millis(3_000);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -13,6 +13,7 @@
 use gaplock_platform::hosts::{self, HostsClient};
 use gaplock_platform::installation::Installation;
 use gaplock_platform::store::{Revision, Store};
+use gaplock_policy::authority::{Authority, Place, Report};
 use gaplock_policy::refusals::StoreRevision;
 use gaplock_policy::succession::{self, LeaderCapacity};
 use gaplock_remote::clock;
@@ -23,10 +24,10 @@
 
 use crate::engine::Engine;
 use crate::handover::Handover;
-use crate::leadership::Authority;
+use crate::leadership::LeadershipStatus;
 use crate::metrics::Metrics;
 use crate::peers::{
-    self, AdmitAnswer, Heartbeat, HeartbeatAnswer, Invitation, QueueCount, StatusAnswer,
+    self, AdmitAnswer, Echo, Heartbeat, HeartbeatAnswer, Invitation, QueueCount, StatusAnswer,
 };
 
 /// The role of this host in the installation.
@@ -81,10 +82,13 @@
     settings: RwLock<Settings>,
     config: RwLock<Option<Arc<Config>>>,
     role: RwLock<Role>,
+    /// The last leadership of this process, also while its state is still being read.
+    leadership: Mutex<Option<Arc<LeadershipStatus>>>,
     stopping: AtomicBool,
     store_answered_at_ms: AtomicU64,
     store_failed_at_ms: AtomicU64,
     store_lost: AtomicBool,
+    checks_store: AtomicBool,
     store_revision: AtomicU64,
     leader_answered_at_ms: AtomicU64,
     config_newest_at_ms: AtomicU64,
@@ -121,6 +125,22 @@
     Some(LoadSummary { age: now.since(load.made_at), ..LoadSummary::clone(&load.summary) })
 }
 
+/// Converts a heartbeat that came at `now` into a report to the leadership `term`. A follower of an
+/// earlier version names no failure domain; `own_domain` is the one that proves the least.
+fn report_of(beat: &Heartbeat, term: u64, now: Instant, own_domain: ids::DomainId) -> Report {
+    let echo = beat.echo.filter(|echo| echo.term == term);
+    let sent = echo.map_or(now, |echo| now.min(echo.at + echo.age));
+    let ago = |age: Millis| Instant(sent.0.saturating_sub(age.0));
+    Report {
+        host: beat.host.clone(),
+        domain: beat.domain.clone().unwrap_or(own_domain),
+        addr: beat.addr.clone(),
+        pledged_at: echo.map(|echo| echo.at),
+        store_answered_at: ago(beat.store_age),
+        store_failed_at: beat.store_failed.map(ago),
+    }
+}
+
 /// Builds the shared state of a process.
 pub fn open(
     installation: Installation,
@@ -151,10 +171,12 @@
         admission_control,
         config: RwLock::new(None),
         role: RwLock::new(Role::Follower(None)),
+        leadership: Mutex::default(),
         stopping: AtomicBool::new(false),
         store_answered_at_ms: AtomicU64::new(0),
         store_failed_at_ms: AtomicU64::new(0),
         store_lost: AtomicBool::new(false),
+        checks_store: AtomicBool::new(false),
         store_revision: AtomicU64::new(0),
         leader_answered_at_ms: AtomicU64::new(0),
         config_newest_at_ms: AtomicU64::new(0),
@@ -221,6 +243,29 @@
         *self.role.write().expect(LOCK) = role;
     }
 
+    /// Returns where this host is.
+    pub fn place(&self) -> Place {
+        let is_only_domain = self.installation.domains.len() == 1;
+        Place { domain: self.installation.domain.clone(), is_only_domain }
+    }
+
+    /// Records a new leadership of this host.
+    pub fn set_leadership(&self, leadership: &Arc<LeadershipStatus>) {
+        *self.leadership.lock().expect(LOCK) = Some(Arc::clone(leadership));
+    }
+
+    /// Ends a leadership of this host under an earlier term than `term`; returns the host's name.
+    pub fn end_earlier_leadership(&self, term: u64) -> ids::EntryId {
+        let leadership = self.leadership.lock().expect(LOCK).clone();
+        if let Some(leadership) = leadership.filter(|l| l.term < term) {
+            if leadership.authority(clock::now()) != Authority::Lost {
+                tracing::warn!(event = "leadership_lost", why = "another host says that it leads");
+                leadership.lose();
+            }
+        }
+        self.installation.host.clone()
+    }
+
     /// Returns the address of the leader, if another host leads.
     pub fn leader_addr(&self) -> Option<String> {
         match self.role() {
@@ -240,6 +285,15 @@
             }
         }
         self.store_answered_at_ms.fetch_max(clock::now().0, Ordering::Relaxed);
+        self.note_stored();
+    }
+
+    /// Notes that the store answers this host, or has answered another one. If this host leads
+    /// without confirmation, its claim may have been replaced meanwhile.
+    fn note_stored(&self) {
+        if let Role::Leader(engine) = self.role() {
+            engine.leadership.record_store_answer(clock::now());
+        }
     }
 
     /// Records a revision that the store has or had.
@@ -276,6 +330,28 @@
         failed > answered && self.store_age() >= STORE_UNAVAILABLE_AFTER
     }
 
+    /// Returns how long ago a call to the store failed, if none has succeeded since.
+    pub fn store_failure_age(&self) -> Option<Millis> {
+        let answered = self.store_answered_at_ms.load(Ordering::Relaxed);
+        let failed = self.store_failed_at_ms.load(Ordering::Relaxed);
+        (failed > answered).then(|| clock::now().since(Instant(failed)))
+    }
+
+    /// Returns whether the store has answered since `at`.
+    pub fn has_store_answered_since(&self, at: Instant) -> bool {
+        self.store_answered_at_ms.load(Ordering::Relaxed) >= at.0
+    }
+
+    /// Marks the begin of a check of the store; returns false if one is under way.
+    pub fn begin_store_check(&self) -> bool {
+        !self.checks_store.swap(true, Ordering::SeqCst)
+    }
+
+    /// Marks the end of a check of the store.
+    pub fn end_store_check(&self) {
+        self.checks_store.store(false, Ordering::SeqCst);
+    }
+
     /// Returns how long ago the store last answered.
     pub fn store_age(&self) -> Millis {
         clock::now().since(Instant(self.store_answered_at_ms.load(Ordering::Relaxed)))
@@ -370,9 +446,15 @@
         // stored state may step down too.
         self.handover.record_follower(now, &beat);
         let Role::Leader(engine) = self.role() else { return HeartbeatAnswer::NotLeader };
-        engine.leadership.record_peer_report(now, beat.store_age);
-        if engine.leadership.authority(now) != Authority::Act {
-            return HeartbeatAnswer::NotLeader;
+        let leadership = &engine.leadership;
+        let report = report_of(&beat, leadership.term, now, self.installation.domain.clone());
+        let check_now = leadership.needs_check_of(now, &report);
+        leadership.record_report(now, report);
+        let echo = Echo { term: leadership.term, at: now, age: Millis(0) };
+        match leadership.authority(now) {
+            Authority::Act | Authority::Hold => {}
+            Authority::Wait => return HeartbeatAnswer::Waiting(echo),
+            Authority::Lost => return HeartbeatAnswer::NotLeader,
         }
         let newer = self.config().filter(|c| c.version > beat.config_version);
         let best = self.handover.successor(now);
@@ -387,15 +469,18 @@
             successor: best.map(|c| c.host),
             strongest,
             beat_after: self.handover.heartbeat_interval(now),
-            check_store: engine.leadership.is_confirmation_overdue(now)
+            check_store: leadership.is_confirmation_overdue(now)
                 || self.handover.should_check_store(now, &beat),
             load: load_newer_than(beat.load, now, engine.load()).map(Box::new),
+            echo,
+            check_now,
         }
     }
 
     /// Passes a stored job to the engine if this host leads; returns whether it does.
     pub async fn apply_job_if_leader(&self, job: Arc<Job>) -> bool {
         let Role::Leader(engine) = self.role() else { return false };
+        self.note_stored();
         engine.send(Event::Job(job));
         true
     }
@@ -403,6 +488,7 @@
     /// Passes a stored cancellation to the engine if this host leads; returns whether it does.
     pub async fn apply_cancel_if_leader(&self, key: JobKey) -> bool {
         let Role::Leader(engine) = self.role() else { return false };
+        self.note_stored();
         engine.send(Event::Cancel(key));
         true
     }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -18,7 +18,7 @@
 use gaplock_policy::store_outcome::StoreOutcome;
 use gaplock_policy::succession;
 use gaplock_types::ids;
-use gaplock_types::time::Millis;
+use gaplock_types::time::{Instant, Millis};
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::core::params::ArrayParams;
 use jsonrpsee::server::{self, ServerHandle};
@@ -78,6 +78,35 @@
     /// The newest load summary that the follower has.
     #[serde(default)]
     pub load: SummaryVersion,
+    /// The follower's failure domain; `None` from an earlier version.
+    #[serde(default)]
+    pub domain: Option<ids::DomainId>,
+    /// The last answer that the follower got from a leader.
+    #[serde(default)]
+    pub echo: Option<Echo>,
+    /// How long ago a call of the follower to the store failed, if none has succeeded since.
+    #[serde(default)]
+    pub store_failed: Option<Millis>,
+}
+
+/// The leader's answer that a heartbeat returns. It shows the leader when the follower sent the
+/// heartbeat, however long that was under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, serde::Serialize, serde::Deserialize)]
+pub struct Echo {
+    /// The number of the leadership.
+    pub term: u64,
+    /// The reading of the leader's clock.
+    pub at: Instant,
+    /// How long ago the follower got the answer; zero in the answer itself.
+    #[serde(default)]
+    pub age: Millis,
+}
+
+/// A notice to the host of a former leader that another host leads now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Superseded {
+    /// The number of the new leadership.
+    pub term: u64,
 }
 
 /// A leader's invitation to a follower to claim the leadership at once.
@@ -101,6 +130,8 @@
 pub enum HeartbeatAnswer {
     /// This host does not lead.
     NotLeader,
+    /// This host leads, but may not act until the store or enough hosts answer it again.
+    Waiting(Echo),
     /// This host leads.
     Leader {
         /// How long ago the leader last read the configuration from the store.
@@ -127,6 +158,12 @@
         /// The load of all queues and pools, if it is newer than what the follower has.
         #[serde(default)]
         load: Option<Box<LoadSummary>>,
+        /// What the follower's next heartbeat returns.
+        #[serde(default)]
+        echo: Echo,
+        /// Whether the follower should check the store without waiting for its next heartbeat.
+        #[serde(default)]
+        check_now: bool,
     },
 }
 
@@ -162,6 +199,7 @@
 const STATUS: &str = "status";
 const ADMIT: &str = "admit";
 const INVITE: &str = "invite";
+const SUPERSEDED: &str = "superseded";
 
 /// The client for calls to other hosts. Its connection is opened on first use and again after a
 /// fault.
@@ -277,6 +315,19 @@
         self.call_within(addr, INVITE, &invitation, INVITE_LIMIT).await
     }
 
+    /// Notifies a former leader's host that another host leads; returns the name of the host that
+    /// answers, which leads under no earlier term from then on.
+    ///
+    /// # Errors
+    /// As [`PeerClient::heartbeat`].
+    pub async fn notify_superseded(
+        &self,
+        addr: &str,
+        notice: Superseded,
+    ) -> Result<ids::EntryId, PeerError> {
+        self.call(addr, SUPERSEDED, &notice).await
+    }
+
     /// Waits until the open connection is lost; forever if there is none.
     pub async fn wait_until_lost(&self) {
         let known = self.client.lock().expect("no holder of the lock panics").clone();
@@ -363,6 +414,9 @@
     register_method(module, ADMIT, |node, arrival: Arrival| async move {
         node.admit_if_leader(arrival).await
     });
+    register_method(module, SUPERSEDED, |node, notice: Superseded| async move {
+        node.end_earlier_leadership(notice.term)
+    });
     register_method(module, INVITE, |node, invitation: Invitation| async move {
         node.handle_invitation(invitation).await
     });
--- a/crates/node/src/state_reader.rs
+++ b/crates/node/src/state_reader.rs
@@ -13,6 +13,7 @@
 use futures::future::{select, Either};
 use gaplock_platform::directory;
 use gaplock_platform::store::{Item, Listing, PartialListing, Revision, StoreError};
+use gaplock_policy::authority::Authority;
 use gaplock_remote::clock;
 use gaplock_sched::evacuation::Evacuated;
 use gaplock_sched::message::Steering;
@@ -20,7 +21,7 @@
 use gaplock_types::time::{Instant, Millis};
 
 use crate::feeds::{self, InboxItem};
-use crate::leadership::{Authority, LeadershipStatus};
+use crate::leadership::LeadershipStatus;
 use crate::node::Node;
 use crate::{evacuations, follower, keys, records, steering};
 
--- a/crates/node/src/store_writer.rs
+++ b/crates/node/src/store_writer.rs
@@ -9,14 +9,17 @@
 use gaplock_platform::store::{self, Revision, Store, StoreError, Txn};
 use gaplock_platform::waves;
 use gaplock_policy::attempts::CallAttempts;
+use gaplock_policy::authority::Authority;
 use gaplock_remote::clock;
+use gaplock_sched::claims::{Inherited, LastClaim};
 use gaplock_sched::commit_writer::{
     self, CommitAnswer, CommitId, CommitRevision, CommitWriter, NextStep, StoreView,
 };
 use gaplock_sched::message::Record;
+use gaplock_types::time::Instant;
 
 use crate::keys;
-use crate::leadership::{Authority, Claim, LeadershipStatus};
+use crate::leadership::{Claim, LeadershipStatus};
 use crate::records::RosterRecord;
 
 /// Why a commit was not stored.
@@ -34,6 +37,8 @@
     store: Arc<Store>,
     leadership: Arc<LeadershipStatus>,
     claim: Revision,
+    /// The last claim as it is stored once no earlier leader acts any more.
+    settled_claim: LastClaim,
     writer: CommitWriter,
 }
 
@@ -48,7 +53,8 @@
 /// Builds the writer of a new leadership from its claim.
 pub fn open(store: Arc<Store>, leadership: Arc<LeadershipStatus>, claim: &Claim) -> StoreWriter {
     let writer = commit_writer::open(claim.commit_id, CommitRevision(claim.revision.0));
-    StoreWriter { store, leadership, claim: claim.revision, writer }
+    let settled_claim = Inherited::nothing().last_claim(claim.record.clone(), Instant(0));
+    StoreWriter { store, leadership, claim: claim.revision, settled_claim, writer }
 }
 
 impl StoreWriter {
@@ -174,6 +180,10 @@
                 Record::Learned(learned) => {
                     txn.set.push((keys::LEARNED.to_string(), encode(learned), None));
                 }
+                Record::ClaimSettled => {
+                    let settled = encode(&self.settled_claim);
+                    txn.set.push((keys::LAST_CLAIM.to_string(), settled, None));
+                }
             }
         }
         txn
@@ -218,7 +228,8 @@
         | Record::Worker(_)
         | Record::ForgetWorker(_)
         | Record::Learned(_)
-        | Record::Load(_) => 1,
+        | Record::Load(_)
+        | Record::ClaimSettled => 1,
         Record::Wave(_) => 2,
         Record::Forget(_) => 3,
     }
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -77,6 +77,13 @@
     soak_with(&[50_001], Options { fault_time: Duration::from_secs(4), ..Options::default() });
 }
 
+/// Guards against leaders on both sides of a partition that run the same tasks. Hosts join beyond
+/// the partition, combined with lost leaders, workers that restart, and cancelled jobs.
+#[test]
+fn partitions_that_hosts_join_beyond_break_no_promise() {
+    soak_with(&[60_006], Options { fault_time: Duration::from_secs(20), ..Options::default() });
+}
+
 /// Entries of other writers, capacities that shrink and grow, and hosts suspended for longer than
 /// their leases, combined with single faults and with late orders and late writes.
 #[test]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 //! each rule.
 
 pub mod attempts;
+pub mod authority;
 pub mod connections;
 pub mod estimate;
 pub mod fair;
--- a/crates/sched/src/changes/takeover.rs
+++ b/crates/sched/src/changes/takeover.rs
@@ -11,15 +11,19 @@
 
 use gaplock_jobs::progress::{self, JobState, Progress, StepProgress};
 use gaplock_jobs::{Job, JobKey, Step, TaskKey};
+use gaplock_types::time::Instant;
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::changes::evacuation::{self, Evacuated};
 use crate::changes::pacing::Learned;
 use crate::changes::{
-    accounting, checkpoints, crashes, directory, intake, leases, lifecycle, maintenance, roster,
-    steering, trace,
+    accounting, checkpoints, commits, crashes, directory, intake, leases, lifecycle, maintenance,
+    roster, steering, trace,
+};
+use crate::interface::claims::FormerLeaders;
+use crate::interface::message::{
+    Record, RosterEntry, Run, Steering, StoredLoad, WaveProgress, WorkerIx,
 };
-use crate::interface::message::{RosterEntry, Run, Steering, StoredLoad, WaveProgress, WorkerIx};
 use crate::state::job_table::{JobEntry, Round, StepState, TaskState};
 use crate::state::recovery_scan::RecoveryScan;
 use crate::state::worker::Listing;
@@ -48,6 +52,8 @@
     pub evacuated: Evacuated,
     /// The operators' instructions for queues.
     pub steering: Steering,
+    /// By when all former leaders have stopped acting.
+    pub former_leaders: FormerLeaders,
 }
 
 /// Fills a new leader's state from the store and begins the recovery scan.
@@ -63,6 +69,7 @@
         waves,
         evacuated,
         steering,
+        former_leaders,
     } = stored;
     evacuation::apply(cx, evacuated);
     steering::apply(cx, steering);
@@ -84,8 +91,11 @@
             }
         }
     }
-    let lease = cx.settings.lease().with_drift(cx.settings.clock_drift_per_mille);
-    let leases_over_at = cx.now + lease + cx.settings.takeover_margin;
+    let (stopped_by, former_may_act) = match former_leaders {
+        FormerLeaders::StoppedBy(at) => (at, false),
+        FormerLeaders::UnseenUntil(at) => (at, true),
+    };
+    let leases_over_at = leases_over_at(cx, stopped_by.max(cx.now));
     trace::takeover_began(
         cx.term.number,
         jobs.len(),
@@ -99,6 +109,8 @@
         terminated,
         open_workers_resolved: false,
         leases_over_at,
+        former_may_act,
+        inherited_wait: former_may_act,
         began: cx.now,
     };
     cx.recovery_scan = Some(scan);
@@ -118,6 +130,21 @@
     check_recovery_scan(cx);
 }
 
+/// Returns when all leases are over that a leader granted until `stopped_by`.
+fn leases_over_at(cx: &State, stopped_by: Instant) -> Instant {
+    let lease = cx.settings.lease().with_drift(cx.settings.clock_drift_per_mille);
+    stopped_by + lease + cx.settings.takeover_margin
+}
+
+/// Shortens the recovery scan once all former leaders are known to have stopped.
+pub fn former_leaders_stopped(cx: &mut State) {
+    let over_at = leases_over_at(cx, cx.now);
+    let Some(scan) = cx.recovery_scan.as_mut().filter(|scan| scan.former_may_act) else { return };
+    scan.former_may_act = false;
+    scan.leases_over_at = scan.leases_over_at.min(over_at);
+    trace::former_leaders_stopped(cx.term.number, over_at.since(cx.now));
+}
+
 /// Builds the entry of a job whose progress cannot be read. None of its tasks is started, because
 /// tasks that are already done would run again. A job with long-running tasks only is restored
 /// without progress instead, because such tasks are started again however they ended.
@@ -225,7 +252,7 @@
 /// answered or its leases are over.
 pub fn check_recovery_scan(cx: &mut State) {
     let Some(scan) = &cx.recovery_scan else { return };
-    let late = cx.now >= scan.leases_over_at;
+    let late = cx.now >= scan.leases_over_at && !cx.may_be_superseded;
     if !scan.unanswered_open.is_empty() && !late {
         return;
     }
@@ -242,6 +269,9 @@
 /// Ends the recovery scan: the state of every task is known from now on.
 fn end_recovery_scan(cx: &mut State) {
     let Some(mut scan) = cx.recovery_scan.take() else { return };
+    if scan.inherited_wait {
+        commits::add(cx, Record::ClaimSettled);
+    }
     for ix in scan.unanswered_open {
         if cx.worker(ix).is_absent() {
             leases::mark_terminated(cx, ix);
--- a/crates/sched/src/changes/terminated.rs
+++ b/crates/sched/src/changes/terminated.rs
@@ -22,6 +22,9 @@
         if awaited_by_scan {
             continue;
         }
+        if cx.may_be_superseded && worker.unanswered_renewals > 0 {
+            continue;
+        }
         let absent = worker.is_absent() && worker.unanswered_renewals > 0;
         crashes::worker_lost(cx, ix, false);
         leases::expire(cx, ix);
--- a/crates/sched/src/changes/trace.rs
+++ b/crates/sched/src/changes/trace.rs
@@ -364,6 +364,12 @@
     info!(event = "survey_ended", took_ms = took.0, silent);
 }
 
+/// Logs that all former leaders have stopped, and how long the leases that they granted still hold
+/// up the recovery scan at most.
+pub fn former_leaders_stopped(term: u64, wait: Millis) {
+    info!(event = "former_leaders_stopped", term, wait_ms = wait.0);
+}
+
 /// Logs that a commit failed and has to be made again.
 pub fn commit_failed(jobs: usize, other: usize) {
     warn!(event = "commit_failed", jobs, other);
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -107,6 +107,7 @@
             Event::DirectoryRecovered => self.directory_recovered_at = self.now,
             Event::DirectoryRead(read) => freshness::directory_read(self, read),
             Event::StoreRevision(sample) => freshness::record_revision(self, sample),
+            Event::FormerLeadersStopped => takeover::former_leaders_stopped(self),
             Event::Evacuated(evacuated) => evacuation::apply(self, evacuated),
             Event::Steered(instructions) => steering::apply(self, instructions),
             Event::Renewed { worker, sent, outcome } => {
--- a/crates/sched/src/interface/message.rs
+++ b/crates/sched/src/interface/message.rs
@@ -234,6 +234,8 @@
     DirectoryRead(DirectoryRead),
     /// A reading of the store's revision.
     StoreRevision(RevisionSample),
+    /// All former leaders have stopped acting.
+    FormerLeadersStopped,
     /// The operators' instruction on evacuated failure domains was read.
     Evacuated(Evacuated),
     /// A renewal was answered or failed.
@@ -334,6 +336,8 @@
     Load(StoredLoad),
     /// The progress of a maintenance wave.
     Wave(WaveProgress),
+    /// No successor need allow any more for the leaders before this one.
+    ClaimSettled,
 }
 
 /// An action that the driver carries out.
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -79,6 +79,9 @@
     pub config: Option<Arc<config::Config>>,
     /// The leadership under which all orders are sent.
     pub term: Term,
+    /// Set while another host may lead without this one noticing. The silence of a worker then does
+    /// not prove that the leases there are over, since that host may have renewed them.
+    pub may_be_superseded: bool,
     /// The time of the event that is being handled.
     pub now: Instant,
     /// The wall clock at that time, in milliseconds since 1970.
@@ -166,6 +169,7 @@
         Self {
             config: None,
             term,
+            may_be_superseded: false,
             now,
             unix_ms,
             jobs: FxHashMap::default(),
--- a/crates/sched/src/state/commits.rs
+++ b/crates/sched/src/state/commits.rs
@@ -19,6 +19,7 @@
     Learned,
     Load,
     Wave(WaveNumber),
+    Claim,
 }
 
 impl RecordSubject {
@@ -32,6 +33,7 @@
             Record::Learned(_) => Self::Learned,
             Record::Load(_) => Self::Load,
             Record::Wave(progress) => Self::Wave(progress.number),
+            Record::ClaimSettled => Self::Claim,
         }
     }
 }
--- a/crates/sched/src/state/recovery_scan.rs
+++ b/crates/sched/src/state/recovery_scan.rs
@@ -20,6 +20,10 @@
     pub open_workers_resolved: bool,
     /// When the leases of all these workers have certainly expired.
     pub leases_over_at: Instant,
+    /// Set while a former leader may still act and renew these leases.
+    pub former_may_act: bool,
+    /// Whether the stored claim says so, for a successor of this leader.
+    pub inherited_wait: bool,
     /// When the scan began.
     pub began: Instant,
 }
--- a/crates/sched/tests/fleet/simulation/mod.rs
+++ b/crates/sched/tests/fleet/simulation/mod.rs
@@ -43,6 +43,7 @@
 use gaplock_jobs::progress::Progress;
 use gaplock_jobs::{Job, JobKey, TaskKey};
 use gaplock_overload::steer::{Instruction, Steer};
+use gaplock_sched::claims::FormerLeaders;
 use gaplock_sched::message::{
     Outcome, RosterEntry, Steering, StoredLoad, WaveNumber, WaveProgress, WorkerReport,
 };
@@ -131,6 +132,8 @@
     pub learned: Learned,
     /// What is stored of the load.
     pub load: StoredLoad,
+    /// What a successor knows of former leaders.
+    pub former_leaders: FormerLeaders,
     /// The operators' instructions that are stored.
     steering: Steering,
     /// The tail reading that workers report of each job's tasks.
@@ -203,6 +206,7 @@
             advice: None,
             learned: Learned::default(),
             load: StoredLoad::default(),
+            former_leaders: FormerLeaders::default(),
             steering: Steering::default(),
             readings: BTreeMap::new(),
             hosts: Hosts::default(),
@@ -257,6 +261,11 @@
         self.cx = None;
     }
 
+    /// Sets whether another host may lead without the leader's noticing.
+    pub fn set_may_be_superseded(&mut self, may_be: bool) {
+        self.cx.as_mut().expect("there is a leader").may_be_superseded = may_be;
+    }
+
     /// Submits a job.
     pub fn submit(&mut self, job: Job) {
         let job = Arc::new(job);
@@ -416,7 +425,7 @@
     }
 
     /// Hands an event to the leader, if there is one, and carries out the actions that follow.
-    fn notify_leader(&mut self, event: Event) {
+    pub fn notify_leader(&mut self, event: Event) {
         let (now, unix) = (self.instant(), self.unix());
         if let Some(cx) = &mut self.cx {
             cx.handle(now, unix, event);
--- a/crates/sched/tests/fleet/simulation/store.rs
+++ b/crates/sched/tests/fleet/simulation/store.rs
@@ -5,6 +5,7 @@
 
 use gaplock_jobs::progress::Progress;
 use gaplock_jobs::{Job, JobKey};
+use gaplock_sched::claims::FormerLeaders;
 use gaplock_sched::context::Term;
 use gaplock_sched::message::{FencingToken, Record};
 use gaplock_sched::takeover::{self, StoredState};
@@ -35,6 +36,7 @@
             waves: self.wave_progress.values().cloned().collect(),
             evacuated: self.evacuated(),
             steering: self.steering.clone(),
+            former_leaders: self.former_leaders,
         };
         takeover::restore(&mut cx, stored);
         for worker in self.workers.iter().filter(|w| w.up) {
@@ -104,6 +106,7 @@
                     self.check_wave(&progress);
                     self.wave_progress.insert(progress.number, progress);
                 }
+                Record::ClaimSettled => self.former_leaders = FormerLeaders::default(),
             }
         }
     }
--- a/crates/sched/tests/fleet/takeovers.rs
+++ b/crates/sched/tests/fleet/takeovers.rs
@@ -1,6 +1,9 @@
 //! What a new leader waits for after it has taken over, on virtual time.
 
 use gaplock_jobs::progress::JobState;
+use gaplock_sched::claims::FormerLeaders;
+use gaplock_sched::Event;
+use gaplock_types::time::Instant;
 
 use crate::simulation::{assert_no_violations, job, long_running_step, step, Simulation};
 
@@ -99,3 +102,70 @@
     assert_eq!(sim.running_of(1), 0);
     assert_no_violations(&sim);
 }
+
+/// How long the former leader may act on, in milliseconds.
+const UNSEEN_FOR_MS: u64 = 20_000;
+
+/// Longer than the recovery scan of a successor whose former leader stopped before the claim.
+const SCAN_MS: u64 = 7_500;
+
+/// Opens a simulation in which worker 0 is silent, and whose new leader does not know whether the
+/// former one acts on.
+fn takeover_from_an_unseen_leader(seed: u64) -> Simulation {
+    let mut sim = Simulation::open(seed, 3);
+    sim.work_ms = 120_000;
+    sim.submit(job(1, vec![step(12, &[])]));
+    sim.run(1_000);
+    sim.crash(0);
+    sim.former_leaders = FormerLeaders::UnseenUntil(Instant(sim.now + UNSEEN_FOR_MS));
+    sim.start_new_leader();
+    sim
+}
+
+/// Guards against a successor that starts the tasks of a worker whose leases a former leader on
+/// the other side of a partition still renews.
+#[test]
+fn a_successor_waits_for_a_former_leader_that_may_act_on() {
+    let mut sim = takeover_from_an_unseen_leader(91);
+    let found = sim.running_of(1);
+    sim.run(UNSEEN_FOR_MS);
+    assert!(sim.in_recovery_scan());
+    assert_eq!(sim.running_of(1), found, "a task was started that may run at the silent worker");
+    sim.run(SCAN_MS);
+    assert!(!sim.in_recovery_scan());
+    assert_eq!(sim.running_of(1), 12);
+    assert_eq!(sim.former_leaders, FormerLeaders::default(), "the next leader would wait again");
+    assert_no_violations(&sim);
+}
+
+#[test]
+fn a_successor_waits_for_the_leases_only_once_the_former_leader_has_stopped() {
+    let mut sim = takeover_from_an_unseen_leader(92);
+    let found = sim.running_of(1);
+    sim.run(2_000);
+    sim.notify_leader(Event::FormerLeadersStopped);
+    sim.run(5_000);
+    assert_eq!(sim.running_of(1), found, "a task was started that may run at the silent worker");
+    sim.run(SCAN_MS - 5_000);
+    assert_eq!(sim.running_of(1), 12);
+    assert_no_violations(&sim);
+}
+
+/// Guards against a leader without confirmation that takes a worker's silence for the end of its
+/// leases, though a successor may have renewed them.
+#[test]
+fn a_leader_that_may_be_superseded_keeps_the_runs_of_silent_workers() {
+    let mut sim = Simulation::open(93, 3);
+    sim.work_ms = 120_000;
+    sim.submit(job(1, vec![step(12, &[])]));
+    sim.run(1_000);
+    sim.set_may_be_superseded(true);
+    sim.crash(0);
+    let left = sim.running_of(1);
+    sim.run(UNSEEN_FOR_MS);
+    assert_eq!(sim.running_of(1), left, "the tasks of the silent worker were started again");
+    sim.set_may_be_superseded(false);
+    sim.run(SCAN_MS);
+    assert_eq!(sim.running_of(1), 12);
+    assert_no_violations(&sim);
+}
--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -15,6 +15,7 @@
 
 use super::cancels::JointCrashes;
 use super::environment::EnvironmentFaults;
+use super::partitions::Partitions;
 use super::restarts::Restarts;
 use super::{FaultProfile, LOCK, POLL_INTERVAL};
 
@@ -115,7 +116,8 @@
     while faulty(&periods) {
         let mut locked = site.lock().expect(LOCK);
         periods.tick(&mut locked)?;
-        if Instant::now() >= next && began.elapsed() < profile.faulty {
+        let is_paused = extra.partitions.as_ref().is_some_and(Partitions::pauses_others);
+        if Instant::now() >= next && began.elapsed() < profile.faulty && !is_paused {
             faults += inject_due(&mut locked, profile, &mut periods, rng)?;
             next = Instant::now() + millis(rng, 50..900);
         }
@@ -124,6 +126,7 @@
         thread::sleep(POLL_INTERVAL);
     }
     let mut locked = site.lock().expect(LOCK);
+    locked.heal();
     end_all_faults(&mut locked)?;
     if let Some(environment) = &mut extra.environment {
         environment.end(&mut locked);
@@ -137,12 +140,19 @@
     pub(super) environment: Option<EnvironmentFaults>,
     pub(super) restarts: Option<Restarts>,
     pub(super) crashes: Option<JointCrashes>,
+    pub(super) partitions: Option<Partitions>,
 }
 
 impl ExtraFaults {
     /// Injects the additional faults that are due and returns their number.
     fn tick(&mut self, site: &mut Site, more: bool) -> io::Result<u64> {
         let mut faults = 0;
+        if let Some(partitions) = &mut self.partitions {
+            faults += partitions.tick(site, more)?;
+            if partitions.pauses_others() {
+                return Ok(faults);
+            }
+        }
         if let Some(environment) = &mut self.environment {
             faults += environment.tick(site, more)?;
         }
