Keep the queue that accepted a job with the job

Cause: the leader looked the queue up by its name, in the configuration in force, for each start. Without a queue of that name the dispatch pass returned without a word, and nothing kept the pool. The same lookup decided about retries, gangs, rounds, trials, long-running tasks, moves, shares and the load, and a new leader took defaults for the priority, the attempts and the objective.

Ruled out: capacity, commits, steering, a leader that had not learned of the version.

Change: a job's record keeps the queue that accepted it. The settings in force hold while the configuration has the queue, the last known ones after that. A pool that a later version gave the queue, and the queue of jobs that an earlier version accepted, are stored with the progress.

--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -5,6 +5,8 @@
 
 use gaplock_types::{ids, sizes, time};
 
+use crate::config::Queue;
+
 /// The identifier that a caller chose for a job: sixteen hexadecimal digits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobKey(pub u64);
@@ -144,6 +146,10 @@
     pub repeat: Option<Repeat>,
     /// When the job was accepted, by the accepting host's wall clock.
     pub accepted_unix_ms: u64,
+    /// The queue as it was when it accepted the job. It holds for the job once the configuration has
+    /// no queue of that name any more. `None` in records of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accepting_queue: Option<Queue>,
 }
 
 /// Why a job is rejected.
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -2,6 +2,7 @@
 
 use gaplock_types::ids;
 
+use crate::config::Queue;
 use crate::job::JobKey;
 
 /// A job's state as its caller sees it.
@@ -85,7 +86,7 @@
 }
 
 /// The stored progress of a job.
-#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Progress {
     /// The job.
     pub key: JobKey,
@@ -97,6 +98,10 @@
     /// Rounds that have started.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rounds: Vec<RoundProgress>,
+    /// The job's queue as a leader last knew it, if the job's own record names no queue or another
+    /// pool.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub queue: Option<Queue>,
 }
 
 /// Packs ascending indices into inclusive ranges.
--- a/crates/jobs/tests/jobs.rs
+++ b/crates/jobs/tests/jobs.rs
@@ -11,6 +11,7 @@
         steps,
         repeat: None,
         accepted_unix_ms: 0,
+        accepting_queue: None,
     }
 }
 
--- a/crates/measure/src/leader.rs
+++ b/crates/measure/src/leader.rs
@@ -176,7 +176,15 @@
         self.next_job += 1;
         let (queue, spec) = (QUEUE.to_string(), String::new());
         let accepted_unix_ms = self.now;
-        let job = Job { key, queue, spec, steps: vec![step], repeat: None, accepted_unix_ms };
+        let job = Job {
+            key,
+            queue,
+            spec,
+            steps: vec![step],
+            repeat: None,
+            accepted_unix_ms,
+            accepting_queue: None,
+        };
         self.handle_event(Event::Job(Arc::new(job)));
         key
     }
--- a/crates/measure/src/patterns/load.rs
+++ b/crates/measure/src/patterns/load.rs
@@ -400,6 +400,7 @@
             steps,
             repeat: None,
             accepted_unix_ms: UNIX_BASE_MS + arrives,
+            accepting_queue: None,
         })
     }
 
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -6,7 +6,7 @@
 use gaplock_jobs::config::Queue;
 use gaplock_jobs::job;
 use gaplock_jobs::progress::JobState;
-use gaplock_jobs::JobKey;
+use gaplock_jobs::{Job, JobKey};
 use gaplock_overload::admission::{Decision, MIN_RETURN};
 use gaplock_platform::callers;
 use gaplock_platform::store::StoreError;
@@ -74,7 +74,7 @@
     };
     let decoded = callers::decode_job(key, &queue.name, clock::unix_ms(), &body);
     let job = match decoded {
-        Ok(job) => Arc::new(job),
+        Ok(job) => Arc::new(Job { accepting_queue: Some(queue.clone()), ..job }),
         Err(e) => return bad_request(node, key, &e),
     };
     if let Err(e) = job::validate(&job) {
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -18,7 +18,9 @@
 use gaplock_sched::free_capacity::{self, FreeCpu};
 use gaplock_sched::job_table::JobEntry;
 use gaplock_sched::message::{FencingToken, Record};
-use gaplock_sched::{commits, concurrency_limit, evacuation, load, shares, Context, Event};
+use gaplock_sched::{
+    commits, concurrency_limit, evacuation, load, requests, shares, Context, Event,
+};
 use gaplock_types::time::Instant;
 
 use crate::actions::{self, CallContext, Clients};
@@ -268,7 +270,7 @@
         self.counted_at = now;
         let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
         for entry in self.cx.jobs.values().filter(|e| e.state == JobState::Queued) {
-            *counts.entry(&entry.job.queue).or_default() += 1;
+            *counts.entry(requests::listed_under(&self.cx, &entry.job)).or_default() += 1;
         }
         let counts = counts.into_iter();
         let counts = counts.map(|(queue, waiting)| QueueCount { queue: queue.into(), waiting });
--- a/crates/node/tests/misplaced_records.rs
+++ b/crates/node/tests/misplaced_records.rs
@@ -33,7 +33,7 @@
     };
     let steps = vec![StepProgress { done: Vec::new(), notes: vec![note] }];
     let rounds = vec![RoundProgress { round: 0, finished: false, steps }];
-    Progress { key: JobKey(key), state: JobState::Active, ended_unix_ms: 0, rounds }
+    Progress { key: JobKey(key), state: JobState::Active, ended_unix_ms: 0, rounds, queue: None }
 }
 
 fn job(key: u64) -> Job {
@@ -44,6 +44,7 @@
         steps: vec![Step { count: 2, checkpoints: true, ..Step::default() }],
         repeat: None,
         accepted_unix_ms: 0,
+        accepting_queue: None,
     }
 }
 
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -84,6 +84,13 @@
     soak_with(&[60_006], Options { fault_time: Duration::from_secs(20), ..Options::default() });
 }
 
+/// Guards against accepted jobs that are never finished once their queue is removed or renamed,
+/// combined with lost leaders, workers that restart, and cancelled jobs.
+#[test]
+fn queues_that_are_removed_and_renamed_break_no_promise() {
+    soak(&[70_001]);
+}
+
 /// Entries of other writers, capacities that shrink and grow, and hosts suspended for longer than
 /// their leases, combined with single faults and with late orders and late writes.
 #[test]
--- a/crates/sched/src/changes/commits.rs
+++ b/crates/sched/src/changes/commits.rs
@@ -169,7 +169,8 @@
         }));
     }
     let (key, ended_unix_ms) = (entry.job.key, entry.ended_unix_ms);
-    Progress { key, state: entry.state, ended_unix_ms, rounds }
+    let queue = if entry.state.is_final() { None } else { entry.queue_to_store() };
+    Progress { key, state: entry.state, ended_unix_ms, rounds, queue }
 }
 
 /// Returns whether the run that saved a task's checkpoint is still the active one, so that its
--- a/crates/sched/src/changes/dispatch.rs
+++ b/crates/sched/src/changes/dispatch.rs
@@ -200,7 +200,9 @@
     let Turn { step: ready, before_short } = turn;
     let Some(entry) = cx.jobs.get(&ready.job) else { return };
     let job = entry.job.clone();
-    let Some(service) = requests::service_of(cx, &job) else { return };
+    let Some(service) = requests::service_of(cx, &job) else {
+        return log_without_pool(cx, &job, ready);
+    };
     let step = &job.steps[usize::from(ready.step)];
     let Some(round) = entry.round(ready.round) else { return };
     let mut pending = start_order(cx, ready, step, &round.steps[usize::from(ready.step)].pending);
@@ -368,6 +370,19 @@
     Some(waited)
 }
 
+/// Logs that a step waits because nothing is known of its job's queue.
+fn log_without_pool(cx: &mut State, job: &Job, ready: ReadyStep) {
+    let Some(round) = cx.jobs.get(&ready.job).and_then(|entry| entry.round(ready.round)) else {
+        return;
+    };
+    let pending = &round.steps[usize::from(ready.step)].pending;
+    let (count, first) = (pending.len(), pending.first().copied());
+    let Some(task) = first.map(|index| task_key(ready, index)) else { return };
+    if let Some(waited) = take_wait_to_log(cx, task) {
+        trace::step_without_pool(task, count, waited, &job.queue);
+    }
+}
+
 /// Logs that an operator's instruction keeps a step's tasks from starting.
 fn log_held(cx: &mut State, job: &Job, task: TaskKey, pending: usize) {
     let Some(waited) = take_wait_to_log(cx, task) else { return };
--- a/crates/sched/src/changes/takeover.rs
+++ b/crates/sched/src/changes/takeover.rs
@@ -120,7 +120,7 @@
             true => unreadable_entry(cx, job),
             false => restored_entry(cx, job, progress.remove(&key)),
         };
-        cx.jobs.insert(key, entry);
+        intake::insert_entry(cx, entry);
         accounting::job_restored(cx, key);
         crashes::register_suspects(cx, key);
     }
@@ -153,7 +153,7 @@
         return restored_entry(cx, job, None);
     }
     trace::job_set_aside(job.key);
-    let mut entry = intake::new_entry(cx, job);
+    let mut entry = intake::new_entry(cx, job, None);
     (entry.state, entry.stored_state) = (JobState::Active, JobState::Active);
     entry.next_round = entry.total_rounds();
     entry.unreadable = true;
@@ -162,7 +162,8 @@
 
 /// Builds the entry of a job from its stored progress, if there is any.
 fn restored_entry(cx: &State, job: Arc<Job>, progress: Option<Progress>) -> JobEntry {
-    let mut entry = intake::new_entry(cx, job);
+    let stored_queue = progress.as_ref().and_then(|progress| progress.queue.clone());
+    let mut entry = intake::new_entry(cx, job, stored_queue);
     let Some(progress) = progress else {
         return with_possibly_started_rounds(entry, cx.unix_ms);
     };
--- a/crates/sched/src/changes/trace.rs
+++ b/crates/sched/src/changes/trace.rs
@@ -5,7 +5,7 @@
 
 use gaplock_forecast::period::PeriodChange;
 use gaplock_jobs::progress::JobState;
-use gaplock_jobs::{JobKey, TaskKey};
+use gaplock_jobs::{config, JobKey, TaskKey};
 use gaplock_overload::budget::{Change, Observation};
 use gaplock_overload::steer::{Instruction, Steer};
 use gaplock_policy::attempts::CallAttempts;
@@ -276,6 +276,28 @@
     warn!(event = "crashes_used_up", %task, crashes);
 }
 
+/// Logs that the configuration in force has no queue of this name any more, though jobs need it,
+/// and which queue callers now find at its address.
+pub fn queue_retired(queue: &config::Queue, replaced_by: Option<&str>) {
+    info!(event = "queue_retired", queue = %queue.name, pool = %queue.service,
+        replaced_by = replaced_by.unwrap_or_default());
+}
+
+/// Logs that nothing is known of a job's queue, so that its tasks wait.
+pub fn queue_unknown(job: JobKey, queue: &str) {
+    warn!(event = "queue_unknown", %job, queue);
+}
+
+/// Logs that a step waits because nothing is known of its job's queue.
+pub fn step_without_pool(task: TaskKey, pending: usize, waited: Millis, queue: &str) {
+    warn!(event = "step_without_pool", %task, pending, waited_ms = waited.0, queue);
+}
+
+/// Logs that a job's pool was inferred from a worker that runs one of its tasks.
+pub fn queue_inferred(job: JobKey, queue: &str, pool: &ids::ServiceId) {
+    info!(event = "queue_inferred", %job, queue, %pool);
+}
+
 /// Logs that a run of a previous leader was found and kept.
 pub fn run_adopted(task: TaskKey, run: Run, worker: &ids::WorkerId) {
     info!(event = "run_adopted", %task, run = run.0, %worker);
--- a/crates/sched/src/changes/worker_report.rs
+++ b/crates/sched/src/changes/worker_report.rs
@@ -6,7 +6,7 @@
 use gaplock_types::time::Instant;
 
 use crate::changes::lifecycle::Occupant;
-use crate::changes::{checkpoints, ends, lifecycle, speed, trace};
+use crate::changes::{checkpoints, ends, intake, lifecycle, speed, trace};
 use crate::interface::message::{Action, Run, RunningTask, WorkerIx, WorkerReport};
 use crate::interface::proof::ReleaseProof;
 use crate::state::job_table::TaskState;
@@ -102,6 +102,8 @@
     task.state = TaskState::Active { worker: ix, run: row.run };
     checkpoints::apply(cx, ix, key, row.run, row.checkpoint.as_deref());
     trace::run_adopted(key, row.run, &cx.worker(ix).info.id);
+    let service = cx.worker(ix).info.service.clone();
+    intake::infer_queue(cx, key.job, &service);
 }
 
 /// Puts a reported run on its worker, in place of any other run of the task that the leader
--- a/crates/sched/src/decisions/concurrency_limit.rs
+++ b/crates/sched/src/decisions/concurrency_limit.rs
@@ -68,13 +68,12 @@
 
 /// Returns the pools for which best-effort steps wait.
 fn waiting_pools(cx: &State) -> BTreeSet<&ids::ServiceId> {
-    let Some(config) = cx.config.as_ref() else { return BTreeSet::new() };
     let best_effort = cx.ready.iter().filter_map(|ready| {
         let entry = cx.jobs.get(&ready.job)?;
         let step = entry.job.steps.get(usize::from(ready.step))?;
-        step.fills.then_some(&entry.job.queue)
+        entry.queue.as_ref().filter(|_| step.fills)
     });
-    best_effort.filter_map(|queue| config.queue(queue).map(|q| &q.service)).collect()
+    best_effort.map(|queue| &queue.service).collect()
 }
 
 /// Returns the best-effort demand that is at work in each pool, in thousandths of a core.
--- a/crates/sched/src/decisions/load.rs
+++ b/crates/sched/src/decisions/load.rs
@@ -85,11 +85,13 @@
 
 /// Returns the load of one class of work of one queue.
 fn queue(cx: &State, load: &ClassLoad, late_millicores: u64) -> QueueLoad {
-    let config = cx.config.as_ref().and_then(|config| config.queue(load.queue));
+    let in_force = cx.config.as_ref().and_then(|config| config.queue(load.queue));
+    let retired = || cx.retired_queues.get(load.queue).map(|retired| &*retired.queue);
+    let config = in_force.or_else(retired);
     let ratio = estimate_ratio(cx, load);
     QueueLoad {
         queue: load.queue.to_string(),
-        // A queue that was removed from the configuration belongs to no pool; its jobs are kept.
+        // A queue that no job needs any more belongs to no pool.
         pool: config.map_or_else(|| ids::ServiceId(String::new()), |queue| queue.service.clone()),
         class: load.class,
         priority: config.map_or(0, |queue| queue.priority),
--- a/crates/sched/src/decisions/placement.rs
+++ b/crates/sched/src/decisions/placement.rs
@@ -184,7 +184,7 @@
 pub fn find_other_worker(cx: &State, here: WorkerIx, key: TaskKey) -> Option<WorkerIx> {
     let entry = cx.jobs.get(&key.job)?;
     let step = entry.step(key)?;
-    let queue = cx.config.as_ref()?.queue(&entry.job.queue)?;
+    let queue = entry.queue.as_deref()?;
     let (service, advice) = (&queue.service, queue.advice.as_ref());
     let run_time = run_times::run_time_class(cx, service, step, key);
     let (avoid, waited, may_have_run, only_rack) = (Some(here), Millis(0), true, None);
--- a/crates/sched/src/decisions/requests.rs
+++ b/crates/sched/src/decisions/requests.rs
@@ -1,7 +1,7 @@
 //! Builds the placement requests of pending tasks, and checks whether these tasks may start.
 
-use gaplock_jobs::config::Advice;
-use gaplock_jobs::{Job, TaskKey};
+use gaplock_jobs::config::{Advice, Queue};
+use gaplock_jobs::{Job, JobKey, TaskKey};
 use gaplock_types::ids;
 use gaplock_types::time::Millis;
 
@@ -27,16 +27,26 @@
     WaitStatus { waited: cx.now.since(task.since), may_have_run: task.may_have_run }
 }
 
+/// Returns the queue of a job, which the configuration in force may no longer have.
+pub fn queue_of(cx: &State, job: JobKey) -> Option<&Queue> {
+    cx.jobs.get(&job)?.queue.as_deref()
+}
+
 /// Returns the service whose pool of workers runs a job.
 pub fn service_of(cx: &State, job: &Job) -> Option<ids::ServiceId> {
-    let config = cx.config.as_ref()?;
-    config.queue(&job.queue).map(|q| q.service.clone())
+    queue_of(cx, job.key).map(|q| q.service.clone())
 }
 
 /// Returns the advice settings of a job's queue, if it has another service decide where steps may
 /// run.
 pub fn advice_of<'a>(cx: &'a State, job: &Job) -> Option<&'a Advice> {
-    cx.config.as_ref()?.queue(&job.queue)?.advice.as_ref()
+    queue_of(cx, job.key)?.advice.as_ref()
+}
+
+/// Returns the name of the queue under which callers look for a job.
+pub fn listed_under<'a>(cx: &'a State, job: &'a Job) -> &'a str {
+    let retired = cx.retired_queues.get(&job.queue);
+    retired.and_then(|retired| retired.replaced_by.as_deref()).unwrap_or(&job.queue)
 }
 
 /// Returns whether a task is pending, its pause before the next start is over, it may start without
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use changes::{commits, evacuation, freshness, pacing, permits, renewals, takeover};
 pub use context::Context;
-pub use decisions::{concurrency_limit, free_capacity, load, shares};
+pub use decisions::{concurrency_limit, free_capacity, load, requests, shares};
 pub use interface::message::{Action, Event};
 pub use interface::settings::Settings;
 pub use interface::{claims, commit_writer, message, search_budget, settings};
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -70,6 +70,16 @@
 /// capacity.
 const MIN_STARTS_PER_WORKER: usize = 2;
 
+/// A queue that the configuration in force no longer has.
+#[derive(Debug, Clone)]
+pub struct RetiredQueue {
+    /// The queue as it was last known.
+    pub queue: Arc<config::Queue>,
+    /// The queue that now has its host name and path prefix, if there is one. Callers of the former
+    /// queue address that one.
+    pub replaced_by: Option<String>,
+}
+
 /// Everything that a leader knows.
 #[derive(Debug)]
 pub struct State {
@@ -77,6 +87,8 @@
     pub settings: Settings,
     /// The configuration in force.
     pub config: Option<Arc<config::Config>>,
+    /// The queues that the configuration in force no longer has and that jobs still need, by name.
+    pub retired_queues: BTreeMap<String, RetiredQueue>,
     /// The leadership under which all orders are sent.
     pub term: Term,
     /// Set while another host may lead without this one noticing. The silence of a worker then does
@@ -170,6 +182,7 @@
             config: None,
             term,
             may_be_superseded: false,
+            retired_queues: BTreeMap::new(),
             now,
             unix_ms,
             jobs: FxHashMap::default(),
--- a/crates/sched/src/state/job_table.rs
+++ b/crates/sched/src/state/job_table.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use gaplock_jobs::config::Queue;
 use gaplock_jobs::job::{self, Repeat};
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey, Step, TaskKey};
@@ -185,6 +186,9 @@
     pub objective: Millis,
     /// For each step, the estimated time of the longest chain of steps that come after it.
     pub chain_after: Vec<Millis>,
+    /// The job's queue: as the configuration in force has it, or else as it was last known. `None`
+    /// if nothing is known of it.
+    pub queue: Option<Arc<Queue>>,
     /// The queue's priority; 0 goes first.
     pub priority: u32,
     /// The queue in the load account; valid once the job has been entered there.
@@ -197,6 +201,14 @@
 }
 
 impl JobEntry {
+    /// Returns the queue to store with the job's progress: without it, a new leader might not learn
+    /// which pool runs the job. Progress that cannot be read is not replaced.
+    pub fn queue_to_store(&self) -> Option<Queue> {
+        let queue = self.queue.as_deref().filter(|_| !self.unreadable)?;
+        let accepting = self.job.accepting_queue.as_ref();
+        accepting.is_none_or(|q| q.service != queue.service).then(|| queue.clone())
+    }
+
     /// Returns how many rounds the job has in total.
     pub fn total_rounds(&self) -> u32 {
         self.job.repeat.map_or(1, |r| r.times)
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -29,6 +29,7 @@
 mod load_forecasts;
 mod maintenance_waves;
 mod packing;
+mod removed_queues;
 mod renewals;
 mod restarts;
 mod shares;
--- a/crates/sched/tests/fleet/simulation/builders.rs
+++ b/crates/sched/tests/fleet/simulation/builders.rs
@@ -54,5 +54,6 @@
         steps,
         repeat: None,
         accepted_unix_ms: UNIX_BASE,
+        accepting_queue: None,
     }
 }
--- a/crates/sched/tests/fleet/simulation/mod.rs
+++ b/crates/sched/tests/fleet/simulation/mod.rs
@@ -11,6 +11,7 @@
 //! - [`evacuations`] holds which failure domains the operators have evacuated.
 //! - [`directory`] delays the leader's view of the directory of workers.
 //! - [`hosts`] holds the hosts of the workers, which go down for maintenance.
+//! - [`configuration`] holds the configuration of the operators.
 //! - [`crashes`] crashes workers.
 //! - [`checkpoints`] records what runs save and which checkpoint a start carries.
 //! - [`checks`] and [`cancellations`] check the guarantees, [`accounts`] the load account.
@@ -25,6 +26,7 @@
 mod cancellations;
 mod checkpoints;
 mod checks;
+mod configuration;
 mod crashes;
 mod directory;
 mod evacuations;
@@ -39,7 +41,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use gaplock_jobs::config::{Advice, Config, Pool};
+use gaplock_jobs::config::{Advice, Config};
 use gaplock_jobs::progress::Progress;
 use gaplock_jobs::{Job, JobKey, TaskKey};
 use gaplock_overload::steer::{Instruction, Steer};
@@ -132,6 +134,10 @@
     pub learned: Learned,
     /// What is stored of the load.
     pub load: StoredLoad,
+    /// Whether hosts of an earlier version accept the jobs, which store only the queue's name.
+    pub hosts_are_old: bool,
+    /// The configuration in force, if it is not the one that a simulation begins with.
+    config: Option<Arc<Config>>,
     /// What a successor knows of former leaders.
     pub former_leaders: FormerLeaders,
     /// The operators' instructions that are stored.
@@ -206,6 +212,8 @@
             advice: None,
             learned: Learned::default(),
             load: StoredLoad::default(),
+            hosts_are_old: false,
+            config: None,
             former_leaders: FormerLeaders::default(),
             steering: Steering::default(),
             readings: BTreeMap::new(),
@@ -268,7 +276,7 @@
 
     /// Submits a job.
     pub fn submit(&mut self, job: Job) {
-        let job = Arc::new(job);
+        let job = Arc::new(self.accepted(job));
         self.jobs.insert(job.key, Arc::clone(&job));
         self.forgotten.remove(&job.key);
         self.notify_leader(Event::Job(job));
@@ -334,15 +342,6 @@
         self.list_again(at);
     }
 
-    /// Sends the leader a configuration with one more pool.
-    pub fn add_pool_to_config(&mut self, pool: &str) {
-        let mut config = Config::clone(&builders::config(self.advice));
-        config.version += 1;
-        let added = Pool { service: pool.into(), guards_capacity: true, headroom: false };
-        config.pools.push(added);
-        self.notify_leader(Event::Config(Arc::new(config)));
-    }
-
     /// Changes a worker's capacity and lists the worker with it.
     pub fn resize(&mut self, worker: usize, capacity: Resources) {
         self.workers[worker].info.capacity = capacity;
--- a/crates/sched/tests/fleet/simulation/store.rs
+++ b/crates/sched/tests/fleet/simulation/store.rs
@@ -12,7 +12,6 @@
 use gaplock_sched::{commits, Context, Event};
 use gaplock_types::time::Instant;
 
-use super::builders::config;
 use super::Simulation;
 
 impl Simulation {
@@ -24,7 +23,7 @@
         self.writes.claim(self.term);
         let term = Term { number: self.term, token: FencingToken(self.token) };
         let mut cx = Context::open(self.settings.clone(), term, self.instant(), self.unix());
-        cx.handle(self.instant(), self.unix(), Event::Config(config(self.advice)));
+        cx.handle(self.instant(), self.unix(), Event::Config(self.config()));
         let stored = StoredState {
             jobs: self.stored_jobs(),
             progress: self.readable_progress(),
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -5,7 +5,8 @@
 //! store that writes late, loses answers or refuses transactions. Some seeds add directory entries written by
 //! other programs, workers whose capacity shrinks and grows, hosts that are suspended for longer than their
 //! leases, workers that restart under their names, and workers that all crash together while jobs are
-//! cancelled soon after submission, and sites that are partitioned while hosts join. Faults come in series and overlap.
+//! cancelled soon after submission, sites that are partitioned while hosts join, and queues that are removed and
+//! renamed. Faults come in series and overlap.
 //!
 //! The checks compare what callers and workers observe with the documented guarantees. No task runs twice at
 //! one time, or again after its end was acknowledged, or from progress that it has not saved. A task that
@@ -18,6 +19,7 @@
 mod environment;
 mod faults;
 mod partitions;
+mod queues;
 mod restarts;
 
 use std::path::PathBuf;
@@ -165,6 +167,7 @@
         restarts: restarts::prepare(seed),
         crashes: cancels::JointCrashes::prepare(seed),
         partitions: partitions::prepare(seed),
+        queues: queues::prepare(seed),
     };
     wait(READY_LIMIT, || site.lock().expect(LOCK).hosts.iter().any(site::Host::is_ready));
     let jobs: Mutex<Vec<(JobKey, JobFact)>> = Mutex::default();
--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -16,6 +16,7 @@
 use super::cancels::JointCrashes;
 use super::environment::EnvironmentFaults;
 use super::partitions::Partitions;
+use super::queues::QueueChanges;
 use super::restarts::Restarts;
 use super::{FaultProfile, LOCK, POLL_INTERVAL};
 
@@ -131,6 +132,9 @@
     if let Some(environment) = &mut extra.environment {
         environment.end(&mut locked);
     }
+    if let Some(queues) = &mut extra.queues {
+        queues.end(&locked);
+    }
     Ok(faults)
 }
 
@@ -141,6 +145,7 @@
     pub(super) restarts: Option<Restarts>,
     pub(super) crashes: Option<JointCrashes>,
     pub(super) partitions: Option<Partitions>,
+    pub(super) queues: Option<QueueChanges>,
 }
 
 impl ExtraFaults {
@@ -153,6 +158,9 @@
                 return Ok(faults);
             }
         }
+        if let Some(queues) = &mut self.queues {
+            faults += queues.tick(site, more)?;
+        }
         if let Some(environment) = &mut self.environment {
             faults += environment.tick(site, more)?;
         }
