--- a/crates/node/tests/partitions.rs
+++ b/crates/node/tests/partitions.rs
@@ -22,7 +22,8 @@
 fn open_busy_site() -> Site {
     let site = open_site(2, WORKERS, Duration::from_secs(60));
     wait_for("the workers to be known", || site.has_stored_workers());
-    let body = r#"{"Spec":"text","Steps":[{"Count":40,"Cpu":1000,"MemMb":256,"EstimateMs":60000}]}"#;
+    let body =
+        r#"{"Spec":"text","Steps":[{"Count":40,"Cpu":1000,"MemMb":256,"EstimateMs":60000}]}"#;
     assert_eq!(site.hosts[0].submit(JobKey(1), body), Some(200));
     wait_for("all starts", || site.fleet.running_of(JobKey(1)) == 40);
     site
