Hold the test of partitions against lost runs, not against moves

The leader had moved tasks off a worker that looked slow on the loaded machine, 1.0 s after its last confirmation, to a worker beyond the cut; the starts got no answer, and their tasks wait until it is proven that they do not run. The count of runs at one instant is therefore no guarantee.

The test now asserts that no run ended otherwise than by a stop, which lapsed and lost runs fail, and that all 40 tasks run in the end, as before. The stated run time of the tasks stays.

--- a/crates/node/tests/partitions.rs
+++ b/crates/node/tests/partitions.rs
@@ -29,6 +29,15 @@
     site
 }
 
+/// Asserts that no run of the job has been lost: each one goes on, or was stopped for a start of its
+/// task elsewhere. The leader moves tasks off workers that look slow on a busy machine.
+fn assert_no_run_was_lost(site: &Site) {
+    let runs = site.fleet.runs_of(JobKey(1));
+    let ends = runs.values().flatten().filter_map(|run| run.ended);
+    let lost: Vec<&str> = ends.map(|(how, _)| how).filter(|how| *how != "stopped").collect();
+    assert!(lost.is_empty(), "runs ended as {lost:?}");
+}
+
 /// Guards against two leaders, one on each side of a partition, that start the same tasks: the
 /// former one took its followers on its own side for all hosts.
 #[test]
@@ -44,7 +53,8 @@
     wait_for("the former leader to follow", || site.hosts[0].is_ready());
     assert_eq!(site.hosts[joined].submit(JobKey(2), &two_steps()), Some(200));
     wait_for("starts after the partition", || site.has_started(JobKey(2)));
-    assert_eq!(site.fleet.running_of(JobKey(1)), 40, "runs were lost");
+    assert_no_run_was_lost(&site);
+    wait_for("moved tasks to run", || site.fleet.running_of(JobKey(1)) == 40);
     assert!(site.fleet.violations().is_empty(), "{:?}", site.fleet.violations());
 }
 
@@ -54,10 +64,12 @@
     let site = open_busy_site();
     site.store.set_down(true);
     thread::sleep(BEYOND_LEASES);
-    assert_eq!(site.fleet.running_of(JobKey(1)), 40, "runs were lost");
+    assert_no_run_was_lost(&site);
+    wait_for("moved tasks to run", || site.fleet.running_of(JobKey(1)) == 40);
     site.store.set_down(false);
     wait_for("a leader", || site.leader().is_some());
     thread::sleep(BEYOND_LEASES);
-    assert_eq!(site.fleet.running_of(JobKey(1)), 40, "runs were lost");
+    assert_no_run_was_lost(&site);
+    wait_for("moved tasks to run", || site.fleet.running_of(JobKey(1)) == 40);
     assert!(site.fleet.violations().is_empty(), "{:?}", site.fleet.violations());
 }
