Log and measure how a version of the configuration reaches each host

Callers got 404 for a route that had been confirmed more than three seconds before. The lines so far did not tell whether the host had the version late, from whom it expected it, or for how long it had been without news.

A refusal for want of a queue now names the version and its age; config_taken names the source and how long the answer took; config_read_failed and leader_silent say after how long a read was given up. Two metrics show the age and count the reads by source and outcome. No decision is changed.

--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -40,8 +40,9 @@
     };
     let host = host_of(&request);
     let Some(queue) = config.route(&host, &path) else {
-        let version = config.version;
-        tracing::info!(event = "request_refused", path, version, why = "no such queue");
+        let (version, config_age_ms) = (config.version, node.config_age().0);
+        let why = "no such queue";
+        tracing::info!(event = "request_refused", path, version, config_age_ms, why);
         return answer(&node, Code::NotFound, StatusCode::NotFound.into(), Vec::new());
     };
     let rest = path.strip_prefix(&queue.prefix).unwrap_or_default();
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -19,7 +19,7 @@
 use crate::handover::PendingInvitation;
 use crate::leader;
 use crate::leadership::{self, Claim, Former, Holder, LeadershipStatus};
-use crate::node::{Node, Role};
+use crate::node::{ConfigSource, Node, Role};
 use crate::peers::{Echo, Heartbeat, HeartbeatAnswer, PeerError};
 
 /// The pause before the store is asked again who leads.
@@ -141,7 +141,8 @@
             }
             Ok(Heard::LeadsNot) => break,
             Err(e) => {
-                tracing::info!(event = "leader_silent", leader = %leader.host, error = %e);
+                let after_ms = clock::now().since(sent).0;
+                tracing::info!(event = "leader_silent", leader = %leader.host, after_ms, error = %e);
                 if process_is_dead(&leader.addr).await {
                     return claim(node, revision, Former::Stopped).await;
                 }
@@ -269,7 +270,7 @@
             node.handover.set_check_wanted(check_store);
             node.handover.set_named_successor(successor.as_ref() == Some(&node.installation.host));
             if let Some(config) = config {
-                node.set_config(config);
+                node.set_config(config, ConfigSource::Leader, clock::now().since(sent));
             }
             node.confirm_config_newest_at(Instant(sent.0.saturating_sub(config_age.0)));
             node.record_leader_answer(waiting);
@@ -326,7 +327,7 @@
             node.record_store_answer();
             match configuration::decode(&item.value) {
                 Ok(config) => {
-                    node.set_config(config);
+                    node.set_config(config, ConfigSource::Store, clock::now().since(sent));
                     node.confirm_config_newest_at(sent);
                 }
                 Err(e) => tracing::warn!(event = "config_malformed", error = %e),
@@ -334,7 +335,9 @@
         }
         Ok(None) => node.record_store_answer(),
         Err(e) => {
-            tracing::debug!(event = "store_silent", error = %e);
+            let (version, after_ms) = (node.config_version(), clock::now().since(sent).0);
+            tracing::info!(event = "config_read_failed", by = "store", version, after_ms, error = %e);
+            node.metrics.count_config_read(ConfigSource::Store.name(), "failed");
             node.record_store_failure();
         }
     }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -40,12 +40,15 @@
     answers: Family<Label, Counter>,
     worker_calls: Family<Label, Counter>,
     commits: Family<Label, Counter>,
+    config_reads: Family<Label, Counter>,
     commit_time: Histogram,
     evacuated_runs: Family<DomainLabel, Gauge>,
     /// The number of leaderships that this process has held.
     pub terms: Counter,
     /// The version of the configuration in force.
     pub config_version: Gauge,
+    /// How long ago that version was last known to be the newest, in milliseconds.
+    pub config_age_ms: Gauge,
     /// The free capacity of all workers that accept tasks, in thousandths of a core; 0 on a
     /// follower.
     pub free_millicores: Gauge,
@@ -82,6 +85,9 @@
     registry.register("worker_calls", "Calls to workers by kind and outcome", orders.clone());
     let commits = Family::<Label, Counter>::default();
     registry.register("commits", "Commits of the leader by outcome", commits.clone());
+    let config_reads = Family::<Label, Counter>::default();
+    let help = "Reads of the configuration by source and outcome";
+    registry.register("config_reads", help, config_reads.clone());
     let commit_time = Histogram::new(BUCKETS);
     registry.register("commit_seconds", "Time of a commit", commit_time.clone());
     let evacuated_runs = Family::<DomainLabel, Gauge>::default();
@@ -96,6 +102,8 @@
         gauge
     };
     let config_version = gauge("config_version", "Configuration in force");
+    let config_age_ms =
+        gauge("config_age_ms", "Time since the configuration in force was known to be the newest");
     let help = "Log lines dropped because standard output was not read in time";
     let log_lines_dropped = gauge("log_lines_dropped", help);
     let free_millicores = gauge("free_millicores", "Free processors of all workers together");
@@ -114,10 +122,12 @@
         answers,
         worker_calls: orders,
         commits,
+        config_reads,
         commit_time,
         evacuated_runs,
         terms,
         config_version,
+        config_age_ms,
         free_millicores,
         largest_free_millicores,
         waiting_steps,
@@ -143,6 +153,11 @@
         self.worker_calls.get_or_create(&Label { kind: format!("{kind}:{outcome}") }).inc();
     }
 
+    /// Counts a read of the configuration.
+    pub fn count_config_read(&self, source: &'static str, outcome: &'static str) {
+        self.config_reads.get_or_create(&Label { kind: format!("{source}:{outcome}") }).inc();
+    }
+
     /// Counts a commit.
     pub fn count_commit(&self, outcome: &'static str, took: Duration) {
         self.commits.get_or_create(&Label { kind: outcome.to_string() }).inc();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -39,6 +39,25 @@
     Leader(Arc<Engine>),
 }
 
+/// From where a host gets the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConfigSource {
+    /// From the leader.
+    Leader,
+    /// From the store.
+    Store,
+}
+
+impl ConfigSource {
+    /// Returns the name by which logs and metrics show the source.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Leader => "leader",
+            Self::Store => "store",
+        }
+    }
+}
+
 /// A load summary with the time at which it was made.
 #[derive(Debug, Clone)]
 pub struct TimedSummary {
@@ -206,8 +225,9 @@
         self.config().map_or(0, |c| c.version)
     }
 
-    /// Puts a configuration into force if it is newer than the present one.
-    pub fn set_config(&self, config: Config) {
+    /// Puts a configuration into force if it is newer than the present one. `took` is how long the
+    /// answer that brought it was awaited.
+    pub fn set_config(&self, config: Config, source: ConfigSource, took: Millis) {
         let config = Arc::new(config);
         {
             let mut known = self.config.write().expect(LOCK);
@@ -216,7 +236,9 @@
             }
             *known = Some(Arc::clone(&config));
         }
-        tracing::info!(event = "config_taken", version = config.version);
+        let (version, by, took_ms) = (config.version, source.name(), took.0);
+        tracing::info!(event = "config_taken", version, by, took_ms);
+        self.metrics.count_config_read(by, "taken");
         self.metrics.config_version.set(config.version as i64);
         if let Role::Leader(engine) = self.role() {
             engine.send(Event::Config(config));
