--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -34,3 +34,17 @@
         thread::sleep(Duration::from_millis(20));
     }
 }
+
+/// Opens a site whose hosts have network links of these bandwidths, in Mbit/s, and are ready.
+#[allow(dead_code)] // not every test that shares these helpers uses it
+pub fn open_site_on_links(mbps: &[f64], workers: usize, work: Duration) -> Site {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node"));
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+    let hosts = mbps.len();
+    let plan = Plan { program, dir, hosts, workers, work, output: Output::File, threads: None };
+    let site = site::open_on_links(&plan, mbps).expect("the site starts");
+    for host in &site.hosts {
+        wait_for("readiness", || host.is_ready());
+    }
+    site
+}
