Bring large configurations to every host in time

Callers got 404 for routes that had been confirmed more than three seconds before, at hosts with links of 10 Mbit/s, once a configuration had some thousands of routes. From then on such a host never caught up.

Cause: the time limits of the two ways to a version were fixed, and the version grew. The leader sent it whole in its answers to heartbeats, which are given up after 700 ms; a follower then dropped the connection, took the leader for silent and began again. The store was asked for all of it with each check, which is given up after 900 ms, and a slow link carries 1.1 MB in 0.9 s. So weak hosts spent their links on transfers that were given up, and the leader sent 12 MB/s in vain. Besides, a host answered by its version however old its knowledge was.

Ruled out: processing (processors at 1 %), the leader's own reading.

Now the leader watches the key on a thread of its own and announces a version; followers fetch what has changed, compressed, in small parts that survive a failure. Calls to the store are given up after a silence, not after a total. Heartbeats, lease renewals and checks of the store no longer carry or wait for the configuration. A host answers by its version only while no newer one can have been in force for the bound, and denies a queue only if none is announced; else it answers 503. Finding a queue no longer goes over all queues.

--- a/crates/measure/src/leader.rs
+++ b/crates/measure/src/leader.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Instant as StdInstant;
 
-use gaplock_jobs::config::{CallerLimits, Config, Pool, Queue};
+use gaplock_jobs::config::{CallerLimits, Config, Index, Pool, Queue};
 use gaplock_jobs::{Job, JobKey, Step, TaskKey};
 use gaplock_policy::followers::Followers;
 use gaplock_policy::succession::{self, Candidate};
@@ -123,7 +123,13 @@
     };
     let pool = Pool { service: SERVICE.into(), guards_capacity: true, headroom: false };
     let limits = CallerLimits { body_bytes: 1 << 18, header: Millis(3_000), idle: Millis(15_000) };
-    Arc::new(Config { version: 1, queues: vec![queue], pools: vec![pool], limits })
+    Arc::new(Config {
+        version: 1,
+        queues: vec![queue],
+        pools: vec![pool],
+        limits,
+        index: Index::default(),
+    })
 }
 
 fn worker(n: usize) -> WorkerInfo {
--- a/crates/measure/src/patterns/simulation.rs
+++ b/crates/measure/src/patterns/simulation.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use gaplock_jobs::config::{CallerLimits, Config, Pool, Queue};
+use gaplock_jobs::config::{CallerLimits, Config, Index, Pool, Queue};
 use gaplock_jobs::progress::{JobState, Progress};
 use gaplock_jobs::{Job, JobKey, TaskKey};
 use gaplock_sched::context::Term;
@@ -376,5 +376,5 @@
     let queues = CLASSES.into_iter().map(queue).collect();
     let pool = Pool { service: POOL.into(), guards_capacity: true, headroom: false };
     let limits = CallerLimits { body_bytes: 1 << 18, header: Millis(3_000), idle: Millis(15_000) };
-    Arc::new(Config { version: 1, queues, pools: vec![pool], limits })
+    Arc::new(Config { version: 1, queues, pools: vec![pool], limits, index: Index::default() })
 }
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use gaplock_jobs::config::Queue;
+use gaplock_jobs::config::{Config, Queue};
 use gaplock_jobs::job;
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey};
@@ -40,13 +40,20 @@
     };
     let host = host_of(&request);
     let Some(queue) = config.route(&host, &path) else {
-        let (version, config_age_ms) = (config.version, node.config_age().0);
-        let why = "no such queue";
-        tracing::info!(event = "request_refused", path, version, config_age_ms, why);
+        if !node.configuration.may_deny_queue() {
+            return refuse_outdated(&node, &path, &config);
+        }
+        log_refusal(&node, &path, &config, "no such queue");
         return answer(&node, Code::NotFound, StatusCode::NotFound.into(), Vec::new());
     };
     let rest = path.strip_prefix(&queue.prefix).unwrap_or_default();
-    if rest.is_empty() && method == Method::Get {
+    let asks_for_length = rest.is_empty() && method == Method::Get;
+    // A newer version may not have the queue. The state and the cancellation of a job do not depend on
+    // that.
+    if (asks_for_length || method == Method::Post) && !node.configuration.may_answer() {
+        return refuse_outdated(&node, &path, &config);
+    }
+    if asks_for_length {
         return queue_length(&node, &queue.name);
     }
     let Ok(key) = rest.parse::<JobKey>() else {
@@ -60,6 +67,20 @@
     }
 }
 
+/// Refuses a request that a newer version of the configuration may decide otherwise: nothing was done,
+/// and the caller should come back.
+fn refuse_outdated(node: &Node, path: &str, config: &Config) -> Response {
+    log_refusal(node, path, config, "the configuration may be outdated");
+    refuse(node, Code::NotReady)
+}
+
+/// Logs a request that was refused, with what its refusal rests on.
+fn log_refusal(node: &Node, path: &str, config: &Config, why: &str) {
+    let (version, config_age_ms) = (config.version, node.configuration.age().0);
+    let newest_known = node.configuration.newest_known();
+    tracing::info!(event = "request_refused", path, version, newest_known, config_age_ms, why);
+}
+
 /// Returns the host name in the request's `Host` header, without the port.
 fn host_of(request: &FullRequest) -> String {
     let header = request.req.header("host").map(|v| v.last().as_str().to_string());
--- a/crates/node/src/follower.rs
+++ b/crates/node/src/follower.rs
@@ -7,27 +7,28 @@
 
 use async_std::{future, net, task};
 use futures::future::{select, Either};
-use gaplock_platform::configuration;
+use gaplock_distribution::knowledge::{News, Version};
 use gaplock_platform::store::{Revision, StoreError};
 use gaplock_policy::authority::{Authority, Contact};
+use gaplock_policy::refusals::StoreRevision;
 use gaplock_policy::succession;
 use gaplock_remote::clock;
 use gaplock_sched::claims::LeaderRecord;
 use gaplock_sched::freshness::RevisionSample;
 use gaplock_types::time::{Instant, Millis};
 
+use crate::configuration::{self, Source};
 use crate::handover::PendingInvitation;
 use crate::leader;
 use crate::leadership::{self, Claim, Former, Holder, LeadershipStatus};
-use crate::node::{ConfigSource, Node, Role};
+use crate::node::{Node, Role};
 use crate::peers::{Echo, Heartbeat, HeartbeatAnswer, PeerError};
 
 /// The pause before the store is asked again who leads.
 const LEADER_QUERY_PAUSE: Duration = Duration::from_millis(200);
 
-/// The age of the leader's last read of the configuration from which a follower reads it from the
-/// store itself; a change must be in force within 2 s.
-const CONFIG_MAX_AGE: Millis = Millis(900);
+/// The age of the leader's last news of the configuration from which a follower checks the store.
+const NEWS_MAX_AGE: Millis = Millis(900);
 
 /// The longest random pause before a claim, so that hosts do not all claim at once.
 const CLAIM_SPREAD_MS: u64 = 60;
@@ -231,6 +232,7 @@
         host: node.installation.host.clone(),
         store_age: node.store_age(),
         config_version: node.config_version(),
+        reads_parts: true,
         addr: node.peer_addr.clone(),
         strength: node.leader_capacity,
         running_for: node.running_for(),
@@ -251,6 +253,8 @@
         }
         HeartbeatAnswer::Leader {
             config_age,
+            config_version,
+            config_revision,
             store_revision,
             config,
             waiting,
@@ -270,9 +274,14 @@
             node.handover.set_check_wanted(check_store);
             node.handover.set_named_successor(successor.as_ref() == Some(&node.installation.host));
             if let Some(config) = config {
-                node.set_config(config, ConfigSource::Leader, clock::now().since(sent));
+                configuration::put_into_force(node, *config, Source::Host, sent);
             }
-            node.confirm_config_newest_at(Instant(sent.0.saturating_sub(config_age.0)));
+            // A leader of an earlier version names no version; it has sent any newer one.
+            let version = if config_version > 0 { config_version } else { node.config_version() };
+            let newest_at = Some(Instant(sent.0.saturating_sub(config_age.0)));
+            let revision = config_revision.map(StoreRevision);
+            let news = News { version: Version(version), newest_at, revision };
+            node.configuration.note_news(news, addr);
             node.record_leader_answer(waiting);
             if let Some(load) = load {
                 node.record_leader_load(sent, *load);
@@ -293,17 +302,17 @@
     matches!(probe, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
 }
 
-/// Reads the configuration from the store if the known one is old or if the store has been
-/// unavailable. This read also serves as the check of the store that the leader may have requested.
+/// Checks the store if it has been unavailable, or if the leader's last news of the configuration is
+/// old: it may get no answers. This also serves as the check that the leader may have requested.
 async fn check_store(node: &Arc<Node>) {
-    if node.is_store_unavailable() || node.config_age() >= CONFIG_MAX_AGE {
+    if node.is_store_unavailable() || node.configuration.age() >= NEWS_MAX_AGE {
         node.handover.take_check_wanted();
         start_check(node).await;
     }
 }
 
-/// Reads the configuration from the store, unless such a read is under way, and waits for it a
-/// little. A store that does not answer must not delay the heartbeats, which the leader needs to
+/// Asks the store who leads, unless such a question is under way, and waits for the answer a little.
+/// A store that does not answer must not delay the heartbeats, which the leader needs to
 /// act without the store.
 async fn start_check(node: &Arc<Node>) {
     if !node.begin_store_check() {
@@ -311,7 +320,7 @@
     }
     let checking = Arc::clone(node);
     let check = task::spawn(async move {
-        read_config(&checking).await;
+        ask_who_leads(&checking).await;
         checking.end_store_check();
     });
     if future::timeout(CHECK_WAIT, check).await.is_err() {
@@ -319,25 +328,13 @@
     }
 }
 
-/// Reads the configuration from the store.
-pub async fn read_config(node: &Node) {
-    let sent = clock::now();
-    match node.store.get(configuration::KEY).await {
-        Ok(Some(item)) => {
-            node.record_store_answer();
-            match configuration::decode(&item.value) {
-                Ok(config) => {
-                    node.set_config(config, ConfigSource::Store, clock::now().since(sent));
-                    node.confirm_config_newest_at(sent);
-                }
-                Err(e) => tracing::warn!(event = "config_malformed", error = %e),
-            }
-        }
-        Ok(None) => node.record_store_answer(),
+/// Reads the leader's claim to find out whether the store answers, which is a small call whatever is
+/// stored.
+async fn ask_who_leads(node: &Node) {
+    match leadership::revisions(&node.store).await {
+        Ok(_) => node.record_store_answer(),
         Err(e) => {
-            let (version, after_ms) = (node.config_version(), clock::now().since(sent).0);
-            tracing::info!(event = "config_read_failed", by = "store", version, after_ms, error = %e);
-            node.metrics.count_config_read(ConfigSource::Store.name(), "failed");
+            tracing::debug!(event = "store_silent", error = %e);
             node.record_store_failure();
         }
     }
--- a/crates/node/src/lease_renewal.rs
+++ b/crates/node/src/lease_renewal.rs
@@ -37,8 +37,7 @@
     }
 }
 
-/// Repeatedly renews the lease, confirms the claim and reads the configuration. The three calls run
-/// concurrently: one after the other they take longer than the lease where the store is slow.
+/// Repeatedly renews the lease and confirms the claim. The two calls run concurrently: one after the other they take longer than the lease where the store is slow.
 async fn renew_and_confirm(
     node: &Arc<Node>,
     leadership: &LeadershipStatus,
@@ -50,12 +49,11 @@
             leadership.lose();
             return;
         }
-        // Boxed: the futures of three concurrent calls are too large for the thread's stack.
+        // Boxed: the futures of concurrent calls are too large for the thread's stack.
         let confirmed = Box::pin(follower::confirm_leadership(node, leadership, claim.revision));
         let renewed = Box::pin(node.store.renew_lease(claim.lease));
-        let read = Box::pin(follower::read_config(node));
         let probed = Box::pin(forget_ended_followers(leadership));
-        let (_, renewed, _, ()) = futures::join!(confirmed, renewed, read, probed);
+        let (_, renewed, ()) = futures::join!(confirmed, renewed, probed);
         match renewed {
             Ok(()) => node.record_store_answer(),
             Err(StoreError::Gone) => {
@@ -63,7 +61,10 @@
                 leadership.lose();
                 return;
             }
-            Err(e) => tracing::debug!(event = "store_silent", error = %e),
+            Err(e) => {
+                tracing::debug!(event = "store_silent", error = %e);
+                node.record_store_failure();
+            }
         }
         task::sleep(leadership::RENEW_EVERY).await;
     }
--- a/crates/node/src/listeners.rs
+++ b/crates/node/src/listeners.rs
@@ -67,7 +67,8 @@
         return Response::new(StatusCode::NotFound);
     }
     let mut res = Response::new(StatusCode::Ok);
-    node.metrics.config_age_ms.set(node.config_age().0 as i64);
+    node.metrics.config_age_ms.set(node.configuration.age().0 as i64);
+    node.metrics.config_newest_known.set(node.configuration.newest_known() as i64);
     node.metrics.overload.show_load(node.load_summary().as_ref());
     res.set_body(node.metrics.render());
     res
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -3,6 +3,7 @@
 mod actions;
 mod admission;
 mod callers;
+mod configuration;
 mod directory;
 mod engine;
 mod entries;
@@ -77,6 +78,10 @@
             return ExitCode::FAILURE;
         }
     };
+    if let Err(e) = configuration::spawn(&node) {
+        tracing::error!(event = "cannot_start", error = %e);
+        return ExitCode::FAILURE;
+    }
     let follower = task::spawn(follower::run(node.clone()));
     task::spawn(settings_reload::run(node.clone(), PathBuf::from(path)));
     task::spawn(count_dropped_lines(node.clone(), logs.dropped()));
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -49,6 +49,10 @@
     pub config_version: Gauge,
     /// How long ago that version was last known to be the newest, in milliseconds.
     pub config_age_ms: Gauge,
+    /// The newest version of the configuration that this host has heard of.
+    pub config_newest_known: Gauge,
+    /// How many followers that are heard from do not have the leader's version; 0 on a follower.
+    pub config_hosts_behind: Gauge,
     /// The free capacity of all workers that accept tasks, in thousandths of a core; 0 on a
     /// follower.
     pub free_millicores: Gauge,
@@ -104,6 +108,10 @@
     let config_version = gauge("config_version", "Configuration in force");
     let config_age_ms =
         gauge("config_age_ms", "Time since the configuration in force was known to be the newest");
+    let config_newest_known =
+        gauge("config_newest_known", "Newest version of the configuration that is heard of");
+    let config_hosts_behind =
+        gauge("config_hosts_behind", "Followers without the leader's version of the configuration");
     let help = "Log lines dropped because standard output was not read in time";
     let log_lines_dropped = gauge("log_lines_dropped", help);
     let free_millicores = gauge("free_millicores", "Free processors of all workers together");
@@ -128,6 +136,8 @@
         terms,
         config_version,
         config_age_ms,
+        config_newest_known,
+        config_hosts_behind,
         free_millicores,
         largest_free_millicores,
         waiting_steps,
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, RwLock};
 
+use gaplock_distribution::knowledge::{News, Version};
 use gaplock_jobs::config::Config;
 use gaplock_jobs::{Job, JobKey};
 use gaplock_overload::admission::Arrival;
@@ -22,6 +23,7 @@
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
+use crate::configuration::{self, Configuration};
 use crate::engine::Engine;
 use crate::handover::Handover;
 use crate::leadership::LeadershipStatus;
@@ -39,25 +41,6 @@
     Leader(Arc<Engine>),
 }
 
-/// From where a host gets the configuration.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ConfigSource {
-    /// From the leader.
-    Leader,
-    /// From the store.
-    Store,
-}
-
-impl ConfigSource {
-    /// Returns the name by which logs and metrics show the source.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Leader => "leader",
-            Self::Store => "store",
-        }
-    }
-}
-
 /// A load summary with the time at which it was made.
 #[derive(Debug, Clone)]
 pub struct TimedSummary {
@@ -94,12 +77,13 @@
     pub hosts: Option<HostsClient>,
     /// The client for calls to other hosts, mostly to the leader.
     pub peer_client: peers::PeerClient,
+    /// The operators' configuration at this host.
+    pub configuration: Configuration,
     /// The metrics of this host.
     pub metrics: Metrics,
     /// Whether jobs may be refused by the load of their queue.
     pub admission_control: bool,
     settings: RwLock<Settings>,
-    config: RwLock<Option<Arc<Config>>>,
     role: RwLock<Role>,
     /// The last leadership of this process, also while its state is still being read.
     leadership: Mutex<Option<Arc<LeadershipStatus>>>,
@@ -110,7 +94,6 @@
     checks_store: AtomicBool,
     store_revision: AtomicU64,
     leader_answered_at_ms: AtomicU64,
-    config_newest_at_ms: AtomicU64,
     leader_queue_counts: Mutex<BTreeMap<String, u32>>,
     leader_load: Mutex<Option<TimedSummary>>,
     started_at: Instant,
@@ -180,6 +163,7 @@
         handover: Handover::default(),
         advisor,
         hosts,
+        configuration: configuration::open(installation.bounds.config_limit),
         installation,
         settings: RwLock::new(settings),
         incarnation: ids::Incarnation(rand::random()),
@@ -188,7 +172,6 @@
         peer_client: peers::PeerClient::default(),
         metrics: crate::metrics::open(),
         admission_control,
-        config: RwLock::new(None),
         role: RwLock::new(Role::Follower(None)),
         leadership: Mutex::default(),
         stopping: AtomicBool::new(false),
@@ -198,7 +181,6 @@
         checks_store: AtomicBool::new(false),
         store_revision: AtomicU64::new(0),
         leader_answered_at_ms: AtomicU64::new(0),
-        config_newest_at_ms: AtomicU64::new(0),
         leader_queue_counts: Mutex::default(),
         leader_load: Mutex::default(),
     })
@@ -217,42 +199,12 @@
 
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<Arc<Config>> {
-        self.config.read().expect(LOCK).clone()
+        self.configuration.in_force()
     }
 
     /// Returns the version of the configuration in force; 0 for none.
     pub fn config_version(&self) -> u64 {
-        self.config().map_or(0, |c| c.version)
-    }
-
-    /// Puts a configuration into force if it is newer than the present one. `took` is how long the
-    /// answer that brought it was awaited.
-    pub fn set_config(&self, config: Config, source: ConfigSource, took: Millis) {
-        let config = Arc::new(config);
-        {
-            let mut known = self.config.write().expect(LOCK);
-            if known.as_ref().is_some_and(|c| c.version >= config.version) {
-                return;
-            }
-            *known = Some(Arc::clone(&config));
-        }
-        let (version, by, took_ms) = (config.version, source.name(), took.0);
-        tracing::info!(event = "config_taken", version, by, took_ms);
-        self.metrics.count_config_read(by, "taken");
-        self.metrics.config_version.set(config.version as i64);
-        if let Role::Leader(engine) = self.role() {
-            engine.send(Event::Config(config));
-        }
-    }
-
-    /// Records that the configuration in force was the newest one at `at`.
-    pub fn confirm_config_newest_at(&self, at: Instant) {
-        self.config_newest_at_ms.fetch_max(at.0, Ordering::Relaxed);
-    }
-
-    /// Returns how long ago the configuration in force was last known to be the newest.
-    pub fn config_age(&self) -> Millis {
-        clock::now().since(Instant(self.config_newest_at_ms.load(Ordering::Relaxed)))
+        self.configuration.version()
     }
 
     /// Returns this host's present role.
@@ -276,6 +228,13 @@
         *self.leadership.lock().expect(LOCK) = Some(Arc::clone(leadership));
     }
 
+    /// Returns whether this host holds a claim under which it may act, also while it still reads the
+    /// stored state.
+    pub fn holds_leadership(&self) -> bool {
+        let leadership = self.leadership.lock().expect(LOCK).clone();
+        leadership.is_some_and(|l| l.authority(clock::now()) != Authority::Lost)
+    }
+
     /// Ends a leadership of this host under an earlier term than `term`; returns the host's name.
     pub fn end_earlier_leadership(&self, term: u64) -> ids::EntryId {
         let leadership = self.leadership.lock().expect(LOCK).clone();
@@ -434,7 +393,11 @@
         let leads = matches!(self.role(), Role::Leader(_));
         let store = self.store_age() < READY_WITHOUT_CONTACT_LIMIT;
         let leader = self.leader_age() < READY_WITHOUT_CONTACT_LIMIT;
-        !self.is_stopping() && self.config().is_some() && (leads || store || leader)
+        let configured = self.config().is_some() && !self.configuration.is_outdated();
+        // A host that has just started soon hears from the leader, if there is one.
+        let has_heard = self.leader_answered_at_ms.load(Ordering::Relaxed) > 0;
+        let settled = leads || has_heard || self.running_for() >= READY_WITHOUT_CONTACT_LIMIT;
+        !self.is_stopping() && configured && settled && (leads || store || leader)
     }
 
     /// Returns whether the process is stopping.
@@ -478,15 +441,19 @@
             Authority::Wait => return HeartbeatAnswer::Waiting(echo),
             Authority::Lost => return HeartbeatAnswer::NotLeader,
         }
-        let newer = self.config().filter(|c| c.version > beat.config_version);
+        self.note_follower_config(&beat);
+        // Only a follower of an earlier version takes the configuration from here.
+        let newer = self.config().filter(|c| !beat.reads_parts && c.version > beat.config_version);
         let best = self.handover.successor(now);
         let strongest = best
             .as_ref()
             .map_or(self.leader_capacity, |c| c.leader_capacity.max(self.leader_capacity));
         HeartbeatAnswer::Leader {
-            config_age: self.config_age(),
+            config_age: self.configuration.age(),
+            config_version: self.config_version(),
+            config_revision: self.configuration.revision(),
             store_revision: self.store_revision().0,
-            config: newer.map(|c| Config::clone(&c)),
+            config: newer.map(|c| Box::new(Config::clone(&c))),
             waiting: engine.queue_counts(),
             successor: best.map(|c| c.host),
             strongest,
@@ -499,6 +466,18 @@
         }
     }
 
+    /// Records which version of the configuration a follower of this leader has. If it is newer than
+    /// this host's, the store may be refusing this host only.
+    fn note_follower_config(&self, beat: &Heartbeat) {
+        let behind = self.configuration.note_follower(&beat.host, beat.config_version);
+        self.metrics.config_hosts_behind.set(behind as i64);
+        if beat.reads_parts {
+            let version = Version(beat.config_version);
+            let news = News { version, newest_at: None, revision: None };
+            self.configuration.note_news(news, &beat.addr);
+        }
+    }
+
     /// Passes a stored job to the engine if this host leads; returns whether it does.
     pub async fn apply_job_if_leader(&self, job: Arc<Job>) -> bool {
         let Role::Leader(engine) = self.role() else { return false };
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use async_std::future;
+use gaplock_distribution::message::{PartAnswer, PartRequest};
 use gaplock_jobs::config::Config;
 use gaplock_jobs::progress::JobState;
 use gaplock_jobs::{Job, JobKey};
@@ -69,6 +70,9 @@
     pub store_age: Millis,
     /// The version of the follower's configuration; 0 for none.
     pub config_version: u64,
+    /// Whether the follower fetches the configuration by itself; `false` from an earlier version.
+    #[serde(default)]
+    pub reads_parts: bool,
     /// The address at which the follower accepts calls of other hosts.
     pub addr: String,
     /// The capacity of the follower's host as a leader.
@@ -134,14 +138,20 @@
     Waiting(Echo),
     /// This host leads.
     Leader {
-        /// How long ago the leader last read the configuration from the store.
+        /// How long ago the leader's configuration was last known to be the newest.
         config_age: Millis,
+        /// The version of the leader's configuration; 0 from an earlier version.
+        #[serde(default)]
+        config_version: u64,
+        /// The revision of the store up to which the leader knows all changes of the configuration.
+        #[serde(default)]
+        config_revision: Option<u64>,
         /// The highest revision of the store that the leader has learned of. A follower that knows
         /// it recognizes older markers of refused jobs.
         #[serde(default)]
         store_revision: u64,
-        /// The configuration in force, if the follower's is older.
-        config: Option<Config>,
+        /// The configuration in force, for a follower of an earlier version whose own is older.
+        config: Option<Box<Config>>,
         /// Queues with jobs that have not begun.
         waiting: Vec<QueueCount>,
         /// The host that should claim first if the leader is lost.
@@ -200,6 +210,7 @@
 const ADMIT: &str = "admit";
 const INVITE: &str = "invite";
 const SUPERSEDED: &str = "superseded";
+const CONFIG_PART: &str = "config_part";
 
 /// The client for calls to other hosts. Its connection is opened on first use and again after a
 /// fault.
@@ -275,6 +286,18 @@
         self.call(addr, HEARTBEAT, heartbeat).await
     }
 
+    /// Requests a part of the configuration.
+    ///
+    /// # Errors
+    /// As [`PeerClient::heartbeat`].
+    pub async fn config_part(
+        &self,
+        addr: &str,
+        request: &PartRequest,
+    ) -> Result<PartAnswer, PeerError> {
+        self.call(addr, CONFIG_PART, request).await
+    }
+
     /// Notifies the leader of a stored job; returns whether the called host leads.
     ///
     /// # Errors
@@ -393,6 +416,9 @@
     register_method(module, HEARTBEAT, |node, beat: Heartbeat| async move {
         node.answer_heartbeat(beat).await
     });
+    register_method(module, CONFIG_PART, |node, request: PartRequest| async move {
+        node.configuration.part(request)
+    });
     register_method(module, JOB_STORED, |node, job: Job| async move {
         node.apply_job_if_leader(Arc::new(job)).await
     });
--- a/crates/node/src/state_reader.rs
+++ b/crates/node/src/state_reader.rs
@@ -23,7 +23,7 @@
 use crate::feeds::{self, InboxItem};
 use crate::leadership::LeadershipStatus;
 use crate::node::Node;
-use crate::{evacuations, follower, keys, records, steering};
+use crate::{configuration, evacuations, keys, records, steering};
 
 /// The stored state: the scheduler's state is restored from it, and the feeds continue from its
 /// revisions.
@@ -152,6 +152,12 @@
         }
         Ok(())
     };
+    // A host that has a version is told of newer ones meanwhile, and need not wait for a large one.
+    let read_first_config = async {
+        if node.config().is_none() {
+            configuration::read_store(node).await;
+        }
+    };
     let mut refused = BTreeSet::new();
     // Boxed: the futures of so many calls are too large for a thread's stack.
     let (
@@ -166,7 +172,7 @@
         waves,
         read_steering,
     ) = futures::join!(
-        Box::pin(follower::read_config(node)),
+        Box::pin(read_first_config),
         Box::pin(store.continue_listing(keys::ROSTER, roster)),
         Box::pin(store.continue_listing(directory::PREFIX, directory)),
         Box::pin(store.continue_listing(keys::PROGRESS, progress)),
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -10,11 +10,13 @@
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
 /// Opens a site whose hosts are ready and write their output to a file.
+#[allow(dead_code)] // not every test that shares these helpers uses it
 pub fn open_site(hosts: usize, workers: usize, work: Duration) -> Site {
     open_site_with(hosts, workers, work, Output::File)
 }
 
 /// Opens a site whose hosts are ready.
+#[allow(dead_code)] // not every test that shares these helpers uses it
 pub fn open_site_with(hosts: usize, workers: usize, work: Duration, output: Output) -> Site {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node"));
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
--- a/crates/remote/src/http.rs
+++ b/crates/remote/src/http.rs
@@ -4,12 +4,17 @@
 //! and turns such an answer into an error.
 
 use std::fmt;
-use std::sync::Mutex;
+use std::future::Future;
+use std::io;
+use std::pin::{pin, Pin};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll};
 use std::time;
 
 use async_std::future;
 use async_std::net;
-use futures::FutureExt;
+use futures::{AsyncRead, AsyncWrite, FutureExt};
 use http_types::headers;
 
 /// Why a call has no answer.
@@ -133,24 +138,57 @@
     /// time, every unused connection is closed too, so that a silent server costs one time-out and
     /// not one for each connection that is kept.
     pub async fn call(&self, call: Call<'_>) -> Result<Answer> {
+        let limit = call.timeout;
+        self.call_while_progressing(call, limit).await
+    }
+
+    /// As [`Client::call`], but the call's timeout limits the time in which no byte arrives or leaves,
+    /// and `limit` the whole call: a large message takes long on a slow link.
+    ///
+    /// # Errors
+    /// As [`Client::call`].
+    pub async fn call_while_progressing(
+        &self,
+        call: Call<'_>,
+        limit: time::Duration,
+    ) -> Result<Answer> {
+        self.call_for_small_answer(call, limit, usize::MAX).await?.ok_or(HttpError::Unclear)
+    }
+
+    /// As [`Client::call_while_progressing`], but an answer that declares more than `max_bytes` is not
+    /// read, and none is returned.
+    ///
+    /// # Errors
+    /// As [`Client::call`].
+    pub async fn call_for_small_answer(
+        &self,
+        call: Call<'_>,
+        limit: time::Duration,
+        max_bytes: usize,
+    ) -> Result<Option<Answer>> {
         let began = time::Instant::now();
         let stream = self.connect(call.timeout).await?;
         let req = self.build(&call)?;
-        let left = call.timeout.saturating_sub(began.elapsed());
-        let exchange = exchange(stream.clone(), req);
-        let Ok(exchanged) = future::timeout(left, exchange).await else {
+        let deadline = began + limit;
+        let first_wait = call.timeout.saturating_sub(began.elapsed());
+        let passed = Arc::new(AtomicU64::new(0));
+        let counted = Counted { stream: stream.clone(), passed: Arc::clone(&passed) };
+        let exchange = exchange(counted, req, max_bytes);
+        let Ok(exchanged) =
+            while_progressing(exchange, &passed, first_wait, call.timeout, deadline).await
+        else {
             // If one connection stopped answering without a reset, the others may have too.
             self.close_idle();
             return Err(HttpError::Unclear);
         };
-        let (answer, reusable) = exchanged?;
+        let Some((answer, reusable)) = exchanged? else { return Ok(None) };
         if reusable {
             let mut idle = self.idle.lock().expect("no holder of the lock panics");
             if idle.len() < self.max_idle {
                 idle.push(stream);
             }
         }
-        Ok(answer)
+        Ok(Some(answer))
     }
 
     fn build(&self, call: &Call<'_>) -> Result<http_types::Request> {
@@ -186,10 +224,85 @@
     }
 }
 
-async fn exchange(stream: net::TcpStream, req: http_types::Request) -> Result<(Answer, bool)> {
+/// A connection that counts the bytes that pass.
+struct Counted {
+    stream: net::TcpStream,
+    passed: Arc<AtomicU64>,
+}
+
+impl Counted {
+    fn count(&self, polled: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(len)) = polled {
+            self.passed.fetch_add(*len as u64, Ordering::Relaxed);
+        }
+    }
+}
+
+impl AsyncRead for Counted {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        self.count(&polled);
+        polled
+    }
+}
+
+impl AsyncWrite for Counted {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.count(&polled);
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
+/// Runs an exchange until it ends, until no byte has passed for `silence` (at first `first_wait`), or
+/// until the deadline.
+async fn while_progressing<T>(
+    exchange: impl Future<Output = T>,
+    passed: &AtomicU64,
+    first_wait: time::Duration,
+    silence: time::Duration,
+    deadline: time::Instant,
+) -> std::result::Result<T, future::TimeoutError> {
+    let mut exchange = pin!(exchange);
+    let mut wait = first_wait;
+    loop {
+        let before = passed.load(Ordering::Relaxed);
+        let left = deadline.saturating_duration_since(time::Instant::now());
+        match future::timeout(wait.min(left), exchange.as_mut()).await {
+            Ok(exchanged) => return Ok(exchanged),
+            Err(e) if passed.load(Ordering::Relaxed) == before || left <= wait => return Err(e),
+            Err(_) => wait = silence,
+        }
+    }
+}
+
+async fn exchange(
+    stream: impl AsyncRead + AsyncWrite + Send + Sync + Unpin + 'static,
+    req: http_types::Request,
+    max_bytes: usize,
+) -> Result<Option<(Answer, bool)>> {
     let mut res = async_h1::connect(stream, req).await.map_err(|_| HttpError::Unclear)?;
     let declared: Option<usize> =
         res.header("content-length").and_then(|v| v.last().as_str().parse().ok());
+    if declared.is_some_and(|declared| declared > max_bytes) {
+        return Ok(None);
+    }
     let chunked = res.header("transfer-encoding").is_some();
     let closes = res.header("connection").is_some_and(|v| v.last().as_str() == "close");
     let body = res.body_bytes().await.map_err(|_| HttpError::Unclear)?;
@@ -201,7 +314,7 @@
         .map(|(name, values)| (name.as_str().to_string(), values.last().as_str().to_string()))
         .collect();
     let answer = Answer { status: u16::from(res.status()), headers, body };
-    Ok((answer, !closes))
+    Ok(Some((answer, !closes)))
 }
 
 /// Statuses whose answers have no body.
--- a/crates/sched/tests/fleet/simulation/builders.rs
+++ b/crates/sched/tests/fleet/simulation/builders.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use gaplock_jobs::config::{Advice, CallerLimits, Config, Pool, Queue};
+use gaplock_jobs::config::{Advice, CallerLimits, Config, Index, Pool, Queue};
 use gaplock_jobs::{Job, JobKey, Step};
 use gaplock_types::sizes::Resources;
 use gaplock_types::time::Millis;
@@ -26,6 +26,7 @@
         }],
         pools: vec![Pool { service: SERVICE.into(), guards_capacity: true, headroom: false }],
         limits: CallerLimits { body_bytes: 1 << 18, header: Millis(3_000), idle: Millis(15_000) },
+        index: Index::default(),
     })
 }
 
