Show that short jobs are late while some calls get no answer

In the simulated fleet an unanswered renewal now takes as long as in the daemon, its wait and 500 ms more; before it was noticed after 400 ms, which hid the fault.

--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -21,6 +21,7 @@
 mod invariants;
 mod large_fleets;
 mod late_maintenance_orders;
+mod late_orders;
 mod late_pace_orders;
 mod late_reports;
 mod late_starts;
--- a/crates/sched/tests/fleet/simulation/calls.rs
+++ b/crates/sched/tests/fleet/simulation/calls.rs
@@ -92,6 +92,9 @@
 /// answer to an order.
 const CALL_TIMEOUT_MS: u64 = 400;
 
+/// How much longer it waits for the answer to a renewal than the renewal may wait.
+const RENEWAL_MARGIN_MS: u64 = 500;
+
 /// How long the advice service takes to answer on which workers a step may run, in milliseconds.
 const ADVICE_MS: u64 = 40;
 
@@ -185,7 +188,7 @@
         let unanswered = lost || late || self.rng.random_range(0..1_000) < f.unanswered_per_mille;
         if unanswered {
             let event = no_answer(ix, &call);
-            self.send(CALL_TIMEOUT_MS, Delivery::ToLeader { event, leader });
+            self.send(timeout_of(&call), Delivery::ToLeader { event, leader });
         }
         if lost {
             return self.record_fault(worker, 0);
@@ -247,6 +250,14 @@
     }
 }
 
+/// Returns how long the leader waits for the answer to a call.
+fn timeout_of(call: &Call) -> u64 {
+    match call {
+        Call::Renew(renewal) => renewal.wait + RENEWAL_MARGIN_MS,
+        _ => CALL_TIMEOUT_MS,
+    }
+}
+
 /// Builds the event for a call that got no answer.
 fn no_answer(worker: WorkerIx, call: &Call) -> Event {
     match call {
