Ask for a newer configuration before a request is refused for its age

The request now waits for the answer that the host gets within milliseconds, for 300 ms at most and not at all while the calls for it fail. The same holds for a queue that an announced version may have.

--- a/crates/distribution/src/knowledge.rs
+++ b/crates/distribution/src/knowledge.rs
@@ -207,6 +207,13 @@
         self.may_answer(now, bound) && self.newest_known() == self.held
     }
 
+    /// Returns whether the last call to the store, or the last attempt to fetch the announced version,
+    /// has failed, so that the host will not know more at once.
+    pub fn is_failing(&self) -> bool {
+        self.store_failed_at.is_some()
+            || (self.announced.is_some() && self.fetch_failed_at.is_some())
+    }
+
     /// Returns what the host does next, so that each version is in force within `bound`; `leads` says
     /// whether it holds the leadership, and has to know of each change at once.
     pub fn next_step(&self, now: Instant, leads: bool, bound: Millis) -> Step {
--- a/crates/measure/src/patterns/calls.rs
+++ b/crates/measure/src/patterns/calls.rs
@@ -43,7 +43,7 @@
     /// Sends the call for an action that the leader has ordered.
     pub(super) fn carry_out_action(&mut self, action: Action) {
         let (ix, call) = match action {
-            Action::Renew { worker, stored, until, wait } => {
+            Action::Renew { worker, stored, until, wait, .. } => {
                 let sent = Instant(self.now);
                 (worker, Call::Renew { stored, until, wait: wait.0, sent })
             }
--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -90,21 +90,21 @@
 pub fn carry_out(call: CallContext, clients: &mut Clients, cx: &Context, action: Action) {
     let sent = cx.now;
     match action {
-        Action::Renew { worker, stored, until, wait } => {
+        Action::Renew { worker, stored, until, wait, margin } => {
             let client = clients.get_or_open(cx, worker);
             task::spawn(async move {
-                let outcome = call.renew(&client, stored, until, wait).await;
+                let outcome = call.renew(&client, stored, until, wait, margin).await;
                 call.engine.send(Event::Renewed { worker, sent, outcome });
             });
         }
-        Action::Start { worker, task: key, run, job, until, checkpoint, ticket } => {
+        Action::Start { worker, task: key, run, job, until, checkpoint, ticket, timeout } => {
             let client = clients.get_or_open(cx, worker);
             task::spawn(async move {
                 let (checkpoint, ticket) = (checkpoint.as_deref(), ticket.as_deref());
                 let spec = job.spec.as_str();
                 let start =
                     StartCommand { task: key, run, spec, lease_end: until, checkpoint, ticket };
-                let outcome = call.start(&client, &start).await;
+                let outcome = call.start(&client, &start, timeout).await;
                 call.engine.send(Event::Started { worker, task: key, run, outcome });
             });
         }
@@ -145,14 +145,21 @@
         stored: EndSeq,
         until: Option<WorkerClock>,
         wait: Millis,
+        margin: Millis,
     ) -> Outcome<WorkerReport> {
-        let outcome = client.renew(self.token, stored, until, wait.as_duration()).await;
+        let (wait, margin) = (wait.as_duration(), margin.as_duration());
+        let outcome = client.renew(self.token, stored, until, wait, margin).await;
         self.count("renew", &outcome);
         outcome
     }
 
-    async fn start(&self, client: &WorkerClient, start: &StartCommand<'_>) -> Outcome<WorkerClock> {
-        let outcome = client.start(self.token, start).await;
+    async fn start(
+        &self,
+        client: &WorkerClient,
+        start: &StartCommand<'_>,
+        timeout: Millis,
+    ) -> Outcome<WorkerClock> {
+        let outcome = client.start(self.token, start, timeout.as_duration()).await;
         self.count("start", &outcome);
         if start.checkpoint.is_some() {
             self.count("resumed_start", &outcome);
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -39,20 +39,27 @@
         return refuse(&node, Code::NotReady);
     };
     let host = host_of(&request);
-    let Some(queue) = config.route(&host, &path) else {
-        if !node.configuration.may_deny_queue() {
-            return refuse_outdated(&node, &path, &config);
+    // The state and the cancellation of a job of a known queue do not depend on the version.
+    let is_current = match config.route(&host, &path) {
+        None => node.configuration.may_deny_queue().await,
+        Some(queue) if method == Method::Post || path == queue.prefix => {
+            node.configuration.may_answer().await
         }
+        Some(_) => true,
+    };
+    // Another version may have come into force meanwhile.
+    let config = node.config().unwrap_or(config);
+    let queue = config.route(&host, &path);
+    if !is_current {
+        log_refusal(&node, &path, &config, "the configuration may be outdated");
+        return refuse(&node, Code::NotReady);
+    }
+    let Some(queue) = queue else {
         log_refusal(&node, &path, &config, "no such queue");
         return answer(&node, Code::NotFound, StatusCode::NotFound.into(), Vec::new());
     };
     let rest = path.strip_prefix(&queue.prefix).unwrap_or_default();
     let asks_for_length = rest.is_empty() && method == Method::Get;
-    // A newer version may not have the queue. The state and the cancellation of a job do not depend on
-    // that.
-    if (asks_for_length || method == Method::Post) && !node.configuration.may_answer() {
-        return refuse_outdated(&node, &path, &config);
-    }
     if asks_for_length {
         return queue_length(&node, &queue.name);
     }
@@ -67,13 +74,6 @@
     }
 }
 
-/// Refuses a request that a newer version of the configuration may decide otherwise: nothing was done,
-/// and the caller should come back.
-fn refuse_outdated(node: &Node, path: &str, config: &Config) -> Response {
-    log_refusal(node, path, config, "the configuration may be outdated");
-    refuse(node, Code::NotReady)
-}
-
 /// Logs a request that was refused, with what its refusal rests on.
 fn log_refusal(node: &Node, path: &str, config: &Config, why: &str) {
     let (version, config_age_ms) = (config.version, node.configuration.age().0);
--- a/crates/node/src/configuration.rs
+++ b/crates/node/src/configuration.rs
@@ -6,9 +6,10 @@
 
 use std::io;
 use std::sync::{Arc, Mutex, RwLock};
+use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_std::future;
+use async_std::{future, task};
 use gaplock_distribution::knowledge::{self, Knowledge, News, Step, Version};
 use gaplock_distribution::message::{
     Incoming, Messages, PartAnswer, PartRequest, Received, Versions,
@@ -30,6 +31,10 @@
 /// The thread's name.
 const THREAD: &str = "configuration";
 
+/// How long a request waits at most until this host knows whether its version is the newest.
+const KNOWLEDGE_WAIT: Millis = Millis(300);
+const KNOWLEDGE_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 const LOCK: &str = "no holder of the lock panics";
 
 /// From where a host gets the configuration.
@@ -104,14 +109,39 @@
         self.knowledge.lock().expect(LOCK).position().map(|p| p.revision.0)
     }
 
-    /// Returns whether requests may be answered by the version in force.
-    pub fn may_answer(&self) -> bool {
-        self.knowledge.lock().expect(LOCK).may_answer(clock::now(), self.bound)
+    /// Returns whether requests may be answered by the version in force. A host that has been suspended
+    /// first asks whether there is a newer one.
+    pub async fn may_answer(&self) -> bool {
+        self.becomes_true(|knowledge, now| knowledge.may_answer(now, self.bound)).await
+    }
+
+    /// Returns whether a queue that the version in force does not have may be denied; waits a little for
+    /// a newer version that is announced.
+    pub async fn may_deny_queue(&self) -> bool {
+        self.becomes_true(|knowledge, now| knowledge.may_deny_queue(now, self.bound)).await
+    }
+
+    /// Waits a little until a condition holds, unless the calls on which that depends are failing.
+    async fn becomes_true(&self, holds: impl Fn(&Knowledge, Instant) -> bool) -> bool {
+        let began = clock::now();
+        loop {
+            let now = clock::now();
+            let (is_true, is_failing) = {
+                let knowledge = self.knowledge.lock().expect(LOCK);
+                (holds(&knowledge, now), knowledge.is_failing())
+            };
+            if is_true || is_failing || now.since(began) >= KNOWLEDGE_WAIT {
+                return is_true;
+            }
+            self.wake();
+            task::sleep(KNOWLEDGE_POLL_INTERVAL).await;
+        }
     }
 
-    /// Returns whether a queue that the version in force does not have may be denied.
-    pub fn may_deny_queue(&self) -> bool {
-        self.knowledge.lock().expect(LOCK).may_deny_queue(clock::now(), self.bound)
+    /// Ends a pause of the thread.
+    fn wake(&self) {
+        // If the channel is full, the thread is woken anyway.
+        let _ignored = self.news.0.try_send(());
     }
 
     /// Returns whether a newer version exists that this host has not got in time.
@@ -132,8 +162,7 @@
         if is_new {
             let (version, held, age_ms) = (news.version.0, held.0, age.0);
             tracing::info!(event = "config_announced", version, held, age_ms, addr);
-            // If the channel is full, the thread is woken anyway.
-            let _ignored = self.news.0.try_send(());
+            self.wake();
         }
     }
 
--- a/crates/sched/src/changes/orders.rs
+++ b/crates/sched/src/changes/orders.rs
@@ -84,11 +84,13 @@
     let worker = cx.worker_mut(ix);
     worker.record_clock(now, clock);
     let Some(slot) = worker.slots.get_mut(&key) else { return };
+    let took = now.since(slot.ordered_at);
     slot.phase = Phase::Running;
     slot.confirmed = Some(now);
     if slot.resumes_from.is_none() {
         slot.progress_sample = Some(ProgressSample { at: now, percent: 0 });
     }
+    cx.answer_times.record(now, took);
     if let Some(task) = cx.task_mut(key) {
         task.consecutive_invalid_starts = 0;
     }
@@ -154,7 +156,7 @@
 fn retry_or_withdraw(cx: &mut State, ix: WorkerIx, key: TaskKey, run: Run) {
     let now = cx.now;
     let max_attempts = cx.settings.max_start_attempts;
-    avoid_unresponsive(cx, ix);
+    avoid_unresponsive(cx, ix, key);
     let evacuated = cx.worker(ix).evacuated;
     let Some(slot) = cx.worker_mut(ix).slots.get_mut(&key) else { return };
     slot.phase = Phase::Uncertain;
@@ -173,10 +175,15 @@
 }
 
 /// Avoids, for a while, a worker that left a start unanswered, so that one silent worker does not
-/// use up the starts that may be in flight.
-fn avoid_unresponsive(cx: &mut State, ix: WorkerIx) {
+/// use up the starts that may be in flight. If it has answered since the start was sent, only that
+/// answer is missing.
+fn avoid_unresponsive(cx: &mut State, ix: WorkerIx, key: TaskKey) {
     let (now, pause) = (cx.now, cx.settings.renew_retry);
     let worker = cx.worker_mut(ix);
+    let ordered_at = worker.slots.get(&key).map(|slot| slot.ordered_at);
+    if worker.clock.is_some_and(|(read, _)| Some(read) > ordered_at) {
+        return;
+    }
     worker.avoid_until = worker.avoid_until.max(now + pause);
 }
 
@@ -193,7 +200,9 @@
         trace::start_resumes(cx, (key, run), ix, attempt, checkpoint);
     }
     let checkpoint = resumes_from.map(|checkpoint| checkpoint.text);
-    let start = Action::Start { worker: ix, task: key, run, job, until, checkpoint, ticket };
+    let timeout = cx.answer_times.order_timeout(cx.now, attempt);
+    let start =
+        Action::Start { worker: ix, task: key, run, job, until, checkpoint, ticket, timeout };
     cx.starts_in_flight += 1;
     cx.worker_mut(ix).starts_in_flight += 1;
     cx.actions.push(start);
--- a/crates/sched/src/changes/renewals.rs
+++ b/crates/sched/src/changes/renewals.rs
@@ -44,7 +44,8 @@
     let wait = if worker.trial.is_some() { wait.min(trials::RENEWAL_WAIT) } else { wait };
     let stored = worker.to_acknowledge();
     worker.acknowledging_up_to = stored;
-    cx.actions.push(Action::Renew { worker: ix, stored, until, wait });
+    let margin = cx.answer_times.renewal_margin(cx.now);
+    cx.actions.push(Action::Renew { worker: ix, stored, until, wait, margin });
 }
 
 /// How many renewals per second one leader handles with half a core. Each takes about 0.15 ms, so
@@ -132,7 +133,8 @@
     if worker.unanswered_renewals == 1 {
         trace::worker_silent(&worker.info.id);
     }
-    let pause = Millis(retry.0 * u64::from(worker.unanswered_renewals).min(MAX_RETRY_PAUSE_FACTOR));
+    let repeats = u64::from(worker.unanswered_renewals - 1);
+    let pause = Millis(retry.0 * repeats.min(MAX_RETRY_PAUSE_FACTOR));
     cx.set_due(ix, now + pause);
 }
 
--- a/crates/sched/src/interface/message.rs
+++ b/crates/sched/src/interface/message.rs
@@ -353,6 +353,8 @@
         until: Option<WorkerClock>,
         /// How long the worker may wait for an end before it answers.
         wait: Millis,
+        /// How much longer the answer may take.
+        margin: Millis,
     },
     /// Start a task.
     Start {
@@ -370,6 +372,8 @@
         checkpoint: Option<Arc<str>>,
         /// The ticket of the permission, if the queue needs one.
         ticket: Option<String>,
+        /// How long the answer may take.
+        timeout: Millis,
     },
     /// Ask where a step may run.
     Advise {
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -1,6 +1,7 @@
 //! Everything that one leader knows, as plain data.
 
 pub mod abandoned_start;
+pub mod answer_times;
 pub mod checkpoint;
 pub mod class_shares;
 pub mod commits;
@@ -33,6 +34,7 @@
 };
 use crate::interface::settings::Settings;
 
+use answer_times::AnswerTimes;
 use class_shares::ClassShares;
 use commits::Commits;
 use crash_evidence::CrashTracker;
@@ -106,6 +108,8 @@
     pub workers: Vec<Worker>,
     /// When the renewals of workers are due.
     pub renewal_queue: RenewalQueue,
+    /// How long workers take to answer orders.
+    pub answer_times: AnswerTimes,
     /// How many of the workers are terminated.
     pub terminated_count: usize,
     /// Workers by the id of their incarnation.
@@ -189,6 +193,7 @@
             early_cancellations: FxHashMap::default(),
             workers: Vec::new(),
             renewal_queue: RenewalQueue::default(),
+            answer_times: AnswerTimes::default(),
             terminated_count: 0,
             by_id: FxHashMap::default(),
             by_name: FxHashMap::default(),
--- a/crates/sched/tests/fleet/simulation/calls.rs
+++ b/crates/sched/tests/fleet/simulation/calls.rs
@@ -35,6 +35,8 @@
     pub until: Option<WorkerClock>,
     /// How long the worker may hold its answer back while it has no end to report, in milliseconds.
     pub wait: u64,
+    /// How long the leader waits for the answer, in milliseconds.
+    pub timeout: u64,
     /// When the leader sent it.
     pub sent: Instant,
 }
@@ -50,6 +52,8 @@
     pub sent: u64,
     /// How long the task runs unless it is long-running, in milliseconds.
     pub ms: u64,
+    /// How long the leader waits for the answer to the start, in milliseconds.
+    pub timeout: u64,
 }
 
 /// Where a call comes from, where it goes, and whether its answer arrives.
@@ -88,13 +92,9 @@
     FromStore { id: CommitId, notice: WriteNotice },
 }
 
-/// How long a leader waits for the answer to a call, in milliseconds: as long as the daemon waits for the
-/// answer to an order.
+/// How long a leader waits for the answer to a stop or a pace, in milliseconds, as the daemon does.
 const CALL_TIMEOUT_MS: u64 = 400;
 
-/// How much longer it waits for the answer to a renewal than the renewal may wait.
-const RENEWAL_MARGIN_MS: u64 = 500;
-
 /// How long the advice service takes to answer on which workers a step may run, in milliseconds.
 const ADVICE_MS: u64 = 40;
 
@@ -118,14 +118,15 @@
         let now = Instant(self.now);
         for action in actions {
             let (worker, call) = match action {
-                Action::Renew { worker, stored, until, wait } => {
-                    let renewal = Renewal { stored, until, wait: wait.0, sent: now };
+                Action::Renew { worker, stored, until, wait, margin } => {
+                    let timeout = wait.0 + margin.0;
+                    let renewal = Renewal { stored, until, wait: wait.0, timeout, sent: now };
                     (worker, Call::Renew(renewal))
                 }
-                Action::Start { worker, task, run, job, until, checkpoint, .. } => {
+                Action::Start { worker, task, run, job, until, checkpoint, timeout, .. } => {
                     let step = &job.steps[usize::from(task.step)];
                     let (takes, lasting, ms) = (step.demand, step.lasting, self.work_ms);
-                    let work = Work { takes, lasting, sent: now.0, ms };
+                    let work = Work { takes, lasting, sent: now.0, ms, timeout: timeout.0 };
                     let checkpoint = checkpoint.map(|text| text.to_string());
                     self.check_sent(self.worker_of(worker), task, run);
                     (worker, Call::Start { task, run, until, work, checkpoint })
@@ -253,7 +254,8 @@
 /// Returns how long the leader waits for the answer to a call.
 fn timeout_of(call: &Call) -> u64 {
     match call {
-        Call::Renew(renewal) => renewal.wait + RENEWAL_MARGIN_MS,
+        Call::Renew(renewal) => renewal.timeout,
+        Call::Start { work, .. } => work.timeout,
         _ => CALL_TIMEOUT_MS,
     }
 }
--- a/crates/sched/tests/fleet/simulation/renewals.rs
+++ b/crates/sched/tests/fleet/simulation/renewals.rs
@@ -25,7 +25,7 @@
 
     /// Carries out a renewal at a worker; `fenced` says that a newer leader has called the worker before.
     pub(super) fn renew(&mut self, route: CallRoute, renewal: Renewal, fenced: bool) {
-        let Renewal { stored, until, wait, sent } = renewal;
+        let Renewal { stored, until, wait, sent, .. } = renewal;
         let at = route.worker;
         if fenced {
             if let Some(worker) = self.answer_target(route) {
@@ -75,7 +75,7 @@
     pub(super) fn answer_renewal(&mut self, route: CallRoute, sent: Instant) {
         let worker = &self.workers[route.worker];
         if !worker.up || worker.partitioned {
-            let renewal = Renewal { stored: EndSeq(0), until: None, wait: 0, sent };
+            let renewal = Renewal { stored: EndSeq(0), until: None, wait: 0, timeout: 0, sent };
             return self.time_out(route, &Call::Renew(renewal));
         }
         let Some(worker) = self.answer_target(route) else { return };
