--- a/crates/sched/src/changes/renewals.rs
+++ b/crates/sched/src/changes/renewals.rs
@@ -29,6 +29,8 @@
     // off the time from which its runs are certainly over.
     let until = if cx.worker(ix).unanswered_renewals == 0 { leases::grant(cx, ix) } else { None };
     let wait = spread_wait(cx, ix, renewal_wait(cx.settings.renew_wait, cx.fleet_size()));
+    let workers = cx.fleet_size();
+    let answers_are_lost = cx.answer_times.are_lost(cx.now, workers);
     let worker = cx.worker_mut(ix);
     worker.renewal = Renewal::InFlight;
     let is_urgent = until.is_none()
@@ -36,8 +38,8 @@
         || worker.unanswered_renewals > 0
         || worker.awaits_withdrawal_proof();
     let wait = if is_urgent || worker.slots.is_empty() { Millis(0) } else { wait };
-    let wait = if worker.mixes_serving_and_best_effort() {
-        wait.min(MAX_WAIT_ON_SHARED_WORKER)
+    let wait = if answers_are_lost || worker.mixes_serving_and_best_effort() {
+        wait.min(SHORT_WAIT)
     } else {
         wait
     };
@@ -77,10 +79,11 @@
     Millis(wait.0 / 4 + wait.0 * 3 / 4 * part / 1_000)
 }
 
-/// How long at most a renewal waits at a worker that runs best-effort tasks beside serving tasks.
-/// Readings are renewed every half second. A reading that is a second old lets a best-effort task
-/// interfere or stand still for as long (`docs/DECISIONS.md`).
-const MAX_WAIT_ON_SHARED_WORKER: Millis = Millis(350);
+/// How long at most a renewal waits at a worker that runs best-effort tasks beside serving tasks, and
+/// at any worker while answers get lost. Readings are renewed every half second. A reading that is a
+/// second old lets a best-effort task interfere or stand still for as long (`docs/DECISIONS.md`); the
+/// answer that is lost may be the one that reports the end of a short task.
+const SHORT_WAIT: Millis = Millis(350);
 
 /// Handles the outcome of a renewal.
 pub fn handle_renewal_outcome(
@@ -113,10 +116,17 @@
             if refusal == Refusal::Fenced {
                 cx.actions.push(Action::ConfirmLeadership);
             }
-            renewal_unanswered(cx, ix);
+            no_report(cx, ix);
             renewal_refused(cx, ix);
         }
-        Outcome::NotSent | Outcome::Unclear => renewal_unanswered(cx, ix),
+        Outcome::NotSent => no_report(cx, ix),
+        Outcome::Unclear => {
+            no_report(cx, ix);
+            // A single answer may be lost.
+            if cx.worker(ix).unanswered_renewals == 1 {
+                cx.set_due(ix, cx.now);
+            }
+        }
     }
 }
 
@@ -125,7 +135,7 @@
 const MAX_RETRY_PAUSE_FACTOR: u64 = 4;
 
 /// Handles a renewal that got no report, and delays the next one.
-fn renewal_unanswered(cx: &mut State, ix: WorkerIx) {
+fn no_report(cx: &mut State, ix: WorkerIx) {
     let (now, retry) = (cx.now, cx.settings.renew_retry);
     let worker = cx.worker_mut(ix);
     worker.unanswered_renewals += 1;
@@ -133,8 +143,7 @@
     if worker.unanswered_renewals == 1 {
         trace::worker_silent(&worker.info.id);
     }
-    let repeats = u64::from(worker.unanswered_renewals - 1);
-    let pause = Millis(retry.0 * repeats.min(MAX_RETRY_PAUSE_FACTOR));
+    let pause = Millis(retry.0 * u64::from(worker.unanswered_renewals).min(MAX_RETRY_PAUSE_FACTOR));
     cx.set_due(ix, now + pause);
 }
 
@@ -166,11 +175,19 @@
     }
 }
 
+/// How many renewals in a row may be unanswered because their answers are lost. A worker that leaves
+/// more unanswered was away.
+const MAX_LOST_IN_A_ROW: u32 = 2;
+
 /// Applies a worker's report.
 fn apply_report(cx: &mut State, ix: WorkerIx, sent: Instant, report: WorkerReport) {
     let now = cx.now;
     if cx.worker(ix).unanswered_renewals > 0 {
-        trace::worker_back(&cx.worker(ix).info.id, cx.worker(ix).unanswered_renewals);
+        let missed = cx.worker(ix).unanswered_renewals;
+        trace::worker_back(&cx.worker(ix).info.id, missed);
+        if missed <= MAX_LOST_IN_A_ROW && !cx.worker(ix).last_renewal_refused {
+            cx.answer_times.record_lost(now);
+        }
         cx.pass_wanted = true;
     }
     if cx.worker(ix).unanswered_renewals > 0 || cx.worker(ix).first_answered_at.is_none() {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -17,4 +17,4 @@
 pub use interface::message::{Action, Event};
 pub use interface::settings::Settings;
 pub use interface::{claims, commit_writer, message, search_budget, settings};
-pub use state::{job_table, worker};
+pub use state::{answer_times, job_table, worker};
--- a/crates/sched/src/state/answer_times.rs
+++ b/crates/sched/src/state/answer_times.rs
@@ -20,10 +20,23 @@
 /// The time in which the slowest answer counts for half as much.
 const HALF_LIFE: Millis = Millis(1_000);
 
-/// The slowest recent answer to an order.
+/// The time in which missing answers are counted together.
+const LOSS_WINDOW: Millis = Millis(1_000);
+
+/// How many workers of a fleet must miss an answer within that time for answers to count as lost:
+/// one in this many, and some at least.
+const LOSSES_DIVISOR: usize = 50;
+const MIN_LOSSES: usize = 3;
+
+/// What is known of the answers of all workers.
 #[derive(Debug, Clone, Default)]
 pub struct AnswerTimes {
+    /// The slowest recent answer to an order.
     slowest: Option<(Instant, Millis)>,
+    /// When the present window began, and how many answers were lost in it.
+    window: (Instant, usize),
+    /// How many were lost in the window before.
+    lost_before: usize,
 }
 
 impl AnswerTimes {
@@ -34,6 +47,28 @@
         }
     }
 
+    /// Records that a worker that is there has left a call unanswered.
+    pub fn record_lost(&mut self, now: Instant) {
+        self.advance_window(now);
+        self.window.1 += 1;
+    }
+
+    fn advance_window(&mut self, now: Instant) {
+        let (began, lost) = self.window;
+        let passed = now.since(began).0 / LOSS_WINDOW.0;
+        if passed > 0 {
+            self.lost_before = if passed == 1 { lost } else { 0 };
+            self.window = (now, 0);
+        }
+    }
+
+    /// Returns whether answers of workers that are there get lost at present, in a fleet of `workers`.
+    pub fn are_lost(&mut self, now: Instant, workers: usize) -> bool {
+        self.advance_window(now);
+        let lost = self.window.1.max(self.lost_before);
+        lost >= (workers / LOSSES_DIVISOR).max(MIN_LOSSES)
+    }
+
     /// Returns the time of the slowest recent answer; it decays, so that one slow answer counts for
     /// some seconds.
     fn slowest_at(&self, now: Instant) -> Option<Millis> {
