Let the soak change large configurations on slow links

Seeds from 80000 on give each host a link of 10 to 200 Mbit/s and change a configuration of up to 4,800 queues in series, beside the other faults.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -97,3 +97,10 @@
 fn foreign_entries_small_capacities_and_suspended_hosts_break_no_promise() {
     soak(&[7_001, 7_004]);
 }
+
+/// Configurations of thousands of queues on slow links, combined with lost leaders and an absent store:
+/// no host denies a queue, or knows one, by a version that is older than the bound.
+#[test]
+fn large_configurations_on_slow_links_are_answered_by_in_time() {
+    soak(&[80_001]);
+}
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -18,6 +18,7 @@
 mod cancels;
 mod environment;
 mod faults;
+mod large_configurations;
 mod partitions;
 mod queues;
 mod restarts;
@@ -160,7 +161,9 @@
     let profile = fault_profile(seed, options.fault_time, &mut rng);
     let plan = plan(program, seed, profile, options, &mut rng);
     let mut report = Report { seed, ..Report::default() };
-    let site = Mutex::new(site::open(&plan)?);
+    let links = large_configurations::links(seed, plan.hosts);
+    let site = Mutex::new(site::open_on_links(&plan, &links)?);
+    let wrong_answers = large_configurations::WrongAnswers::default();
     faults::prepare(&site.lock().expect(LOCK), seed, profile, &mut rng);
     let extra = ExtraFaults {
         environment: environment::prepare(&site.lock().expect(LOCK), seed),
@@ -168,6 +171,7 @@
         crashes: cancels::JointCrashes::prepare(seed),
         partitions: partitions::prepare(seed),
         queues: queues::prepare(seed),
+        large: large_configurations::prepare(seed, &wrong_answers),
     };
     wait(READY_LIMIT, || site.lock().expect(LOCK).hosts.iter().any(site::Host::is_ready));
     let jobs: Mutex<Vec<(JobKey, JobFact)>> = Mutex::default();
@@ -186,6 +190,7 @@
     }
     watch_quiet_phase(&site, profile);
     check(&site, &jobs, &mut report);
+    report.violations.append(&mut wrong_answers.lock().expect(LOCK));
     if report.violations.is_empty() {
         std::fs::remove_dir_all(&plan.dir)?;
     } else {
--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -15,6 +15,7 @@
 
 use super::cancels::JointCrashes;
 use super::environment::EnvironmentFaults;
+use super::large_configurations::LargeConfigurations;
 use super::partitions::Partitions;
 use super::queues::QueueChanges;
 use super::restarts::Restarts;
@@ -146,6 +147,7 @@
     pub(super) crashes: Option<JointCrashes>,
     pub(super) partitions: Option<Partitions>,
     pub(super) queues: Option<QueueChanges>,
+    pub(super) large: Option<LargeConfigurations>,
 }
 
 impl ExtraFaults {
@@ -161,6 +163,9 @@
         if let Some(queues) = &mut self.queues {
             faults += queues.tick(site, more)?;
         }
+        if let Some(large) = &mut self.large {
+            faults += large.tick(site, more)?;
+        }
         if let Some(environment) = &mut self.environment {
             faults += environment.tick(site, more)?;
         }
