Keep the newest configuration where two threads take versions at once

The thread that keeps up and a takeover may take different versions at the same time; the older one could become the one that is sent, and its messages would be built again and again. Found by reading; the test fails without the check.

--- a/crates/distribution/src/message.rs
+++ b/crates/distribution/src/message.rs
@@ -119,8 +119,11 @@
 }
 
 impl Versions {
-    /// Sets the version to send.
+    /// Sets the version to send, unless a newer one is set already.
     pub fn set(&mut self, config: Arc<Config>) {
+        if self.newest.as_ref().is_some_and(|newest| newest.version >= config.version) {
+            return;
+        }
         self.former.extend(self.newest.replace(config));
         if self.former.len() > MAX_FORMER {
             self.former.pop_front();
--- a/crates/distribution/tests/message.rs
+++ b/crates/distribution/tests/message.rs
@@ -146,3 +146,13 @@
     versions.set(config(3, Vec::new()));
     assert_eq!(versions.messages().part(Incoming::default().request(3)), PartAnswer::NothingNewer);
 }
+
+/// Guards against a version that another thread takes late and that would be sent instead of the
+/// newest one.
+#[test]
+fn an_older_version_does_not_replace_the_newest_one() {
+    let mut versions = Versions::default();
+    versions.set(config(3, Vec::new()));
+    versions.set(config(2, Vec::new()));
+    assert_eq!(versions.messages().version(), 3);
+}
