--- a/crates/sched/tests/floors/table.rs
+++ b/crates/sched/tests/floors/table.rs
@@ -34,6 +34,7 @@
             "state::renewal_queue",
             "state::trial",
             "state::crash_evidence",
+            "state::answer_times",
             "state::class_shares",
             "state::permits",
             "state::maintenance",
