Repeat notices until a leader answers, and bound silent watches by cancel_ms

Callers saw tasks of a cancelled job started 4.3 s after another host had acknowledged the cancellation; the bound (`cancel_ms`) is 3 s.

Cause: the notice to the leader was sent once, and not at all by a host that knew no leader. The leader's watch of the inbox was allowed to be silent for 6 s, and on a link of 10 Mbit/s any watch for 5.7 s, because one time-out stood for a silent connection and for a large answer. The class of fault: a wait that outlasts the promise that rests on it.

Ruled out: orders that do not reach the workers (the leader had not heard), and a second silent connection from the pool (one time-out explains the time).

Change: `gaplock_policy::announcements` repeats notices until a leader answers, one at a time, for ten times the bound. The inbox is watched for a sixth of `cancel_ms`, at most 0.5 s, which the settings now provide. Watches, and listings in their place, are bounded by the time without a byte. New: the events `inbox_unread`, `inbox_read_again` and `announcement_given_up`, and the gauge `gaplock_unanswered_notices`.

--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -66,7 +66,7 @@
                     task::sleep(DIRECTORY_PAUSE).await;
                 }
             }
-            Err(StoreError::Gone) => match node.store.list(directory::PREFIX).await {
+            Err(StoreError::Gone) => match node.store.list_for_watch(directory::PREFIX).await {
                 Ok(listed) => {
                     report_directory_recovered(&engine, &mut interrupted);
                     from = listed.revision;
--- a/crates/node/src/feeds.rs
+++ b/crates/node/src/feeds.rs
@@ -12,17 +12,17 @@
 use gaplock_jobs::{Job, JobKey};
 use gaplock_platform::store::{Change, Item, Revision, StoreError};
 use gaplock_platform::waves;
+use gaplock_policy::announcements;
 use gaplock_policy::refusals::StoreRevision;
+use gaplock_remote::clock;
 use gaplock_sched::Event;
+use gaplock_types::time::Instant;
 
 use crate::engine::Engine;
 use crate::entries::Entries;
 use crate::node::Node;
 use crate::{directory, evacuations, keys, records, steering};
 
-/// How long a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
-
 /// The pause after a watch of the inbox has answered. Followers announce what they store, so the
 /// watch only has to find what was not announced.
 const INBOX_PAUSE: Duration = Duration::from_millis(250);
@@ -73,6 +73,12 @@
     records::job(item).map(|job| InboxItem::Job(Arc::new(job)))
 }
 
+/// Returns how long a watch waits for a change. A silent connection is noticed only when the watch
+/// ends.
+fn watch_wait(node: &Node) -> Duration {
+    announcements::watch_wait(node.installation.bounds.cancel_limit).as_duration()
+}
+
 /// Converts a revision of the store for the scheduler.
 pub fn stored_at(revision: Revision) -> StoreRevision {
     StoreRevision(revision.0)
@@ -81,10 +87,13 @@
 /// Passes the jobs and cancellations that are stored in the inbox to the engine.
 async fn feed_inbox(node: Arc<Node>, engine: Arc<Engine>, from: Revision) {
     let mut from = from;
+    let mut last_read = LastRead { at: clock::now(), interrupted: false };
+    let wait = watch_wait(&node);
     loop {
-        match node.store.watch(keys::INBOX, from, WATCH_WAIT).await {
+        match node.store.watch(keys::INBOX, from, wait).await {
             Ok(watched) => {
                 node.record_store_answer();
+                last_read.succeeded();
                 from = watched.revision;
                 for change in &watched.changes {
                     if let Change::Set(item) = change {
@@ -94,25 +103,49 @@
                 engine.send(Event::InboxRead(stored_at(from)));
                 task::sleep(INBOX_PAUSE).await;
             }
-            Err(StoreError::Gone) => match node.store.list(keys::INBOX).await {
+            Err(StoreError::Gone) => match node.store.list_for_watch(keys::INBOX).await {
                 Ok(listed) => {
+                    last_read.succeeded();
                     from = listed.revision;
                     in_write_order(&listed.items).for_each(|item| send_inbox_item(&engine, item));
                     engine.send(Event::InboxRead(stored_at(from)));
                 }
                 Err(e) => {
-                    tracing::debug!(event = "store_silent", error = %e);
+                    last_read.failed(e);
                     task::sleep(STORE_RETRY_PAUSE).await;
                 }
             },
             Err(e) => {
-                tracing::debug!(event = "watch_cut", error = %e);
+                last_read.failed(e);
                 task::sleep(STORE_RETRY_PAUSE).await;
             }
         }
     }
 }
 
+/// When the inbox was last read, for the log.
+struct LastRead {
+    at: Instant,
+    interrupted: bool,
+}
+
+impl LastRead {
+    fn succeeded(&mut self) {
+        let now = clock::now();
+        if std::mem::take(&mut self.interrupted) {
+            tracing::info!(event = "inbox_read_again", unread_ms = now.since(self.at).0);
+        }
+        self.at = now;
+    }
+
+    fn failed(&mut self, e: StoreError) {
+        if !std::mem::replace(&mut self.interrupted, true) {
+            let unread_ms = clock::now().since(self.at).0;
+            tracing::info!(event = "inbox_unread", unread_ms, error = %e);
+        }
+    }
+}
+
 /// Iterates over listed items in the order in which they were written, as a watch reports them. In
 /// key order, cancellations come before the jobs that they cancel.
 fn in_write_order(items: &[Item]) -> impl Iterator<Item = &Item> {
@@ -133,12 +166,13 @@
 /// Sends maintenance waves to the engine: first those already stored, then each new one.
 async fn feed_waves(node: Arc<Node>, engine: Arc<Engine>) {
     let mut from = None;
+    let wait = watch_wait(&node);
     loop {
         let Some(after) = from else {
             from = list_waves(&node, &engine).await;
             continue;
         };
-        match node.store.watch(waves::PREFIX, after, WATCH_WAIT).await {
+        match node.store.watch(waves::PREFIX, after, wait).await {
             Ok(watched) => {
                 from = Some(watched.revision);
                 for change in &watched.changes {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -85,6 +85,7 @@
     }
     let follower = task::spawn(follower::run(node.clone()));
     task::spawn(settings_reload::run(node.clone(), PathBuf::from(path)));
+    task::spawn(announcements::repeat_unanswered(node.clone()));
     task::spawn(count_dropped_lines(node.clone(), logs.dropped()));
     if let Err(e) = wait_for_stop().await {
         tracing::error!(event = "no_signals", error = %e);
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -74,6 +74,8 @@
     /// Events that wait for the leader. If their number keeps growing, the leader cannot keep up. 0
     /// on a follower.
     pub waiting_events: Gauge,
+    /// Stored jobs and cancellations of whose notice no leader has taken note yet.
+    pub unanswered_notices: Gauge,
     /// The metrics of overload control.
     pub overload: OverloadMetrics,
     /// Log lines that were dropped because standard output was not read in time.
@@ -125,6 +127,8 @@
     let unconfirmed_ms = gauge("unconfirmed_ms", "Time since the store confirmed the claim");
     let directory_lag_ms = gauge("directory_lag_ms", "Lag of the view of the workers' directory");
     let waiting_events = gauge("waiting_events", "Events that wait for the leader");
+    let unanswered_notices =
+        gauge("unanswered_notices", "Notices of jobs and cancellations that no leader answered");
     Metrics {
         registry,
         answers,
@@ -147,6 +151,7 @@
         unconfirmed_ms,
         directory_lag_ms,
         waiting_events,
+        unanswered_notices,
         overload,
         log_lines_dropped,
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -23,7 +23,7 @@
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
-use crate::announcements::Notice;
+use crate::announcements::{self, Notice};
 use crate::configuration::{self, Configuration};
 use crate::engine::Engine;
 use crate::handover::Handover;
@@ -78,6 +78,8 @@
     pub hosts: Option<HostsClient>,
     /// The client for calls to other hosts, mostly to the leader.
     pub peer_client: peers::PeerClient,
+    /// The notices to the leader that no leader has answered yet.
+    pub unanswered_notices: announcements::Unanswered,
     /// The operators' configuration at this host.
     pub configuration: Configuration,
     /// The metrics of this host.
@@ -164,6 +166,7 @@
         handover: Handover::default(),
         advisor,
         hosts,
+        unanswered_notices: announcements::open(installation.bounds.cancel_limit),
         configuration: configuration::open(installation.bounds.config_limit),
         installation,
         settings: RwLock::new(settings),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! time; this crate holds no state that must be durable. `docs/DECISIONS.md` gives the reason for
 //! each rule.
 
+pub mod announcements;
 pub mod attempts;
 pub mod authority;
 pub mod connections;
