Hold maintenance orders until those of the former leader have lapsed

The installation states for how long an order holds its host (`LeaseMs`, 3 s).

Cause: the setting was read nowhere. A successor inherits which hosts may have been ordered down and repeats the order as soon as it has listed the hosts. The class of fault: a bound of the installation that no decision reads.

Evidence: the simulated fleet now holds the orders of different leaders for one host against each other. Ruled out: a former leader that goes on, since the simulated one ends at once.

The first leader of an installation does not wait.

--- a/crates/sched/src/changes/maintenance.rs
+++ b/crates/sched/src/changes/maintenance.rs
@@ -11,6 +11,10 @@
 //! order of unknown outcome counts as down until the platform says that its maintenance has begun.
 //! From then on no order takes the host down again: the platform answers an order that is already
 //! done as done.
+//!
+//! Orders of two leaders for one host must not take turns: the last one holds the host for a time
+//! that the installation states. A new leader sends none until the orders of the former one have
+//! lapsed.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -42,6 +46,12 @@
     cx.maintenance.stored = waves.into_iter().map(|w| (w.number, w)).collect();
 }
 
+/// Holds back all orders until those have lapsed that a former leader sent before it stopped.
+pub fn hold_orders(cx: &mut State, former_stopped_by: Instant) {
+    cx.maintenance.held_until =
+        former_stopped_by + cx.settings.order_lease + cx.settings.takeover_margin;
+}
+
 /// Returns whether the host of a worker that has just become known may go down by an order of a
 /// previous leader. Such a worker gets no tasks, even before the first list of the hosts and before
 /// the wave is known again.
@@ -195,8 +205,10 @@
         return;
     }
     for number in numbers {
-        repeat_orders(cx, number);
-        order_emptied(cx, number);
+        if cx.now >= cx.maintenance.held_until {
+            repeat_orders(cx, number);
+            order_emptied(cx, number);
+        }
         begin_emptying(cx, number);
         complete_if_done(cx, number);
     }
--- a/crates/sched/src/changes/takeover.rs
+++ b/crates/sched/src/changes/takeover.rs
@@ -98,7 +98,11 @@
         FormerLeaders::StoppedBy(at) => (at, false),
         FormerLeaders::UnseenUntil(at) => (at, true),
     };
-    let leases_over_at = leases_over_at(cx, stopped_by.max(cx.now));
+    let stopped_by = stopped_by.max(cx.now);
+    if cx.term.number > 1 {
+        maintenance::hold_orders(cx, stopped_by);
+    }
+    let leases_over_at = leases_over_at(cx, stopped_by);
     trace::takeover_began(
         cx.term.number,
         jobs.len(),
--- a/crates/sched/src/interface/settings.rs
+++ b/crates/sched/src/interface/settings.rs
@@ -10,6 +10,9 @@
     pub lease_max: Millis,
     /// The longest time that a worker takes to stop a run; set by the installation.
     pub stop_limit: Millis,
+    /// How long an order to take a host down keeps other leaders from ordering it; set by the
+    /// installation.
+    pub order_lease: Millis,
     /// The shortest time for which a draining worker keeps running; set by the installation.
     pub min_drain: Millis,
     /// How much slower than the leader's clock a worker's clock may run, in parts per thousand. The
@@ -87,6 +90,7 @@
         Self {
             lease_max: Millis(6_000),
             stop_limit: Millis(900),
+            order_lease: Millis(3_000),
             min_drain: Millis(2_000),
             clock_drift_per_mille: 20,
             renew_wait: Millis(1_000),
--- a/crates/sched/src/state/maintenance.rs
+++ b/crates/sched/src/state/maintenance.rs
@@ -20,6 +20,8 @@
     pub(crate) hosts_listed_at: Option<Instant>,
     /// When the next list is due; unset while a call is in flight.
     pub(crate) list_due: Option<Instant>,
+    /// Until then, the orders of a former leader hold the hosts, and this one sends none.
+    pub(crate) held_until: Instant,
 }
 
 impl Maintenance {
--- a/crates/sched/tests/fleet/late_maintenance_orders.rs
+++ b/crates/sched/tests/fleet/late_maintenance_orders.rs
@@ -81,6 +81,26 @@
     assert_no_violations(&sim);
 }
 
+/// Guards against two leaders that order the same host down in turn: the successor sent its first order right after
+/// the former leader's last one.
+#[test]
+fn a_successor_orders_no_host_down_before_the_orders_of_the_former_leader_have_lapsed() {
+    for after in (0..1_000).step_by(50) {
+        let mut sim = Simulation::open(144, 4);
+        let busy = OrderOutcome::Refused(MaintenanceAnswer::Busy);
+        sim.hosts.order_outcomes.extend([busy; 40]);
+        sim.request_wave(1, 2, 60_000, 1);
+        while sim.hosts.maintenance_ordered.is_empty() {
+            sim.run(1);
+        }
+        sim.run(after);
+        sim.change_leader(0);
+        sim.run(30_000);
+        assert!(sim.is_wave_completed(1), "{after} ms");
+        assert_no_violations(&sim);
+    }
+}
+
 #[test]
 fn a_successor_gives_no_tasks_to_a_host_that_the_previous_leader_ordered_down() {
     let mut sim = Simulation::open(145, 3);
--- a/crates/sched/tests/fleet/simulation/hosts.rs
+++ b/crates/sched/tests/fleet/simulation/hosts.rs
@@ -65,6 +65,8 @@
     pub order_outcomes: VecDeque<OrderOutcome>,
     /// The hosts whose maintenance was ordered, in the order of sending.
     pub maintenance_ordered: Vec<ids::HostId>,
+    /// When each host was last ordered down, and in which term.
+    last_orders: BTreeMap<ids::HostId, (u64, u64)>,
     /// How much longer than the answer to an order a list of hosts takes, in milliseconds.
     pub host_list_delay_ms: u64,
 }
@@ -122,6 +124,7 @@
     /// Sends a maintenance order for a host to the platform.
     pub(super) fn send_maintenance_order(&mut self, wave: WaveNumber, host: ids::HostId) {
         self.hosts.maintenance_ordered.push(host.clone());
+        self.check_order_holder(&host);
         let outcome =
             self.hosts.order_outcomes.pop_front().unwrap_or_else(|| self.draw_order_outcome());
         let order = HostOrder { wave, host, leader: self.term };
@@ -139,6 +142,20 @@
         }
     }
 
+    /// Records a violation if leaders take turns in ordering a host down within the time for which an order holds it.
+    fn check_order_holder(&mut self, host: &ids::HostId) {
+        let order = (self.now, self.term);
+        let Some((at, term)) = self.hosts.last_orders.insert(host.clone(), order) else { return };
+        let apart = self.now - at;
+        if term != self.term && apart < self.settings.order_lease.0 {
+            let (now, holder) = (self.now, self.term);
+            let text = format!(
+                "{now}: {host} is ordered down in terms {term} and {holder}, {apart} ms apart"
+            );
+            self.violations.push(text);
+        }
+    }
+
     /// Draws the outcome of an order by the faults of the simulation.
     fn draw_order_outcome(&mut self) -> OrderOutcome {
         let f = self.faults;
