Let the soak silence connections and forget history in series

Until now the soak silenced connections of one host to the store or of one worker, and the store forgot its history in a test of its own only.

A job that is shown as removed must have ended: all its tasks are done, it may be cancelled, or it may have failed by the existing rule on lost workers.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -104,3 +104,10 @@
 fn large_configurations_on_slow_links_are_answered_by_in_time() {
     soak(&[80_001]);
 }
+
+/// Guards against jobs that run again after their removal, and cancellations that reach the leader late:
+/// open connections go silent and the store forgets its history, in series, combined with lost leaders.
+#[test]
+fn silent_connections_and_lost_history_break_no_promise() {
+    soak(&[90_001]);
+}
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -20,7 +20,7 @@
 pub fn open_site_with(hosts: usize, workers: usize, work: Duration, output: Output) -> Site {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node"));
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let plan = Plan { program, dir, hosts, workers, work, output, threads: None };
+    let plan = Plan { program, dir, hosts, workers, work, output, threads: None, status_s: None };
     let site = site::open(&plan).expect("the site starts");
     for host in &site.hosts {
         wait_for("readiness", || host.is_ready());
@@ -43,7 +43,16 @@
     let program = PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node"));
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
     let hosts = mbps.len();
-    let plan = Plan { program, dir, hosts, workers, work, output: Output::File, threads: None };
+    let plan = Plan {
+        program,
+        dir,
+        hosts,
+        workers,
+        work,
+        output: Output::File,
+        threads: None,
+        status_s: None,
+    };
     let site = site::open_on_links(&plan, mbps).expect("the site starts");
     for host in &site.hosts {
         wait_for("readiness", || host.is_ready());
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -6,7 +6,7 @@
 //! other programs, workers whose capacity shrinks and grows, hosts that are suspended for longer than their
 //! leases, workers that restart under their names, and workers that all crash together while jobs are
 //! cancelled soon after submission, sites that are partitioned while hosts join, and queues that are removed and
-//! renamed. Faults come in series and overlap.
+//! renamed, and connections that go silent. Faults come in series and overlap.
 //!
 //! The checks compare what callers and workers observe with the documented guarantees. No task runs twice at
 //! one time, or again after its end was acknowledged, or from progress that it has not saved. A task that
@@ -22,6 +22,7 @@
 mod partitions;
 mod queues;
 mod restarts;
+mod silences;
 
 use std::path::PathBuf;
 use std::sync::Mutex;
@@ -125,6 +126,9 @@
 /// How long the hosts may take to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(10);
 
+/// The answer to a question about a job that is not stored.
+const GONE: u16 = 410;
+
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const LOCK: &str = "no holder of the lock panics";
 
@@ -161,7 +165,8 @@
     let profile = fault_profile(seed, options.fault_time, &mut rng);
     let plan = plan(program, seed, profile, options, &mut rng);
     let mut report = Report { seed, ..Report::default() };
-    let links = large_configurations::links(seed, plan.hosts);
+    let mut links = large_configurations::links(seed, plan.hosts);
+    links.extend(silences::links(seed, plan.hosts));
     let site = Mutex::new(site::open_on_links(&plan, &links)?);
     let wrong_answers = large_configurations::WrongAnswers::default();
     faults::prepare(&site.lock().expect(LOCK), seed, profile, &mut rng);
@@ -172,6 +177,7 @@
         partitions: partitions::prepare(seed),
         queues: queues::prepare(seed),
         large: large_configurations::prepare(seed, &wrong_answers),
+        silences: silences::prepare(seed),
     };
     wait(READY_LIMIT, || site.lock().expect(LOCK).hosts.iter().any(site::Host::is_ready));
     let jobs: Mutex<Vec<(JobKey, JobFact)>> = Mutex::default();
@@ -218,6 +224,7 @@
         work: Duration::from_millis(rng.random_range(100..1_500)),
         output: Output::default(),
         threads: options.threads,
+        status_s: silences::status_s(seed),
     }
 }
 
@@ -284,7 +291,15 @@
         let ends = !has_fact(key, JobFact::LongRunning) || has_fact(key, JobFact::Cancelled);
         if has_fact(key, JobFact::Accepted) && ends {
             let end = if has_fact(key, JobFact::Crashes) { "failed" } else { "completed" };
-            check_ended(site, key, end, &mut budget, report);
+            let tasks = jobs.iter().find_map(|(of, fact)| match fact {
+                JobFact::Tasks(tasks) if *of == key => Some(*tasks),
+                _ => None,
+            });
+            let may_be_cancelled =
+                has_fact(key, JobFact::Cancelled) || has_fact(key, JobFact::OutcomeUnknown);
+            let has_ended =
+                |site: &Site| may_be_cancelled || tasks == Some(site.fleet.tasks_done(key));
+            check_ended(site, key, end, &has_ended, &mut budget, report);
         }
         let may_be_cancelled =
             has_fact(key, JobFact::Cancelled) || has_fact(key, JobFact::OutcomeUnknown);
@@ -319,14 +334,27 @@
 }
 
 /// Checks that an accepted job ends or is cancelled, and that its state is shown to its caller.
-fn check_ended(site: &Site, key: JobKey, end: &str, budget: &mut WaitBudget, report: &mut Report) {
+fn check_ended(
+    site: &Site,
+    key: JobKey,
+    end: &str,
+    has_ended: &dyn Fn(&Site) -> bool,
+    budget: &mut WaitBudget,
+    report: &mut Report,
+) {
     let mut last = None;
     let may_fail = cancels::applies_to(report.seed)
         && site.fleet.most_lost_incarnations(key) >= MIN_LOSSES_TO_FAIL;
     let ended = budget.wait(site, || {
         last = site.hosts.iter().find_map(|h| h.state(key));
         let word = last.as_ref().map(|(_, word)| word.as_str());
-        word == Some(end) || word == Some("canceled") || (may_fail && word == Some("failed"))
+        // Where states are kept for a short time, an ended job is removed.
+        let is_gone = last.as_ref().is_some_and(|(status, _)| *status == GONE)
+            && silences::applies_to(report.seed);
+        word == Some(end)
+            || word == Some("canceled")
+            || (may_fail && word == Some("failed"))
+            || (is_gone && (may_fail || has_ended(site)))
     });
     let word = last.map(|(status, word)| format!("{status} {word}")).unwrap_or_default();
     if !ended {
--- a/crates/soak/src/processes/callers.rs
+++ b/crates/soak/src/processes/callers.rs
@@ -8,7 +8,8 @@
 use gaplock_platform_standin::caller::Caller;
 use gaplock_platform_standin::checker::acknowledges;
 use gaplock_platform_standin::fleet::Acknowledgements;
-use gaplock_platform_standin::site::{crashing, gang, long_running, saving, two_steps, Site};
+use gaplock_platform_standin::gangs;
+use gaplock_platform_standin::site::{self, crashing, gang, long_running, saving, two_steps, Site};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -28,6 +29,8 @@
     NotCancelled,
     /// One of the tasks crashes its workers.
     Crashes,
+    /// How many tasks the job has, in all rounds, if they end by themselves.
+    Tasks(usize),
 }
 
 /// Number of callers. There are several, so that one that waits for a frozen host does not hold up the others.
@@ -132,7 +135,7 @@
         let kind = kind(seed, n);
         let outcome = submit(&mut hosts, key, &body(kind), &mut rng);
         record(key, outcome);
-        known_facts(kind).into_iter().for_each(|fact| record(key, fact));
+        record(key, known_fact(kind));
         if kind == Kind::LongRunning {
             long_running_jobs.push((key, outcome));
         }
@@ -162,11 +165,14 @@
 }
 
 /// Returns what is known of a job from its kind.
-fn known_facts(kind: Kind) -> Option<JobFact> {
+fn known_fact(kind: Kind) -> JobFact {
     match kind {
-        Kind::Crashes => Some(JobFact::Crashes),
-        Kind::LongRunning => Some(JobFact::LongRunning),
-        Kind::TwoSteps | Kind::Checkpoints | Kind::CheckpointsTwice | Kind::Gang => None,
+        Kind::Crashes => JobFact::Crashes,
+        Kind::LongRunning => JobFact::LongRunning,
+        Kind::TwoSteps => JobFact::Tasks(site::TWO_STEPS_TASKS),
+        Kind::Checkpoints => JobFact::Tasks(site::SAVING_TASKS),
+        Kind::CheckpointsTwice => JobFact::Tasks(2 * site::SAVING_TASKS),
+        Kind::Gang => JobFact::Tasks(gangs::MEMBERS as usize),
     }
 }
 
--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -19,6 +19,7 @@
 use super::partitions::Partitions;
 use super::queues::QueueChanges;
 use super::restarts::Restarts;
+use super::silences::Silences;
 use super::{FaultProfile, LOCK, POLL_INTERVAL};
 
 /// How long a process may take to stop after a signal, by the settings of the sites.
@@ -148,6 +149,7 @@
     pub(super) partitions: Option<Partitions>,
     pub(super) queues: Option<QueueChanges>,
     pub(super) large: Option<LargeConfigurations>,
+    pub(super) silences: Option<Silences>,
 }
 
 impl ExtraFaults {
@@ -166,6 +168,9 @@
         if let Some(large) = &mut self.large {
             faults += large.tick(site, more)?;
         }
+        if let Some(silences) = &mut self.silences {
+            faults += silences.tick(site, more)?;
+        }
         if let Some(environment) = &mut self.environment {
             faults += environment.tick(site, more)?;
         }
