Look up a worker's other run of a task only for the worker that is chosen

A dispatch pass evaluates all workers for the first task of each step, and looked each time whether the worker holds another run of that very task.

Change: the ranking of a step leaves that check to the moment at which a worker is taken, where it was made already. The debug assertion that the ranking yields the same worker as an evaluation of all workers holds in the tests of the crate.

--- a/crates/sched/src/decisions/placement.rs
+++ b/crates/sched/src/decisions/placement.rs
@@ -180,6 +180,13 @@
     score(cx, ix, cx.worker(ix), request)
 }
 
+/// Returns the score of a worker for the tasks of a step. A worker that holds another run of the
+/// task itself must still be excluded by [`check_fit`].
+pub fn score_for_step(cx: &State, ix: WorkerIx, request: &PlacementRequest<'_>) -> Option<f64> {
+    check_fit_of_step(cx, ix, request).ok()?;
+    score(cx, ix, cx.worker(ix), request)
+}
+
 /// Finds a worker other than `here` on which a task that runs on `here` could start at once.
 pub fn find_other_worker(cx: &State, here: WorkerIx, key: TaskKey) -> Option<WorkerIx> {
     let entry = cx.jobs.get(&key.job)?;
@@ -213,6 +220,20 @@
     cx: &State,
     ix: WorkerIx,
     request: &PlacementRequest<'_>,
+) -> Result<(), UnfitReason> {
+    check_fit_of_step(cx, ix, request)?;
+    if cx.worker(ix).slots.contains_key(&request.task) {
+        return Err(UnfitReason::TooManyOfStep);
+    }
+    Ok(())
+}
+
+/// Checks the same, except whether the worker holds another run of this very task: all tasks of a
+/// step that have waited alike fit alike, so one evaluation of all workers serves the whole step.
+fn check_fit_of_step(
+    cx: &State,
+    ix: WorkerIx,
+    request: &PlacementRequest<'_>,
 ) -> Result<(), UnfitReason> {
     let worker = cx.worker(ix);
     let reservation = job_table::reservation(request.step);
@@ -250,9 +271,6 @@
     if step.label.as_ref().is_some_and(|label| !worker.info.labels.contains(label)) {
         return Err(UnfitReason::LabelMissing);
     }
-    if worker.slots.contains_key(&request.task) {
-        return Err(UnfitReason::TooManyOfStep);
-    }
     if step.most_per_worker.is_some_and(|most| count_same_step(worker, request.task) >= most) {
         return Err(UnfitReason::TooManyOfStep);
     }
--- a/crates/sched/src/decisions/ranking.rs
+++ b/crates/sched/src/decisions/ranking.rs
@@ -97,8 +97,8 @@
     }
 }
 
-/// Evaluates a worker as a candidate. Returns `None` if the task could not start there now.
+/// Evaluates a worker as a candidate. Returns `None` if no task of the step could start there now.
 fn evaluate(cx: &State, worker: WorkerIx, request: &PlacementRequest<'_>) -> Option<Candidate> {
-    let score = placement::score_if_fit(cx, worker, request)?;
+    let score = placement::score_for_step(cx, worker, request)?;
     Some(Candidate { score, worker })
 }
