Handle urgent events first, and put readings off while the leader is behind

Users saw too little of the worth of short jobs earned on the large site (SHORT).

Cause: a leader handled events in order of arrival, and asked for the readings of serving tasks every 0.35 s however late the ends of tasks were handled. Readings of 890 workers are 2,500 calls a second, more than starts and ends together. The class of fault: work that nobody waits for goes before work that somebody waits for, and does not yield.

The simulated fleet now has a processor for its leader on which each event and call has a cost.

Change: `event_queue` orders events by urgency: jobs, ends and answers, then the directory and failed renewals, then readings; what has been passed over for 0.5 s takes every second turn. Actions are sent in the same order, starts of short tasks before those of others. `delay` averages the wait of events over 0.1 s; from 8 ms on the intervals of readings and of looks for better workers grow, to a quarter of the time for which a serving task may exceed its target at most, and readings that come early with an end are not used. Up to 3 ms they shrink again. A leader that keeps up does as before.

--- a/crates/sched/src/changes/renewals.rs
+++ b/crates/sched/src/changes/renewals.rs
@@ -7,6 +7,7 @@
     abandoned_starts, commits, crashes, leases, pacing, restarts, roster, takeover, terminated,
     trace, trials, worker_report,
 };
+use crate::decisions::paces;
 use crate::interface::message::{Action, Outcome, Refusal, WorkerIx, WorkerReport};
 use crate::state::worker::Renewal;
 use crate::state::State;
@@ -31,6 +32,7 @@
     let wait = spread_wait(cx, ix, renewal_wait(cx.settings.renew_wait, cx.fleet_size()));
     let workers = cx.fleet_size();
     let answers_are_lost = cx.answer_times.are_lost(cx.now, workers);
+    let readings_interval = readings_interval(cx);
     let worker = cx.worker_mut(ix);
     worker.renewal = Renewal::InFlight;
     let is_urgent = until.is_none()
@@ -38,8 +40,10 @@
         || worker.unanswered_renewals > 0
         || worker.awaits_withdrawal_proof();
     let wait = if is_urgent || worker.slots.is_empty() { Millis(0) } else { wait };
-    let wait = if answers_are_lost || worker.mixes_serving_and_best_effort() {
+    let wait = if answers_are_lost {
         wait.min(SHORT_WAIT)
+    } else if worker.mixes_serving_and_best_effort() {
+        wait.min(readings_interval)
     } else {
         wait
     };
@@ -85,6 +89,30 @@
 /// answer that is lost may be the one that reports the end of a short task.
 const SHORT_WAIT: Millis = Millis(350);
 
+/// The fraction of the time for which a serving task may exceed its target that may pass between two
+/// readings of it, however far the leader is behind: halting best-effort tasks takes two stages, and
+/// an order may have to be repeated.
+const MAX_READINGS_INTERVAL_FRACTION: f64 = 0.25;
+
+/// Returns how often the readings of serving tasks beside best-effort tasks are renewed.
+fn readings_interval(cx: &State) -> Millis {
+    let limit = paces::fraction_of(cx.settings.max_tail_excess, MAX_READINGS_INTERVAL_FRACTION);
+    cx.delay.stretched(SHORT_WAIT, limit)
+}
+
+/// Returns whether the readings in a worker's report are used. While the leader is behind, those
+/// that come early, because a task has ended, are not.
+fn takes_readings(cx: &mut State, ix: WorkerIx) -> bool {
+    let since = cx.now.since(cx.worker(ix).readings_used_at);
+    let takes = !cx.delay.puts_off() || since >= SHORT_WAIT;
+    if takes {
+        cx.worker_mut(ix).readings_used_at = cx.now;
+    } else {
+        cx.readings_put_off += 1;
+    }
+    takes
+}
+
 /// Handles the outcome of a renewal.
 pub fn handle_renewal_outcome(
     cx: &mut State,
@@ -207,7 +235,9 @@
     if is_first {
         restarts::mark_previous_terminated(cx, ix);
     }
-    pacing::handle_readings(cx, ix);
+    if takes_readings(cx, ix) {
+        pacing::handle_readings(cx, ix);
+    }
     takeover::worker_resolved(cx, ix);
     abandoned_starts::send_due_stops(cx, ix);
     roster::open_if_ready(cx, ix);
--- a/crates/sched/src/context.rs
+++ b/crates/sched/src/context.rs
@@ -11,6 +11,7 @@
     freshness, inbox, intake, maintenance, moving, orders, pacing, permits, renewals, roster,
     shares, steering, stragglers, takeover, terminated,
 };
+use crate::interface::event_queue;
 use crate::interface::message::{Action, Event, WorkerIx};
 use crate::interface::settings::Settings;
 use crate::state::State;
@@ -41,6 +42,9 @@
 /// is stuck, and moves at most one task to each worker.
 const REBALANCE_INTERVAL: Millis = Millis(200);
 
+/// How often better workers are looked for at least, however far the leader is behind.
+const MAX_REBALANCE_INTERVAL: Millis = Millis(800);
+
 /// A leader's state, with the times of its last periodic checks. It dereferences to the state, so a
 /// driver reads the state through it.
 #[derive(Debug)]
@@ -85,9 +89,26 @@
     /// Handles an event that happened at `now`, then does what is due by time alone. Actions are
     /// collected in [`State::actions`].
     pub fn handle(&mut self, now: Instant, unix_ms: u64, event: Event) {
+        self.apply_event(now, unix_ms, event);
+        self.run_due();
+    }
+
+    /// Handles an event that is handled at `now` after it has waited for its turn, without what is
+    /// due by time alone. [`Context::run_due`] must follow once the driver has no more events at
+    /// hand.
+    pub fn handle_waiting(&mut self, now: Instant, unix_ms: u64, waited: Millis, event: Event) {
+        self.delay.record(now, waited);
+        self.apply_event(now, unix_ms, event);
+    }
+
+    fn apply_event(&mut self, now: Instant, unix_ms: u64, event: Event) {
         self.now = now;
         self.unix_ms = unix_ms;
         self.apply(event);
+    }
+
+    /// Does what is due by time alone.
+    pub fn run_due(&mut self) {
         self.run_housekeeping();
         self.send_renewals();
         self.run_due_pass();
@@ -202,7 +223,8 @@
 
     /// Periodically looks for better workers for running tasks.
     fn rebalance(&mut self) {
-        if self.now.since(self.last_rebalanced) < REBALANCE_INTERVAL {
+        let interval = self.delay.stretched(REBALANCE_INTERVAL, MAX_REBALANCE_INTERVAL);
+        if self.now.since(self.last_rebalanced) < interval {
             return;
         }
         self.last_rebalanced = self.now;
@@ -229,8 +251,10 @@
         wake
     }
 
-    /// Takes the collected actions.
+    /// Takes the collected actions, the most urgent ones first.
     pub fn take_actions(&mut self) -> Vec<Action> {
-        std::mem::take(&mut self.state.actions)
+        let mut actions = std::mem::take(&mut self.state.actions);
+        event_queue::sort_actions(&mut actions);
+        actions
     }
 }
--- a/crates/sched/src/interface.rs
+++ b/crates/sched/src/interface.rs
@@ -3,6 +3,7 @@
 
 pub mod claims;
 pub mod commit_writer;
+pub mod event_queue;
 pub mod message;
 pub mod proof;
 pub mod search_budget;
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -16,5 +16,5 @@
 pub use decisions::{concurrency_limit, free_capacity, load, requests, shares};
 pub use interface::message::{Action, Event};
 pub use interface::settings::Settings;
-pub use interface::{claims, commit_writer, message, search_budget, settings};
-pub use state::{answer_times, job_table, worker};
+pub use interface::{claims, commit_writer, event_queue, message, search_budget, settings};
+pub use state::{answer_times, delay, job_table, worker};
--- a/crates/sched/src/state.rs
+++ b/crates/sched/src/state.rs
@@ -6,6 +6,7 @@
 pub mod class_shares;
 pub mod commits;
 pub mod crash_evidence;
+pub mod delay;
 pub mod freshness;
 pub mod inbox;
 pub mod interference_model;
@@ -39,6 +40,7 @@
 use class_shares::ClassShares;
 use commits::Commits;
 use crash_evidence::CrashTracker;
+use delay::Delay;
 use freshness::Freshness;
 use inbox::Inbox;
 use interference_model::InterferenceModel;
@@ -112,6 +114,10 @@
     pub renewal_queue: RenewalQueue,
     /// How long workers take to answer orders.
     pub answer_times: AnswerTimes,
+    /// How far this leader is behind.
+    pub delay: Delay,
+    /// How many readings of workers were not used because this leader was behind.
+    pub readings_put_off: u64,
     /// How many of the workers are terminated.
     pub terminated_count: usize,
     /// Workers by the id of their incarnation.
@@ -196,6 +202,8 @@
             workers: Vec::new(),
             renewal_queue: RenewalQueue::default(),
             answer_times: AnswerTimes::default(),
+            delay: Delay::default(),
+            readings_put_off: 0,
             terminated_count: 0,
             by_id: FxHashMap::default(),
             by_name: FxHashMap::default(),
--- a/crates/sched/src/state/worker.rs
+++ b/crates/sched/src/state/worker.rs
@@ -225,6 +225,8 @@
     pub spare_best_effort_share: [f64; RUN_TIMES.len()],
     /// The share of the known best-effort images that would fit here.
     pub fitting_image_share: f64,
+    /// When the readings of its runs were last used.
+    pub readings_used_at: Instant,
     /// When a best-effort task last ended here.
     pub best_effort_ended_at: Instant,
     /// When a short task last began or ended here.
@@ -278,6 +280,7 @@
             spare_interference: Vec::new(),
             spare_best_effort_share: [1.0; RUN_TIMES.len()],
             fitting_image_share: 1.0,
+            readings_used_at: Instant(0),
             best_effort_ended_at: Instant(0),
             short_task_changed_at: None,
             preempted_at: None,
--- a/crates/sched/tests/fleet/main.rs
+++ b/crates/sched/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod backlogs;
 mod best_effort;
 mod bursts;
+mod busy_leader;
 mod cancelled;
 mod cancelled_mix;
 mod cancelled_runs;
--- a/crates/sched/tests/fleet/simulation/calls.rs
+++ b/crates/sched/tests/fleet/simulation/calls.rs
@@ -122,45 +122,50 @@
     pub(super) fn carry_out_actions(&mut self) {
         let Some(cx) = &mut self.cx else { return };
         let actions = cx.take_actions();
-        let now = Instant(self.now);
-        for action in actions {
-            let (worker, call) = match action {
-                Action::Renew { worker, stored, until, wait, margin } => {
-                    let timeout = wait.0 + margin.0;
-                    let renewal = Renewal { stored, until, wait: wait.0, timeout, sent: now };
-                    (worker, Call::Renew(renewal))
-                }
-                Action::Start { worker, task, run, job, until, checkpoint, timeout, .. } => {
-                    let step = &job.steps[usize::from(task.step)];
-                    let (takes, lasting, ms) = (step.demand, step.lasting, self.work_ms);
-                    let work = Work { takes, lasting, sent: now.0, ms, timeout: timeout.0 };
-                    let checkpoint = checkpoint.map(|text| text.to_string());
-                    self.check_sent(self.worker_of(worker), task, run);
-                    (worker, Call::Start { task, run, until, work, checkpoint })
-                }
-                Action::Stop { worker, task, run } => (worker, Call::Stop { task, run }),
-                Action::Pace { worker, task, run, percent } => {
-                    self.paces_ordered += 1;
-                    (worker, Call::Pace { task, run, percent })
-                }
-                Action::Advise { step, workers } => {
-                    self.answer_advice(step, workers);
-                    continue;
-                }
-                Action::ListHosts => {
-                    self.list_hosts();
-                    continue;
-                }
-                Action::Maintenance { wave, host } => {
-                    self.send_maintenance_order(wave, host);
-                    continue;
-                }
-                Action::ConfirmLeadership => continue,
-            };
-            self.send_call(worker, call);
+        for action in self.calls_wait_for_processor(actions) {
+            self.carry_out(action);
         }
     }
 
+    /// Carries out one action.
+    pub(super) fn carry_out(&mut self, action: Action) {
+        let now = Instant(self.now);
+        let (worker, call) = match action {
+            Action::Renew { worker, stored, until, wait, margin } => {
+                let timeout = wait.0 + margin.0;
+                let renewal = Renewal { stored, until, wait: wait.0, timeout, sent: now };
+                (worker, Call::Renew(renewal))
+            }
+            Action::Start { worker, task, run, job, until, checkpoint, timeout, .. } => {
+                let step = &job.steps[usize::from(task.step)];
+                let (takes, lasting, ms) = (step.demand, step.lasting, self.work_ms);
+                let work = Work { takes, lasting, sent: now.0, ms, timeout: timeout.0 };
+                let checkpoint = checkpoint.map(|text| text.to_string());
+                self.check_sent(self.worker_of(worker), task, run);
+                (worker, Call::Start { task, run, until, work, checkpoint })
+            }
+            Action::Stop { worker, task, run } => (worker, Call::Stop { task, run }),
+            Action::Pace { worker, task, run, percent } => {
+                self.paces_ordered += 1;
+                (worker, Call::Pace { task, run, percent })
+            }
+            Action::Advise { step, workers } => {
+                self.answer_advice(step, workers);
+                return;
+            }
+            Action::ListHosts => {
+                self.list_hosts();
+                return;
+            }
+            Action::Maintenance { wave, host } => {
+                self.send_maintenance_order(wave, host);
+                return;
+            }
+            Action::ConfirmLeadership => return,
+        };
+        self.send_call(worker, call);
+    }
+
     /// Answers on which workers a step may run: those with an even position.
     fn answer_advice(&mut self, step: StepKey, asked: Vec<WorkerIx>) {
         let even = asked.iter().filter(|ix| ix.0 % 2 == 0);
--- a/crates/sched/tests/fleet/simulation/mod.rs
+++ b/crates/sched/tests/fleet/simulation/mod.rs
@@ -17,6 +17,7 @@
 //! - [`checkpoints`] records what runs save and which checkpoint a start carries.
 //! - [`checks`] and [`cancellations`] check the guarantees, [`accounts`] the load account.
 //! - [`views`] returns state to tests.
+//! - [`processor`] charges the leader for its work.
 //! - [`builders`] builds configurations and jobs, and [`log`] prints the scheduler's log.
 //!
 //! In all these modules, `at` is the position of a worker in the list of simulated workers.
@@ -34,6 +35,7 @@
 mod hosts;
 mod inbox;
 mod log;
+mod processor;
 mod renewals;
 mod store;
 mod views;
@@ -74,6 +76,8 @@
 use hosts::Hosts;
 pub use hosts::{host_name, OrderOutcome};
 use inbox::Inbox;
+use processor::Processor;
+pub use processor::{Cost, Discipline};
 use worker::SimWorker;
 pub use writes::WriteFaults;
 use writes::Writes;
@@ -173,6 +177,8 @@
     cancelled: BTreeSet<JobKey>,
     /// Jobs that the store no longer holds; calls may still refer to them.
     forgotten: BTreeSet<JobKey>,
+    /// The processor of the leader's host; unset if its work has no cost.
+    pub processor: Option<Processor>,
     /// What the checks of cancellations need to know.
     cancellations: Cancellations,
     /// The stored progress of each job.
@@ -237,6 +243,7 @@
             jobs: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             forgotten: BTreeSet::new(),
+            processor: None,
             cancellations: Cancellations::default(),
             progress: BTreeMap::new(),
             unreadable: BTreeSet::new(),
@@ -414,6 +421,7 @@
             if self.cx.as_ref().is_some_and(|cx| cx.next_wake().0 <= self.now) {
                 self.notify_leader(Event::Tick);
             }
+            self.run_processor();
             self.commit();
             self.check_runs();
             self.check_accounts();
@@ -432,6 +440,7 @@
 
     /// Hands an event to the leader, if there is one, and carries out the actions that follow.
     pub fn notify_leader(&mut self, event: Event) {
+        let Some(event) = self.wait_for_processor(event) else { return };
         let (now, unix) = (self.instant(), self.unix());
         if let (Event::Cancel(key, _), true) = (&event, self.cx.is_some()) {
             self.record_cancellation_heard(*key);
--- a/crates/sched/tests/fleet/simulation/store.rs
+++ b/crates/sched/tests/fleet/simulation/store.rs
@@ -18,6 +18,7 @@
     pub fn start_new_leader(&mut self) {
         self.term += 1;
         self.record_leader_change();
+        self.clear_processor();
         self.inbox.begin_leadership();
         self.token += 10;
         self.writes.claim(self.term);
