Measure the wait of events and the leader's time by purpose

A leader that was behind showed in no metric: the busiest host used 0.34 of its 0.5 cores on average, `gaplock_waiting_events` was read every 0.3 s, after the queue had been drained.

Change: the histogram `gaplock_event_wait_seconds` by kind of event (jobs, ends, readings, answers, commits, ...), the counter `gaplock_leader_seconds` by purpose (events, due, orders, calls, figures), the gauges `gaplock_optional_stretch_percent` and `gaplock_readings_put_off`, and the log lines `leader_behind` and `leader_caught_up`. The engine takes its messages from the queue by urgency, and lets calls make progress between two batches.

--- a/crates/node/src/actions.rs
+++ b/crates/node/src/actions.rs
@@ -4,6 +4,8 @@
 //! While this host is not allowed to act as the leader, nothing is sent; each action is then
 //! answered as not sent.
 
+use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
 
 use async_std::task;
@@ -26,6 +28,7 @@
 
 use crate::engine::Engine;
 use crate::follower;
+use crate::metrics::TimedCall;
 use crate::node::Node;
 
 /// The client of one worker.
@@ -148,7 +151,8 @@
         margin: Millis,
     ) -> Outcome<WorkerReport> {
         let (wait, margin) = (wait.as_duration(), margin.as_duration());
-        let outcome = client.renew(self.token, stored, until, wait, margin).await;
+        let renewed = client.renew(self.token, stored, until, wait, margin);
+        let outcome = self.timed(renewed).await;
         self.count("renew", &outcome);
         outcome
     }
@@ -159,7 +163,7 @@
         start: &StartCommand<'_>,
         timeout: Millis,
     ) -> Outcome<WorkerClock> {
-        let outcome = client.start(self.token, start, timeout.as_duration()).await;
+        let outcome = self.timed(client.start(self.token, start, timeout.as_duration())).await;
         self.count("start", &outcome);
         if start.checkpoint.is_some() {
             self.count("resumed_start", &outcome);
@@ -168,18 +172,23 @@
     }
 
     async fn stop(&self, client: &WorkerClient, key: TaskKey, run: Run) -> Outcome<WorkerClock> {
-        let outcome = client.stop(self.token, key, run).await;
+        let outcome = self.timed(client.stop(self.token, key, run)).await;
         self.count("stop", &outcome);
         outcome
     }
 
     /// Sets a run's pace; returns whether the order was carried out.
     async fn pace(&self, client: &WorkerClient, key: TaskKey, run: Run, percent: u32) -> Execution {
-        let outcome = client.set_pace(self.token, key, run, percent).await;
+        let outcome = self.timed(client.set_pace(self.token, key, run, percent)).await;
         self.count("pace", &outcome);
         outcome.execution()
     }
 
+    /// Counts the time that a call takes on the processor.
+    async fn timed<T>(&self, call: impl Future<Output = T>) -> T {
+        TimedCall { call: pin!(call), metrics: &self.node.metrics.leader }.await
+    }
+
     /// Counts a call to a worker in the metrics.
     fn count<T>(&self, kind: &'static str, outcome: &Outcome<T>) {
         let label = match outcome {
--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -15,17 +15,20 @@
 use gaplock_policy::authority::{Authority, Basis};
 use gaplock_remote::clock;
 use gaplock_sched::context::Term;
+use gaplock_sched::delay::Delay;
+use gaplock_sched::event_queue::{self, EventQueue, Urgency};
 use gaplock_sched::free_capacity::{self, FreeCpu};
 use gaplock_sched::job_table::JobEntry;
-use gaplock_sched::message::{FencingToken, Record};
+use gaplock_sched::message::{FencingToken, Outcome, Record};
 use gaplock_sched::{
     commits, concurrency_limit, evacuation, load, requests, shares, Context, Event,
 };
-use gaplock_types::time::Instant;
+use gaplock_types::time::{Instant, Millis};
 
 use crate::actions::{self, CallContext, Clients};
 use crate::admission::LeaderAdmission;
 use crate::leadership::LeadershipStatus;
+use crate::metrics::Purpose;
 use crate::node::{Node, TimedSummary};
 use crate::peers::{AdmitAnswer, QueueCount, StatusAnswer};
 use crate::store_writer::{CommitError, StoreWriter};
@@ -40,9 +43,46 @@
     Admit(Arrival, Sender<AdmitAnswer>),
 }
 
+impl Message {
+    /// Returns how urgent the message is.
+    fn urgency(&self) -> Urgency {
+        match self {
+            Self::Event(event) => event_queue::urgency_of_event(event),
+            Self::Status(..) | Self::Admit(..) => Urgency::Urgent,
+        }
+    }
+
+    /// Returns the kind of the message, for metrics.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Status(..) => "status",
+            Self::Admit(..) => "admit",
+            Self::Event(Event::Job(..)) => "job",
+            Self::Event(Event::Cancel(..)) => "cancel",
+            Self::Event(Event::Started { .. }) => "started",
+            Self::Event(Event::Stopped { .. }) => "stopped",
+            Self::Event(Event::Paced { .. }) => "paced",
+            Self::Event(Event::Committed | Event::CommitFailed) => "commit",
+            Self::Event(Event::Listed(_) | Event::Unlisted(_)) => "directory",
+            Self::Event(Event::Renewed { outcome: Outcome::Done(report), .. }) => {
+                if report.ends.is_empty() {
+                    "reading"
+                } else {
+                    "end"
+                }
+            }
+            Self::Event(Event::Renewed { .. }) => "renewal_failed",
+            Self::Event(_) => "other",
+        }
+    }
+}
+
+/// A message with the time at which it was sent.
+type Sent = (Instant, Message);
+
 /// The handle of a running engine.
 pub struct Engine {
-    tx: Sender<Message>,
+    tx: Sender<Sent>,
     /// Whether this host may act as the leader.
     pub leadership: Arc<LeadershipStatus>,
     queue_counts: Mutex<Vec<QueueCount>>,
@@ -52,7 +92,7 @@
 impl Engine {
     /// Sends an event to the engine; events sent after the engine has ended are dropped.
     pub fn send(&self, event: Event) {
-        if self.tx.try_send(Message::Event(event)).is_err() {
+        if self.tx.try_send((clock::now(), Message::Event(event))).is_err() {
             tracing::debug!(event = "engine_ended");
         }
     }
@@ -60,7 +100,7 @@
     /// Returns a job's state.
     pub async fn status(&self, key: JobKey) -> StatusAnswer {
         let (tx, rx) = async_channel::bounded(1);
-        if self.tx.send(Message::Status(key, tx)).await.is_err() {
+        if self.tx.send((clock::now(), Message::Status(key, tx))).await.is_err() {
             return StatusAnswer::Unknown;
         }
         rx.recv().await.unwrap_or(StatusAnswer::Unknown)
@@ -69,7 +109,7 @@
     /// Decides whether a job is admitted.
     pub async fn admit(&self, arrival: Arrival) -> AdmitAnswer {
         let (tx, rx) = async_channel::bounded(1);
-        if self.tx.send(Message::Admit(arrival, tx)).await.is_err() {
+        if self.tx.send((clock::now(), Message::Admit(arrival, tx))).await.is_err() {
             return AdmitAnswer::NotDecided;
         }
         rx.recv().await.unwrap_or(AdmitAnswer::NotDecided)
@@ -95,7 +135,11 @@
 /// The state that the engine's task owns.
 pub struct Driver {
     cx: Context,
-    rx: Receiver<Message>,
+    rx: Receiver<Sent>,
+    /// The messages that were received and not handled yet.
+    waiting: EventQueue<Message>,
+    /// Whether the log says that this leader is behind.
+    is_behind: bool,
     engine: Arc<Engine>,
     node: Arc<Node>,
     clients: Clients,
@@ -112,7 +156,10 @@
 const COUNT_EVERY_MS: u64 = 300;
 
 /// The maximum number of messages handled before actions are carried out.
-const MAX_BATCH: usize = 64;
+const MAX_BATCH: usize = 32;
+
+/// The stretch of optional work, in percent, from which on the log says that the leader is behind.
+const BEHIND_FROM_PERCENT: u32 = 200;
 
 /// Builds an engine around a restored state.
 pub fn open(
@@ -129,6 +176,8 @@
     Driver {
         cx,
         rx,
+        waiting: EventQueue::default(),
+        is_behind: false,
         engine,
         node: Arc::clone(node),
         clients: Clients::open(node.installation.descriptors),
@@ -150,20 +199,20 @@
     pub async fn run(mut self) {
         loop {
             let now = clock::now();
+            let began = StdInstant::now();
             match self.check_authority(now) {
                 Authority::Lost => break,
                 Authority::Act | Authority::Hold => self.carry_out_actions(true),
                 Authority::Wait => self.carry_out_actions(false),
             }
             self.commit(now);
+            self.node.metrics.leader.add_time(Purpose::Orders, began);
             self.update_metrics(now);
             self.cx.freshness.record_answer(self.engine.leadership.confirmed_at());
-            let wait = self.cx.next_wake().since(now).as_duration();
-            match future::timeout(wait, self.rx.recv()).await {
-                Ok(Ok(message)) => self.handle_batch(message),
-                Ok(Err(_)) => break,
-                Err(_) => self.cx.handle(clock::now(), clock::unix_ms(), Event::Tick),
+            if !self.receive(now).await {
+                break;
             }
+            self.handle_batch();
         }
         self.show_free_capacity(FreeCpu::default(), 0, 0);
         self.node.metrics.show_evacuated(iter::empty());
@@ -174,6 +223,32 @@
         self.node.metrics.unconfirmed_ms.set(0);
         self.node.metrics.waiting_events.set(0);
         self.node.metrics.runs_after_end.set(0);
+        self.node.metrics.leader.stretch_percent.set(i64::from(Delay::default().stretch_percent()));
+        self.node.metrics.leader.readings_put_off.set(0);
+    }
+
+    /// Receives the messages that are there. If none waits, waits for one, or until something is due
+    /// by time; otherwise lets calls make progress first, so that what they report can go before
+    /// what waits. Returns false if no message will follow.
+    async fn receive(&mut self, now: Instant) -> bool {
+        if self.waiting.is_empty() && self.rx.is_empty() {
+            let wait = self.cx.next_wake().since(now).as_duration();
+            match future::timeout(wait, self.rx.recv()).await {
+                Ok(Ok(sent)) => self.enqueue(sent),
+                Ok(Err(_)) => return false,
+                Err(_) => {}
+            }
+        } else if !self.waiting.is_empty() {
+            task::yield_now().await;
+        }
+        while let Ok(sent) = self.rx.try_recv() {
+            self.enqueue(sent);
+        }
+        true
+    }
+
+    fn enqueue(&mut self, (since, message): Sent) {
+        self.waiting.push(since, message.urgency(), message);
     }
 
     /// Returns whether this host may act as the leader now, and logs when the basis of that changes.
@@ -192,23 +267,28 @@
         authority
     }
 
-    /// Handles a message and those queued behind it, up to `MAX_BATCH`.
-    fn handle_batch(&mut self, first: Message) {
-        self.handle_message(first);
-        for _ in 1..MAX_BATCH {
-            let Ok(message) = self.rx.try_recv() else { return };
-            self.handle_message(message);
+    /// Handles messages that wait, up to `MAX_BATCH`, then what is due by time.
+    fn handle_batch(&mut self) {
+        let began = StdInstant::now();
+        for _ in 0..MAX_BATCH {
+            let Some((waited, message)) = self.waiting.pop(clock::now()) else { break };
+            self.node.metrics.leader.record_wait(message.kind(), waited);
+            self.handle_message(waited, message);
         }
+        self.node.metrics.leader.add_time(Purpose::Events, began);
+        let began = StdInstant::now();
+        self.cx.handle(clock::now(), clock::unix_ms(), Event::Tick);
+        self.node.metrics.leader.add_time(Purpose::Due, began);
     }
 
-    /// Handles one message.
-    fn handle_message(&mut self, message: Message) {
+    /// Handles one message that has waited for so long.
+    fn handle_message(&mut self, waited: Millis, message: Message) {
         match message {
             Message::Event(event) => {
                 if let Event::Job(job, _) = &event {
                     self.admission.forget(job.key);
                 }
-                self.cx.handle(clock::now(), clock::unix_ms(), event);
+                self.cx.handle_waiting(clock::now(), clock::unix_ms(), waited, event);
             }
             Message::Admit(arrival, tx) => {
                 if tx.try_send(self.decide_admission(&arrival)).is_err() {
@@ -268,6 +348,8 @@
             return;
         }
         self.counted_at = now;
+        let began = StdInstant::now();
+        self.show_delay();
         let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
         for entry in self.cx.jobs.values().filter(|e| e.state == JobState::Queued) {
             *counts.entry(requests::listed_under(&self.cx, &entry.job)).or_default() += 1;
@@ -281,7 +363,7 @@
         self.node.metrics.show_evacuated(shown);
         self.node.metrics.overload.show_load_periods(self.cx.interference.confirmed_periods());
         self.node.metrics.directory_lag_ms.set(self.cx.freshness.lag().0 as i64);
-        self.node.metrics.waiting_events.set(self.rx.len() as i64);
+        self.node.metrics.waiting_events.set((self.rx.len() + self.waiting.len()) as i64);
         self.node.metrics.runs_after_end.set(self.cx.runs_after_end as i64);
         let classes = shares::class_shares(&self.cx);
         let shown = classes.iter().map(|((pool, class), share)| (pool, *class, *share));
@@ -292,6 +374,22 @@
         let limit = |pool| self.cx.best_effort_limits.get(pool).and_then(|(l, _)| l.millicores());
         let shown = at_work.iter().map(|(pool, demand)| (*pool, *demand, limit(*pool)));
         self.node.metrics.overload.show_best_effort(shown);
+        self.node.metrics.leader.add_time(Purpose::Figures, began);
+    }
+
+    /// Shows how far this leader is behind, and logs when that changes.
+    fn show_delay(&mut self) {
+        let stretch = self.cx.delay.stretch_percent();
+        let metrics = &self.node.metrics.leader;
+        metrics.stretch_percent.set(i64::from(stretch));
+        metrics.readings_put_off.set(self.cx.readings_put_off as i64);
+        if !self.is_behind && stretch >= BEHIND_FROM_PERCENT {
+            self.is_behind = true;
+            tracing::warn!(event = "leader_behind", waiting = self.waiting.len());
+        } else if self.is_behind && !self.cx.delay.puts_off() {
+            self.is_behind = false;
+            tracing::info!(event = "leader_caught_up");
+        }
     }
 
     /// Makes the load summary that other hosts get.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a host, by `prometheus-client`; the number of label values is bounded.
 
+mod leader;
 mod overload;
 
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+pub use leader::{LeaderMetrics, Purpose, TimedCall};
 pub use overload::OverloadMetrics;
 
 /// A label with a bounded set of values.
@@ -78,6 +80,8 @@
     pub unanswered_notices: Gauge,
     /// The metrics of overload control.
     pub overload: OverloadMetrics,
+    /// The metrics of the leader's own work.
+    pub leader: LeaderMetrics,
     /// Log lines that were dropped because standard output was not read in time.
     pub log_lines_dropped: Gauge,
 }
@@ -100,6 +104,7 @@
     let help = "Tasks that still run in an evacuated failure domain";
     registry.register("evacuated_domain_runs", help, evacuated_runs.clone());
     let overload = overload::open(&mut registry);
+    let leader = leader::open(&mut registry);
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let mut gauge = |name: &str, help: &str| {
@@ -153,6 +158,7 @@
         waiting_events,
         unanswered_notices,
         overload,
+        leader,
         log_lines_dropped,
     }
 }
