Judge slow and throttled leaders on virtual time and in the soak

No test and no seed had a leader that lacks processor time: the simulated leader handled events when they arrived, and the soak suspended hosts for longer than their leases or not at all. So neither could show SHORT by a busy leader.

Change: the processor of the simulated leader can be throttled to an allowance for each tenth of a second. Random worlds draw its cost anew for each job, up to one at which it does nothing else, beside lost and late calls, cancellations and lost leaders.

--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -105,6 +105,12 @@
     soak(&[80_001]);
 }
 
+/// Leaders whose processor is throttled to a part of each fifth of a second, in series, combined with lost leaders.
+#[test]
+fn throttled_leaders_break_no_promise() {
+    soak_with(&[100_001], Options { fault_time: Duration::from_secs(6), ..Options::default() });
+}
+
 /// Guards against jobs that run again after their removal, and cancellations that reach the leader late:
 /// open connections go silent and the store forgets its history, in series, combined with lost leaders.
 #[test]
--- a/crates/sched/tests/fleet/busy_leader.rs
+++ b/crates/sched/tests/fleet/busy_leader.rs
@@ -1,9 +1,14 @@
 //! A leader whose processor has less time than its work asks for, on virtual time.
 
+use std::env;
+
 use gaplock_jobs::{Job, JobKey, Step};
 use gaplock_types::time::Millis;
 
-use crate::simulation::{assert_no_violations, job, step, Cost, Discipline, Simulation};
+use crate::simulation::{
+    assert_all_jobs_end, assert_no_violations, job, step, Cost, Discipline, Faults, Simulation,
+    ALLOWANCE_PERIOD_MS,
+};
 
 /// Workers that serve beside best-effort tasks, so that their readings are wanted often.
 const WORKERS: usize = 300;
@@ -132,3 +137,46 @@
     let limit = sim.settings.max_tail_excess.0 / 2;
     assert!(gap <= limit, "{gap} ms between two renewals of a worker");
 }
+
+/// How many random worlds are run in CI; `BUSY_LEADER_SEEDS` gives another number.
+const SEEDS: u64 = 12;
+
+/// Draws the cost of the leader's work, up to that at which it does nothing else, and its allowance.
+fn draw_processor(sim: &mut Simulation) {
+    let us = 200 + sim.draw(8_000);
+    sim.charge_leader(Cost { event_us: us, call_us: us }, Discipline::ByUrgency);
+    let allowance_ms = ALLOWANCE_PERIOD_MS / 5 + sim.draw(ALLOWANCE_PERIOD_MS);
+    sim.processor.as_mut().expect("the leader is charged").allowance_ms = allowance_ms;
+}
+
+/// Slow and throttled leaders, lost in series beside lost and late calls, with cancellations: no task runs twice,
+/// nothing of a cancelled job goes on, and all jobs end.
+#[test]
+fn slow_and_throttled_leaders_break_no_guarantee() {
+    let seeds = env::var("BUSY_LEADER_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(SEEDS);
+    for seed in 0..seeds {
+        let mut sim = Simulation::open(7_000 + seed, 6);
+        sim.faults = Faults {
+            lost_per_mille: 20,
+            unanswered_per_mille: 40,
+            late_per_mille: 40,
+            failing_per_mille: 20,
+            unhealthy_per_mille: 10,
+        };
+        for key in 0..20 {
+            draw_processor(&mut sim);
+            sim.submit(job(key, vec![step(5, &[]), step(3, &[0])]));
+            sim.run(300);
+            if sim.draw(5) == 0 {
+                sim.cancel(key);
+            }
+            if sim.draw(8) == 0 {
+                let gap = sim.draw(3_000);
+                sim.change_leader(gap);
+            }
+        }
+        sim.charge_leader(Cost { event_us: 0, call_us: 0 }, Discipline::ByUrgency);
+        sim.processor.as_mut().expect("the leader is charged").allowance_ms = ALLOWANCE_PERIOD_MS;
+        assert_all_jobs_end(&mut sim, seed);
+    }
+}
--- a/crates/sched/tests/fleet/simulation/mod.rs
+++ b/crates/sched/tests/fleet/simulation/mod.rs
@@ -77,7 +77,7 @@
 pub use hosts::{host_name, OrderOutcome};
 use inbox::Inbox;
 use processor::Processor;
-pub use processor::{Cost, Discipline};
+pub use processor::{Cost, Discipline, ALLOWANCE_PERIOD_MS};
 use worker::SimWorker;
 pub use writes::WriteFaults;
 use writes::Writes;
@@ -280,6 +280,7 @@
     /// Ends the leader without a successor.
     pub fn lose_leader(&mut self) {
         self.cx = None;
+        self.clear_processor();
     }
 
     /// Sets whether another host may lead without the leader's noticing.
--- a/crates/sched/tests/fleet/simulation/processor.rs
+++ b/crates/sched/tests/fleet/simulation/processor.rs
@@ -10,6 +10,9 @@
 
 use super::Simulation;
 
+/// The time for which a throttled processor has an allowance, in milliseconds.
+pub const ALLOWANCE_PERIOD_MS: u64 = 100;
+
 /// How the leader treats its work while it is behind.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Discipline {
@@ -35,6 +38,8 @@
     discipline: Discipline,
     events: EventQueue<Event>,
     calls: VecDeque<Action>,
+    /// For how many milliseconds of each tenth of a second it runs.
+    pub allowance_ms: u64,
     /// When it has done what it has begun, in microseconds.
     free_at_us: u64,
     /// The longest wait of an urgent event and of any event, in milliseconds.
@@ -42,13 +47,18 @@
 }
 
 impl Simulation {
-    /// Gives the leader's host a processor on which its work has a cost.
+    /// Gives the leader's host a processor on which its work has a cost. What waits goes on waiting.
     pub fn charge_leader(&mut self, cost: Cost, discipline: Discipline) {
+        if let Some(processor) = &mut self.processor {
+            (processor.cost, processor.discipline) = (cost, discipline);
+            return;
+        }
         self.processor = Some(Processor {
             cost,
             discipline,
             events: EventQueue::default(),
             calls: VecDeque::new(),
+            allowance_ms: ALLOWANCE_PERIOD_MS,
             free_at_us: self.now * 1_000,
             longest_waits: (0, 0),
         });
@@ -88,6 +98,10 @@
     /// handled.
     pub(super) fn run_processor(&mut self) {
         let end = (self.now + 1) * 1_000;
+        let in_period = self.now % ALLOWANCE_PERIOD_MS;
+        if self.processor.as_ref().is_some_and(|p| in_period >= p.allowance_ms) {
+            return;
+        }
         while let Some(processor) = self.processor.as_mut().filter(|p| p.free_at_us < end) {
             processor.free_at_us = processor.free_at_us.max(self.now * 1_000);
             if let Some(action) = processor.calls.pop_front() {
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -6,7 +6,7 @@
 //! other programs, workers whose capacity shrinks and grows, hosts that are suspended for longer than their
 //! leases, workers that restart under their names, and workers that all crash together while jobs are
 //! cancelled soon after submission, sites that are partitioned while hosts join, and queues that are removed and
-//! renamed, and connections that go silent. Faults come in series and overlap.
+//! renamed, connections that go silent, and hosts whose processor is throttled. Faults come in series and overlap.
 //!
 //! The checks compare what callers and workers observe with the documented guarantees. No task runs twice at
 //! one time, or again after its end was acknowledged, or from progress that it has not saved. A task that
@@ -23,6 +23,7 @@
 mod queues;
 mod restarts;
 mod silences;
+mod throttles;
 
 use std::path::PathBuf;
 use std::sync::Mutex;
@@ -178,6 +179,7 @@
         queues: queues::prepare(seed),
         large: large_configurations::prepare(seed, &wrong_answers),
         silences: silences::prepare(seed),
+        throttles: throttles::prepare(seed),
     };
     wait(READY_LIMIT, || site.lock().expect(LOCK).hosts.iter().any(site::Host::is_ready));
     let jobs: Mutex<Vec<(JobKey, JobFact)>> = Mutex::default();
--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -20,6 +20,7 @@
 use super::queues::QueueChanges;
 use super::restarts::Restarts;
 use super::silences::Silences;
+use super::throttles::Throttles;
 use super::{FaultProfile, LOCK, POLL_INTERVAL};
 
 /// How long a process may take to stop after a signal, by the settings of the sites.
@@ -150,6 +151,7 @@
     pub(super) queues: Option<QueueChanges>,
     pub(super) large: Option<LargeConfigurations>,
     pub(super) silences: Option<Silences>,
+    pub(super) throttles: Option<Throttles>,
 }
 
 impl ExtraFaults {
@@ -171,6 +173,9 @@
         if let Some(silences) = &mut self.silences {
             faults += silences.tick(site, more)?;
         }
+        if let Some(throttles) = &mut self.throttles {
+            faults += throttles.tick(site, more)?;
+        }
         if let Some(environment) = &mut self.environment {
             faults += environment.tick(site, more)?;
         }
