Give the engine's messages a module of their own

What decides the turn of a message and names it in metrics now stands in `messages.rs`; nothing else changes. A doc comment on the order of actions said that some renewals are urgent; none is.

--- a/crates/node/src/engine.rs
+++ b/crates/node/src/engine.rs
@@ -16,10 +16,10 @@
 use gaplock_remote::clock;
 use gaplock_sched::context::Term;
 use gaplock_sched::delay::Delay;
-use gaplock_sched::event_queue::{self, EventQueue, Urgency};
+use gaplock_sched::event_queue::EventQueue;
 use gaplock_sched::free_capacity::{self, FreeCpu};
 use gaplock_sched::job_table::JobEntry;
-use gaplock_sched::message::{FencingToken, Outcome, Record};
+use gaplock_sched::message::{FencingToken, Record};
 use gaplock_sched::{
     commits, concurrency_limit, evacuation, load, requests, shares, Context, Event,
 };
@@ -28,55 +28,12 @@
 use crate::actions::{self, CallContext, Clients};
 use crate::admission::LeaderAdmission;
 use crate::leadership::LeadershipStatus;
+use crate::messages::Message;
 use crate::metrics::Purpose;
 use crate::node::{Node, TimedSummary};
 use crate::peers::{AdmitAnswer, QueueCount, StatusAnswer};
 use crate::store_writer::{CommitError, StoreWriter};
 
-/// A message to the engine.
-pub enum Message {
-    /// An event for the scheduler.
-    Event(Event),
-    /// A query for a job's state, with the channel for the answer.
-    Status(JobKey, Sender<StatusAnswer>),
-    /// The question whether a job is admitted, with the channel for the answer.
-    Admit(Arrival, Sender<AdmitAnswer>),
-}
-
-impl Message {
-    /// Returns how urgent the message is.
-    fn urgency(&self) -> Urgency {
-        match self {
-            Self::Event(event) => event_queue::urgency_of_event(event),
-            Self::Status(..) | Self::Admit(..) => Urgency::Urgent,
-        }
-    }
-
-    /// Returns the kind of the message, for metrics.
-    fn kind(&self) -> &'static str {
-        match self {
-            Self::Status(..) => "status",
-            Self::Admit(..) => "admit",
-            Self::Event(Event::Job(..)) => "job",
-            Self::Event(Event::Cancel(..)) => "cancel",
-            Self::Event(Event::Started { .. }) => "started",
-            Self::Event(Event::Stopped { .. }) => "stopped",
-            Self::Event(Event::Paced { .. }) => "paced",
-            Self::Event(Event::Committed | Event::CommitFailed) => "commit",
-            Self::Event(Event::Listed(_) | Event::Unlisted(_)) => "directory",
-            Self::Event(Event::Renewed { outcome: Outcome::Done(report), .. }) => {
-                if report.ends.is_empty() {
-                    "reading"
-                } else {
-                    "end"
-                }
-            }
-            Self::Event(Event::Renewed { .. }) => "renewal_failed",
-            Self::Event(_) => "other",
-        }
-    }
-}
-
 /// A message with the time at which it was sent.
 type Sent = (Instant, Message);
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -18,6 +18,7 @@
 mod leadership;
 mod lease_renewal;
 mod listeners;
+mod messages;
 mod metrics;
 mod node;
 mod peers;
--- a/crates/sched/src/interface/event_queue.rs
+++ b/crates/sched/src/interface/event_queue.rs
@@ -52,8 +52,8 @@
     }
 }
 
-/// Returns how urgent an action is. A renewal that carries an acknowledgement or asks for an
-/// immediate answer is urgent, since ends are reported in answer to it.
+/// Returns how urgent an action is. Short tasks have the least time to lose, so their starts go
+/// before those of other tasks and before renewals.
 pub fn urgency_of_action(action: &Action) -> Urgency {
     match action {
         Action::Start { job, task, .. } => {
