--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -20,8 +20,24 @@
 pub fn open_site_with(hosts: usize, workers: usize, work: Duration, output: Output) -> Site {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node"));
     let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let plan = Plan { program, dir, hosts, workers, work, output, threads: None, status_s: None };
-    let site = site::open(&plan).expect("the site starts");
+    let plan = Plan {
+        program,
+        dir,
+        hosts,
+        workers,
+        work,
+        output,
+        threads: None,
+        status_s: None,
+        limits: None,
+    };
+    open_plan(&plan)
+}
+
+/// Opens a site after a plan, whose hosts are ready.
+#[allow(dead_code)] // not every test that shares these helpers uses it
+pub fn open_plan(plan: &Plan) -> Site {
+    let site = site::open(plan).expect("the site starts");
     for host in &site.hosts {
         wait_for("readiness", || host.is_ready());
     }
@@ -52,6 +68,7 @@
         output: Output::File,
         threads: None,
         status_s: None,
+        limits: None,
     };
     let site = site::open_on_links(&plan, mbps).expect("the site starts");
     for host in &site.hosts {
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -227,6 +227,7 @@
         output: Output::default(),
         threads: options.threads,
         status_s: silences::status_s(seed),
+        limits: None,
     }
 }
 
