Bound what clients can make a process keep

Callers saw a host end for want of memory, or hang, when clients sent heads or empty lines without an end, or bodies far above the limit. The same crowds made a host exceed its descriptors, and one header value that is not ASCII, sent 4,096 times, made a listener close every new connection for good. An ordinary request with a head of 10,000 bytes was closed without an answer.

Cause: what a client can make the process keep had no bound that the process knew of. async_h1 reads up to the next line feed before it checks the length, keeps its own limit of 8 KiB, and panics in http-types at values that are not ASCII, after which the connection stayed counted. Bodies had a limit for each but none together, refused ones were read to their end, listeners counted their connections one by one against the process's own limit and closed the newcomer.

One ledger without I/O now accounts for all that the listeners of a process hold, from the memory and the descriptors of its settings, with a reserved part for callers, readiness checks, metrics and other hosts. Heads are read by httparse into a buffer, bodies by decoders that are charged before they grow; every wait for a client has a limit; refusals are answered at once. Where the budget is used up, the connection that has been idle or reading for longest gives way, and newcomers get 503 with Retry-After. These faults have one cause and one mend, so they land together.

--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -4,7 +4,9 @@
 use std::io;
 use std::sync::Arc;
 
-use gaplock_serve::{json_response, FullRequest, Limits, Listener};
+use gaplock_serve::account::Account;
+use gaplock_serve::budget::Class;
+use gaplock_serve::{json_response, FullRequest, Limits, Listener, Service};
 use http_types::Response;
 
 use crate::engine::Engine;
@@ -13,10 +15,16 @@
 ///
 /// # Errors
 /// Returns the error of binding the address.
-pub async fn bind(addr: &str, engine: Arc<Engine>) -> io::Result<Listener> {
-    let limits = Limits { max_connections: 64, max_body_bytes: 1_024, ..Default::default() };
+pub async fn bind(addr: &str, account: Arc<Account>, engine: Arc<Engine>) -> io::Result<Listener> {
+    let limits = Limits { max_body_bytes: 1_024, ..Default::default() };
     let handler = move |request| answer(Arc::clone(&engine), request);
-    gaplock_serve::bind(addr, limits, handler).await
+    let service = Service {
+        class: Class::Readiness,
+        account,
+        limits: Arc::new(move || limits),
+        refuse: Arc::new(gaplock_serve::refusal_response),
+    };
+    gaplock_serve::bind_service(addr, service, handler).await
 }
 
 async fn answer(engine: Arc<Engine>, request: FullRequest) -> Response {
--- a/crates/entry/src/running.rs
+++ b/crates/entry/src/running.rs
@@ -11,6 +11,7 @@
 use gaplock_coord::keys;
 use gaplock_coord::node::Event;
 use gaplock_remote::clock;
+use gaplock_serve::account;
 use gaplock_types::api;
 
 use crate::engine::Engine;
@@ -38,8 +39,10 @@
     let engine = Arc::new(Engine::open(cfg, &peers_addr.to_string()));
     let peers = peers.spawn(Arc::clone(&engine));
     let cfg = &engine.cfg;
-    let health = health::bind(&cfg.listen_health, Arc::clone(&engine)).await?;
-    let callers = web::bind(&cfg.listen, cfg.limits, Arc::clone(&engine)).await?;
+    let account = account::open(cfg.client_budget());
+    let health =
+        health::bind(&cfg.listen_health, Arc::clone(&account), Arc::clone(&engine)).await?;
+    let callers = web::bind(&cfg.listen, cfg.limits, account, Arc::clone(&engine)).await?;
     task::spawn(tick_forever(Arc::clone(&engine)));
     task::spawn(read_hosts_forever(Arc::clone(&engine)));
     task::spawn(watch_config_forever(Arc::clone(&engine)));
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -4,6 +4,7 @@
 
 use gaplock_coord::assign;
 use gaplock_coord::context::Timing;
+use gaplock_serve::budget::{self, Amount, Budget, Bytes};
 use gaplock_settings::{setting, Kind, Setting, SettingErrors, Values};
 use gaplock_types::{ids, time};
 
@@ -87,6 +88,13 @@
         Some("1048576"),
         "The largest body of a request.",
     ),
+    setting(
+        "client-memory",
+        Kind::Number { min: 16, max: 65_536 },
+        "MB",
+        Some("256"),
+        "What all clients together may hold, in megabytes.",
+    ),
     setting(
         "header-limit",
         Kind::Number { min: 100, max: 60_000 },
@@ -265,6 +273,8 @@
     pub log: String,
     /// Limits of the callers' listener.
     pub limits: gaplock_serve::Limits,
+    /// What all clients together may hold.
+    pub client_memory: Bytes,
     /// The longest wait for the store's answer.
     pub store_limit: Duration,
     /// The longest wait for a worker's answer to a command.
@@ -281,6 +291,23 @@
     pub timing: Timing,
 }
 
+const BYTES_PER_MB: u64 = 1_000_000;
+
+impl Cfg {
+    /// Returns the budget of the callers' and the health listener. Callers have all their
+    /// connections beside what is reserved for the health listener.
+    pub fn client_budget(&self) -> Budget {
+        let reserved = self.limits.max_connections * 3 / 5;
+        budget::divide(Amount {
+            memory: self.client_memory,
+            connections: self.limits.max_connections + reserved.max(MIN_RESERVED_CONNECTIONS),
+        })
+    }
+}
+
+/// The fewest connections that are reserved beside those of callers.
+const MIN_RESERVED_CONNECTIONS: usize = 16;
+
 fn non_empty(text: &str) -> Option<String> {
     (!text.is_empty()).then(|| text.to_string())
 }
@@ -321,9 +348,11 @@
         limits: gaplock_serve::Limits {
             max_connections: values.number("max-connections") as usize,
             header_timeout: duration("header-limit"),
+            idle_timeout: duration("header-limit"),
             max_body_bytes: values.number("max-body") as usize,
             ..Default::default()
         },
+        client_memory: Bytes(values.number("client-memory") * BYTES_PER_MB),
         store_limit: duration("store-limit"),
         worker_limit: duration("worker-limit"),
         stop_limit: duration("stop-limit"),
--- a/crates/entry/src/web.rs
+++ b/crates/entry/src/web.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use gaplock_serve::{BodyError, FullRequest, Limits, Listener};
+use gaplock_serve::account::Account;
+use gaplock_serve::budget::Class;
+use gaplock_serve::{BodyError, FullRequest, Limits, Listener, Refusal, Service};
 use gaplock_types::{api, codes, config, ids};
 use http_types::headers::HeaderValue;
 use http_types::StatusCode;
@@ -27,10 +29,33 @@
 ///
 /// # Errors
 /// Returns the error of binding the address.
-pub async fn bind(addr: &str, limits: Limits, engine: Arc<Engine>) -> io::Result<Listener> {
+pub async fn bind(
+    addr: &str,
+    limits: Limits,
+    account: Arc<Account>,
+    engine: Arc<Engine>,
+) -> io::Result<Listener> {
     let app = routes(Arc::clone(&engine));
     let handler = move |request: FullRequest| answer(app.clone(), Arc::clone(&engine), request);
-    gaplock_serve::bind(addr, limits, handler).await
+    let service = Service {
+        class: Class::Callers,
+        account,
+        limits: Arc::new(move || limits),
+        refuse: Arc::new(refuse_unread),
+    };
+    gaplock_serve::bind_service(addr, service, handler).await
+}
+
+/// Builds the answer to a client whose request was not read.
+fn refuse_unread(refusal: Refusal) -> http_types::Response {
+    let code = match refusal {
+        Refusal::NoConnection | Refusal::NoMemory => codes::Code::Overloaded,
+        Refusal::HeadTooLarge => codes::Code::TooLarge,
+        Refusal::HeadMalformed => codes::Code::BadRequest,
+    };
+    let mut res: http_types::Response = refusal_response(&api::Refusal::new(code, "")).into();
+    res.set_status(refusal.status());
+    res
 }
 
 fn routes(engine: Arc<Engine>) -> tide::Server<Arc<Engine>> {
@@ -69,6 +94,9 @@
         Err(BodyError::TooLarge) => {
             refusal_response(&api::Refusal::new(codes::Code::TooLarge, "")).into()
         }
+        Err(BodyError::NoMemory) => {
+            refusal_response(&api::Refusal::new(codes::Code::Overloaded, "")).into()
+        }
         Err(BodyError::Truncated) => {
             let why = "The body ended before its declared length or did not come in time";
             refusal_response(&api::Refusal::new(codes::Code::BadRequest, why)).into()
--- a/crates/explain/tests/events.rs
+++ b/crates/explain/tests/events.rs
@@ -1,5 +1,5 @@
-//! Checks that `docs/OPERATIONS.md` lists exactly the events that the scheduler, the daemon and the
-//! platform adapter log.
+//! Checks that `docs/OPERATIONS.md` lists exactly the events that the scheduler, the daemon, its
+//! listeners and the platform adapter log.
 
 use std::collections::BTreeSet;
 use std::fs;
@@ -24,6 +24,7 @@
     let mut files = Vec::new();
     find_sources(&root().join("crates/sched/src"), &mut files);
     find_sources(&root().join("crates/node/src"), &mut files);
+    find_sources(&root().join("crates/serve/src"), &mut files);
     find_sources(&root().join("platform/src"), &mut files);
     let mut events = BTreeSet::new();
     for file in files {
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -12,7 +12,7 @@
 use gaplock_platform::store::StoreError;
 use gaplock_policy::store_outcome::StoreOutcome;
 use gaplock_remote::clock;
-use gaplock_serve::FullRequest;
+use gaplock_serve::{BodyError, FullRequest, Refusal};
 use gaplock_types::codes::Code;
 use http_types::{Method, Response, StatusCode};
 
@@ -34,6 +34,9 @@
 pub async fn handle(node: Arc<Node>, request: FullRequest) -> Response {
     let method = request.req.method();
     let path = request.req.url().path().to_string();
+    if request.body == Err(BodyError::NoMemory) {
+        return refuse(&node, Code::Overloaded);
+    }
     let Some(config) = node.config() else {
         tracing::info!(event = "request_refused", path, why = "no configuration yet");
         return refuse(&node, Code::NotReady);
@@ -91,8 +94,15 @@
 async fn submit(node: &Arc<Node>, key: JobKey, queue: &Queue, request: FullRequest) -> Response {
     let submission = inbox::begin_submission(node);
     let max_bytes = node.config().map_or(0, |config| config.limits.body_bytes);
-    let Some(body) = request.body.ok().filter(|body| body.len() <= max_bytes) else {
-        return answer(node, Code::TooLarge, StatusCode::PayloadTooLarge.into(), Vec::new());
+    let body = match request.body {
+        Ok(body) if body.len() <= max_bytes => body,
+        Ok(_) | Err(BodyError::TooLarge) => {
+            return answer(node, Code::TooLarge, StatusCode::PayloadTooLarge.into(), Vec::new());
+        }
+        Err(BodyError::Truncated) => {
+            return answer(node, Code::BadRequest, StatusCode::BadRequest.into(), Vec::new());
+        }
+        Err(BodyError::NoMemory) => return refuse(node, Code::Overloaded),
     };
     let decoded = callers::decode_job(key, &queue.name, clock::unix_ms(), &body);
     let job = match decoded {
@@ -218,6 +228,17 @@
     }
 }
 
+/// Builds the answer to a client whose request was not read.
+pub fn refuse_unread(node: &Node, refusal: Refusal) -> Response {
+    match refusal {
+        Refusal::NoConnection | Refusal::NoMemory => refuse(node, Code::Overloaded),
+        Refusal::HeadTooLarge => answer(node, Code::TooLarge, refusal.status().into(), Vec::new()),
+        Refusal::HeadMalformed => {
+            answer(node, Code::BadRequest, refusal.status().into(), Vec::new())
+        }
+    }
+}
+
 fn refuse(node: &Node, code: Code) -> Response {
     let mut res = answer(node, code, StatusCode::ServiceUnavailable.into(), Vec::new());
     res.insert_header("retry-after", RETRY_AFTER_S);
--- a/crates/node/src/listeners.rs
+++ b/crates/node/src/listeners.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use async_std::task;
-use gaplock_serve::{FullRequest, Limits, Listener};
+use gaplock_serve::budget::Class;
+use gaplock_serve::{FullRequest, Limits, Listener, Service};
 use http_types::{Response, StatusCode};
 
 use crate::node::Node;
@@ -27,9 +28,50 @@
 /// checks, one a second, and connections of its callers may be on their way.
 const LEAVE_BALANCER_PAUSE: Duration = Duration::from_millis(2_500);
 
-/// How long a caller may take to send a header; connections may also be idle this long between
-/// requests.
-const IDLE_LIMIT: Duration = Duration::from_secs(60);
+/// How many bytes the handling of a job takes for each byte of its body: a step of a dozen bytes
+/// becomes some two hundred in memory, and the job is encoded again for the store.
+const HANDLING_FACTOR: u64 = 16;
+
+/// How long a head or a body of such a request may take to arrive.
+const CHECK_LIMIT: Duration = Duration::from_secs(5);
+
+/// The largest body of a readiness check or a read of the metrics; neither needs one.
+const MAX_CHECK_BODY: usize = 4 << 10;
+
+/// Returns the limits on callers by the configuration in force.
+fn caller_limits(node: &Node) -> Limits {
+    let limits = Limits { handling_factor: HANDLING_FACTOR, ..Limits::default() };
+    let Some(config) = node.config() else { return limits };
+    let configured = config.limits;
+    Limits { max_body_bytes: configured.body_bytes, ..limits }
+}
+
+/// Returns how a listener for the platform's own checks treats its clients.
+fn checks(node: &Node, class: Class) -> Service {
+    let limits = Limits {
+        header_timeout: CHECK_LIMIT,
+        body_timeout: CHECK_LIMIT,
+        max_body_bytes: MAX_CHECK_BODY,
+        ..Limits::default()
+    };
+    Service {
+        class,
+        account: Arc::clone(&node.account),
+        limits: Arc::new(move || limits),
+        refuse: Arc::new(gaplock_serve::refusal_response),
+    }
+}
+
+/// Returns how the listener for callers treats its clients.
+fn callers_service(node: &Arc<Node>) -> Service {
+    let (limits_of, refusing) = (Arc::clone(node), Arc::clone(node));
+    Service {
+        class: Class::Callers,
+        account: Arc::clone(&node.account),
+        limits: Arc::new(move || caller_limits(&limits_of)),
+        refuse: Arc::new(move |refusal| callers::refuse_unread(&refusing, refusal)),
+    }
+}
 
 /// Binds every listener.
 ///
@@ -37,19 +79,19 @@
 /// Returns the error of binding an address.
 pub async fn bind(node: &Arc<Node>, metrics_addr: &str) -> io::Result<Listeners> {
     let installation = &node.installation;
-    let limits = Limits { header_timeout: IDLE_LIMIT, ..Limits::default() };
+    let (addr, service) = (&installation.callers_addr, callers_service(node));
     let shared = Arc::clone(node);
-    let callers = gaplock_serve::bind(&installation.callers_addr, limits, move |request| {
+    let callers = gaplock_serve::bind_service(addr, service, move |request| {
         callers::handle(Arc::clone(&shared), request)
     })
     .await?;
+    let (addr, service) = (&installation.readiness_addr, checks(node, Class::Readiness));
     let shared = Arc::clone(node);
-    let readiness = gaplock_serve::bind(&installation.readiness_addr, limits, move |_| {
-        readiness(Arc::clone(&shared))
-    })
-    .await?;
+    let readiness =
+        gaplock_serve::bind_service(addr, service, move |_| readiness(Arc::clone(&shared))).await?;
+    let service = checks(node, Class::Metrics);
     let shared = Arc::clone(node);
-    let metrics = gaplock_serve::bind(metrics_addr, limits, move |request: FullRequest| {
+    let metrics = gaplock_serve::bind_service(metrics_addr, service, move |request| {
         metrics(Arc::clone(&shared), request)
     })
     .await?;
@@ -70,6 +112,7 @@
     node.metrics.config_age_ms.set(node.configuration.age().0 as i64);
     node.metrics.config_newest_known.set(node.configuration.newest_known() as i64);
     node.metrics.overload.show_load(node.load_summary().as_ref());
+    node.metrics.clients.show(&node.account);
     res.set_body(node.metrics.render());
     res
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a host, by `prometheus-client`; the number of label values is bounded.
 
+mod clients;
 mod leader;
 mod overload;
 
@@ -14,6 +15,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
+use clients::ClientMetrics;
 pub use leader::{LeaderMetrics, Purpose, TimedCall};
 pub use overload::OverloadMetrics;
 
@@ -80,6 +82,8 @@
     pub unanswered_notices: Gauge,
     /// The metrics of overload control.
     pub overload: OverloadMetrics,
+    /// The metrics of the clients of all listeners.
+    pub clients: ClientMetrics,
     /// The metrics of the leader's own work.
     pub leader: LeaderMetrics,
     /// Log lines that were dropped because standard output was not read in time.
@@ -105,6 +109,7 @@
     registry.register("evacuated_domain_runs", help, evacuated_runs.clone());
     let overload = overload::open(&mut registry);
     let leader = leader::open(&mut registry);
+    let clients = clients::open(&mut registry);
     let terms = Counter::default();
     registry.register("terms", "Leaderships held by this process", terms.clone());
     let mut gauge = |name: &str, help: &str| {
@@ -158,6 +163,7 @@
         waiting_events,
         unanswered_notices,
         overload,
+        clients,
         leader,
         log_lines_dropped,
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -20,6 +20,8 @@
 use gaplock_remote::clock;
 use gaplock_sched::freshness::RevisionSample;
 use gaplock_sched::{Event, Settings};
+use gaplock_serve::account::{self, Account};
+use gaplock_serve::budget::{self, Bytes};
 use gaplock_types::ids;
 use gaplock_types::time::{Instant, Millis};
 
@@ -84,6 +86,8 @@
     pub configuration: Configuration,
     /// The metrics of this host.
     pub metrics: Metrics,
+    /// What the clients of all listeners of this process hold.
+    pub account: Arc<Account>,
     /// Whether jobs may be refused by the load of their queue.
     pub admission_control: bool,
     settings: RwLock<Settings>,
@@ -158,6 +162,8 @@
     let own_host = &installation.host;
     let hosts = installation.hosts_addr.as_deref();
     let hosts = hosts.map(|addr| hosts::open(addr, own_host.clone()));
+    let memory = Bytes(installation.memory_bytes);
+    let account = account::open(budget::of_process(memory, installation.descriptors));
     let leader_capacity =
         succession::leader_capacity(installation.cpu_share, installation.link_mbps);
     Arc::new(Node {
@@ -175,6 +181,7 @@
         store: Arc::new(store),
         peer_client: peers::PeerClient::default(),
         metrics: crate::metrics::open(),
+        account,
         admission_control,
         role: RwLock::new(Role::Follower(None)),
         leadership: Mutex::default(),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -1,35 +1,52 @@
 //! An accept loop for HTTP with limits and a graceful stop.
 //!
-//! tide has no graceful stop and little protection against slow or endless input. This loop wraps
-//! `async_h1` and passes complete requests to a handler: it limits the number of connections, the
-//! time that a header and a body may take, and the size of a body; truncated bodies are errors. A
-//! stop first sends every outstanding answer with `Connection: close`, then closes idle
-//! connections.
+//! tide has no graceful stop, and neither tide nor `async_h1` bounds what a client may make them
+//! keep. This loop reads heads and bodies into bounded buffers, charges them to the budget of the
+//! process ([`budget`]), and passes complete requests to a handler. A stop first sends every
+//! outstanding answer with `Connection: close`, then closes idle connections. docs/DECISIONS.md says
+//! which parts of `async_h1` are used, docs/OPERATIONS.md what happens to clients above the limits.
+
+pub mod account;
+pub mod budget;
+pub mod chunks;
+mod connection;
+pub mod head;
 
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_h1::server::{ConnectionStatus, Server};
-use async_std::{future, net, task};
-use futures::future::Either;
-use futures::{AsyncReadExt, StreamExt};
+use async_std::{net, task};
+use futures::future::{AbortHandle, Abortable};
+use futures::StreamExt;
 use http_types::{Request, Response, StatusCode};
+use rustix::net::sockopt;
+
+use account::{Account, Reason};
+use budget::Class;
 
 /// Limits of a listener.
 #[derive(Debug, Clone, Copy)]
 pub struct Limits {
-    /// The most connections at a time; further ones are closed on accept.
+    /// The most connections at a time, where the listener has no budget to share.
     pub max_connections: usize,
-    /// The longest wait for a complete header, idle time included.
+    /// The longest time from the first byte of a head to its end.
     pub header_timeout: Duration,
+    /// The longest time between two requests.
+    pub idle_timeout: Duration,
     /// The longest time to read a body.
     pub body_timeout: Duration,
+    /// The longest time that a client may take to read an answer.
+    pub write_timeout: Duration,
+    /// The largest head, in bytes.
+    pub max_head_bytes: usize,
     /// The largest body, in bytes.
     pub max_body_bytes: usize,
+    /// How many bytes the handling of a request takes for each byte of its body.
+    pub handling_factor: u64,
 }
 
 impl Default for Limits {
@@ -37,8 +54,12 @@
         Self {
             max_connections: 4_096,
             header_timeout: Duration::from_secs(30),
+            idle_timeout: Duration::from_secs(60),
             body_timeout: Duration::from_secs(10),
+            write_timeout: Duration::from_secs(10),
+            max_head_bytes: 24 << 10,
             max_body_bytes: 1 << 20,
+            handling_factor: 1,
         }
     }
 }
@@ -48,8 +69,72 @@
 pub enum BodyError {
     /// The body is larger than the limit.
     TooLarge,
-    /// The body ended before its declared length, or was not read within its time limit.
+    /// The body is malformed, ended before its declared length, or was not read within its time
+    /// limit.
     Truncated,
+    /// The budget of the process has no memory left for the request.
+    NoMemory,
+}
+
+impl BodyError {
+    fn reason(self) -> Reason {
+        match self {
+            Self::TooLarge => Reason::BodyTooLarge,
+            Self::Truncated => Reason::BodyTruncated,
+            Self::NoMemory => Reason::NoMemory,
+        }
+    }
+}
+
+/// A refusal of a client whose request was not read, so that no handler knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// There is no place for another connection.
+    NoConnection,
+    /// There is no memory for the head.
+    NoMemory,
+    /// The head is longer than the limit.
+    HeadTooLarge,
+    /// The head is malformed.
+    HeadMalformed,
+}
+
+impl Refusal {
+    /// Returns the status of the answer. A client may come back after a 503.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoConnection | Self::NoMemory => StatusCode::ServiceUnavailable,
+            Self::HeadTooLarge => StatusCode::RequestHeaderFieldsTooLarge,
+            Self::HeadMalformed => StatusCode::BadRequest,
+        }
+    }
+}
+
+/// When a client that was refused for want of room should come back, in seconds: places and memory
+/// are free again within a second, as soon as requests in flight have ended or connections that wait
+/// may be closed ([`budget::MIN_AGE`]).
+pub const RETRY_AFTER_S: &str = "1";
+
+/// Builds the plain answer for a refusal.
+pub fn refusal_response(refusal: Refusal) -> Response {
+    let mut res = Response::new(refusal.status());
+    if refusal.status() == StatusCode::ServiceUnavailable {
+        res.insert_header("retry-after", RETRY_AFTER_S);
+    }
+    res
+}
+
+/// How a listener treats its clients.
+#[derive(Clone)]
+pub struct Service {
+    /// The class of its clients.
+    pub class: Class,
+    /// The account that its connections are charged to.
+    pub account: Arc<Account>,
+    /// Returns the limits, which may change with the configuration; asked before each request.
+    pub limits: Arc<dyn Fn() -> Limits + Send + Sync>,
+    /// Builds the answer for a refusal.
+    pub refuse: Arc<dyn Fn(Refusal) -> Response + Send + Sync>,
 }
 
 /// A request and the result of reading its body.
@@ -64,7 +149,7 @@
 #[derive(Debug, Default)]
 struct ListenerState {
     stopping: AtomicBool,
-    connections: AtomicUsize,
+    turning_away: AtomicUsize,
     in_flight: AtomicUsize,
 }
 
@@ -78,7 +163,12 @@
 
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
-/// Binds `addr` and passes every request to `handler` after its body has been read.
+/// How many clients for which there is no place are sent an answer at a time; others are closed at
+/// once.
+const MAX_TURNED_AWAY: usize = 16;
+
+/// Binds `addr` and passes every request to `handler` after its body has been read. The listener
+/// shares no budget.
 ///
 /// # Errors
 /// Returns the error of binding the address.
@@ -87,13 +177,42 @@
     H: Fn(FullRequest) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response> + Send + 'static,
 {
-    let listener = net::TcpListener::bind(addr).await?;
+    let service = Service {
+        class: Class::Callers,
+        account: account::open(budget::unshared(limits.max_connections)),
+        limits: Arc::new(move || limits),
+        refuse: Arc::new(refusal_response),
+    };
+    bind_service(addr, service, handler).await
+}
+
+/// Binds `addr` and passes every request to `handler` after its body has been read.
+///
+/// # Errors
+/// Returns the error of binding the address.
+pub async fn bind_service<H, F>(addr: &str, service: Service, handler: H) -> io::Result<Listener>
+where
+    H: Fn(FullRequest) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let listener = std::net::TcpListener::bind(addr)?;
+    limit_socket_buffers(&listener);
+    let listener = net::TcpListener::from(listener);
     let addr = listener.local_addr()?;
     let shared = Arc::new(ListenerState::default());
-    let accepting = task::spawn(accept(listener, limits, Arc::clone(&shared), handler));
+    let accepting = task::spawn(accept(listener, service, Arc::clone(&shared), handler));
     Ok(Listener { addr, shared, accepting: Some(accepting) })
 }
 
+/// Limits what the kernel buffers for each connection that is accepted from a listener.
+pub fn limit_socket_buffers(listener: &impl std::os::fd::AsFd) {
+    let receive = sockopt::set_socket_recv_buffer_size(listener, budget::RECEIVE_BUFFER.0 as usize);
+    let send = sockopt::set_socket_send_buffer_size(listener, budget::SEND_BUFFER.0 as usize);
+    if let Err(e) = receive.and(send) {
+        tracing::warn!(event = "socket_buffers_not_limited", error = %e);
+    }
+}
+
 impl Listener {
     /// Returns the bound address, with the port that the kernel assigned.
     pub fn addr(&self) -> SocketAddr {
@@ -127,7 +246,7 @@
 
 async fn accept<H, F>(
     listener: net::TcpListener,
-    limits: Limits,
+    service: Service,
     shared: Arc<ListenerState>,
     handler: H,
 ) where
@@ -142,129 +261,32 @@
             task::sleep(POLL_INTERVAL).await;
             continue;
         };
-        if shared.connections.load(Ordering::SeqCst) >= limits.max_connections {
+        // If Nagle's algorithm can't be switched off, answers are only slower.
+        let _ignored = stream.set_nodelay(true);
+        let (abort, registration) = AbortHandle::new_pair();
+        let Some(held) = service.account.connect(service.class, move || abort.abort()) else {
+            turn_away(stream, &service, &shared);
             continue;
-        }
-        shared.connections.fetch_add(1, Ordering::SeqCst);
-        let (shared, handler) = (Arc::clone(&shared), handler.clone());
-        task::spawn(async move {
-            // If Nagle's algorithm can't be switched off, answers are only slower.
-            let _ignored = stream.set_nodelay(true);
-            serve(stream, limits, &shared, handler).await;
-            shared.connections.fetch_sub(1, Ordering::SeqCst);
-        });
-    }
-}
-
-async fn serve<H, F>(
-    stream: net::TcpStream,
-    limits: Limits,
-    shared: &Arc<ListenerState>,
-    handler: H,
-) where
-    H: Fn(FullRequest) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response> + Send + 'static,
-{
-    // Counts the request as in flight until its answer has been written, not only built.
-    let current: CurrentRequest = Arc::default();
-    let captured = (Arc::clone(shared), Arc::clone(&current));
-    let mut server = Server::new(stream, move |req| {
-        let ((shared, current), handler) = (captured.clone(), handler.clone());
-        async move {
-            let in_flight = Arc::new(InFlight::begin(&shared));
-            let kept = Some(Arc::clone(&in_flight));
-            *current.lock().expect("no holder of the lock panics") = kept;
-            Ok(answer(req, limits, &shared, in_flight, handler).await)
-        }
-    });
-    loop {
-        let exchange = server.accept_one();
-        let timeout = header_timeout(limits.header_timeout, &current);
-        futures::pin_mut!(exchange, timeout);
-        let ended = match futures::future::select(exchange, timeout).await {
-            Either::Left((status, _)) => status,
-            Either::Right(((), _)) => return,
         };
-        current.lock().expect("no holder of the lock panics").take();
-        match ended {
-            Ok(ConnectionStatus::KeepAlive) => {}
-            Ok(ConnectionStatus::Close) | Err(_) => return,
-        }
-    }
-}
-
-/// Completes when `limit` has passed without a complete header. If one has arrived by then, it
-/// never completes.
-async fn header_timeout(limit: Duration, current: &Mutex<Option<Arc<InFlight>>>) {
-    task::sleep(limit).await;
-    let header_read = current.lock().expect("no holder of the lock panics").is_some();
-    if header_read {
-        futures::future::pending::<()>().await;
-    }
-}
-
-/// The in-flight guard of the request that a connection is answering, if any.
-type CurrentRequest = Arc<Mutex<Option<Arc<InFlight>>>>;
-
-/// A guard that counts a request as in flight until it is dropped: when its handler has ended and
-/// its answer has been written.
-#[derive(Debug)]
-struct InFlight(Arc<ListenerState>);
-
-impl InFlight {
-    fn begin(shared: &Arc<ListenerState>) -> Self {
-        shared.in_flight.fetch_add(1, Ordering::SeqCst);
-        Self(Arc::clone(shared))
+        let (service, shared, handler) = (service.clone(), Arc::clone(&shared), handler.clone());
+        task::spawn(Abortable::new(
+            async move { connection::serve(stream, held, &service, &shared, handler).await },
+            registration,
+        ));
     }
 }
 
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+/// Answers a client for which there is no place, unless too many are being answered already.
+fn turn_away(stream: net::TcpStream, service: &Service, shared: &Arc<ListenerState>) {
+    if shared.turning_away.fetch_add(1, Ordering::SeqCst) >= MAX_TURNED_AWAY {
+        shared.turning_away.fetch_sub(1, Ordering::SeqCst);
+        return;
     }
-}
-
-async fn answer<H, F>(
-    mut req: Request,
-    limits: Limits,
-    shared: &ListenerState,
-    in_flight: Arc<InFlight>,
-    handler: H,
-) -> Response
-where
-    H: Fn(FullRequest) -> F,
-    F: Future<Output = Response> + Send + 'static,
-{
-    let body = read_body(&mut req, limits).await;
-    let body_unread = body.is_err();
-    let handling = handler(FullRequest { req, body });
-    // The handler runs in a task of its own, so that a caller who disconnects doesn't cancel it
-    // between storing a claim and storing how the request ended.
-    let res = task::spawn(async move {
-        let res = handling.await;
-        drop(in_flight);
-        res
+    let (res, shared) = ((service.refuse)(Refusal::NoConnection), Arc::clone(shared));
+    task::spawn(async move {
+        connection::turn_away(stream, res).await;
+        shared.turning_away.fetch_sub(1, Ordering::SeqCst);
     });
-    let mut res = res.await;
-    if body_unread || shared.stopping.load(Ordering::SeqCst) {
-        res.insert_header("connection", "close");
-    }
-    res
-}
-
-async fn read_body(req: &mut Request, limits: Limits) -> Result<Vec<u8>, BodyError> {
-    let declared = req.len();
-    if declared.is_some_and(|len| len > limits.max_body_bytes) {
-        return Err(BodyError::TooLarge);
-    }
-    let mut bytes = Vec::with_capacity(declared.unwrap_or(0));
-    let mut body = req.take_body().take(limits.max_body_bytes as u64 + 1);
-    let read = future::timeout(limits.body_timeout, body.read_to_end(&mut bytes)).await;
-    match read {
-        Ok(Ok(_)) if bytes.len() > limits.max_body_bytes => Err(BodyError::TooLarge),
-        Ok(Ok(_)) if declared.is_none_or(|len| len == bytes.len()) => Ok(bytes),
-        _ => Err(BodyError::Truncated),
-    }
 }
 
 /// Builds an answer from a status and an encoded JSON body.
