Apply the configured limits on heads and on waiting

Operators who raised MaxHeaderBytes saw callers refused at 24 KiB, and HeaderTimeoutMs and IdleTimeoutMs changed nothing: a connection could wait for 30 s and 60 s.

The listener asks for its limits before each request, so a new version is in force at once. A configuration of a host of the version before, which does not name MaxHeaderBytes, gets 16 KiB. The limit on heads allows 8 KiB for the request line besides, since the setting speaks of headers.

--- a/crates/distribution/tests/message.rs
+++ b/crates/distribution/tests/message.rs
@@ -35,7 +35,8 @@
 fn config(version: u64, queues: Vec<Queue>) -> Arc<Config> {
     let service = ServiceId("checks".to_string());
     let pools = vec![Pool { service, guards_capacity: true, headroom: false }];
-    let limits = CallerLimits { body_bytes: 1, header: Millis(1), idle: Millis(1) };
+    let limits =
+        CallerLimits { header_bytes: 1 << 14, body_bytes: 1, header: Millis(1), idle: Millis(1) };
     Arc::new(Config { version, queues, pools, limits, index: Index::default() })
 }
 
--- a/crates/jobs/src/config.rs
+++ b/crates/jobs/src/config.rs
@@ -63,9 +63,18 @@
     pub headroom: bool,
 }
 
+/// Returns the largest size of a request's headers where the configuration does not state it.
+pub fn default_header_bytes() -> usize {
+    16 << 10
+}
+
 /// Limits on what callers may send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct CallerLimits {
+    /// The largest size of a request's headers in bytes. A host of an earlier version does not send
+    /// it.
+    #[serde(default = "default_header_bytes")]
+    pub header_bytes: usize,
     /// The largest body in bytes.
     pub body_bytes: usize,
     /// The longest time for receiving a header.
--- a/crates/measure/src/leader.rs
+++ b/crates/measure/src/leader.rs
@@ -122,7 +122,12 @@
         advice: None,
     };
     let pool = Pool { service: SERVICE.into(), guards_capacity: true, headroom: false };
-    let limits = CallerLimits { body_bytes: 1 << 18, header: Millis(3_000), idle: Millis(15_000) };
+    let limits = CallerLimits {
+        header_bytes: 1 << 14,
+        body_bytes: 1 << 18,
+        header: Millis(3_000),
+        idle: Millis(15_000),
+    };
     Arc::new(Config {
         version: 1,
         queues: vec![queue],
--- a/crates/measure/src/patterns/simulation.rs
+++ b/crates/measure/src/patterns/simulation.rs
@@ -383,6 +383,11 @@
     };
     let queues = CLASSES.into_iter().map(queue).collect();
     let pool = Pool { service: POOL.into(), guards_capacity: true, headroom: false };
-    let limits = CallerLimits { body_bytes: 1 << 18, header: Millis(3_000), idle: Millis(15_000) };
+    let limits = CallerLimits {
+        header_bytes: 1 << 14,
+        body_bytes: 1 << 18,
+        header: Millis(3_000),
+        idle: Millis(15_000),
+    };
     Arc::new(Config { version: 1, queues, pools: vec![pool], limits, index: Index::default() })
 }
--- a/crates/node/src/listeners.rs
+++ b/crates/node/src/listeners.rs
@@ -28,6 +28,9 @@
 /// checks, one a second, and connections of its callers may be on their way.
 const LEAVE_BALANCER_PAUSE: Duration = Duration::from_millis(2_500);
 
+/// What is allowed for the request line, beside the configured limit on headers.
+const MAX_REQUEST_LINE: usize = 8 << 10;
+
 /// How many bytes the handling of a job takes for each byte of its body: a step of a dozen bytes
 /// becomes some two hundred in memory, and the job is encoded again for the store.
 const HANDLING_FACTOR: u64 = 16;
@@ -43,7 +46,13 @@
     let limits = Limits { handling_factor: HANDLING_FACTOR, ..Limits::default() };
     let Some(config) = node.config() else { return limits };
     let configured = config.limits;
-    Limits { max_body_bytes: configured.body_bytes, ..limits }
+    Limits {
+        header_timeout: configured.header.as_duration(),
+        idle_timeout: configured.idle.as_duration(),
+        max_head_bytes: configured.header_bytes.saturating_add(MAX_REQUEST_LINE),
+        max_body_bytes: configured.body_bytes,
+        ..limits
+    }
 }
 
 /// Returns how a listener for the platform's own checks treats its clients.
--- a/crates/node/tests/clients.rs
+++ b/crates/node/tests/clients.rs
@@ -218,3 +218,20 @@
     let answer = call(&site.hosts[0].callers, "GET", &site::path(JobKey(1)), "");
     assert_eq!(answer.map(|a| a.status), Some(200));
 }
+
+#[test]
+fn limits_that_the_operators_change_are_in_force_at_once() {
+    let (site, _guard) = open_site();
+    let host = &site.hosts[0];
+    site.set_request_limits(2, 40_000, 300_000);
+    wait_for("the new version", || host.metric("gaplock_config_version") == Some(2));
+    assert_eq!(submit_with_head_of(&site, JobKey(1), 40_000), Some(200));
+    let padded = |len: usize| " ".repeat(len - two_steps().len()) + &two_steps();
+    assert_eq!(host.submit(JobKey(2), &padded(300_000)), Some(200));
+    assert_eq!(host.submit(JobKey(3), &padded(300_001)), Some(413));
+    site.set_request_limits(3, 1_000, 10_000);
+    wait_for("the next version", || host.metric("gaplock_config_version") == Some(3));
+    assert_eq!(host.submit(JobKey(4), &padded(10_001)), Some(413));
+    assert_eq!(submit_with_head_of(&site, JobKey(5), 1_000), Some(200));
+    assert_eq!(submit_with_head_of(&site, JobKey(6), 40_000), Some(431));
+}
--- a/crates/sched/tests/fleet/simulation/builders.rs
+++ b/crates/sched/tests/fleet/simulation/builders.rs
@@ -25,7 +25,12 @@
             advice,
         }],
         pools: vec![Pool { service: SERVICE.into(), guards_capacity: true, headroom: false }],
-        limits: CallerLimits { body_bytes: 1 << 18, header: Millis(3_000), idle: Millis(15_000) },
+        limits: CallerLimits {
+            header_bytes: 1 << 14,
+            body_bytes: 1 << 18,
+            header: Millis(3_000),
+            idle: Millis(15_000),
+        },
         index: Index::default(),
     })
 }
