Charge messages between processes to the budget before they are read

A client at the address for other hosts could end a host: 40 connections that each announced a message of 4 MiB, or sent fragments without an end, took 189 and 148 MB where 64 MB were allowed, and 500 silent ones took 512 descriptors where 400 were. The listener of gaplock-entry, with messages of 24 MiB, had the same fault.

Cause: jsonrpsee bounds each message and the number of connections, not what all of them hold, and its WebSocket library makes room for a frame as soon as its length is announced.

A stream below the library now follows the frames and charges each message by its announced length until it is answered; what finds no place fails. The accounting is without I/O (gaplock-serve, messages); the listener is a crate of its own, gaplock-rpc, which both daemons use.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -13,10 +13,11 @@
 use async_std::future;
 use gaplock_coord::generation::Document;
 use gaplock_coord::node::Event;
+use gaplock_rpc::{Limits, Server};
+use gaplock_serve::account::Account;
 use gaplock_types::{api, ids};
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::core::params::ArrayParams;
-use jsonrpsee::server::{self, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use jsonrpsee::RpcModule;
@@ -38,6 +39,14 @@
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Holds a forwarded request with the largest body that `--max-body` allows, in base 64.
 const MAX_MESSAGE_BYTES: u32 = 24 << 20;
+
+/// Limits on peers. A forwarded request is answered within its deadline, 30 s at most.
+const LIMITS: Limits = Limits {
+    max_message_bytes: MAX_MESSAGE_BYTES,
+    message_timeout: Duration::from_secs(60),
+    idle_timeout: Duration::from_secs(120),
+};
+
 const WRONG_SECRET_CODE: i32 = 101;
 
 /// Why a call to a peer has no answer.
@@ -162,50 +171,30 @@
 
 /// A bound listener for peers that does not serve yet.
 pub struct BoundListener {
-    server: server::Server,
-    addr: SocketAddr,
+    bound: gaplock_rpc::Bound,
     proof: String,
 }
 
-/// A running listener for peers.
-pub struct Server {
-    handle: ServerHandle,
-}
-
 /// Binds the listener for peers.
 ///
 /// # Errors
 /// Returns the error of binding the address.
 pub async fn bind(addr: &str, secret: &str) -> io::Result<BoundListener> {
-    let config = server::ServerConfig::builder()
-        .max_request_body_size(MAX_MESSAGE_BYTES)
-        .max_response_body_size(MAX_MESSAGE_BYTES)
-        .build();
-    let server = server::Server::builder().set_config(config).build(addr).await?;
-    let addr = server.local_addr()?;
-    Ok(BoundListener { server, addr, proof: auth::peer_proof(secret) })
+    let bound = gaplock_rpc::bind(addr).await?;
+    Ok(BoundListener { bound, proof: auth::peer_proof(secret) })
 }
 
 impl BoundListener {
     /// Returns the bound address.
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.bound.addr()
     }
 
     /// Starts serving calls.
-    pub fn spawn(self, engine: Arc<Engine>) -> Server {
+    pub fn spawn(self, engine: Arc<Engine>, account: Arc<Account>) -> Server {
         let mut module = RpcModule::new((engine, self.proof));
         register(&mut module);
-        Server { handle: self.server.start(module) }
-    }
-}
-
-impl Server {
-    /// Stops serving.
-    pub fn stop(&self) {
-        if self.handle.stop().is_err() {
-            tracing::debug!("the listener for peers had already stopped");
-        }
+        self.bound.spawn(LIMITS, account, module.into())
     }
 }
 
--- a/crates/entry/src/running.rs
+++ b/crates/entry/src/running.rs
@@ -26,7 +26,7 @@
     pub health: gaplock_serve::Listener,
     /// The address to which the peers connect.
     pub peers_addr: SocketAddr,
-    peers: peers::Server,
+    peers: gaplock_rpc::Server,
 }
 
 /// Binds the listeners and starts the periodic tasks.
@@ -37,9 +37,9 @@
     let peers = peers::bind(&cfg.listen_peers, &cfg.peer_secret).await?;
     let peers_addr = peers.addr();
     let engine = Arc::new(Engine::open(cfg, &peers_addr.to_string()));
-    let peers = peers.spawn(Arc::clone(&engine));
     let cfg = &engine.cfg;
     let account = account::open(cfg.client_budget());
+    let peers = peers.spawn(Arc::clone(&engine), Arc::clone(&account));
     let health =
         health::bind(&cfg.listen_health, Arc::clone(&account), Arc::clone(&engine)).await?;
     let callers = web::bind(&cfg.listen, cfg.limits, account, Arc::clone(&engine)).await?;
--- a/crates/explain/tests/events.rs
+++ b/crates/explain/tests/events.rs
@@ -24,6 +24,7 @@
     let mut files = Vec::new();
     find_sources(&root().join("crates/sched/src"), &mut files);
     find_sources(&root().join("crates/node/src"), &mut files);
+    find_sources(&root().join("crates/rpc/src"), &mut files);
     find_sources(&root().join("crates/serve/src"), &mut files);
     find_sources(&root().join("platform/src"), &mut files);
     let mut events = BTreeSet::new();
--- a/crates/node/src/listeners.rs
+++ b/crates/node/src/listeners.rs
@@ -10,14 +10,14 @@
 use http_types::{Response, StatusCode};
 
 use crate::node::Node;
-use crate::{callers, peers};
+use crate::{callers, peer_server};
 
 /// The running listeners.
 pub struct Listeners {
     callers: Listener,
     readiness: Listener,
     metrics: Listener,
-    peers: peers::Server,
+    peers: gaplock_rpc::Server,
 }
 
 /// The part of the stop period that is reserved for the exit of the process, after the listeners
@@ -104,7 +104,7 @@
         metrics(Arc::clone(&shared), request)
     })
     .await?;
-    let peers = peers::bind(&node.peer_addr, Arc::clone(node)).await?;
+    let peers = peer_server::bind(&node.peer_addr, Arc::clone(node)).await?;
     Ok(Listeners { callers, readiness, metrics, peers })
 }
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -21,6 +21,7 @@
 mod messages;
 mod metrics;
 mod node;
+mod peer_server;
 mod peers;
 mod records;
 mod settings;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -5,7 +5,6 @@
 //! none of these calls, and none is sent again automatically: the library neither reconnects nor
 //! repeats calls, and a connection on which a call got no answer is dropped.
 
-use std::io;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,14 +22,11 @@
 use gaplock_types::time::{Instant, Millis};
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::core::params::ArrayParams;
-use jsonrpsee::server::{self, ServerHandle};
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
-use jsonrpsee::RpcModule;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
 use crate::announcements::Notice;
-use crate::inbox;
 
 /// The time limit of a call to the leader; it normally takes a millisecond or two.
 const CALL_LIMIT: Duration = Duration::from_millis(700);
@@ -44,11 +40,7 @@
 
 /// The largest size of a message; the size of a job is limited by the limits for callers, far below
 /// this.
-const MAX_MESSAGE_BYTES: u32 = 4 << 20;
-
-/// How many other hosts may be connected: several times the hundreds of hosts that the users' sites
-/// grow to, and half of the descriptors of their smallest host. The library's own limit is 100.
-const MAX_CONNECTIONS: u32 = 2_000;
+pub const MAX_MESSAGE_BYTES: u32 = 4 << 20;
 
 /// Why a call got no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display)]
@@ -197,7 +189,7 @@
 /// The notice of a stored job. A host of an earlier version names no revision; the leader then learns
 /// of the job by reading the inbox.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
-struct JobNotice {
+pub struct JobNotice {
     #[serde(flatten)]
     job: Job,
     #[serde(default)]
@@ -213,7 +205,7 @@
 /// The notice of a stored cancellation.
 #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
 #[serde(untagged)]
-enum CancelNotice {
+pub enum CancelNotice {
     /// With the revision at which it is stored.
     Stored { key: JobKey, stored_at: u64 },
     /// From a host of an earlier version. The leader learns of the cancellation by reading the inbox.
@@ -239,16 +231,16 @@
     Decided(Decision),
 }
 
-const HEARTBEAT: &str = "heartbeat";
-const JOB_STORED: &str = "job_stored";
-const CANCEL_STORED: &str = "cancel_stored";
-const STORE_JOB: &str = "store_job";
-const STORE_CANCEL: &str = "store_cancel";
-const STATUS: &str = "status";
-const ADMIT: &str = "admit";
-const INVITE: &str = "invite";
-const SUPERSEDED: &str = "superseded";
-const CONFIG_PART: &str = "config_part";
+pub const HEARTBEAT: &str = "heartbeat";
+pub const JOB_STORED: &str = "job_stored";
+pub const CANCEL_STORED: &str = "cancel_stored";
+pub const STORE_JOB: &str = "store_job";
+pub const STORE_CANCEL: &str = "store_cancel";
+pub const STATUS: &str = "status";
+pub const ADMIT: &str = "admit";
+pub const INVITE: &str = "invite";
+pub const SUPERSEDED: &str = "superseded";
+pub const CONFIG_PART: &str = "config_part";
 
 /// The client for calls to other hosts. Its connection is opened on first use and again after a
 /// fault.
@@ -419,89 +411,3 @@
         self.call(addr, STATUS, &key).await
     }
 }
-
-/// The running listener for other hosts.
-pub struct Server {
-    handle: ServerHandle,
-}
-
-/// Binds the listener for other hosts and starts to serve.
-///
-/// # Errors
-/// Returns the error of binding the address.
-pub async fn bind(addr: &str, node: Arc<crate::node::Node>) -> io::Result<Server> {
-    let config = server::ServerConfig::builder()
-        .max_connections(MAX_CONNECTIONS)
-        .max_request_body_size(MAX_MESSAGE_BYTES)
-        .max_response_body_size(MAX_MESSAGE_BYTES)
-        .build();
-    let server = server::Server::builder().set_config(config).build(addr).await?;
-    let mut module = RpcModule::new(node);
-    register(&mut module);
-    Ok(Server { handle: server.start(module) })
-}
-
-impl Server {
-    /// Stops serving.
-    pub fn stop(&self) {
-        if self.handle.stop().is_err() {
-            tracing::debug!("the listener for other hosts was already stopped");
-        }
-    }
-}
-
-type Module = RpcModule<Arc<crate::node::Node>>;
-
-fn register(module: &mut Module) {
-    register_method(module, HEARTBEAT, |node, beat: Heartbeat| async move {
-        node.answer_heartbeat(beat).await
-    });
-    register_method(module, CONFIG_PART, |node, request: PartRequest| async move {
-        node.configuration.part(request)
-    });
-    register_method(module, JOB_STORED, |node, notice: JobNotice| async move {
-        node.apply_if_leader(notice.into()).await
-    });
-    register_method(module, CANCEL_STORED, |node, notice: CancelNotice| async move {
-        node.apply_if_leader(notice.into()).await
-    });
-    register_method(module, STORE_JOB, |node, job: Job| async move {
-        let submission = inbox::forwarded_submission();
-        inbox::store_job_directly(&node, Arc::new(job), &submission).await
-    });
-    register_method(module, STORE_CANCEL, |node, key: JobKey| async move {
-        inbox::store_cancel_directly(&node, key).await
-    });
-    register_method(
-        module,
-        STATUS,
-        |node, key: JobKey| async move { node.status_if_leader(key).await },
-    );
-    register_method(module, ADMIT, |node, arrival: Arrival| async move {
-        node.admit_if_leader(arrival).await
-    });
-    register_method(module, SUPERSEDED, |node, notice: Superseded| async move {
-        node.end_earlier_leadership(notice.term)
-    });
-    register_method(module, INVITE, |node, invitation: Invitation| async move {
-        node.handle_invitation(invitation).await
-    });
-}
-
-fn register_method<Q, A, H, F>(module: &mut Module, name: &'static str, handler: H)
-where
-    Q: DeserializeOwned + Send + 'static,
-    A: Serialize + Clone + Send + 'static,
-    H: Fn(Arc<crate::node::Node>, Q) -> F + Clone + Send + Sync + 'static,
-    F: std::future::Future<Output = A> + Send + 'static,
-{
-    let registered = module.register_async_method(name, move |params, node, _| {
-        let handler = handler.clone();
-        async move {
-            let (body,): (Q,) = params.parse()?;
-            let node: Arc<crate::node::Node> = Arc::clone(&node);
-            Ok::<A, jsonrpsee::types::ErrorObjectOwned>(handler(node, body).await)
-        }
-    });
-    registered.expect("method names are distinct constants");
-}
--- a/crates/serve/src/account.rs
+++ b/crates/serve/src/account.rs
@@ -19,6 +19,9 @@
     /// It was evicted for another client.
     #[display("evicted")]
     Evicted,
+    /// It did nothing, or did not end a message, for too long.
+    #[display("expired")]
+    Expired,
     /// Its head was longer than the limit.
     #[display("head-too-large")]
     HeadTooLarge,
@@ -34,6 +37,9 @@
     /// Its body was malformed, ended early or did not arrive in time.
     #[display("body-truncated")]
     BodyTruncated,
+    /// Its message was malformed or larger than the limit.
+    #[display("message-refused")]
+    MessageRefused,
     /// It did not read its answer in time.
     #[display("answer-unread")]
     AnswerUnread,
@@ -102,6 +108,18 @@
         }
     }
 
+    /// Closes the connections of a class that have been in a phase for longer than `max_age`.
+    pub fn expire(&self, class: Class, phase: Phase, max_age: Duration) {
+        let mut state = self.state();
+        let expired = state.ledger.expire(class, phase, max_age, self.opened.elapsed());
+        let closers = state.take_closers(&expired);
+        drop(state);
+        for close in closers {
+            close();
+            self.count(class, Reason::Expired);
+        }
+    }
+
     /// Counts a refusal; logs at most one line of each kind in [`LOG_INTERVAL`].
     pub fn count(&self, class: Class, reason: Reason) {
         let now = self.opened.elapsed();
--- a/crates/serve/src/budget.rs
+++ b/crates/serve/src/budget.rs
@@ -268,6 +268,22 @@
         used.memory.0 -= connection.memory.0;
     }
 
+    /// Evicts the connections of a class that have been in a phase for longer than `max_age`.
+    pub fn expire(
+        &mut self,
+        class: Class,
+        phase: Phase,
+        max_age: Duration,
+        now: Duration,
+    ) -> Vec<ConnectionId> {
+        let expired = self.connections.iter().filter(|(_, c)| {
+            c.class == class && c.phase == phase && now.saturating_sub(c.since) > max_age
+        });
+        let expired: Vec<_> = expired.map(|(&id, _)| id).collect();
+        expired.iter().for_each(|&id| self.close(id));
+        expired
+    }
+
     /// Evicts as many connections as it takes until `more` fits. For a place, those between two
     /// requests go first, since their clients lose nothing by it; for memory, those whose requests
     /// take longest to arrive. Returns `None`, and evicts none, if that is not enough.
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod chunks;
 mod connection;
 pub mod head;
+pub mod messages;
 
 use std::future::Future;
 use std::io;
--- a/crates/serve/tests/budget.rs
+++ b/crates/serve/tests/budget.rs
@@ -111,6 +111,25 @@
     assert!(ledger.enter(second, Phase::Busy, now));
 }
 
+#[test]
+fn connections_expire_by_what_they_are_doing() {
+    let mut ledger = ledger(1 << 30, 160);
+    let mut open = |class| ledger.open(class, Duration::ZERO).granted.unwrap();
+    let (idle, reading, busy) = (open(Class::Hosts), open(Class::Hosts), open(Class::Hosts));
+    open(Class::Callers);
+    let at = Duration::from_secs;
+    assert!(ledger.enter(reading, Phase::Reading, at(1)));
+    assert!(ledger.enter(busy, Phase::Busy, at(2)));
+    let mut expire = |phase, now| ledger.expire(Class::Hosts, phase, at(10), at(now));
+    assert_eq!(expire(Phase::Idle, 10), []);
+    assert_eq!(expire(Phase::Idle, 11), [idle]);
+    assert_eq!(expire(Phase::Reading, 11), []);
+    assert_eq!(expire(Phase::Reading, 12), [reading]);
+    assert_eq!(expire(Phase::Busy, 13), [busy]);
+    assert_eq!(ledger.used(Class::Hosts), Amount::default());
+    assert_eq!(ledger.used(Class::Callers).connections, 1);
+}
+
 /// Random worlds: what is accounted for is always what is open, stays within the budget, and is
 /// nothing at the end; busy and young connections are never evicted.
 #[test]
