Refuse an opening request that exceeds its limit in one piece

The meter of messages took the first 8 KiB of a longer piece for a head of which more may arrive, and lost track of the rest: a client that sent more than that at once was not closed for it, and what it sent was not charged. The check compared with the limit after it had cut the text to the limit.

--- a/crates/serve/src/messages.rs
+++ b/crates/serve/src/messages.rs
@@ -117,14 +117,14 @@
         let Self::Open(text) = self else { return Ok(input) };
         let searched = text.len().saturating_sub(3);
         let known = text.len();
-        text.extend_from_slice(&input[..input.len().min(MAX_HEAD_BYTES)]);
+        text.extend_from_slice(&input[..input.len().min(MAX_HEAD_BYTES - known)]);
         let compared = text.len().min(start.len());
         if text[..compared] != start[..compared] {
             return Err(MessageError::Malformed);
         }
         let end = text[searched..].windows(4).position(|part| part == b"\r\n\r\n");
         let Some(end) = end.map(|at| searched + at + 4) else {
-            return if text.len() > MAX_HEAD_BYTES { Err(MessageError::TooLarge) } else { Ok(&[]) };
+            return if text.len() == MAX_HEAD_BYTES { Err(MessageError::TooLarge) } else { Ok(&[]) };
         };
         *self = Self::Ended;
         Ok(&input[end - known..])
