Let connections give way by age alone

At the address for other hosts, a crowd that stalls within its requests took the places of hosts that send heartbeats every second: idle connections went before those that were reading, so a host's connection of half a second without a heartbeat gave way to a client that had stalled for longer.

Where a place is wanted, the connection goes that has been idle or reading for longest. For memory the order stays, since idle connections hold little.

hosts_that_send_heartbeats_outlast_clients_that_stall failed with the former order (host 8 at 4.2 s).

--- a/crates/serve/src/budget.rs
+++ b/crates/serve/src/budget.rs
@@ -284,9 +284,10 @@
         expired
     }
 
-    /// Evicts as many connections as it takes until `more` fits. For a place, those between two
-    /// requests go first, since their clients lose nothing by it; for memory, those whose requests
-    /// take longest to arrive. Returns `None`, and evicts none, if that is not enough.
+    /// Evicts as many connections as it takes until `more` fits. For a place, those go first that
+    /// have been idle or reading for longest: a host that sends heartbeats is idle for shorter than a
+    /// client that stalls. For memory, those go first whose requests take longest to arrive, since
+    /// idle connections hold little. Returns `None`, and evicts none, if that is not enough.
     fn make_room(
         &mut self,
         class: Class,
@@ -298,7 +299,7 @@
         if missing == Amount::default() {
             return Some(Vec::new());
         }
-        let first = if missing.connections > 0 { Phase::Idle } else { Phase::Reading };
+        let first = if missing.connections > 0 { None } else { Some(Phase::Reading) };
         let mut evicted = Vec::new();
         while missing != Amount::default() {
             let id = self
@@ -311,12 +312,12 @@
         Some(evicted)
     }
 
-    /// Returns the connection of a class that has been in phase `first` for longest, or else in the
-    /// other phase that may be interrupted.
+    /// Returns the connection of a class that has been idle or reading for longest; those in phase
+    /// `first` come before others.
     fn next_candidate(
         &self,
         class: Class,
-        first: Phase,
+        first: Option<Phase>,
         now: Duration,
         is_excluded: impl Fn(ConnectionId) -> bool,
     ) -> Option<ConnectionId> {
@@ -324,6 +325,7 @@
         let open = self.connections.iter().filter(|(&id, c)| {
             c.class == class && c.phase != Phase::Busy && old_enough(c) && !is_excluded(id)
         });
-        open.min_by_key(|(_, c)| (c.phase != first, c.since)).map(|(&id, _)| id)
+        open.min_by_key(|(_, c)| (first.is_some_and(|first| c.phase != first), c.since))
+            .map(|(&id, _)| id)
     }
 }
--- a/crates/serve/tests/budget.rs
+++ b/crates/serve/tests/budget.rs
@@ -86,6 +86,33 @@
     );
 }
 
+/// Hosts that send heartbeats every second keep their connections beside a crowd that fills all
+/// other places with half a request, again and again.
+#[test]
+fn hosts_that_send_heartbeats_outlast_clients_that_stall() {
+    let mut ledger = ledger(1 << 30, 160);
+    let hosts: Vec<_> = std::iter::repeat_with(|| ledger.open(Class::Hosts, Duration::ZERO))
+        .take(20)
+        .filter_map(|grant| grant.granted)
+        .collect();
+    let mut refused = 0;
+    for tenth in 1..600_u64 {
+        let now = Duration::from_millis(tenth * 100);
+        for (at, &host) in hosts.iter().enumerate() {
+            if (tenth + at as u64).is_multiple_of(10) {
+                assert!(ledger.enter(host, Phase::Busy, now), "host {at} at {now:?}");
+                assert!(ledger.enter(host, Phase::Idle, now));
+            }
+        }
+        let grant = ledger.open(Class::Hosts, now);
+        refused += usize::from(grant.granted.is_none());
+        if let Some(id) = grant.granted {
+            assert!(ledger.enter(id, Phase::Reading, now));
+        }
+    }
+    assert_eq!(refused, 0);
+}
+
 #[test]
 fn memory_is_taken_from_requests_that_take_longest_to_arrive() {
     let class = Class::Callers;
