--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -117,3 +117,10 @@
 fn silent_connections_and_lost_history_break_no_promise() {
     soak(&[90_001]);
 }
+
+/// Crowds of clients outside the limits at any listener, in series and overlapping, combined with lost leaders: hosts
+/// keep within their memory and descriptors.
+#[test]
+fn clients_outside_the_limits_break_no_promise() {
+    soak(&[110_001]);
+}
--- a/crates/serve/src/messages.rs
+++ b/crates/serve/src/messages.rs
@@ -124,7 +124,11 @@
         }
         let end = text[searched..].windows(4).position(|part| part == b"\r\n\r\n");
         let Some(end) = end.map(|at| searched + at + 4) else {
-            return if text.len() == MAX_HEAD_BYTES { Err(MessageError::TooLarge) } else { Ok(&[]) };
+            return if text.len() == MAX_HEAD_BYTES {
+                Err(MessageError::TooLarge)
+            } else {
+                Ok(&[])
+            };
         };
         *self = Self::Ended;
         Ok(&input[end - known..])
--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -6,7 +6,8 @@
 //! other programs, workers whose capacity shrinks and grows, hosts that are suspended for longer than their
 //! leases, workers that restart under their names, and workers that all crash together while jobs are
 //! cancelled soon after submission, sites that are partitioned while hosts join, and queues that are removed and
-//! renamed, connections that go silent, and hosts whose processor is throttled. Faults come in series and overlap.
+//! renamed, connections that go silent, hosts whose processor is throttled, and crowds of clients outside the limits.
+//! Faults come in series and overlap.
 //!
 //! The checks compare what callers and workers observe with the documented guarantees. No task runs twice at
 //! one time, or again after its end was acknowledged, or from progress that it has not saved. A task that
@@ -16,6 +17,7 @@
 
 mod callers;
 mod cancels;
+mod crowds;
 mod environment;
 mod faults;
 mod large_configurations;
@@ -180,6 +182,7 @@
         large: large_configurations::prepare(seed, &wrong_answers),
         silences: silences::prepare(seed),
         throttles: throttles::prepare(seed),
+        crowds: crowds::prepare(seed),
     };
     wait(READY_LIMIT, || site.lock().expect(LOCK).hosts.iter().any(site::Host::is_ready));
     let jobs: Mutex<Vec<(JobKey, JobFact)>> = Mutex::default();
@@ -198,6 +201,7 @@
     }
     watch_quiet_phase(&site, profile);
     check(&site, &jobs, &mut report);
+    report.violations.append(&mut crowds::overruns(&site, seed));
     report.violations.append(&mut wrong_answers.lock().expect(LOCK));
     if report.violations.is_empty() {
         std::fs::remove_dir_all(&plan.dir)?;
@@ -227,7 +231,7 @@
         output: Output::default(),
         threads: options.threads,
         status_s: silences::status_s(seed),
-        limits: None,
+        limits: crowds::limits(seed),
     }
 }
 
--- a/crates/soak/src/processes/faults.rs
+++ b/crates/soak/src/processes/faults.rs
@@ -14,6 +14,7 @@
 use rustix::process::Signal;
 
 use super::cancels::JointCrashes;
+use super::crowds::Crowds;
 use super::environment::EnvironmentFaults;
 use super::large_configurations::LargeConfigurations;
 use super::partitions::Partitions;
@@ -152,6 +153,7 @@
     pub(super) large: Option<LargeConfigurations>,
     pub(super) silences: Option<Silences>,
     pub(super) throttles: Option<Throttles>,
+    pub(super) crowds: Option<Crowds>,
 }
 
 impl ExtraFaults {
@@ -176,6 +178,9 @@
         if let Some(throttles) = &mut self.throttles {
             faults += throttles.tick(site, more)?;
         }
+        if let Some(crowds) = &mut self.crowds {
+            faults += crowds.tick(site, more)?;
+        }
         if let Some(environment) = &mut self.environment {
             faults += environment.tick(site, more)?;
         }
