--- a/crates/soak/src/processes.rs
+++ b/crates/soak/src/processes.rs
@@ -172,6 +172,7 @@
     links.extend(silences::links(seed, plan.hosts));
     let site = Mutex::new(site::open_on_links(&plan, &links)?);
     let wrong_answers = large_configurations::WrongAnswers::default();
+    let overruns = crowds::Overruns::default();
     faults::prepare(&site.lock().expect(LOCK), seed, profile, &mut rng);
     let extra = ExtraFaults {
         environment: environment::prepare(&site.lock().expect(LOCK), seed),
@@ -182,7 +183,7 @@
         large: large_configurations::prepare(seed, &wrong_answers),
         silences: silences::prepare(seed),
         throttles: throttles::prepare(seed),
-        crowds: crowds::prepare(seed),
+        crowds: crowds::prepare(seed, &overruns),
     };
     wait(READY_LIMIT, || site.lock().expect(LOCK).hosts.iter().any(site::Host::is_ready));
     let jobs: Mutex<Vec<(JobKey, JobFact)>> = Mutex::default();
@@ -201,7 +202,7 @@
     }
     watch_quiet_phase(&site, profile);
     check(&site, &jobs, &mut report);
-    report.violations.append(&mut crowds::overruns(&site, seed));
+    report.violations.extend(overruns.lock().expect(LOCK).iter().cloned());
     report.violations.append(&mut wrong_answers.lock().expect(LOCK));
     if report.violations.is_empty() {
         std::fs::remove_dir_all(&plan.dir)?;
--- a/crates/soak/src/processes/crowds.rs
+++ b/crates/soak/src/processes/crowds.rs
@@ -4,9 +4,10 @@
 //!
 //! They draw from a random sequence of their own, so that the other faults of a seed do not change.
 
+use std::collections::BTreeSet;
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Instant;
 
@@ -17,7 +18,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::faults::millis;
-use super::POLL_INTERVAL;
+use super::{LOCK, POLL_INTERVAL};
 
 /// The seeds with these faults.
 const SEEDS: std::ops::Range<u64> = 110_000..120_000;
@@ -29,8 +30,8 @@
 const LIMITS: ProcessLimits = ProcessLimits { memory_mb: 96, descriptors: 1_000 };
 
 /// How many clients a crowd has, and how much each of them sends at most, in bytes.
-const CLIENTS: std::ops::Range<usize> = 5..60;
-const CLIENT_BYTES: std::ops::Range<usize> = 1_000..2_000_000;
+const CLIENTS: std::ops::Range<usize> = 10..80;
+const CLIENT_BYTES: std::ops::Range<usize> = 100_000..4_000_000;
 
 /// The most crowds at a time.
 const MAX_CROWDS: usize = 3;
@@ -84,15 +85,19 @@
     ends: Vec<Instant>,
     /// Whether all crowds close their connections at once.
     over: Arc<AtomicBool>,
+    overruns: Overruns,
 }
 
+/// Which hosts have exceeded their limits.
+pub(super) type Overruns = Arc<Mutex<BTreeSet<String>>>;
+
 /// Draws the time of the first crowd; `None` if the seed has none.
-pub(super) fn prepare(seed: u64) -> Option<Crowds> {
+pub(super) fn prepare(seed: u64, overruns: &Overruns) -> Option<Crowds> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     rng.set_stream(STREAM);
     applies_to(seed).then(|| {
         let next = Instant::now() + millis(&mut rng, PAUSE_MS);
-        Crowds { rng, next, ends: Vec::new(), over: Arc::default() }
+        Crowds { rng, next, ends: Vec::new(), over: Arc::default(), overruns: Arc::clone(overruns) }
     })
 }
 
@@ -100,6 +105,7 @@
     /// Sends the crowd that is due and lets others go. Returns the number of new crowds.
     pub(super) fn tick(&mut self, site: &Site, more: bool) -> io::Result<u64> {
         let now = Instant::now();
+        self.overruns.lock().expect(LOCK).extend(site.hosts.iter().flat_map(overruns_of));
         self.ends.retain(|&end| now < end);
         if !more {
             self.over.store(true, Ordering::Relaxed);
@@ -140,18 +146,13 @@
     }
 }
 
-/// Returns which hosts have exceeded their limits since they were last started.
-pub(super) fn overruns(site: &Site, seed: u64) -> Vec<String> {
-    let Some(limits) = limits(seed) else { return Vec::new() };
-    let mut found = Vec::new();
-    for host in &site.hosts {
-        let (memory, open) = (host.peak_memory(), host.open_descriptors());
-        if memory.is_some_and(|bytes| bytes > limits.memory_mb * 1_000_000) {
-            found.push(format!("{} used {memory:?} bytes of memory", host.name));
-        }
-        if open.is_some_and(|open| open as u64 > limits.descriptors) {
-            found.push(format!("{} has {open:?} descriptors open", host.name));
-        }
-    }
-    found
+/// Returns which limits a host has exceeded since its process was started.
+fn overruns_of(host: &Host) -> Vec<String> {
+    let memory = host.peak_memory().filter(|&bytes| bytes > LIMITS.memory_mb * 1_000_000);
+    let open = host.open_descriptors().filter(|&open| open as u64 > LIMITS.descriptors);
+    let memory = memory.map(|_| format!("{} has exceeded its memory", host.name));
+    memory
+        .into_iter()
+        .chain(open.map(|_| format!("{} has exceeded its descriptors", host.name)))
+        .collect()
 }
