--- a/crates/node/src/listeners.rs
+++ b/crates/node/src/listeners.rs
@@ -31,9 +31,10 @@
 /// What is allowed for the request line, beside the configured limit on headers.
 const MAX_REQUEST_LINE: usize = 8 << 10;
 
-/// How many bytes the handling of a job takes for each byte of its body: a step of a dozen bytes
-/// becomes some two hundred in memory, and the job is encoded again for the store.
-const HANDLING_FACTOR: u64 = 16;
+/// How many bytes the handling of a job takes for each byte of its body. Short steps take the most:
+/// twenty bytes of text become some two hundred, which are encoded again for the store and for the
+/// leader.
+const HANDLING_FACTOR: u64 = 40;
 
 /// How long a head or a body of such a request may take to arrive.
 const CHECK_LIMIT: Duration = Duration::from_secs(5);
--- a/crates/node/tests/clients.rs
+++ b/crates/node/tests/clients.rs
@@ -58,21 +58,26 @@
 /// Sends a crowd to one listener of the site's host and checks the host beside it.
 fn withstand(site: &mut Site, addr: &str, kind: Misbehaviour, clients: usize) {
     let mut crowd = crowd::send(addr, kind, clients, CLIENT_BYTES);
-    let host = &mut site.hosts[0];
-    assert!(host.runs(), "{kind}: the process has ended");
-    let descriptors = host.open_descriptors().expect("the process runs");
-    assert!(descriptors <= LIMITS.descriptors as usize, "{kind}: {descriptors} descriptors");
-    let listeners = [host.callers.clone(), host.readiness.clone(), host.metrics()];
-    let unread: u64 = listeners.iter().chain([&host.peers]).map(|a| crowd::unread_bytes(a)).sum();
-    let memory = host.peak_memory().expect("the process runs") + unread;
-    assert!(memory <= LIMITS.memory_mb * 1_000_000, "{kind}: {memory} bytes at {addr}");
+    check_limits(site, kind);
     answers(site);
     if kind.is_endless() {
         assert_eq!(crowd.wait_closed(CLOSE_LIMIT), 0, "{kind}: open connections at {addr}");
     }
     drop(crowd);
     answers(site);
-    assert!(site.hosts[0].runs(), "{kind}: the process has ended");
+    check_limits(site, kind);
+}
+
+/// Checks that the site's host runs and is within its limits.
+fn check_limits(site: &mut Site, kind: Misbehaviour) {
+    let host = &mut site.hosts[0];
+    assert!(host.runs(), "{kind}: the process has ended");
+    let descriptors = host.open_descriptors().expect("the process runs");
+    assert!(descriptors <= LIMITS.descriptors as usize, "{kind}: {descriptors} descriptors");
+    let listeners = [&host.callers, &host.readiness, &host.metrics(), &host.peers];
+    let unread: u64 = listeners.into_iter().map(|addr| crowd::unread_bytes(addr)).sum();
+    let memory = host.peak_memory().expect("the process runs") + unread;
+    assert!(memory <= LIMITS.memory_mb * 1_000_000, "{kind}: {memory} bytes of memory");
 }
 
 /// Waits until one ordinary request is answered on each listener.
@@ -153,6 +158,14 @@
     withstand_at_each_listener(Misbehaviour::StalledBody, CLIENTS_WITH_BODIES);
 }
 
+#[test]
+fn jobs_of_the_largest_size_with_many_steps() {
+    let (mut site, _guard) = open_site();
+    let addr = site.hosts[0].callers.clone();
+    withstand(&mut site, &addr, Misbehaviour::EmptySteps, CLIENTS);
+    withstand(&mut site, &addr, Misbehaviour::SmallSteps, CLIENTS);
+}
+
 #[test]
 fn heads_that_stop_before_their_end() {
     withstand_at_each_listener(Misbehaviour::StalledHead, SILENT_CLIENTS);
--- a/crates/serve/src/budget.rs
+++ b/crates/serve/src/budget.rs
@@ -108,9 +108,9 @@
 /// The fewest connections of a budget; with fewer, some class would have none.
 const MIN_CONNECTIONS: usize = 16;
 
-/// The least memory of a budget. The part of callers then holds one body of 256 KiB with sixteen
-/// times as much for its handling, which is the most that one request may need by default.
-const MIN_MEMORY: Bytes = Bytes(8 << 20);
+/// The least memory of a budget. The part of callers then holds one body of 256 KiB with forty times
+/// as much for its handling, which is the most that one request needs with common limits.
+const MIN_MEMORY: Bytes = Bytes(20 << 20);
 
 /// Derives the budget from the memory and the descriptors that the process may use.
 pub fn of_process(memory: Bytes, descriptors: usize) -> Budget {
--- a/crates/serve/tests/budget.rs
+++ b/crates/serve/tests/budget.rs
@@ -50,7 +50,7 @@
     let mut ledger = Ledger::new(budget);
     fill(&mut ledger, Class::Hosts, Duration::ZERO);
     let id = ledger.open(Class::Callers, Duration::ZERO).granted.unwrap();
-    assert!(ledger.charge(id, Bytes(262_144 * 17), Duration::ZERO).granted.is_some());
+    assert!(ledger.charge(id, Bytes(262_144 * 41), Duration::ZERO).granted.is_some());
 }
 
 #[test]
@@ -60,7 +60,7 @@
         assert!(!fill(&mut ledger, class, Duration::ZERO).is_empty());
     }
     let id = ledger.open(Class::Callers, Duration::ZERO).granted.unwrap();
-    assert!(ledger.charge(id, Bytes(262_144 * 17), Duration::ZERO).granted.is_some());
+    assert!(ledger.charge(id, Bytes(262_144 * 41), Duration::ZERO).granted.is_some());
 }
 
 #[test]
