--- a/crates/node/tests/clients.rs
+++ b/crates/node/tests/clients.rs
@@ -6,14 +6,13 @@
 
 mod support;
 
-use std::path::PathBuf;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use gaplock_jobs::JobKey;
 use gaplock_platform_standin::crowd::{self, Misbehaviour};
 use gaplock_platform_standin::site::{self, call, two_steps, Output, Plan, ProcessLimits, Site};
-use support::{open_plan, wait_for};
+use support::{open_plan, plan, wait_for};
 
 /// What the daemon is told that it may use.
 const LIMITS: ProcessLimits = ProcessLimits { memory_mb: 64, descriptors: 400 };
@@ -41,17 +40,8 @@
 
 fn open_site() -> (Site, MutexGuard<'static, ()>) {
     let guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-    let plan = Plan {
-        program: PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node")),
-        dir: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
-        hosts: 1,
-        workers: 2,
-        work: Duration::from_millis(50),
-        output: Output::File,
-        threads: None,
-        status_s: None,
-        limits: Some(LIMITS),
-    };
+    let work = Duration::from_millis(50);
+    let plan = Plan { limits: Some(LIMITS), ..plan(1, 2, work, Output::File) };
     (open_plan(&plan), guard)
 }
 
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -18,11 +18,15 @@
 /// Opens a site whose hosts are ready.
 #[allow(dead_code)] // not every test that shares these helpers uses it
 pub fn open_site_with(hosts: usize, workers: usize, work: Duration, output: Output) -> Site {
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node"));
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let plan = Plan {
-        program,
-        dir,
+    open_plan(&plan(hosts, workers, work, output))
+}
+
+/// Returns the plan of a site whose settings are left to the daemon's defaults.
+#[allow(dead_code)] // not every test that shares these helpers uses it
+pub fn plan(hosts: usize, workers: usize, work: Duration, output: Output) -> Plan {
+    Plan {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node")),
+        dir: PathBuf::from(env!("CARGO_TARGET_TMPDIR")),
         hosts,
         workers,
         work,
@@ -30,8 +34,7 @@
         threads: None,
         status_s: None,
         limits: None,
-    };
-    open_plan(&plan)
+    }
 }
 
 /// Opens a site after a plan, whose hosts are ready.
@@ -56,20 +59,7 @@
 /// Opens a site whose hosts have network links of these bandwidths, in Mbit/s, and are ready.
 #[allow(dead_code)] // not every test that shares these helpers uses it
 pub fn open_site_on_links(mbps: &[f64], workers: usize, work: Duration) -> Site {
-    let program = PathBuf::from(env!("CARGO_BIN_EXE_gaplock-node"));
-    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-    let hosts = mbps.len();
-    let plan = Plan {
-        program,
-        dir,
-        hosts,
-        workers,
-        work,
-        output: Output::File,
-        threads: None,
-        status_s: None,
-        limits: None,
-    };
+    let plan = plan(mbps.len(), workers, work, Output::File);
     let site = site::open_on_links(&plan, mbps).expect("the site starts");
     for host in &site.hosts {
         wait_for("readiness", || host.is_ready());
