Give answers between processes a time limit of their own

A message to an entry could take 60 s to arrive, the time that a forwarded request may take to be answered, since one limit stood for both: a peer that stopped within a message kept its place and its charge for twice as long as at gaplock-node.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -43,7 +43,8 @@
 /// Limits on peers. A forwarded request is answered within its deadline, 30 s at most.
 const LIMITS: Limits = Limits {
     max_message_bytes: MAX_MESSAGE_BYTES,
-    message_timeout: Duration::from_secs(60),
+    message_timeout: Duration::from_secs(30),
+    answer_timeout: Duration::from_secs(60),
     idle_timeout: Duration::from_secs(120),
 };
 
--- a/crates/node/src/peer_server.rs
+++ b/crates/node/src/peer_server.rs
@@ -24,6 +24,7 @@
 const LIMITS: Limits = Limits {
     max_message_bytes: MAX_MESSAGE_BYTES,
     message_timeout: Duration::from_secs(30),
+    answer_timeout: Duration::from_secs(30),
     idle_timeout: Duration::from_secs(120),
 };
 
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -26,8 +26,10 @@
 pub struct Limits {
     /// The largest message, in bytes.
     pub max_message_bytes: u32,
-    /// The longest time that a message may take to arrive, or to be answered.
+    /// The longest time that a message may take to arrive.
     pub message_timeout: Duration,
+    /// The longest time until a message is answered and the answer is taken.
+    pub answer_timeout: Duration,
     /// The longest time between two messages.
     pub idle_timeout: Duration,
 }
@@ -94,7 +96,7 @@
         loop {
             task::sleep(CHECK_INTERVAL).await;
             account.expire(Class::Hosts, Phase::Reading, limits.message_timeout);
-            account.expire(Class::Hosts, Phase::Busy, limits.message_timeout);
+            account.expire(Class::Hosts, Phase::Busy, limits.answer_timeout);
             account.expire(Class::Hosts, Phase::Idle, limits.idle_timeout);
         }
     };
