Judge each request by the limits in force when it begins to arrive

After operators had changed the limits, a request on an idle connection was judged by the former ones: the listener asked for its limits before it waited for the request, up to the idle limit earlier.

The limits are asked for again with the first byte of a request. a_request_on_an_idle_connection_meets_the_limits_of_its_own_time failed before (200 for a body above the new limit) and passes.

--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -68,8 +68,8 @@
 {
     let mut connection = Connection { stream, buf: Vec::with_capacity(MIN_BUFFER), held };
     loop {
-        let limits = (service.limits)();
-        let head = match connection.read_head(limits).await {
+        let mut limits = (service.limits)();
+        let head = match connection.read_head(service, &mut limits).await {
             Ok(head) => head,
             Err(end) => return connection.end(end, service, limits).await,
         };
@@ -93,14 +93,15 @@
 }
 
 impl Connection {
-    /// Reads and decodes a head.
-    async fn read_head(&mut self, limits: Limits) -> Result<Head, End> {
+    /// Reads and decodes a head. Sets `limits` to those in force when it begins to arrive.
+    async fn read_head(&mut self, service: &Service, limits: &mut Limits) -> Result<Head, End> {
         let mut scanner = Scanner::default();
         let idle_since = Instant::now();
         let mut began = None;
         loop {
             if began.is_none() && !self.buf.is_empty() {
                 began = Some(Instant::now());
+                *limits = (service.limits)();
                 if !self.held.enter(Phase::Reading) {
                     return Err(End::Closed);
                 }
--- a/crates/serve/tests/limits.rs
+++ b/crates/serve/tests/limits.rs
@@ -1,5 +1,6 @@
 //! Checks the listener's limits and its graceful stop over real sockets.
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -180,6 +181,35 @@
     });
 }
 
+#[test]
+fn a_request_on_an_idle_connection_meets_the_limits_of_its_own_time() {
+    task::block_on(async {
+        let max = Arc::new(AtomicUsize::new(5));
+        let in_force = Arc::clone(&max);
+        let service = Service {
+            class: Class::Callers,
+            account: account::open(budget::unshared(4)),
+            limits: Arc::new(move || Limits {
+                max_body_bytes: in_force.load(Ordering::SeqCst),
+                ..limits()
+            }),
+            refuse: Arc::new(gaplock_serve::refusal_response),
+        };
+        let l = gaplock_serve::bind_service("127.0.0.1:0", service, handle).await.unwrap();
+        let mut stream = net::TcpStream::connect(l.addr()).await.unwrap();
+        let request = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhello";
+        for (limit, status) in [(5, " 200 "), (4, " 413 ")] {
+            max.store(limit, Ordering::SeqCst);
+            stream.write_all(request).await.unwrap();
+            let mut got = [0; 1_024];
+            let len = stream.read(&mut got).await.unwrap();
+            let got = String::from_utf8_lossy(&got[..len]);
+            assert!(got.contains(status), "{got}");
+            task::sleep(Duration::from_millis(50)).await;
+        }
+    });
+}
+
 /// A class without memory refuses bodies, and serves again once the memory is free.
 #[test]
 fn requests_above_the_memory_of_the_budget_are_refused() {
